--- /dev/null
+++ b/mulberrypick/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to callers, engines, plain services, the platform and peers."""
--- /dev/null
+++ b/mulberrypick/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records and decisions: pure modules without sockets, threads or clocks."""
--- /dev/null
+++ b/mulberrypick/ops/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own their sockets and state, and talk by messages."""
--- /dev/null
+++ b/mulberrypick/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""The programs: one composition root each."""
