Stand-ins for platform and plain service

Cause: the product needs the platform's object API and a counting service. The version of an object is the platform-wide revision of its change: a counter per object was ruled out, as an object that is deleted and created again would show an old version to a conditional update.

--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,111 @@
+"""The rules that decide every stand-in answer, shared by all who check one.
+
+The engine, the load tool and the tests compute the same answer from the same
+prompt, so that each answer can be checked token by token without a recording.
+One word of a prompt counts as one token.
+"""
+
+import re
+from typing import NamedTuple
+
+import xxhash
+
+FINISH_STOP = 'stop'
+FINISH_LENGTH = 'length'
+
+SHORTEST_ANSWER = 8
+LENGTH_SPREAD = 248
+BLOCK_HASH_BYTES = 8
+
+_FIRST_SYLLABLES = 'ba ce di fo gu ha je ki lo mu na pe ri so tu va'
+_SECOND_SYLLABLES = (
+    'ban cel dir fos gun hal jem kir lom mus nat per rin sol tum vas'
+)
+WORDS = tuple(
+    first + second
+    for first in _FIRST_SYLLABLES.split()
+    for second in _SECOND_SYLLABLES.split()
+)
+_LENGTH_WORD = re.compile(r'(?:^|\s)length=(\d+)(?:\s|$)')
+_TOKENS = tuple(word + ' ' for word in WORDS)
+
+
+class Expected(NamedTuple):
+  """The end of a right answer.
+
+  Attributes:
+    tokens: Count of tokens.
+    finish_reason: `FINISH_STOP` or `FINISH_LENGTH`.
+  """
+
+  tokens: int
+  finish_reason: str
+
+
+class TokenSource:
+  """Computes the tokens of one answer, one at a time and in any order."""
+
+  def __init__(self, model: str, adapter: str, prompt: str):
+    self._hash = xxhash.xxh64(f'{model}|{adapter}|{prompt}|')
+
+  def token(self, index: int) -> str:
+    """Returns the text of a token, with its trailing space."""
+    digest = self._hash.copy()
+    digest.update(str(index))
+    return _TOKENS[digest.intdigest() % len(_TOKENS)]
+
+
+def natural_length(prompt: str) -> int:
+  """Returns the tokens of an answer that no bound cuts short."""
+  match = _LENGTH_WORD.search(prompt)
+  if match:
+    return int(match.group(1))
+  return SHORTEST_ANSWER + xxhash.xxh64_intdigest(prompt) % LENGTH_SPREAD
+
+
+def expected_end(prompt: str, max_tokens: int) -> Expected:
+  """Returns the length and the finish reason of a right answer."""
+  length = natural_length(prompt)
+  if length <= max_tokens:
+    return Expected(length, FINISH_STOP)
+  return Expected(max_tokens, FINISH_LENGTH)
+
+
+def expected_tokens(
+    model: str, adapter: str, prompt: str, max_tokens: int
+) -> list[str]:
+  """Returns all tokens of the right answer."""
+  source = TokenSource(model, adapter, prompt)
+  count = expected_end(prompt, max_tokens).tokens
+  return [source.token(index) for index in range(count)]
+
+
+def expected_text(
+    model: str, adapter: str, prompt: str, max_tokens: int
+) -> str:
+  """Returns the text of the right answer."""
+  return ''.join(expected_tokens(model, adapter, prompt, max_tokens))
+
+
+def block_hashes(
+    model: str, adapter: str, words: list[str], piece_tokens: int
+) -> list[int]:
+  """Hashes the full blocks of a prompt, each chained to the one before.
+
+  Args:
+    model: Name of the model.
+    adapter: Name of the adapter, empty for none.
+    words: The prompt's words.
+    piece_tokens: Words of a block.
+
+  Returns:
+    One hash for each full block, in order.
+  """
+  hashes = []
+  previous = xxhash.xxh64_intdigest(f'{model}|{adapter}')
+  for start in range(0, len(words) - piece_tokens + 1, piece_tokens):
+    block = '\x1f'.join(words[start : start + piece_tokens])
+    head = previous.to_bytes(BLOCK_HASH_BYTES, 'big')
+    previous = xxhash.xxh64_intdigest(head + block.encode())
+    hashes.append(previous)
+  return hashes
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,171 @@
+"""The objects of the platform stand-in, with versions and watches.
+
+The version of an object is the platform-wide revision of its last change, so
+that an object which was deleted and created again never shows an old version.
+"""
+
+import collections
+import threading
+import time
+from typing import NamedTuple
+
+MISSING_VERSION = 0
+CHANGES_PER_BATCH = 1000
+
+
+class Change(NamedTuple):
+  """One change of one object.
+
+  Attributes:
+    revision: Platform-wide number of the change.
+    key: Key of the object.
+    version: New version, `MISSING_VERSION` for a delete.
+    value: New bytes, empty for a delete.
+  """
+
+  revision: int
+  key: str
+  version: int
+  value: bytes
+
+
+class VersionConflictError(Exception):
+  """The object stands at another version.
+
+  Attributes:
+    current: The version that stands, `MISSING_VERSION` for none.
+  """
+
+  def __init__(self, current: int):
+    super().__init__(f'version {current} stands')
+    self.current = current
+
+
+class RevisionGoneError(Exception):
+  """The changes after the revision are no longer kept."""
+
+
+class ObjectStore:
+  """Objects by key, with the latest changes kept for watches."""
+
+  def __init__(self, history: int):
+    self._changed = threading.Condition()
+    self._change_by_key: dict[str, Change] = {}
+    self._history = collections.deque[Change](maxlen=history)
+    self._revision = 0
+    self._interruptions = 0
+
+  def get(self, key: str) -> Change | None:
+    """Returns the last change of an object, None if there is no object."""
+    with self._changed:
+      return self._change_by_key.get(key)
+
+  def list_objects(self, prefix: str) -> tuple[int, list[Change]]:
+    """Returns the present revision and the objects under a prefix."""
+    with self._changed:
+      changes = [
+          change
+          for key, change in sorted(self._change_by_key.items())
+          if key.startswith(prefix)
+      ]
+      return self._revision, changes
+
+  def put(self, key: str, value: bytes, expected_version: int) -> int:
+    """Writes an object and returns its new version."""
+    with self._changed:
+      self._check(key, expected_version)
+      self._revision += 1
+      change = Change(self._revision, key, self._revision, value)
+      self._change_by_key[key] = change
+      self._keep(change)
+      return change.version
+
+  def delete(self, key: str, expected_version: int) -> None:
+    """Deletes an object."""
+    with self._changed:
+      self._check(key, expected_version)
+      if key not in self._change_by_key:
+        return
+      self._revision += 1
+      del self._change_by_key[key]
+      self._keep(Change(self._revision, key, MISSING_VERSION, b''))
+
+  def watch(
+      self, prefix: str, after: int, timeout_s: float
+  ) -> tuple[int, list[Change]] | None:
+    """Waits for changes under a prefix.
+
+    Returns:
+      The revision to go on from and the changes; None if interrupted.
+
+    Raises:
+      RevisionGoneError: The revision is too old, or was never reached.
+    """
+    until = time.monotonic() + timeout_s
+    with self._changed:
+      interruptions = self._interruptions
+      seen = after
+      while True:
+        changes = self._changes_after(prefix, seen)
+        seen = max(seen, self._revision)
+        left_s = until - time.monotonic()
+        if self._interruptions != interruptions:
+          return None
+        if changes or left_s <= 0:
+          break
+        self._changed.wait(left_s)
+    if len(changes) > CHANGES_PER_BATCH:
+      changes = changes[:CHANGES_PER_BATCH]
+      seen = changes[-1].revision
+    return seen, changes
+
+  def interrupt_watches(self) -> None:
+    """Ends all watches that wait."""
+    with self._changed:
+      self._interruptions += 1
+      self._changed.notify_all()
+
+  def _changes_after(self, prefix: str, after: int) -> list[Change]:
+    oldest = self._history[0].revision if self._history else 1
+    if after < oldest - 1 or after > self._revision:
+      raise RevisionGoneError
+    changes = []
+    for change in reversed(self._history):
+      if change.revision <= after:
+        break
+      if change.key.startswith(prefix):
+        changes.append(change)
+    changes.reverse()
+    return changes
+
+  def _check(self, key: str, expected_version: int) -> None:
+    change = self._change_by_key.get(key)
+    current = change.version if change else MISSING_VERSION
+    if current != expected_version:
+      raise VersionConflictError(current)
+
+  def _keep(self, change: Change) -> None:
+    self._history.append(change)
+    self._changed.notify_all()
+
+
+class TokenBucket:
+  """Limits a rate; holds at most one second's worth."""
+
+  def __init__(self, per_s: float):
+    self._per_s = per_s
+    self._left = per_s
+    self._filled_at = time.monotonic()
+    self._lock = threading.Lock()
+
+  def take(self) -> bool:
+    """Takes one call if the rate allows it."""
+    with self._lock:
+      now = time.monotonic()
+      self._left += (now - self._filled_at) * self._per_s
+      self._left = min(self._left, self._per_s)
+      self._filled_at = now
+      if self._left < 1:
+        return False
+      self._left -= 1
+      return True
