Stand-in for a model engine

Cause: routing and orders need an engine that batches continuously, caches prefixes in bounded memory, streams, resumes and takes orders. The scheduler is pure: plan() and finish() with the step's time in between, so that it can be tested without a clock. Memory is taken as a sequence grows, and the lowest priority is put back and computed again when it runs out; reserving max_tokens at the start was ruled out, as it would leave most memory unused. Tried by hand over HTTP: whole answers, resume, prefix hits, KV import, stale fence, repeated sequence, drain, crash in mid-stream.

--- a/standins/answers.py
+++ b/standins/answers.py
@@ -46,12 +46,12 @@
   """Computes the tokens of one answer, one at a time and in any order."""
 
   def __init__(self, model: str, adapter: str, prompt: str):
-    self._hash = xxhash.xxh64(f'{model}|{adapter}|{prompt}|')
+    self._hash = xxhash.xxh64(f'{model}|{adapter}|{prompt}|'.encode())
 
   def token(self, index: int) -> str:
     """Returns the text of a token, with its trailing space."""
     digest = self._hash.copy()
-    digest.update(str(index))
+    digest.update(b'%d' % index)
     return _TOKENS[digest.intdigest() % len(_TOKENS)]
 
 
@@ -60,7 +60,9 @@
   match = _LENGTH_WORD.search(prompt)
   if match:
     return int(match.group(1))
-  return SHORTEST_ANSWER + xxhash.xxh64_intdigest(prompt) % LENGTH_SPREAD
+  return (
+      SHORTEST_ANSWER + xxhash.xxh64_intdigest(prompt.encode()) % LENGTH_SPREAD
+  )
 
 
 def expected_end(prompt: str, max_tokens: int) -> Expected:
@@ -102,7 +104,7 @@
     One hash for each full block, in order.
   """
   hashes = []
-  previous = xxhash.xxh64_intdigest(f'{model}|{adapter}')
+  previous = xxhash.xxh64_intdigest(f'{model}|{adapter}'.encode())
   for start in range(0, len(words) - piece_tokens + 1, piece_tokens):
     block = '\x1f'.join(words[start : start + piece_tokens])
     head = previous.to_bytes(BLOCK_HASH_BYTES, 'big')
--- /dev/null
+++ b/standins/engine_app.py
@@ -0,0 +1,399 @@
+"""The HTTP side of the engine stand-in."""
+
+import itertools
+import os
+import queue
+import threading
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import NamedTuple, TypedDict
+
+import msgspec
+import urllib3
+
+from mulberrypick.core import records
+from standins import (
+    answers,
+    engine_batch,
+    engine_events,
+    engine_loop,
+    engine_orders,
+    wire,
+)
+
+KV_KEPT_S = 30.0
+KV_TIMEOUT_S = 2.0
+LEFT_CHECK_EVERY_S = 0.05
+CRASH_STATUS = 72
+KV = '/kv/'
+
+
+class KvReference(TypedDict):
+  """Where a prefill engine keeps KV cache."""
+
+  address: str
+  kv_id: str
+
+
+class GenerateBody(TypedDict):
+  """The body of `/generate` and `/prefill`."""
+
+  attempt_id: str
+  model: str
+  adapter: str
+  prompt: str
+  max_tokens: int
+  start_index: int
+  priority: int
+  kv: KvReference | None
+
+
+class KvExport(NamedTuple):
+  """KV cache kept for export.
+
+  Attributes:
+    tokens: Prompt tokens that it covers.
+    prompt: The prompt.
+    kept_until: Monotonic time up to which it is kept.
+  """
+
+  tokens: int
+  prompt: str
+  kept_until: float
+
+
+class Settings(NamedTuple):
+  """Settings of the HTTP side.
+
+  Attributes:
+    queue: Requests that may wait or run at once.
+  """
+
+  queue: int = 256
+
+
+class KvImportError(Exception):
+  """The KV cache could not be fetched or belongs to another prompt."""
+
+
+class EngineApp(wire.App):
+  """Requests, orders, reports and faults of an engine over HTTP."""
+
+  def __init__(
+      self,
+      settings: Settings,
+      batch_settings: engine_batch.Settings,
+      loop: engine_loop.EngineLoop,
+      orders: engine_orders.Orders,
+      events: engine_events.CacheEvents,
+      reports: engine_events.LaggingReports,
+  ):
+    super().__init__()
+    self._settings = settings
+    self._batch_settings = batch_settings
+    self._loop = loop
+    self._orders = orders
+    self._events = events
+    self._reports = reports
+    self._pool = urllib3.PoolManager(retries=False, maxsize=8)
+    self._lock = threading.Lock()
+    self._kv_ids = itertools.count(1)
+    self._export_by_id: dict[str, KvExport] = {}
+    self._counts = {'generate': 0, 'prefill': 0, 'cancelled': 0}
+    self._under_way = 0
+    self._tokens_to_crash: int | None = None
+
+  def take_fault(self, name: str, value: object) -> None:
+    """Takes a crash, a delay of orders or a freeze of the batch."""
+    if name == 'crash_after_tokens':
+      self._tokens_to_crash = int(value)
+    elif name == 'order_delay_s':
+      self._orders.delay_s = float(value)
+    elif name == 'crash_in_order':
+      self._orders.crashes_next = bool(value)
+    else:
+      raise ValueError(name)
+
+  def handle(self, call: wire.Call) -> wire.Answer:
+    """Answers one request."""
+    if call.path.startswith(KV):
+      return self._export_kv(call.path.removeprefix(KV))
+    handler_by_path = {
+        '/generate': self._generate,
+        '/prefill': self._prefill,
+        '/cancel': self._cancel,
+        '/orders': self._take_order,
+        '/load': self._report_load,
+        '/state': self._report_state,
+        '/events': self._report_events,
+        '/calls': self._report_calls,
+    }
+    handler = handler_by_path.get(call.path)
+    if handler is None:
+      return wire.error_answer(HTTPStatus.NOT_FOUND, 'path')
+    return handler(call)
+
+  def sample(self) -> None:
+    """Adds the present load to the lagging reports."""
+    load = self._loop.load
+    state = self._orders.state(load.requests)
+    batch = self._batch_settings
+    step_s = batch.decode_step_s + batch.decode_seq_s * load.running
+    self._reports.add(
+        records.EngineReport(
+            state.endpoint,
+            state.incarnation,
+            state.role,
+            self._orders.served_models(),
+            load.waiting_tokens,
+            load.running,
+            batch.pieces,
+            load.pieces_free,
+            state.is_draining,
+            batch.prefill_tokens_per_s,
+            step_s,
+            0.0,
+        )
+    )
+
+  def _generate(self, call: wire.Call) -> wire.Answer:
+    body = msgspec.json.decode(call.body, type=GenerateBody)
+    is_covered = body['kv'] is not None or body['start_index'] > 0
+    wrong_role = records.ROLE_PREFILL
+    if self._orders.state(0).role == records.ROLE_DECODE and not is_covered:
+      wrong_role = records.ROLE_DECODE
+    refusal = self._refusal(body, wrong_role)
+    if refusal:
+      return refusal
+    try:
+      work = self._make_work(body, is_prefill_only=False)
+    except KvImportError:
+      return wire.error_answer(HTTPStatus.CONFLICT, 'kv')
+    if not self._loop.fits(work):
+      return wire.error_answer(HTTPStatus.CONFLICT, 'memory')
+    self._count('generate')
+    stream = self._stream(call, work)
+    # The first step submits the request, before any header is sent.
+    next(stream)
+    return wire.Answer(HTTPStatus.OK, stream, wire.EVENT_STREAM)
+
+  def _prefill(self, call: wire.Call) -> wire.Answer:
+    body = msgspec.json.decode(call.body, type=GenerateBody)
+    refusal = self._refusal(body, records.ROLE_DECODE)
+    if refusal:
+      return refusal
+    work = self._make_work({**body, 'kv': None}, is_prefill_only=True)
+    if not self._loop.fits(work):
+      return wire.error_answer(HTTPStatus.CONFLICT, 'memory')
+    self._count('prefill')
+    outputs = self._submit(work)
+    try:
+      output = self._wait_first(call, outputs)
+    finally:
+      self._leave(work)
+    if output is None:
+      raise wire.DropConnectionError
+    return wire.json_answer(
+        {
+            'kv_id': self._keep_kv(work),
+            'tokens': work.prompt_tokens,
+        }
+    )
+
+  def _refusal(self, body: GenerateBody, wrong_role: str) -> wire.Answer | None:
+    name = engine_orders.model_name(body['model'], body['adapter'])
+    refusal = self._orders.refusal(name, wrong_role)
+    if refusal is None and self._under_way >= self._settings.queue:
+      return wire.error_answer(HTTPStatus.SERVICE_UNAVAILABLE, 'busy')
+    return refusal
+
+  def _make_work(
+      self, body: GenerateBody, is_prefill_only: bool
+  ) -> engine_batch.Work:
+    model, adapter, prompt = body['model'], body['adapter'], body['prompt']
+    start = 0 if is_prefill_only else body['start_index']
+    words = prompt.split()
+    prompt_tokens = max(1, len(words))
+    source = answers.TokenSource(model, adapter, prompt)
+    words += [source.token(index).strip() for index in range(start)]
+    end = answers.expected_end(prompt, body['max_tokens'])
+    piece_tokens = self._batch_settings.piece_tokens
+    return engine_batch.Work(
+        body['attempt_id'],
+        model,
+        adapter,
+        prompt,
+        prompt_tokens,
+        answers.block_hashes(model, adapter, words, piece_tokens),
+        start,
+        0 if is_prefill_only else end.tokens,
+        end.finish_reason,
+        body['priority'],
+        self._import_kv(body),
+        is_prefill_only,
+    )
+
+  def _import_kv(self, body: GenerateBody) -> int:
+    """Fetches KV cache and returns the tokens that it covers."""
+    reference = body['kv']
+    if reference is None:
+      return 0
+    url = f'http://{reference["address"]}{KV}{reference["kv_id"]}'
+    try:
+      response = self._pool.request('GET', url, timeout=KV_TIMEOUT_S)
+    except urllib3.exceptions.HTTPError as error:
+      raise KvImportError from error
+    if response.status != HTTPStatus.OK:
+      raise KvImportError
+    export = msgspec.json.decode(response.data)
+    if export['prompt'] != body['prompt']:
+      raise KvImportError
+    return export['tokens']
+
+  def _keep_kv(self, work: engine_batch.Work) -> str:
+    now = time.monotonic()
+    export = KvExport(work.prompt_tokens, work.prompt, now + KV_KEPT_S)
+    with self._lock:
+      for kv_id, kept in list(self._export_by_id.items()):
+        if kept.kept_until > now:
+          break
+        del self._export_by_id[kv_id]
+      kv_id = str(next(self._kv_ids))
+      self._export_by_id[kv_id] = export
+    return kv_id
+
+  def _export_kv(self, kv_id: str) -> wire.Answer:
+    with self._lock:
+      export = self._export_by_id.get(kv_id)
+    if export is None or export.kept_until <= time.monotonic():
+      return wire.error_answer(HTTPStatus.NOT_FOUND, 'kv')
+    return wire.json_answer(export._asdict())
+
+  def _submit(self, work: engine_batch.Work) -> queue.SimpleQueue:
+    with self._lock:
+      self._under_way += 1
+    sink = engine_loop.Sink()
+    self._loop.send(engine_loop.Submit(work, sink))
+    return sink.outputs
+
+  def _leave(self, work: engine_batch.Work) -> None:
+    with self._lock:
+      self._under_way -= 1
+    self._loop.send(engine_loop.Cancel(lambda other: other is work))
+
+  def _wait_first(
+      self, call: wire.Call, outputs: queue.SimpleQueue
+  ) -> engine_batch.Output | None:
+    """Waits for the first output, or None if the caller left."""
+    while True:
+      try:
+        return outputs.get(timeout=LEFT_CHECK_EVERY_S)
+      except queue.Empty:
+        if call.is_caller_gone():
+          return None
+
+  def _stream(
+      self, call: wire.Call, work: engine_batch.Work
+  ) -> Iterator[bytes]:
+    """Streams an answer; yields nothing once, after it has submitted it."""
+    outputs = self._submit(work)
+    is_whole = False
+    try:
+      yield b''
+      output = self._wait_first(call, outputs)
+      head = b'data: {"attempt_id":%b,"index":' % msgspec.json.encode(
+          work.attempt_id
+      )
+      while output is not None:
+        parts = [_frame(head, work, output)]
+        while not outputs.empty() and not output.is_last:
+          output = outputs.get()
+          if output is None:
+            break
+          parts.append(_frame(head, work, output))
+        self._count_down_to_crash(len(parts))
+        yield b''.join(parts)
+        if output is None or output.is_last:
+          break
+        output = outputs.get()
+      is_whole = output is not None
+    finally:
+      self._leave(work)
+      if not is_whole:
+        self._count('cancelled')
+        call.drop()
+
+  def _count_down_to_crash(self, tokens: int) -> None:
+    if self._tokens_to_crash is None:
+      return
+    with self._lock:
+      self._tokens_to_crash -= tokens
+      if self._tokens_to_crash < 0:
+        os._exit(CRASH_STATUS)
+
+  def _count(self, name: str) -> None:
+    with self._lock:
+      self._counts[name] += 1
+
+  def _cancel(self, call: wire.Call) -> wire.Answer:
+    attempt_id = msgspec.json.decode(call.body, type=dict)['attempt_id']
+    self._loop.send(
+        engine_loop.Cancel(lambda work: work.attempt_id == attempt_id)
+    )
+    return wire.json_answer({})
+
+  def _take_order(self, call: wire.Call) -> wire.Answer:
+    return self._orders.accept(wire.decode_record(call.body, records.Order))
+
+  def _report_load(self, call: wire.Call) -> wire.Answer:
+    del call
+    return wire.json_answer(self._reports.read()._asdict())
+
+  def _report_state(self, call: wire.Call) -> wire.Answer:
+    del call
+    return wire.json_answer(self._orders.state(self._under_way)._asdict())
+
+  def _report_events(self, call: wire.Call) -> wire.Answer:
+    events = self._events.read(int(call.argument_by_name.get('after', '0')))
+    rows = [
+        {'number': e.number, 'is_stored': e.is_stored, 'block': e.block}
+        for e in events
+    ]
+    return wire.json_answer({'events': rows})
+
+  def _report_calls(self, call: wire.Call) -> wire.Answer:
+    del call
+    counts = {
+        'tokens': self._loop.tokens,
+        'prefill_tokens': self._loop.prefill_tokens,
+        'orders': self._orders.accepted,
+        'conflicts': self._orders.conflicts,
+    }
+    with self._lock:
+      return wire.json_answer({**self._counts, **counts})
+
+
+def _frame(
+    head: bytes, work: engine_batch.Work, output: engine_batch.Output
+) -> bytes:
+  """Encodes an output as one event, or two if it ends the answer."""
+  parts = b''
+  if output.text:
+    parts = b'%b%d,"text":"%b"}\n\n' % (
+        head,
+        output.index,
+        output.text.encode(),
+    )
+  if not output.is_last:
+    return parts
+  return parts + b'%b%d,"done":true,%b}\n\n' % (
+      head,
+      work.end_index,
+      b'"finish_reason":"%b","prompt_tokens":%d,"cached_tokens":%d'
+      % (
+          work.finish_reason.encode(),
+          work.prompt_tokens,
+          output.sequence.cached_tokens,
+      ),
+  )
--- /dev/null
+++ b/standins/engine_events.py
@@ -0,0 +1,94 @@
+"""Cache events that arrive late and with gaps, and load reports that lag."""
+
+import bisect
+import collections
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from mulberrypick.core import records
+from standins import engine_memory
+
+EVENTS_KEPT = 100_000
+EVENTS_PER_ANSWER = 5_000
+SAMPLE_EVERY_S = 0.02
+
+
+class Event(NamedTuple):
+  """One cache event.
+
+  Attributes:
+    number: Grows by one with every event, also with those that get lost.
+    is_stored: False for an eviction.
+    block: Chained hash of the prompt up to the end of the block.
+    shown_at: Monotonic time from which it can be read.
+  """
+
+  number: int
+  is_stored: bool
+  block: int
+  shown_at: float
+
+
+class CacheEvents:
+  """Events of the prefix cache, some of them lost."""
+
+  def __init__(self, lag_s: float, gap_share: float, seed: int):
+    self._lag_s = lag_s
+    self._gap_share = gap_share
+    self._random = random.Random(seed)
+    self._lock = threading.Lock()
+    self._events: list[Event] = []
+    self._number = 0
+
+  def add(self, changes: list[engine_memory.Change]) -> None:
+    """Adds changes as they happen."""
+    if not changes:
+      return
+    shown_at = time.monotonic() + self._lag_s
+    with self._lock:
+      for change in changes:
+        self._number += 1
+        if self._random.random() < self._gap_share:
+          continue
+        self._events.append(Event(self._number, *change, shown_at))
+      if len(self._events) > 2 * EVENTS_KEPT:
+        del self._events[:EVENTS_KEPT]
+
+  def read(self, after: int) -> list[Event]:
+    """Returns the events after a number that are old enough to be seen."""
+    now = time.monotonic()
+    with self._lock:
+      start = bisect.bisect_right(self._events, after, key=lambda e: e.number)
+      events = self._events[start : start + EVENTS_PER_ANSWER]
+    return [event for event in events if event.shown_at <= now]
+
+
+class LaggingReports:
+  """Load reports, read as they stood some time ago."""
+
+  def __init__(self, lag_s: float):
+    self._lag_s = lag_s
+    self._lock = threading.Lock()
+    self._samples: collections.deque[tuple[float, records.EngineReport]] = (
+        collections.deque()
+    )
+
+  def add(self, report: records.EngineReport) -> None:
+    """Adds the present report."""
+    with self._lock:
+      self._samples.append((time.monotonic(), report))
+      self._forget()
+
+  def read(self) -> records.EngineReport:
+    """Returns the latest report that is as old as the lag."""
+    with self._lock:
+      self._forget()
+      sampled_at, report = self._samples[0]
+    return report._replace(age_s=time.monotonic() - sampled_at)
+
+  def _forget(self) -> None:
+    before = time.monotonic() - self._lag_s
+    while len(self._samples) > 1 and self._samples[1][0] <= before:
+      self._samples.popleft()
--- /dev/null
+++ b/standins/engine_loop.py
@@ -0,0 +1,158 @@
+"""The thread of the engine stand-in that owns its batch.
+
+Other threads talk to it by messages, and read the published load and cache
+events. A step's tokens are handed out when the step's time is over; steps are
+laid end to end, so that the loop's own work does not slow the engine down.
+"""
+
+import os
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from standins import engine_batch, engine_events
+
+IDLE_WAIT_S = 0.02
+LATEST_STEP_S = 0.05
+CRASH_STATUS = 70
+CRASH_WORD = 'crash=always'
+
+
+class Submit(NamedTuple):
+  """A request arrives; its outputs go to the sink."""
+
+  work: engine_batch.Work
+  sink: 'Sink'
+
+
+class Cancel(NamedTuple):
+  """All sequences that the test matches are dropped, and their sinks end."""
+
+  matches: Callable[[engine_batch.Work], bool]
+
+
+class Load(NamedTuple):
+  """The figures of a load report that the batch knows.
+
+  Attributes:
+    waiting_tokens: Prompt tokens that wait for prefill.
+    running: Sequences that decode.
+    pieces_free: Pieces that are free or evictable.
+    requests: Requests that wait or run.
+  """
+
+  waiting_tokens: int
+  running: int
+  pieces_free: int
+  requests: int
+
+
+class Sink:
+  """Where the outputs of one request go.
+
+  Attributes:
+    outputs: The outputs; None ends a request that was cut or cancelled.
+  """
+
+  def __init__(self):
+    self.outputs: queue.SimpleQueue[engine_batch.Output | None] = (
+        queue.SimpleQueue()
+    )
+
+
+class EngineLoop:
+  """Runs the batch in a thread of its own.
+
+  Attributes:
+    load: The load after the latest step.
+    tokens: Tokens made since the start.
+    prefill_tokens: Prompt tokens computed since the start.
+    frozen_until: Monotonic time up to which nothing is computed.
+  """
+
+  def __init__(
+      self,
+      settings: engine_batch.Settings,
+      events: engine_events.CacheEvents,
+  ):
+    self.load = Load(0, 0, settings.pieces, 0)
+    self.tokens = 0
+    self.prefill_tokens = 0
+    self.frozen_until = 0.0
+    self._batch = engine_batch.Batch(settings)
+    self._events = events
+    self._inbox: queue.SimpleQueue[Submit | Cancel] = queue.SimpleQueue()
+
+  def start(self) -> None:
+    """Starts the thread."""
+    threading.Thread(target=self._run, name='batch', daemon=True).start()
+
+  def send(self, message: Submit | Cancel) -> None:
+    """Gives the loop a message."""
+    self._inbox.put(message)
+
+  def fits(self, work: engine_batch.Work) -> bool:
+    """Tells whether the memory could ever hold a request."""
+    return self._batch.fits(work)
+
+  def _run(self) -> None:
+    step_at = time.monotonic()
+    while True:
+      self._take_messages()
+      self._freeze()
+      plan = self._batch.plan()
+      self._publish()
+      if plan is None:
+        self._wait_for_message()
+        step_at = time.monotonic()
+        continue
+      now = time.monotonic()
+      if now - step_at > LATEST_STEP_S:
+        step_at = now
+      step_at += plan.duration_s
+      time.sleep(max(0.0, step_at - time.monotonic()))
+      self._take_messages()
+      self._hand_out(plan)
+
+  def _freeze(self) -> None:
+    time.sleep(max(0.0, self.frozen_until - time.monotonic()))
+
+  def _wait_for_message(self) -> None:
+    try:
+      self._take(self._inbox.get(timeout=IDLE_WAIT_S))
+    except queue.Empty:
+      return
+
+  def _take_messages(self) -> None:
+    while not self._inbox.empty():
+      self._take(self._inbox.get())
+
+  def _take(self, message: Submit | Cancel) -> None:
+    if isinstance(message, Submit):
+      self._batch.add(message.work, message.sink)
+      return
+    for sequence in self._batch.sequences():
+      if message.matches(sequence.work):
+        self._batch.remove(sequence)
+        sequence.sink.outputs.put(None)
+
+  def _hand_out(self, plan: engine_batch.Plan) -> None:
+    self.prefill_tokens += sum(tokens for _, tokens in plan.prefill)
+    for output in self._batch.finish(plan):
+      if CRASH_WORD in output.sequence.work.prompt:
+        os._exit(CRASH_STATUS)
+      if output.text:
+        self.tokens += 1
+      output.sequence.sink.outputs.put(output)
+
+  def _publish(self) -> None:
+    batch = self._batch
+    self._events.add(batch.memory.take_changes())
+    self.load = Load(
+        batch.waiting_tokens(),
+        batch.running(),
+        batch.memory.available(),
+        len(batch.sequences()),
+    )
