--- /dev/null
+++ b/mulberrypick/adapters/http_server.py
@@ -0,0 +1,291 @@
+"""The HTTP server towards callers, on cheroot.
+
+cheroot runs one thread a request from a fixed pool. What is added here keeps
+the pool from being taken up by callers that misbehave, and gives every refusal
+of the server itself the JSON body that the rest of the system uses:
+
+* a guard ends the reading of a request that takes too long to arrive,
+* a watch notices callers that leave while their answer is being made,
+* connections beyond the pool and its short queue get 503 at once.
+"""
+
+import json
+import queue
+import select
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from cheroot import server as cheroot_server
+from cheroot import wsgi
+
+ENVIRON_CONNECTION = 'mulberrypick.connection'
+GUARD_INTERVAL_S = 0.25
+WATCH_INTERVAL_S = 0.1
+BUSY_RETRY_AFTER_S = 1
+KIND_BY_STATUS = {
+    400: 'bad_request',
+    408: 'request_timeout',
+    413: 'too_large',
+    414: 'too_large',
+    500: 'internal_error',
+    503: 'overloaded',
+}
+
+
+class ServerLimits(NamedTuple):
+  """Limits of the server.
+
+  Attributes:
+    threads: Requests served at a time.
+    queue: Connections that wait for a thread.
+    header_bytes: Size of request line and headers.
+    send_s: Time that a caller may take to send its request.
+    idle_s: Time that a connection may stay idle.
+  """
+
+  threads: int = 256
+  queue: int = 64
+  header_bytes: int = 16_384
+  send_s: float = 10.0
+  idle_s: float = 30.0
+
+
+def encode_server_error(status: int, message: str) -> bytes:
+  """Encodes the JSON body of an error that the server itself answers."""
+  error = {
+      'type': KIND_BY_STATUS.get(status, 'bad_request'),
+      'message': message,
+      'run': 'not_run',
+      'retry_after_s': BUSY_RETRY_AFTER_S if status == 503 else 0,
+      'request_id': '',
+  }
+  return json.dumps({'error': error}).encode()
+
+
+class SenderGuard(threading.Thread):
+  """Ends the reading of requests that arrive too slowly."""
+
+  def __init__(self, send_s: float):
+    super().__init__(name='sender-guard', daemon=True)
+    self._send_s = send_s
+    self._lock = threading.Lock()
+    self._started_at_by_connection: dict[Any, float] = {}
+
+  def begin(self, connection: Any) -> None:
+    """Notes that a request begins to arrive."""
+    with self._lock:
+      self._started_at_by_connection[connection] = time.monotonic()
+
+  def end(self, connection: Any) -> None:
+    """Notes that the request has arrived, or the connection is done."""
+    with self._lock:
+      self._started_at_by_connection.pop(connection, None)
+
+  def run(self) -> None:
+    """Sweeps until the process ends."""
+    while True:
+      time.sleep(GUARD_INTERVAL_S)
+      oldest_at = time.monotonic() - self._send_s
+      for connection in self._take_late(oldest_at):
+        connection.is_too_slow = True
+        _shut_reading(connection.socket)
+
+  def _take_late(self, oldest_at: float) -> list[Any]:
+    with self._lock:
+      late = [
+          connection
+          for connection, at in self._started_at_by_connection.items()
+          if at < oldest_at
+      ]
+      for connection in late:
+        del self._started_at_by_connection[connection]
+    return late
+
+
+def _shut_reading(sock: socket.socket) -> None:
+  try:
+    sock.shutdown(socket.SHUT_RD)
+  except OSError:
+    pass  # The connection is closed already.
+
+
+class CallerWatch(threading.Thread):
+  """Tells when a caller closes its connection while its request runs."""
+
+  def __init__(self) -> None:
+    super().__init__(name='caller-watch', daemon=True)
+    self._selector = selectors.DefaultSelector()
+    self._lock = threading.Lock()
+
+  def begin(self, connection: Any, on_left: Callable[[], None]) -> None:
+    """Watches a connection until `end`; `on_left` is called at most once."""
+    with self._lock:
+      try:
+        self._selector.register(
+            connection.socket, selectors.EVENT_READ, on_left
+        )
+      except (ValueError, KeyError, OSError):
+        on_left()
+
+  def end(self, connection: Any) -> None:
+    """Stops watching a connection."""
+    with self._lock:
+      self._unregister(connection.socket)
+
+  def run(self) -> None:
+    """Watches until the process ends."""
+    while True:
+      # The selector is not safe against changes during a wait in `select`
+      # itself on all platforms, hence the short waits.
+      time.sleep(WATCH_INTERVAL_S)
+      for on_left in self._take_left():
+        on_left()
+
+  def _take_left(self) -> list[Callable[[], None]]:
+    callbacks = []
+    with self._lock:
+      for key, _ in self._selector.select(timeout=0):
+        if _has_left(key.fileobj):
+          callbacks.append(key.data)
+        # A pipelined request makes the socket readable for good.
+        self._unregister(key.fileobj)
+    return callbacks
+
+  def _unregister(self, sock: Any) -> None:
+    try:
+      self._selector.unregister(sock)
+    except (ValueError, KeyError):
+      pass  # It left, or was never watched.
+
+
+def _has_left(sock: Any) -> bool:
+  try:
+    ready, _, _ = select.select([sock], [], [], 0)
+    return bool(ready) and not sock.recv(1, socket.MSG_PEEK)
+  except (OSError, ValueError):
+    return True
+
+
+class _JsonRequest(cheroot_server.HTTPRequest):
+  """A request whose errors before the application are JSON."""
+
+  def simple_response(self, status: Any, msg: Any = '') -> None:
+    """Answers an error of the server itself and closes the connection."""
+    code = int(str(status)[:3])
+    if getattr(self.conn, 'is_too_slow', False):
+      code, status, msg = 408, '408 Request Timeout', 'sent too slowly'
+    if isinstance(msg, bytes):
+      msg = msg.decode('latin-1')
+    body = encode_server_error(code, msg or str(status)[4:])
+    self.close_connection = True
+    head = (
+        f'HTTP/1.1 {status}\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\nConnection: close\r\n\r\n'
+    )
+    try:
+      self.conn.wfile.write(head.encode('latin-1') + body)
+    except OSError:
+      pass  # The caller has left.
+
+
+class _GuardedConnection(cheroot_server.HTTPConnection):
+  """A connection whose requests have to arrive in time."""
+
+  RequestHandlerClass = _JsonRequest
+  is_too_slow = False
+
+  def communicate(self) -> bool:
+    """Serves one request."""
+    self.server.guard.begin(self)
+    try:
+      return super().communicate()
+    finally:
+      self.server.guard.end(self)
+
+
+class _Gateway(wsgi.Gateway_10):
+  """Hands the connection to the application, for guard and watch."""
+
+  def get_environ(self) -> dict[str, Any]:
+    """Returns the WSGI environment."""
+    environ = super().get_environ()
+    environ[ENVIRON_CONNECTION] = self.req.conn
+    return environ
+
+
+class EdgeServer(wsgi.Server):
+  """The server; `prepare` binds, `serve` runs, `stop` drains.
+
+  Attributes:
+    guard: Ends requests that arrive too slowly.
+    watch: Notices callers that leave.
+  """
+
+  ConnectionClass = _GuardedConnection
+
+  def __init__(
+      self,
+      listen: tuple[str, int],
+      application: Callable[..., Any],
+      limits: ServerLimits,
+      drain_s: float,
+  ):
+    """Makes a server that does not listen yet.
+
+    Args:
+      listen: IP and port.
+      application: The WSGI application.
+      limits: Limits of the server.
+      drain_s: Longest time that `stop` waits for running requests.
+    """
+    super().__init__(
+        listen,
+        application,
+        numthreads=limits.threads,
+        max=limits.threads,
+        request_queue_size=1024,
+        timeout=limits.idle_s,
+        shutdown_timeout=drain_s,
+        accepted_queue_size=limits.queue,
+        accepted_queue_timeout=0.01,
+    )
+    self.gateway = _Gateway
+    self.max_request_header_size = limits.header_bytes
+    self.server_name = 'mulberrypick'
+    self.guard = SenderGuard(limits.send_s)
+    self.watch = CallerWatch()
+
+  def start_in_background(self) -> None:
+    """Binds, then serves on threads of its own."""
+    self.prepare()
+    self.guard.start()
+    self.watch.start()
+    threading.Thread(target=self.serve, name='http', daemon=True).start()
+
+  def process_conn(self, conn: Any) -> None:
+    """Queues a connection, or refuses it at once when the queue is full."""
+    try:
+      self.requests.put(conn)
+    except queue.Full:
+      _refuse_connection(conn)
+
+
+def _refuse_connection(conn: Any) -> None:
+  body = encode_server_error(503, 'all threads of this entry are taken')
+  head = (
+      'HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n'
+      f'Content-Length: {len(body)}\r\nRetry-After: {BUSY_RETRY_AFTER_S}\r\n'
+      'Connection: close\r\n\r\n'
+  )
+  try:
+    conn.socket.settimeout(0.1)
+    conn.socket.sendall(head.encode('latin-1') + body)
+  except OSError:
+    pass  # The caller has left.
+  conn.linger = True
+  conn.close()
--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -190,6 +190,13 @@
   kind = 'method_not_allowed'
 
 
+class SlowSenderError(RequestError):
+  """The caller took too long to send its request."""
+
+  status = 408
+  kind = 'request_timeout'
+
+
 class KeyConflictError(RequestError):
   """The idempotency key was used before with another body."""
 
--- /dev/null
+++ b/mulberrypick/ops/completions.py
@@ -0,0 +1,271 @@
+"""Runs one completion from its submission to its whole answer.
+
+The thread that holds the caller's connection runs this code. It asks the
+dispatcher for an endpoint, streams from it, and, when the endpoint fails in
+mid-stream, asks again and resumes at the next token, so that the caller sees
+one unbroken answer. An answer that can't be completed ends with an error and
+never as if it were whole.
+"""
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from mulberrypick.adapters import engine as engine_adapter
+from mulberrypick.adapters import logs
+from mulberrypick.core import assembly
+from mulberrypick.core import errors
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.ops import dispatch_task
+
+WAIT_S = 0.25
+
+_logger = logging.getLogger(__name__)
+
+
+class CompletionResult(NamedTuple):
+  """How a completion ended, for metrics and logs.
+
+  Attributes:
+    request: The request.
+    outcome: `whole`, `left`, or the kind of its error.
+    attempts: Attempts made.
+    tokens: Tokens delivered to the caller.
+    first_token_s: Time to the first token, 0 if there was none.
+    total_s: Time to the end.
+  """
+
+  request: records.InferenceRequest
+  outcome: str
+  attempts: int
+  tokens: int
+  first_token_s: float
+  total_s: float
+
+
+class CallerLeftError(errors.MulberrypickError):
+  """The caller closed its connection."""
+
+
+class Completion:
+  """One completion; `run` is iterated by the thread of its caller."""
+
+  def __init__(
+      self,
+      request: records.InferenceRequest,
+      dispatcher: dispatch_task.DispatchTask,
+      engine: engine_adapter.Engine,
+      report: Callable[[CompletionResult], None],
+  ):
+    """Makes a completion that has not been submitted.
+
+    Args:
+      request: The checked request.
+      dispatcher: Chooses endpoints.
+      engine: Speaks to engines.
+      report: Gets the result once, when the completion ends.
+    """
+    self._request = request
+    self._dispatcher = dispatcher
+    self._engine = engine
+    self._report = report
+    self._assembly = assembly.Assembly()
+    self._attempts = 0
+    self._first_token_at = 0.0
+    self._left = threading.Event()
+    self._running: records.Attempt | None = None
+
+  @property
+  def finish_reason(self) -> str:
+    """`stop` or `length` once the answer is whole."""
+    return self._assembly.finish_reason
+
+  @property
+  def tokens(self) -> int:
+    """Tokens delivered so far."""
+    return self._assembly.next_index
+
+  def leave(self) -> None:
+    """Tells, from any thread, that the caller has left."""
+    self._left.set()
+    attempt = self._running
+    if attempt is None:
+      return
+    try:
+      self._engine.cancel(attempt)
+    except errors.EndpointError:
+      pass  # The stream breaks or ends by itself.
+
+  def run(self) -> Iterator[str]:
+    """Yields the texts of the answer, in order and each once.
+
+    Raises:
+      RequestError: The answer can't be given, or not be completed.
+      CallerLeftError: The caller left.
+    """
+    outcome = 'left'
+    try:
+      yield from self._run_attempts()
+      outcome = 'whole'
+    except errors.RequestError as error:
+      outcome = error.kind
+      raise
+    finally:
+      self._report(self._build_result(outcome))
+
+  def _run_attempts(self) -> Iterator[str]:
+    failed_endpoints: list[str] = []
+    while not self._assembly.is_whole:
+      start = self._ask_for_endpoint(tuple(failed_endpoints))
+      self._attempts += 1
+      outcome = yield from self._run_attempt(start)
+      if outcome == messages.OUTCOME_WHOLE:
+        return
+      if self._left.is_set():
+        raise CallerLeftError('the caller left')
+      failed_endpoints.append(start.attempt.endpoint)
+
+  def _ask_for_endpoint(
+      self, failed_endpoints: tuple[str, ...]
+  ) -> messages.Start:
+    submit = messages.Submit(
+        self._request, self._assembly.next_index, failed_endpoints
+    )
+    reply = self._dispatcher.submit(submit)
+    while not self._left.is_set():
+      try:
+        effect = reply.get(timeout=WAIT_S)
+      except queue.Empty:
+        continue
+      if isinstance(effect, messages.Start):
+        return effect
+      raise self._mark_partial(effect.error)
+    self._withdraw(reply)
+    raise CallerLeftError('the caller left')
+
+  def _withdraw(self, reply: dispatch_task.Reply) -> None:
+    self._dispatcher.post(messages.Withdraw(self._request.request_id))
+    # A start that crossed with the withdrawal is given back.
+    try:
+      effect = reply.get(timeout=WAIT_S)
+    except queue.Empty:
+      return
+    if isinstance(effect, messages.Start):
+      self._end_attempt(effect.attempt, messages.OUTCOME_CANCELLED, 0)
+
+  def _mark_partial(self, error: errors.RequestError) -> errors.RequestError:
+    if self._assembly.next_index > 0:
+      error.run = errors.RUN_PARTIAL
+    return error
+
+  def _run_attempt(self, start: messages.Start) -> Iterator[str]:
+    """Streams one attempt; returns its outcome, and never raises its errors."""
+    attempt = start.attempt
+    first_index = self._assembly.next_index
+    self._assembly.begin(attempt.attempt_id)
+    self._running = attempt
+    outcome = messages.OUTCOME_CANCELLED
+    try:
+      kv = self._run_prefill(start)
+      yield from self._stream(attempt, kv)
+      outcome = messages.OUTCOME_FAILED
+      if self._assembly.is_whole:
+        outcome = messages.OUTCOME_WHOLE
+    except errors.EndpointUnreachableError as error:
+      outcome = self._note_failure(error, messages.OUTCOME_UNREACHABLE)
+    except errors.EndpointRefusedError as error:
+      outcome = self._note_failure(error, messages.OUTCOME_REFUSED)
+    except errors.EndpointError as error:
+      outcome = self._note_failure(error, messages.OUTCOME_FAILED)
+    finally:
+      self._running = None
+      if self._left.is_set() and outcome != messages.OUTCOME_WHOLE:
+        outcome = messages.OUTCOME_CANCELLED
+      tokens = self._assembly.next_index - first_index
+      self._end_attempt(attempt, outcome, tokens)
+    return outcome
+
+  def _run_prefill(
+      self, start: messages.Start
+  ) -> engine_adapter.KvHandle | None:
+    attempt = start.prefill_attempt
+    if attempt is None:
+      return None
+    try:
+      kv = self._engine.prefill(attempt, self._request)
+    except errors.EndpointError as error:
+      # The engine that generates can run the prompt itself.
+      outcome = self._note_failure(error, messages.OUTCOME_FAILED)
+      self._end_attempt(attempt, outcome, 0)
+      return None
+    self._end_attempt(attempt, messages.OUTCOME_WHOLE, 0)
+    return kv
+
+  def _stream(
+      self,
+      attempt: records.Attempt,
+      kv: engine_adapter.KvHandle | None,
+  ) -> Iterator[str]:
+    frames = self._engine.generate(attempt, self._request, kv)
+    try:
+      for frame in frames:
+        if self._first_token_at == 0.0:
+          self._note_first_token(attempt)
+        yield from self._assembly.accept(frame)
+        if self._left.is_set() or self._assembly.is_whole:
+          return
+    finally:
+      frames.close()
+
+  def _note_first_token(self, attempt: records.Attempt) -> None:
+    self._first_token_at = time.monotonic()
+    self._dispatcher.post(
+        messages.FirstToken(self._request.request_id, attempt.attempt_id)
+    )
+
+  def _note_failure(self, error: errors.EndpointError, outcome: str) -> str:
+    logs.log_event(
+        _logger,
+        logging.WARNING,
+        'attempt_failed',
+        request_id=self._request.request_id,
+        endpoint=error.endpoint,
+        outcome=outcome,
+        next_index=self._assembly.next_index,
+        reason=str(error),
+    )
+    return outcome
+
+  def _end_attempt(
+      self, attempt: records.Attempt, outcome: str, tokens: int
+  ) -> None:
+    self._dispatcher.post(
+        messages.AttemptEnded(
+            self._request.request_id,
+            attempt.attempt_id,
+            attempt.endpoint,
+            outcome,
+            tokens,
+            0,
+            0,
+        )
+    )
+
+  def _build_result(self, outcome: str) -> CompletionResult:
+    arrived_at = self._request.arrived_at
+    first_token_s = 0.0
+    if self._first_token_at:
+      first_token_s = self._first_token_at - arrived_at
+    return CompletionResult(
+        self._request,
+        outcome,
+        self._attempts,
+        self._assembly.next_index,
+        first_token_s,
+        time.monotonic() - arrived_at,
+    )
--- /dev/null
+++ b/mulberrypick/ops/dispatch_task.py
@@ -0,0 +1,127 @@
+"""The task that owns the dispatcher.
+
+One thread takes messages from its inbox, hands them to the pure dispatcher,
+and turns the effects into answers to the threads that hold the callers. All
+others only post messages, so the dispatcher needs no lock.
+"""
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from mulberrypick.adapters import logs
+from mulberrypick.core import dispatch
+from mulberrypick.core import messages
+
+TICK_S = 0.02
+SLOW_HANDLE_S = 0.1
+
+_logger = logging.getLogger(__name__)
+
+Reply = queue.SimpleQueue[messages.Effect]
+
+
+class _Envelope(NamedTuple):
+  """A message, and where the effects of its request go."""
+
+  message: messages.Message
+  reply: Reply | None
+
+
+class _Query(NamedTuple):
+  """A question to the dispatcher, run on its own thread."""
+
+  ask: Callable[[dispatch.Dispatcher, float], Any]
+  reply: queue.SimpleQueue[Any]
+
+
+class DispatchTask:
+  """Runs a dispatcher on a thread of its own."""
+
+  def __init__(self, dispatcher: dispatch.Dispatcher):
+    """Takes over a dispatcher; nobody else may call it from now on."""
+    self._dispatcher = dispatcher
+    self._inbox: queue.SimpleQueue[_Envelope | _Query | None] = (
+        queue.SimpleQueue()
+    )
+    self._reply_by_request: dict[str, Reply] = {}
+    self._thread = threading.Thread(
+        target=self._run, name='dispatch', daemon=True
+    )
+
+  def start(self) -> None:
+    """Starts the thread."""
+    self._thread.start()
+
+  def stop(self) -> None:
+    """Ends the thread after the messages that are in the inbox."""
+    self._inbox.put(None)
+    self._thread.join()
+
+  def post(self, message: messages.Message) -> None:
+    """Posts a message that needs no answer."""
+    self._inbox.put(_Envelope(message, None))
+
+  def submit(self, message: messages.Submit) -> Reply:
+    """Posts a request and returns the queue that gets its one effect."""
+    reply: Reply = queue.SimpleQueue()
+    self._inbox.put(_Envelope(message, reply))
+    return reply
+
+  def query(self, ask: Callable[[dispatch.Dispatcher, float], Any]) -> Any:
+    """Runs a question on the dispatcher's thread and returns its answer."""
+    reply: queue.SimpleQueue[Any] = queue.SimpleQueue()
+    self._inbox.put(_Query(ask, reply))
+    return reply.get()
+
+  def _run(self) -> None:
+    next_tick_at = time.monotonic() + TICK_S
+    while True:
+      item = self._take(next_tick_at)
+      if item is None:
+        return
+      now = time.monotonic()
+      if isinstance(item, _Query):
+        item.reply.put(item.ask(self._dispatcher, now))
+        continue
+      self._handle(item, now)
+      if now >= next_tick_at:
+        self._handle(_Envelope(messages.Tick(), None), now)
+        next_tick_at = now + TICK_S
+
+  def _take(self, next_tick_at: float) -> '_Envelope | _Query | None':
+    wait_s = max(next_tick_at - time.monotonic(), 0.0)
+    try:
+      return self._inbox.get(timeout=wait_s)
+    except queue.Empty:
+      return _Envelope(messages.Tick(), None)
+
+  def _handle(self, envelope: _Envelope, now: float) -> None:
+    message = envelope.message
+    if isinstance(message, messages.Submit) and envelope.reply is not None:
+      self._reply_by_request[message.request.request_id] = envelope.reply
+    if isinstance(message, messages.Withdraw):
+      self._reply_by_request.pop(message.request_id, None)
+    try:
+      effects = self._dispatcher.handle(message, now)
+    except Exception:
+      # One bad message must not end the task that serves all others.
+      _logger.exception('dispatch_failed')
+      return
+    for effect in effects:
+      reply = self._reply_by_request.pop(effect.request_id, None)
+      if reply is not None:
+        reply.put(effect)
+    elapsed_s = time.monotonic() - now
+    if elapsed_s > SLOW_HANDLE_S:
+      logs.log_event(
+          _logger,
+          logging.WARNING,
+          'dispatch_slow',
+          message=type(message).__name__,
+          elapsed_s=round(elapsed_s, 3),
+      )
--- /dev/null
+++ b/mulberrypick/ops/edge.py
@@ -0,0 +1,340 @@
+"""The HTTP edge towards callers: a WSGI application.
+
+It reads and bounds the request, checks it against the configuration in force,
+and hands it on: completions to the dispatcher, plain calls to their runner.
+Every error leaves here as a status, a JSON body and, where coming back helps,
+`Retry-After`.
+"""
+
+import itertools
+import logging
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+from typing import NamedTuple
+from typing import Protocol
+
+from mulberrypick.adapters import engine as engine_adapter
+from mulberrypick.adapters import http_server
+from mulberrypick.adapters import logs
+from mulberrypick.core import caller as caller_checks
+from mulberrypick.core import completion_format
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.ops import completions
+from mulberrypick.ops import dispatch_task
+from mulberrypick.ops import http_exchange
+
+PATH_CHAT = '/v1/chat/completions'
+PATH_COMPLETIONS = '/v1/completions'
+PATH_MODELS = '/v1/models'
+PATH_HEALTH = '/healthz'
+PATH_READY = '/readyz'
+PREFIX_SERVICES = '/services/'
+READ_CHUNK_BYTES = 65_536
+
+_logger = logging.getLogger(__name__)
+
+
+class CallRunner(Protocol):
+  """Runs plain calls; see `ops/plain_calls.py`."""
+
+  def run(
+      self,
+      call: records.PlainCall,
+      service: records.Service,
+      endpoints: list[records.Host],
+      now: Callable[[], float],
+  ) -> records.PlainAnswer:
+    """Runs one call, or raises a `RequestError`."""
+
+
+class EdgeState(Protocol):
+  """What the edge reads of the state of its process."""
+
+  @property
+  def config(self) -> records.Config:
+    """The configuration in force."""
+
+  @property
+  def is_ready(self) -> bool:
+    """Whether new callers are welcome."""
+
+  @property
+  def is_draining(self) -> bool:
+    """Whether the process is about to stop."""
+
+  def list_service_hosts(self, service: str) -> list[records.Host]:
+    """Lists the live endpoints of a plain service."""
+
+
+class EdgeLimits(NamedTuple):
+  """Limits on what callers send.
+
+  Attributes:
+    body_bytes: Size of a request body.
+    prompt_tokens: Estimated tokens of a prompt.
+  """
+
+  body_bytes: int = 2_000_000
+  prompt_tokens: int = 200_000
+
+
+class Edge:
+  """The WSGI application of an entry."""
+
+  def __init__(
+      self,
+      own_name: str,
+      state: EdgeState,
+      dispatcher: dispatch_task.DispatchTask,
+      engine: engine_adapter.Engine,
+      call_runner: CallRunner,
+      report: Callable[[completions.CompletionResult], None],
+      limits: EdgeLimits,
+  ):
+    """Wires the application; it keeps no state of its own but a counter."""
+    self._own_name = own_name
+    self._state = state
+    self._dispatcher = dispatcher
+    self._engine = engine
+    self._call_runner = call_runner
+    self._report = report
+    self._limits = limits
+    self._numbers = itertools.count(1)
+    self._started = f'{time.time_ns() // 1_000_000:x}'
+    self.watch: http_server.CallerWatch | None = None
+
+  def __call__(
+      self, environ: dict[str, Any], start_response: Callable[..., Any]
+  ) -> Iterable[bytes]:
+    """Serves one request."""
+    fallback_id = f'{self._own_name}-{self._started}-{next(self._numbers)}'
+    exchange = http_exchange.Exchange(environ, start_response, fallback_id)
+    exchange.closes_connection = self._state.is_draining
+    try:
+      return self._route(exchange)
+    except errors.RequestError as error:
+      return self._refuse(exchange, error)
+    except Exception:
+      _logger.exception('edge_failed')
+      error = errors.RequestError('internal error', errors.RUN_UNKNOWN)
+      return self._refuse(exchange, error)
+
+  def _route(self, exchange: http_exchange.Exchange) -> Iterable[bytes]:
+    # The body is read, within its bound, before anything is refused: the
+    # server would otherwise read the rest of it without one.
+    body = exchange.read_body(self._limits.body_bytes)
+    path = exchange.path
+    if path == PATH_HEALTH:
+      return exchange.answer_json(200, {'status': 'ok'})
+    if path == PATH_READY:
+      return self._answer_ready(exchange)
+    if path in (PATH_COMPLETIONS, PATH_CHAT):
+      exchange.require_method('POST')
+      return self._serve_completion(exchange, body, path == PATH_CHAT)
+    if path == PATH_MODELS:
+      exchange.require_method('GET')
+      return self._list_models(exchange)
+    if path.startswith(PREFIX_SERVICES):
+      return self._serve_call(exchange, body)
+    raise errors.NotFoundError(f'there is no path {path!r}')
+
+  def _refuse(
+      self, exchange: http_exchange.Exchange, error: errors.RequestError
+  ) -> Iterable[bytes]:
+    logs.log_event(
+        _logger,
+        logging.INFO,
+        'request_refused',
+        request_id=exchange.request_id,
+        status=error.status,
+        type=error.kind,
+        run=error.run,
+        reason=str(error),
+    )
+    return exchange.answer_error(error)
+
+  def _answer_ready(
+      self, exchange: http_exchange.Exchange
+  ) -> Iterable[bytes]:
+    is_ready = self._state.is_ready
+    status = 200 if is_ready else 503
+    body = {'ready': is_ready, 'generation': self._state.config.generation}
+    return exchange.answer_json(status, body)
+
+  def _list_models(self, exchange: http_exchange.Exchange) -> Iterable[bytes]:
+    config = self._state.config
+    tenant = caller_checks.find_tenant(config, exchange.headers)
+    data = [
+        {'id': name, 'object': 'model', 'owned_by': 'mulberrypick'}
+        for name, service in sorted(config.service_by_name.items())
+        if service.kind == records.KIND_MODEL and name in tenant.services
+    ]
+    return exchange.answer_json(200, {'object': 'list', 'data': data})
+
+  def _serve_completion(
+      self, exchange: http_exchange.Exchange, body: bytes, is_chat: bool
+  ) -> Iterable[bytes]:
+    parse = completion_format.parse_completion
+    if is_chat:
+      parse = completion_format.parse_chat
+    asked = parse(body)
+    request = self._check_completion(exchange, asked)
+    completion = completions.Completion(
+        request, self._dispatcher, self._engine, self._report
+    )
+    if asked.is_streamed:
+      return self._stream_answer(exchange, asked, completion)
+    return self._whole_answer(exchange, asked, request, completion)
+
+  def _check_completion(
+      self,
+      exchange: http_exchange.Exchange,
+      asked: completion_format.Completion,
+  ) -> records.InferenceRequest:
+    config = self._state.config
+    checked = caller_checks.check_caller(
+        config, exchange.headers, asked.service
+    )
+    service = checked.service
+    if service.kind != records.KIND_MODEL:
+      raise errors.BadRequestError(
+          f'model: {service.name} is a plain service; call'
+          f' {PREFIX_SERVICES}{service.name}/'
+      )
+    prompt_tokens = len(asked.prompt.split())
+    if prompt_tokens > self._limits.prompt_tokens:
+      raise errors.TooLargeError(
+          f'prompt: {prompt_tokens} tokens are over the limit of'
+          f' {self._limits.prompt_tokens}'
+      )
+    return records.InferenceRequest(
+        request_id=exchange.request_id,
+        tenant=checked.tenant.name,
+        rank=checked.rank.name,
+        service=service.name,
+        model=service.model,
+        adapter=service.adapter,
+        prompt=asked.prompt,
+        prompt_tokens=prompt_tokens,
+        max_tokens=asked.max_tokens,
+        arrived_at=exchange.arrived_at,
+        deadline_at=exchange.arrived_at + checked.deadline_s,
+    )
+
+  def _watch(
+      self,
+      exchange: http_exchange.Exchange,
+      completion: completions.Completion,
+  ) -> None:
+    if self.watch is not None:
+      self.watch.begin(exchange.connection, completion.leave)
+
+  def _unwatch(self, exchange: http_exchange.Exchange) -> None:
+    if self.watch is not None:
+      self.watch.end(exchange.connection)
+
+  def _whole_answer(
+      self,
+      exchange: http_exchange.Exchange,
+      asked: completion_format.Completion,
+      request: records.InferenceRequest,
+      completion: completions.Completion,
+  ) -> Iterable[bytes]:
+    self._watch(exchange, completion)
+    try:
+      text = ''.join(completion.run())
+    except completions.CallerLeftError:
+      return exchange.answer_nobody()
+    finally:
+      self._unwatch(exchange)
+    usage = completion_format.Usage(request.prompt_tokens, completion.tokens)
+    body = completion_format.encode_whole(
+        exchange.request_id,
+        asked,
+        text,
+        completion.finish_reason,
+        usage,
+        int(time.time()),
+    )
+    return exchange.answer_bytes(200, 'application/json', body)
+
+  def _stream_answer(
+      self,
+      exchange: http_exchange.Exchange,
+      asked: completion_format.Completion,
+      completion: completions.Completion,
+  ) -> Iterable[bytes]:
+    self._watch(exchange, completion)
+    texts = completion.run()
+    try:
+      # The status line waits for the first token, so that a refusal can still
+      # be a status of its own.
+      first = next(texts, None)
+    except completions.CallerLeftError:
+      self._unwatch(exchange)
+      return exchange.answer_nobody()
+    except BaseException:
+      self._unwatch(exchange)
+      raise
+    exchange.start(200, 'text/event-stream')
+    return self._encode_stream(exchange, asked, completion, first, texts)
+
+  def _encode_stream(
+      self,
+      exchange: http_exchange.Exchange,
+      asked: completion_format.Completion,
+      completion: completions.Completion,
+      first: str | None,
+      texts: Iterator[str],
+  ) -> Iterator[bytes]:
+    writer = completion_format.ChunkWriter(
+        exchange.request_id, asked.service, asked.is_chat, int(time.time())
+    )
+    try:
+      if first is not None:
+        yield writer.encode_text(first)
+      for text in texts:
+        yield writer.encode_text(text)
+      yield writer.encode_finish(completion.finish_reason)
+    except completions.CallerLeftError:
+      return
+    except errors.RequestError as error:
+      yield completion_format.encode_error_event(error, exchange.request_id)
+    finally:
+      texts.close()
+      self._unwatch(exchange)
+
+  def _serve_call(
+      self, exchange: http_exchange.Exchange, body: bytes
+  ) -> Iterable[bytes]:
+    name, _, rest = exchange.path[len(PREFIX_SERVICES) :].partition('/')
+    config = self._state.config
+    checked = caller_checks.check_caller(config, exchange.headers, name)
+    service = checked.service
+    if service.kind != records.KIND_PLAIN:
+      raise errors.BadRequestError(
+          f'service {service.name} is a model; call {PATH_COMPLETIONS}'
+      )
+    key = caller_checks.read_idempotency_key(exchange.headers, service)
+    query = f'?{exchange.query}' if exchange.query else ''
+    call = records.PlainCall(
+        request_id=exchange.request_id,
+        tenant=checked.tenant.name,
+        rank=checked.rank.name,
+        service=service.name,
+        method=exchange.method,
+        path=f'/{rest}{query}',
+        content_type=exchange.content_type,
+        body=body,
+        idempotency_key=key,
+        deadline_at=exchange.arrived_at + checked.deadline_s,
+    )
+    hosts = self._state.list_service_hosts(service.name)
+    answer = self._call_runner.run(call, service, hosts, time.monotonic)
+    return exchange.answer_bytes(
+        answer.status, answer.content_type, answer.body
+    )
--- /dev/null
+++ b/mulberrypick/ops/http_exchange.py
@@ -0,0 +1,195 @@
+"""One HTTP request and its answer, over WSGI.
+
+The only place that knows the names of the WSGI environment.
+"""
+
+import http
+import math
+import time
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+import msgspec
+
+from mulberrypick.adapters import http_server
+from mulberrypick.core import caller as caller_checks
+from mulberrypick.core import completion_format
+from mulberrypick.core import errors
+
+_CLOSE = ('Connection', 'close')
+
+
+class Headers(Mapping[str, str]):
+  """Request headers by their usual names, without regard to case."""
+
+  def __init__(self, environ: Mapping[str, Any]):
+    self._environ = environ
+
+  def __getitem__(self, name: str) -> str:
+    return self._environ['HTTP_' + name.upper().replace('-', '_')]
+
+  def __iter__(self) -> Any:
+    return iter(
+        key[5:] for key in self._environ if str(key).startswith('HTTP_')
+    )
+
+  def __len__(self) -> int:
+    return sum(1 for _ in self)
+
+
+class Exchange:
+  """One request and its answer.
+
+  Attributes:
+    arrived_at: Monotonic time at which the headers had arrived.
+    headers: The request headers.
+    request_id: The caller's well-formed id, or one made here.
+    closes_connection: Whether the answer ends the connection.
+  """
+
+  def __init__(
+      self,
+      environ: dict[str, Any],
+      start_response: Callable[..., Any],
+      fallback_id: str,
+  ):
+    """Wraps a WSGI request; reads nothing of its body."""
+    self.arrived_at = time.monotonic()
+    self.headers = Headers(environ)
+    self.request_id = caller_checks.read_request_id(self.headers, fallback_id)
+    self.closes_connection = False
+    self._environ = environ
+    self._start_response = start_response
+
+  @property
+  def method(self) -> str:
+    """The HTTP method."""
+    return self._environ['REQUEST_METHOD']
+
+  @property
+  def path(self) -> str:
+    """The path, without the query."""
+    return self._environ['PATH_INFO']
+
+  @property
+  def query(self) -> str:
+    """The query, without its question mark."""
+    return self._environ.get('QUERY_STRING', '')
+
+  @property
+  def content_type(self) -> str:
+    """Media type of the body."""
+    return self._environ.get('CONTENT_TYPE', 'application/octet-stream')
+
+  @property
+  def connection(self) -> Any:
+    """The server's connection."""
+    return self._environ.get(http_server.ENVIRON_CONNECTION)
+
+  def require_method(self, method: str) -> None:
+    """Checks the method.
+
+    Raises:
+      MethodNotAllowedError: It is another one.
+    """
+    if self.method != method:
+      raise errors.MethodNotAllowedError(f'{self.path} takes {method}')
+
+  def read_body(self, limit_bytes: int) -> bytes:
+    """Reads the whole body.
+
+    Args:
+      limit_bytes: Size above which it is refused.
+
+    Raises:
+      TooLargeError: It is larger.
+      SlowSenderError: It did not arrive in time.
+      BadRequestError: It ended early, or its length can't be read.
+    """
+    length = self._read_length()
+    if length is not None and length > limit_bytes:
+      raise errors.TooLargeError(f'body: more than {limit_bytes} bytes')
+    body = self._read_within(limit_bytes + 1 if length is None else length)
+    if len(body) > limit_bytes:
+      raise errors.TooLargeError(f'body: more than {limit_bytes} bytes')
+    if length is not None and len(body) < length:
+      self.closes_connection = True
+      raise errors.BadRequestError('body: it ended early')
+    self._end_guard()
+    return body
+
+  def _read_within(self, size: int) -> bytes:
+    try:
+      body = self._environ['wsgi.input'].read(size) if size else b''
+    except (OSError, ValueError) as error:
+      self.closes_connection = True
+      self._check_speed()
+      raise errors.BadRequestError('body: it can not be read') from error
+    self._check_speed()
+    return body
+
+  def _read_length(self) -> int | None:
+    if self._environ.get('wsgi.input_terminated'):
+      return None
+    text = self._environ.get('CONTENT_LENGTH') or '0'
+    if not (text.isascii() and text.isdigit()):
+      raise errors.BadRequestError('Content-Length: must be a whole number')
+    return int(text)
+
+  def _check_speed(self) -> None:
+    if getattr(self.connection, 'is_too_slow', False):
+      self.closes_connection = True
+      raise errors.SlowSenderError('the request arrived too slowly')
+
+  def _end_guard(self) -> None:
+    connection = self.connection
+    if connection is not None:
+      connection.server.guard.end(connection)
+
+  def start(
+      self, status: int, content_type: str, *headers: tuple[str, str]
+  ) -> None:
+    """Starts the answer."""
+    phrase = http.HTTPStatus(status).phrase
+    fields = [
+        ('Content-Type', content_type),
+        (caller_checks.HEADER_REQUEST_ID, self.request_id),
+        *headers,
+    ]
+    if self.closes_connection:
+      fields.append(_CLOSE)
+    self._start_response(f'{status} {phrase}', fields)
+
+  def answer_bytes(
+      self,
+      status: int,
+      content_type: str,
+      body: bytes,
+      *headers: tuple[str, str],
+  ) -> Iterable[bytes]:
+    """Answers with a whole body."""
+    length = ('Content-Length', str(len(body)))
+    self.start(status, content_type, length, *headers)
+    return [body]
+
+  def answer_json(self, status: int, value: Any) -> Iterable[bytes]:
+    """Answers with a JSON body of records and plain types."""
+    body = msgspec.json.encode(value)
+    return self.answer_bytes(status, 'application/json', body)
+
+  def answer_error(self, error: errors.RequestError) -> Iterable[bytes]:
+    """Answers with an error, and `Retry-After` where coming back helps."""
+    body = completion_format.encode_error(error, self.request_id)
+    headers = []
+    if error.retry_after_s > 0:
+      # Rounded up: an earlier time would not be true.
+      seconds = max(1, math.ceil(error.retry_after_s))
+      headers.append(('Retry-After', str(seconds)))
+    return self.answer_bytes(error.status, 'application/json', body, *headers)
+
+  def answer_nobody(self) -> Iterable[bytes]:
+    """Ends the exchange of a caller that has left."""
+    self.closes_connection = True
+    return self.answer_bytes(400, 'text/plain', b'')
--- /dev/null
+++ b/mulberrypick/scripts/settings_command.py
@@ -0,0 +1,66 @@
+"""Makes the command line of a program from its table of settings."""
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import click
+
+import mulberrypick
+from mulberrypick.core import errors
+from mulberrypick.core import settings
+
+EXIT_SETTINGS = 2
+
+
+def make_command(
+    name: str,
+    table: tuple[settings.Setting, ...],
+    run: Callable[[dict[str, Any]], int],
+    help_text: str,
+) -> click.Command:
+  """Makes the command of a program that runs until it is stopped.
+
+  Args:
+    name: Name of the program.
+    table: Its settings.
+    run: Runs the program with its checked settings; returns the exit status.
+    help_text: First lines of `--help`.
+
+  Returns:
+    The command. It exits with 2 if a setting is wrong, after naming all faults.
+  """
+
+  def callback(print_settings: bool, **text_by_name: str | None) -> None:
+    try:
+      value_by_name = settings.parse_settings(table, text_by_name)
+    except errors.SettingsError as error:
+      for fault in error.faults:
+        click.echo(f'{name}: {fault.place}: {fault.message}', err=True)
+      sys.exit(EXIT_SETTINGS)
+    if print_settings:
+      click.echo(settings.render_settings(table, value_by_name))
+      return
+    sys.exit(run(value_by_name))
+
+  parameters: list[click.Parameter] = [
+      click.Option(
+          [setting.flag],
+          envvar=setting.variable,
+          help=setting.help,
+          default=None,
+          show_envvar=True,
+      )
+      for setting in table
+  ]
+  parameters.append(
+      click.Option(
+          ['--print-settings'],
+          is_flag=True,
+          help='Print the settings in force and exit.',
+      )
+  )
+  command = click.Command(
+      name, callback=callback, params=parameters, help=help_text
+  )
+  return click.version_option(mulberrypick.__version__)(command)
