Dispatcher: books of who waits, what runs where, and who counts

Cause: the entry needs a dispatcher to be built against. This is the plain one: least in flight or round robin, first come first served with a bounded queue, membership by the earliest sign of leaving, drains that end, rests after failures, refusals with the time to come back.

Ruled out: queueing in the engines. They know no tenants, so the order of service is decided here and the engine's own queue stays short.

No load was measured yet.

--- /dev/null
+++ b/mulberrypick/core/dispatch_test.py
@@ -0,0 +1,207 @@
+"""Tests of the dispatcher's books: who runs where, who waits, who is told."""
+
+import unittest
+
+from mulberrypick.core import (
+    admission,
+    dispatch,
+    errors,
+    messages,
+    records,
+    routing,
+)
+
+URGENT = records.Rank('urgent', True, 0.5, 0.05, 5.0, 0.3)
+OTHER = records.Rank('other', False, 2.0, 0.2, 30.0, 0.3)
+CONFIG = records.Config(
+    1,
+    {'m': records.Model('m', '1', (), 3)},
+    {'urgent': URGENT, 'other': OTHER},
+    {},
+    {'t': records.Tenant('t', 1.0, (), (), '')},
+)
+
+
+def make_host(name, zone='z1', state=records.STATE_LIVE, incarnation=1):
+  """Makes an engine's line of the list."""
+  return records.Host(
+      name,
+      zone,
+      records.HOST_ENGINE,
+      '127.0.0.1:1',
+      '',
+      '',
+      incarnation,
+      state,
+      True,
+  )
+
+
+def make_report(name, **changes):
+  """Makes the report of an idle engine that holds the model `m`."""
+  report = records.EngineReport(
+      name, 1, records.ROLE_MIXED, ('m',), 0, 0, 2000, 2000, False, 8000.0,
+      0.01, 0.0,
+  )  # fmt: skip
+  return report._replace(**changes)
+
+
+def make_request(request_id, rank='other', **changes):
+  """Makes a small request for the model `m` that arrives at time 0."""
+  request = records.InferenceRequest(
+      request_id, 't', rank, 's', 'm', '', 'a b c', 3, 16, 0.0, 30.0
+  )
+  return request._replace(**changes)
+
+
+def make_dispatcher(names=('e1', 'e2'), router=None):
+  """Makes a dispatcher that knows some idle engines."""
+  dispatcher = dispatch.Dispatcher(
+      'entry-1',
+      'z1',
+      router or routing.LeastInFlightRouter(),
+      admission.FirstComeFirstServed(),
+      seed=7,
+  )
+  dispatcher.handle(messages.ConfigSeen(CONFIG), 0.0)
+  hosts = tuple(make_host(name) for name in names)
+  dispatcher.handle(messages.HostsSeen(hosts), 0.0)
+  for name in names:
+    dispatcher.handle(messages.ReportSeen(make_report(name)), 0.0)
+  return dispatcher
+
+
+def submit(dispatcher, request, now=0.0, next_index=0, failed=()):
+  """Submits a request and returns its only effect."""
+  message = messages.Submit(request, next_index, failed)
+  (effect,) = dispatcher.handle(message, now)
+  return effect
+
+
+def end(dispatcher, start, outcome, now=1.0):
+  """Ends the attempt of a start effect."""
+  attempt = start.attempt
+  message = messages.AttemptEnded(
+      start.request_id, attempt.attempt_id, attempt.endpoint, outcome, 0, 0, 0
+  )
+  return dispatcher.handle(message, now)
+
+
+class TestDispatcher(unittest.TestCase):
+
+  def test_two_requests_go_to_two_engines(self):
+    dispatcher = make_dispatcher()
+    first = submit(dispatcher, make_request('r1'))
+    second = submit(dispatcher, make_request('r2', 'urgent'))
+    self.assertNotEqual(first.attempt.endpoint, second.attempt.endpoint)
+    self.assertEqual('r1/1', first.attempt.attempt_id)
+    self.assertGreater(second.attempt.priority, first.attempt.priority)
+
+  def test_an_unknown_model_is_refused_with_the_time_to_come_back(self):
+    dispatcher = make_dispatcher()
+    effect = submit(dispatcher, make_request('r1', model='x'))
+    self.assertIsInstance(effect.error, errors.UnavailableError)
+    self.assertEqual(errors.RUN_NOT_RUN, effect.error.run)
+    self.assertGreater(effect.error.retry_after_s, 0.0)
+
+  def test_a_past_deadline_is_refused(self):
+    dispatcher = make_dispatcher()
+    effect = submit(dispatcher, make_request('r1', deadline_at=3.0), now=4.0)
+    self.assertIsInstance(effect.error, errors.DeadlineError)
+
+  def test_a_resume_avoids_the_failed_engine_and_counts_on(self):
+    dispatcher = make_dispatcher()
+    first = submit(dispatcher, make_request('r1'))
+    failed = first.attempt.endpoint
+    end(dispatcher, first, messages.OUTCOME_FAILED)
+    again = submit(dispatcher, make_request('r1'), 1.0, 5, (failed,))
+    self.assertNotEqual(failed, again.attempt.endpoint)
+    self.assertEqual('r1/2', again.attempt.attempt_id)
+    self.assertEqual(5, again.attempt.start_index)
+
+  def test_a_leaving_engine_gets_nothing_until_it_starts_anew(self):
+    dispatcher = make_dispatcher(['e1'])
+    leaving = make_host('e1', state=records.STATE_LEAVING)
+    dispatcher.handle(messages.HostsSeen((leaving,)), 1.0)
+    dispatcher.handle(messages.HostsSeen((make_host('e1'),)), 2.0)
+    effect = submit(dispatcher, make_request('r1'), 3.0)
+    self.assertIsInstance(effect, messages.Refuse)
+    anew = make_host('e1', incarnation=2)
+    dispatcher.handle(messages.HostsSeen((anew,)), 4.0)
+    report = make_report('e1', incarnation=2)
+    dispatcher.handle(messages.ReportSeen(report), 4.0)
+    effect = submit(dispatcher, make_request('r2'), 5.0)
+    self.assertIsInstance(effect, messages.Start)
+
+  def test_a_peer_that_saw_an_engine_leave_is_believed(self):
+    dispatcher = make_dispatcher(['e1'])
+    told = messages.PeerSeen('entry-2', {}, {}, (), ('e1/1',))
+    dispatcher.handle(told, 1.0)
+    effect = submit(dispatcher, make_request('r1'), 2.0)
+    self.assertIsInstance(effect, messages.Refuse)
+
+  def test_a_draining_engine_is_used_again_after_the_drain(self):
+    dispatcher = make_dispatcher(['e1'])
+    draining = make_report('e1', is_draining=True)
+    dispatcher.handle(messages.ReportSeen(draining), 1.0)
+    effect = submit(dispatcher, make_request('r1'), 1.0)
+    self.assertIsInstance(effect, messages.Refuse)
+    dispatcher.handle(messages.ReportSeen(make_report('e1')), 2.0)
+    effect = submit(dispatcher, make_request('r2'), 2.0)
+    self.assertIsInstance(effect, messages.Start)
+
+  def test_a_request_waits_while_its_engine_rests(self):
+    dispatcher = make_dispatcher(['e1'])
+    first = submit(dispatcher, make_request('r1'))
+    end(dispatcher, first, messages.OUTCOME_REFUSED)
+    message = messages.Submit(make_request('r1'), 0, ('e1',))
+    self.assertEqual([], dispatcher.handle(message, 1.0))
+    effects = dispatcher.handle(messages.Tick(), 3.0)
+    self.assertEqual('r1/2', effects[0].attempt.attempt_id)
+
+  def test_a_withdrawn_request_is_never_started(self):
+    dispatcher = make_dispatcher(['e1'])
+    first = submit(dispatcher, make_request('r1'))
+    end(dispatcher, first, messages.OUTCOME_REFUSED)
+    dispatcher.handle(messages.Submit(make_request('r2'), 0, ()), 1.0)
+    dispatcher.handle(messages.Withdraw('r2'), 1.0)
+    self.assertEqual([], dispatcher.handle(messages.Tick(), 9.0))
+
+  def test_explain_tells_the_story_of_a_request(self):
+    dispatcher = make_dispatcher(['e1'])
+    start = submit(dispatcher, make_request('r1'))
+    end(dispatcher, start, messages.OUTCOME_WHOLE)
+    lines = dispatcher.explain('r1')
+    self.assertIn('r1/1 to e1', lines[0])
+    self.assertIn('whole', lines[1])
+
+  def test_snapshot_counts_what_runs(self):
+    dispatcher = make_dispatcher()
+    submit(dispatcher, make_request('r1'))
+    status = dispatcher.snapshot(0.5)
+    self.assertEqual(1, status.running)
+    self.assertEqual(['e1', 'e2'], [e.name for e in status.endpoints])
+
+
+class TestBaselines(unittest.TestCase):
+
+  def test_round_robin_takes_turns(self):
+    dispatcher = make_dispatcher(router=routing.RoundRobinRouter())
+    used = []
+    for number in range(4):
+      start = submit(dispatcher, make_request(f'r{number}'))
+      used.append(start.attempt.endpoint)
+    self.assertEqual(used[:2], used[2:])
+    self.assertEqual(2, len(set(used)))
+
+  def test_first_come_refuses_when_the_queue_is_full(self):
+    queue = admission.FirstComeFirstServed(queue_limit=1)
+    waiting = admission.Waiting(make_request('r1'), 0, (), 0.0, 0.0, False, 1)
+    self.assertIsNone(queue.offer('m', waiting, 0.0))
+    other = waiting._replace(request=make_request('r2'))
+    error = queue.offer('m', other, 0.0)
+    self.assertIsInstance(error, errors.OverloadedError)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- /dev/null
+++ b/mulberrypick/core/journal.py
@@ -0,0 +1,30 @@
+"""Why each of the last requests was routed, refused or retried as it was."""
+
+import collections
+
+REQUESTS_KEPT = 2000
+LINES_KEPT = 20
+
+
+class Journal:
+  """A bounded memory of decisions, by request."""
+
+  def __init__(self, requests_kept: int = REQUESTS_KEPT):
+    self._requests_kept = requests_kept
+    self._lines_by_request: collections.OrderedDict[str, list[str]] = (
+        collections.OrderedDict()
+    )
+
+  def note(self, request_id: str, line: str) -> None:
+    """Adds a line to a request; the oldest request makes room."""
+    lines = self._lines_by_request.get(request_id)
+    if lines is None:
+      lines = self._lines_by_request[request_id] = []
+      if len(self._lines_by_request) > self._requests_kept:
+        self._lines_by_request.popitem(last=False)
+    if len(lines) < LINES_KEPT:
+      lines.append(line)
+
+  def lines(self, request_id: str) -> list[str]:
+    """Returns the lines of a request, oldest first."""
+    return list(self._lines_by_request.get(request_id, []))
