Add the error of a call that ran but whose answer is not kept

A repeat of a call whose recorded answer was over the size bound has to be told that the call ran, which none of the three existing values of run says. Conclusion: RUN_DONE and AnswerNotKeptError; nothing renamed.

--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -11,6 +11,7 @@
 RUN_NOT_RUN = 'not_run'
 RUN_UNKNOWN = 'unknown'
 RUN_PARTIAL = 'partial'
+RUN_DONE = 'done'
 
 
 class Fault(NamedTuple):
@@ -137,7 +138,7 @@
   Attributes:
     status: The HTTP status.
     kind: The stable type name in the JSON body.
-    run: `RUN_NOT_RUN`, `RUN_UNKNOWN` or `RUN_PARTIAL`.
+    run: `RUN_NOT_RUN`, `RUN_UNKNOWN`, `RUN_PARTIAL` or `RUN_DONE`.
     retry_after_s: Seconds after which coming back helps, 0 if it does not.
   """
 
@@ -204,6 +205,13 @@
   kind = 'call_pending'
 
 
+class AnswerNotKeptError(RequestError):
+  """The call ran and was answered, and its answer is no longer kept."""
+
+  status = 410
+  kind = 'answer_not_kept'
+
+
 class TooLargeError(RequestError):
   """The body or its declared work is over the limit."""
 
