--- /dev/null
+++ b/mulberrypick/core/assembly_test.py
@@ -0,0 +1,134 @@
+"""Tests of whole-answer assembly, and its stateful fuzzing."""
+
+import os
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mulberrypick.core import assembly, records
+
+FUZZ_EXAMPLES = int(os.environ.get('MULBERRYPICK_FUZZ_EXAMPLES', '200'))
+ANSWER = tuple(f'word{i} ' for i in range(12))
+
+
+def make_frames(text: str) -> list[records.Frame]:
+  """Reads frames from lines `attempt index text` or `attempt index end`."""
+  frames = []
+  for line in text.split(','):
+    attempt_id, index, word = line.split()
+    is_last = word == 'end'
+    frames.append(
+        records.Frame(
+            attempt_id,
+            int(index),
+            '' if is_last else word,
+            is_last,
+            'stop' if is_last else '',
+        )
+    )
+  return frames
+
+
+def feed(answer: assembly.Assembly, text: str) -> str:
+  """Feeds frames and returns all that was delivered."""
+  delivered = []
+  for frame in make_frames(text):
+    delivered += answer.accept(frame)
+  return ''.join(delivered)
+
+
+class TestAssembly(unittest.TestCase):
+
+  def setUp(self):
+    self.answer = assembly.Assembly()
+    self.answer.begin('a')
+
+  def test_delivers_in_order(self):
+    self.assertEqual('xyz', feed(self.answer, 'a 0 x,a 1 y,a 2 z,a 3 end'))
+    self.assertTrue(self.answer.is_whole)
+    self.assertEqual('stop', self.answer.finish_reason)
+
+  def test_reorders_and_drops_doubled_and_foreign(self):
+    frames = 'a 1 y,b 0 q,a 3 end,a 0 x,a 0 x,a 1 y,a 2 z,a 3 w'
+    self.assertEqual('xyz', feed(self.answer, frames))
+    self.assertTrue(self.answer.is_whole)
+    self.assertEqual(4, self.answer.dropped)
+
+  def test_is_not_whole_with_a_gap(self):
+    self.assertEqual('x', feed(self.answer, 'a 0 x,a 2 z,a 3 end'))
+    self.assertFalse(self.answer.is_whole)
+    self.assertTrue(self.answer.has_gap)
+    self.assertEqual(1, self.answer.next_index)
+
+  def test_resume_ignores_the_late_frames_of_the_dead_attempt(self):
+    self.assertEqual('x', feed(self.answer, 'a 0 x,a 2 z'))
+    self.answer.begin('b')
+    self.assertEqual('yz', feed(self.answer, 'a 1 q,b 1 y,a 2 q,b 2 z,b 3 end'))
+    self.assertTrue(self.answer.is_whole)
+
+  def test_a_last_frame_that_counts_less_than_delivered_is_no_end(self):
+    feed(self.answer, 'a 0 x,a 1 y,a 1 end')
+    self.assertFalse(self.answer.is_whole)
+
+  def test_holds_a_bounded_number_of_frames(self):
+    for index in range(1, assembly.MAX_HELD_FRAMES + 10):
+      self.answer.accept(records.Frame('a', index, 'x', False, ''))
+    self.assertEqual(9, self.answer.dropped)
+
+
+class AssemblyMachine(RuleBasedStateMachine):
+  """Late, doubled, reordered, lost and foreign frames over several attempts."""
+
+  def __init__(self):
+    super().__init__()
+    self.answer = assembly.Assembly()
+    self.delivered = []
+    self.attempts = 0
+    self.has_ended = False
+
+  @rule()
+  def begin(self):
+    self.attempts += 1
+    self.answer.begin(f'r/{self.attempts}')
+
+  @rule(age=st.integers(0, 3), index=st.integers(0, len(ANSWER) - 1))
+  def token(self, age, index):
+    # Only the current attempt tells the truth: what a stale one says must not
+    # get into the answer.
+    text = ANSWER[index] if age == 0 else 'foreign '
+    frame = records.Frame(f'r/{self.attempts - age}', index, text, False, '')
+    self.delivered += self.answer.accept(frame)
+
+  @rule(age=st.integers(0, 3))
+  def last(self, age):
+    count = len(ANSWER) if age == 0 else len(self.delivered)
+    attempt_id = f'r/{self.attempts - age}'
+    frame = records.Frame(attempt_id, count, '', True, 'stop')
+    self.delivered += self.answer.accept(frame)
+
+  @rule(count=st.integers(1, len(ANSWER)))
+  def in_order(self, count):
+    for index in range(self.answer.next_index, min(count, len(ANSWER))):
+      self.token(0, index)
+
+  @invariant()
+  def is_a_prefix_and_whole_only_when_all(self):
+    assert tuple(self.delivered) == ANSWER[: len(self.delivered)]
+    assert self.answer.next_index == len(self.delivered)
+    if self.answer.is_whole:
+      assert len(self.delivered) == len(ANSWER)
+
+
+AssemblyMachine.TestCase.settings = settings(
+    max_examples=FUZZ_EXAMPLES,
+    stateful_step_count=40,
+    derandomize='MULBERRYPICK_FUZZ_EXAMPLES' not in os.environ,
+    deadline=None,
+    database=None,
+)
+TestAssemblyFuzz = AssemblyMachine.TestCase
+
+if __name__ == '__main__':
+  unittest.main()
