Carry messages between entry hosts over ZeroMQ; a platform in memory

Entry hosts need questions with a bounded wait and news that may be lost. One thread owns ROUTER and DEALERs. ZeroMQ's own queue towards an absent peer was ruled out: it would deliver a question long after the asker gave up, so messages wait here with a deadline and sockets only queue while connected.

--- /dev/null
+++ b/mulberrypick/adapters/memory_platform.py
@@ -0,0 +1,162 @@
+"""A platform in memory, with the faults of a real one, for tests.
+
+It has the versions, conditional updates, watches and lagging list of hosts of
+the interface, and can be away, lose the answers of writes that took effect,
+and run a hook between any two calls, which is how races are provoked. One
+instance is shared by all the threads of a test.
+"""
+
+import collections
+import threading
+import time
+from collections.abc import Callable
+
+from mulberrypick.adapters import platform
+from mulberrypick.core import errors, records
+
+MAX_KEPT_CHANGES = 10_000
+
+
+class MemoryPlatform(platform.Platform):
+  """The platform's interface over a dictionary.
+
+  Attributes:
+    calls: Number of calls of each kind, refused ones not counted.
+    refused: Number of calls refused in an outage.
+    before_call: Called with kind and key before each call, for races.
+  """
+
+  def __init__(self):
+    self.calls = collections.Counter()
+    self.refused = 0
+    self.before_call: Callable[[str, str], None] | None = None
+    self._condition = threading.Condition()
+    self._value_by_key = {}
+    self._changes = collections.deque(maxlen=MAX_KEPT_CHANGES)
+    self._revision = 0
+    self._versions = collections.Counter()
+    self._hosts = []
+    self._is_away = False
+    self._answers_to_lose = 0
+    self._lose_prefix = ''
+
+  def set_away(self, is_away: bool) -> None:
+    """Starts or ends an outage; open watches end in error."""
+    with self._condition:
+      self._is_away = is_away
+      self._condition.notify_all()
+
+  def lose_answers(self, count: int, prefix: str = '') -> None:
+    """Lets the next writes under a prefix take effect without an answer."""
+    with self._condition:
+      self._answers_to_lose = count
+      self._lose_prefix = prefix
+
+  def set_hosts(self, hosts: list[records.Host]) -> None:
+    """Replaces the list of hosts."""
+    with self._condition:
+      self._hosts = list(hosts)
+
+  def get(self, key: str) -> platform.VersionedValue | None:
+    """See `Platform.get`."""
+    self._enter('get', key)
+    with self._condition:
+      return self._value_by_key.get(key)
+
+  def put(self, key: str, value: bytes, expected_version: int) -> int:
+    """See `Platform.put`."""
+    if len(value) > platform.MAX_VALUE_BYTES:
+      raise errors.PlatformError(f'{key}: {len(value)} bytes are too many')
+    self._enter('put', key)
+    with self._condition:
+      self._check_version(key, expected_version)
+      changed = self._record(key, value)
+      self._value_by_key[key] = changed
+      self._lose_answer(key)
+      return changed.version
+
+  def delete(self, key: str, expected_version: int) -> None:
+    """See `Platform.delete`."""
+    self._enter('delete', key)
+    with self._condition:
+      self._check_version(key, expected_version)
+      self._record(key, b'', is_delete=True)
+      self._value_by_key.pop(key, None)
+      self._lose_answer(key)
+
+  def list_objects(self, prefix: str) -> platform.Listing:
+    """See `Platform.list_objects`."""
+    self._enter('list', prefix)
+    with self._condition:
+      found = {
+          key: value
+          for key, value in self._value_by_key.items()
+          if key.startswith(prefix)
+      }
+      return platform.Listing(self._revision, found)
+
+  def watch(
+      self, prefix: str, after_revision: int, timeout_s: float
+  ) -> platform.WatchBatch:
+    """See `Platform.watch`."""
+    self._enter('watch', prefix)
+    ends_at = time.monotonic() + timeout_s
+    with self._condition:
+      while True:
+        self._check_present()
+        self._check_kept(after_revision)
+        found = [
+            change
+            for revision, change in self._changes
+            if revision > after_revision and change.key.startswith(prefix)
+        ]
+        left_s = ends_at - time.monotonic()
+        if found or left_s <= 0:
+          return platform.WatchBatch(self._revision, found)
+        self._condition.wait(left_s)
+
+  def list_hosts(self) -> list[records.Host]:
+    """See `Platform.list_hosts`."""
+    self._enter('hosts', '')
+    with self._condition:
+      return list(self._hosts)
+
+  def _enter(self, kind: str, key: str) -> None:
+    if self.before_call is not None:
+      self.before_call(kind, key)
+    with self._condition:
+      self._check_present()
+      self.calls[kind] += 1
+
+  def _check_present(self) -> None:
+    if self._is_away:
+      self.refused += 1
+      raise errors.PlatformUnavailableError('the platform is away')
+
+  def _check_kept(self, after_revision: int) -> None:
+    if len(self._changes) < MAX_KEPT_CHANGES:
+      return
+    if after_revision < self._changes[0][0] - 1:
+      raise errors.WatchExpiredError(f'revision {after_revision} is gone')
+
+  def _check_version(self, key: str, expected_version: int) -> None:
+    current = self._value_by_key.get(key)
+    version = current.version if current else platform.MISSING_VERSION
+    if version != expected_version:
+      raise errors.ConflictError(key, version)
+
+  def _record(
+      self, key: str, value: bytes, is_delete: bool = False
+  ) -> platform.VersionedValue:
+    self._revision += 1
+    self._versions[key] += 1
+    changed = platform.VersionedValue(key, self._versions[key], value)
+    told = changed._replace(version=0) if is_delete else changed
+    self._changes.append((self._revision, told))
+    self._condition.notify_all()
+    return changed
+
+  def _lose_answer(self, key: str) -> None:
+    if self._answers_to_lose and key.startswith(self._lose_prefix):
+      self._answers_to_lose -= 1
+      raise errors.PlatformAnswerLostError(f'{key}: no answer')
--- /dev/null
+++ b/mulberrypick/adapters/zmq_peers.py
@@ -0,0 +1,345 @@
+"""Messages between entry hosts over ZeroMQ.
+
+One thread owns every socket: a ROUTER that listens, and one DEALER for each
+peer that is spoken to. Callers post to a bounded queue and wake the thread by
+a byte on a socket pair, since ZeroMQ sockets may not cross threads. No queue
+is unbounded and no message outlives its time: a DEALER takes messages only
+while it is connected (`IMMEDIATE`), what waits for a connection is kept here
+with a deadline, and a question that was given up on is never sent late.
+"""
+
+import collections
+import itertools
+import logging
+import queue
+import socket
+import threading
+import time
+from typing import NamedTuple
+
+import zmq
+
+from mulberrypick.adapters import peers
+
+_log = logging.getLogger(__name__)
+
+HIGH_WATER_MARK = 256
+MAX_POSTED = 4096
+MAX_MESSAGE_BYTES = 4_000_000
+TELL_LIFETIME_S = 1.0
+IDLE_CLOSE_S = 60.0
+HEARTBEAT_MS = 1000
+HEARTBEAT_TIMEOUT_MS = 3000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 1000
+POLL_MS = 100
+NO_ANSWER_ID = b''
+
+
+class PeerCounts(NamedTuple):
+  """What passed through the sockets since the start.
+
+  Attributes:
+    sent_bytes: Bytes of all frames sent, without TCP and ZeroMQ overhead.
+    received_bytes: Bytes of all frames received.
+    sent_by_kind: Messages sent of each kind, answers not counted.
+    dropped: Messages dropped because a queue was full or a peer was away.
+  """
+
+  sent_bytes: int
+  received_bytes: int
+  sent_by_kind: dict[str, int]
+  dropped: int
+
+
+class _Post(NamedTuple):
+  """A message on its way to the thread that owns the sockets."""
+
+  address: str
+  kind: str
+  body: bytes
+  expires_at: float
+  answers: queue.SimpleQueue | None
+
+
+class _Dealer:
+  """The socket towards one peer, and what waits for its connection."""
+
+  def __init__(self, zmq_socket: zmq.Socket, now: float):
+    self.socket = zmq_socket
+    self.waiting = collections.deque()
+    self.used_at = now
+
+
+class ZmqPeers(peers.Peers):
+  """Entry hosts that talk over ROUTER and DEALER sockets."""
+
+  def __init__(
+      self,
+      listen_address: str,
+      own_name: str,
+      source_ip: str = '',
+      high_water_mark: int = HIGH_WATER_MARK,
+  ):
+    """Binds nothing yet.
+
+    Args:
+      listen_address: `ip:port` to listen on; port 0 asks the system for one.
+      own_name: Name that goes with every message.
+      source_ip: Local IP of outgoing connections, empty for the system's
+        choice.
+      high_water_mark: Messages that each socket queues in each direction.
+    """
+    self.address = listen_address
+    self._own_name = own_name.encode()
+    self._source_ip = source_ip
+    self._high_water_mark = high_water_mark
+    self._handler_by_kind = {}
+    self._posted = queue.Queue(MAX_POSTED)
+    self._context = zmq.Context()
+    self._router = None
+    self._dealer_by_address = {}
+    self._answers_by_id = {}
+    self._ids = itertools.count(1)
+    self._is_stopping = False
+    self._thread = threading.Thread(target=self._run, name='peers', daemon=True)
+    self._wake_reader, self._wake_writer = socket.socketpair()
+    self._wake_reader.setblocking(False)
+    self._wake_writer.setblocking(False)
+    self._sent_bytes = 0
+    self._received_bytes = 0
+    self._sent_by_kind = collections.Counter()
+    self._dropped = 0
+
+  def start(self) -> None:
+    """Binds the listener, sets `address` to what was bound, and runs.
+
+    Raises:
+      zmq.ZMQError: The address can't be bound.
+    """
+    self._router = self._make_socket(zmq.ROUTER)
+    self._router.bind(f'tcp://{self.address}')
+    endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+    self.address = endpoint.removeprefix('tcp://')
+    self._thread.start()
+
+  def stop(self) -> None:
+    """Closes all sockets; questions under way get no answer."""
+    self._is_stopping = True
+    self._wake()
+    if self._thread.ident is not None:
+      self._thread.join()
+    self._context.destroy(linger=0)
+    self._wake_reader.close()
+    self._wake_writer.close()
+
+  def handle(self, kind: str, handler: peers.Handler) -> None:
+    """See `Peers.handle`."""
+    self._handler_by_kind[kind] = handler
+
+  def tell(self, peer_address: str, kind: str, body: bytes) -> None:
+    """See `Peers.tell`."""
+    expires_at = time.monotonic() + TELL_LIFETIME_S
+    self._post(_Post(peer_address, kind, body, expires_at, None))
+
+  def ask(
+      self, peer_address: str, kind: str, body: bytes, timeout_s: float
+  ) -> bytes | None:
+    """See `Peers.ask`; must not be called from a handler."""
+    if threading.current_thread() is self._thread:
+      raise RuntimeError('a handler must not ask: it would wait for itself')
+    answers = queue.SimpleQueue()
+    expires_at = time.monotonic() + timeout_s
+    if not self._post(_Post(peer_address, kind, body, expires_at, answers)):
+      return None
+    try:
+      return answers.get(timeout=timeout_s)
+    except queue.Empty:
+      return None
+
+  def counts(self) -> PeerCounts:
+    """Returns what passed so far; may be called from any thread."""
+    return PeerCounts(
+        self._sent_bytes,
+        self._received_bytes,
+        dict(self._sent_by_kind),
+        self._dropped,
+    )
+
+  def _post(self, post: _Post) -> bool:
+    if self._is_stopping:
+      return False
+    try:
+      self._posted.put_nowait(post)
+    except queue.Full:
+      self._dropped += 1
+      return False
+    self._wake()
+    return True
+
+  def _wake(self) -> None:
+    try:
+      self._wake_writer.send(b'w')
+    except OSError:
+      pass  # Full means that a wake-up is under way; closed means stopped.
+
+  def _make_socket(self, kind: int) -> zmq.Socket:
+    zmq_socket = self._context.socket(kind)
+    zmq_socket.setsockopt(zmq.LINGER, 0)
+    zmq_socket.setsockopt(zmq.SNDHWM, self._high_water_mark)
+    zmq_socket.setsockopt(zmq.RCVHWM, self._high_water_mark)
+    zmq_socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    zmq_socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
+    zmq_socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    zmq_socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+    zmq_socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+    zmq_socket.setsockopt(zmq.IMMEDIATE, 1)
+    return zmq_socket
+
+  def _run(self) -> None:
+    self._poller = zmq.Poller()
+    self._poller.register(self._router, zmq.POLLIN)
+    self._poller.register(self._wake_reader, zmq.POLLIN)
+    while not self._is_stopping:
+      self._step()
+    for answers in [a for a, _ in self._answers_by_id.values()]:
+      answers.put(None)
+
+  def _step(self) -> None:
+    ready = dict(self._poller.poll(POLL_MS))
+    now = time.monotonic()
+    if self._wake_reader.fileno() in ready:
+      self._drain_wake()
+    self._take_posted(now)
+    if self._router in ready:
+      self._take_requests()
+    for address, dealer in list(self._dealer_by_address.items()):
+      self._take_answers(dealer)
+      self._send_waiting(dealer, now)
+      if not dealer.waiting and now - dealer.used_at > IDLE_CLOSE_S:
+        self._close_dealer(address)
+    self._forget_expired(now)
+
+  def _drain_wake(self) -> None:
+    try:
+      self._wake_reader.recv(4096)
+    except BlockingIOError:
+      pass
+
+  def _take_posted(self, now: float) -> None:
+    for _ in range(MAX_POSTED):
+      try:
+        post = self._posted.get_nowait()
+      except queue.Empty:
+        return
+      dealer = self._find_dealer(post.address, now)
+      if len(dealer.waiting) >= self._high_water_mark:
+        self._dropped += 1
+        continue
+      dealer.waiting.append(post)
+
+  def _find_dealer(self, address: str, now: float) -> _Dealer:
+    dealer = self._dealer_by_address.get(address)
+    if dealer is None:
+      zmq_socket = self._make_socket(zmq.DEALER)
+      source = f'{self._source_ip}:0;' if self._source_ip else ''
+      zmq_socket.connect(f'tcp://{source}{address}')
+      self._poller.register(zmq_socket, zmq.POLLIN)
+      dealer = _Dealer(zmq_socket, now)
+      self._dealer_by_address[address] = dealer
+    dealer.used_at = now
+    return dealer
+
+  def _close_dealer(self, address: str) -> None:
+    dealer = self._dealer_by_address.pop(address)
+    self._poller.unregister(dealer.socket)
+    dealer.socket.close()
+
+  def _send_waiting(self, dealer: _Dealer, now: float) -> None:
+    while dealer.waiting:
+      post = dealer.waiting[0]
+      if post.expires_at <= now:
+        dealer.waiting.popleft()
+        self._dropped += 1
+        continue
+      if not self._send(dealer.socket, post):
+        break
+      dealer.waiting.popleft()
+    # Writable is only of interest while something waits: it is nearly always
+    # true, and polling for it would spin.
+    events = zmq.POLLIN | (zmq.POLLOUT if dealer.waiting else 0)
+    self._poller.modify(dealer.socket, events)
+
+  def _send(self, zmq_socket: zmq.Socket, post: _Post) -> bool:
+    request_id = NO_ANSWER_ID
+    if post.answers is not None:
+      request_id = next(self._ids).to_bytes(8, 'big')
+    frames = [post.kind.encode(), request_id, self._own_name, post.body]
+    try:
+      zmq_socket.send_multipart(frames, zmq.NOBLOCK)
+    except zmq.Again:
+      return False
+    if post.answers is not None:
+      self._answers_by_id[request_id] = (post.answers, post.expires_at)
+    self._sent_bytes += sum(map(len, frames))
+    self._sent_by_kind[post.kind] += 1
+    return True
+
+  def _take_requests(self) -> None:
+    for _ in range(self._high_water_mark):
+      try:
+        frames = self._router.recv_multipart(zmq.NOBLOCK)
+      except zmq.Again:
+        return
+      self._received_bytes += sum(map(len, frames[1:]))
+      if len(frames) != 5:
+        _log.warning('malformed', extra={'frames': len(frames)})
+        continue
+      self._answer(*frames)
+
+  def _answer(
+      self,
+      peer: bytes,
+      kind: bytes,
+      request_id: bytes,
+      name: bytes,
+      body: bytes,
+  ) -> None:
+    handler = self._handler_by_kind.get(kind.decode('ascii', 'replace'))
+    if handler is None:
+      return
+    try:
+      answer = handler(name.decode('utf-8', 'replace'), body)
+    except Exception:  # One bad message must not end the task.
+      _log.exception('handler_failed', extra={'kind': kind.decode()})
+      return
+    if answer is None or request_id == NO_ANSWER_ID:
+      return
+    try:
+      self._router.send_multipart([peer, request_id, answer], zmq.NOBLOCK)
+    except zmq.ZMQError:
+      self._dropped += 1
+      return
+    self._sent_bytes += len(request_id) + len(answer)
+
+  def _take_answers(self, dealer: _Dealer) -> None:
+    for _ in range(self._high_water_mark):
+      try:
+        frames = dealer.socket.recv_multipart(zmq.NOBLOCK)
+      except zmq.Again:
+        return
+      self._received_bytes += sum(map(len, frames))
+      if len(frames) != 2:
+        continue
+      answers, _expires_at = self._answers_by_id.pop(frames[0], (None, 0.0))
+      if answers is not None:
+        answers.put(frames[1])
+
+  def _forget_expired(self, now: float) -> None:
+    expired = [
+        request_id
+        for request_id, (_, expires_at) in self._answers_by_id.items()
+        if expires_at <= now
+    ]
+    for request_id in expired:
+      del self._answers_by_id[request_id]
