Add the runner of specifications

Each core protocol is to be model-checked, with a broken variant for each property. minicheck finds shortest counterexamples but reports no depth, takes one initial state and never stops early; spec/check.py adds these around it, and witnesses (states that must be reachable), so that no proof is empty.

Ruled out: a search of our own (the library's is short and tested), and one JSON file for each specification (transitions must come from the chart files and the decision code).

--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, for the model checker."""
--- /dev/null
+++ b/spec/check.py
@@ -0,0 +1,267 @@
+"""Runs specifications through the model checker, and prints what it found.
+
+minicheck does the breadth-first search and finds the shortest counterexample.
+This module adds what every specification here needs: several initial states,
+the depth of the search, witnesses (states that must be reachable, so that no
+proof is empty), and broken variants, for which a counterexample must be found:
+that shows that the check can fail.
+
+A specification lives in `spec/*_model.py`, in a function `specifications()`
+that returns a list of `Specification`.
+"""
+
+import importlib
+import importlib.util
+import sys
+import time
+from collections.abc import Callable, Hashable
+from typing import NamedTuple
+
+import minicheck
+from minicheck import _core
+
+MODULES = ('spec.lease_model', 'spec.claim_model', 'spec.config_model')
+
+PROVED = 'proved'
+REFUTED = 'refuted'
+UNDETERMINED = 'undetermined'
+
+_ROOT = ('root',)
+_COUNTER = 'states are counted'
+
+
+class Specification(NamedTuple):
+  """A finite protocol, and what must hold in each of its states.
+
+  Attributes:
+    name: Unique name, such as `lease` or `lease/no-guard`.
+    initial: The initial states; any hashable, best a `NamedTuple`.
+    next: The labelled successors of a state.
+    invariant_by_name: What must hold in every reachable state.
+    max_states: Bound of the search; beyond it nothing is proved.
+    breaks: Name of the invariant that a broken variant must violate; empty
+      for a specification that must be proved.
+    witness_by_name: What must hold in at least one reachable state; not asked
+      of a broken variant.
+  """
+
+  name: str
+  initial: tuple[Hashable, ...]
+  next: Callable[[Hashable], list[tuple[str, Hashable]]]
+  invariant_by_name: dict[str, Callable[[Hashable], bool]]
+  max_states: int = 1_000_000
+  breaks: str = ''
+  witness_by_name: dict[str, Callable[[Hashable], bool]] = {}
+
+
+class Step(NamedTuple):
+  """One step of a counterexample: a label, and the state that it led to."""
+
+  label: str
+  state: Hashable
+
+
+class Result(NamedTuple):
+  """What the search of one specification found.
+
+  Attributes:
+    name: Name of the specification.
+    states: States reached.
+    depth: Longest distance of a state from an initial one.
+    verdict: `PROVED`, `REFUTED` or `UNDETERMINED`.
+    counterexample_by_name: The shortest way to each violated invariant.
+    unreached: Names of witnesses that no state was found for.
+    took_s: Seconds of the search.
+    is_expected: Whether the verdict is the one that the specification wants.
+  """
+
+  name: str
+  states: int
+  depth: int
+  verdict: str
+  counterexample_by_name: dict[str, list[Step]]
+  unreached: tuple[str, ...]
+  took_s: float
+  is_expected: bool
+
+
+class _Stopped(_core.SearchIncomplete):
+  """The counterexample that a broken variant is for has been found."""
+
+
+class _Search:
+  """Counts states, levels and witnesses of one breadth-first search."""
+
+  def __init__(self, specification: Specification):
+    self._specification = specification
+    self._expanded = 0
+    self._level_end = 1
+    self._has_broken = False
+    self.states = 0
+    self.depth = 0
+    self.unreached = dict(specification.witness_by_name)
+
+  def transitions(self, wrapped: tuple) -> list[tuple[str, tuple]]:
+    """Expands a state; minicheck asks for states in breadth-first order."""
+    if self._has_broken:
+      raise _Stopped(self._specification.breaks)
+    self._expanded += 1
+    if self._expanded > self._level_end:
+      self.depth += 1
+      self._level_end = self.states
+    if wrapped == _ROOT:
+      return [('initial', (state,)) for state in self._specification.initial]
+    successors = self._specification.next(wrapped[0])
+    return [(label, (state,)) for label, state in successors]
+
+  def count(self, fields: dict) -> bool:
+    """Called once for each new state, the root included."""
+    self.states += 1
+    state = fields['state']
+    if state == _ROOT[0]:
+      return True
+    for name in list(self.unreached):
+      if self.unreached[name](state):
+        del self.unreached[name]
+    return True
+
+  def guard(self, name: str, holds: Callable) -> Callable[[dict], bool]:
+    """Makes an invariant on states into one on the checker's fields."""
+
+    def checked(fields: dict) -> bool:
+      state = fields['state']
+      if state == _ROOT[0] or holds(state):
+        return True
+      if name == self._specification.breaks:
+        self._has_broken = True
+      return False
+
+    return checked
+
+
+def run(specification: Specification) -> Result:
+  """Searches all states of a specification.
+
+  Args:
+    specification: The specification, or a broken variant of one.
+
+  Returns:
+    The verdict, with the shortest counterexample to each violated invariant.
+  """
+  search = _Search(specification)
+  invariants = {_COUNTER: search.count}
+  for name, holds in specification.invariant_by_name.items():
+    invariants[name] = search.guard(name, holds)
+  protocol = minicheck.Protocol(
+      name=specification.name,
+      candidate=False,
+      fields=('state',),
+      initial=_ROOT,
+      transitions=search.transitions,
+      invariants=invariants,
+  )
+  started_at = time.monotonic()
+  found = minicheck.check_safety(protocol, max_states=specification.max_states)
+  took_s = time.monotonic() - started_at
+  counterexample_by_name = _read_counterexamples(found['properties'])
+  unreached = () if specification.breaks else tuple(search.unreached)
+  verdict = _judge(counterexample_by_name, found['exhaustive'])
+  if specification.breaks:
+    is_expected = specification.breaks in counterexample_by_name
+  else:
+    is_expected = verdict == PROVED and not unreached
+  return Result(
+      specification.name,
+      search.states - 1,
+      max(search.depth - 1, 0),
+      verdict,
+      counterexample_by_name,
+      unreached,
+      took_s,
+      is_expected,
+  )
+
+
+def _judge(counterexample_by_name: dict, is_exhaustive: bool) -> str:
+  if counterexample_by_name:
+    return REFUTED
+  return PROVED if is_exhaustive else UNDETERMINED
+
+
+def _read_counterexamples(properties: dict) -> dict[str, list[Step]]:
+  counterexample_by_name = {}
+  for name, found in properties.items():
+    if found['holds'] is not False:
+      continue
+    steps = [
+        Step(step['label'], step['state']['state'])
+        for step in found['counterexample'][1:]
+    ]
+    counterexample_by_name[name] = steps
+  return counterexample_by_name
+
+
+def format_counterexample(steps: list[Step]) -> str:
+  """Writes a counterexample as numbered steps, without the states."""
+  lines = []
+  for number, step in enumerate(steps):
+    lines.append(f'    {number:2d} {step.label}')
+  return '\n'.join(lines)
+
+
+def load_specifications() -> list[Specification]:
+  """Collects the specifications and broken variants of all modules."""
+  specifications = []
+  for name in MODULES:
+    if importlib.util.find_spec(name) is None:
+      continue
+    specifications += importlib.import_module(name).specifications()
+  return specifications
+
+
+def main(arguments: list[str]) -> int:
+  """Checks all specifications, or those whose names start with an argument.
+
+  Args:
+    arguments: Prefixes of names; `-v` prints each counterexample's steps.
+
+  Returns:
+    The exit status: 0 if each verdict is the expected one.
+  """
+  is_verbose = '-v' in arguments
+  prefixes = tuple(a for a in arguments if a != '-v')
+  unexpected = 0
+  print(f'{"specification":40} {"states":>8} {"depth":>5} {"s":>6}  verdict')
+  for specification in load_specifications():
+    if prefixes and not specification.name.startswith(prefixes):
+      continue
+    result = run(specification)
+    print(
+        f'{result.name:40} {result.states:8d} {result.depth:5d}'
+        f' {result.took_s:6.1f}  {_describe(specification, result)}',
+        flush=True,
+    )
+    if is_verbose or not result.is_expected:
+      for name, steps in result.counterexample_by_name.items():
+        print(f'  {name}:\n{format_counterexample(steps)}')
+    if not result.is_expected:
+      unexpected += 1
+  print(f'{unexpected} unexpected verdicts')
+  return 1 if unexpected else 0
+
+
+def _describe(specification: Specification, result: Result) -> str:
+  parts = [result.verdict]
+  for name, steps in result.counterexample_by_name.items():
+    parts.append(f'"{name}" in {len(steps) - 1} steps')
+  if specification.breaks:
+    parts.append('as it should be' if result.is_expected else 'UNEXPECTED')
+  elif not result.is_expected:
+    parts.append('UNEXPECTED')
+  for name in result.unreached:
+    parts.append(f'never reached "{name}"')
+  return ', '.join(parts)
+
+
+if __name__ == '__main__':
+  sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/spec/check_test.py
@@ -0,0 +1,53 @@
+"""Tests of the runner of specifications."""
+
+import unittest
+
+from spec import check
+
+
+def count_to(limit: int, **more) -> check.Specification:
+  """Counts from 0 or 1 up to a limit, in steps of two."""
+  return check.Specification(
+      name='counter',
+      initial=(0, 1),
+      next=lambda n: [('add two', n + 2)] if n < limit else [],
+      invariant_by_name={'below five': lambda n: n < 5},
+      **more,
+  )
+
+
+class TestCheck(unittest.TestCase):
+
+  def test_a_finite_space_is_proved_with_states_and_depth(self):
+    result = check.run(count_to(3))
+    self.assertEqual(
+        (check.PROVED, 5, 2, True),
+        (result.verdict, result.states, result.depth, result.is_expected),
+    )
+
+  def test_the_shortest_counterexample_is_told(self):
+    result = check.run(count_to(9))
+    self.assertFalse(result.is_expected)
+    self.assertEqual(
+        [('initial', 1), ('add two', 3), ('add two', 5)],
+        result.counterexample_by_name['below five'],
+    )
+
+  def test_a_broken_variant_must_be_refuted(self):
+    self.assertTrue(check.run(count_to(9, breaks='below five')).is_expected)
+    self.assertFalse(check.run(count_to(3, breaks='below five')).is_expected)
+
+  def test_a_search_beyond_its_bound_proves_nothing(self):
+    result = check.run(count_to(3, max_states=2))
+    self.assertEqual(check.UNDETERMINED, result.verdict)
+    self.assertFalse(result.is_expected)
+
+  def test_a_witness_must_be_reached(self):
+    witnesses = {'four': lambda n: n == 4, 'ninety': lambda n: n == 90}
+    result = check.run(count_to(3, witness_by_name=witnesses))
+    self.assertEqual(('ninety',), result.unreached)
+    self.assertFalse(result.is_expected)
+
+
+if __name__ == '__main__':
+  unittest.main()
