--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	$(VENV)/bin/ruff check --quiet .
 
 format: setup
-	$(VENV)/bin/ruff check --quiet --fix --exit-zero .
+	$(VENV)/bin/ruff check --silent --fix --exit-zero .
 	$(VENV)/bin/pyink --quiet .
 
 unittest: setup
--- a/mulberrypick/adapters/memory_platform.py
+++ b/mulberrypick/adapters/memory_platform.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 
 from mulberrypick.adapters import platform
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 MAX_KEPT_CHANGES = 10_000
 
--- a/mulberrypick/core/admission.py
+++ b/mulberrypick/core/admission.py
@@ -8,7 +8,8 @@
 import collections
 from typing import NamedTuple
 
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 
 class Waiting(NamedTuple):
--- a/mulberrypick/core/assembly_test.py
+++ b/mulberrypick/core/assembly_test.py
@@ -5,9 +5,12 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
 
-from mulberrypick.core import assembly, records
+from mulberrypick.core import assembly
+from mulberrypick.core import records
 
 FUZZ_EXAMPLES = int(os.environ.get('MULBERRYPICK_FUZZ_EXAMPLES', '200'))
 ANSWER = tuple(f'word{i} ' for i in range(12))
--- a/mulberrypick/core/caller.py
+++ b/mulberrypick/core/caller.py
@@ -167,9 +167,7 @@
   return rank
 
 
-def _read_deadline_s(
-    rank: records.Rank, headers: Mapping[str, str]
-) -> float:
+def _read_deadline_s(rank: records.Rank, headers: Mapping[str, str]) -> float:
   text = headers.get(HEADER_DEADLINE_MS, '')
   if not text:
     return rank.deadline_s
--- a/mulberrypick/core/chart_test.py
+++ b/mulberrypick/core/chart_test.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from mulberrypick.core import chart, errors
+from mulberrypick.core import chart
+from mulberrypick.core import errors
 
 DOOR = """
 name = "door"
--- a/mulberrypick/core/completion_format.py
+++ b/mulberrypick/core/completion_format.py
@@ -148,7 +148,9 @@
   they are encoded once.
   """
 
-  def __init__(self, request_id: str, service: str, is_chat: bool, created: int):
+  def __init__(
+      self, request_id: str, service: str, is_chat: bool, created: int
+  ):
     self._is_chat = is_chat
     kind = 'chat.completion.chunk' if is_chat else 'text_completion'
     prefix = 'chatcmpl-' if is_chat else 'cmpl-'
@@ -165,7 +167,9 @@
     """Encodes the event of one token."""
     quoted = _ENCODER.encode(text)
     if self._is_chat:
-      choice = b'"delta":{"content":' + quoted + b'},"finish_reason":null}]}\n\n'
+      choice = (
+          b'"delta":{"content":' + quoted + b'},"finish_reason":null}]}\n\n'
+      )
     else:
       choice = b'"text":' + quoted + b',"finish_reason":null}]}\n\n'
     return self._head + choice
@@ -194,31 +198,35 @@
     choice['text'] = text
   prefix = 'chatcmpl-' if completion.is_chat else 'cmpl-'
   kind = 'chat.completion' if completion.is_chat else 'text_completion'
-  return _ENCODER.encode({
-      'id': prefix + request_id,
-      'object': kind,
-      'created': created,
-      'model': completion.service,
-      'choices': [choice],
-      'usage': {
-          'prompt_tokens': usage.prompt_tokens,
-          'completion_tokens': usage.completion_tokens,
-          'total_tokens': usage.prompt_tokens + usage.completion_tokens,
-      },
-  })
+  return _ENCODER.encode(
+      {
+          'id': prefix + request_id,
+          'object': kind,
+          'created': created,
+          'model': completion.service,
+          'choices': [choice],
+          'usage': {
+              'prompt_tokens': usage.prompt_tokens,
+              'completion_tokens': usage.completion_tokens,
+              'total_tokens': usage.prompt_tokens + usage.completion_tokens,
+          },
+      }
+  )
 
 
 def encode_error(error: errors.RequestError, request_id: str) -> bytes:
   """Encodes the JSON body of a refusal or failure."""
-  return _ENCODER.encode({
-      'error': {
-          'type': error.kind,
-          'message': str(error),
-          'run': error.run,
-          'retry_after_s': error.retry_after_s,
-          'request_id': request_id,
+  return _ENCODER.encode(
+      {
+          'error': {
+              'type': error.kind,
+              'message': str(error),
+              'run': error.run,
+              'retry_after_s': error.retry_after_s,
+              'request_id': request_id,
+          }
       }
-  })
+  )
 
 
 def encode_error_event(error: errors.RequestError, request_id: str) -> bytes:
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -11,16 +11,14 @@
 
 import xxhash
 
-from mulberrypick.core import (
-    admission,
-    errors,
-    journal,
-    load,
-    membership,
-    messages,
-    records,
-    routing,
-)
+from mulberrypick.core import admission
+from mulberrypick.core import errors
+from mulberrypick.core import journal
+from mulberrypick.core import load
+from mulberrypick.core import membership
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
 
 PRIORITY_URGENT = 10
 PRIORITY_OTHER = 0
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -2,14 +2,12 @@
 
 import unittest
 
-from mulberrypick.core import (
-    admission,
-    dispatch,
-    errors,
-    messages,
-    records,
-    routing,
-)
+from mulberrypick.core import admission
+from mulberrypick.core import dispatch
+from mulberrypick.core import errors
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
 
 URGENT = records.Rank('urgent', True, 0.5, 0.05, 5.0, 0.3)
 OTHER = records.Rank('other', False, 2.0, 0.2, 30.0, 0.3)
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -7,7 +7,8 @@
 
 from typing import NamedTuple
 
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 # Outcomes of an attempt.
 OUTCOME_WHOLE = 'whole'
--- a/mulberrypick/ops/edge.py
+++ b/mulberrypick/ops/edge.py
@@ -157,9 +157,7 @@
     )
     return exchange.answer_error(error)
 
-  def _answer_ready(
-      self, exchange: http_exchange.Exchange
-  ) -> Iterable[bytes]:
+  def _answer_ready(self, exchange: http_exchange.Exchange) -> Iterable[bytes]:
     is_ready = self._state.is_ready
     status = 200 if is_ready else 503
     body = {'ready': is_ready, 'generation': self._state.config.generation}
--- /dev/null
+++ b/mulberrypick/ops/fleet_task.py
@@ -0,0 +1,277 @@
+"""The task that learns which hosts there are and how loaded engines are.
+
+Not every entry asks everybody: in each zone two entries read the platform's
+list of hosts, and one entry polls each engine; they tell the others of their
+zone. Who does which follows from the same ranking (rendezvous hashing) on all
+of them, so nothing has to be agreed, and an entry that hears nothing for a
+while asks by itself. The task also tells all peers, once an interval, what the
+dispatcher has in flight.
+"""
+
+import concurrent.futures
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from mulberrypick.adapters import engine as engine_adapter
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import peers as peers_adapter
+from mulberrypick.adapters import platform as platform_adapter
+from mulberrypick.core import errors
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import rendezvous
+
+KIND_HOSTS = 'hosts'
+KIND_REPORTS = 'reports'
+KIND_LOAD = 'load'
+HOSTS_READERS = 2
+POLL_THREADS = 8
+
+_logger = logging.getLogger(__name__)
+
+_HOSTS_DECODER = msgspec.msgpack.Decoder(tuple[records.Host, ...])
+_REPORTS_DECODER = msgspec.msgpack.Decoder(tuple[records.EngineReport, ...])
+_PEER_DECODER = msgspec.msgpack.Decoder(messages.PeerSeen)
+
+
+class FleetIntervals(NamedTuple):
+  """How often the task acts.
+
+  Attributes:
+    hosts_s: Between two readings of the list of hosts.
+    reports_s: Between two polls of an engine.
+    load_s: Between two messages to peers about the own load.
+    silence_s: Silence after which an entry asks by itself.
+  """
+
+  hosts_s: float = 1.0
+  reports_s: float = 0.5
+  load_s: float = 0.5
+  silence_s: float = 3.0
+
+
+class _Received(NamedTuple):
+  """A message of a peer, posted from the peers' task."""
+
+  kind: str
+  body: bytes
+
+
+class FleetTask:
+  """Owns what is known of hosts and reports, and passes it on."""
+
+  def __init__(
+      self,
+      own_name: str,
+      own_zone: str,
+      platform: platform_adapter.Platform,
+      engine: engine_adapter.Engine,
+      peers: peers_adapter.Peers,
+      publish: Callable[[messages.Message], None],
+      read_own_load: Callable[[], messages.PeerSeen],
+      intervals: FleetIntervals,
+  ):
+    """Registers the handlers with the peers; `start` runs the task.
+
+    Args:
+      own_name: Name of this entry host.
+      own_zone: Its zone.
+      platform: Gives the list of hosts.
+      engine: Gives load reports.
+      peers: Carries what entries tell each other.
+      publish: Gets `HostsSeen`, `ReportSeen` and `PeerSeen`.
+      read_own_load: Reads what this host tells its peers.
+      intervals: How often the task acts.
+    """
+    self._own_name = own_name
+    self._own_zone = own_zone
+    self._platform = platform
+    self._engine = engine
+    self._peers = peers
+    self._publish = publish
+    self._read_own_load = read_own_load
+    self._intervals = intervals
+    self._inbox: queue.Queue[_Received] = queue.Queue(1000)
+    self._hosts: tuple[records.Host, ...] = ()
+    self._hosts_at = 0.0
+    self._report_at_by_endpoint: dict[str, float] = {}
+    self._pool = concurrent.futures.ThreadPoolExecutor(
+        POLL_THREADS, 'engine-poll'
+    )
+    self._stopping = threading.Event()
+    self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
+    for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD):
+      peers.handle(kind, self._make_handler(kind))
+
+  @property
+  def hosts(self) -> tuple[records.Host, ...]:
+    """The newest list of hosts, replaced whole."""
+    return self._hosts
+
+  @property
+  def has_hosts(self) -> bool:
+    """Whether a list of hosts has been seen."""
+    return self._hosts_at > 0
+
+  def list_peer_addresses(self) -> list[str]:
+    """Lists the peer addresses of all other live entries."""
+    return [host.peer_address for host in self._list_entries('')]
+
+  def start(self) -> None:
+    """Starts the task."""
+    self._thread.start()
+
+  def stop(self) -> None:
+    """Ends the task."""
+    self._stopping.set()
+    self._thread.join()
+    self._pool.shutdown(wait=False, cancel_futures=True)
+
+  def _make_handler(self, kind: str) -> peers_adapter.Handler:
+    def handler(sender: str, body: bytes) -> None:
+      del sender
+      try:
+        self._inbox.put_nowait(_Received(kind, body))
+      except queue.Full:
+        pass  # The next message of the kind replaces this one.
+
+    return handler
+
+  def _run(self) -> None:
+    next_at_by_step = dict.fromkeys(
+        (self._step_hosts, self._step_reports, self._step_load), 0.0
+    )
+    interval_by_step = {
+        self._step_hosts: self._intervals.hosts_s,
+        self._step_reports: self._intervals.reports_s,
+        self._step_load: self._intervals.load_s,
+    }
+    while not self._stopping.is_set():
+      now = time.monotonic()
+      for step, next_at in next_at_by_step.items():
+        if now < next_at:
+          continue
+        next_at_by_step[step] = now + interval_by_step[step]
+        self._run_step(step)
+      self._take_messages(min(next_at_by_step.values()))
+
+  def _run_step(self, step: Callable[[], None]) -> None:
+    try:
+      step()
+    except errors.MulberrypickError as error:
+      logs.log_event(
+          _logger,
+          logging.DEBUG,
+          'fleet_step_failed',
+          step=step.__name__,
+          reason=str(error),
+      )
+    except Exception:
+      _logger.exception('fleet_step_broken')
+
+  def _take_messages(self, until: float) -> None:
+    while not self._stopping.is_set():
+      wait_s = until - time.monotonic()
+      if wait_s <= 0:
+        return
+      try:
+        received = self._inbox.get(timeout=wait_s)
+      except queue.Empty:
+        return
+      self._take_message(received)
+
+  def _take_message(self, received: _Received) -> None:
+    try:
+      if received.kind == KIND_HOSTS:
+        self._see_hosts(_HOSTS_DECODER.decode(received.body))
+      elif received.kind == KIND_REPORTS:
+        self._see_reports(_REPORTS_DECODER.decode(received.body))
+      else:
+        self._publish(_PEER_DECODER.decode(received.body))
+    except msgspec.DecodeError as error:
+      logs.log_event(
+          _logger,
+          logging.WARNING,
+          'peer_message_malformed',
+          kind=received.kind,
+          reason=str(error),
+      )
+
+  def _step_hosts(self) -> None:
+    now = time.monotonic()
+    is_silent = now - self._hosts_at > self._intervals.silence_s
+    if not (is_silent or self._is_hosts_reader()):
+      return
+    hosts = tuple(self._platform.list_hosts())
+    self._see_hosts(hosts)
+    body = msgspec.msgpack.encode(hosts)
+    for peer in self._list_entries(self._own_zone):
+      self._peers.tell(peer.peer_address, KIND_HOSTS, body)
+
+  def _is_hosts_reader(self) -> bool:
+    names = self._zone_names()
+    readers = rendezvous.rank(f'hosts/{self._own_zone}', names)
+    return self._own_name in readers[:HOSTS_READERS]
+
+  def _see_hosts(self, hosts: tuple[records.Host, ...]) -> None:
+    self._hosts_at = time.monotonic()
+    self._hosts = hosts
+    self._publish(messages.HostsSeen(hosts))
+
+  def _step_reports(self) -> None:
+    names = self._zone_names()
+    polls = [
+        self._pool.submit(self._engine.read_load, host.name, host.address)
+        for host in self._hosts
+        if host.kind == records.HOST_ENGINE and self._polls(host, names)
+    ]
+    if not polls:
+      return
+    done, _ = concurrent.futures.wait(polls, self._intervals.reports_s)
+    reports = []
+    for poll in done:
+      if poll.exception() is None:
+        reports.append(poll.result())
+    self._see_reports(tuple(reports))
+    body = msgspec.msgpack.encode(tuple(reports))
+    for peer in self._list_entries(self._own_zone):
+      self._peers.tell(peer.peer_address, KIND_REPORTS, body)
+
+  def _polls(self, host: records.Host, names: list[str]) -> bool:
+    """Tells whether this entry polls an engine, as its reporter or alone."""
+    if rendezvous.rank(f'report/{host.name}', names)[0] == self._own_name:
+      return True
+    reported_at = self._report_at_by_endpoint.get(host.name, 0.0)
+    return time.monotonic() - reported_at > self._intervals.silence_s
+
+  def _see_reports(self, reports: tuple[records.EngineReport, ...]) -> None:
+    now = time.monotonic()
+    for report in reports:
+      self._report_at_by_endpoint[report.endpoint] = now
+      self._publish(messages.ReportSeen(report))
+
+  def _step_load(self) -> None:
+    body = msgspec.msgpack.encode(self._read_own_load())
+    for peer in self._list_entries(''):
+      self._peers.tell(peer.peer_address, KIND_LOAD, body)
+
+  def _zone_names(self) -> list[str]:
+    names = [host.name for host in self._list_entries(self._own_zone)]
+    return [*names, self._own_name]
+
+  def _list_entries(self, zone: str) -> list[records.Host]:
+    """Lists the other live entries, of one zone or of all."""
+    return [
+        host
+        for host in self._hosts
+        if host.kind == records.HOST_ENTRY
+        and host.state == records.STATE_LIVE
+        and host.name != self._own_name
+        and (not zone or host.zone == zone)
+    ]
--- /dev/null
+++ b/mulberrypick/scripts/entry.py
@@ -0,0 +1,376 @@
+"""The program `mulberrypick-entry`: the data path on one entry host.
+
+This is its composition root: it makes the parts, wires them, and stops them in
+order. A planned stop fails readiness first, serves until the balancer has
+noticed, closes the listener, and exits once all answers are whole.
+"""
+
+import logging
+import signal
+import threading
+import time
+from typing import Any
+from typing import NamedTuple
+
+from mulberrypick.adapters import http_engine
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import http_server
+from mulberrypick.adapters import http_service
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import admission
+from mulberrypick.core import dispatch
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
+from mulberrypick.core import settings
+from mulberrypick.ops import config_task
+from mulberrypick.ops import dispatch_task
+from mulberrypick.ops import edge
+from mulberrypick.ops import entry_state
+from mulberrypick.ops import fleet_task
+from mulberrypick.ops import metrics_task
+from mulberrypick.ops import operator_app
+from mulberrypick.ops import plain_calls
+from mulberrypick.scripts import settings_command
+
+PROGRAM = 'mulberrypick-entry'
+PLATFORM_TIMEOUT_S = 5.0
+START_POLL_S = 0.05
+START_WARN_S = 10.0
+OPERATOR_LIMITS = http_server.ServerLimits(threads=4, queue=8)
+
+SETTINGS = (
+    settings.Setting('name', None, settings.parse_name, 'Name of this host.'),
+    settings.Setting('zone', None, settings.parse_name, 'Availability zone.'),
+    settings.Setting(
+        'listen',
+        '127.0.0.1:8080',
+        settings.parse_address,
+        'ip:port for callers.',
+    ),
+    settings.Setting(
+        'operator_listen',
+        '127.0.0.1:8081',
+        settings.parse_address,
+        'ip:port for operators; keep callers away from it.',
+    ),
+    settings.Setting(
+        'operator_token',
+        '',
+        str,
+        'Bearer token of operators, empty for none.',
+        is_secret=True,
+    ),
+    settings.Setting(
+        'peer_listen',
+        '127.0.0.1:8082',
+        settings.parse_address,
+        'ip:port for other entry hosts, as the list of hosts names it.',
+    ),
+    settings.Setting(
+        'source_ip',
+        '',
+        settings.parse_ip,
+        'Local IP of outgoing connections, empty for the default.',
+    ),
+    settings.Setting(
+        'platform_url',
+        None,
+        settings.parse_url,
+        'Base URL of the platform.',
+    ),
+    settings.Setting(
+        'statsd',
+        '',
+        settings.parse_optional_address,
+        'ip:port for statsd datagrams, empty for none.',
+    ),
+    settings.Setting(
+        'log_level',
+        'info',
+        settings.parse_choice(*logs.LEVELS),
+        'Least level of log lines.',
+    ),
+    settings.Setting(
+        'router',
+        'least-in-flight',
+        settings.parse_choice(*routing.ROUTER_BY_NAME),
+        'How an endpoint is chosen.',
+    ),
+    settings.Setting(
+        'admission',
+        'first-come',
+        settings.parse_choice(*admission.ADMISSION_BY_NAME),
+        'How waiting requests are ordered and refused.',
+    ),
+    settings.Setting(
+        'threads',
+        '256',
+        settings.parse_count,
+        'Requests served at a time.',
+    ),
+    settings.Setting(
+        'body_bytes',
+        '2000000',
+        settings.parse_count,
+        'Largest request body.',
+    ),
+    settings.Setting(
+        'send_s',
+        '10',
+        settings.parse_seconds,
+        'Time that a caller may take to send its request.',
+    ),
+    settings.Setting(
+        'notice_s',
+        '5',
+        settings.parse_duration,
+        'Time for the balancer to notice that readiness fails.',
+    ),
+    settings.Setting(
+        'drain_s',
+        '600',
+        settings.parse_seconds,
+        'Longest wait for running requests at a stop.',
+    ),
+    settings.Setting(
+        'stall_s',
+        '5',
+        settings.parse_seconds,
+        'Silence of an engine in mid-stream after which it has failed.',
+    ),
+)
+
+_logger = logging.getLogger(__name__)
+
+
+class EntryStatus(NamedTuple):
+  """What `GET /status` of an entry shows.
+
+  Attributes:
+    name: Name of the host.
+    zone: Its zone.
+    generation: Generation of the configuration in force.
+    is_ready: Whether it takes new callers.
+    is_draining: Whether it is about to stop.
+    dispatcher: Endpoints, queues and refusals.
+    metrics: Histograms and outcomes.
+    hosts: The list of hosts that it goes by.
+  """
+
+  name: str
+  zone: str
+  generation: int
+  is_ready: bool
+  is_draining: bool
+  dispatcher: dispatch.DispatcherStatus
+  metrics: metrics_task.MetricsSnapshot
+  hosts: tuple[records.Host, ...]
+
+
+class Entry:
+  """All parts of an entry, wired."""
+
+  def __init__(self, value_by_name: dict[str, Any]):
+    """Makes and wires the parts; nothing runs yet.
+
+    Args:
+      value_by_name: The checked settings.
+    """
+    self._settings = value_by_name
+    self._name = value_by_name['name']
+    self._zone = value_by_name['zone']
+    self._state = entry_state.EntryState()
+    self._stopping = threading.Event()
+    self._make_adapters()
+    self._make_tasks()
+    self._make_servers()
+
+  def _make_adapters(self) -> None:
+    source_ip = self._settings['source_ip']
+    self._platform = http_platform.HttpPlatform(
+        self._settings['platform_url'],
+        source_ip,
+        PLATFORM_TIMEOUT_S,
+        self._name,
+    )
+    self._engine = http_engine.HttpEngine(
+        source_ip=source_ip, stall_s=self._settings['stall_s']
+    )
+    self._service = http_service.HttpPlainService(source_ip=source_ip)
+    self._peers = zmq_peers.ZmqPeers(
+        str(self._settings['peer_listen']), self._name, source_ip
+    )
+    self._metrics = metrics_task.MetricsTask(self._settings['statsd'])
+
+  def _make_tasks(self) -> None:
+    dispatcher = dispatch.Dispatcher(
+        self._name,
+        self._zone,
+        routing.make_router(self._settings['router']),
+        admission.make_admission(self._settings['admission']),
+    )
+    self._dispatch = dispatch_task.DispatchTask(dispatcher)
+    self._fleet = fleet_task.FleetTask(
+        self._name,
+        self._zone,
+        self._platform,
+        self._engine,
+        self._peers,
+        self._publish,
+        self._read_own_load,
+        fleet_task.FleetIntervals(),
+    )
+    self._config = config_task.ConfigTask(
+        self._platform,
+        self._peers,
+        self._name,
+        self._fleet.list_peer_addresses,
+        self._publish_config,
+    )
+    self._calls = plain_calls.PlainCallRunner(
+        self._platform,
+        self._service,
+        self._peers,
+        self._name,
+        str(self._settings['peer_listen']),
+    )
+
+  def _make_servers(self) -> None:
+    self._edge = edge.Edge(
+        self._name,
+        self._state,
+        self._dispatch,
+        self._engine,
+        self._calls,
+        self._metrics.report,
+        edge.EdgeLimits(body_bytes=self._settings['body_bytes']),
+    )
+    self._callers_server = http_server.EdgeServer(
+        tuple(self._settings['listen']),
+        self._edge,
+        http_server.ServerLimits(
+            threads=self._settings['threads'], send_s=self._settings['send_s']
+        ),
+        self._settings['drain_s'],
+    )
+    self._edge.watch = self._callers_server.watch
+    application = operator_app.OperatorApp(
+        self.read_status, self._explain, self._settings['operator_token']
+    )
+    self._operators_server = http_server.EdgeServer(
+        tuple(self._settings['operator_listen']),
+        application,
+        OPERATOR_LIMITS,
+        1.0,
+    )
+
+  def _publish(self, message: messages.Message) -> None:
+    if isinstance(message, messages.HostsSeen):
+      self._state.see_hosts(message.hosts)
+    self._dispatch.post(message)
+
+  def _publish_config(self, config: records.Config) -> None:
+    self._state.see_config(config)
+    self._dispatch.post(messages.ConfigSeen(config))
+    logs.log_event(
+        _logger, logging.INFO, 'config_in_force', generation=config.generation
+    )
+
+  def _read_own_load(self) -> messages.PeerSeen:
+    return self._dispatch.query(
+        lambda dispatcher, now: dispatcher.peer_seen(now)
+    )
+
+  def _explain(self, request_id: str) -> list[str]:
+    return self._dispatch.query(
+        lambda dispatcher, now: dispatcher.explain(request_id)
+    )
+
+  def read_status(self) -> EntryStatus:
+    """Reads the state of all parts."""
+    dispatcher = self._dispatch.query(
+        lambda dispatcher, now: dispatcher.snapshot(now)
+    )
+    return EntryStatus(
+        self._name,
+        self._zone,
+        self._state.config.generation,
+        self._state.is_ready,
+        self._state.is_draining,
+        dispatcher,
+        self._metrics.snapshot(),
+        self._state.hosts,
+    )
+
+  def run(self) -> int:
+    """Runs until SIGTERM or SIGINT, then drains.
+
+    Returns:
+      The exit status, 0 after a graceful stop.
+    """
+    for number in (signal.SIGTERM, signal.SIGINT):
+      signal.signal(number, lambda *_: self._stopping.set())
+    self._start()
+    self._stopping.wait()
+    self._drain()
+    return 0
+
+  def _start(self) -> None:
+    self._metrics.start()
+    self._dispatch.start()
+    self._peers.start()
+    self._fleet.start()
+    self._config.start()
+    self._calls.start()
+    self._callers_server.start_in_background()
+    self._operators_server.start_in_background()
+    self._log_event('listening', address=self._settings['listen'])
+    self._wait_until_known()
+    self._state.note_started()
+    self._log_event('ready', generation=self._state.config.generation)
+
+  def _wait_until_known(self) -> None:
+    """Waits until hosts and configuration have been asked for."""
+    warn_at = time.monotonic() + START_WARN_S
+    while not (self._config.is_ready and self._fleet.has_hosts):
+      if self._stopping.wait(START_POLL_S):
+        return
+      if time.monotonic() > warn_at:
+        self._log_event('waiting_for_config_and_hosts')
+        warn_at = time.monotonic() + START_WARN_S
+
+  def _drain(self) -> None:
+    self._log_event('draining')
+    self._state.note_draining()
+    # The balancer needs time to notice, and goes on sending callers until then.
+    time.sleep(self._settings['notice_s'])
+    self._callers_server.stop()
+    self._calls.stop()
+    self._config.stop()
+    self._fleet.stop()
+    self._dispatch.stop()
+    self._peers.stop()
+    self._metrics.stop()
+    self._operators_server.stop()
+    self._log_event('stopped')
+
+  def _log_event(self, event: str, **fields: object) -> None:
+    logs.log_event(_logger, logging.INFO, event, **fields)
+
+
+def run_entry(value_by_name: dict[str, Any]) -> int:
+  """Runs an entry with checked settings; returns the exit status."""
+  logs.configure_logging(
+      value_by_name['log_level'], PROGRAM, value_by_name['name']
+  )
+  return Entry(value_by_name).run()
+
+
+main = settings_command.make_command(
+    PROGRAM, SETTINGS, run_entry, 'Serves callers on one entry host.'
+)
+
+if __name__ == '__main__':
+  main()
--- a/spec/check.py
+++ b/spec/check.py
@@ -14,7 +14,8 @@
 import importlib.util
 import sys
 import time
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
+from collections.abc import Hashable
 from typing import NamedTuple
 
 import minicheck
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -5,13 +5,15 @@
 import threading
 import time
 from http import HTTPStatus
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
+from typing import TypedDict
 
 import click
 import msgspec
 
 from mulberrypick.core import records
-from standins import platform_store, wire
+from standins import platform_store
+from standins import wire
 
 MAX_VALUE_BYTES = 1_000_000
 LONGEST_WATCH_S = 300.0
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -13,7 +13,8 @@
 import threading
 import time
 import urllib.parse
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import NamedTuple
 
