Claim a call before it is sent, and record its answer in groups

Cause: a booking must run at most once, whatever fails. Weighed: one object for each key (two writes a booking) against slots, several claims in one conditional update; the slots are kept read-before-write, as a kept version is stale with several entry hosts. Retention by epochs that are raised by conditional update, as no clock is compared across hosts. Conclusion: the lifecycle, the slots, their writer threads, and the path of a call.

--- a/mulberrypick/core/assembly_test.py
+++ b/mulberrypick/core/assembly_test.py
@@ -71,6 +71,8 @@
   def test_a_last_frame_that_counts_less_than_delivered_is_no_end(self):
     feed(self.answer, 'a 0 x,a 1 y,a 1 end')
     self.assertFalse(self.answer.is_whole)
+    feed(self.answer, 'a 2 end')
+    self.assertTrue(self.answer.is_whole)
 
   def test_holds_a_bounded_number_of_frames(self):
     for index in range(1, assembly.MAX_HELD_FRAMES + 10):
--- /dev/null
+++ b/mulberrypick/core/claims.py
@@ -0,0 +1,345 @@
+"""Claims: what makes a call that may not be repeated run at most once.
+
+Before the first byte of such a call goes to its service, a claim with a fresh
+nonce is created in the platform by conditional update. Only the process whose
+nonce stands may send, and once; the answer is then recorded in the claim, and
+a repeat gets it on any entry host.
+
+Keys are hashed to slots, one object each, so that one conditional update
+carries every claim and every answer that waits for its slot. The version of
+the object is the fence; all changes are idempotent by nonce, so that after a
+conflict or a lost answer the object is read again and the same changes are
+applied again. No answer of a write is ever guessed.
+
+Retention has no clock in it: the platform holds an epoch number that an entry
+host raises after it has seen it unchanged for `EPOCH_S` on its own monotonic
+clock. A record is kept for a number of epochs, hence at least for that many
+times `EPOCH_S`, less one. A slot has a bound on its size as well: when it is
+reached, the oldest answers lose their body, and when that isn't enough, new
+claims are refused as not run. A claim without an answer is kept much longer,
+as dropping it while its writer is merely paused would let the call run twice.
+"""
+
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from mulberrypick.core import chart, records
+
+SLOT_COUNT = 16
+SLOT_PREFIX = 'claims/'
+EPOCH_KEY = 'claim-epoch'
+EPOCH_S = 3600.0
+ANSWER_RETAIN_EPOCHS = 25
+UNRESOLVED_RETAIN_EPOCHS = 24 * 30 + 1
+
+# Bytes of one slot; the platform takes a million.
+MAX_SLOT_BYTES = 900_000
+MAX_KEY_CHARS = 255
+# Bytes of an answer's body that is recorded; a larger one goes to its caller
+# only, and its repeats are told that the call ran.
+MAX_ANSWER_BYTES = 16_384
+# Bytes of a record besides its texts and its body.
+RECORD_OVERHEAD_BYTES = 64
+
+# States of a record in the platform.
+RECORD_OPEN = 'open'
+RECORD_ANSWERED = 'answered'
+RECORD_UNKNOWN = 'unknown'
+
+# States and events of `charts/claim.toml`.
+CLAIMING = 'claiming'
+GRANTED = 'granted'
+SENDING = 'sending'
+ANSWERED = 'answered'
+UNKNOWN = 'unknown'
+RELEASED = 'released'
+CLOSED = 'closed'
+EVENT_GRANT = 'grant'
+EVENT_DENY = 'deny'
+EVENT_RELEASE = 'release'
+EVENT_SEND = 'send'
+EVENT_NOT_SENT = 'not_sent'
+EVENT_ANSWER_WHOLE = 'answer_whole'
+EVENT_ANSWER_MISSING = 'answer_missing'
+EVENT_RECORD = 'record'
+EVENT_REMOVE = 'remove'
+
+# Actions of a change of a slot.
+CREATE = 'create'
+TAKE_OVER = 'take_over'
+RECORD = 'record'
+REMOVE = 'remove'
+
+# What a claimant says of a claim when it is asked by nonce.
+REPLY_NEVER = 'never'
+REPLY_PENDING = 'pending'
+REPLY_ANSWERED = 'answered'
+REPLY_UNKNOWN = 'unknown'
+REPLY_FORGOTTEN = 'forgotten'
+
+CHART = chart.load_chart('claim')
+
+_REPLY_BY_STATE = {
+    CLAIMING: REPLY_PENDING,
+    GRANTED: REPLY_PENDING,
+    SENDING: REPLY_PENDING,
+    ANSWERED: REPLY_ANSWERED,
+    UNKNOWN: REPLY_UNKNOWN,
+    RELEASED: REPLY_NEVER,
+    CLOSED: REPLY_FORGOTTEN,
+}
+
+
+class ClaimRecord(NamedTuple):
+  """One claim as it stands in the platform.
+
+  Attributes:
+    state: `RECORD_OPEN`, `RECORD_ANSWERED` or `RECORD_UNKNOWN`.
+    nonce: Unique id of the writer's claim.
+    fingerprint: Digest of method, path and body.
+    owner: Name of the entry host that wrote it.
+    owner_address: `ip:port` of that host's peer socket.
+    epoch: Epoch of the last change.
+    answer: The recorded answer; None if open, unknown or no longer kept.
+  """
+
+  state: str
+  nonce: str
+  fingerprint: str
+  owner: str
+  owner_address: str
+  epoch: int
+  answer: records.PlainAnswer | None
+
+
+class Slot(NamedTuple):
+  """The object of one slot.
+
+  Attributes:
+    epoch: The latest epoch in which the slot was written.
+    record_by_key: The claims by scoped key, oldest first.
+  """
+
+  epoch: int
+  record_by_key: dict[str, ClaimRecord]
+
+
+EMPTY_SLOT = Slot(0, {})
+
+
+class Change(NamedTuple):
+  """A wanted change of one record; idempotent by the record's nonce.
+
+  Attributes:
+    action: `CREATE`, `TAKE_OVER`, `RECORD` or `REMOVE`.
+    key: The scoped key.
+    record: The record wanted; for `REMOVE` only its nonce counts.
+    old_nonce: For `TAKE_OVER`, the nonce that was given up.
+  """
+
+  action: str
+  key: str
+  record: ClaimRecord
+  old_nonce: str = ''
+
+
+class Outcome(NamedTuple):
+  """What became of a change.
+
+  Attributes:
+    is_applied: Whether the platform now stands as wanted.
+    standing: The record that stands; with a `CREATE` that wasn't applied,
+      None says that the slot is full.
+  """
+
+  is_applied: bool
+  standing: ClaimRecord | None
+
+
+class Question(NamedTuple):
+  """What an entry host asks the claimant about an open claim."""
+
+  key: str
+  nonce: str
+
+
+class Reply(NamedTuple):
+  """What the claimant answers.
+
+  Attributes:
+    says: One of the `REPLY_` constants.
+    answer: The answer with `REPLY_ANSWERED`, else None.
+  """
+
+  says: str
+  answer: records.PlainAnswer | None
+
+
+def scope_key(tenant: str, service: str, key: str) -> str:
+  """Returns a caller's key in the scope of its tenant and service."""
+  return f'{tenant}\x1f{service}\x1f{key}'
+
+
+def find_slot(key: str) -> int:
+  """Returns the slot of a scoped key."""
+  return xxhash.xxh64_intdigest(key) % SLOT_COUNT
+
+
+def make_slot_key(slot: int) -> str:
+  """Returns the platform's key of a slot."""
+  return f'{SLOT_PREFIX}{slot}'
+
+
+def take_fingerprint(call: records.PlainCall) -> str:
+  """Returns the digest that tells a repeat from another call."""
+  digest = xxhash.xxh3_128()
+  for part in (call.method, call.path, call.content_type):
+    digest.update(part.encode() + b'\0')
+  digest.update(call.body)
+  return digest.hexdigest()
+
+
+def encode_slot(slot: Slot) -> bytes:
+  """Encodes a slot for the platform."""
+  return msgspec.msgpack.encode(slot)
+
+
+def decode_slot(value: bytes) -> Slot:
+  """Decodes what `encode_slot` made."""
+  return msgspec.msgpack.decode(value, type=Slot)
+
+
+def bound_answer(answer: records.PlainAnswer) -> records.PlainAnswer | None:
+  """Returns the answer as it is recorded, None if it is over the bound."""
+  return answer if len(answer.body) <= MAX_ANSWER_BYTES else None
+
+
+def advance(state: str, event: str) -> str:
+  """Returns the state of a claim after an event of its chart."""
+  return chart.advance(CHART, state, event)
+
+
+def is_allowed(state: str, event: str) -> bool:
+  """Tells whether an event belongs to the state of a claim."""
+  return chart.is_allowed(CHART, state, event)
+
+
+def find_reply(state: str) -> str:
+  """Returns what the claimant says of a claim in a state."""
+  return _REPLY_BY_STATE[state]
+
+
+def measure_record(key: str, record: ClaimRecord) -> int:
+  """Returns an upper bound of the bytes that a record takes in its slot."""
+  size = RECORD_OVERHEAD_BYTES + 4 * len(key) + len(record.nonce)
+  size += len(record.fingerprint) + 4 * len(record.owner)
+  size += len(record.owner_address)
+  if record.answer is not None:
+    size += len(record.answer.body) + 4 * len(record.answer.content_type)
+  return size
+
+
+def apply_changes(
+    slot: Slot, changes: list[Change], epoch: int
+) -> tuple[Slot, list[Outcome]]:
+  """Applies the changes that wait for a slot, in their order.
+
+  Args:
+    slot: The slot as the platform holds it.
+    changes: Wanted changes.
+    epoch: The epoch as this process knows it.
+
+  Returns:
+    The new slot, the very same object if nothing has to be written, and an
+    outcome for each change.
+  """
+  epoch = max(epoch, slot.epoch)
+  record_by_key = _drop_expired(slot.record_by_key, epoch)
+  size = sum(measure_record(k, r) for k, r in record_by_key.items())
+  outcomes = []
+  is_changed = False
+  for change in changes:
+    standing = record_by_key.get(change.key)
+    wanted, outcome = _decide(change, standing, epoch)
+    if wanted is not standing:
+      size += _measure_growth(change.key, standing, wanted)
+      if size > MAX_SLOT_BYTES:
+        size = _shed_answers(record_by_key, size)
+      if size > MAX_SLOT_BYTES and standing is None:
+        size -= _measure_growth(change.key, standing, wanted)
+        outcomes.append(Outcome(False, None))
+        continue
+      _replace(record_by_key, change.key, wanted)
+      is_changed = True
+    outcomes.append(outcome)
+  if not is_changed:
+    return slot, outcomes
+  return Slot(epoch, record_by_key), outcomes
+
+
+def _decide(
+    change: Change, standing: ClaimRecord | None, epoch: int
+) -> tuple[ClaimRecord | None, Outcome]:
+  """Returns the record that is to stand, and the outcome."""
+  wanted = change.record._replace(epoch=epoch)
+  is_own = standing is not None and standing.nonce == wanted.nonce
+  if change.action in (CREATE, TAKE_OVER):
+    is_given_up = (
+        standing is not None
+        and change.action == TAKE_OVER
+        and standing.state == RECORD_OPEN
+        and standing.nonce == change.old_nonce
+    )
+    if standing is None or is_given_up:
+      return wanted, Outcome(True, wanted)
+    return standing, Outcome(is_own, standing)
+  if not is_own or standing.state != RECORD_OPEN:
+    return standing, Outcome(is_own, standing)
+  if change.action == REMOVE:
+    return None, Outcome(True, None)
+  return wanted, Outcome(True, wanted)
+
+
+def _replace(
+    record_by_key: dict[str, ClaimRecord], key: str, wanted: ClaimRecord | None
+) -> None:
+  if wanted is None:
+    del record_by_key[key]
+    return
+  record_by_key[key] = wanted
+
+
+def _measure_growth(
+    key: str, standing: ClaimRecord | None, wanted: ClaimRecord | None
+) -> int:
+  before = 0 if standing is None else measure_record(key, standing)
+  after = 0 if wanted is None else measure_record(key, wanted)
+  return after - before
+
+
+def _drop_expired(
+    record_by_key: dict[str, ClaimRecord], epoch: int
+) -> dict[str, ClaimRecord]:
+  kept = {}
+  for key, record in record_by_key.items():
+    retain = UNRESOLVED_RETAIN_EPOCHS
+    if record.state == RECORD_ANSWERED:
+      retain = ANSWER_RETAIN_EPOCHS
+    if record.epoch + retain > epoch:
+      kept[key] = record
+  return kept
+
+
+def _shed_answers(record_by_key: dict[str, ClaimRecord], size: int) -> int:
+  """Drops bodies of answers, oldest first, until the slot fits."""
+  for key, record in record_by_key.items():
+    if size <= MAX_SLOT_BYTES:
+      break
+    if record.answer is None:
+      continue
+    bare = record._replace(answer=None)
+    size += _measure_growth(key, record, bare)
+    record_by_key[key] = bare
+  return size
--- /dev/null
+++ b/mulberrypick/ops/plain_calls.py
@@ -0,0 +1,405 @@
+"""The whole path of one call to a plain service.
+
+A call of a repeatable service is tried on several endpoints. Any other call is
+claimed first, sent once, and its answer is recorded before the caller gets it;
+see `core/claims.py`. What the caller is told about the execution of its call
+is the truth about this request: "not run" is said only after the claim has
+reached a state from which nothing can be sent.
+
+A repeat that meets an open claim asks the claimant by its nonce. Silence is
+never taken for "not sent": the outcome is then unknown, and stays so until the
+claimant speaks or its record appears.
+"""
+
+import abc
+import logging
+import random
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+import tenacity
+
+from mulberrypick.adapters import peers as peers_lib
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.adapters import service as service_lib
+from mulberrypick.core import claims, errors, records
+from mulberrypick.ops import claim_task
+
+ASK_TIMEOUT_S = 0.3
+# A repeat of a call that is under way waits this long for its answer.
+PENDING_WAIT_S = 2.0
+PENDING_POLL_S = 0.05
+PENDING_RETRY_S = 1.0
+AWAY_RETRY_S = 1.0
+BACKOFF_S = 0.02
+MAX_BACKOFF_S = 0.5
+STOP_TIMEOUT_S = 60.0
+
+# Steps of a call, as told to a `StepObserver`.
+STEP_BEFORE_CLAIM = 'before_claim'
+STEP_CLAIMED = 'claimed'
+STEP_BEFORE_SEND = 'before_send'
+STEP_ANSWERED = 'answered'
+STEP_RECORDED = 'recorded'
+
+log = logging.getLogger(__name__)
+
+
+class StepObserver(abc.ABC):
+  """Is told of each step of a call; tests end the process there."""
+
+  @abc.abstractmethod
+  def observe(self, step: str) -> None:
+    """Takes note that a call reached a step, on the thread of the call."""
+
+
+class _NoObserver(StepObserver):
+  """Observes nothing."""
+
+  def observe(self, step: str) -> None:
+    """Does nothing."""
+
+
+class PlainCallRunner:
+  """Runs calls to plain services; `run` may be called from any thread."""
+
+  def __init__(
+      self,
+      platform: platform_lib.Platform,
+      service: service_lib.PlainService,
+      peers: peers_lib.Peers,
+      own_name: str,
+      own_peer_address: str,
+      observer: StepObserver | None = None,
+      rng: random.Random | None = None,
+      writers: int = claim_task.WRITERS,
+      ask_timeout_s: float = ASK_TIMEOUT_S,
+      pending_wait_s: float = PENDING_WAIT_S,
+  ):
+    """Makes the runner; it takes calls after `start`.
+
+    Args:
+      platform: Holds the claims.
+      service: Calls the endpoints.
+      peers: Carries questions to other claimants; not started yet.
+      own_name: Name of this entry host.
+      own_peer_address: `ip:port` at which other entry hosts ask.
+      observer: Is told of each step.
+      rng: Source of jitter.
+      writers: Threads that write claims.
+      ask_timeout_s: Longest wait for a claimant.
+      pending_wait_s: Longest wait for the answer of a call under way.
+    """
+    self._service = service
+    self._peers = peers
+    self._own_peer_address = own_peer_address
+    self._observer = observer or _NoObserver()
+    self._rng = rng or random.Random()
+    self._ask_timeout_s = ask_timeout_s
+    self._pending_wait_s = pending_wait_s
+    self._running = 0
+    self._is_stopping = False
+    self._idle = threading.Condition()
+    self.claims = claim_task.ClaimTask(
+        platform,
+        peers,
+        own_name,
+        own_peer_address,
+        rng=self._rng,
+        writers=writers,
+    )
+
+  def start(self) -> None:
+    """Starts the threads that write claims."""
+    self.claims.start()
+
+  def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> bool:
+    """Refuses new calls, lets sent ones finish, and gives up unsent claims.
+
+    Args:
+      timeout_s: Longest wait for the calls that are under way.
+
+    Returns:
+      Whether all calls ended and everything was recorded.
+    """
+    with self._idle:
+      self._is_stopping = True
+      is_idle = self._idle.wait_for(lambda: not self._running, timeout_s)
+    return self.claims.stop() and is_idle
+
+  def run(
+      self,
+      call: records.PlainCall,
+      service: records.Service,
+      endpoints: list[records.Host],
+      now: Callable[[], float],
+  ) -> records.PlainAnswer:
+    """Runs one call to its end.
+
+    Args:
+      call: The call.
+      service: Its service.
+      endpoints: Endpoints to try, best first.
+      now: The monotonic clock of `call.deadline_at`.
+
+    Returns:
+      The whole answer, of this call or of the one that it repeats.
+
+    Raises:
+      RequestError: The final refusal, with what is known of the execution.
+    """
+    with self._idle:
+      if self._is_stopping:
+        raise errors.UnavailableError(
+            'this entry host is stopping', retry_after_s=AWAY_RETRY_S
+        )
+      self._running += 1
+    try:
+      if service.is_repeatable:
+        return self._run_repeatable(call, service, endpoints, now)
+      return self._run_claimed(call, service, endpoints, now)
+    finally:
+      with self._idle:
+        self._running -= 1
+        self._idle.notify_all()
+
+  def _run_repeatable(
+      self,
+      call: records.PlainCall,
+      service: records.Service,
+      endpoints: list[records.Host],
+      now: Callable[[], float],
+  ) -> records.PlainAnswer:
+    run = errors.RUN_NOT_RUN
+    backoff = tenacity.wait_random_exponential(BACKOFF_S, MAX_BACKOFF_S)
+    attempts = _choose_attempts(service, endpoints)
+    for number, host in enumerate(attempts, start=1):
+      timeout_s = _bound_timeout(call, service, now, run)
+      try:
+        return self._service.call(host.name, host.address, call, timeout_s)
+      except errors.EndpointFailedError as error:
+        run = errors.RUN_UNKNOWN
+        _log_attempt(call, host, error)
+      except errors.EndpointError as error:
+        _log_attempt(call, host, error)
+      if number < len(attempts):
+        _sleep_backoff(backoff, number, call, now)
+    raise errors.UnavailableError(
+        f'no endpoint of {service.name} answered', run, AWAY_RETRY_S
+    )
+
+  def _run_claimed(
+      self,
+      call: records.PlainCall,
+      service: records.Service,
+      endpoints: list[records.Host],
+      now: Callable[[], float],
+  ) -> records.PlainAnswer:
+    _check_key(call)
+    claimed = self._obtain(call, now)
+    if isinstance(claimed, records.PlainAnswer):
+      return claimed
+    self._observer.observe(STEP_CLAIMED)
+    try:
+      return self._send(claimed.nonce, call, service, endpoints, now)
+    finally:
+      # Does nothing once the call was sent.
+      self.claims.release(claimed.nonce)
+
+  def _obtain(
+      self, call: records.PlainCall, now: Callable[[], float]
+  ) -> claim_task.Granted | records.PlainAnswer:
+    """Gets the claim, or the answer of the call that this one repeats."""
+    key = claims.scope_key(call.tenant, call.service, call.idempotency_key)
+    fingerprint = claims.take_fingerprint(call)
+    pending_until = min(call.deadline_at, now() + self._pending_wait_s)
+    old_nonce = ''
+    silent_nonce = ''
+    while True:
+      self._observer.observe(STEP_BEFORE_CLAIM)
+      timeout_s = call.deadline_at - now()
+      result = self.claims.claim(key, fingerprint, timeout_s, old_nonce)
+      if isinstance(result, claim_task.Granted):
+        return result
+      record = result.record
+      if record.fingerprint != fingerprint:
+        raise errors.KeyConflictError(
+            'the idempotency key was used before with another call'
+        )
+      if record.state != claims.RECORD_OPEN:
+        return _read_record(record)
+      if record.nonce == silent_nonce:
+        raise _unknown_error()
+      reply = self._ask_while_pending(key, record, pending_until, now)
+      if reply.says == claims.REPLY_ANSWERED:
+        return reply.answer
+      if reply.says == claims.REPLY_UNKNOWN:
+        raise _unknown_error()
+      if reply.says == claims.REPLY_NEVER:
+        old_nonce = record.nonce
+        continue
+      # The claimant may have settled the record just before it was asked, so
+      # that it is read once more.
+      silent_nonce = record.nonce
+
+  def _ask_while_pending(
+      self,
+      key: str,
+      record: claims.ClaimRecord,
+      pending_until: float,
+      now: Callable[[], float],
+  ) -> claims.Reply:
+    while True:
+      reply = self._ask(claims.Question(key, record.nonce), record)
+      if reply.says != claims.REPLY_PENDING:
+        return reply
+      if now() + PENDING_POLL_S > pending_until:
+        raise errors.CallPendingError(
+            'the same call is under way for an earlier request',
+            errors.RUN_UNKNOWN,
+            PENDING_RETRY_S,
+        )
+      time.sleep(PENDING_POLL_S)
+
+  def _ask(
+      self, question: claims.Question, record: claims.ClaimRecord
+  ) -> claims.Reply:
+    if record.owner_address == self._own_peer_address:
+      return self.claims.reply(question)
+    body = self._peers.ask(
+        record.owner_address,
+        claim_task.PEER_KIND,
+        msgspec.msgpack.encode(question),
+        self._ask_timeout_s,
+    )
+    if body is None:
+      return claims.Reply(claims.REPLY_FORGOTTEN, None)
+    return msgspec.msgpack.decode(body, type=claims.Reply)
+
+  def _send(
+      self,
+      nonce: str,
+      call: records.PlainCall,
+      service: records.Service,
+      endpoints: list[records.Host],
+      now: Callable[[], float],
+  ) -> records.PlainAnswer:
+    run = errors.RUN_NOT_RUN
+    for host in _choose_attempts(service, endpoints):
+      timeout_s = _bound_timeout(call, service, now, run)
+      self._observer.observe(STEP_BEFORE_SEND)
+      if not self.claims.begin_send(nonce):
+        break
+      answer = self._send_once(nonce, host, call, timeout_s)
+      if answer is not None:
+        return answer
+    raise errors.UnavailableError(
+        f'no endpoint of {service.name} took the call; it was not run',
+        run,
+        AWAY_RETRY_S,
+    )
+
+  def _send_once(
+      self,
+      nonce: str,
+      host: records.Host,
+      call: records.PlainCall,
+      timeout_s: float,
+  ) -> records.PlainAnswer | None:
+    """Returns the answer, or None if the endpoint certainly did not run it."""
+    try:
+      answer = self._service.call(host.name, host.address, call, timeout_s)
+    except (
+        errors.EndpointUnreachableError,
+        errors.EndpointRefusedError,
+    ) as error:
+      self.claims.note_not_sent(nonce)
+      _log_attempt(call, host, error)
+      return None
+    except Exception as error:
+      # Whatever went wrong, bytes may have left.
+      _log_attempt(call, host, error)
+      self.claims.record_unknown(nonce)
+      raise _unknown_error() from error
+    self._observer.observe(STEP_ANSWERED)
+    self.claims.record_answer(nonce, answer)
+    self._observer.observe(STEP_RECORDED)
+    return answer
+
+
+def _check_key(call: records.PlainCall) -> None:
+  key = call.idempotency_key
+  if not key:
+    raise errors.BadRequestError(
+        f'a call of {call.service} needs an Idempotency-Key'
+    )
+  if len(key) > claims.MAX_KEY_CHARS:
+    raise errors.BadRequestError(
+        f'the Idempotency-Key is longer than {claims.MAX_KEY_CHARS} characters'
+    )
+
+
+def _choose_attempts(
+    service: records.Service, endpoints: list[records.Host]
+) -> list[records.Host]:
+  """Returns the endpoint of each attempt; they repeat if there are few."""
+  if not endpoints:
+    return []
+  attempts = max(1, service.max_attempts)
+  return [endpoints[n % len(endpoints)] for n in range(attempts)]
+
+
+def _bound_timeout(
+    call: records.PlainCall,
+    service: records.Service,
+    now: Callable[[], float],
+    run: str,
+) -> float:
+  left_s = call.deadline_at - now()
+  if left_s <= 0:
+    raise errors.DeadlineError('the deadline of the call has passed', run)
+  return min(left_s, service.timeout_s)
+
+
+def _sleep_backoff(
+    backoff: tenacity.wait.wait_base,
+    number: int,
+    call: records.PlainCall,
+    now: Callable[[], float],
+) -> None:
+  state = tenacity.RetryCallState(None, None, (), {})
+  state.attempt_number = number
+  time.sleep(max(0.0, min(backoff(state), call.deadline_at - now())))
+
+
+def _read_record(record: claims.ClaimRecord) -> records.PlainAnswer:
+  if record.state == claims.RECORD_UNKNOWN:
+    raise _unknown_error()
+  if record.answer is None:
+    raise errors.AnswerNotKeptError(
+        'the call ran, and its answer is not kept', errors.RUN_DONE
+    )
+  return record.answer
+
+
+def _unknown_error() -> errors.OutcomeUnknownError:
+  return errors.OutcomeUnknownError(
+      'the call was sent, or may have been, and its answer is lost',
+      errors.RUN_UNKNOWN,
+  )
+
+
+def _log_attempt(
+    call: records.PlainCall, host: records.Host, error: Exception
+) -> None:
+  log.warning(
+      'attempt failed',
+      extra={
+          'event': 'plain_attempt_failed',
+          'request_id': call.request_id,
+          'endpoint': host.name,
+          'error': type(error).__name__,
+      },
+  )
--- /dev/null
+++ b/mulberrypick/ops/slot_writer.py
@@ -0,0 +1,235 @@
+"""Group commit of claims: one conditional update for all that wait for a slot.
+
+Changes are queued by slot. A writer thread takes a slot with everything that
+waits for it, reads the slot's object, applies the changes and writes it at the
+version that it read. While that is under way further changes of the slot
+gather, so that the groups grow with the load and no timer is needed.
+
+Weighed: keeping the slots' objects in memory saves the read before the write,
+but with several entry hosts a kept version is stale almost always, and a
+failed write costs more of the platform's rate than a read. The entry host
+would also have to hold all recorded answers.
+
+After a conflict or a lost answer the slot is read again and the same changes
+are applied again; they are idempotent by nonce. When the platform is away, a
+pause that grows with each failure begins. In it, changes whose caller waits
+are failed at once, and all others stay queued: thus an outage costs few calls,
+and its end brings no stampede.
+"""
+
+import collections
+import logging
+import queue
+import random
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import claims, errors
+
+MAX_TRIES = 30
+# Pause after a conflict, grown with the tries and drawn at random below it.
+CONFLICT_PAUSE_S = 0.004
+MAX_CONFLICT_PAUSE_S = 0.1
+# Pause after the platform was away.
+AWAY_PAUSE_S = 0.25
+MAX_AWAY_PAUSE_S = 2.0
+# Changes in one update; a bound on the time that one holds its slot.
+MAX_GROUP = 2000
+
+log = logging.getLogger(__name__)
+
+
+class Failure(NamedTuple):
+  """A change that was given up.
+
+  Attributes:
+    may_stand: Whether a write that carried it may still have taken effect.
+    retry_after_s: Seconds after which another try is worth it.
+  """
+
+  may_stand: bool
+  retry_after_s: float
+
+
+class Waiting(NamedTuple):
+  """A queued change.
+
+  Attributes:
+    change: The change.
+    reply: Takes the `Outcome` or `Failure`; called on a writer thread.
+    is_lasting: Whether it is kept until it is done, whatever happens.
+  """
+
+  change: claims.Change
+  reply: Callable[[claims.Outcome | Failure], None]
+  is_lasting: bool
+
+
+class SlotWriter:
+  """The threads that write slots; `submit` may be called from any thread.
+
+  Attributes:
+    groups: Conditional updates that succeeded.
+    changes: Changes that they carried, or that needed no write.
+    conflicts: Conditional updates that met another version.
+  """
+
+  def __init__(
+      self,
+      platform: platform_lib.Platform,
+      clock: Callable[[], float],
+      rng: random.Random,
+      writers: int,
+  ):
+    self.groups = 0
+    self.changes = 0
+    self.conflicts = 0
+    self.epoch = 0
+    self._platform = platform
+    self._clock = clock
+    self._rng = rng
+    self._lock = threading.Lock()
+    self._idle = threading.Condition(self._lock)
+    self._waiting_by_slot: dict[int, list[Waiting]] = collections.defaultdict(
+        list
+    )
+    self._busy_slots: set[int] = set()
+    self._ready: queue.SimpleQueue[int | None] = queue.SimpleQueue()
+    self._stopped = threading.Event()
+    self._away_until = 0.0
+    self._away_pause_s = AWAY_PAUSE_S
+    self._threads = [
+        threading.Thread(target=self._run, name=f'claims-{n}', daemon=True)
+        for n in range(writers)
+    ]
+
+  def start(self) -> None:
+    """Starts the threads."""
+    for thread in self._threads:
+      thread.start()
+
+  def stop(self, timeout_s: float) -> bool:
+    """Writes what is queued, then ends the threads.
+
+    Args:
+      timeout_s: Longest wait for the queued changes.
+
+    Returns:
+      Whether all of them were written.
+    """
+    with self._idle:
+      is_done = self._idle.wait_for(lambda: not self._busy_slots, timeout_s)
+    self._stopped.set()
+    for _ in self._threads:
+      self._ready.put(None)
+    for thread in self._threads:
+      thread.join()
+    return is_done
+
+  def get_pause_s(self) -> float:
+    """Returns the seconds until the platform is tried again, 0 if it is up."""
+    return max(0.0, self._away_until - self._clock())
+
+  def submit(self, waiting: Waiting) -> None:
+    """Queues a change."""
+    slot = claims.find_slot(waiting.change.key)
+    with self._lock:
+      self._waiting_by_slot[slot].append(waiting)
+      if slot in self._busy_slots:
+        return
+      self._busy_slots.add(slot)
+    self._ready.put(slot)
+
+  def _run(self) -> None:
+    while (slot := self._ready.get()) is not None:
+      self._wait_while_away(slot)
+      with self._lock:
+        group = self._waiting_by_slot[slot][:MAX_GROUP]
+        del self._waiting_by_slot[slot][:MAX_GROUP]
+      if group:
+        self._write_group(slot, group)
+      self._finish(slot)
+
+  def _finish(self, slot: int) -> None:
+    with self._idle:
+      has_more = bool(self._waiting_by_slot[slot])
+      if not has_more:
+        self._busy_slots.discard(slot)
+        self._idle.notify_all()
+    if has_more and not self._stopped.is_set():
+      self._ready.put(slot)
+
+  def _wait_while_away(self, slot: int) -> None:
+    """Waits for the end of the pause, failing what can't wait."""
+    while (pause_s := self.get_pause_s()) > 0 and not self._stopped.is_set():
+      self._fail_passing(slot, pause_s)
+      self._stopped.wait(min(pause_s, 0.02))
+
+  def _fail_passing(self, slot: int, pause_s: float) -> None:
+    with self._lock:
+      waiting = self._waiting_by_slot[slot]
+      passing = [w for w in waiting if not w.is_lasting]
+      waiting[:] = [w for w in waiting if w.is_lasting]
+    for item in passing:
+      item.reply(Failure(False, pause_s))
+
+  def _write_group(self, slot: int, group: list[Waiting]) -> None:
+    key = claims.make_slot_key(slot)
+    changes = [waiting.change for waiting in group]
+    may_stand = False
+    for tries in range(MAX_TRIES):
+      try:
+        outcomes = self._try_once(key, changes)
+      except errors.ConflictError:
+        self.conflicts += 1
+        self._pause(tries)
+        continue
+      except errors.PlatformAnswerLostError:
+        may_stand = True
+        continue
+      except errors.PlatformUnavailableError as error:
+        self._note_away(error)
+        break
+      self._away_pause_s = AWAY_PAUSE_S
+      self.changes += len(group)
+      for waiting, outcome in zip(group, outcomes, strict=True):
+        waiting.reply(outcome)
+      return
+    self._give_up(slot, group, may_stand)
+
+  def _try_once(
+      self, key: str, changes: list[claims.Change]
+  ) -> list[claims.Outcome]:
+    held = self._platform.get(key)
+    slot, version = claims.EMPTY_SLOT, platform_lib.MISSING_VERSION
+    if held is not None:
+      slot, version = claims.decode_slot(held.value), held.version
+    changed, outcomes = claims.apply_changes(slot, changes, self.epoch)
+    if changed is not slot:
+      self._platform.put(key, claims.encode_slot(changed), version)
+      self.groups += 1
+    return outcomes
+
+  def _give_up(self, slot: int, group: list[Waiting], may_stand: bool) -> None:
+    """Fails the changes that can't wait, and queues the others again."""
+    lasting = [waiting for waiting in group if waiting.is_lasting]
+    with self._lock:
+      self._waiting_by_slot[slot][:0] = lasting
+    for waiting in group:
+      if not waiting.is_lasting:
+        waiting.reply(Failure(may_stand, self.get_pause_s()))
+
+  def _pause(self, tries: int) -> None:
+    bound_s = min(MAX_CONFLICT_PAUSE_S, CONFLICT_PAUSE_S * (tries + 1))
+    self._stopped.wait(self._rng.uniform(0.0, bound_s))
+
+  def _note_away(self, error: errors.PlatformUnavailableError) -> None:
+    pause_s = self._rng.uniform(0.5, 1.0) * self._away_pause_s
+    self._away_until = self._clock() + max(pause_s, error.retry_after_s)
+    self._away_pause_s = min(MAX_AWAY_PAUSE_S, 2 * self._away_pause_s)
+    log.warning(
+        'platform away for claims',
+        extra={'event': 'claims_away', 'pause_s': round(pause_s, 3)},
+    )
