--- a/mulberrypick/core/claims.py
+++ b/mulberrypick/core/claims.py
@@ -25,7 +25,8 @@
 import msgspec
 import xxhash
 
-from mulberrypick.core import chart, records
+from mulberrypick.core import chart
+from mulberrypick.core import records
 
 SLOT_COUNT = 16
 SLOT_PREFIX = 'claims/'
--- a/mulberrypick/core/config.py
+++ b/mulberrypick/core/config.py
@@ -12,7 +12,9 @@
 import math
 from typing import Any
 
-from mulberrypick.core import config_fields, errors, records
+from mulberrypick.core import config_fields
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 FORMAT = 1
 MAX_CONFIG_BYTES = 64_000_000
--- a/mulberrypick/core/config_diff.py
+++ b/mulberrypick/core/config_diff.py
@@ -4,7 +4,8 @@
 the change is applied.
 """
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from mulberrypick.core import records
 
--- a/mulberrypick/core/config_fields.py
+++ b/mulberrypick/core/config_fields.py
@@ -6,7 +6,8 @@
 
 import re
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from mulberrypick.core import records
 
--- a/mulberrypick/core/config_test.py
+++ b/mulberrypick/core/config_test.py
@@ -6,7 +6,9 @@
 import hypothesis
 from hypothesis import strategies
 
-from mulberrypick.core import config, config_diff, errors
+from mulberrypick.core import config
+from mulberrypick.core import config_diff
+from mulberrypick.core import errors
 
 TEXT = b"""
 {
--- a/mulberrypick/core/cost_test.py
+++ b/mulberrypick/core/cost_test.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from mulberrypick.core import cost, records
+from mulberrypick.core import cost
+from mulberrypick.core import records
 
 
 def make_request(service='s', tenant='t', prompt_tokens=800, max_tokens=500):
--- a/mulberrypick/ops/claim_task.py
+++ b/mulberrypick/ops/claim_task.py
@@ -25,7 +25,9 @@
 
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import claims, errors, records
+from mulberrypick.core import claims
+from mulberrypick.core import errors
+from mulberrypick.core import records
 from mulberrypick.ops import slot_writer
 
 PEER_KIND = 'claim'
--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -24,7 +24,9 @@
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.adapters import service as service_lib
-from mulberrypick.core import claims, errors, records
+from mulberrypick.core import claims
+from mulberrypick.core import errors
+from mulberrypick.core import records
 from mulberrypick.ops import claim_task
 
 ASK_TIMEOUT_S = 0.3
--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -26,7 +26,8 @@
 from typing import NamedTuple
 
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import claims, errors
+from mulberrypick.core import claims
+from mulberrypick.core import errors
 
 MAX_TRIES = 30
 # Pause after a conflict, grown with the tries and drawn at random below it.
