Give the last frame the engine's prompt token counts

Cause: the dispatcher's AttemptEnded wants them, and only the last frame of an engine's stream has them. Defaults keep every other maker of frames as it is.

--- a/mulberrypick/core/records.py
+++ b/mulberrypick/core/records.py
@@ -299,6 +299,8 @@
     text: The token's text, empty in the last frame.
     is_last: Whether the answer is whole with this frame.
     finish_reason: `stop` or `length` in the last frame, else empty.
+    prompt_tokens: Prompt tokens as the engine counts them, in the last frame.
+    cached_tokens: Those of them that it did not compute, in the last frame.
   """
 
   attempt_id: str
@@ -306,6 +308,8 @@
   text: str
   is_last: bool
   finish_reason: str
+  prompt_tokens: int = 0
+  cached_tokens: int = 0
 
 
 class PlainCall(NamedTuple):
