--- /dev/null
+++ b/mulberrypick/adapters/http_engine.py
@@ -0,0 +1,349 @@
+"""Model engines over HTTP and server-sent events.
+
+A stream is read with `read1` and split here: a line reader on top of the HTTP
+library costs several calls for each token, and tokens are the busiest thing
+that passes an entry host.
+"""
+
+import contextlib
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import TypedDict
+
+import msgspec
+import urllib3
+from urllib3 import connection
+from urllib3 import exceptions
+
+from mulberrypick.adapters import engine
+from mulberrypick.adapters import http_wire
+from mulberrypick.core import errors
+from mulberrypick.core import records
+
+CONNECT_TIMEOUT_S = 1.0
+STALL_S = 10.0
+REPORT_TIMEOUT_S = 2.0
+USER_TIMEOUT_S = 1.0
+CONNECTIONS_PER_ENGINE = 64
+READ_BYTES = 65_536
+EVENT_END = b'\n\n'
+EVENT_START = len(b'data: ')
+REFUSAL_STATUSES = (
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.CONFLICT,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
+class _Event(TypedDict, total=False):
+  attempt_id: str
+  index: int
+  text: str
+  done: bool
+  finish_reason: str
+  prompt_tokens: int
+  cached_tokens: int
+
+
+class _Prefilled(TypedDict):
+  kv_id: str
+  tokens: int
+
+
+class _CacheEvents(TypedDict):
+  events: list[dict]
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
+
+class HttpEngine(engine.Engine):
+  """Calls to engines. Safe for threads."""
+
+  def __init__(
+      self,
+      source_ip: str = '',
+      stall_s: float = STALL_S,
+      connect_timeout_s: float = CONNECT_TIMEOUT_S,
+      report_timeout_s: float = REPORT_TIMEOUT_S,
+      order_user_timeout_s: float = USER_TIMEOUT_S,
+  ):
+    """Makes the adapter.
+
+    Args:
+      source_ip: Local IP to connect from, empty for any.
+      stall_s: A stream without a byte for so long has failed.
+      connect_timeout_s: Longest wait for a connection.
+      report_timeout_s: Longest wait for reports, orders and cancelling.
+      order_user_timeout_s: How long the bytes of an order may stay
+        unacknowledged before the kernel gives them up.
+    """
+    self._source_ip = source_ip
+    self._stall_s = stall_s
+    self._connect_timeout_s = connect_timeout_s
+    self._report_timeout_s = report_timeout_s
+    self._order_user_timeout_s = order_user_timeout_s
+    self._pool = http_wire.make_pool(source_ip, CONNECTIONS_PER_ENGINE)
+
+  def generate(
+      self,
+      attempt: records.Attempt,
+      request: records.InferenceRequest,
+      kv: engine.KvHandle | None = None,
+  ) -> Iterator[records.Frame]:
+    """Streams an answer; closing the iterator cancels it on the engine."""
+    response = self._post(
+        attempt.endpoint,
+        f'http://{attempt.address}/generate',
+        _generate_body(attempt, request, kv),
+        self._stall_s,
+    )
+    is_whole = False
+    try:
+      _check_status(attempt.endpoint, response, HTTPStatus.OK)
+      for frame in _read_frames(attempt, response):
+        is_whole = frame.is_last
+        yield frame
+        if is_whole:
+          return
+    finally:
+      if is_whole:
+        _release(response)
+      else:
+        response.close()
+
+  def prefill(
+      self, attempt: records.Attempt, request: records.InferenceRequest
+  ) -> engine.KvHandle:
+    """Runs the prompt only, and leaves its KV cache for export."""
+    prefilled = self._call(
+        attempt.endpoint,
+        f'http://{attempt.address}/prefill',
+        _generate_body(attempt, request, None),
+        _Prefilled,
+        self._stall_s,
+    )
+    return engine.KvHandle(
+        attempt.endpoint,
+        attempt.address,
+        prefilled['kv_id'],
+        prefilled['tokens'],
+    )
+
+  def cancel(self, attempt: records.Attempt) -> None:
+    """Cancels an attempt; one that is not known is no error."""
+    body = msgspec.json.encode({'attempt_id': attempt.attempt_id})
+    url = f'http://{attempt.address}/cancel'
+    self._call(attempt.endpoint, url, body, dict, self._report_timeout_s)
+
+  def read_load(self, endpoint: str, address: str) -> records.EngineReport:
+    """Reads the lagging load report."""
+    return self._read_record(endpoint, address, 'load', records.EngineReport)
+
+  def read_state(self, endpoint: str, address: str) -> records.EngineState:
+    """Reads roles, models and orders as they are now."""
+    return self._read_record(endpoint, address, 'state', records.EngineState)
+
+  def read_cache_events(
+      self, endpoint: str, address: str, after_number: int
+  ) -> list[engine.CacheEvent]:
+    """Reads cache events after a number, oldest first."""
+    url = f'http://{address}/events?after={after_number}'
+    answer = self._call(
+        endpoint, url, None, _CacheEvents, self._report_timeout_s
+    )
+    with _malformed_as_failed(endpoint):
+      return [
+          http_wire.decode_record(event, engine.CacheEvent)
+          for event in answer['events']
+      ]
+
+  def send_order(self, address: str, order: records.Order) -> None:
+    """Gives an order; returns once the engine has accepted it."""
+    made = http_wire.connect(
+        order.endpoint,
+        address,
+        self._source_ip,
+        min(self._connect_timeout_s, self._report_timeout_s),
+        http_wire.reset_options(self._order_user_timeout_s),
+    )
+    try:
+      response = self._exchange_order(made, order)
+    except (exceptions.HTTPError, OSError) as error:
+      raise errors.EndpointFailedError(order.endpoint, repr(error)) from error
+    finally:
+      made.close()
+    _check_order(order.endpoint, response)
+
+  def _exchange_order(
+      self, made: connection.HTTPConnection, order: records.Order
+  ) -> urllib3.BaseHTTPResponse:
+    made.sock.settimeout(self._report_timeout_s)
+    made.request(
+        'POST',
+        '/orders',
+        body=msgspec.json.encode(order._asdict()),
+        headers={'Connection': 'close'},
+    )
+    return made.getresponse()
+
+  def _read_record(
+      self, endpoint: str, address: str, name: str, record_type: type
+  ):
+    url = f'http://{address}/{name}'
+    fields = self._call(endpoint, url, None, dict, self._report_timeout_s)
+    with _malformed_as_failed(endpoint):
+      return http_wire.decode_record(fields, record_type)
+
+  def _call(
+      self,
+      endpoint: str,
+      url: str,
+      body: bytes | None,
+      answer_type: type,
+      timeout_s: float,
+  ):
+    """Makes a call whose answer is one JSON object."""
+    response = self._post(endpoint, url, body, timeout_s)
+    try:
+      data = response.read()
+    except exceptions.HTTPError as error:
+      raise errors.EndpointFailedError(endpoint, repr(error)) from error
+    finally:
+      response.release_conn()
+    _check_status(endpoint, response, HTTPStatus.OK, data)
+    with _malformed_as_failed(endpoint):
+      return msgspec.json.decode(data, type=answer_type)
+
+  def _post(
+      self, endpoint: str, url: str, body: bytes | None, timeout_s: float
+  ) -> urllib3.BaseHTTPResponse:
+    try:
+      return self._pool.request(
+          'GET' if body is None else 'POST',
+          url,
+          body=body,
+          timeout=urllib3.Timeout(
+              connect=self._connect_timeout_s, read=timeout_s
+          ),
+          redirect=False,
+          preload_content=False,
+      )
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+    ) as error:
+      raise errors.EndpointUnreachableError(endpoint, str(error)) from error
+    except exceptions.HTTPError as error:
+      raise errors.EndpointFailedError(endpoint, repr(error)) from error
+
+
+def _generate_body(
+    attempt: records.Attempt,
+    request: records.InferenceRequest,
+    kv: engine.KvHandle | None,
+) -> bytes:
+  reference = None
+  if kv is not None:
+    reference = {'address': kv.address, 'kv_id': kv.kv_id}
+  return msgspec.json.encode(
+      {
+          'attempt_id': attempt.attempt_id,
+          'model': request.model,
+          'adapter': request.adapter,
+          'prompt': request.prompt,
+          'max_tokens': request.max_tokens,
+          'start_index': attempt.start_index,
+          'priority': attempt.priority,
+          'kv': reference,
+      }
+  )
+
+
+def _read_frames(
+    attempt: records.Attempt, response: urllib3.BaseHTTPResponse
+) -> Iterator[records.Frame]:
+  """Reads events until the stream ends, which it may not do by itself."""
+  endpoint = attempt.endpoint
+  rest = b''
+  while True:
+    try:
+      data = response.read1(READ_BYTES)
+    except (exceptions.HTTPError, OSError) as error:
+      raise errors.EndpointFailedError(endpoint, repr(error)) from error
+    if not data:
+      raise errors.EndpointFailedError(endpoint, 'the stream was cut')
+    *events, rest = (rest + data).split(EVENT_END)
+    for event in events:
+      yield _decode_frame(endpoint, event)
+
+
+def _decode_frame(endpoint: str, event: bytes) -> records.Frame:
+  try:
+    fields = _event_decoder.decode(event[EVENT_START:])
+    return records.Frame(
+        fields['attempt_id'],
+        fields['index'],
+        fields.get('text', ''),
+        fields.get('done', False),
+        fields.get('finish_reason', ''),
+        fields.get('prompt_tokens', 0),
+        fields.get('cached_tokens', 0),
+    )
+  except (msgspec.MsgspecError, KeyError) as error:
+    raise errors.EndpointFailedError(endpoint, f'frame: {error}') from error
+
+
+def _release(response: urllib3.BaseHTTPResponse) -> None:
+  """Reads the end of a whole stream, so that its connection can be reused."""
+  try:
+    response.read1(READ_BYTES)
+    response.release_conn()
+  except (exceptions.HTTPError, OSError):
+    response.close()
+
+
+def _check_status(
+    endpoint: str,
+    response: urllib3.BaseHTTPResponse,
+    wanted: int,
+    data: bytes | None = None,
+) -> None:
+  """Turns every other status into the error that it stands for."""
+  if response.status == wanted:
+    return
+  if data is None:
+    data = _read_rest(response)
+  name = http_wire.error_name(data)
+  if name == http_wire.CUT_ERROR:
+    raise errors.EndpointUnreachableError(endpoint, 'cut off')
+  if name == http_wire.DRAINING_ERROR:
+    raise errors.EndpointDrainingError(endpoint, 'it is draining')
+  if response.status in REFUSAL_STATUSES:
+    raise errors.EndpointRefusedError(endpoint, name)
+  raise errors.EndpointFailedError(endpoint, f'status {response.status}')
+
+
+def _read_rest(response: urllib3.BaseHTTPResponse) -> bytes:
+  """Returns the body of a refusal, empty if it is lost."""
+  try:
+    return response.data
+  except (exceptions.HTTPError, OSError):
+    return b''
+
+
+def _check_order(endpoint: str, response: urllib3.BaseHTTPResponse) -> None:
+  if response.status == HTTPStatus.CONFLICT:
+    with _malformed_as_failed(endpoint):
+      fields = msgspec.json.decode(response.data, type=dict)
+    if fields.get('error') == 'fence':
+      raise errors.StaleFenceError(endpoint, int(fields['fence']))
+  _check_status(endpoint, response, HTTPStatus.ACCEPTED)
+
+
+@contextlib.contextmanager
+def _malformed_as_failed(endpoint: str) -> Iterator[None]:
+  try:
+    yield
+  except (msgspec.MsgspecError, KeyError) as error:
+    raise errors.EndpointFailedError(endpoint, f'answer: {error}') from error
--- /dev/null
+++ b/mulberrypick/adapters/http_platform.py
@@ -0,0 +1,205 @@
+"""The platform over HTTP."""
+
+import base64
+import urllib.parse
+from http import HTTPStatus
+from typing import TypedDict
+
+import msgspec
+import urllib3
+from urllib3 import exceptions
+
+from mulberrypick.adapters import http_wire
+from mulberrypick.adapters import platform
+from mulberrypick.core import errors
+from mulberrypick.core import records
+
+CONNECTIONS = 32
+NO_EFFECT_STATUSES = (
+    HTTPStatus.FORBIDDEN,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+
+
+class _Object(TypedDict):
+  key: str
+  version: int
+  value: bytes
+
+
+class _Objects(TypedDict):
+  revision: int
+  objects: list[_Object]
+
+
+class _Changes(TypedDict):
+  revision: int
+  changes: list[_Object]
+
+
+class _Version(TypedDict):
+  version: int
+
+
+class _Hosts(TypedDict):
+  hosts: list[dict]
+
+
+class HttpPlatform(platform.Platform):
+  """The platform's object API and list of hosts. Safe for threads."""
+
+  def __init__(
+      self, base_url: str, source_ip: str, timeout_s: float, caller: str
+  ):
+    """Makes the adapter; connects when it is first used.
+
+    Args:
+      base_url: Such as `http://127.0.1.1:8080`.
+      source_ip: Local IP to connect from, empty for any.
+      timeout_s: Longest wait for an answer.
+      caller: Name of this process in the platform's logs.
+    """
+    self._base_url = base_url.rstrip('/')
+    self._timeout_s = timeout_s
+    self._headers = {'User-Agent': caller}
+    self._pool = http_wire.make_pool(source_ip, CONNECTIONS)
+
+  def get(self, key: str) -> platform.VersionedValue | None:
+    """Reads one object, or None if there is none."""
+    response = self._read(_object_path(key), self._timeout_s)
+    if response.status == HTTPStatus.NOT_FOUND:
+      return None
+    return _as_value(_decode(response, _Object))
+
+  def put(self, key: str, value: bytes, expected_version: int) -> int:
+    """Writes an object if it stands at the expected version."""
+    if len(value) > platform.MAX_VALUE_BYTES:
+      raise errors.PlatformError(f'{key}: {len(value)} bytes are too many')
+    body = msgspec.json.encode(
+        {
+            'value': base64.b64encode(value).decode(),
+            'expected_version': expected_version,
+        }
+    )
+    response = self._write('PUT', key, _object_path(key), body)
+    return _decode(response, _Version)['version']
+
+  def delete(self, key: str, expected_version: int) -> None:
+    """Deletes an object if it stands at the expected version."""
+    path = f'{_object_path(key)}?expected_version={expected_version}'
+    self._write('DELETE', key, path, None)
+
+  def list_objects(self, prefix: str) -> platform.Listing:
+    """Reads all objects under a prefix."""
+    query = urllib.parse.urlencode({'prefix': prefix})
+    response = self._read(f'/objects?{query}', self._timeout_s)
+    listing = _decode(response, _Objects)
+    values = map(_as_value, listing['objects'])
+    return platform.Listing(
+        listing['revision'], {value.key: value for value in values}
+    )
+
+  def watch(
+      self, prefix: str, after_revision: int, timeout_s: float
+  ) -> platform.WatchBatch:
+    """Waits for changes under a prefix."""
+    query = urllib.parse.urlencode(
+        {
+            'prefix': prefix,
+            'after': after_revision,
+            'timeout_s': timeout_s,
+        }
+    )
+    response = self._read(f'/watch?{query}', timeout_s + self._timeout_s)
+    if response.status == HTTPStatus.GONE:
+      raise errors.WatchExpiredError(f'revision {after_revision} is gone')
+    batch = _decode(response, _Changes)
+    changes = [_as_value(change) for change in batch['changes']]
+    return platform.WatchBatch(batch['revision'], changes)
+
+  def list_hosts(self) -> list[records.Host]:
+    """Reads the lagging list of live and leaving hosts."""
+    response = self._read('/hosts', self._timeout_s)
+    hosts = _decode(response, _Hosts)['hosts']
+    try:
+      return [http_wire.decode_record(host, records.Host) for host in hosts]
+    except (KeyError, msgspec.ValidationError) as error:
+      raise errors.PlatformError(f'list of hosts: {error}') from error
+
+  def _read(self, path: str, timeout_s: float) -> urllib3.BaseHTTPResponse:
+    try:
+      response = self._request('GET', path, None, timeout_s)
+    except exceptions.HTTPError as error:
+      raise errors.PlatformUnavailableError(str(error)) from error
+    if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+      raise errors.PlatformUnavailableError(f'status {response.status}')
+    return response
+
+  def _write(
+      self, method: str, key: str, path: str, body: bytes | None
+  ) -> urllib3.BaseHTTPResponse:
+    try:
+      response = self._request(method, path, body, self._timeout_s)
+    except (
+        exceptions.NewConnectionError,
+        exceptions.ConnectTimeoutError,
+    ) as error:
+      raise errors.PlatformUnavailableError(str(error)) from error
+    except exceptions.HTTPError as error:
+      raise errors.PlatformAnswerLostError(str(error)) from error
+    if response.status == HTTPStatus.CONFLICT:
+      version = _decode(response, _Version, HTTPStatus.CONFLICT)['version']
+      raise errors.ConflictError(key, version)
+    if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+      raise errors.PlatformAnswerLostError(f'status {response.status}')
+    return response
+
+  def _request(
+      self, method: str, path: str, body: bytes | None, timeout_s: float
+  ) -> urllib3.BaseHTTPResponse:
+    response = self._pool.request(
+        method,
+        self._base_url + path,
+        body=body,
+        headers=self._headers,
+        timeout=urllib3.Timeout(connect=self._timeout_s, read=timeout_s),
+        redirect=False,
+    )
+    if response.status in NO_EFFECT_STATUSES:
+      raise errors.PlatformUnavailableError(
+          f'{http_wire.error_name(response.data)}: status {response.status}',
+          _retry_after_s(response),
+      )
+    return response
+
+
+def _object_path(key: str) -> str:
+  return '/objects/' + urllib.parse.quote(key, safe='/')
+
+
+def _retry_after_s(response: urllib3.BaseHTTPResponse) -> float:
+  try:
+    return float(response.headers.get('Retry-After', '0'))
+  except ValueError:
+    return 0.0
+
+
+def _decode(
+    response: urllib3.BaseHTTPResponse,
+    body_type: type,
+    status: int = HTTPStatus.OK,
+):
+  if response.status != status:
+    name = http_wire.error_name(response.data)
+    raise errors.PlatformError(f'{name}: status {response.status}')
+  try:
+    return msgspec.json.decode(response.data, type=body_type)
+  except msgspec.MsgspecError as error:
+    raise errors.PlatformError(f'malformed answer: {error}') from error
+
+
+def _as_value(fields: _Object) -> platform.VersionedValue:
+  return platform.VersionedValue(
+      fields['key'], fields['version'], fields['value']
+  )
--- /dev/null
+++ b/mulberrypick/adapters/http_service.py
@@ -0,0 +1,120 @@
+"""Plain services over HTTP.
+
+Every call has a connection of its own, made before the first byte is sent, so
+that each failure is told apart exactly: no connection, no execution; anything
+later, outcome unknown.
+"""
+
+import time
+from http import HTTPStatus
+
+import urllib3
+from urllib3 import connection
+from urllib3 import exceptions
+
+from mulberrypick.adapters import http_wire
+from mulberrypick.adapters import service
+from mulberrypick.core import errors
+from mulberrypick.core import records
+
+CONNECT_TIMEOUT_S = 1.0
+SHORTEST_TIMEOUT_S = 0.001
+READ_BYTES = 65_536
+
+
+class HttpPlainService(service.PlainService):
+  """Calls to plain services. Safe for threads."""
+
+  def __init__(
+      self, source_ip: str = '', connect_timeout_s: float = CONNECT_TIMEOUT_S
+  ):
+    """Makes the adapter.
+
+    Args:
+      source_ip: Local IP to connect from, empty for any.
+      connect_timeout_s: Longest wait for a connection.
+    """
+    self._source_ip = source_ip
+    self._connect_timeout_s = connect_timeout_s
+
+  def call(
+      self,
+      endpoint: str,
+      address: str,
+      call: records.PlainCall,
+      timeout_s: float,
+  ) -> records.PlainAnswer:
+    """Runs one call."""
+    until = time.monotonic() + timeout_s
+    connect_s = min(self._connect_timeout_s, timeout_s)
+    made = http_wire.connect(endpoint, address, self._source_ip, connect_s)
+    try:
+      answer = _exchange(made, call, until)
+    except (exceptions.HTTPError, OSError) as error:
+      raise errors.EndpointFailedError(endpoint, repr(error)) from error
+    finally:
+      made.close()
+    _raise_if_not_run(endpoint, answer)
+    return answer
+
+
+def _exchange(
+    made: connection.HTTPConnection, call: records.PlainCall, until: float
+) -> records.PlainAnswer:
+  _set_timeout(made, until)
+  made.request(
+      call.method,
+      call.path,
+      body=call.body or None,
+      headers=_headers(call),
+      preload_content=False,
+  )
+  response = made.getresponse()
+  content_type = response.headers.get('Content-Type', '')
+  return records.PlainAnswer(
+      response.status, content_type, _read_whole(made, response, until)
+  )
+
+
+def _headers(call: records.PlainCall) -> dict[str, str]:
+  headers = {'X-Request-Id': call.request_id, 'Connection': 'close'}
+  if call.content_type:
+    headers['Content-Type'] = call.content_type
+  if call.idempotency_key:
+    headers['Idempotency-Key'] = call.idempotency_key
+  return headers
+
+
+def _read_whole(
+    made: connection.HTTPConnection,
+    response: urllib3.BaseHTTPResponse,
+    until: float,
+) -> bytes:
+  parts = []
+  while True:
+    _set_timeout(made, until)
+    part = response.read1(READ_BYTES)
+    if not part:
+      return b''.join(parts)
+    parts.append(part)
+
+
+def _set_timeout(made: connection.HTTPConnection, until: float) -> None:
+  """Gives the next read or write only the time that is left."""
+  if made.sock is None:
+    return
+  left_s = until - time.monotonic()
+  if left_s <= 0:
+    raise TimeoutError('no whole answer in time')
+  made.sock.settimeout(max(left_s, SHORTEST_TIMEOUT_S))
+
+
+def _raise_if_not_run(endpoint: str, answer: records.PlainAnswer) -> None:
+  """Raises if the answer says that the call was not run."""
+  if answer.status not in (HTTPStatus.FORBIDDEN, HTTPStatus.CONFLICT):
+    return
+  name = http_wire.error_name(answer.body)
+  if name == http_wire.CUT_ERROR:
+    raise errors.EndpointUnreachableError(endpoint, 'cut off')
+  if name == http_wire.DRAINING_ERROR:
+    raise errors.EndpointDrainingError(endpoint, 'it is draining')
--- /dev/null
+++ b/mulberrypick/adapters/http_wire.py
@@ -0,0 +1,114 @@
+"""What the HTTP adapters share: records from JSON, fresh connections.
+
+A fresh connection serves the calls whose failure must be told apart exactly:
+either it could not be made, and no byte was sent, or anything may have
+happened. A pool can't tell that for a connection that it used before.
+"""
+
+import socket
+import struct
+from collections.abc import Iterable
+
+import msgspec
+import urllib3
+from urllib3 import connection
+from urllib3 import exceptions
+
+from mulberrypick.core import errors
+
+CUT_ERROR = 'cut'
+DRAINING_ERROR = 'draining'
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+SocketOptions = Iterable[tuple[int, int, int | bytes]]
+
+
+def decode_record(fields: dict[str, object], record_type: type) -> object:
+  """Makes a `NamedTuple` of a JSON object, with its types checked.
+
+  Raises:
+    KeyError: A field is missing.
+    msgspec.ValidationError: A field has another type.
+  """
+  values = [fields[name] for name in record_type._fields]
+  return msgspec.convert(values, record_type)
+
+
+def error_name(body: bytes) -> str:
+  """Returns the `error` field of a JSON body, empty if there is none."""
+  try:
+    return str(msgspec.json.decode(body, type=dict).get('error', ''))
+  except msgspec.MsgspecError:
+    return ''
+
+
+def source_address(source_ip: str) -> tuple[str, int] | None:
+  """Returns the local address to bind to, None for any."""
+  return (source_ip, 0) if source_ip else None
+
+
+def reset_options(user_timeout_s: float) -> SocketOptions:
+  """Socket options under which unsent bytes die with the process.
+
+  Args:
+    user_timeout_s: How long sent bytes may stay unacknowledged.
+  """
+  return (
+      (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+      (socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE),
+      (
+          socket.IPPROTO_TCP,
+          socket.TCP_USER_TIMEOUT,
+          int(user_timeout_s * 1000),
+      ),
+  )
+
+
+def connect(
+    endpoint: str,
+    address: str,
+    source_ip: str,
+    timeout_s: float,
+    socket_options: SocketOptions | None = None,
+) -> connection.HTTPConnection:
+  """Makes a connection of its own to an endpoint.
+
+  Args:
+    endpoint: Name of the endpoint, for the error.
+    address: `ip:port` of the endpoint.
+    source_ip: Local IP to connect from, empty for any.
+    timeout_s: Time for the connection, and then for each read and write.
+    socket_options: Options set before it connects, None for the defaults.
+
+  Returns:
+    The open connection.
+
+  Raises:
+    EndpointUnreachableError: It could not be made: no byte was sent.
+  """
+  host, _, port = address.rpartition(':')
+  if socket_options is None:
+    socket_options = connection.HTTPConnection.default_socket_options
+  made = connection.HTTPConnection(
+      host,
+      int(port),
+      timeout=timeout_s,
+      source_address=source_address(source_ip),
+      socket_options=socket_options,
+  )
+  try:
+    made.connect()
+  except (exceptions.HTTPError, OSError) as error:
+    made.close()
+    raise errors.EndpointUnreachableError(endpoint, str(error)) from error
+  return made
+
+
+def make_pool(source_ip: str, connections_per_host: int) -> urllib3.PoolManager:
+  """Makes a pool that never retries and never redirects."""
+  return urllib3.PoolManager(
+      num_pools=2048,
+      maxsize=connections_per_host,
+      retries=False,
+      source_address=source_address(source_ip),
+  )
