TCP relay for tests that cut a link

Cause: links between two of the product's processes can't be cut by a stand-in's own fault. Half-closed connections are not kept: neither HTTP nor the peers' protocol uses them.

--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,146 @@
+"""A TCP relay that cuts, heals and delays the link between two processes.
+
+A test gives one process the relay's address in place of the other's. A cut
+breaks open connections, or holds their bytes back as a lost link does, and
+refuses or holds new ones in the same way until it is healed.
+"""
+
+import logging
+import socket
+import threading
+import time
+
+BACKLOG = 256
+READ_BYTES = 65_536
+POLL_S = 0.01
+CONNECT_TIMEOUT_S = 2.0
+
+log = logging.getLogger(__name__)
+
+
+class Relay:
+  """Forwards one port to another; safe for threads.
+
+  Attributes:
+    address: `ip:port` that it listens on.
+    connections: Connections accepted since the start.
+  """
+
+  def __init__(self, target: str, listen_ip: str = '127.0.0.1'):
+    """Starts forwarding.
+
+    Args:
+      target: `ip:port` to forward to.
+      listen_ip: IP to listen on; the port is a free one.
+    """
+    self.connections = 0
+    self._target = target
+    self._listen_ip = listen_ip
+    self._delay_s = 0.0
+    self._is_held = False
+    self._is_refusing = False
+    self._is_closed = False
+    self._lock = threading.Lock()
+    self._sockets: set[socket.socket] = set()
+    self._listener = socket.create_server((listen_ip, 0), backlog=BACKLOG)
+    host, port = self._listener.getsockname()
+    self.address = f'{host}:{port}'
+    threading.Thread(target=self._accept, daemon=True).start()
+
+  def __enter__(self) -> 'Relay':
+    return self
+
+  def __exit__(self, *error) -> None:
+    self.close()
+
+  def cut(self) -> None:
+    """Breaks all connections and closes new ones at once."""
+    self._is_refusing = True
+    self.break_connections()
+
+  def hold(self) -> None:
+    """Forwards nothing more, without closing anything."""
+    self._is_held = True
+
+  def heal(self) -> None:
+    """Forwards again; bytes that were held back arrive late."""
+    self._is_refusing = False
+    self._is_held = False
+
+  def delay(self, delay_s: float) -> None:
+    """Delays every piece of data by so many seconds."""
+    self._delay_s = delay_s
+
+  def break_connections(self) -> None:
+    """Breaks the connections that are open now."""
+    with self._lock:
+      sockets = list(self._sockets)
+    for end in sockets:
+      _shut(end)
+
+  def close(self) -> None:
+    """Ends the relay and its connections."""
+    self._is_closed = True
+    _shut(self._listener)
+    self._listener.close()
+    self.break_connections()
+
+  def _accept(self) -> None:
+    while not self._is_closed:
+      try:
+        near, _ = self._listener.accept()
+      except OSError:
+        return
+      self.connections += 1
+      if self._is_refusing:
+        near.close()
+        continue
+      threading.Thread(target=self._join, args=(near,), daemon=True).start()
+
+  def _join(self, near: socket.socket) -> None:
+    """Connects to the target and forwards one way of the two."""
+    self._wait_while_held()
+    host, _, port = self._target.rpartition(':')
+    try:
+      far = socket.create_connection((host, int(port)), CONNECT_TIMEOUT_S)
+    except OSError as error:
+      log.info({'event': 'relay_target_away', 'error': error})
+      near.close()
+      return
+    far.settimeout(None)
+    with self._lock:
+      self._sockets.update((near, far))
+    back = threading.Thread(target=self._pump, args=(far, near), daemon=True)
+    back.start()
+    self._pump(near, far)
+    back.join()
+    with self._lock:
+      self._sockets.difference_update((near, far))
+    near.close()
+    far.close()
+
+  def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+    """Forwards one way until either end closes."""
+    while True:
+      try:
+        data = source.recv(READ_BYTES)
+        self._wait_while_held()
+        if not data:
+          break
+        time.sleep(self._delay_s)
+        sink.sendall(data)
+      except OSError:
+        break
+    _shut(source)
+    _shut(sink)
+
+  def _wait_while_held(self) -> None:
+    while self._is_held and not self._is_closed:
+      time.sleep(POLL_S)
+
+
+def _shut(end: socket.socket) -> None:
+  try:
+    end.shutdown(socket.SHUT_RDWR)
+  except OSError:
+    return
