Load tool; engine writes its streams from the batch's thread

Cause: an engine stand-in has to stream 5,000 tokens a second on a core. Also found: a look whether the caller left blocked for the socket's whole timeout, as a Python socket with a timeout waits before recv even with MSG_DONTWAIT. Ruled out: coalescing tokens in the waiting thread, which only helps once it is late.

--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -1,8 +1,6 @@
 """The HTTP side of the engine stand-in."""
 
 import itertools
-import os
-import queue
 import threading
 import time
 from collections.abc import Iterator
@@ -19,12 +17,11 @@
 from standins import engine_events
 from standins import engine_loop
 from standins import engine_orders
+from standins import engine_stream
 from standins import wire
 
 KV_KEPT_S = 30.0
 KV_TIMEOUT_S = 2.0
-LEFT_CHECK_EVERY_S = 0.05
-CRASH_STATUS = 72
 KV = '/kv/'
 
 
@@ -101,12 +98,11 @@
     self._export_by_id: dict[str, KvExport] = {}
     self._counts = {'generate': 0, 'prefill': 0, 'cancelled': 0}
     self._under_way = 0
-    self._tokens_to_crash: int | None = None
 
   def take_fault(self, name: str, value: object) -> None:
     """Takes a crash, a delay of orders or a freeze of the batch."""
     if name == 'crash_after_tokens':
-      self._tokens_to_crash = int(value)
+      self._loop.crash_after = self._loop.tokens + int(value)
     elif name == 'order_delay_s':
       self._orders.delay_s = float(value)
     elif name == 'crash_in_order':
@@ -186,12 +182,14 @@
     if not self._loop.fits(work):
       return wire.error_answer(HTTPStatus.CONFLICT, 'memory')
     self._count('prefill')
-    outputs = self._submit(work)
+    sink = engine_stream.Sink()
+    self._submit(work, sink)
     try:
-      output = self._wait_first(call, outputs)
+      is_here = sink.wait_ended(call)
     finally:
       self._leave(work)
-    if output is None:
+    if sink.is_cut or not is_here:
+      self._count('cancelled')
       raise wire.DropConnectionError
     return wire.json_answer(
         {
@@ -269,68 +267,40 @@
       return wire.error_answer(HTTPStatus.NOT_FOUND, 'kv')
     return wire.json_answer(export._asdict())
 
-  def _submit(self, work: engine_batch.Work) -> queue.SimpleQueue:
+  def _submit(self, work: engine_batch.Work, sink: engine_stream.Sink) -> None:
     with self._lock:
       self._under_way += 1
-    sink = engine_loop.Sink()
     self._loop.send(engine_loop.Submit(work, sink))
-    return sink.outputs
 
   def _leave(self, work: engine_batch.Work) -> None:
     with self._lock:
       self._under_way -= 1
     self._loop.send(engine_loop.Cancel(lambda other: other is work))
 
-  def _wait_first(
-      self, call: wire.Call, outputs: queue.SimpleQueue
-  ) -> engine_batch.Output | None:
-    """Waits for the first output, or None if the caller left."""
-    while True:
-      try:
-        return outputs.get(timeout=LEFT_CHECK_EVERY_S)
-      except queue.Empty:
-        if call.is_caller_gone():
-          return None
-
   def _stream(
       self, call: wire.Call, work: engine_batch.Work
   ) -> Iterator[bytes]:
     """Streams an answer; yields nothing once, after it has submitted it."""
-    outputs = self._submit(work)
+    sink = engine_stream.StreamSink(call, work)
+    self._submit(work, sink)
     is_whole = False
     try:
       yield b''
-      output = self._wait_first(call, outputs)
-      head = b'data: {"attempt_id":%b,"index":' % msgspec.json.encode(
-          work.attempt_id
-      )
-      while output is not None:
-        parts = [_frame(head, work, output)]
-        while not outputs.empty() and not output.is_last:
-          output = outputs.get()
-          if output is None:
-            break
-          parts.append(_frame(head, work, output))
-        self._count_down_to_crash(len(parts))
-        yield b''.join(parts)
-        if output is None or output.is_last:
-          break
-        output = outputs.get()
-      is_whole = output is not None
+      if not sink.wait_started(call):
+        return
+      yield sink.take_first()
+      sink.open()
+      if not sink.wait_ended(call) or sink.is_cut:
+        return
+      yield sink.finish()
+      is_whole = True
     finally:
+      sink.close()
       self._leave(work)
       if not is_whole:
         self._count('cancelled')
         call.drop()
 
-  def _count_down_to_crash(self, tokens: int) -> None:
-    if self._tokens_to_crash is None:
-      return
-    with self._lock:
-      self._tokens_to_crash -= tokens
-      if self._tokens_to_crash < 0:
-        os._exit(CRASH_STATUS)
-
   def _count(self, name: str) -> None:
     with self._lock:
       self._counts[name] += 1
@@ -371,28 +341,3 @@
     }
     with self._lock:
       return wire.json_answer({**self._counts, **counts})
-
-
-def _frame(
-    head: bytes, work: engine_batch.Work, output: engine_batch.Output
-) -> bytes:
-  """Encodes an output as one event, or two if it ends the answer."""
-  parts = b''
-  if output.text:
-    parts = b'%b%d,"text":"%b"}\n\n' % (
-        head,
-        output.index,
-        output.text.encode(),
-    )
-  if not output.is_last:
-    return parts
-  return parts + b'%b%d,"done":true,%b}\n\n' % (
-      head,
-      work.end_index,
-      b'"finish_reason":"%b","prompt_tokens":%d,"cached_tokens":%d'
-      % (
-          work.finish_reason.encode(),
-          work.prompt_tokens,
-          output.sequence.cached_tokens,
-      ),
-  )
--- a/standins/engine_loop.py
+++ b/standins/engine_loop.py
@@ -14,6 +14,7 @@
 
 from standins import engine_batch
 from standins import engine_events
+from standins import engine_stream
 
 IDLE_WAIT_S = 0.02
 LATEST_STEP_S = 0.05
@@ -25,7 +26,7 @@
   """A request arrives; its outputs go to the sink."""
 
   work: engine_batch.Work
-  sink: 'Sink'
+  sink: engine_stream.Sink
 
 
 class Cancel(NamedTuple):
@@ -50,19 +51,6 @@
   requests: int
 
 
-class Sink:
-  """Where the outputs of one request go.
-
-  Attributes:
-    outputs: The outputs; None ends a request that was cut or cancelled.
-  """
-
-  def __init__(self):
-    self.outputs: queue.SimpleQueue[engine_batch.Output | None] = (
-        queue.SimpleQueue()
-    )
-
-
 class EngineLoop:
   """Runs the batch in a thread of its own.
 
@@ -71,6 +59,8 @@
     tokens: Tokens made since the start.
     prefill_tokens: Prompt tokens computed since the start.
     frozen_until: Monotonic time up to which nothing is computed.
+    crash_after: Count of `tokens` after which the process ends, None for
+      never.
   """
 
   def __init__(
@@ -82,6 +72,7 @@
     self.tokens = 0
     self.prefill_tokens = 0
     self.frozen_until = 0.0
+    self.crash_after: int | None = None
     self._batch = engine_batch.Batch(settings)
     self._events = events
     self._inbox: queue.SimpleQueue[Submit | Cancel] = queue.SimpleQueue()
@@ -137,16 +128,18 @@
     for sequence in self._batch.sequences():
       if message.matches(sequence.work):
         self._batch.remove(sequence)
-        sequence.sink.outputs.put(None)
+        sequence.sink.cut()
 
   def _hand_out(self, plan: engine_batch.Plan) -> None:
     self.prefill_tokens += sum(tokens for _, tokens in plan.prefill)
+    if self.crash_after is not None and self.tokens >= self.crash_after:
+      os._exit(CRASH_STATUS)
     for output in self._batch.finish(plan):
       if CRASH_WORD in output.sequence.work.prompt:
         os._exit(CRASH_STATUS)
       if output.text:
         self.tokens += 1
-      output.sequence.sink.outputs.put(output)
+      output.sequence.sink.take(output)
 
   def _publish(self) -> None:
     batch = self._batch
--- /dev/null
+++ b/standins/engine_stream.py
@@ -0,0 +1,143 @@
+"""How an engine stand-in writes a stream: from the batch's own thread.
+
+Waking one thread for each token of each stream costs more than all the rest
+of a token. So the thread that holds the HTTP request only sends the head and
+the end; in between, the batch's thread writes to the socket without waiting,
+and what the socket does not take is kept for the next token.
+"""
+
+import os
+import threading
+
+import msgspec
+
+from standins import engine_batch
+from standins import wire
+
+LEFT_CHECK_EVERY_S = 0.05
+STREAM_CHECK_EVERY_S = 0.5
+
+
+class Sink:
+  """Where the outputs of one request go; the batch's thread fills it.
+
+  Attributes:
+    output: The latest output, None before the first.
+    is_cut: Whether the engine ended the request before its end.
+  """
+
+  def __init__(self):
+    self.output: engine_batch.Output | None = None
+    self.is_cut = False
+    self._started = threading.Event()
+    self._ended = threading.Event()
+
+  def take(self, output: engine_batch.Output) -> None:
+    """Takes an output."""
+    self.output = output
+    if output.is_last:
+      self._ended.set()
+    self._started.set()
+
+  def cut(self) -> None:
+    """Ends the request before its end."""
+    self.is_cut = True
+    self._ended.set()
+    self._started.set()
+
+  def wait_started(self, call: wire.Call) -> bool:
+    """Waits for the first output; returns false if the caller left."""
+    return _wait(self._started, call, LEFT_CHECK_EVERY_S)
+
+  def wait_ended(self, call: wire.Call) -> bool:
+    """Waits for the last output; returns false if the caller left."""
+    return _wait(self._ended, call, STREAM_CHECK_EVERY_S)
+
+
+class StreamSink(Sink):
+  """A sink that writes its outputs to a chunked HTTP response."""
+
+  def __init__(self, call: wire.Call, work: engine_batch.Work):
+    super().__init__()
+    self._fd = call.socket.fileno()
+    self._socket = call.socket
+    self._work = work
+    attempt_id = msgspec.json.encode(work.attempt_id)
+    self._head = b'data: {"attempt_id":%b,"index":' % attempt_id
+    self._lock = threading.Lock()
+    self._is_open = False
+    # Events that are not framed as a chunk yet, and framed bytes not sent yet.
+    self._unframed = b''
+    self._unsent = b''
+
+  def take(self, output: engine_batch.Output) -> None:
+    """Writes an output, as far as the caller takes it."""
+    if output.text:
+      self._write(self._encode_token(output))
+    super().take(output)
+
+  def take_first(self) -> bytes:
+    """Returns the first events, to be sent together with the HTTP head."""
+    with self._lock:
+      first = self._unframed
+      self._unframed = b''
+    return first
+
+  def open(self) -> None:
+    """Lets the batch's thread write, once the first events are sent."""
+    with self._lock:
+      self._is_open = True
+
+  def close(self) -> None:
+    """Ends the writing by the batch's thread."""
+    with self._lock:
+      self._is_open = False
+
+  def finish(self) -> bytes:
+    """Sends what is left over and returns the events that end the answer."""
+    self.close()
+    if self._unsent:
+      self._socket.sendall(self._unsent)
+    return self._unframed + self._encode_end()
+
+  def _write(self, event: bytes) -> None:
+    with self._lock:
+      self._unframed += event
+      if not self._is_open:
+        return
+      size = len(self._unframed)
+      data = b'%b%x\r\n%b\r\n' % (self._unsent, size, self._unframed)
+      self._unframed = b''
+      try:
+        written = os.write(self._fd, data)
+      except BlockingIOError:
+        written = 0
+      except OSError:
+        self._is_open = False
+        self.cut()
+        return
+      self._unsent = data[written:]
+
+  def _encode_token(self, output: engine_batch.Output) -> bytes:
+    text = output.text.encode()
+    return b'%b%d,"text":"%b"}\n\n' % (self._head, output.index, text)
+
+  def _encode_end(self) -> bytes:
+    work = self._work
+    return b'%b%d,"done":true,%b}\n\n' % (
+        self._head,
+        work.end_index,
+        b'"finish_reason":"%b","prompt_tokens":%d,"cached_tokens":%d'
+        % (
+            work.finish_reason.encode(),
+            work.prompt_tokens,
+            self.output.sequence.cached_tokens,
+        ),
+    )
+
+
+def _wait(event: threading.Event, call: wire.Call, every_s: float) -> bool:
+  while not event.wait(every_s):
+    if call.is_caller_gone():
+      return False
+  return True
--- /dev/null
+++ b/standins/load_client.py
@@ -0,0 +1,284 @@
+"""One request of a load run: sends it, and checks its answer by token."""
+
+import itertools
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+from typing import NamedTuple
+from typing import TypedDict
+
+import msgspec
+import urllib3
+from urllib3 import exceptions
+
+from standins import answers
+from standins import load_plan
+from standins import load_summary
+
+CONNECTIONS_PER_ENTRY = 512
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 60.0
+READ_BYTES = 65_536
+EVENT_END = b'\n\n'
+EVENT_START = len(b'data: ')
+END_MARKER = b'data: [DONE]'
+RUN_NOT_RUN = 'not_run'
+
+
+class _Choice(TypedDict, total=False):
+  text: str
+  finish_reason: str | None
+
+
+class _Error(TypedDict, total=False):
+  type: str
+  run: str
+
+
+class _Event(TypedDict, total=False):
+  choices: list[_Choice]
+  error: _Error
+
+
+_event_decoder = msgspec.json.Decoder(_Event)
+
+
+class _Ending(NamedTuple):
+  """How a request ended."""
+
+  outcome: str
+  status: int = 0
+  kind: str = ''
+  run: str = ''
+  retry_after_s: float = 0.0
+
+
+class _Progress:
+  """What has been received of one answer."""
+
+  def __init__(self, arrival: load_plan.Arrival, planned_at: float):
+    work_class = arrival.work_class
+    self._planned_at = planned_at
+    self._source = answers.TokenSource(
+        work_class.model, work_class.adapter, arrival.prompt
+    )
+    self._end = answers.expected_end(arrival.prompt, work_class.max_tokens)
+    self._last_at = 0.0
+    self.first_token_s = 0.0
+    self.gaps_s: list[float] = []
+    self.tokens = 0
+    self.finish_reason = ''
+
+  def take(self, choice: _Choice) -> bool:
+    """Takes a part of the answer; returns whether it is right."""
+    reason = choice.get('finish_reason')
+    if reason:
+      self.finish_reason = reason
+    text = choice.get('text')
+    if not text:
+      return True
+    if text != self._source.token(self.tokens):
+      return False
+    now = time.monotonic()
+    if self.tokens:
+      self.gaps_s.append(now - self._last_at)
+    else:
+      self.first_token_s = now - self._planned_at
+    self._last_at = now
+    self.tokens += 1
+    return True
+
+  def is_whole(self) -> bool:
+    """Tells whether all tokens and the right end have come."""
+    return (self.tokens, self.finish_reason) == self._end
+
+
+class LoadClient:
+  """Sends requests to entries in turn, as a balancer does. Safe for threads."""
+
+  def __init__(self, urls: list[str], source_ip: str = ''):
+    """Makes the client.
+
+    Args:
+      urls: Base URLs of the entries.
+      source_ip: Local IP to connect from, empty for any.
+    """
+    self._urls = urls
+    self._turns = itertools.count()
+    self._pool = urllib3.PoolManager(
+        maxsize=CONNECTIONS_PER_ENTRY,
+        retries=False,
+        source_address=(source_ip, 0) if source_ip else None,
+        timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
+    )
+
+  def run(
+      self, arrival: load_plan.Arrival, planned_at: float
+  ) -> load_summary.Result:
+    """Sends one request and waits for its end.
+
+    Args:
+      arrival: The request.
+      planned_at: Monotonic time at which it was to be sent.
+    """
+    late_s = max(0.0, time.monotonic() - planned_at)
+    progress = _Progress(arrival, planned_at)
+    try:
+      response = self._send(arrival)
+      try:
+        ending = _read_answer(response, progress)
+      finally:
+        _close(response)
+    except exceptions.HTTPError as error:
+      # A stream that breaks after its first token was cut.
+      outcome = load_summary.OUTCOME_FAILED
+      if progress.tokens:
+        outcome = load_summary.OUTCOME_CUT
+      ending = _Ending(outcome, 0, type(error).__name__)
+    total_s = time.monotonic() - planned_at
+    return _make_result(arrival, late_s, ending, progress, total_s)
+
+  def _send(self, arrival: load_plan.Arrival) -> urllib3.BaseHTTPResponse:
+    """Sends to the next entry that takes the connection."""
+    first = next(self._turns)
+    for offset in range(len(self._urls)):
+      url = self._urls[(first + offset) % len(self._urls)]
+      try:
+        return self._pool.request(
+            'POST',
+            f'{url}/v1/completions',
+            body=_body(arrival),
+            headers=_headers(arrival),
+            preload_content=False,
+        )
+      except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError):
+        if offset == len(self._urls) - 1:
+          raise
+    raise ValueError('no entry to send to')
+
+
+def _body(arrival: load_plan.Arrival) -> bytes:
+  return msgspec.json.encode(
+      {
+          'model': arrival.work_class.service,
+          'prompt': arrival.prompt,
+          'max_tokens': arrival.work_class.max_tokens,
+          'stream': True,
+      }
+  )
+
+
+def _headers(arrival: load_plan.Arrival) -> dict[str, str]:
+  work_class = arrival.work_class
+  headers = {
+      'Content-Type': 'application/json',
+      'X-Mulberry-Tenant': work_class.tenant,
+      'X-Mulberry-Rank': work_class.rank,
+      'X-Mulberry-Deadline-Ms': str(int(work_class.deadline_s * 1000)),
+      'X-Request-Id': f'load-{arrival.number}',
+  }
+  if work_class.token:
+    headers['Authorization'] = f'Bearer {work_class.token}'
+  return {name: value for name, value in headers.items() if value}
+
+
+def _read_answer(
+    response: urllib3.BaseHTTPResponse, progress: _Progress
+) -> _Ending:
+  if response.status != HTTPStatus.OK:
+    return _read_refusal(response)
+  status = response.status
+  for event in _read_events(response):
+    if 'error' in event:
+      error = event['error']
+      kind, run = error.get('type', ''), error.get('run', '')
+      outcome = load_summary.OUTCOME_CUT
+      if run == RUN_NOT_RUN and not progress.tokens:
+        outcome = load_summary.OUTCOME_REFUSED
+      return _Ending(outcome, status, kind, run)
+    for choice in event.get('choices', ()):
+      if not progress.take(choice):
+        return _Ending(load_summary.OUTCOME_WRONG, status)
+  if progress.is_whole():
+    return _Ending(load_summary.OUTCOME_WHOLE, status)
+  # It ended as if it were whole: worse than a cut that shows.
+  return _Ending(load_summary.OUTCOME_WRONG, status)
+
+
+def _read_events(response: urllib3.BaseHTTPResponse) -> Iterator[_Event]:
+  """Reads events up to the end marker.
+
+  Raises:
+    urllib3.exceptions.HTTPError: The stream ended without the marker.
+  """
+  rest = b''
+  while True:
+    data = response.read1(READ_BYTES)
+    if not data:
+      raise exceptions.ProtocolError('the stream ended without its marker')
+    *events, rest = (rest + data).split(EVENT_END)
+    for event in events:
+      if event == END_MARKER:
+        return
+      try:
+        yield _event_decoder.decode(event[EVENT_START:])
+      except msgspec.MsgspecError as error:
+        raise exceptions.ProtocolError(str(error)) from error
+
+
+def _read_refusal(response: urllib3.BaseHTTPResponse) -> _Ending:
+  try:
+    error = _event_decoder.decode(response.read()).get('error', {})
+  except msgspec.MsgspecError:
+    error = {}
+  return _Ending(
+      load_summary.OUTCOME_REFUSED,
+      response.status,
+      error.get('type', ''),
+      error.get('run', ''),
+      float(response.headers.get('Retry-After', '0')),
+  )
+
+
+def _close(response: urllib3.BaseHTTPResponse) -> None:
+  """Gives the connection back if its answer was read to the end."""
+  try:
+    if response.read1(READ_BYTES):
+      response.close()
+  except exceptions.HTTPError:
+    response.close()
+  response.release_conn()
+
+
+def _make_result(
+    arrival: load_plan.Arrival,
+    late_s: float,
+    ending: _Ending,
+    progress: _Progress,
+    total_s: float,
+) -> load_summary.Result:
+  work_class = arrival.work_class
+  is_in_time = (
+      ending.outcome == load_summary.OUTCOME_WHOLE
+      and total_s <= work_class.deadline_s
+  )
+  if work_class.first_token_s:
+    is_in_time &= progress.first_token_s <= work_class.first_token_s
+  return load_summary.Result(
+      arrival.number,
+      work_class.name,
+      work_class.tenant,
+      work_class.rank,
+      arrival.at_s,
+      late_s,
+      ending.outcome,
+      ending.status,
+      ending.kind,
+      ending.run,
+      ending.retry_after_s,
+      progress.first_token_s,
+      total_s,
+      tuple(progress.gaps_s),
+      progress.tokens,
+      is_in_time,
+  )
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -8,6 +8,7 @@
 
 import abc
 import logging
+import select
 import socket
 import sys
 import threading
@@ -55,12 +56,15 @@
 
   def is_caller_gone(self) -> bool:
     """Looks whether the caller closed the connection."""
+    # MSG_DONTWAIT alone is not enough: a Python socket with a timeout waits
+    # for bytes before it calls recv.
+    poll = select.poll()
     try:
-      flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-      return self.socket.recv(1, flags) == b''
-    except BlockingIOError:
-      return False
-    except OSError:
+      poll.register(self.socket, select.POLLIN)
+      if not poll.poll(0):
+        return False
+      return self.socket.recv(1, socket.MSG_PEEK) == b''
+    except (OSError, ValueError):
       return True
 
   def drop(self) -> None:
