Read engine streams by chunk, with one system call a token

Cause: the adapter's share of a token was far above its floor. Ruled out: reading behind the library's back, which saves a further 2 us.

--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -1,11 +1,15 @@
 """Model engines over HTTP and server-sent events.
 
-A stream is read with `read1` and split here: a line reader on top of the HTTP
-library costs several calls for each token, and tokens are the busiest thing
-that passes an entry host.
+Tokens are the busiest thing that passes an entry host. So a stream is read by
+chunk, which costs the HTTP library a third of a `read1`, and split into events
+here. Its socket blocks under a timeout of the kernel's: a Python socket with a
+timeout polls before every read, a second system call for each token.
 """
 
+import collections
 import contextlib
+import socket
+import struct
 from collections.abc import Iterator
 from http import HTTPStatus
 from typing import TypedDict
@@ -98,19 +102,17 @@
         _generate_body(attempt, request, kv),
         self._stall_s,
     )
-    is_whole = False
     try:
       _check_status(attempt.endpoint, response, HTTPStatus.OK)
-      for frame in _read_frames(attempt, response):
-        is_whole = frame.is_last
+      _block_with_timeout(response, self._stall_s)
+      chunks = response.read_chunked(decode_content=False)
+      for frame in _read_frames(attempt.endpoint, chunks):
         yield frame
-        if is_whole:
+        if frame.is_last:
+          _finish(response, chunks, self._stall_s)
           return
     finally:
-      if is_whole:
-        _release(response)
-      else:
-        response.close()
+      response.close()
 
   def prefill(
       self, attempt: records.Attempt, request: records.InferenceRequest
@@ -261,21 +263,18 @@
 
 
 def _read_frames(
-    attempt: records.Attempt, response: urllib3.BaseHTTPResponse
+    endpoint: str, chunks: Iterator[bytes]
 ) -> Iterator[records.Frame]:
   """Reads events until the stream ends, which it may not do by itself."""
-  endpoint = attempt.endpoint
   rest = b''
-  while True:
-    try:
-      data = response.read1(READ_BYTES)
-    except (exceptions.HTTPError, OSError) as error:
-      raise errors.EndpointFailedError(endpoint, repr(error)) from error
-    if not data:
-      raise errors.EndpointFailedError(endpoint, 'the stream was cut')
-    *events, rest = (rest + data).split(EVENT_END)
-    for event in events:
-      yield _decode_frame(endpoint, event)
+  try:
+    for data in chunks:
+      *events, rest = (rest + data).split(EVENT_END)
+      for event in events:
+        yield _decode_frame(endpoint, event)
+  except (exceptions.HTTPError, OSError) as error:
+    raise errors.EndpointFailedError(endpoint, repr(error)) from error
+  raise errors.EndpointFailedError(endpoint, 'the stream was cut')
 
 
 def _decode_frame(endpoint: str, event: bytes) -> records.Frame:
@@ -294,11 +293,30 @@
     raise errors.EndpointFailedError(endpoint, f'frame: {error}') from error
 
 
-def _release(response: urllib3.BaseHTTPResponse) -> None:
-  """Reads the end of a whole stream, so that its connection can be reused."""
+def _block_with_timeout(
+    response: urllib3.BaseHTTPResponse, timeout_s: float
+) -> None:
+  """Makes the reads of a stream block, up to a timeout of the kernel's."""
+  stream = response.connection.sock
+  stream.settimeout(None)
+  whole_s = int(timeout_s)
+  microseconds = int((timeout_s - whole_s) * 1_000_000)
+  stream.setsockopt(
+      socket.SOL_SOCKET,
+      socket.SO_RCVTIMEO,
+      struct.pack('ll', whole_s, microseconds),
+  )
+
+
+def _finish(
+    response: urllib3.BaseHTTPResponse,
+    chunks: Iterator[bytes],
+    timeout_s: float,
+) -> None:
+  """Reads the end of a whole stream, so that its connection is used again."""
+  response.connection.sock.settimeout(timeout_s)
   try:
-    response.read1(READ_BYTES)
-    response.release_conn()
+    collections.deque(chunks, maxlen=0)
   except (exceptions.HTTPError, OSError):
     response.close()
 
