Entry: learn hosts from seeds while the platform is away; count prompt tokens

Cause: a fresh entry that starts during a platform outage knew no host, so it never became ready, although its peers could tell it. It asks seed peers now. The last frame carries the engine's token counts, which the dispatcher learns from; the assembly unpacked five fields of a frame and broke on the new ones.

Seen failing first: the fleet tests failed on rendezvous.rank, which hashed a string that was not encoded; mended here.

--- a/mulberrypick/core/assembly.py
+++ b/mulberrypick/core/assembly.py
@@ -65,7 +65,7 @@
     Returns:
       The texts that are deliverable now, in order; usually one.
     """
-    attempt_id, index, text, is_last, _ = frame
+    attempt_id, index, text, is_last = frame[:4]
     if attempt_id != self._attempt_id or self.is_whole:
       self.dropped += 1
       return []
--- a/mulberrypick/core/rendezvous.py
+++ b/mulberrypick/core/rendezvous.py
@@ -23,4 +23,4 @@
 
 
 def _weigh(task: str, name: str) -> int:
-  return xxhash.xxh3_64_intdigest(f'{task}\x1f{name}')
+  return xxhash.xxh3_64_intdigest(f'{task}\x1f{name}'.encode())
--- a/mulberrypick/core/settings.py
+++ b/mulberrypick/core/settings.py
@@ -80,6 +80,11 @@
   return parse_address(text) if text else None
 
 
+def parse_addresses(text: str) -> tuple[Address, ...]:
+  """Parses `ip:port` addresses with commas between them, or none."""
+  return tuple(parse_address(part) for part in text.split(',') if part)
+
+
 def parse_ip(text: str) -> str:
   """Parses an IP address, or an empty text as none."""
   if text:
--- a/mulberrypick/ops/completions.py
+++ b/mulberrypick/ops/completions.py
@@ -79,6 +79,8 @@
     self._first_token_at = 0.0
     self._left = threading.Event()
     self._running: records.Attempt | None = None
+    self._prompt_tokens = 0
+    self._cached_tokens = 0
 
   @property
   def finish_reason(self) -> str:
@@ -216,6 +218,9 @@
       for frame in frames:
         if self._first_token_at == 0.0:
           self._note_first_token(attempt)
+        if frame.is_last:
+          self._prompt_tokens = frame.prompt_tokens
+          self._cached_tokens = frame.cached_tokens
         yield from self._assembly.accept(frame)
         if self._left.is_set() or self._assembly.is_whole:
           return
@@ -251,8 +256,8 @@
             attempt.endpoint,
             outcome,
             tokens,
-            0,
-            0,
+            self._prompt_tokens,
+            self._cached_tokens,
         )
     )
 
--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -28,10 +28,12 @@
 from mulberrypick.core import rendezvous
 
 KIND_HOSTS = 'hosts'
+KIND_ASK_HOSTS = 'ask_hosts'
 KIND_REPORTS = 'reports'
 KIND_LOAD = 'load'
 HOSTS_READERS = 2
 POLL_THREADS = 8
+ASK_TIMEOUT_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -76,6 +78,7 @@
       publish: Callable[[messages.Message], None],
       read_own_load: Callable[[], messages.PeerSeen],
       intervals: FleetIntervals,
+      seed_addresses: tuple[str, ...] = (),
   ):
     """Registers the handlers with the peers; `start` runs the task.
 
@@ -88,6 +91,7 @@
       publish: Gets `HostsSeen`, `ReportSeen` and `PeerSeen`.
       read_own_load: Reads what this host tells its peers.
       intervals: How often the task acts.
+      seed_addresses: Peer addresses to ask before any host is known.
     """
     self._own_name = own_name
     self._own_zone = own_zone
@@ -97,6 +101,7 @@
     self._publish = publish
     self._read_own_load = read_own_load
     self._intervals = intervals
+    self._seed_addresses = seed_addresses
     self._inbox: queue.Queue[_Received] = queue.Queue(1000)
     self._hosts: tuple[records.Host, ...] = ()
     self._hosts_at = 0.0
@@ -108,6 +113,7 @@
     self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
     for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD):
       peers.handle(kind, self._make_handler(kind))
+    peers.handle(KIND_ASK_HOSTS, self._answer_hosts)
 
   @property
   def hosts(self) -> tuple[records.Host, ...]:
@@ -120,8 +126,9 @@
     return self._hosts_at > 0
 
   def list_peer_addresses(self) -> list[str]:
-    """Lists the peer addresses of all other live entries."""
-    return [host.peer_address for host in self._list_entries('')]
+    """Lists the peer addresses of all other live entries, and the seeds."""
+    addresses = {host.peer_address for host in self._list_entries('')}
+    return sorted(addresses.union(self._seed_addresses))
 
   def start(self) -> None:
     """Starts the task."""
@@ -143,6 +150,12 @@
 
     return handler
 
+  def _answer_hosts(self, sender: str, body: bytes) -> bytes | None:
+    """Answers an entry that has just started; runs on the peers' task."""
+    del sender, body
+    hosts = self._hosts
+    return msgspec.msgpack.encode(hosts) if hosts else None
+
   def _run(self) -> None:
     next_at_by_step = dict.fromkeys(
         (self._step_hosts, self._step_reports, self._step_load), 0.0
@@ -208,12 +221,26 @@
     is_silent = now - self._hosts_at > self._intervals.silence_s
     if not (is_silent or self._is_hosts_reader()):
       return
-    hosts = tuple(self._platform.list_hosts())
+    try:
+      hosts = tuple(self._platform.list_hosts())
+    except errors.PlatformError:
+      self._ask_peers_for_hosts()
+      raise
     self._see_hosts(hosts)
     body = msgspec.msgpack.encode(hosts)
     for peer in self._list_entries(self._own_zone):
       self._peers.tell(peer.peer_address, KIND_HOSTS, body)
 
+  def _ask_peers_for_hosts(self) -> None:
+    """Asks peers, when nothing is known and the platform is away."""
+    if self.has_hosts:
+      return
+    for address in self.list_peer_addresses():
+      body = self._peers.ask(address, KIND_ASK_HOSTS, b'', ASK_TIMEOUT_S)
+      if body is not None:
+        self._see_hosts(_HOSTS_DECODER.decode(body))
+        return
+
   def _is_hosts_reader(self) -> bool:
     names = self._zone_names()
     readers = rendezvous.rank(f'hosts/{self._own_zone}', names)
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -68,6 +68,12 @@
         settings.parse_address,
         'ip:port for other entry hosts, as the list of hosts names it.',
     ),
+    settings.Setting(
+        'seeds',
+        '',
+        settings.parse_addresses,
+        'Peer addresses to ask while the platform is away, ip:port,...',
+    ),
     settings.Setting(
         'source_ip',
         '',
@@ -221,6 +227,7 @@
         self._publish,
         self._read_own_load,
         fleet_task.FleetIntervals(),
+        tuple(str(address) for address in self._settings['seeds']),
     )
     self._config = config_task.ConfigTask(
         self._platform,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,14 +6,12 @@
 import click
 
 from mulberrypick.core import records
-from standins import (
-    engine_app,
-    engine_batch,
-    engine_events,
-    engine_loop,
-    engine_orders,
-    wire,
-)
+from standins import engine_app
+from standins import engine_batch
+from standins import engine_events
+from standins import engine_loop
+from standins import engine_orders
+from standins import wire
 
 
 def make_app(
--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -7,20 +7,19 @@
 import time
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
+from typing import TypedDict
 
 import msgspec
 import urllib3
 
 from mulberrypick.core import records
-from standins import (
-    answers,
-    engine_batch,
-    engine_events,
-    engine_loop,
-    engine_orders,
-    wire,
-)
+from standins import answers
+from standins import engine_batch
+from standins import engine_events
+from standins import engine_loop
+from standins import engine_orders
+from standins import wire
 
 KV_KEPT_S = 30.0
 KV_TIMEOUT_S = 2.0
--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -9,7 +9,8 @@
 import heapq
 from typing import NamedTuple
 
-from standins import answers, engine_memory
+from standins import answers
+from standins import engine_memory
 
 
 class Settings(NamedTuple):
--- a/standins/engine_loop.py
+++ b/standins/engine_loop.py
@@ -12,7 +12,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from standins import engine_batch, engine_events
+from standins import engine_batch
+from standins import engine_events
 
 IDLE_WAIT_S = 0.02
 LATEST_STEP_S = 0.05
