Store a configuration as content-addressed parts under one head

A change must move only what changed, within objects of a megabyte. Tenants spread over leaves of 24 or so, under index parts, under a head that is written by conditional update. Parts are named by generation and digest: by digest alone, a removal that started earlier could take a part from a writer that found it in place. A lost answer is settled by sending the same write again and looking for its nonce in the head's history.

--- /dev/null
+++ b/mulberrypick/core/config_parts.py
@@ -0,0 +1,306 @@
+"""A configuration as small objects under one head.
+
+The platform's objects hold at most a megabyte, and a change of one tenant has
+to move little to hundreds of hosts. So tenants are spread by hash over leaf
+parts of a few kilobytes, and index parts name the leaves, down from the head.
+A change replaces one leaf and the indexes above it.
+
+A part is named `GENERATION-DIGEST`: the generation that first held it and a
+digest of its bytes. Readers cannot mix generations, since every name fixes
+the bytes. A part that has left the tree never comes back into it, because a
+later generation takes over names only from the one it was planned on and
+writes the rest under its own number. That makes the removal of old parts safe
+without a clock: a name whose generation is not above the head's, and which is
+not in the head's tree, can no longer be referred to by anyone. Names by digest
+alone were ruled out: a writer that finds its part in place could lose it to a
+removal that started earlier (see spec/config_model.py).
+"""
+
+import hashlib
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import xxhash
+
+from mulberrypick.core import errors, records
+
+HEAD_KEY = 'config/head'
+PART_PREFIX = 'config/part/'
+TENANTS_PER_LEAF = 24
+MAX_TENANTS_PER_LEAF = 48
+MIN_TENANTS_PER_LEAF = 8
+FAN_OUT = 32
+MAX_LEAF_BITS = 20
+KEPT_HISTORY = 32
+_DIGEST_HEX_DIGITS = 24
+_HASH_BITS = 64
+
+
+class Acceptance(NamedTuple):
+  """Who made a generation.
+
+  Attributes:
+    generation: The generation.
+    operator: Name of the operator who applied it.
+    nonce: Random text of the apply, by which its write is recognised.
+  """
+
+  generation: int
+  operator: str
+  nonce: str
+
+
+class Head(NamedTuple):
+  """The object that names an accepted generation and its parts.
+
+  Attributes:
+    generation: The generation.
+    fleet: Name of the part that holds models, ranks and services.
+    leaf_bits: Binary logarithm of the number of leaves.
+    tenants: Names of the topmost index parts, or of the leaves.
+    tenant_count: Number of tenants.
+    history: The latest acceptances, newest first, this one included.
+  """
+
+  generation: int
+  fleet: str
+  leaf_bits: int
+  tenants: tuple[str, ...]
+  tenant_count: int
+  history: tuple[Acceptance, ...]
+
+
+class Fleet(NamedTuple):
+  """The part that is no tenant's."""
+
+  models: tuple[records.Model, ...]
+  ranks: tuple[records.Rank, ...]
+  services: tuple[records.Service, ...]
+
+
+class Tree(NamedTuple):
+  """A head with the bytes of all its parts by name."""
+
+  head: Head
+  part_by_name: dict[str, bytes]
+
+
+EMPTY_HEAD = Head(0, '', 0, (), 0, ())
+
+_encode = msgspec.json.encode
+_head_decoder = msgspec.json.Decoder(Head)
+_fleet_decoder = msgspec.json.Decoder(Fleet)
+_leaf_decoder = msgspec.json.Decoder(tuple[records.Tenant, ...])
+_index_decoder = msgspec.json.Decoder(tuple[str, ...])
+
+
+def encode_head(head: Head) -> bytes:
+  """Returns the bytes of the head object."""
+  return _encode(head)
+
+
+def decode_head(value: bytes) -> Head:
+  """Parses the head object.
+
+  Raises:
+    ConfigError: The bytes are no head.
+  """
+  try:
+    return _head_decoder.decode(value)
+  except msgspec.MsgspecError as error:
+    raise _broken('config/head', str(error)) from error
+
+
+def build_tree(
+    declared: records.Config, acceptance: Acceptance, old: Tree
+) -> Tree:
+  """Splits a checked configuration into parts.
+
+  Args:
+    declared: The configuration.
+    acceptance: Who makes which generation; it overrides that of `declared`.
+    old: The generation that the change was planned on, whose unchanged parts
+      are taken over.
+
+  Returns:
+    The whole tree, parts that were taken over included.
+  """
+  builder = _Builder(acceptance.generation, old)
+  fleet = Fleet(
+      *(
+          tuple(by_name[name] for name in sorted(by_name))
+          for by_name in (
+              declared.model_by_name,
+              declared.rank_by_name,
+              declared.service_by_name,
+          )
+      )
+  )
+  fleet_name = builder.add(_encode(fleet))
+  leaf_bits = choose_leaf_bits(len(declared.tenant_by_name), old.head.leaf_bits)
+  leaves = [[] for _ in range(1 << leaf_bits)]
+  for name in sorted(declared.tenant_by_name):
+    leaves[_leaf_of(name, leaf_bits)].append(declared.tenant_by_name[name])
+  names = [builder.add(_encode(tuple(leaf))) for leaf in leaves]
+  while len(names) > FAN_OUT:
+    groups = [
+        tuple(names[start : start + FAN_OUT])
+        for start in range(0, len(names), FAN_OUT)
+    ]
+    names = [builder.add(_encode(group)) for group in groups]
+  head = Head(
+      acceptance.generation,
+      fleet_name,
+      leaf_bits,
+      tuple(names),
+      len(declared.tenant_by_name),
+      (acceptance, *old.head.history)[:KEPT_HISTORY],
+  )
+  return Tree(head, builder.part_by_name)
+
+
+def choose_leaf_bits(tenant_count: int, old_bits: int) -> int:
+  """Chooses the number of leaves, with hysteresis.
+
+  Hysteresis keeps the number of leaves while they are neither full nor nearly
+  empty, since a change of the number moves every tenant.
+  """
+  leaves = 1 << old_bits
+  is_full = tenant_count > MAX_TENANTS_PER_LEAF * leaves
+  is_sparse = old_bits > 0 and tenant_count < MIN_TENANTS_PER_LEAF * leaves
+  if not is_full and not is_sparse:
+    return old_bits
+  wanted = max(1, tenant_count // TENANTS_PER_LEAF)
+  return min(MAX_LEAF_BITS, (wanted - 1).bit_length())
+
+
+def list_missing(head: Head, find: Callable[[str], bytes | None]) -> list[str]:
+  """Lists parts of a head that are not there, as far as they are known.
+
+  Args:
+    head: The head.
+    find: Returns the bytes of a part by name, or None.
+
+  Returns:
+    Names to fetch. Parts below a missing index are not known yet, so that it
+    takes several rounds to fetch a tree.
+  """
+  missing = []
+  if head.fleet and find(head.fleet) is None:
+    missing.append(head.fleet)
+  names = list(head.tenants)
+  for _ in range(_index_levels(head.leaf_bits)):
+    below = []
+    for name in names:
+      value = find(name)
+      if value is None:
+        missing.append(name)
+        continue
+      below.extend(_decode_part(name, value, _index_decoder))
+    names = below
+  missing.extend(name for name in names if find(name) is None)
+  return missing
+
+
+def list_parts(tree: Tree) -> set[str]:
+  """Returns the names of all parts of a whole tree."""
+  names = set()
+
+  def find(name: str) -> bytes | None:
+    names.add(name)
+    return tree.part_by_name.get(name)
+
+  list_missing(tree.head, find)
+  return names
+
+
+def is_garbage(name: str, tree: Tree, names: set[str]) -> bool:
+  """Tells whether a part can be removed.
+
+  Args:
+    name: Name of a part that was seen on the platform.
+    tree: The newest tree.
+    names: The names in that tree, from `list_parts`.
+  """
+  generation = name.partition('-')[0]
+  if not generation.isdigit():
+    return False
+  return int(generation) <= tree.head.generation and name not in names
+
+
+def check_part(name: str, value: bytes) -> bool:
+  """Tells whether the bytes are those that the name stands for."""
+  return name.partition('-')[2] == _digest(value)
+
+
+def decode_fleet(name: str, value: bytes) -> Fleet:
+  """Parses the part with models, ranks and services."""
+  return _decode_part(name, value, _fleet_decoder)
+
+
+def decode_leaf(name: str, value: bytes) -> tuple[records.Tenant, ...]:
+  """Parses a leaf."""
+  return _decode_part(name, value, _leaf_decoder)
+
+
+def list_leaves(head: Head, find: Callable[[str], bytes | None]) -> list[str]:
+  """Returns the names of the leaves of a whole tree, in order."""
+  names = list(head.tenants)
+  for _ in range(_index_levels(head.leaf_bits)):
+    names = [
+        child
+        for name in names
+        for child in _decode_part(name, find(name), _index_decoder)
+    ]
+  return names
+
+
+class _Builder:
+  """Collects parts; equal bytes in the old tree keep their old name."""
+
+  def __init__(self, generation: int, old: Tree):
+    self.part_by_name = {}
+    self._generation = generation
+    self._old_name_by_digest = {
+        name.partition('-')[2]: name for name in list_parts(old)
+    }
+
+  def add(self, value: bytes) -> str:
+    digest = _digest(value)
+    name = self._old_name_by_digest.get(digest)
+    if name is None:
+      name = f'{self._generation}-{digest}'
+    self.part_by_name[name] = value
+    return name
+
+
+def _index_levels(leaf_bits: int) -> int:
+  levels = 0
+  count = 1 << leaf_bits
+  while count > FAN_OUT:
+    count = -(-count // FAN_OUT)
+    levels += 1
+  return levels
+
+
+def _leaf_of(tenant: str, leaf_bits: int) -> int:
+  return xxhash.xxh64_intdigest(tenant.encode()) >> (_HASH_BITS - leaf_bits)
+
+
+def _digest(value: bytes) -> str:
+  return hashlib.sha256(value).hexdigest()[:_DIGEST_HEX_DIGITS]
+
+
+def _decode_part(name: str, value: bytes, decoder: msgspec.json.Decoder):
+  try:
+    return decoder.decode(value)
+  except msgspec.MsgspecError as error:
+    raise _broken(name, str(error)) from error
+
+
+def _broken(place: str, message: str) -> errors.ConfigError:
+  return errors.ConfigError([errors.Fault(place, message)])
+
+
+EMPTY_TREE = Tree(EMPTY_HEAD, {})
--- /dev/null
+++ b/mulberrypick/core/config_store.py
@@ -0,0 +1,169 @@
+"""What one process holds of the configuration, and how it moves forward.
+
+A process keeps one whole generation. It takes another only if that one is
+newer and whole, so that it never goes back and never mixes generations. A
+process without memory is ready once it has adopted the newest generation that
+the platform or its peers told it, see the chart `config`.
+
+What a restart without memory can promise: a ready process serves a generation
+at least as new as the newest told by the platform, if that could be read, and
+by every ready peer that answered its questions. If none of those who know a
+generation can be reached, nothing can tell a fresh process of it; it is then
+as old as its youngest informant, and catches up with the first message from
+anyone who knows better. With nobody reached it stays unready.
+"""
+
+from typing import NamedTuple
+
+from mulberrypick.core import chart, config_parts, errors, records
+
+_CHART = chart.load_chart('config')
+STATE_READY = 'ready'
+
+
+class Snapshot(NamedTuple):
+  """One whole generation; immutable, so that other tasks may read it.
+
+  Attributes:
+    tree: Head and parts.
+    config: The same as records.
+  """
+
+  tree: config_parts.Tree
+  config: records.Config
+
+
+EMPTY_SNAPSHOT = Snapshot(config_parts.EMPTY_TREE, records.EMPTY_CONFIG)
+
+
+class ConfigStore:
+  """The configuration of one process; owned by one task.
+
+  Attributes:
+    snapshot: The generation in force.
+    state: State of the chart `config`.
+    newest_told: Highest generation that anyone told of, -1 before that.
+  """
+
+  def __init__(self):
+    self.snapshot = EMPTY_SNAPSHOT
+    self.state = _CHART.initial
+    self.newest_told = -1
+    self._leaf_by_name = {}
+    self._tuple_by_value = {}
+
+  @property
+  def generation(self) -> int:
+    """The generation in force."""
+    return self.snapshot.config.generation
+
+  @property
+  def is_ready(self) -> bool:
+    """Whether the process may serve by what it holds."""
+    return self.state == STATE_READY
+
+  def note(self, event: str, generation: int) -> None:
+    """Notes that someone told of a generation.
+
+    Args:
+      event: `platform_read` or `peer_told`.
+      generation: The generation; 0 if the platform holds none.
+    """
+    self.state = chart.advance(_CHART, self.state, event)
+    self.newest_told = max(self.newest_told, generation)
+
+  def settle(self) -> bool:
+    """Becomes ready if the newest generation told of is in force.
+
+    Returns:
+      Whether the store is ready.
+    """
+    is_newest = self.generation >= self.newest_told
+    if is_newest and chart.is_allowed(_CHART, self.state, 'newest_adopted'):
+      self.state = chart.advance(_CHART, self.state, 'newest_adopted')
+    return self.is_ready
+
+  def find(self, name: str) -> bytes | None:
+    """Returns the bytes of a part that is in force."""
+    return self.snapshot.tree.part_by_name.get(name)
+
+  def adopt(
+      self, head: config_parts.Head, part_by_name: dict[str, bytes]
+  ) -> records.Config | None:
+    """Takes a generation if it is newer than the one in force.
+
+    Args:
+      head: The head.
+      part_by_name: Parts that are not in force already; others are ignored.
+
+    Returns:
+      The new configuration, or None if the head is not newer.
+
+    Raises:
+      ConfigError: A part is missing or is not what its name stands for.
+    """
+    if head.generation <= self.generation:
+      return None
+    used = self._collect(head, part_by_name)
+    adopted = self._decode(head, used)
+    self.snapshot = Snapshot(config_parts.Tree(head, used), adopted)
+    return adopted
+
+  def _collect(
+      self, head: config_parts.Head, part_by_name: dict[str, bytes]
+  ) -> dict[str, bytes]:
+    used = {}
+
+    def find(name: str) -> bytes | None:
+      value = self.find(name)
+      if value is None:
+        value = part_by_name.get(name)
+        if value is not None and not config_parts.check_part(name, value):
+          return None
+      if value is not None:
+        used[name] = value
+      return value
+
+    missing = config_parts.list_missing(head, find)
+    if missing:
+      message = f'{len(missing)} parts are missing or damaged'
+      raise errors.ConfigError([errors.Fault(missing[0], message)])
+    return used
+
+  def _decode(
+      self, head: config_parts.Head, used: dict[str, bytes]
+  ) -> records.Config:
+    """Decodes only the leaves that changed; a change touches very few."""
+    fleet = config_parts.Fleet((), (), ())
+    if head.fleet:
+      fleet = config_parts.decode_fleet(head.fleet, used[head.fleet])
+    leaf_by_name = {}
+    tenant_by_name = {}
+    for name in config_parts.list_leaves(head, used.get):
+      leaf = self._leaf_by_name.get(name)
+      if leaf is None:
+        leaf = self._share_tuples(config_parts.decode_leaf(name, used[name]))
+      leaf_by_name[name] = leaf
+      for tenant in leaf:
+        tenant_by_name[tenant.name] = tenant
+    self._leaf_by_name = leaf_by_name
+    return records.Config(
+        head.generation,
+        {model.name: model for model in fleet.models},
+        {rank.name: rank for rank in fleet.ranks},
+        {service.name: service for service in fleet.services},
+        tenant_by_name,
+    )
+
+  def _share_tuples(
+      self, leaf: tuple[records.Tenant, ...]
+  ) -> tuple[records.Tenant, ...]:
+    """Thousands of tenants name the same few services and ranks."""
+    share = self._tuple_by_value.setdefault
+    return tuple(
+        tenant._replace(
+            services=share(tenant.services, tenant.services),
+            ranks=share(tenant.ranks, tenant.ranks),
+        )
+        for tenant in leaf
+    )
--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -49,6 +49,30 @@
   """A declared configuration is wrong."""
 
 
+class ConfigRaceError(MulberrypickError):
+  """A change was planned on a generation that is no longer the newest.
+
+  Attributes:
+    planned_on: The generation that the change was planned on.
+    current: The newest generation.
+    operator: Who applied it, empty if not known.
+  """
+
+  def __init__(self, planned_on: int, current: int, operator: str):
+    winner = f', applied by {operator}' if operator else ''
+    super().__init__(
+        f'the change was planned on generation {planned_on}, but generation'
+        f' {current}{winner}, is in force: plan again'
+    )
+    self.planned_on = planned_on
+    self.current = current
+    self.operator = operator
+
+
+class ConfigUnknownError(MulberrypickError):
+  """Whether a change was accepted could not be found out."""
+
+
 class ChartError(MulberrypickError):
   """A state chart has no such state, event or transition."""
 
--- /dev/null
+++ b/mulberrypick/ops/config_apply.py
@@ -0,0 +1,264 @@
+"""Applying a change: parts first, then the head by conditional update.
+
+The head alone decides. Until it is written no reader can see a part of the
+change, and it is written only over the version that the change was planned
+on. Every ending is told as it is: accepted, refused with the name of the one
+who was faster, not written since the platform was away, or not known.
+"""
+
+import logging
+import secrets
+from typing import NamedTuple
+
+import tenacity
+
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import chart, config, config_parts, errors
+from mulberrypick.ops import config_fetch
+
+_log = logging.getLogger(__name__)
+_CHART = chart.load_chart('config_apply')
+
+NONCE_BYTES = 8
+MAX_TRIES = 6
+FIRST_WAIT_S = 0.1
+MAX_WAIT_S = 3.0
+
+
+class Applied(NamedTuple):
+  """An accepted change.
+
+  Attributes:
+    generation: The new generation.
+    newest: The newest generation when the outcome was found out; above
+      `generation` if another change followed already.
+    parts_written: Parts that the change wrote.
+    bytes_written: Bytes of these parts and of the head.
+  """
+
+  generation: int
+  newest: int
+  parts_written: int
+  bytes_written: int
+
+
+def apply_config(
+    platform: platform_lib.Platform,
+    text: bytes,
+    planned_on: int,
+    operator: str,
+) -> Applied:
+  """Applies a declared configuration as the next generation.
+
+  Args:
+    platform: The platform.
+    text: The configuration's JSON text.
+    planned_on: The generation that the change was planned on.
+    operator: Name of the operator, told to the loser of a race.
+
+  Returns:
+    What was accepted.
+
+  Raises:
+    ConfigError: The text is refused whole.
+    ConfigRaceError: Another change was faster; nothing is in force of this.
+    ConfigUnknownError: The write's answer was lost and the platform could not
+      be read afterwards.
+    PlatformError: Nothing of the change is in force.
+  """
+  generation = planned_on + 1
+  declared = config.parse_config(text, generation)
+  version, old = config_fetch.read_tree(platform)
+  if old.config.generation != planned_on:
+    raise _race(planned_on, old.tree.head)
+  nonce = secrets.token_hex(NONCE_BYTES)
+  acceptance = config_parts.Acceptance(generation, operator, nonce)
+  tree = config_parts.build_tree(declared, acceptance, old.tree)
+  size, count = _write_parts(platform, tree, old.tree)
+  value = config_parts.encode_head(tree.head)
+  newest = _write_head(platform, value, version, acceptance)
+  remove_replaced(platform, old.tree, tree)
+  return Applied(generation, newest, count, size + len(value))
+
+
+def remove_replaced(
+    platform: platform_lib.Platform,
+    old: config_parts.Tree,
+    new: config_parts.Tree,
+) -> int:
+  """Removes the parts that the new generation has replaced.
+
+  A failure leaves garbage, which `tidy` removes later.
+
+  Returns:
+    How many were removed.
+  """
+  removed = 0
+  kept = config_parts.list_parts(new)
+  for name in sorted(config_parts.list_parts(old) - kept):
+    removed += _remove(platform, name)
+  return removed
+
+
+def tidy(platform: platform_lib.Platform) -> int:
+  """Removes all parts that nobody can refer to any more.
+
+  Such parts are left by changes that lost a race or were broken off.
+
+  Returns:
+    How many were removed.
+  """
+  _, snapshot = config_fetch.read_tree(platform)
+  names = config_parts.list_parts(snapshot.tree)
+  listing = platform.list_objects(config_parts.PART_PREFIX)
+  removed = 0
+  for key in sorted(listing.value_by_key):
+    name = key.removeprefix(config_parts.PART_PREFIX)
+    if config_parts.is_garbage(name, snapshot.tree, names):
+      removed += _remove(platform, name)
+  return removed
+
+
+def _remove(platform: platform_lib.Platform, name: str) -> int:
+  key = config_parts.PART_PREFIX + name
+  try:
+    stored = platform.get(key)
+    if stored is None:
+      return 0
+    platform.delete(key, stored.version)
+  except errors.PlatformError as error:
+    _log.info('config_part_kept', extra={'part': name, 'error': str(error)})
+    return 0
+  return 1
+
+
+def _write_parts(
+    platform: platform_lib.Platform,
+    tree: config_parts.Tree,
+    old: config_parts.Tree,
+) -> tuple[int, int]:
+  """Writes the new parts; the order does not matter before the head."""
+  held = config_parts.list_parts(old)
+  new = {n: v for n, v in tree.part_by_name.items() if n not in held}
+  for name, value in new.items():
+    _put_part(platform, config_parts.PART_PREFIX + name, value)
+  return sum(map(len, new.values())), len(new)
+
+
+def _is_worth_retrying(error: BaseException) -> bool:
+  return isinstance(
+      error, errors.PlatformUnavailableError | errors.PlatformAnswerLostError
+  )
+
+
+_retry = tenacity.retry(
+    retry=tenacity.retry_if_exception(_is_worth_retrying),
+    stop=tenacity.stop_after_attempt(MAX_TRIES),
+    wait=tenacity.wait_random_exponential(FIRST_WAIT_S, MAX_WAIT_S),
+    reraise=True,
+)
+
+
+@_retry
+def _put_part(platform: platform_lib.Platform, key: str, value: bytes) -> None:
+  """Creates a part; one that is there has the same bytes, by its name."""
+  try:
+    platform.put(key, value, platform_lib.MISSING_VERSION)
+  except errors.ConflictError:
+    pass
+
+
+def _write_head(
+    platform: platform_lib.Platform,
+    value: bytes,
+    version: int,
+    acceptance: config_parts.Acceptance,
+) -> int:
+  """Writes the head and returns the newest generation, see the chart."""
+  state = _CHART.initial
+  may_have_landed = False
+
+  @_retry
+  def write() -> str:
+    nonlocal may_have_landed
+    try:
+      platform.put(config_parts.HEAD_KEY, value, version)
+    except errors.PlatformAnswerLostError:
+      may_have_landed = True
+      raise
+    except errors.ConflictError:
+      return 'conflict'
+    return 'written'
+
+  try:
+    event = write()
+  except errors.PlatformError as error:
+    if not may_have_landed:
+      raise
+    raise _unknown(acceptance) from error
+  state = chart.advance(_CHART, state, event)
+  if state == 'accepted':
+    return acceptance.generation
+  return _settle(platform, acceptance, state, may_have_landed)
+
+
+def _settle(
+    platform: platform_lib.Platform,
+    acceptance: config_parts.Acceptance,
+    state: str,
+    may_have_landed: bool,
+) -> int:
+  """Finds out after a conflict whose write moved the head on."""
+  try:
+    head = _read_head(platform)
+  except errors.PlatformError as error:
+    raise _unknown(acceptance) from error
+  state = chart.advance(_CHART, state, judge(head, acceptance))
+  if state == 'accepted':
+    return head.generation
+  if state == 'unknown' and may_have_landed:
+    raise _unknown(acceptance)
+  raise _race(acceptance.generation - 1, head)
+
+
+def judge(head: config_parts.Head, acceptance: config_parts.Acceptance) -> str:
+  """Tells from a later head what became of a write.
+
+  Returns:
+    An event of the chart `config_apply` in its state `unsettled`.
+  """
+  for past in head.history:
+    if past.generation == acceptance.generation:
+      if past.nonce == acceptance.nonce:
+        return 'own_nonce_found'
+      return 'own_nonce_absent'
+  return 'history_too_short'
+
+
+@_retry
+def _read_head(platform: platform_lib.Platform) -> config_parts.Head:
+  stored = platform.get(config_parts.HEAD_KEY)
+  if stored is None:
+    return config_parts.EMPTY_HEAD
+  return config_parts.decode_head(stored.value)
+
+
+def _race(planned_on: int, head: config_parts.Head) -> errors.ConfigRaceError:
+  """Names the one who made the generation after the planned one."""
+  operator = ''
+  for past in head.history:
+    if past.generation == planned_on + 1:
+      operator = past.operator
+  if not operator and head.history:
+    operator = head.history[0].operator
+  return errors.ConfigRaceError(planned_on, head.generation, operator)
+
+
+def _unknown(
+    acceptance: config_parts.Acceptance,
+) -> errors.ConfigUnknownError:
+  return errors.ConfigUnknownError(
+      f'generation {acceptance.generation} was sent, and whether it was'
+      ' accepted is not known: run `mulberrypick status` when the platform is'
+      f' back, and look for nonce {acceptance.nonce}'
+  )
--- /dev/null
+++ b/mulberrypick/ops/config_fetch.py
@@ -0,0 +1,153 @@
+"""Reading a generation from the platform or from a peer.
+
+Shared by the entry hosts' task and by the operators' commands.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from mulberrypick.adapters import peers as peers_lib
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import config_parts, config_store, errors
+
+KIND_PARTS = 'config.parts'
+PEER_TIMEOUT_S = 2.0
+MAX_NAMES_PER_QUESTION = 256
+MAX_ANSWER_BYTES = 1_000_000
+# With more parts than this to read, one listing is cheaper than single reads.
+MAX_SINGLE_READS = 16
+MAX_ROUNDS = 64
+
+# Reads parts by name; those that it can't have are left out.
+Source = Callable[[list[str]], dict[str, bytes]]
+
+_decode_names = msgspec.json.Decoder(list[str]).decode
+_decode_parts = msgspec.msgpack.Decoder(dict[str, bytes]).decode
+
+
+def encode_answer(names: bytes, store: config_store.Snapshot) -> bytes:
+  """Answers a peer that asks for parts.
+
+  Args:
+    names: The question.
+    store: What is in force here.
+
+  Returns:
+    Those parts that are held here, up to `MAX_ANSWER_BYTES`.
+  """
+  found = {}
+  size = 0
+  for name in _decode_names(names)[:MAX_NAMES_PER_QUESTION]:
+    value = store.tree.part_by_name.get(name)
+    if value is None:
+      continue
+    size += len(value)
+    if found and size > MAX_ANSWER_BYTES:
+      break
+    found[name] = value
+  return msgspec.msgpack.encode(found)
+
+
+def make_peer_source(peers: peers_lib.Peers, address: str) -> Source:
+  """Returns a source that asks one peer."""
+
+  def read(names: list[str]) -> dict[str, bytes]:
+    question = msgspec.json.encode(names[:MAX_NAMES_PER_QUESTION])
+    answer = peers.ask(address, KIND_PARTS, question, PEER_TIMEOUT_S)
+    if answer is None:
+      return {}
+    try:
+      return _decode_parts(answer)
+    except msgspec.MsgspecError:
+      return {}
+
+  return read
+
+
+def make_platform_source(platform: platform_lib.Platform) -> Source:
+  """Returns a source that reads from the platform, and raises as it does."""
+
+  def read(names: list[str]) -> dict[str, bytes]:
+    if len(names) > MAX_SINGLE_READS:
+      listing = platform.list_objects(config_parts.PART_PREFIX)
+      return {
+          key.removeprefix(config_parts.PART_PREFIX): stored.value
+          for key, stored in listing.value_by_key.items()
+      }
+    found = {}
+    for name in names:
+      stored = platform.get(config_parts.PART_PREFIX + name)
+      if stored is not None:
+        found[name] = stored.value
+    return found
+
+  return read
+
+
+def fetch_parts(
+    head: config_parts.Head,
+    find: Callable[[str], bytes | None],
+    sources: list[Source],
+) -> dict[str, bytes] | None:
+  """Fetches the parts of a generation that are not held.
+
+  Args:
+    head: The head that names them.
+    find: Returns a part that is held, or None.
+    sources: Where to read, the first first.
+
+  Returns:
+    The fetched parts, or None if some could not be had.
+  """
+  fetched = {}
+
+  def find_any(name: str) -> bytes | None:
+    value = find(name)
+    return fetched.get(name) if value is None else value
+
+  position = 0
+  for _ in range(MAX_ROUNDS):
+    missing = config_parts.list_missing(head, find_any)
+    if not missing:
+      return fetched
+    if position == len(sources):
+      return None
+    wanted = set(missing)
+    before = len(fetched)
+    for name, value in sources[position](missing).items():
+      if config_parts.check_part(name, value):
+        fetched[name] = value
+    if len(fetched) == before or not wanted & fetched.keys():
+      position += 1
+  return None
+
+
+def read_tree(
+    platform: platform_lib.Platform,
+) -> tuple[int, config_store.Snapshot]:
+  """Reads the newest generation from the platform.
+
+  Returns:
+    The version of the head object, and the generation.
+
+  Raises:
+    PlatformError: The platform can't be read.
+    ConfigError: A part is missing or damaged.
+  """
+  for _ in range(MAX_ROUNDS):
+    stored = platform.get(config_parts.HEAD_KEY)
+    if stored is None:
+      return platform_lib.MISSING_VERSION, config_store.EMPTY_SNAPSHOT
+    head = config_parts.decode_head(stored.value)
+    store = config_store.ConfigStore()
+    part_by_name = fetch_parts(
+        head, store.find, [make_platform_source(platform)]
+    )
+    # A part that is gone was replaced meanwhile: there is a newer head.
+    if part_by_name is not None:
+      store.adopt(head, part_by_name)
+      return stored.version, store.snapshot
+  place = config_parts.HEAD_KEY
+  fault = errors.Fault(place, 'its parts are missing or change too fast')
+  raise errors.ConfigError([fault])
