--- /dev/null
+++ b/mulberrypick/ops/config_task.py
@@ -0,0 +1,320 @@
+"""The task that keeps the configuration of an entry host up to date.
+
+Two threads. The main one owns the store: it takes what the other thread and
+the peers tell, adopts, publishes, and passes the news on. The watch thread
+owns the calls to the platform, which may block for seconds. Both talk through
+one bounded queue.
+
+News spread by two ways that mend each other. Who adopts a generation tells a
+few random peers at once, and every second each process tells one random peer
+which generation it holds; a peer that knows better answers, one that knows
+less asks. Parts come from whoever told, so that an outage of the platform
+right after an acceptance stops nothing once a single host has read it.
+"""
+
+import collections
+import logging
+import queue
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from mulberrypick.adapters import peers as peers_lib
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import (
+    config_election,
+    config_parts,
+    config_store,
+    errors,
+    records,
+)
+from mulberrypick.ops import config_fetch, config_watch
+
+_log = logging.getLogger(__name__)
+
+KIND_TOLD = 'config.told'
+KIND_HEAD = 'config.head'
+FAN_OUT = 4
+START_FAN_OUT = 8
+DIGEST_INTERVAL_S = 1.0
+TICK_S = 0.1
+START_GRACE_S = 0.5
+START_ASK_INTERVAL_S = 0.5
+HEAD_TIMEOUT_S = 1.0
+MAX_INBOX = 1024
+UNREADY_GENERATION = -1
+
+
+class Told(NamedTuple):
+  """What one process tells another; a few dozen bytes.
+
+  Attributes:
+    address: Peer address of the one who tells.
+    generation: What it has in force, `UNREADY_GENERATION` if it asks.
+    is_watching: Whether it hears the platform.
+    is_question: Whether it wants an answer whatever the generation.
+  """
+
+  address: str
+  generation: int
+  is_watching: bool
+  is_question: bool
+
+
+class ConfigCounts(NamedTuple):
+  """Calls and messages since the start.
+
+  Attributes:
+    platform_calls: Calls to the platform by kind.
+    adopted: Generations adopted.
+    parts_fetched: Parts fetched.
+    part_bytes: Bytes of these parts.
+    is_watching: Whether this host watches the platform now.
+  """
+
+  platform_calls: dict[str, int]
+  adopted: int
+  parts_fetched: int
+  part_bytes: int
+  is_watching: bool
+
+
+class ConfigTask:
+  """Watches, hears, adopts and publishes generations."""
+
+  def __init__(
+      self,
+      platform: platform_lib.Platform,
+      peers: peers_lib.Peers,
+      own_address: str,
+      list_peer_addresses: Callable[[], list[str]],
+      publish: Callable[[records.Config], None],
+      list_zone_addresses: Callable[[], list[str]] | None = None,
+      seed: int | None = None,
+  ):
+    """Registers its handlers with `peers`, which must not run yet.
+
+    Args:
+      platform: The platform.
+      peers: Messages to other entry hosts.
+      own_address: Peer address of this process.
+      list_peer_addresses: Returns the addresses of all known entry hosts;
+        called from the task's threads.
+      publish: Called on the task's thread with each newer generation, once.
+      list_zone_addresses: The same for the own zone alone; all if None.
+      seed: Seed of the choice of peers, None for a random one.
+    """
+    self._peers = peers
+    self._own_address = own_address
+    self._list_peers = list_peer_addresses
+    self._list_zone = list_zone_addresses or list_peer_addresses
+    self._publish = publish
+    self._random = random.Random(seed)
+    self._inbox = queue.Queue(MAX_INBOX)
+    self._store = config_store.ConfigStore()
+    self._election = config_election.WatcherElection(own_address)
+    self._watch = config_watch.ConfigWatch(
+        platform, self._find_part, self._list_start_sources, self._post
+    )
+    self._stopping = threading.Event()
+    self._thread = threading.Thread(
+        target=self._run, name='config', daemon=True
+    )
+    self._is_ready = False
+    self._informed_at = None
+    self._digest_at = 0.0
+    self._beacon_at = 0.0
+    self._adopted = 0
+    self._fetched = collections.Counter()
+    peers.handle(KIND_TOLD, self._take_told)
+    peers.handle(KIND_HEAD, self._answer_head)
+    peers.handle(config_fetch.KIND_PARTS, self._answer_parts)
+
+  @property
+  def is_ready(self) -> bool:
+    """Whether the newest generation that anyone told of is in force."""
+    return self._is_ready
+
+  @property
+  def generation(self) -> int:
+    """The generation in force."""
+    return self._store.generation
+
+  @property
+  def history(self) -> tuple[config_parts.Acceptance, ...]:
+    """Who applied the latest generations, the newest first."""
+    return self._store.snapshot.tree.head.history
+
+  def counts(self) -> ConfigCounts:
+    """Returns counts; may be called from any thread."""
+    return ConfigCounts(
+        dict(self._watch.calls),
+        self._adopted,
+        self._fetched['parts'] + self._watch.fetched['parts'],
+        self._fetched['bytes'] + self._watch.fetched['bytes'],
+        self._watch.is_elected,
+    )
+
+  def start(self) -> None:
+    """Starts both threads."""
+    self._watch.start()
+    self._thread.start()
+
+  def stop(self) -> None:
+    """Ends both threads; a watch under way is given up on."""
+    self._stopping.set()
+    self._watch.stop()
+    self._thread.join()
+
+  # Handlers: they run on the thread of `peers` and only read or post.
+
+  def _take_told(self, sender: str, body: bytes) -> None:
+    try:
+      self._post(msgspec.json.decode(body, type=Told))
+    except msgspec.MsgspecError:
+      _log.warning('config_malformed', extra={'peer': sender})
+
+  def _answer_head(self, sender: str, body: bytes) -> bytes | None:
+    if not self._is_ready:
+      return None
+    return config_parts.encode_head(self._store.snapshot.tree.head)
+
+  def _answer_parts(self, sender: str, body: bytes) -> bytes | None:
+    try:
+      return config_fetch.encode_answer(body, self._store.snapshot)
+    except msgspec.MsgspecError:
+      return None
+
+  def _find_part(self, name: str) -> bytes | None:
+    return self._store.find(name)
+
+  def _list_start_sources(self) -> list[config_fetch.Source]:
+    """Peers that spare the platform the reading of a whole tree."""
+    addresses = self._sample(self._list_zone(), 2)
+    return [config_fetch.make_peer_source(self._peers, a) for a in addresses]
+
+  def _post(self, message: Told | config_watch.PlatformRead) -> None:
+    try:
+      self._inbox.put_nowait(message)
+    except queue.Full:
+      pass  # The next digest or watch tells again.
+
+  # The main thread.
+
+  def _run(self) -> None:
+    while not self._stopping.is_set():
+      try:
+        message = self._inbox.get(timeout=TICK_S)
+      except queue.Empty:
+        message = None
+      now = time.monotonic()
+      if isinstance(message, Told):
+        self._hear(message, now)
+      elif isinstance(message, config_watch.PlatformRead):
+        self._take_platform(message, now)
+      self._settle(now)
+      self._tick(now)
+
+  def _hear(self, told: Told, now: float) -> None:
+    if told.is_watching:
+      self._election.hear(told.address, now)
+    is_behind = told.generation < self.generation
+    if self._is_ready and (told.is_question or is_behind):
+      self._tell(told.address)
+    if told.generation == UNREADY_GENERATION:
+      return
+    self._note('peer_told', told.generation, now)
+    if told.generation > self.generation:
+      self._fetch_from_peer(told.address)
+
+  def _take_platform(self, read: config_watch.PlatformRead, now: float) -> None:
+    self._note('platform_read', read.head.generation, now)
+    self._adopt(read.head, read.part_by_name)
+
+  def _note(self, event: str, generation: int, now: float) -> None:
+    self._store.note(event, generation)
+    if self._informed_at is None:
+      self._informed_at = now
+
+  def _settle(self, now: float) -> None:
+    """Becomes ready once informants had their time to answer."""
+    if self._is_ready or self._informed_at is None:
+      return
+    if now - self._informed_at < START_GRACE_S:
+      return
+    self._is_ready = self._store.settle()
+    if self._is_ready:
+      self._watch.skip_first_read()
+      _log.info('config_ready', extra={'generation': self.generation})
+
+  def _fetch_from_peer(self, address: str) -> None:
+    value = self._peers.ask(address, KIND_HEAD, b'', HEAD_TIMEOUT_S)
+    if value is None:
+      return
+    try:
+      head = config_parts.decode_head(value)
+    except errors.ConfigError as error:
+      _log.warning('config_malformed', extra={'error': str(error)})
+      return
+    if head.generation <= self.generation:
+      return
+    source = config_fetch.make_peer_source(self._peers, address)
+    fetched = config_fetch.fetch_parts(head, self._store.find, [source])
+    if fetched is None:
+      return
+    self._fetched['parts'] += len(fetched)
+    self._fetched['bytes'] += sum(map(len, fetched.values()))
+    self._adopt(head, fetched)
+
+  def _adopt(
+      self, head: config_parts.Head, part_by_name: dict[str, bytes]
+  ) -> None:
+    try:
+      adopted = self._store.adopt(head, part_by_name)
+    except errors.ConfigError as error:
+      _log.warning('config_not_whole', extra={'error': str(error)})
+      return
+    if adopted is None:
+      return
+    self._adopted += 1
+    _log.info('config_adopted', extra={'generation': adopted.generation})
+    self._publish(adopted)
+    for address in self._sample(self._list_peers(), FAN_OUT):
+      self._tell(address)
+
+  def _tick(self, now: float) -> None:
+    zone = set(self._list_zone())
+    self._watch.elect(
+        self._election.is_elected(zone, now), self._election.position(zone)
+    )
+    if now >= self._digest_at:
+      self._send_digests(now)
+    if self._watch.is_hearing and now >= self._beacon_at:
+      interval_s = config_election.beacon_interval_s(len(zone))
+      self._beacon_at = now + interval_s * self._random.uniform(0.9, 1.0)
+      for address in zone - {self._own_address}:
+        self._tell(address)
+
+  def _send_digests(self, now: float) -> None:
+    if self._is_ready:
+      interval_s, count = DIGEST_INTERVAL_S, 1
+    else:
+      interval_s, count = START_ASK_INTERVAL_S, START_FAN_OUT
+    self._digest_at = now + interval_s * self._random.uniform(0.8, 1.2)
+    for address in self._sample(self._list_peers(), count):
+      self._tell(address, is_question=not self._is_ready)
+
+  def _tell(self, address: str, is_question: bool = False) -> None:
+    generation = self.generation if self._is_ready else UNREADY_GENERATION
+    told = Told(
+        self._own_address, generation, self._watch.is_hearing, is_question
+    )
+    self._peers.tell(address, KIND_TOLD, msgspec.json.encode(told))
+
+  def _sample(self, addresses: list[str], count: int) -> list[str]:
+    others = sorted(set(addresses) - {self._own_address})
+    return self._random.sample(others, min(count, len(others)))
--- /dev/null
+++ b/mulberrypick/ops/config_watch.py
@@ -0,0 +1,176 @@
+"""The thread that reads the configuration's head from the platform.
+
+It reads once at the start, whoever is elected, since a process without memory
+has to ask the platform before it is ready; after that it calls the platform
+only while it is elected. Failures are followed by growing, jittered pauses,
+longer for hosts further down in the election, so that an outage's end meets
+few calls at a time.
+"""
+
+import collections
+import logging
+import random
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import config_parts, errors
+from mulberrypick.ops import config_fetch
+
+_log = logging.getLogger(__name__)
+
+WATCH_TIMEOUT_S = 10.0
+IDLE_S = 0.5
+FIRST_PAUSE_S = 0.25
+MAX_PAUSE_S = 4.0
+
+
+class PlatformRead(NamedTuple):
+  """A head as the platform held it, with the parts that were not here.
+
+  Attributes:
+    head: The head, `EMPTY_HEAD` if the platform holds none.
+    part_by_name: The parts that were fetched.
+  """
+
+  head: config_parts.Head
+  part_by_name: dict[str, bytes]
+
+
+class ConfigWatch:
+  """Calls the platform; told by `elect` whether to.
+
+  Attributes:
+    calls: Calls to the platform by kind.
+    fetched: Parts and bytes fetched.
+    is_elected: Whether this host is to watch.
+    is_hearing: Whether it is, and its last call succeeded.
+  """
+
+  def __init__(
+      self,
+      platform: platform_lib.Platform,
+      find_part: Callable[[str], bytes | None],
+      list_start_sources: Callable[[], list[config_fetch.Source]],
+      post: Callable[[PlatformRead], None],
+  ):
+    """Starts nothing yet.
+
+    Args:
+      platform: The platform.
+      find_part: Returns a part that is in force here.
+      list_start_sources: Peers to ask for parts before the platform when many
+        are missing.
+      post: Takes what was read.
+    """
+    self.calls = collections.Counter()
+    self.fetched = collections.Counter()
+    self.is_elected = False
+    self.is_hearing = False
+    self._platform = platform
+    self._find_part = find_part
+    self._list_start_sources = list_start_sources
+    self._post = post
+    self._position = 0
+    self._failures = 0
+    self._has_read = False
+    self._stopping = threading.Event()
+    self._changed = threading.Event()
+    self._thread = threading.Thread(
+        target=self._run, name='config-watch', daemon=True
+    )
+
+  def elect(self, is_elected: bool, position: int) -> None:
+    """Tells the thread whether to watch, and how many hosts stand before."""
+    self._position = position
+    if is_elected == self.is_elected:
+      return
+    self.is_elected = is_elected
+    _log.info('config_watch', extra={'elected': is_elected})
+    self._changed.set()
+
+  def skip_first_read(self) -> None:
+    """Calls the platform only while elected, since peers told enough."""
+    self._has_read = True
+
+  def start(self) -> None:
+    """Starts the thread."""
+    self._thread.start()
+
+  def stop(self) -> None:
+    """Asks the thread to end; it may sit in a watch for some seconds more."""
+    self._stopping.set()
+    self._changed.set()
+
+  def _run(self) -> None:
+    while not self._stopping.is_set():
+      if self._has_read and not self.is_elected:
+        self.is_hearing = False
+        self._changed.wait(IDLE_S)
+        self._changed.clear()
+        continue
+      try:
+        self._follow()
+      except (errors.PlatformError, errors.ConfigError) as error:
+        self.is_hearing = False
+        self._pause(error)
+
+  def _follow(self) -> None:
+    """Reads the head, and watches it for as long as this host is elected."""
+    self.calls['list'] += 1
+    listing = self._platform.list_objects(config_parts.HEAD_KEY)
+    stored = listing.value_by_key.get(config_parts.HEAD_KEY)
+    self._take(stored.value if stored else None)
+    self._failures = 0
+    self._has_read = True
+    revision = listing.revision
+    while self.is_elected and not self._stopping.is_set():
+      self.is_hearing = True
+      self.calls['watch'] += 1
+      batch = self._platform.watch(
+          config_parts.HEAD_KEY, revision, WATCH_TIMEOUT_S
+      )
+      revision = batch.revision
+      if batch.changes:
+        self._take_newest(batch.changes[-1])
+
+  def _take_newest(self, change: platform_lib.VersionedValue) -> None:
+    if change.version == platform_lib.MISSING_VERSION:
+      _log.error('config_head_deleted')
+      return
+    self._take(change.value)
+
+  def _take(self, value: bytes | None) -> None:
+    """Fetches what a head names and is not here, and posts both."""
+    if value is None:
+      self._post(PlatformRead(config_parts.EMPTY_HEAD, {}))
+      return
+    head = config_parts.decode_head(value)
+    sources = [self._read_platform]
+    missing = config_parts.list_missing(head, self._find_part)
+    if len(missing) > config_fetch.MAX_SINGLE_READS or not self._has_read:
+      sources = [*self._list_start_sources(), *sources]
+    fetched = config_fetch.fetch_parts(head, self._find_part, sources)
+    if fetched is None:
+      fault = errors.Fault(config_parts.HEAD_KEY, 'parts are missing')
+      raise errors.ConfigError([fault])
+    self.fetched['parts'] += len(fetched)
+    self.fetched['bytes'] += sum(map(len, fetched.values()))
+    self._post(PlatformRead(head, fetched))
+
+  def _read_platform(self, names: list[str]) -> dict[str, bytes]:
+    is_listing = len(names) > config_fetch.MAX_SINGLE_READS
+    kind, count = ('list', 1) if is_listing else ('get', len(names))
+    self.calls[kind] += count
+    return config_fetch.make_platform_source(self._platform)(names)
+
+  def _pause(self, error: Exception) -> None:
+    """Waits after a failure: growing, jittered, longer further down."""
+    self._failures += 1
+    _log.info('config_platform_away', extra={'error': str(error)})
+    exponent = min(self._failures - 1, 10)
+    pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**exponent)
+    if self._has_read:
+      pause_s *= 1 + self._position // 2
+    self._stopping.wait(pause_s * random.uniform(0.5, 1.0))
