A quick loop over the pure dispatcher, and its workloads

Cause: each change of a policy needs a measurement that takes seconds. Ruled out: fluid rates without a batch; they hide the time between tokens.

--- /dev/null
+++ b/standins/policy_engine.py
@@ -0,0 +1,149 @@
+"""Engines of the policy loop: continuous batching in simulated time.
+
+They follow the rules of the stand-in engine (`standins/WIRE.md`), without its
+sockets and without the text of the answers.
+"""
+
+from typing import NamedTuple
+
+from mulberrypick.core import messages, records
+
+STEP_TOKENS = 512
+PIECE_TOKENS = 16
+
+
+class EngineSpec(NamedTuple):
+  """How fast the engines of the loop are."""
+
+  prefill_tokens_per_s: float = 4000.0
+  decode_step_s: float = 0.02
+  decode_seq_s: float = 0.001
+  pieces: int = 2000
+  restart_s: float = 3.0
+  role_change_s: float = 3.0
+
+
+DEFAULT_SPEC = EngineSpec()
+
+
+class Job:
+  """One attempt on an engine."""
+
+  __slots__ = ('start', 'owner', 'prefill', 'left', 'made', 'pieces', 'order')
+
+  def __init__(self, start, owner, request, length, order):
+    self.start = start
+    self.owner = owner
+    self.prefill = request.prompt_tokens + start.attempt.start_index
+    self.left = length - start.attempt.start_index
+    self.made = 0
+    tokens = request.prompt_tokens + length
+    self.pieces = -(-tokens // PIECE_TOKENS)
+    self.order = (-start.attempt.priority, order)
+
+
+class Engine:
+  """Batches continuously, in steps, by the rules of the stand-in engine."""
+
+  def __init__(self, loop, name, zone, spec):
+    self.loop = loop
+    self.name = name
+    self.zone = zone
+    self.spec = spec
+    self.incarnation = 1
+    self.jobs = {}
+    self.is_up = True
+    self.is_stepping = False
+    self.busy_s = 0.0
+
+  def add(self, job):
+    """Takes an attempt in, or answers at once that it is away."""
+    if not self.is_up:
+      self.loop.end(job, messages.OUTCOME_UNREACHABLE)
+      return
+    self.jobs[job.start.attempt.attempt_id] = job
+    self._step()
+
+  def batch(self):
+    """Returns the jobs that fit into memory, most urgent first."""
+    chosen = []
+    free = self.spec.pieces
+    started = [job for job in self.jobs.values() if job.made]
+    fresh = [job for job in self.jobs.values() if not job.made]
+    for job in sorted(started, key=lambda j: j.order) + sorted(
+        fresh, key=lambda j: j.order
+    ):
+      if job.pieces <= free:
+        free -= job.pieces
+        chosen.append(job)
+    return chosen, free
+
+  def _step(self):
+    if self.is_stepping or not self.jobs:
+      return
+    chosen, _ = self.batch()
+    budget = STEP_TOKENS
+    work = []
+    for job in chosen:
+      if job.prefill > 0 and budget > 0:
+        tokens = min(budget, job.prefill)
+        budget -= tokens
+        work.append((job, tokens))
+      elif job.prefill <= 0:
+        work.append((job, 0))
+    decoding = sum(1 for _, tokens in work if not tokens)
+    step_s = (STEP_TOKENS - budget) / self.spec.prefill_tokens_per_s
+    if decoding:
+      step_s += self.spec.decode_step_s + self.spec.decode_seq_s * decoding
+    self.is_stepping = True
+    self.busy_s += step_s
+    self.loop.after(step_s, self._finish, work, self.incarnation)
+
+  def _finish(self, work, incarnation):
+    if incarnation != self.incarnation:
+      return
+    self.is_stepping = False
+    for job, tokens in work:
+      if job.start.attempt.attempt_id not in self.jobs:
+        continue
+      job.prefill -= tokens
+      if job.prefill <= 0:
+        self.loop.token(job)
+    self._step()
+
+  def crash(self):
+    """Cuts all that runs, and starts anew after a while."""
+    self.is_up = False
+    self.is_stepping = False
+    self.incarnation += 1
+    jobs = list(self.jobs.values())
+    self.jobs = {}
+    for job in jobs:
+      self.loop.end(job, messages.OUTCOME_FAILED)
+    self.loop.crashes += 1
+    self.loop.after(self.spec.restart_s, self._start_anew)
+
+  def _start_anew(self):
+    self.is_up = True
+    self.loop.tell_hosts()
+
+  def report(self):
+    """Returns the load as it is now."""
+    chosen, free = self.batch()
+    running = sum(1 for job in chosen if job.prefill <= 0)
+    waiting = sum(max(0, job.prefill) for job in self.jobs.values())
+    step_s = self.spec.decode_step_s + self.spec.decode_seq_s * running
+    return records.EngineReport(
+        self.name,
+        self.incarnation,
+        records.ROLE_MIXED,
+        ('m',),
+        waiting,
+        running,
+        self.spec.pieces,
+        free,
+        False,
+        self.spec.prefill_tokens_per_s,
+        step_s,
+        0.0,
+    )
--- /dev/null
+++ b/standins/policy_load.py
@@ -0,0 +1,232 @@
+"""Workloads of the policy measurements, and the figures of their outcome.
+
+A workload is a list of arrivals with fixed seeds, so that the product and the
+baselines get the very same requests. Loads are given as parts of what the
+fleet can do, in engine seconds a second.
+"""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from mulberrypick.core import errors, records
+
+SHARE_BY_TENANT = {
+    'prevoz': 0.3,
+    'kumamoto': 0.2,
+    'saga': 0.2,
+    'oita': 0.1,
+    'yard': 0.1,
+    'mill': 0.1,
+}
+FLOODER = 'mill'
+URGENT = records.Rank('urgent', True, 0.5, 0.1, 5.0, 0.5)
+OTHER = records.Rank('other', False, 4.0, 0.2, 40.0, 0.3)
+
+
+class Shape(NamedTuple):
+  """One kind of request.
+
+  Attributes:
+    rank: Name of the rank.
+    prompt_tokens: Mean tokens of the prompt.
+    output_tokens: Mean tokens of the answer.
+    engine_s: Engine seconds that one takes, about.
+  """
+
+  rank: str
+  prompt_tokens: int
+  output_tokens: int
+  engine_s: float
+
+
+QUESTION = Shape('urgent', 100, 24, 0.09)
+SUMMARY = Shape('other', 3000, 60, 0.93)
+GUIDE = Shape('other', 150, 230, 0.5)
+
+
+class Stream(NamedTuple):
+  """Arrivals of one shape.
+
+  Attributes:
+    shape: The kind of request.
+    load: Engine seconds a second that arrive.
+    start_s: When it begins.
+    end_s: When it ends.
+    tenant: The only tenant, or empty for all by their shares.
+  """
+
+  shape: Shape
+  load: float
+  start_s: float
+  end_s: float
+  tenant: str = ''
+
+
+class Arrival(NamedTuple):
+  """One request, its answer's length and the entry host that gets it."""
+
+  request: records.InferenceRequest
+  length: int
+  entry: int
+
+
+def make_config() -> records.Config:
+  """Makes the configuration that all workloads use."""
+  tenant_by_name = {}
+  for name, share in SHARE_BY_TENANT.items():
+    tenant_by_name[name] = records.Tenant(name, share, (), (), '')
+  return records.Config(
+      1,
+      {'m': records.Model('m', '1', (), 12)},
+      {'urgent': URGENT, 'other': OTHER},
+      {},
+      tenant_by_name,
+  )
+
+
+def make_arrivals(
+    streams: Iterable[Stream], entries: int, seed: int
+) -> list[Arrival]:
+  """Draws Poisson arrivals.
+
+  Args:
+    streams: What arrives.
+    entries: Entry hosts; each arrival goes to one at random.
+    seed: Seed of all draws.
+
+  Returns:
+    The arrivals by time.
+  """
+  rng = random.Random(seed)
+  arrivals = []
+  for number, stream in enumerate(streams):
+    now = stream.start_s
+    rate = stream.load / stream.shape.engine_s
+    while rate > 0:
+      now += rng.expovariate(rate)
+      if now >= stream.end_s:
+        break
+      request_id = f's{number}-{len(arrivals)}'
+      arrivals.append(_draw(stream, request_id, now, entries, rng))
+  arrivals.sort(key=lambda a: a.request.arrived_at)
+  return arrivals
+
+
+def _draw(stream, request_id, now, entries, rng):
+  shape = stream.shape
+  tenant = stream.tenant
+  if not tenant:
+    names = list(SHARE_BY_TENANT)
+    (tenant,) = rng.choices(names, list(SHARE_BY_TENANT.values()))
+  rank = URGENT if shape.rank == 'urgent' else OTHER
+  prompt = max(8, round(shape.prompt_tokens * rng.uniform(0.5, 1.5)))
+  length = max(4, round(shape.output_tokens * rng.uniform(0.5, 1.5)))
+  service = f'{shape.rank}-{shape.prompt_tokens}'
+  request = records.InferenceRequest(
+      request_id,
+      tenant,
+      shape.rank,
+      service,
+      'm',
+      '',
+      request_id,
+      prompt,
+      512,
+      now,
+      now + rank.deadline_s,
+  )
+  return Arrival(request, length, rng.randrange(entries))
+
+
+class Outcome(NamedTuple):
+  """What became of one request.
+
+  Attributes:
+    tenant: Tenant.
+    rank: Rank.
+    arrived_at: When it came.
+    tokens: Tokens of its whole answer.
+    first_token_s: Time to the first token, or None.
+    total_s: Time to the whole answer, or None.
+    error: The refusal, or None.
+    refused_after_s: Time until the refusal.
+    worked_tokens: Tokens that engines made for it.
+  """
+
+  tenant: str
+  rank: str
+  arrived_at: float
+  tokens: int
+  first_token_s: float | None
+  total_s: float | None
+  error: errors.RequestError | None
+  refused_after_s: float
+  worked_tokens: int
+
+  def between_s(self) -> float:
+    """Returns the mean time between two tokens of a whole answer."""
+    return (self.total_s - self.first_token_s) / max(1, self.tokens - 1)
+
+  def is_good(self) -> bool:
+    """Tells whether all targets of its rank were met."""
+    if self.total_s is None or self.first_token_s is None:
+      return False
+    rank = URGENT if self.rank == 'urgent' else OTHER
+    if self.first_token_s > rank.first_token_s:
+      return False
+    if self.between_s() > rank.between_tokens_s:
+      return False
+    return self.total_s <= rank.deadline_s
+
+
+def percentile(values: list[float], percent: float) -> float:
+  """Returns a percentile of unsorted values, 0.0 for none."""
+  if not values:
+    return 0.0
+  ordered = sorted(values)
+  return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
+
+
+def summarize(outcomes: list[Outcome], seconds: float) -> dict[str, object]:
+  """Returns the figures of one run.
+
+  Args:
+    outcomes: One for each request that arrived in the measured time.
+    seconds: Length of that time.
+
+  Returns:
+    The figures by name.
+  """
+  row = {}
+  for rank in ('urgent', 'other'):
+    mine = [o for o in outcomes if o.rank == rank]
+    good = [o for o in mine if o.is_good()]
+    whole = [o for o in mine if o.total_s is not None]
+    first = [o.first_token_s for o in whole]
+    between = [o.between_s() for o in whole]
+    row[f'{rank}_arrived'] = len(mine)
+    row[f'{rank}_good_per_s'] = round(len(good) / seconds, 2)
+    for percent in (50, 95, 99):
+      value = percentile(first, percent)
+      row[f'{rank}_ttft_p{percent}'] = round(value, 3)
+    for percent in (50, 95, 99):
+      value = percentile(between, percent)
+      row[f'{rank}_between_p{percent}'] = round(value, 3)
+  refused = [o for o in outcomes if o.error is not None]
+  count_by_kind = {}
+  for outcome in refused:
+    kind = outcome.error.kind
+    count_by_kind[kind] = count_by_kind.get(kind, 0) + 1
+  row['refused'] = count_by_kind
+  delays = [o.refused_after_s for o in refused]
+  row['refusal_p99_s'] = round(percentile(delays, 99), 3)
+  wasted = sum(o.worked_tokens for o in outcomes if not o.is_good())
+  row['wasted_tokens'] = wasted
+  good_by_tenant = {}
+  for name in SHARE_BY_TENANT:
+    mine = [o for o in outcomes if o.tenant == name and o.rank == 'other']
+    good = sum(1 for o in mine if o.is_good())
+    good_by_tenant[name] = f'{good}/{len(mine)}'
+  row['other_good_by_tenant'] = good_by_tenant
+  return row
--- /dev/null
+++ b/standins/policy_trial.py
@@ -0,0 +1,133 @@
+"""Runs one workload of the quick loop for the product and the baselines.
+
+python -m standins.policy_trial swing --lag-s 0.3
+"""
+
+import json
+import time
+
+import click
+
+from mulberrypick.core import admission, dispatch, routing
+from standins import policy_load, policy_loop
+
+ENTRIES = 3
+ENGINES = 12
+DRAIN_S = 45.0
+WARM_S = 10.0
+
+POLICY_BY_NAME = {
+    'round-robin': ('round-robin', 'first-come'),
+    'least': ('least-in-flight', 'first-come'),
+    'admission': ('least-in-flight', 'ranked-fair'),
+    'product': ('predicted-time', 'ranked-fair'),
+}
+
+
+def make_streams(scenario: str, seconds: float) -> list[policy_load.Stream]:
+  """Returns the arrivals of a scenario; the first `WARM_S` are not counted."""
+  stream = policy_load.Stream
+  question, summary = policy_load.QUESTION, policy_load.SUMMARY
+  guide = policy_load.GUIDE
+  steady = [
+      stream(question, 1.5, 0.0, seconds),
+      stream(summary, 4.0, 0.0, seconds),
+      stream(guide, 3.0, 0.0, seconds),
+  ]
+  if scenario == 'steady':
+    return steady
+  if scenario == 'flood-other':
+    flooder = policy_load.FLOODER
+    return steady + [stream(summary, 60.0, WARM_S, seconds, flooder)]
+  if scenario == 'flood-urgent':
+    flooder = policy_load.FLOODER
+    return steady + [stream(question, 60.0, WARM_S, seconds, flooder)]
+  streams = [stream(question, 1.5, 0.0, seconds)]
+  start = 0.0
+  number = 0
+  while start < seconds:
+    end = min(start + 15.0, seconds)
+    heavy, light = (11.0, 1.0) if number % 2 == 0 else (1.0, 11.0)
+    streams.append(stream(summary, heavy, start, end))
+    streams.append(stream(guide, light, start, end))
+    start = end
+    number += 1
+  return streams
+
+
+def run(scenario, policy, seconds, lag_s, seed, comes_back):
+  """Runs one workload with one policy and returns its figures."""
+  router, admission_name = POLICY_BY_NAME[policy]
+
+  def make(name, zone, number):
+    return dispatch.Dispatcher(
+        name,
+        zone,
+        routing.make_router(router),
+        admission.make_admission(admission_name),
+        seed=number,
+    )
+
+  loop = policy_loop.Loop(
+      make, policy_load.make_config(), ENTRIES, ENGINES, lag_s
+  )
+  loop.comes_back = comes_back
+  streams = make_streams(scenario, seconds)
+  for arrival in policy_load.make_arrivals(streams, ENTRIES, seed):
+    loop.after(arrival.request.arrived_at, loop.arrive, *arrival)
+  loop.run(seconds + DRAIN_S)
+  outcomes = []
+  for record in loop.record_by_request.values():
+    outcome = make_outcome(record)
+    if outcome.arrived_at >= WARM_S:
+      outcomes.append(outcome)
+  row = policy_load.summarize(outcomes, seconds - WARM_S)
+  busy = [engine.busy_s for engine in loop.engine_by_name.values()]
+  row['max_min_load'] = round(max(busy) / max(1e-9, min(busy)), 2)
+  row['busy'] = round(sum(busy) / (seconds * len(busy)), 2)
+  returned = [r for r in loop.record_by_request.values() if r.returns]
+  served = sum(1 for r in returned if r.error is None)
+  row['returned_served'] = f'{served}/{len(returned)}'
+  return row
+
+
+def make_outcome(record):
+  """Returns the outcome of a record of the loop."""
+  request = record.request
+  whole = record.error is None and record.made >= record.length
+  first_s = None
+  if record.first_at is not None:
+    first_s = record.first_at - request.arrived_at
+  return policy_load.Outcome(
+      request.tenant,
+      request.rank,
+      request.arrived_at,
+      record.length,
+      first_s,
+      record.end_at - request.arrived_at if whole else None,
+      record.error,
+      record.refused_after_s,
+      record.work_tokens,
+  )
+
+
+@click.command()
+@click.argument('scenario')
+@click.option('--policies', default='round-robin,least,product')
+@click.option('--seconds', default=70.0)
+@click.option('--lag-s', default=0.3)
+@click.option('--seed', default=11)
+@click.option('--comes-back', is_flag=True)
+def main(scenario, policies, seconds, lag_s, seed, comes_back):
+  """Prints the figures of each policy."""
+  for policy in policies.split(','):
+    began = time.perf_counter()
+    row = run(scenario, policy, seconds, lag_s, seed, comes_back)
+    took_s = time.perf_counter() - began
+    print(f'{scenario} {policy} took_s={took_s:.1f}')
+    for name, value in row.items():
+      print(f'  {name}={json.dumps(value)}')
+
+
+if __name__ == '__main__':
+  main()
