--- a/standins/policy_engine.py
+++ b/standins/policy_engine.py
@@ -6,7 +6,8 @@
 
 from typing import NamedTuple
 
-from mulberrypick.core import messages, records
+from mulberrypick.core import messages
+from mulberrypick.core import records
 
 STEP_TOKENS = 512
 PIECE_TOKENS = 16
--- a/standins/policy_load.py
+++ b/standins/policy_load.py
@@ -9,7 +9,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 SHARE_BY_TENANT = {
     'prevoz': 0.3,
--- a/standins/policy_loop.py
+++ b/standins/policy_loop.py
@@ -11,7 +11,9 @@
 import random
 from collections.abc import Callable
 
-from mulberrypick.core import dispatch, messages, records
+from mulberrypick.core import dispatch
+from mulberrypick.core import messages
+from mulberrypick.core import records
 from standins import policy_engine
 
 NET_S = 0.001
--- a/standins/policy_trial.py
+++ b/standins/policy_trial.py
@@ -8,8 +8,11 @@
 
 import click
 
-from mulberrypick.core import admission, dispatch, routing
-from standins import policy_load, policy_loop
+from mulberrypick.core import admission
+from mulberrypick.core import dispatch
+from mulberrypick.core import routing
+from standins import policy_load
+from standins import policy_loop
 
 ENTRIES = 3
 ENGINES = 12
