Entry: stop every part even if one fails; show records by field name

Cause: in a first run of the whole path a failing stop of the call runner (an unencoded string given to xxhash) left the process hanging, since the parts after it were never stopped. Status showed records as lists without names.

--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -130,6 +130,10 @@
     addresses = {host.peer_address for host in self._list_entries('')}
     return sorted(addresses.union(self._seed_addresses))
 
+  def list_zone_addresses(self) -> list[str]:
+    """Lists the peer addresses of the other live entries of the own zone."""
+    return [host.peer_address for host in self._list_entries(self._own_zone)]
+
   def start(self) -> None:
     """Starts the task."""
     self._thread.start()
--- a/mulberrypick/ops/http_exchange.py
+++ b/mulberrypick/ops/http_exchange.py
@@ -176,7 +176,7 @@
 
   def answer_json(self, status: int, value: Any) -> Iterable[bytes]:
     """Answers with a JSON body of records and plain types."""
-    body = msgspec.json.encode(value)
+    body = msgspec.json.encode(to_plain(value))
     return self.answer_bytes(status, 'application/json', body)
 
   def answer_error(self, error: errors.RequestError) -> Iterable[bytes]:
@@ -193,3 +193,24 @@
     """Ends the exchange of a caller that has left."""
     self.closes_connection = True
     return self.answer_bytes(400, 'text/plain', b'')
+
+
+def to_plain(value: Any) -> Any:
+  """Turns records into objects by field name, at any depth.
+
+  Args:
+    value: Records, and what JSON knows, mixed as they come.
+
+  Returns:
+    The same of dictionaries, lists and plain values. JSON would otherwise show
+    a record as a list without names.
+  """
+  if isinstance(value, tuple) and hasattr(value, '_fields'):
+    return {
+        name: to_plain(field) for name, field in value._asdict().items()
+    }
+  if isinstance(value, dict):
+    return {key: to_plain(field) for key, field in value.items()}
+  if isinstance(value, (list, tuple)):
+    return [to_plain(field) for field in value]
+  return value
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -211,6 +211,8 @@
     self._metrics = metrics_task.MetricsTask(self._settings['statsd'])
 
   def _make_tasks(self) -> None:
+    own_address = str(self._settings['peer_listen'])
+    seeds = {str(address) for address in self._settings['seeds']}
     dispatcher = dispatch.Dispatcher(
         self._name,
         self._zone,
@@ -227,21 +229,22 @@
         self._publish,
         self._read_own_load,
         fleet_task.FleetIntervals(),
-        tuple(str(address) for address in self._settings['seeds']),
+        tuple(sorted(seeds - {own_address})),
     )
     self._config = config_task.ConfigTask(
         self._platform,
         self._peers,
-        self._name,
+        own_address,
         self._fleet.list_peer_addresses,
         self._publish_config,
+        self._fleet.list_zone_addresses,
     )
     self._calls = plain_calls.PlainCallRunner(
         self._platform,
         self._service,
         self._peers,
         self._name,
-        str(self._settings['peer_listen']),
+        own_address,
     )
 
   def _make_servers(self) -> None:
@@ -353,16 +356,26 @@
     self._state.note_draining()
     # The balancer needs time to notice, and goes on sending callers until then.
     time.sleep(self._settings['notice_s'])
-    self._callers_server.stop()
-    self._calls.stop()
-    self._config.stop()
-    self._fleet.stop()
-    self._dispatch.stop()
-    self._peers.stop()
-    self._metrics.stop()
-    self._operators_server.stop()
+    for part in (
+        self._callers_server,
+        self._calls,
+        self._config,
+        self._fleet,
+        self._dispatch,
+        self._peers,
+        self._metrics,
+        self._operators_server,
+    ):
+      self._stop_part(part)
     self._log_event('stopped')
 
+  def _stop_part(self, part: Any) -> None:
+    """Stops a part; its failure must not keep the others from stopping."""
+    try:
+      part.stop()
+    except Exception:
+      _logger.exception('stop_failed')
+
   def _log_event(self, event: str, **fields: object) -> None:
     logs.log_event(_logger, logging.INFO, event, **fields)
 
