--- a/mulberrypick/core/claims.py
+++ b/mulberrypick/core/claims.py
@@ -184,7 +184,7 @@
 
 def find_slot(key: str) -> int:
   """Returns the slot of a scoped key."""
-  return xxhash.xxh64_intdigest(key) % SLOT_COUNT
+  return xxhash.xxh64_intdigest(key.encode()) % SLOT_COUNT
 
 
 def make_slot_key(slot: int) -> str:
--- a/mulberrypick/ops/claim_task.py
+++ b/mulberrypick/ops/claim_task.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import claims, errors, records
@@ -290,9 +291,8 @@
     try:
       return replies.get(timeout=RECORD_WAIT_S).is_applied
     except queue.Empty:
-      log.warning(
-          'answer not recorded yet',
-          extra={'event': 'claim_record_late', 'nonce': record.nonce},
+      logs.log_event(
+          log, logging.WARNING, 'claim_record_late', nonce=record.nonce
       )
       return False
 
--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -21,6 +21,7 @@
 import msgspec
 import tenacity
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.adapters import service as service_lib
@@ -394,12 +395,11 @@
 def _log_attempt(
     call: records.PlainCall, host: records.Host, error: Exception
 ) -> None:
-  log.warning(
-      'attempt failed',
-      extra={
-          'event': 'plain_attempt_failed',
-          'request_id': call.request_id,
-          'endpoint': host.name,
-          'error': type(error).__name__,
-      },
+  logs.log_event(
+      log,
+      logging.WARNING,
+      'plain_attempt_failed',
+      request_id=call.request_id,
+      endpoint=host.name,
+      error=type(error).__name__,
   )
--- /dev/null
+++ b/mulberrypick/ops/plain_calls_test.py
@@ -0,0 +1,332 @@
+"""Tests of the path of one plain call, with fakes at its interfaces."""
+
+import collections
+import itertools
+import logging
+import threading
+import time
+import unittest
+from concurrent import futures
+
+from mulberrypick.adapters import memory_platform, peers, service
+from mulberrypick.core import claims, errors, records
+from mulberrypick.ops import claim_task, plain_calls
+
+BOOKING = records.Service('desk', 'plain', '', '', 'urgent', False, 3, 5.0)
+STOCK = BOOKING._replace(name='stock', is_repeatable=True)
+WAIT_S = 20.0
+
+
+def setUpModule():  # noqa: N802 (the name is unittest's)
+  """Silences the warnings that the faults of these tests cause."""
+  logging.getLogger('mulberrypick').setLevel(logging.CRITICAL)
+
+
+def tearDownModule():  # noqa: N802
+  """Lets the logs be heard again."""
+  logging.getLogger('mulberrypick').setLevel(logging.NOTSET)
+
+
+def make_host(name: str) -> records.Host:
+  """Makes an endpoint of the booking desk."""
+  return records.Host(
+      name, 'a', 'service', f'{name}:1', '', 'desk', 1, 'live', False
+  )
+
+
+HOSTS = [make_host('desk-1'), make_host('desk-2')]
+
+
+def make_call(key: str = 'k1', body: bytes = b'two bales') -> records.PlainCall:
+  """Makes a booking that has time enough."""
+  return records.PlainCall(
+      'r1',
+      'zagovina',
+      'urgent',
+      'desk',
+      'POST',
+      '/book',
+      'text/plain',
+      body,
+      key,
+      time.monotonic() + WAIT_S,
+  )
+
+
+class FakePeers(peers.Peers):
+  """Entry hosts of one process that hear each other unless cut off."""
+
+  def __init__(self, address: str, node_by_address: dict[str, 'FakePeers']):
+    self.handler_by_kind = {}
+    self.is_cut = False
+    self._address = address
+    self._node_by_address = node_by_address
+    node_by_address[address] = self
+
+  def handle(self, kind, handler):
+    self.handler_by_kind[kind] = handler
+
+  def tell(self, peer_address, kind, body):
+    raise NotImplementedError
+
+  def ask(self, peer_address, kind, body, timeout_s):
+    node = self._node_by_address.get(peer_address)
+    if node is None or node.is_cut or self.is_cut:
+      return None
+    return node.handler_by_kind[kind](self._address, body)
+
+
+class FakeService(service.PlainService):
+  """Counts executions by key, and fails as it is told, by endpoint."""
+
+  def __init__(self):
+    self.count_by_key = collections.Counter()
+    self.error_by_endpoint = {}
+    self.started = threading.Event()
+    self.may_answer = threading.Event()
+    self.may_answer.set()
+    self._numbers = itertools.count(1)
+
+  def call(self, endpoint, address, call, timeout_s):
+    error = self.error_by_endpoint.get(endpoint)
+    if error is not None and not isinstance(error, errors.EndpointFailedError):
+      raise error
+    self.count_by_key[call.idempotency_key] += 1
+    self.started.set()
+    self.may_answer.wait(WAIT_S)
+    if error is not None:
+      raise error
+    return records.PlainAnswer(200, 'text/plain', b'%d' % next(self._numbers))
+
+
+class PlainCallsTestCase(unittest.TestCase):
+
+  def setUp(self):
+    self.platform = memory_platform.MemoryPlatform()
+    self.service = FakeService()
+    self.node_by_address = {}
+    self.a = self.make_runner('a')
+    self.b = self.make_runner('b')
+
+  def make_runner(self, name, **options):
+    runner = plain_calls.PlainCallRunner(
+        self.platform,
+        self.service,
+        FakePeers(f'{name}:2', self.node_by_address),
+        name,
+        f'{name}:2',
+        **{'pending_wait_s': 0.2, **options},
+    )
+    runner.start()
+    self.addCleanup(runner.claims.stop, 0.0)
+    return runner
+
+  def run_call(self, runner, call=None, target=BOOKING, hosts=HOSTS):
+    return runner.run(call or make_call(), target, hosts, time.monotonic)
+
+  def assert_refused(self, error_type, run, runner, *args, **kwargs):
+    with self.assertRaises(error_type) as caught:
+      self.run_call(runner, *args, **kwargs)
+    self.assertEqual(run, caught.exception.run)
+    return caught.exception
+
+  def count_open(self):
+    listing = self.platform.list_objects(claims.SLOT_PREFIX)
+    slots = [claims.decode_slot(v.value) for v in listing.value_by_key.values()]
+    found = [r for slot in slots for r in slot.record_by_key.values()]
+    return sum(record.state == claims.RECORD_OPEN for record in found)
+
+
+class TestClaimedCalls(PlainCallsTestCase):
+
+  def test_a_repeat_gets_the_recorded_answer_on_any_entry(self):
+    first = self.run_call(self.a)
+    self.assertEqual(first, self.run_call(self.a))
+    self.assertEqual(first, self.run_call(self.b))
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_the_same_key_with_another_body_is_an_error(self):
+    self.run_call(self.a)
+    other = make_call(body=b'three bales')
+    self.assert_refused(errors.KeyConflictError, 'not_run', self.b, other)
+
+  def test_the_same_key_of_another_tenant_is_another_call(self):
+    self.run_call(self.a)
+    self.run_call(self.a, make_call()._replace(tenant='hanamura'))
+    self.assertEqual(2, self.service.count_by_key['k1'])
+
+  def test_a_missing_key_is_refused(self):
+    call = make_call(key='')
+    self.assert_refused(errors.BadRequestError, 'not_run', self.a, call)
+    self.assertEqual({}, self.service.count_by_key)
+
+  def test_an_unreachable_endpoint_hands_the_claim_to_the_next(self):
+    gone = errors.EndpointUnreachableError('desk-1', 'refused')
+    self.service.error_by_endpoint['desk-1'] = gone
+    self.assertEqual(200, self.run_call(self.a).status)
+
+  def test_not_run_when_no_endpoint_took_it_and_a_repeat_runs(self):
+    for host in HOSTS:
+      error = errors.EndpointDrainingError(host.name, 'draining')
+      self.service.error_by_endpoint[host.name] = error
+    self.assert_refused(errors.UnavailableError, 'not_run', self.a)
+    self.service.error_by_endpoint.clear()
+    self.assertEqual(200, self.run_call(self.b).status)
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_a_lost_answer_is_unknown_on_every_entry_and_never_retried(self):
+    lost = errors.EndpointFailedError('desk-1', 'broken')
+    self.service.error_by_endpoint['desk-1'] = lost
+    self.assert_refused(errors.OutcomeUnknownError, 'unknown', self.a)
+    self.service.error_by_endpoint.clear()
+    self.assert_refused(errors.OutcomeUnknownError, 'unknown', self.a)
+    self.assert_refused(errors.OutcomeUnknownError, 'unknown', self.b)
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_a_repeat_of_a_call_under_way_is_pending_then_answered(self):
+    self.service.may_answer.clear()
+    with futures.ThreadPoolExecutor() as pool:
+      first = pool.submit(self.run_call, self.a)
+      self.service.started.wait(WAIT_S)
+      self.assert_refused(errors.CallPendingError, 'unknown', self.b)
+      self.assert_refused(errors.CallPendingError, 'unknown', self.a)
+      self.service.may_answer.set()
+      self.assertEqual(first.result(WAIT_S), self.run_call(self.b))
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_a_silent_claimant_is_unknown_and_never_taken_over(self):
+    self.service.may_answer.clear()
+    with futures.ThreadPoolExecutor() as pool:
+      first = pool.submit(self.run_call, self.a)
+      self.service.started.wait(WAIT_S)
+      self.node_by_address['a:2'].is_cut = True
+      self.assert_refused(errors.OutcomeUnknownError, 'unknown', self.b)
+      self.service.may_answer.set()
+      first.result(WAIT_S)
+    self.assertEqual(first.result(), self.run_call(self.b))
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_a_claimant_that_started_anew_is_unknown(self):
+    key = claims.scope_key('zagovina', 'desk', 'k1')
+    print_of_call = claims.take_fingerprint(make_call())
+    self.a.claims.claim(key, print_of_call, WAIT_S)
+    self.make_runner('a')
+    self.assert_refused(errors.OutcomeUnknownError, 'unknown', self.b)
+    self.assertEqual({}, self.service.count_by_key)
+
+  def test_a_large_answer_goes_to_its_caller_and_is_not_kept(self):
+    large = records.PlainAnswer(200, 'a/b', b'x' * claims.MAX_ANSWER_BYTES * 2)
+    self.service.call = lambda *_: large
+    self.assertEqual(large, self.run_call(self.a))
+    self.assert_refused(errors.AnswerNotKeptError, 'done', self.b)
+
+  def test_no_time_left_is_not_run(self):
+    call = make_call()._replace(deadline_at=time.monotonic() - 1)
+    self.assert_refused(errors.DeadlineError, 'not_run', self.a, call)
+    self.assertEqual({}, self.service.count_by_key)
+
+
+class TestPlatformFaults(PlainCallsTestCase):
+
+  def test_away_refuses_as_not_run_with_the_time_to_come_back(self):
+    self.platform.set_away(True)
+    error = self.assert_refused(errors.UnavailableError, 'not_run', self.a)
+    self.assertGreater(error.retry_after_s, 0)
+    self.assertEqual({}, self.service.count_by_key)
+
+  def test_an_outage_costs_few_calls_of_the_platform(self):
+    self.platform.set_away(True)
+    for number in range(200):
+      call = make_call(key=f'k{number}')
+      self.assert_refused(errors.UnavailableError, 'not_run', self.a, call)
+    self.assertLess(self.platform.refused, 50)
+
+  def test_lost_answers_of_writes_change_nothing(self):
+    self.platform.lose_answers(2, claims.SLOT_PREFIX)
+    first = self.run_call(self.a)
+    self.assertEqual(first, self.run_call(self.b))
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_a_claim_that_may_stand_is_handed_over(self):
+    # The answer of the claim is lost, and the platform is away for the
+    # reading back: not run, though the claim stands.
+    self.platform.lose_answers(1, claims.SLOT_PREFIX)
+
+    def go_away(kind, key):
+      if kind == 'get' and self.platform.calls['put'] > puts:
+        self.platform.set_away(True)
+
+    puts = self.platform.calls['put']
+    self.platform.before_call = go_away
+    self.assert_refused(errors.UnavailableError, 'not_run', self.a)
+    self.platform.before_call = None
+    self.platform.set_away(False)
+    self.assertEqual(200, self.run_call(self.b).status)
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+  def test_the_answer_is_recorded_after_an_outage(self):
+    self.service.may_answer.clear()
+    with futures.ThreadPoolExecutor() as pool:
+      first = pool.submit(self.run_call, self.a)
+      self.service.started.wait(WAIT_S)
+      self.platform.set_away(True)
+      self.service.may_answer.set()
+      answer = first.result(WAIT_S)
+    self.platform.set_away(False)
+    self.assertEqual(answer, self.run_call(self.b))
+    self.assertTrue(self.a.stop())
+    self.assertEqual(0, self.count_open())
+    self.assertEqual({'k1': 1}, self.service.count_by_key)
+
+
+class TestPlannedStop(PlainCallsTestCase):
+
+  def test_stop_lets_sent_calls_finish_and_refuses_new_ones(self):
+    self.service.may_answer.clear()
+    with futures.ThreadPoolExecutor() as pool:
+      first = pool.submit(self.run_call, self.a)
+      self.service.started.wait(WAIT_S)
+      stopped = pool.submit(self.a.stop)
+      while not self.a._is_stopping:
+        time.sleep(0.001)
+      call = make_call('k2')
+      self.assert_refused(errors.UnavailableError, 'not_run', self.a, call)
+      self.service.may_answer.set()
+      self.assertEqual(200, first.result(WAIT_S).status)
+      self.assertTrue(stopped.result(WAIT_S))
+    self.assertEqual(first.result(), self.run_call(self.b))
+
+  def test_stop_gives_unsent_claims_up(self):
+    key = claims.scope_key('zagovina', 'desk', 'k1')
+    print_of_call = claims.take_fingerprint(make_call())
+    granted = self.a.claims.claim(key, print_of_call, WAIT_S)
+    self.assertIsInstance(granted, claim_task.Granted)
+    self.assertTrue(self.a.stop())
+    self.assertFalse(self.a.claims.begin_send(granted.nonce))
+    self.assertEqual(200, self.run_call(self.b).status)
+
+
+class TestRepeatableCalls(PlainCallsTestCase):
+
+  def test_is_tried_elsewhere_without_a_claim(self):
+    lost = errors.EndpointFailedError('desk-1', 'broken')
+    self.service.error_by_endpoint['desk-1'] = lost
+    answer = self.run_call(self.a, make_call(key=''), STOCK)
+    self.assertEqual(200, answer.status)
+    self.assertEqual(0, self.platform.calls['put'] - self.count_epochs())
+
+  def test_says_unknown_if_an_attempt_was_sent(self):
+    lost = errors.EndpointFailedError('desk-1', 'broken')
+    self.service.error_by_endpoint = {host.name: lost for host in HOSTS}
+    self.assert_refused(
+        errors.UnavailableError, 'unknown', self.a, target=STOCK
+    )
+    self.assertEqual(3, self.service.count_by_key['k1'])
+
+  def count_epochs(self):
+    listing = self.platform.list_objects(claims.EPOCH_KEY)
+    return sum(v.version for v in listing.value_by_key.values())
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -25,6 +25,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import claims, errors
 
@@ -229,7 +230,6 @@
     pause_s = self._rng.uniform(0.5, 1.0) * self._away_pause_s
     self._away_until = self._clock() + max(pause_s, error.retry_after_s)
     self._away_pause_s = min(MAX_AWAY_PAUSE_S, 2 * self._away_pause_s)
-    log.warning(
-        'platform away for claims',
-        extra={'event': 'claims_away', 'pause_s': round(pause_s, 3)},
+    logs.log_event(
+        log, logging.WARNING, 'claims_away', pause_s=round(pause_s, 3)
     )
