--- a/mulberrypick/core/config_parts.py
+++ b/mulberrypick/core/config_parts.py
@@ -23,7 +23,8 @@
 import msgspec
 import xxhash
 
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 HEAD_KEY = 'config/head'
 PART_PREFIX = 'config/part/'
--- a/mulberrypick/core/config_store.py
+++ b/mulberrypick/core/config_store.py
@@ -15,7 +15,10 @@
 
 from typing import NamedTuple
 
-from mulberrypick.core import chart, config_parts, errors, records
+from mulberrypick.core import chart
+from mulberrypick.core import config_parts
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 _CHART = chart.load_chart('config')
 STATE_READY = 'ready'
--- a/mulberrypick/ops/config_apply.py
+++ b/mulberrypick/ops/config_apply.py
@@ -13,7 +13,10 @@
 import tenacity
 
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import chart, config, config_parts, errors
+from mulberrypick.core import chart
+from mulberrypick.core import config
+from mulberrypick.core import config_parts
+from mulberrypick.core import errors
 from mulberrypick.ops import config_fetch
 
 _log = logging.getLogger(__name__)
--- a/mulberrypick/ops/config_apply_test.py
+++ b/mulberrypick/ops/config_apply_test.py
@@ -4,8 +4,12 @@
 import unittest
 
 from mulberrypick.adapters import memory_platform
-from mulberrypick.core import config, config_parts, config_test, errors
-from mulberrypick.ops import config_apply, config_fetch
+from mulberrypick.core import config
+from mulberrypick.core import config_parts
+from mulberrypick.core import config_test
+from mulberrypick.core import errors
+from mulberrypick.ops import config_apply
+from mulberrypick.ops import config_fetch
 
 
 def make_text(tenants: int, version: str = '1', changed: int = -1) -> bytes:
--- a/mulberrypick/ops/config_fetch.py
+++ b/mulberrypick/ops/config_fetch.py
@@ -9,7 +9,9 @@
 
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import config_parts, config_store, errors
+from mulberrypick.core import config_parts
+from mulberrypick.core import config_store
+from mulberrypick.core import errors
 
 KIND_PARTS = 'config.parts'
 PEER_TIMEOUT_S = 2.0
--- a/mulberrypick/ops/config_task.py
+++ b/mulberrypick/ops/config_task.py
@@ -25,14 +25,13 @@
 
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import (
-    config_election,
-    config_parts,
-    config_store,
-    errors,
-    records,
-)
-from mulberrypick.ops import config_fetch, config_watch
+from mulberrypick.core import config_election
+from mulberrypick.core import config_parts
+from mulberrypick.core import config_store
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.ops import config_fetch
+from mulberrypick.ops import config_watch
 
 _log = logging.getLogger(__name__)
 
--- a/mulberrypick/ops/config_watch.py
+++ b/mulberrypick/ops/config_watch.py
@@ -15,7 +15,8 @@
 from typing import NamedTuple
 
 from mulberrypick.adapters import platform as platform_lib
-from mulberrypick.core import config_parts, errors
+from mulberrypick.core import config_parts
+from mulberrypick.core import errors
 from mulberrypick.ops import config_fetch
 
 _log = logging.getLogger(__name__)
