Spread the configuration between entry hosts, tested with cuts and outages

Two hosts of each zone watch the platform, chosen by rendezvous hashing and replaced two at a time when they fall silent; the others hear from peers. Tests run real sockets between threads, with zones that are cut off, an outage right after acceptance, and processes without memory.

--- a/mulberrypick/adapters/peers.py
+++ b/mulberrypick/adapters/peers.py
@@ -13,8 +13,14 @@
 
   All methods may be called from any task: they only post to the task that
   owns the socket. Handlers run on that task and must not block.
+
+  Attributes:
+    address: `ip:port` by which other hosts reach this one, known once it
+      listens.
   """
 
+  address: str = ''
+
   @abc.abstractmethod
   def handle(self, kind: str, handler: Handler) -> None:
     """Registers the handler of one kind of message; before `start`."""
--- a/mulberrypick/adapters/zmq_peers.py
+++ b/mulberrypick/adapters/zmq_peers.py
@@ -19,9 +19,10 @@
 
 import zmq
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import peers
 
-_log = logging.getLogger(__name__)
+_logger = logging.getLogger(__name__)
 
 HIGH_WATER_MARK = 256
 MAX_POSTED = 4096
@@ -293,7 +294,9 @@
         return
       self._received_bytes += sum(map(len, frames[1:]))
       if len(frames) != 5:
-        _log.warning('malformed', extra={'frames': len(frames)})
+        logs.log_event(
+            _logger, logging.WARNING, 'peer_malformed', frames=len(frames)
+        )
         continue
       self._answer(*frames)
 
@@ -311,7 +314,7 @@
     try:
       answer = handler(name.decode('utf-8', 'replace'), body)
     except Exception:  # One bad message must not end the task.
-      _log.exception('handler_failed', extra={'kind': kind.decode()})
+      _logger.exception({'event': 'handler_failed', 'kind': kind.decode()})
       return
     if answer is None or request_id == NO_ANSWER_ID:
       return
--- a/mulberrypick/core/config_election.py
+++ b/mulberrypick/core/config_election.py
@@ -1,15 +1,16 @@
 """Who of a zone watches the platform for newer configurations.
 
 A watch costs the platform a call, so that few hosts of a zone watch and tell
-the rest. The order of the hosts is a hash of their addresses, the same on
-every host without any agreement. The first two watch; a host further down
+the rest. The order of the hosts is rendezvous hashing, the same on every
+host without any agreement. The first two watch; a host further down
 watches while it hears from fewer than two of those before it, and the further
 down it stands the longer it waits first. A wrong election costs calls, never
 correctness: any number of watchers, none included, is safe.
 """
 
-import xxhash
+from mulberrypick.core import rendezvous
 
+TASK = 'config-watch'
 WATCHERS_PER_ZONE = 2
 BEACON_S = 2.0
 BEACON_S_PER_HOST = 0.1
@@ -24,13 +25,6 @@
   return max(BEACON_S, BEACON_S_PER_HOST * zone_size)
 
 
-def rank_hosts(addresses: set[str]) -> list[str]:
-  """Returns the addresses in the order in which they are to watch."""
-  return sorted(
-      addresses, key=lambda a: (xxhash.xxh64_intdigest(a.encode()), a)
-  )
-
-
 class WatcherElection:
   """One host's view of who watches; pure, time is passed in."""
 
@@ -58,7 +52,7 @@
       return True
     interval_s = beacon_interval_s(len(known))
     patience_s = MISSED_BEACONS * interval_s
-    before = rank_hosts(known)[:position]
+    before = rendezvous.rank(TASK, known)[:position]
     healthy = [a for a in before if self._last_sign(a) + patience_s > now]
     if len(healthy) >= WATCHERS_PER_ZONE:
       self._lacking_since = None
@@ -71,7 +65,7 @@
   def position(self, zone_addresses: set[str]) -> int:
     """Returns how many hosts of the zone come before this one."""
     known = zone_addresses | {self._own_address}
-    return rank_hosts(known).index(self._own_address)
+    return rendezvous.rank(TASK, known).index(self._own_address)
 
   def _last_sign(self, address: str) -> float:
     # A host that just appeared is given the time to show itself.
--- a/mulberrypick/ops/config_apply.py
+++ b/mulberrypick/ops/config_apply.py
@@ -12,6 +12,7 @@
 
 import tenacity
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import chart
 from mulberrypick.core import config
@@ -19,7 +20,7 @@
 from mulberrypick.core import errors
 from mulberrypick.ops import config_fetch
 
-_log = logging.getLogger(__name__)
+_logger = logging.getLogger(__name__)
 _CHART = chart.load_chart('config_apply')
 
 NONCE_BYTES = 8
@@ -130,7 +131,9 @@
       return 0
     platform.delete(key, stored.version)
   except errors.PlatformError as error:
-    _log.info('config_part_kept', extra={'part': name, 'error': str(error)})
+    logs.log_event(
+        _logger, logging.INFO, 'config_part_kept', part=name, error=str(error)
+    )
     return 0
   return 1
 
--- a/mulberrypick/ops/config_task.py
+++ b/mulberrypick/ops/config_task.py
@@ -23,6 +23,7 @@
 
 import msgspec
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import peers as peers_lib
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import config_election
@@ -33,7 +34,7 @@
 from mulberrypick.ops import config_fetch
 from mulberrypick.ops import config_watch
 
-_log = logging.getLogger(__name__)
+_logger = logging.getLogger(__name__)
 
 KIND_TOLD = 'config.told'
 KIND_HEAD = 'config.head'
@@ -89,33 +90,33 @@
       self,
       platform: platform_lib.Platform,
       peers: peers_lib.Peers,
-      own_address: str,
+      own_name: str,
       list_peer_addresses: Callable[[], list[str]],
       publish: Callable[[records.Config], None],
       list_zone_addresses: Callable[[], list[str]] | None = None,
-      seed: int | None = None,
+      seed: int | str | None = None,
   ):
     """Registers its handlers with `peers`, which must not run yet.
 
     Args:
       platform: The platform.
       peers: Messages to other entry hosts.
-      own_address: Peer address of this process.
+      own_name: Name of this process.
       list_peer_addresses: Returns the addresses of all known entry hosts;
         called from the task's threads.
       publish: Called on the task's thread with each newer generation, once.
       list_zone_addresses: The same for the own zone alone; all if None.
-      seed: Seed of the choice of peers, None for a random one.
+      seed: Seed of the choice of peers, None for the name.
     """
     self._peers = peers
-    self._own_address = own_address
+    self._own_address = ''
     self._list_peers = list_peer_addresses
     self._list_zone = list_zone_addresses or list_peer_addresses
     self._publish = publish
-    self._random = random.Random(seed)
+    self._random = random.Random(own_name if seed is None else seed)
     self._inbox = queue.Queue(MAX_INBOX)
     self._store = config_store.ConfigStore()
-    self._election = config_election.WatcherElection(own_address)
+    self._election = config_election.WatcherElection('')
     self._watch = config_watch.ConfigWatch(
         platform, self._find_part, self._list_start_sources, self._post
     )
@@ -159,7 +160,9 @@
     )
 
   def start(self) -> None:
-    """Starts both threads."""
+    """Starts both threads; `peers` must run by now."""
+    self._own_address = self._peers.address
+    self._election = config_election.WatcherElection(self._own_address)
     self._watch.start()
     self._thread.start()
 
@@ -169,13 +172,17 @@
     self._watch.stop()
     self._thread.join()
 
+  def _log_event(self, event: str, **fields: object) -> None:
+    fields['generation'] = self.generation
+    logs.log_event(_logger, logging.INFO, event, **fields)
+
   # Handlers: they run on the thread of `peers` and only read or post.
 
   def _take_told(self, sender: str, body: bytes) -> None:
     try:
       self._post(msgspec.json.decode(body, type=Told))
     except msgspec.MsgspecError:
-      _log.warning('config_malformed', extra={'peer': sender})
+      self._log_event('config_malformed', peer=sender)
 
   def _answer_head(self, sender: str, body: bytes) -> bytes | None:
     if not self._is_ready:
@@ -248,7 +255,7 @@
     self._is_ready = self._store.settle()
     if self._is_ready:
       self._watch.skip_first_read()
-      _log.info('config_ready', extra={'generation': self.generation})
+      self._log_event('config_ready')
 
   def _fetch_from_peer(self, address: str) -> None:
     value = self._peers.ask(address, KIND_HEAD, b'', HEAD_TIMEOUT_S)
@@ -257,7 +264,7 @@
     try:
       head = config_parts.decode_head(value)
     except errors.ConfigError as error:
-      _log.warning('config_malformed', extra={'error': str(error)})
+      self._log_event('config_malformed', error=str(error))
       return
     if head.generation <= self.generation:
       return
@@ -275,12 +282,12 @@
     try:
       adopted = self._store.adopt(head, part_by_name)
     except errors.ConfigError as error:
-      _log.warning('config_not_whole', extra={'error': str(error)})
+      self._log_event('config_not_whole', error=str(error))
       return
     if adopted is None:
       return
     self._adopted += 1
-    _log.info('config_adopted', extra={'generation': adopted.generation})
+    self._log_event('config_adopted')
     self._publish(adopted)
     for address in self._sample(self._list_peers(), FAN_OUT):
       self._tell(address)
--- /dev/null
+++ b/mulberrypick/ops/config_task_test.py
@@ -0,0 +1,196 @@
+"""Tests of the configuration's spread, over real sockets between threads."""
+
+import threading
+import time
+import unittest
+
+from mulberrypick.adapters import memory_platform
+from mulberrypick.core import records
+from mulberrypick.ops import config_apply
+from mulberrypick.ops import config_apply_test
+from mulberrypick.ops import config_task
+from standins import cut_peers
+
+WAIT_S = 30.0
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+
+
+class Node:
+  """An entry host as far as configuration goes."""
+
+  def __init__(self, cluster: 'Cluster', name: str, zone: str):
+    self.name = name
+    self.zone = zone
+    self.published = []
+    self.peers = cut_peers.CutPeers(cluster.cuts, zone, name)
+    platform = cut_peers.CutPlatform(cluster.platform, cluster.cuts, zone)
+    self.task = config_task.ConfigTask(
+        platform,
+        self.peers,
+        name,
+        cluster.list_addresses,
+        self.published.append,
+        lambda: cluster.list_addresses(zone),
+    )
+
+  def start(self) -> None:
+    self.peers.start()
+
+  def stop(self) -> None:
+    self.task.stop()
+    self.peers.stop()
+
+  def generations(self) -> list[int]:
+    return [config.generation for config in self.published]
+
+
+class Cluster:
+  """Several entry hosts in three zones before one platform."""
+
+  def __init__(self, test: unittest.TestCase, per_zone: int):
+    self.test = test
+    self.platform = memory_platform.MemoryPlatform()
+    self.cuts = cut_peers.Cuts()
+    self.node_by_name = {}
+    for number in range(per_zone * len(ZONES)):
+      self.add(f'entry-{number}', ZONES[number % len(ZONES)])
+    for node in self.node_by_name.values():
+      node.task.start()
+
+  def add(self, name: str, zone: str) -> Node:
+    node = Node(self, name, zone)
+    node.start()
+    self.node_by_name[name] = node
+    self.test.addCleanup(node.stop)
+    return node
+
+  def list_addresses(self, zone: str = '') -> list[str]:
+    return [
+        node.peers.address
+        for node in list(self.node_by_name.values())
+        if not zone or node.zone == zone
+    ]
+
+  def apply(self, planned_on: int) -> None:
+    text = config_apply_test.make_text(40, version=str(planned_on))
+    config_apply.apply_config(self.platform, text, planned_on, 'ana')
+
+  def wait(self, check) -> None:
+    ends_at = time.monotonic() + WAIT_S
+    while not check():
+      if time.monotonic() > ends_at:
+        states = [
+            (n.name, n.task.generation, n.task.is_ready)
+            for n in self.node_by_name.values()
+        ]
+        self.test.fail(f'not in time: {states}')
+      time.sleep(0.02)
+
+  def wait_generation(self, generation: int, zone: str = '') -> None:
+    nodes = [
+        node
+        for node in self.node_by_name.values()
+        if not zone or node.zone == zone
+    ]
+    self.wait(lambda: all(n.task.generation == generation for n in nodes))
+
+  def wait_ready(self) -> None:
+    nodes = self.node_by_name.values()
+    self.wait(lambda: all(n.task.is_ready for n in nodes))
+
+
+class TestConfigTask(unittest.TestCase):
+
+  def assert_published_in_order(self, cluster: Cluster) -> None:
+    for node in cluster.node_by_name.values():
+      generations = node.generations()
+      self.assertEqual(generations, sorted(set(generations)), node.name)
+
+  def test_changes_reach_all_and_only_forward(self):
+    cluster = Cluster(self, 2)
+    cluster.wait_ready()
+    for planned_on in range(4):
+      cluster.apply(planned_on)
+    cluster.wait_generation(4)
+    self.assert_published_in_order(cluster)
+    for node in cluster.node_by_name.values():
+      config = node.published[-1]
+      self.assertEqual(config.model_by_name['small'].version, '3')
+      self.assertEqual(len(config.tenant_by_name), 40)
+
+  def test_a_fresh_process_learns_from_peers_while_the_platform_is_away(self):
+    cluster = Cluster(self, 2)
+    cluster.apply(0)
+    cluster.wait_generation(1)
+    cluster.wait_ready()
+    cluster.platform.set_away(True)
+    fresh = cluster.add('fresh', 'zone-a')
+    fresh.task.start()
+    cluster.wait(lambda: fresh.task.is_ready)
+    self.assertEqual(fresh.task.generation, 1)
+    self.assertEqual(fresh.generations(), [1])
+
+  def test_a_fresh_process_that_reaches_nobody_is_not_ready(self):
+    cluster = Cluster(self, 1)
+    cluster.wait_ready()
+    cluster.cuts.cut('zone-x')
+    fresh = cluster.add('fresh', 'zone-x')
+    fresh.task.start()
+    time.sleep(3 * config_task.START_GRACE_S)
+    self.assertFalse(fresh.task.is_ready)
+    cluster.cuts.heal('zone-x')
+    cluster.wait(lambda: fresh.task.is_ready)
+
+  def test_fresh_processes_do_not_talk_each_other_into_readiness(self):
+    cluster = Cluster(self, 0)
+    cluster.platform.set_away(True)
+    nodes = [cluster.add(f'fresh-{n}', 'zone-a') for n in range(3)]
+    for node in nodes:
+      node.task.start()
+    time.sleep(3 * config_task.START_GRACE_S)
+    self.assertFalse(any(node.task.is_ready for node in nodes))
+
+  def test_an_outage_right_after_acceptance_stops_nothing(self):
+    cluster = Cluster(self, 2)
+    cluster.wait_ready()
+    has_read = threading.Event()
+    first = cluster.node_by_name['entry-0']
+    publish = first.task._publish  # The first that adopts ends the reads.
+
+    def cut(config: records.Config) -> None:
+      cluster.platform.set_away(True)
+      has_read.set()
+      publish(config)
+
+    for node in cluster.node_by_name.values():
+      node.task._publish = cut
+    cluster.apply(0)
+    self.assertTrue(has_read.wait(WAIT_S))
+    cluster.wait_generation(1)
+
+  def test_a_zone_that_was_cut_off_catches_up_and_never_goes_back(self):
+    cluster = Cluster(self, 2)
+    cluster.wait_ready()
+    cluster.apply(0)
+    cluster.wait_generation(1)
+    cluster.cuts.cut('zone-b')
+    cluster.apply(1)
+    cluster.wait_generation(2, 'zone-a')
+    cluster.wait_generation(2, 'zone-c')
+    for node in cluster.node_by_name.values():
+      if node.zone == 'zone-b':
+        self.assertEqual(node.task.generation, 1)
+    cluster.cuts.heal('zone-b')
+    cluster.wait_generation(2)
+    self.assert_published_in_order(cluster)
+
+  def test_only_two_hosts_of_a_zone_watch(self):
+    cluster = Cluster(self, 4)
+    cluster.wait_ready()
+    for zone in ZONES:
+      watching = [
+          node.name
+          for node in cluster.node_by_name.values()
+          if node.zone == zone and node.task.counts().is_watching
+      ]
+      self.assertEqual(len(watching), 2)
--- a/mulberrypick/ops/config_watch.py
+++ b/mulberrypick/ops/config_watch.py
@@ -14,12 +14,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import config_parts
 from mulberrypick.core import errors
 from mulberrypick.ops import config_fetch
 
-_log = logging.getLogger(__name__)
+_logger = logging.getLogger(__name__)
 
 WATCH_TIMEOUT_S = 10.0
 IDLE_S = 0.5
@@ -88,7 +89,7 @@
     if is_elected == self.is_elected:
       return
     self.is_elected = is_elected
-    _log.info('config_watch', extra={'elected': is_elected})
+    logs.log_event(_logger, logging.INFO, 'config_watch', elected=is_elected)
     self._changed.set()
 
   def skip_first_read(self) -> None:
@@ -138,7 +139,7 @@
 
   def _take_newest(self, change: platform_lib.VersionedValue) -> None:
     if change.version == platform_lib.MISSING_VERSION:
-      _log.error('config_head_deleted')
+      logs.log_event(_logger, logging.ERROR, 'config_head_deleted')
       return
     self._take(change.value)
 
@@ -169,7 +170,9 @@
   def _pause(self, error: Exception) -> None:
     """Waits after a failure: growing, jittered, longer further down."""
     self._failures += 1
-    _log.info('config_platform_away', extra={'error': str(error)})
+    logs.log_event(
+        _logger, logging.INFO, 'config_platform_away', error=str(error)
+    )
     exponent = min(self._failures - 1, 10)
     pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2**exponent)
     if self._has_read:
--- /dev/null
+++ b/standins/cut_peers.py
@@ -0,0 +1,133 @@
+"""Entry hosts' messages with links that can be cut, and a cut platform.
+
+Wraps the real sockets, for tests and benches that put several zones into one
+process. A cut link loses both directions without a sign, as a partition does.
+"""
+
+import threading
+
+from mulberrypick.adapters import peers
+from mulberrypick.adapters import platform
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import errors
+from mulberrypick.core import records
+
+
+class Cuts:
+  """Which groups can't reach each other; shared by all wrappers."""
+
+  def __init__(self):
+    self._lock = threading.Lock()
+    self._cut = set()
+    self._group_by_address = {}
+    self._group_by_name = {}
+
+  def join(self, group: str, name: str, address: str) -> None:
+    """Notes the group of a host."""
+    with self._lock:
+      self._group_by_name[name] = group
+      self._group_by_address[address] = group
+
+  def cut(self, group: str) -> None:
+    """Cuts a group off from all others."""
+    with self._lock:
+      self._cut.add(group)
+
+  def heal(self, group: str) -> None:
+    """Ends the cut of a group."""
+    with self._lock:
+      self._cut.discard(group)
+
+  def is_cut(self, group: str, other: str | None) -> bool:
+    """Tells whether two groups can't reach each other."""
+    with self._lock:
+      return group != other and bool(self._cut & {group, other})
+
+  def is_address_cut(self, group: str, address: str) -> bool:
+    """Tells whether a group can't reach an address."""
+    return self.is_cut(group, self._group_by_address.get(address))
+
+  def is_name_cut(self, group: str, name: str) -> bool:
+    """Tells whether a group can't be reached by a host."""
+    return self.is_cut(group, self._group_by_name.get(name))
+
+
+class CutPeers(zmq_peers.ZmqPeers):
+  """Real sockets whose messages get lost while a link is cut."""
+
+  def __init__(self, cuts: Cuts, group: str, name: str, **kwargs):
+    super().__init__('127.0.0.1:0', name, **kwargs)
+    self._cuts = cuts
+    self._group = group
+    self._name = name
+
+  def start(self) -> None:
+    """Starts, and tells the cuts its address."""
+    super().start()
+    self._cuts.join(self._group, self._name, self.address)
+
+  def handle(self, kind: str, handler: peers.Handler) -> None:
+    """Registers a handler that hears nothing over a cut link."""
+
+    def take(sender: str, body: bytes) -> bytes | None:
+      if self._cuts.is_name_cut(self._group, sender):
+        return None
+      return handler(sender, body)
+
+    super().handle(kind, take)
+
+  def tell(self, peer_address: str, kind: str, body: bytes) -> None:
+    """Sends unless the link is cut."""
+    if not self._cuts.is_address_cut(self._group, peer_address):
+      super().tell(peer_address, kind, body)
+
+  def ask(
+      self, peer_address: str, kind: str, body: bytes, timeout_s: float
+  ) -> bytes | None:
+    """Asks unless the link is cut; then None after the timeout."""
+    if self._cuts.is_address_cut(self._group, peer_address):
+      threading.Event().wait(timeout_s)
+      return None
+    return super().ask(peer_address, kind, body, timeout_s)
+
+
+class CutPlatform(platform.Platform):
+  """A platform that a group can't reach while it is cut off."""
+
+  def __init__(self, inner: platform.Platform, cuts: Cuts, group: str):
+    self._inner = inner
+    self._cuts = cuts
+    self._group = group
+
+  def get(self, key: str) -> platform.VersionedValue | None:
+    """See `Platform.get`."""
+    return self._reach().get(key)
+
+  def put(self, key: str, value: bytes, expected_version: int) -> int:
+    """See `Platform.put`."""
+    return self._reach().put(key, value, expected_version)
+
+  def delete(self, key: str, expected_version: int) -> None:
+    """See `Platform.delete`."""
+    self._reach().delete(key, expected_version)
+
+  def list_objects(self, prefix: str) -> platform.Listing:
+    """See `Platform.list_objects`."""
+    return self._reach().list_objects(prefix)
+
+  def watch(
+      self, prefix: str, after_revision: int, timeout_s: float
+  ) -> platform.WatchBatch:
+    """See `Platform.watch`; a batch that arrives after a cut is lost."""
+    batch = self._reach().watch(prefix, after_revision, timeout_s)
+    self._reach()
+    return batch
+
+  def list_hosts(self) -> list[records.Host]:
+    """See `Platform.list_hosts`."""
+    return self._reach().list_hosts()
+
+  def _reach(self) -> platform.Platform:
+    if self._cuts.is_cut(self._group, None):
+      raise errors.PlatformUnavailableError('cut off')
+    return self._inner
