--- a/mulberrypick/adapters/logs.py
+++ b/mulberrypick/adapters/logs.py
@@ -42,6 +42,10 @@
     self._host = host
 
   def filter(self, record: logging.LogRecord) -> bool:
+    if not isinstance(record.msg, dict):
+      # A plain message, also of a library, is the event of its line.
+      record.msg = {'event': record.getMessage()}
+      record.args = None
     record.program = self._program
     record.host = self._host
     return True
--- a/mulberrypick/ops/http_exchange.py
+++ b/mulberrypick/ops/http_exchange.py
@@ -206,9 +206,7 @@
     a record as a list without names.
   """
   if isinstance(value, tuple) and hasattr(value, '_fields'):
-    return {
-        name: to_plain(field) for name, field in value._asdict().items()
-    }
+    return {name: to_plain(field) for name, field in value._asdict().items()}
   if isinstance(value, dict):
     return {key: to_plain(field) for key, field in value.items()}
   if isinstance(value, (list, tuple)):
--- a/mulberrypick/ops/plain_calls_test.py
+++ b/mulberrypick/ops/plain_calls_test.py
@@ -8,9 +8,14 @@
 import unittest
 from concurrent import futures
 
-from mulberrypick.adapters import memory_platform, peers, service
-from mulberrypick.core import claims, errors, records
-from mulberrypick.ops import claim_task, plain_calls
+from mulberrypick.adapters import memory_platform
+from mulberrypick.adapters import peers
+from mulberrypick.adapters import service
+from mulberrypick.core import claims
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.ops import claim_task
+from mulberrypick.ops import plain_calls
 
 BOOKING = records.Service('desk', 'plain', '', '', 'urgent', False, 3, 5.0)
 STOCK = BOOKING._replace(name='stock', is_repeatable=True)
