--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,209 @@
+"""The demo: a town of two zones keeps its word while parts of it fail.
+
+It starts the stand-ins and the product, applies a declaration, sends both
+kinds of work through both zones, crashes an engine in mid-stream, stops an
+entry host, checks every answer token by token and every booking by its
+executions, prints one table, and exits 0 only if nothing was cut and no
+booking ran twice.
+"""
+
+import concurrent.futures
+import pathlib
+import shutil
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+import click
+
+from standins import bookings
+from standins import load
+from standins import load_plan
+from standins import load_summary
+from standins import town
+
+ZONES = (1, 2)
+ENTRIES_PER_ZONE = 2
+ENGINES_PER_ZONE = 2
+SEED = 11
+PHASE_S = 12.0
+CRASH_AT_S = 4.0
+STOP_AT_S = 6.0
+BOOKINGS = 60
+BOOKINGS_PER_S = 6.0
+LOG_FOLDER = pathlib.Path('out/demo')
+EXAMPLE_MODEL = 'yard-talk'
+DECLARATION = pathlib.Path('examples/demo.json')
+
+CLASSES = [
+    load_plan.WorkClass(
+        'questions',
+        'dispatch-assistant',
+        'yard-talk',
+        tenant='drivers',
+        rank='urgent',
+        deadline_s=20.0,
+        first_token_s=0.48,
+        prompt_tokens=(20, 60),
+        output_tokens=(20, 60),
+    ),
+    load_plan.WorkClass(
+        'summaries',
+        'reading-guide',
+        'long-read',
+        tenant='circles',
+        rank='other',
+        deadline_s=40.0,
+        prompt_tokens=(400, 1200),
+        output_tokens=(60, 160),
+    ),
+]
+RATE_BY_CLASS = {'questions': 8.0, 'summaries': 3.0}
+
+
+class Outcome(NamedTuple):
+  """What the demo saw.
+
+  Attributes:
+    results: Of completions.
+    bookings: Of bookings.
+    faults: Bookings whose executions do not fit.
+    stop_status: Exit status of the entry that was stopped.
+  """
+
+  results: list[load_summary.Result]
+  bookings: list[bookings.BookingResult]
+  faults: list[bookings.BookingFault]
+  stop_status: int
+
+
+def start_town(log_folder: pathlib.Path) -> town.Town:
+  """Starts the town of the demo and applies its declaration."""
+  made = town.Town(log_folder, ())
+  try:
+    for zone in ZONES:
+      for number in range(ENGINES_PER_ZONE):
+        made.fleet.start_engine(
+            f'engine-{zone}-{number}',
+            zone,
+            '--models',
+            'yard-talk@1,long-read@1',
+        )
+      made.fleet.start_service(f'desk-{zone}', zone, 'booking-desk')
+    made.apply(DECLARATION.read_bytes())
+    for zone in ZONES:
+      for number in range(ENTRIES_PER_ZONE):
+        made.spawn_entry(f'entry-{zone}-{number}', zone, '--notice-s', '1')
+    made.wait_entries()
+  except BaseException:
+    made.fleet.stop()
+    raise
+  return made
+
+
+def run_scenario(made: town.Town) -> Outcome:
+  """Sends all work while an engine crashes and an entry stops."""
+  urls = made.list_urls()
+  stop_status = []
+
+  def fail_parts() -> None:
+    time.sleep(CRASH_AT_S)
+    engine = made.fleet.program_by_name['engine-1-0']
+    made.fleet.put_fault(engine, crash_after_tokens=5)
+    time.sleep(STOP_AT_S - CRASH_AT_S)
+    stop_status.append(made.stop_entry('entry-2-0'))
+
+  failing = threading.Thread(target=fail_parts)
+  failing.start()
+  with concurrent.futures.ThreadPoolExecutor(2) as pool:
+    booked = pool.submit(make_bookings, urls)
+    phases = [load_plan.Phase(PHASE_S, RATE_BY_CLASS)]
+    arrivals = load_plan.plan_arrivals(CLASSES, phases, SEED)
+    results = load.run_load(urls, arrivals)
+    made_bookings = booked.result()
+  failing.join()
+  counts = count_executions(made)
+  faults = bookings.check_bookings(made_bookings, counts)
+  return Outcome(results, made_bookings, faults, stop_status[0])
+
+
+def make_bookings(urls: list[str]) -> list[bookings.BookingResult]:
+  """Makes all bookings, every fifth one of them sent twice at once."""
+  client = bookings.BookingClient(urls)
+  with concurrent.futures.ThreadPoolExecutor(32) as pool:
+    futures = []
+    for number in range(BOOKINGS):
+      booking = bookings.Booking(
+          f'pickup-{number}', 'booking-desk', 'mills', '', b'{"bales": 4}'
+      )
+      futures.append(pool.submit(client.book, booking, number))
+      if number % 5 == 0:
+        futures.append(pool.submit(client.book, booking, number + 1))
+      time.sleep(1 / BOOKINGS_PER_S)
+    return [future.result() for future in futures]
+
+
+def count_executions(made: town.Town) -> dict[str, int]:
+  """Adds up the executions of each key over all desks."""
+  count_by_key: dict[str, int] = {}
+  for zone in ZONES:
+    desk = made.fleet.program_by_name[f'desk-{zone}']
+    counts = made.fleet.call(desk, 'GET', '/executions')['count_by_key']
+    for key, count in counts.items():
+      count_by_key[key] = count_by_key.get(key, 0) + count
+  return count_by_key
+
+
+def print_table(outcome: Outcome) -> None:
+  """Prints one line a rank, and one for the bookings."""
+  header = (
+      f'{"rank":10}{"requests":>9}{"whole":>7}{"cut":>5}{"wrong":>7}'
+      f'{"refused":>9}{"failed":>8}{"goodput/s":>11}'
+      f'{"p50 first":>11}{"p95 first":>11}'
+  )
+  click.echo(header)
+  for rank in ('urgent', 'other'):
+    results = [result for result in outcome.results if result.rank == rank]
+    summary = load_summary.summarize(results, PHASE_S)
+    count = summary.count_by_outcome
+    click.echo(
+        f'{rank:10}{summary.requests:9}{count.get("whole", 0):7}'
+        f'{count.get("cut", 0):5}{count.get("wrong", 0):7}'
+        f'{count.get("refused", 0):9}{count.get("failed", 0):8}'
+        f'{summary.goodput_per_s:11.2f}'
+        f'{summary.first_token.p50_s * 1000:8.0f} ms'
+        f'{summary.first_token.p95_s * 1000:8.0f} ms'
+    )
+  booked = [result for result in outcome.bookings if result.outcome == 'booked']
+  click.echo(
+      f'bookings: {len(outcome.bookings)} sent, {len(booked)} booked,'
+      f' {len(outcome.faults)} untrue or run twice;'
+      f' stopped entry exited with {outcome.stop_status}'
+  )
+  for fault in outcome.faults:
+    click.echo(f'  fault: {fault}')
+
+
+def is_good(outcome: Outcome) -> bool:
+  """Tells whether nothing was cut, wrong or run twice."""
+  bad = ('cut', 'wrong', 'failed')
+  if any(result.outcome in bad for result in outcome.results):
+    return False
+  return not outcome.faults and outcome.stop_status == 0
+
+
+def main() -> int:
+  """Runs the demo; returns 0 only if every promise was kept."""
+  started_at = time.monotonic()
+  shutil.rmtree(LOG_FOLDER, ignore_errors=True)
+  with start_town(LOG_FOLDER) as made:
+    outcome = run_scenario(made)
+  print_table(outcome)
+  verdict = 'kept' if is_good(outcome) else 'BROKEN'
+  click.echo(f'promises {verdict}, {time.monotonic() - started_at:.0f} s')
+  return 0 if is_good(outcome) else 1
+
+
+if __name__ == '__main__':
+  sys.exit(main())
