--- a/mulberrypick/ops/config_task_test.py
+++ b/mulberrypick/ops/config_task_test.py
@@ -184,6 +184,18 @@
     cluster.wait_generation(2)
     self.assert_published_in_order(cluster)
 
+  def test_digests_mend_what_a_cut_lost_while_the_platform_is_away(self):
+    cluster = Cluster(self, 2)
+    cluster.wait_ready()
+    cluster.cuts.cut('zone-b')
+    cluster.apply(0)
+    cluster.wait_generation(1, 'zone-a')
+    cluster.wait_generation(1, 'zone-c')
+    cluster.platform.set_away(True)
+    time.sleep(2 * config_task.DIGEST_INTERVAL_S)  # The news has been told.
+    cluster.cuts.heal('zone-b')
+    cluster.wait_generation(1)
+
   def test_only_two_hosts_of_a_zone_watch(self):
     cluster = Cluster(self, 4)
     cluster.wait_ready()
