--- a/mulberrypick/core/admission.py
+++ b/mulberrypick/core/admission.py
@@ -1,92 +1,16 @@
-"""Which request goes next, and which is told at once that it won't be served.
+"""The kinds of admission, by the names that the settings use.
 
-Requests wait here and not in the engines' queues, because an engine knows
-neither tenants nor reserves. First come, first served stays as the baseline.
+First come, first served is the plain baseline; `ranked_fair.py` is the
+product's.
 """
 
-import abc
 import collections
-from typing import NamedTuple
 
-from mulberrypick.core import errors, records
+from mulberrypick.core import errors, ranked_fair
+from mulberrypick.core import waiting as waiting_base
 
 
-class Waiting(NamedTuple):
-  """A request that waits for an endpoint.
-
-  Attributes:
-    request: The request.
-    next_index: First token wanted; above 0 for a resume.
-    failed_endpoints: Endpoints that it is kept away from.
-    cost_s: Predicted engine seconds.
-    queued_at: When it came to wait.
-    is_again: Whether it ran before; such a request is never refused here for
-      want of room.
-    fingerprint: Hash of its content.
-  """
-
-  request: records.InferenceRequest
-  next_index: int
-  failed_endpoints: tuple[str, ...]
-  cost_s: float
-  queued_at: float
-  is_again: bool
-  fingerprint: int
-
-
-class Refusal(NamedTuple):
-  """A waiting request that gets its final answer."""
-
-  waiting: Waiting
-  error: errors.RequestError
-
-
-class Admission(abc.ABC):
-  """The waiting requests of one entry host, in order of service."""
-
-  def configure(self, config: records.Config) -> None:  # noqa: B027
-    """Takes in a newer configuration."""
-
-  def set_capacity(self, queue: str, engines: float) -> None:  # noqa: B027
-    """Tells how many engines' worth of a queue's endpoints this host has."""
-
-  def see_peer_use(  # noqa: B027
-      self, used_by_tenant: dict[str, float]
-  ) -> None:
-    """Charges tenants with engine seconds that they used on other hosts."""
-
-  @abc.abstractmethod
-  def offer(
-      self, queue: str, waiting: Waiting, now: float
-  ) -> errors.RequestError | None:
-    """Takes a request in, or returns why it is refused."""
-
-  @abc.abstractmethod
-  def peek(self, queue: str, now: float) -> Waiting | None:
-    """Returns the request of a queue that goes next, or None."""
-
-  @abc.abstractmethod
-  def take(self, queue: str, now: float) -> Waiting | None:
-    """Removes and returns the request that `peek` returned."""
-
-  @abc.abstractmethod
-  def withdraw(self, request_id: str) -> Waiting | None:
-    """Removes a request whose caller left."""
-
-  @abc.abstractmethod
-  def expire(self, now: float) -> list[Refusal]:
-    """Removes requests that can't be served in time any more."""
-
-  @abc.abstractmethod
-  def queues(self) -> list[str]:
-    """Returns the names of the queues that hold requests."""
-
-  @abc.abstractmethod
-  def waiting_by_rank(self) -> dict[str, int]:
-    """Counts the waiting requests of each rank."""
-
-
-class FirstComeFirstServed(Admission):
+class FirstComeFirstServed(waiting_base.Admission):
   """One queue for each model, in order of arrival: the baseline."""
 
   def __init__(self, queue_limit: int = 1000):
@@ -145,7 +69,7 @@
     for waiting in late:
       self.withdraw(waiting.request.request_id)
       error = errors.DeadlineError('the deadline passed while it waited')
-      refusals.append(Refusal(waiting, error))
+      refusals.append(waiting_base.Refusal(waiting, error))
     return refusals
 
   def queues(self):
@@ -161,9 +85,12 @@
     return dict(counts)
 
 
-ADMISSION_BY_NAME = {'first-come': FirstComeFirstServed}
+ADMISSION_BY_NAME = {
+    'first-come': FirstComeFirstServed,
+    'ranked-fair': ranked_fair.RankedFairAdmission,
+}
 
 
-def make_admission(name: str) -> Admission:
+def make_admission(name: str) -> waiting_base.Admission:
   """Makes an admission by the name that the settings use."""
   return ADMISSION_BY_NAME[name]()
--- a/mulberrypick/core/cost.py
+++ b/mulberrypick/core/cost.py
@@ -71,6 +71,11 @@
     """Engine seconds in all."""
     return self.prefill_s + self.decode_s
 
+  @property
+  def stretch_s(self) -> float:
+    """Seconds of prefill for each output token."""
+    return self.prefill_s / self.output_tokens
+
 
 class StepLine:
   """Least squares of step time over batch size, forgetting old samples."""
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -3,57 +3,44 @@
 It answers each message with effects and keeps no clock, socket or thread, so
 that a test or a bench can drive it as fast as it likes. The task that owns it
 runs the effects. What may vary is behind `Router` and `Admission`; this module
-only keeps the books: who waits, what runs where, and which endpoints count.
+only keeps the books: who waits, what runs where, and who is told what.
 """
 
+import collections
 import random
 from typing import NamedTuple
 
 import xxhash
 
 from mulberrypick.core import (
-    admission,
+    cost,
     errors,
+    fleet,
     journal,
     load,
-    membership,
     messages,
     records,
     routing,
+    shares,
 )
+from mulberrypick.core import waiting as waiting_base
 
 PRIORITY_URGENT = 10
 PRIORITY_OTHER = 0
-PIECE_TOKENS = 16
 RETRY_AFTER_S = 2.0
-REFUSED_REST_S = 0.5
-UNREACHABLE_REST_S = 1.0
-FAILED_REST_S = 2.0
-LONGEST_REST_S = 15.0
+PART_EVERY_S = 1.0
+# Requests whose attempts are counted; one that is gone starts again at 1.
+NUMBERS_KEPT = 20000
 
 
 class Running(NamedTuple):
   """An attempt under way."""
 
-  waiting: admission.Waiting
+  waiting: waiting_base.Waiting
   queue: str
   attempt: records.Attempt
 
 
-class EndpointStatus(NamedTuple):
-  """One endpoint in the status page."""
-
-  name: str
-  zone: str
-  role: str
-  is_live: bool
-  in_flight: int
-  running: int
-  pieces_free: int
-  report_age_s: float
-  rest_s: float
-
-
 class DispatcherStatus(NamedTuple):
   """What `/status` shows of the dispatcher.
 
@@ -67,7 +54,7 @@
   """
 
   generation: int
-  endpoints: tuple[EndpointStatus, ...]
+  endpoints: tuple[fleet.EndpointStatus, ...]
   waiting_by_rank: dict[str, int]
   running: int
   refused_by_kind: dict[str, int]
@@ -81,8 +68,8 @@
 
 def fingerprint(request: records.InferenceRequest) -> int:
   """Returns the hash of what an endpoint is given to run."""
-  head = f'{request.model}|{request.adapter}|'
-  return xxhash.xxh64_intdigest((head + request.prompt).encode())
+  text = f'{request.model}|{request.adapter}|{request.prompt}'
+  return xxhash.xxh64_intdigest(text.encode())
 
 
 class Dispatcher:
@@ -93,20 +80,23 @@
       own_name: str,
       own_zone: str,
       router: routing.Router,
-      admission_policy: admission.Admission,
+      admission: waiting_base.Admission,
       seed: int = 1,
   ):
     self._own_name = own_name
     self._own_zone = own_zone
     self._router = router
-    self._admission = admission_policy
+    self._admission = admission
     self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
-    self._membership = membership.Membership()
-    self._load_by_endpoint: dict[str, load.EndpointLoad] = {}
-    self._loads_by_queue: dict[str, list[load.EndpointLoad]] = {}
+    self._strictest_s = 0.0
+    self._part_at = 0.0
+    self._fleet = fleet.Fleet()
+    self._cost = cost.CostModel()
     self._running_by_attempt: dict[str, Running] = {}
-    self._number_by_request: dict[str, int] = {}
+    self._number_by_request: collections.OrderedDict[str, int] = (
+        collections.OrderedDict()
+    )
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
     self._handler_by_type = {
@@ -141,60 +131,44 @@
 
   def peer_seen(self, now: float) -> messages.PeerSeen:
     """Returns what this host tells its peers, once a second or so."""
-    del now
-    cost_by_endpoint = {}
-    for name, known in self._load_by_endpoint.items():
-      if known.sent_by_attempt:
-        cost_by_endpoint[name] = round(known.cost_sent_s, 3)
+    digest = self._admission.digest(now)
     return messages.PeerSeen(
-        self._own_name, cost_by_endpoint, {}, (), self._membership.leaving()
+        self._own_name,
+        self._fleet.cost_by_endpoint(),
+        digest.used_by_tenant,
+        (),
+        self._fleet.leaving(),
+        digest.used_by_rank,
+        digest.waiting_by_rank,
     )
 
   def snapshot(self, now: float) -> DispatcherStatus:
     """Returns the state for the status page."""
-    endpoints = []
-    for name in sorted(self._load_by_endpoint):
-      endpoints.append(self._endpoint_status(name, now))
     return DispatcherStatus(
         self._config.generation,
-        tuple(endpoints),
+        self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
         len(self._running_by_attempt),
         dict(self._refused_by_kind),
         0,
     )
 
-  def _endpoint_status(self, name: str, now: float) -> EndpointStatus:
-    known = self._load_by_endpoint[name]
-    report = known.report
-    return EndpointStatus(
-        name,
-        known.zone,
-        report.role if report else '',
-        self._membership.is_live(name),
-        known.in_flight,
-        report.running if report else 0,
-        report.pieces_free if report else 0,
-        round(now - known.report_at, 3) if report else -1.0,
-        round(max(0.0, known.rest_until - now), 3),
-    )
-
   def _submit(self, message, now):
     request = message.request
     if request.deadline_at <= now:
       error = errors.DeadlineError('the deadline has passed')
       return [self._refuse(request.request_id, error)]
     queue = queue_name(request.model, request.adapter)
-    if not self._loads_by_queue.get(queue):
+    if not self._fleet.pool(queue).all:
       error = errors.UnavailableError(
           f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
       )
       return [self._refuse(request.request_id, error)]
-    waiting = admission.Waiting(
+    waiting = waiting_base.Waiting(
         request,
         message.next_index,
         message.failed_endpoints,
-        0.0,
+        self._cost.cost(queue, request, message.next_index),
         now,
         bool(message.next_index or message.failed_endpoints),
         fingerprint(request),
@@ -212,14 +186,13 @@
     return []
 
   def _first_token(self, message, now):
-    del now
     running = self._running_by_attempt.get(message.attempt_id)
     if running is None:
       return []
-    known = self._load_by_endpoint.get(running.attempt.endpoint)
+    known = self._fleet.endpoint(running.attempt.endpoint)
     if known is not None:
       known.see_first_token(message.attempt_id)
-    return []
+    return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
     running = self._running_by_attempt.pop(message.attempt_id, None)
@@ -230,104 +203,72 @@
         f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
         f' tokens={message.tokens}',
     )
-    known = self._load_by_endpoint.get(message.endpoint)
+    known = self._fleet.endpoint(message.endpoint)
     if known is not None:
-      known.remove(message.attempt_id)
-      self._rest_after(known, message.outcome, now)
+      known.remove(message.attempt_id, now)
+    self._fleet.rest_after(message.endpoint, message.outcome, now)
+    if message.outcome == messages.OUTCOME_WHOLE:
+      tokens = running.waiting.next_index + message.tokens
+      self._cost.see_output(running.waiting.request, tokens)
     if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
       self._number_by_request.pop(message.request_id, None)
     return self._pump(running.queue, now)
 
-  def _rest_after(self, known: load.EndpointLoad, outcome: str, now: float):
-    """Keeps new work from an endpoint for a while after a bad outcome."""
-    if outcome == messages.OUTCOME_WHOLE:
-      known.failures = 0
-    elif outcome == messages.OUTCOME_REFUSED:
-      known.rest(now + REFUSED_REST_S)
-    elif outcome == messages.OUTCOME_UNREACHABLE:
-      known.failures += 1
-      rest_s = UNREACHABLE_REST_S * 2.0 ** min(known.failures - 1, 4)
-      known.rest(now + min(LONGEST_REST_S, rest_s))
-    elif outcome == messages.OUTCOME_FAILED:
-      known.rest(now + FAILED_REST_S)
-
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
+    self._strictest_s = _strictest_between(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
   def _hosts_seen(self, message, now):
-    self._membership.see_hosts(message.hosts)
-    self._rebuild()
+    self._fleet.see_hosts(message.hosts)
+    self._set_capacities()
     return self._pump_all(now)
 
   def _report_seen(self, message, now):
-    report = message.report
-    known = self._load_by_endpoint.get(report.endpoint)
-    if known is None:
-      return []
-    before = known.report
-    if not known.see_report(report, now):
+    if not self._fleet.see_report(message.report, now):
       return []
-    if before is None or _offers(before) != _offers(report):
-      self._rebuild()
+    self._cost.see_report(message.report)
+    self._set_capacities()
     effects = []
-    for queue in report.models:
+    for queue in message.report.models:
       effects += self._pump(queue, now)
     return effects
 
   def _peer_seen(self, message, now):
-    for name in message.leaving:
-      host, _, incarnation = name.rpartition('/')
-      self._membership.see_leaving(host, int(incarnation))
-    if message.leaving:
-      self._rebuild()
-    for name, known in self._load_by_endpoint.items():
-      cost_s = message.in_flight_by_endpoint.get(name, 0.0)
-      known.peer_cost_by_peer[message.peer] = cost_s
-    self._admission.see_peer_use(message.used_by_tenant)
+    self._fleet.see_leaving(message.leaving)
+    self._fleet.see_peer_load(message.peer, message.in_flight_by_endpoint, now)
+    digest = shares.Digest(
+        message.used_by_tenant, message.used_by_rank, message.waiting_by_rank
+    )
+    self._admission.see_peer(message.peer, digest, now)
     return self._pump_all(now)
 
   def _tick(self, message, now):
     del message
+    self._part(now)
     effects = []
     for refusal in self._admission.expire(now):
       request_id = refusal.waiting.request.request_id
       effects.append(self._refuse(request_id, refusal.error))
     return effects + self._pump_all(now)
 
-  def _rebuild(self) -> None:
-    """Works out anew which endpoints may run what."""
-    for name in self._membership.names():
-      host = self._membership.host(name)
-      if host.kind != records.HOST_ENGINE:
-        continue
-      known = self._load_by_endpoint.get(name)
-      if known is None or known.incarnation < host.incarnation:
-        self._load_by_endpoint[name] = load.EndpointLoad(host)
-      elif known.address != host.address:
-        known.address = host.address
-    self._loads_by_queue = {}
-    for name in list(self._load_by_endpoint):
-      self._rebuild_one(name)
-
-  def _rebuild_one(self, name: str) -> None:
-    known = self._load_by_endpoint[name]
-    if self._membership.host(name) is None:
-      if not known.sent_by_attempt:
-        del self._load_by_endpoint[name]
-      return
-    report = known.report
-    if report is None or report.is_draining:
-      return
-    if report.role == records.ROLE_PREFILL:
-      return
-    if not self._membership.is_live(name):
+  def _set_capacities(self) -> None:
+    entries = self._fleet.entry_count()
+    for queue, engines in self._fleet.engines_by_queue().items():
+      self._admission.set_capacity(queue, engines / entries)
+
+  def _part(self, now: float) -> None:
+    """Sizes the quiet part of each queue, once a second."""
+    if now < self._part_at:
       return
-    for queue in report.models:
-      self._loads_by_queue.setdefault(queue, []).append(known)
+    self._part_at = now + PART_EVERY_S
+    for queue in self._fleet.engines_by_queue():
+      demand = self._admission.demand(queue, now)
+      if demand is not None:
+        self._fleet.part(queue, demand)
 
   def _pump_all(self, now: float) -> list[messages.Effect]:
     effects = []
@@ -349,62 +290,70 @@
       effects.append(self._start(queue, waiting, chosen, now))
 
   def _choose(
-      self, queue: str, waiting: admission.Waiting, now: float
+      self, queue: str, waiting: waiting_base.Waiting, now: float
   ) -> load.EndpointLoad | None:
-    candidates = self._loads_by_queue.get(queue)
-    if not candidates:
+    pool = self._fleet.pool(queue)
+    if not pool.all:
       return None
+    ask = self._make_ask(queue, waiting, now)
+    chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
+    if chosen is None and ask.excluded:
+      # Better an endpoint that refused it before than none at all.
+      ask = ask._replace(excluded=())
+      chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
+    return chosen
+
+  def _make_ask(
+      self, queue: str, waiting: waiting_base.Waiting, now: float
+  ) -> routing.Ask:
     request = waiting.request
     rank = self._config.rank_by_name.get(request.rank)
-    ask = routing.Ask(
+    return routing.Ask(
         rank is not None and rank.is_urgent,
         request.prompt_tokens + waiting.next_index,
-        max(1, request.max_tokens - waiting.next_index),
+        waiting.cost.output_tokens,
+        waiting.cost.pieces,
         rank.between_tokens_s if rank is not None else 0.0,
+        self._strictest_s,
+        waiting.cost.stretch_s,
+        self._cost.speeds(queue),
+        self._admission.room(queue, waiting, now),
         (),
         waiting.failed_endpoints,
     )
-    chosen = self._router.pick(ask, candidates, self._own_zone, now, self._rng)
-    if chosen is None and ask.excluded:
-      # Better an endpoint that refused it before than none at all.
-      ask = ask._replace(excluded=())
-      chosen = self._router.pick(
-          ask, candidates, self._own_zone, now, self._rng
-      )
-    return chosen
+
+  def _is_urgent(self, request: records.InferenceRequest) -> bool:
+    rank = self._config.rank_by_name.get(request.rank)
+    return rank is not None and rank.is_urgent
 
   def _start(
       self,
       queue: str,
-      waiting: admission.Waiting,
+      waiting: waiting_base.Waiting,
       chosen: load.EndpointLoad,
       now: float,
   ) -> messages.Start:
     request = waiting.request
-    number = self._number_by_request.get(request.request_id, 0) + 1
-    self._number_by_request[request.request_id] = number
-    rank = self._config.rank_by_name.get(request.rank)
-    is_urgent = rank is not None and rank.is_urgent
+    is_urgent = self._is_urgent(request)
     attempt = records.Attempt(
-        f'{request.request_id}/{number}',
+        f'{request.request_id}/{self._next_number(request.request_id)}',
         chosen.name,
         chosen.address,
         waiting.next_index,
         PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
     )
-    tokens = request.prompt_tokens + request.max_tokens
     sent = load.Sent(
         attempt.attempt_id,
-        request.request_id,
-        waiting.cost_s,
+        is_urgent,
+        waiting.cost.engine_s,
         request.prompt_tokens + waiting.next_index,
-        -(-tokens // PIECE_TOKENS),
+        waiting.cost.pieces,
+        waiting.cost.stretch_s,
         now,
     )
     chosen.add(sent)
-    self._running_by_attempt[attempt.attempt_id] = Running(
-        waiting, queue, attempt
-    )
+    running = Running(waiting, queue, attempt)
+    self._running_by_attempt[attempt.attempt_id] = running
     self._journal.note(
         request.request_id,
         f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
@@ -412,6 +361,13 @@
     )
     return messages.Start(request.request_id, attempt, None)
 
+  def _next_number(self, request_id: str) -> int:
+    number = self._number_by_request.get(request_id, 0) + 1
+    self._number_by_request[request_id] = number
+    if len(self._number_by_request) > NUMBERS_KEPT:
+      self._number_by_request.popitem(last=False)
+    return number
+
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
@@ -426,6 +382,10 @@
     return messages.Refuse(request_id, error)
 
 
-def _offers(report: records.EngineReport) -> tuple:
-  """Returns the parts of a report that decide where it is a candidate."""
-  return report.models, report.role, report.is_draining
+def _strictest_between(config: records.Config) -> float:
+  """Returns the strictest target of the time between tokens, 0 for none."""
+  targets = []
+  for rank in config.rank_by_name.values():
+    if rank.between_tokens_s > 0.0:
+      targets.append(rank.between_tokens_s)
+  return min(targets, default=0.0)
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -10,6 +10,8 @@
     records,
     routing,
 )
+from mulberrypick.core import cost as cost_model
+from mulberrypick.core import waiting as waiting_base
 
 URGENT = records.Rank('urgent', True, 0.5, 0.05, 5.0, 0.3)
 OTHER = records.Rank('other', False, 2.0, 0.2, 30.0, 0.3)
@@ -196,7 +198,10 @@
 
   def test_first_come_refuses_when_the_queue_is_full(self):
     queue = admission.FirstComeFirstServed(queue_limit=1)
-    waiting = admission.Waiting(make_request('r1'), 0, (), 0.0, 0.0, False, 1)
+    cost = cost_model.Cost(1, 0.1, 0.1, 0.1, 1)
+    waiting = waiting_base.Waiting(
+        make_request('r1'), 0, (), cost, 0.0, False, 1
+    )
     self.assertIsNone(queue.offer('m', waiting, 0.0))
     other = waiting._replace(request=make_request('r2'))
     error = queue.offer('m', other, 0.0)
--- /dev/null
+++ b/mulberrypick/core/fleet.py
@@ -0,0 +1,228 @@
+"""The endpoints that may run requests, by the model that they hold.
+
+It joins the membership of hosts with the load reports. The lists of candidates
+are rebuilt only when a host or what it offers changes, so that a decision
+never walks over the fleet.
+"""
+
+from typing import NamedTuple
+
+from mulberrypick.core import load, membership, messages, partition, records
+
+REFUSED_REST_S = 0.5
+UNREACHABLE_REST_S = 1.0
+FAILED_REST_S = 2.0
+LONGEST_REST_S = 15.0
+LONGEST_DOUBLING = 4
+
+
+class EndpointStatus(NamedTuple):
+  """One endpoint in the status page.
+
+  Attributes:
+    name: Name of the endpoint.
+    zone: Availability zone.
+    role: Role that it reported last, or empty.
+    is_live: Whether it may get new work.
+    in_flight: Own attempts under way there.
+    running: Sequences that it reported.
+    pieces_free: Free pieces of KV memory that it reported.
+    report_age_s: Age of that report, below 0 for none.
+    rest_s: Seconds for which it still gets no new work.
+  """
+
+  name: str
+  zone: str
+  role: str
+  is_live: bool
+  in_flight: int
+  running: int
+  pieces_free: int
+  report_age_s: float
+  rest_s: float
+
+
+EMPTY_POOL = load.Pool([], [], [])
+
+
+class Fleet:
+  """Endpoints, their loads, and who may get new work."""
+
+  def __init__(self):
+    self._membership = membership.Membership()
+    self._load_by_endpoint: dict[str, load.EndpointLoad] = {}
+    self._pool_by_queue: dict[str, load.Pool] = {}
+    self._quiet_count_by_queue: dict[str, int] = {}
+    self._prefillers_by_queue: dict[str, list[load.EndpointLoad]] = {}
+
+  def endpoint(self, name: str) -> load.EndpointLoad | None:
+    """Returns the load of an endpoint."""
+    return self._load_by_endpoint.get(name)
+
+  def pool(self, queue: str) -> load.Pool:
+    """Returns the live endpoints that generate for a queue."""
+    return self._pool_by_queue.get(queue, EMPTY_POOL)
+
+  def prefillers(self, queue: str) -> list[load.EndpointLoad]:
+    """Returns the live endpoints that only prefill for a queue."""
+    return self._prefillers_by_queue.get(queue, [])
+
+  def engines_by_queue(self) -> dict[str, int]:
+    """Counts the live endpoints of each queue."""
+    counts = {}
+    for queue, pool in self._pool_by_queue.items():
+      counts[queue] = len(pool.all) + len(self.prefillers(queue))
+    return counts
+
+  def part(self, queue: str, demand: partition.Demand) -> int:
+    """Parts a queue's endpoints by the demand; returns the quiet ones."""
+    pool = self.pool(queue)
+    present = self._quiet_count_by_queue.get(queue, 0)
+    count = partition.size(len(pool.all), demand, present)
+    if count != present:
+      self._quiet_count_by_queue[queue] = count
+      self._pool_by_queue[queue] = self._make_pool(queue, pool.all)
+    return count
+
+  def entry_count(self) -> int:
+    """Returns the number of live entry hosts, at least 1."""
+    return self._membership.entry_count()
+
+  def see_hosts(self, hosts: tuple[records.Host, ...]) -> None:
+    """Takes in a list of hosts."""
+    self._membership.see_hosts(hosts)
+    for name in self._membership.names():
+      host = self._membership.host(name)
+      if host.kind == records.HOST_ENGINE:
+        self._see_engine(host)
+    self._rebuild()
+
+  def _see_engine(self, host: records.Host) -> None:
+    known = self._load_by_endpoint.get(host.name)
+    if known is None or known.incarnation < host.incarnation:
+      self._load_by_endpoint[host.name] = load.EndpointLoad(host)
+    elif known.address != host.address:
+      known.address = host.address
+
+  def see_leaving(self, leaving: tuple[str, ...]) -> None:
+    """Takes in endpoints that a peer saw leaving, `name/incarnation`."""
+    is_news = False
+    for item in leaving:
+      name, _, incarnation = item.rpartition('/')
+      was_live = self._membership.is_live(name)
+      self._membership.see_leaving(name, int(incarnation))
+      is_news = is_news or was_live != self._membership.is_live(name)
+    if is_news:
+      self._rebuild()
+
+  def leaving(self) -> tuple[str, ...]:
+    """Returns the endpoints known to leave, for the peers."""
+    return self._membership.leaving()
+
+  def see_report(self, report: records.EngineReport, now: float) -> bool:
+    """Takes in a load report; tells whether it was news."""
+    known = self._load_by_endpoint.get(report.endpoint)
+    if known is None:
+      return False
+    before = known.report
+    if not known.see_report(report, now):
+      return False
+    if before is None or _offers(before) != _offers(report):
+      self._rebuild()
+    return True
+
+  def see_peer_load(
+      self, peer: str, cost_by_endpoint: dict[str, float], now: float
+  ) -> None:
+    """Takes in the engine seconds that a peer has under way."""
+    for name, known in self._load_by_endpoint.items():
+      cost_s = cost_by_endpoint.get(name, 0.0)
+      known.see_peer(peer, cost_s, now)
+
+  def cost_by_endpoint(self) -> dict[str, float]:
+    """Returns the engine seconds that this host has under way."""
+    cost_by_endpoint = {}
+    for name, known in self._load_by_endpoint.items():
+      if known.sent_by_attempt:
+        cost_by_endpoint[name] = round(known.cost_sent_s, 3)
+    return cost_by_endpoint
+
+  def rest_after(self, name: str, outcome: str, now: float) -> None:
+    """Keeps new work from an endpoint for a while after a bad outcome."""
+    known = self._load_by_endpoint.get(name)
+    if known is None:
+      return
+    if outcome == messages.OUTCOME_WHOLE:
+      known.failures = 0
+    elif outcome == messages.OUTCOME_REFUSED:
+      known.rest(now + REFUSED_REST_S)
+    elif outcome == messages.OUTCOME_UNREACHABLE:
+      doubling = min(known.failures, LONGEST_DOUBLING)
+      known.failures += 1
+      rest_s = min(LONGEST_REST_S, UNREACHABLE_REST_S * 2.0**doubling)
+      known.rest(now + rest_s)
+    elif outcome == messages.OUTCOME_FAILED:
+      known.rest(now + FAILED_REST_S)
+
+  def statuses(self, now: float) -> tuple[EndpointStatus, ...]:
+    """Returns the endpoints for the status page."""
+    statuses = []
+    for name in sorted(self._load_by_endpoint):
+      statuses.append(self._status(name, now))
+    return tuple(statuses)
+
+  def _status(self, name: str, now: float) -> EndpointStatus:
+    known = self._load_by_endpoint[name]
+    report = known.report
+    return EndpointStatus(
+        name,
+        known.zone,
+        report.role if report else '',
+        self._membership.is_live(name),
+        known.in_flight,
+        report.running if report else 0,
+        report.pieces_free if report else 0,
+        round(now - known.report_at, 3) if report else -1.0,
+        round(max(0.0, known.rest_until - now), 3),
+    )
+
+  def _rebuild(self) -> None:
+    generators_by_queue: dict[str, list[load.EndpointLoad]] = {}
+    self._prefillers_by_queue = {}
+    for name in list(self._load_by_endpoint):
+      known = self._load_by_endpoint[name]
+      if self._membership.host(name) is None and not known.sent_by_attempt:
+        del self._load_by_endpoint[name]
+        continue
+      if not self._is_candidate(known):
+        continue
+      by_queue = generators_by_queue
+      if known.report.role == records.ROLE_PREFILL:
+        by_queue = self._prefillers_by_queue
+      for queue in known.report.models:
+        by_queue.setdefault(queue, []).append(known)
+    self._pool_by_queue = {}
+    for queue, loads in generators_by_queue.items():
+      self._pool_by_queue[queue] = self._make_pool(queue, loads)
+
+  def _is_candidate(self, known: load.EndpointLoad) -> bool:
+    report = known.report
+    if report is None or report.is_draining:
+      return False
+    return self._membership.is_live(known.name)
+
+  def _make_pool(self, queue: str, loads: list[load.EndpointLoad]) -> load.Pool:
+    """Parts the endpoints of a queue into quiet ones and others."""
+    count = self._quiet_count_by_queue.get(queue, 0)
+    ordered = partition.order({known.name: known.zone for known in loads})
+    names = partition.quiet_names(ordered, count)
+    quiet = [known for known in loads if known.name in names]
+    bulk = [known for known in loads if known.name not in names]
+    for known in loads:
+      known.is_quiet = known.name in names
+    return load.Pool(loads, quiet, bulk)
+
+
+def _offers(report: records.EngineReport) -> tuple:
+  """Returns the parts of a report that decide where it is a candidate."""
+  return report.models, report.role, report.is_draining
--- a/mulberrypick/core/load.py
+++ b/mulberrypick/core/load.py
@@ -1,35 +1,78 @@
 """What an entry host knows of the load of each endpoint.
 
 A report says how an engine stood some time ago; what this host sent since then
-is known exactly, and what its peers sent is known from their digests. The
-three are kept apart here, so that a router can weigh each by its age.
+is known exactly, and what its peers have under way is known from their
+digests. From a report the part of this host at that time is taken off, so that
+what remains is the load of others, which fades with the age of the report.
 """
 
+import collections
+import math
 from typing import NamedTuple
 
 from mulberrypick.core import records
 
+# Ended attempts that a late report may still show.
+ENDED_KEPT = 64
+# Age of a report at which the load of others counts for 1/e of it.
+FADE_S = 4.0
+# Peers that were silent for longer have nothing under way.
+PEER_FRESH_S = 5.0
+
 
 class Sent(NamedTuple):
   """Work that this host has under way on an endpoint.
 
   Attributes:
     attempt_id: The attempt.
-    request_id: The request.
+    is_urgent: Whether its rank is urgent.
     cost_s: Predicted engine seconds of the whole attempt.
     prefill_tokens: Prompt tokens that have to be computed.
     pieces: Pieces of KV memory that it will hold.
+    stretch_s: Seconds of prefill for each of its output tokens.
     sent_at: When it was sent.
   """
 
   attempt_id: str
-  request_id: str
+  is_urgent: bool
   cost_s: float
   prefill_tokens: int
   pieces: int
+  stretch_s: float
   sent_at: float
 
 
+class Others(NamedTuple):
+  """The load that others put on an endpoint, as estimated.
+
+  Attributes:
+    prefill_tokens: Prompt tokens that wait for prefill.
+    running: Sequences that decode.
+    pieces: Pieces of KV memory that are taken.
+  """
+
+  prefill_tokens: float
+  running: float
+  pieces: float
+
+
+NO_OTHERS = Others(0.0, 0.0, 0.0)
+
+
+class Pool(NamedTuple):
+  """The endpoints that may generate for a queue.
+
+  Attributes:
+    all: All of them.
+    quiet: Those that are kept free of long prompts.
+    bulk: The others.
+  """
+
+  all: list['EndpointLoad']
+  quiet: list['EndpointLoad']
+  bulk: list['EndpointLoad']
+
+
 class EndpointLoad:
   """The load of one endpoint, as this host knows it.
 
@@ -42,8 +85,12 @@
     report_at: When the reported figures were true.
     sent_by_attempt: Own attempts under way.
     prefill_by_attempt: Prefill tokens of those without a first token yet.
+    prefill_sent: Sum of those.
+    urgent_prefill_sent: Their part of urgent ranks.
     pieces_sent: Sum of the pieces of own attempts.
-    peer_cost_by_peer: Engine seconds that each peer has under way here.
+    stretch_sent_s: Sum of the stretches of own attempts.
+    cost_sent_s: Sum of the engine seconds of own attempts.
+    is_quiet: Whether it is kept free of long prompts.
     rest_until: No new work before this time, after a failure or refusal.
     failures: Failures in a row.
   """
@@ -58,11 +105,16 @@
       'sent_by_attempt',
       'prefill_by_attempt',
       'prefill_sent',
+      'urgent_prefill_sent',
       'pieces_sent',
+      'stretch_sent_s',
       'cost_sent_s',
-      'peer_cost_by_peer',
+      'is_quiet',
       'rest_until',
       'failures',
+      '_others',
+      '_ended',
+      '_told_by_peer',
   )
 
   def __init__(self, host: records.Host):
@@ -75,11 +127,21 @@
     self.sent_by_attempt: dict[str, Sent] = {}
     self.prefill_by_attempt: dict[str, int] = {}
     self.prefill_sent = 0
+    self.urgent_prefill_sent = 0
     self.pieces_sent = 0
+    self.stretch_sent_s = 0.0
     self.cost_sent_s = 0.0
-    self.peer_cost_by_peer: dict[str, float] = {}
+    self.is_quiet = False
     self.rest_until = 0.0
     self.failures = 0
+    self._others = NO_OTHERS
+    self._ended: collections.deque = collections.deque(maxlen=ENDED_KEPT)
+    self._told_by_peer: dict[str, tuple[float, float]] = {}
+
+  @property
+  def in_flight(self) -> int:
+    """Own attempts under way."""
+    return len(self.sent_by_attempt)
 
   def see_report(self, report: records.EngineReport, now: float) -> bool:
     """Takes in a report unless it is older than the one held."""
@@ -91,35 +153,95 @@
     self.incarnation = report.incarnation
     self.report = report
     self.report_at = true_at
+    self._others = self._find_others(report, true_at)
     return True
 
+  def see_peer(self, peer: str, cost_s: float, now: float) -> None:
+    """Takes in the engine seconds that a peer has under way here."""
+    if cost_s > 0.0:
+      self._told_by_peer[peer] = (cost_s, now)
+    else:
+      self._told_by_peer.pop(peer, None)
+
+  def others(self, now: float) -> Others:
+    """Returns the load of others, faded by the age of the report."""
+    age_s = now - self.report_at
+    if age_s <= 0.0:
+      return self._others
+    kept = math.exp(-age_s / FADE_S)
+    running = self._others.running * kept
+    if self._told_by_peer:
+      running += (1.0 - kept) * self._running_at_peers(now)
+    return Others(
+        self._others.prefill_tokens * kept,
+        running,
+        self._others.pieces * kept,
+    )
+
   def add(self, sent: Sent) -> None:
     """Counts an attempt that was sent here."""
     self.sent_by_attempt[sent.attempt_id] = sent
     self.prefill_by_attempt[sent.attempt_id] = sent.prefill_tokens
     self.prefill_sent += sent.prefill_tokens
+    if sent.is_urgent:
+      self.urgent_prefill_sent += sent.prefill_tokens
     self.pieces_sent += sent.pieces
+    self.stretch_sent_s += sent.stretch_s
     self.cost_sent_s += sent.cost_s
 
   def see_first_token(self, attempt_id: str) -> None:
     """Notes that the prefill of an attempt is over."""
-    self.prefill_sent -= self.prefill_by_attempt.pop(attempt_id, 0)
+    tokens = self.prefill_by_attempt.pop(attempt_id, 0)
+    self.prefill_sent -= tokens
+    if tokens and self.sent_by_attempt[attempt_id].is_urgent:
+      self.urgent_prefill_sent -= tokens
 
-  def remove(self, attempt_id: str) -> Sent | None:
+  def remove(self, attempt_id: str, now: float) -> Sent | None:
     """Forgets an attempt that ended."""
-    self.see_first_token(attempt_id)
-    sent = self.sent_by_attempt.pop(attempt_id, None)
+    sent = self.sent_by_attempt.get(attempt_id)
     if sent is None:
       return None
+    is_prefilled = attempt_id not in self.prefill_by_attempt
+    self.see_first_token(attempt_id)
+    del self.sent_by_attempt[attempt_id]
     self.pieces_sent -= sent.pieces
+    self.stretch_sent_s -= sent.stretch_s
     self.cost_sent_s -= sent.cost_s
+    self._ended.append((sent, is_prefilled, now))
     return sent
 
   def rest(self, until: float) -> None:
     """Keeps new work away until a time."""
     self.rest_until = max(self.rest_until, until)
 
-  @property
-  def in_flight(self) -> int:
-    """Own attempts under way."""
-    return len(self.sent_by_attempt)
+  def _running_at_peers(self, now: float) -> float:
+    """Estimates the sequences of peers from their engine seconds."""
+    cost_s = 0.0
+    for told_s, told_at in self._told_by_peer.values():
+      if now - told_at <= PEER_FRESH_S:
+        cost_s += told_s
+    if not self.sent_by_attempt or self.cost_sent_s <= 0.0:
+      return 0.0
+    return cost_s * self.in_flight / self.cost_sent_s
+
+  def _find_others(
+      self, report: records.EngineReport, true_at: float
+  ) -> Others:
+    """Takes the own part off a report, as it was when the report was true."""
+    prefill, running, pieces = report.waiting_tokens, report.running, 0
+    for sent in self.sent_by_attempt.values():
+      if sent.sent_at > true_at:
+        continue
+      pieces += sent.pieces
+      if sent.attempt_id in self.prefill_by_attempt:
+        prefill -= sent.prefill_tokens
+      else:
+        running -= 1
+    for sent, is_prefilled, ended_at in self._ended:
+      if sent.sent_at > true_at or ended_at <= true_at:
+        continue
+      pieces += sent.pieces
+      if is_prefilled:
+        running -= 1
+    taken = report.pieces_total - report.pieces_free - pieces
+    return Others(max(0, prefill), max(0, running), max(0, taken))
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -93,6 +93,10 @@
     used_by_tenant: Engine seconds that each tenant used there, decayed.
     quarantined: Fingerprints of requests that crash endpoints.
     leaving: Endpoints that it has seen leaving, `name/incarnation`.
+    used_by_rank: Engine seconds that each rank used there, decayed.
+    waiting_by_rank: For each rank that waits there, the lowest use over share
+      of a waiting tenant.
+    suspects: Fingerprints of requests that ran on an endpoint that crashed.
   """
 
   peer: str
@@ -100,6 +104,9 @@
   used_by_tenant: dict[str, float]
   quarantined: tuple[int, ...]
   leaving: tuple[str, ...]
+  used_by_rank: dict[str, float] = {}
+  waiting_by_rank: dict[str, float] = {}
+  suspects: tuple[int, ...] = ()
 
 
 class Tick(NamedTuple):
--- /dev/null
+++ b/mulberrypick/core/ranked_fair.py
@@ -0,0 +1,471 @@
+"""Admission by rank, reserve and share.
+
+Urgent ranks go first, but a rank whose part of the fleet is below its reserve
+goes before them. Inside a rank the tenant goes next that used least of its
+share, counted over the whole fleet (see `shares.py`). A request is refused on
+arrival when its predicted wait is too long, and is told a time to come back
+that was booked for it: those that come back then are let in first.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+
+from mulberrypick.core import (
+    drain_rate,
+    errors,
+    partition,
+    records,
+    shares,
+)
+from mulberrypick.core import waiting as waiting_base
+
+# A tenant that the configuration does not know gets this share.
+LEAST_SHARE = 0.001
+# The wait may use up this part of the target for the first token.
+WAIT_PART = 0.7
+# A wait below this part of the target is never too long.
+LEAST_WAIT_PART = 0.25
+# A request that waited this many times its limit is refused after all.
+PATIENCE = 1.6
+# Predicted times are uncertain: only refuse what is late by this margin.
+RUN_OPTIMISM = 0.7
+# Part of a tenant's rate that may be booked by those told to come back.
+BOOKED_PART = 0.8
+LONGEST_RETRY_S = 300.0
+SHORTEST_RETRY_S = 0.2
+BOOKINGS_KEPT = 20000
+REQUESTS_LIMIT = 5000
+# A digest of a peer older than this no longer holds work back.
+FRESH_S = 2.5
+# Parts of an endpoint's room that work may fill.
+ROOM_FIRST = 1.0
+ROOM_OTHER = 0.85
+ROOM_DEFERRED = 0.6
+# Work is deferred to a peer's when its tenant used this many times more.
+DEFER_RATIO = 1.25
+
+
+class _TenantLine:
+  """The waiting requests of one tenant in one rank."""
+
+  __slots__ = ('waiting_by_request', 'cost_s', 'weight', 'rate')
+
+  def __init__(self, weight: float):
+    self.rate = drain_rate.DrainRate()
+    self.waiting_by_request = collections.OrderedDict()
+    self.cost_s = 0.0
+    self.weight = weight
+
+
+class _RankLine:
+  """The waiting requests of one rank, by tenant."""
+
+  def __init__(self, use: shares.FleetUse):
+    self._use = use
+    self._heap: list[tuple[float, int, str]] = []
+    self._epoch = use.epoch
+    self._ticket = itertools.count()
+    self.line_by_tenant: dict[str, _TenantLine] = {}
+    self.cost_s = 0.0
+    self.weight = 0.0
+    self.count = 0
+
+  def add(self, waiting, weight: float, is_first: bool) -> None:
+    tenant = waiting.request.tenant
+    line = self.line_by_tenant.get(tenant)
+    if line is None:
+      line = self.line_by_tenant[tenant] = _TenantLine(weight)
+      self.weight += weight
+      self._push(tenant)
+    line.waiting_by_request[waiting.request.request_id] = waiting
+    if is_first:
+      line.waiting_by_request.move_to_end(
+          waiting.request.request_id, last=False
+      )
+    line.cost_s += waiting.cost.engine_s
+    self.cost_s += waiting.cost.engine_s
+    self.count += 1
+
+  def remove(self, tenant: str, request_id: str):
+    line = self.line_by_tenant[tenant]
+    waiting = line.waiting_by_request.pop(request_id)
+    line.cost_s -= waiting.cost.engine_s
+    self.cost_s -= waiting.cost.engine_s
+    self.count -= 1
+    if not line.waiting_by_request:
+      # Its heap entry goes when it comes to the top.
+      del self.line_by_tenant[tenant]
+      self.weight -= line.weight
+    return waiting
+
+  def next_tenant(self) -> str | None:
+    """Returns the waiting tenant that used least of its share."""
+    if self._epoch != self._use.epoch:
+      self._rebuild()
+    while self._heap:
+      key, _, tenant = self._heap[0]
+      line = self.line_by_tenant.get(tenant)
+      if line is None:
+        heapq.heappop(self._heap)
+        continue
+      current = self.key(tenant)
+      if current <= key * (1.0 + 1e-9):
+        return tenant
+      heapq.heapreplace(self._heap, (current, next(self._ticket), tenant))
+    return None
+
+  def key(self, tenant: str) -> float:
+    """Returns the use of a waiting tenant over its share."""
+    weight = self.line_by_tenant[tenant].weight
+    return self._use.tenant_amount(tenant) / weight
+
+  def _push(self, tenant: str) -> None:
+    entry = (self.key(tenant), next(self._ticket), tenant)
+    heapq.heappush(self._heap, entry)
+
+  def _rebuild(self) -> None:
+    self._epoch = self._use.epoch
+    self._heap = []
+    for tenant in self.line_by_tenant:
+      self._push(tenant)
+
+
+class _Queue:
+  """All that waits for one model."""
+
+  def __init__(self):
+    self.line_by_rank: dict[str, _RankLine] = {}
+    self.rate = drain_rate.DrainRate()
+
+  def count(self) -> int:
+    return sum(line.count for line in self.line_by_rank.values())
+
+
+class RankedFairAdmission(waiting_base.Admission):
+  """Ranks with reserves, tenants by share, refusals at once."""
+
+  def __init__(self, seed: int = 1):
+    self._rng = random.Random(seed)
+    self._config = records.EMPTY_CONFIG
+    self._use = shares.FleetUse()
+    self._queue_by_name: dict[str, _Queue] = {}
+    self._place_by_request: dict[str, tuple[str, str, str]] = {}
+    self._late_heap: list[tuple[float, int, str]] = []
+    self._late_at_by_request: dict[str, float] = {}
+    self._ticket = itertools.count()
+    self._booked_until: dict[tuple[str, str, str], float] = {}
+    self._slot_by_booking: collections.OrderedDict = collections.OrderedDict()
+
+  def configure(self, config):
+    """Takes in a newer configuration; see `Admission.configure`."""
+    self._config = config
+
+  def set_capacity(self, queue, engines):
+    """Takes in how many engines there are; see `Admission.set_capacity`."""
+    self._queue(queue).rate.set_prior(engines)
+
+  def see_peer(self, peer, digest, now):
+    """Takes in a peer's digest; see `Admission.see_peer`."""
+    self._use.see_peer(peer, digest, now)
+
+  def digest(self, now):
+    """Returns the use to tell peers; see `Admission.digest`."""
+    least_by_rank: dict[str, float] = {}
+    for queue in self._queue_by_name.values():
+      for rank, line in queue.line_by_rank.items():
+        tenant = line.next_tenant()
+        if tenant is None:
+          continue
+        least = least_by_rank.get(rank, math.inf)
+        least_by_rank[rank] = min(least, line.key(tenant))
+    return self._use.digest(least_by_rank, now)
+
+  def offer(self, queue, waiting, now):
+    """Takes a request in, or refuses it; see `Admission.offer`."""
+    request = waiting.request
+    if request.request_id in self._place_by_request:
+      self.withdraw(request.request_id)
+    is_booked = self._use_booking(queue, waiting, now)
+    if not waiting.is_again:
+      error = self._find_refusal(queue, waiting, is_booked, now)
+      if error is not None:
+        return error
+    held = self._queue(queue)
+    if not held.count():
+      held.rate.start_busy(now)
+    line = self._line(queue, request.rank)
+    is_first = is_booked or waiting.is_again
+    line.add(waiting, self._share(request.tenant), is_first)
+    line_of_tenant = line.line_by_tenant[request.tenant]
+    if len(line_of_tenant.waiting_by_request) == 1:
+      line_of_tenant.rate.start_busy(now)
+    place = (queue, request.rank, request.tenant)
+    self._place_by_request[request.request_id] = place
+    self._plan_expiry(waiting, now)
+    return None
+
+  def peek(self, queue, now):
+    """Returns the request that goes next; see `Admission.peek`."""
+    held = self._queue_by_name.get(queue)
+    if held is None:
+      return None
+    rank = self._next_rank(held)
+    if rank is None:
+      return None
+    line = held.line_by_rank[rank]
+    tenant = line.next_tenant()
+    line_of_tenant = line.line_by_tenant[tenant]
+    return next(iter(line_of_tenant.waiting_by_request.values()))
+
+  def take(self, queue, now):
+    """Removes the request that goes next; see `Admission.take`."""
+    waiting = self.peek(queue, now)
+    if waiting is None:
+      return None
+    request = waiting.request
+    cost_s = waiting.cost.engine_s
+    line = self._line(queue, request.rank)
+    line.line_by_tenant[request.tenant].rate.drained(cost_s, now)
+    self.withdraw(request.request_id)
+    self._use.charge(request.tenant, request.rank, cost_s, now)
+    held = self._queue_by_name[queue]
+    held.rate.drained(cost_s, now)
+    if not held.count():
+      held.rate.end_busy(now)
+    return waiting
+
+  def demand(self, queue, now):
+    """Returns the fleet's demand; see `Admission.demand`."""
+    urgent, other, reserve = 0.0, 0.0, 0.0
+    for rank in self._config.rank_by_name.values():
+      used = self._use.rank_per_s(rank.name, now)
+      if rank.is_urgent:
+        urgent += used
+        continue
+      other += used
+      reserve += rank.reserve
+    return partition.Demand(urgent, other, reserve)
+
+  def room(self, queue, waiting, now):
+    """Returns the part of an endpoint it may fill; see `Admission.room`."""
+    rank = self._config.rank_by_name.get(waiting.request.rank)
+    if rank is None:
+      return ROOM_OTHER
+    held = self._queue_by_name[queue]
+    if rank.is_urgent or self._is_below_reserve(rank.name):
+      room = ROOM_FIRST
+    else:
+      room = ROOM_OTHER
+      if self._is_more_urgent_at_peers(now):
+        return ROOM_DEFERRED
+    least = self._use.least_waiting(rank.name, now, FRESH_S)
+    own = held.line_by_rank[rank.name].key(waiting.request.tenant)
+    if own > least * DEFER_RATIO:
+      return ROOM_DEFERRED
+    return room
+
+  def withdraw(self, request_id):
+    """Removes a request; see `Admission.withdraw`."""
+    place = self._place_by_request.pop(request_id, None)
+    if place is None:
+      return None
+    self._late_at_by_request.pop(request_id, None)
+    queue, rank, tenant = place
+    held = self._queue_by_name[queue]
+    return held.line_by_rank[rank].remove(tenant, request_id)
+
+  def expire(self, now):
+    """Removes what can't be served in time; see `Admission.expire`."""
+    refusals = []
+    while self._late_heap and self._late_heap[0][0] <= now:
+      late_at, _, request_id = heapq.heappop(self._late_heap)
+      if self._late_at_by_request.get(request_id) != late_at:
+        continue
+      queue, _, _ = self._place_by_request[request_id]
+      waiting = self.withdraw(request_id)
+      held = self._queue_by_name[queue]
+      if not held.count():
+        held.rate.end_busy(now)
+      retry_s = self._book(queue, waiting, 0.0, now)
+      error = errors.OverloadedError(
+          'it waited longer than predicted', retry_after_s=retry_s
+      )
+      refusals.append(waiting_base.Refusal(waiting, error))
+    return refusals
+
+  def queues(self):
+    """Returns the queues that hold requests."""
+    names = []
+    for name, queue in self._queue_by_name.items():
+      if queue.count():
+        names.append(name)
+    return names
+
+  def waiting_by_rank(self):
+    """Counts the waiting requests of each rank."""
+    counts = collections.Counter()
+    for queue in self._queue_by_name.values():
+      for rank, line in queue.line_by_rank.items():
+        if line.count:
+          counts[rank] += line.count
+    return dict(counts)
+
+  def predict_wait(self, queue: str, waiting: waiting_base.Waiting) -> float:
+    """Returns the predicted wait of a newcomer, in seconds."""
+    request = waiting.request
+    held = self._queue(queue)
+    line = self._line(queue, request.rank)
+    if not line.count:
+      return 0.0
+    rate = self._rank_rate(held, request.rank)
+    own = line.line_by_tenant.get(request.tenant)
+    if own is None:
+      return 0.0
+    own.rate.set_prior(rate * own.weight / max(own.weight, line.weight))
+    return own.cost_s / own.rate.per_s()
+
+  def _find_refusal(self, queue, waiting, is_booked, now):
+    request = waiting.request
+    if self._queue(queue).count() >= REQUESTS_LIMIT:
+      retry_s = self._book(queue, waiting, 0.0, now)
+      return errors.OverloadedError('the queue is full', retry_after_s=retry_s)
+    left_s = request.deadline_at - now
+    run_s = waiting.cost.run_s * RUN_OPTIMISM
+    if run_s > left_s:
+      return errors.DeadlineError(
+          f'it would run for {run_s:.1f} s and has {left_s:.1f} s'
+      )
+    if is_booked:
+      return None
+    wait_s = self.predict_wait(queue, waiting)
+    limit_s = self._wait_limit(waiting)
+    if wait_s <= min(limit_s, left_s - run_s):
+      return None
+    excess_s = wait_s - min(limit_s, left_s - run_s)
+    retry_s = self._book(queue, waiting, excess_s, now)
+    message = f'the wait of {wait_s:.1f} s is over {limit_s:.1f} s'
+    if wait_s > limit_s:
+      return errors.OverloadedError(message, retry_after_s=retry_s)
+    message = f'the wait of {wait_s:.1f} s leaves no time to run'
+    return errors.DeadlineError(message, retry_after_s=retry_s)
+
+  def _wait_limit(self, waiting: waiting_base.Waiting) -> float:
+    rank = self._config.rank_by_name.get(waiting.request.rank)
+    target_s = rank.first_token_s if rank is not None else 1.0
+    limit_s = WAIT_PART * target_s - waiting.cost.prefill_s
+    return max(LEAST_WAIT_PART * target_s, limit_s)
+
+  def _plan_expiry(self, waiting: waiting_base.Waiting, now: float) -> None:
+    request = waiting.request
+    late_at = request.deadline_at - waiting.cost.run_s * RUN_OPTIMISM
+    if not waiting.is_again:
+      late_at = min(late_at, now + PATIENCE * self._wait_limit(waiting))
+    late_at = max(late_at, now)
+    self._late_at_by_request[request.request_id] = late_at
+    entry = (late_at, next(self._ticket), request.request_id)
+    heapq.heappush(self._late_heap, entry)
+
+  def _book(self, queue, waiting, excess_s: float, now: float) -> float:
+    """Books a time to come back and returns the seconds until then."""
+    request = waiting.request
+    rate = self._tenant_rate(queue, request) * BOOKED_PART
+    key = (queue, request.rank, request.tenant)
+    start_at = max(now + excess_s, self._booked_until.get(key, 0.0))
+    slot_at = start_at + waiting.cost.engine_s / rate
+    if slot_at - now > LONGEST_RETRY_S:
+      return LONGEST_RETRY_S * self._rng.uniform(0.75, 1.25)
+    self._booked_until[key] = slot_at
+    booking = (request.tenant, waiting.fingerprint)
+    self._slot_by_booking[booking] = slot_at
+    if len(self._slot_by_booking) > BOOKINGS_KEPT:
+      self._slot_by_booking.popitem(last=False)
+      self._forget_booked(now)
+    retry_s = slot_at - now + SHORTEST_RETRY_S * self._rng.uniform(0.5, 1.5)
+    return max(SHORTEST_RETRY_S, retry_s)
+
+  def _tenant_rate(self, queue, request) -> float:
+    line = self._line(queue, request.rank)
+    own = line.line_by_tenant.get(request.tenant)
+    if own is not None:
+      return own.rate.per_s()
+    weight = self._share(request.tenant)
+    rate = self._rank_rate(self._queue(queue), request.rank)
+    return rate * weight / max(weight, line.weight + weight)
+
+  def _forget_booked(self, now: float) -> None:
+    for key in list(self._booked_until):
+      if self._booked_until[key] < now:
+        del self._booked_until[key]
+
+  def _use_booking(self, queue, waiting, now: float) -> bool:
+    booking = (waiting.request.tenant, waiting.fingerprint)
+    slot_at = self._slot_by_booking.get(booking)
+    if slot_at is None or now < slot_at:
+      return False
+    del self._slot_by_booking[booking]
+    return True
+
+  def _next_rank(self, held: _Queue) -> str | None:
+    """Picks the rank that goes next: short of its reserve, else urgent."""
+    best = None
+    best_order = None
+    for name, line in held.line_by_rank.items():
+      if not line.count:
+        continue
+      rank = self._config.rank_by_name.get(name)
+      is_urgent = rank is not None and rank.is_urgent
+      is_short = not is_urgent and self._is_below_reserve(name)
+      order = (not is_short, not is_urgent)
+      if best is None or order < best_order:
+        best, best_order = name, order
+    return best
+
+  def _is_below_reserve(self, name: str) -> bool:
+    rank = self._config.rank_by_name.get(name)
+    return rank is not None and self._use.rank_part(name) < rank.reserve
+
+  def _is_more_urgent_at_peers(self, now: float) -> bool:
+    for rank in self._config.rank_by_name.values():
+      if not rank.is_urgent:
+        continue
+      if self._use.least_waiting(rank.name, now, FRESH_S) < math.inf:
+        return True
+    return False
+
+  def _rank_rate(self, held: _Queue, name: str) -> float:
+    """Returns the engine seconds a second that a rank gets here."""
+    rank = self._config.rank_by_name.get(name)
+    part = 1.0
+    for other in self._config.rank_by_name.values():
+      if other.name == name:
+        continue
+      line = held.line_by_rank.get(other.name)
+      if rank is not None and rank.is_urgent:
+        if line is not None and line.count:
+          part -= min(other.reserve, self._use.rank_part(other.name) + 0.05)
+      elif other.is_urgent:
+        part -= self._use.rank_part(other.name)
+    reserve = rank.reserve if rank is not None else 0.0
+    return held.rate.per_s() * max(part, reserve, 0.05)
+
+  def _share(self, tenant: str) -> float:
+    known = self._config.tenant_by_name.get(tenant)
+    if known is None:
+      return LEAST_SHARE
+    return max(LEAST_SHARE, known.share)
+
+  def _queue(self, name: str) -> _Queue:
+    queue = self._queue_by_name.get(name)
+    if queue is None:
+      queue = self._queue_by_name[name] = _Queue()
+    return queue
+
+  def _line(self, queue: str, rank: str) -> _RankLine:
+    line_by_rank = self._queue(queue).line_by_rank
+    line = line_by_rank.get(rank)
+    if line is None:
+      line = line_by_rank[rank] = _RankLine(self._use)
+    return line
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -9,7 +9,7 @@
 import random
 from typing import NamedTuple
 
-from mulberrypick.core import load
+from mulberrypick.core import cost, load
 
 
 class Ask(NamedTuple):
@@ -19,7 +19,12 @@
     is_urgent: Whether its rank is urgent.
     prompt_tokens: Prompt tokens, with those of a resumed answer.
     output_tokens: Expected output tokens.
-    between_tokens_s: Target of the time between two tokens.
+    pieces: Pieces of KV memory that it will hold.
+    between_tokens_s: Target of the time between two tokens, or 0.
+    strictest_s: Strictest such target of all ranks, or 0.
+    stretch_s: Seconds of prefill for each of its output tokens.
+    speeds: Speeds of the engines.
+    room: Part of an endpoint's room that it may fill, 0 to 1.
     blocks: Hashes of the prompt's blocks, chained; may be empty.
     excluded: Names of endpoints that must not run it.
   """
@@ -27,7 +32,12 @@
   is_urgent: bool
   prompt_tokens: int
   output_tokens: int
+  pieces: int
   between_tokens_s: float
+  strictest_s: float
+  stretch_s: float
+  speeds: cost.Speeds
+  room: float
   blocks: tuple[int, ...]
   excluded: tuple[str, ...]
 
@@ -44,7 +54,7 @@
   def pick(
       self,
       ask: Ask,
-      candidates: list[load.EndpointLoad],
+      pool: load.Pool,
       own_zone: str,
       now: float,
       rng: random.Random,
@@ -53,7 +63,7 @@
 
     Args:
       ask: What the request needs.
-      candidates: Live endpoints that hold the model; never empty.
+      pool: Live endpoints that hold the model; never empty.
       own_zone: Zone of this host.
       now: Monotonic time.
       rng: The dispatcher's seeded source.
@@ -69,9 +79,10 @@
   def __init__(self):
     self._turn = 0
 
-  def pick(self, ask, candidates, own_zone, now, rng):
+  def pick(self, ask, pool, own_zone, now, rng):
     """Returns the next endpoint in turn; see `Router.pick`."""
     del own_zone, rng
+    candidates = pool.all
     for _ in candidates:
       self._turn += 1
       candidate = candidates[self._turn % len(candidates)]
@@ -83,9 +94,10 @@
 class LeastInFlightRouter(Router):
   """Takes the endpoint with the fewest own attempts under way."""
 
-  def pick(self, ask, candidates, own_zone, now, rng):
+  def pick(self, ask, pool, own_zone, now, rng):
     """Returns the least used endpoint; see `Router.pick`."""
     del own_zone
+    candidates = pool.all
     start = rng.randrange(len(candidates))
     best = None
     for offset in range(len(candidates)):
@@ -97,9 +109,120 @@
     return best
 
 
+# Candidates that are drawn at random for one decision.
+SAMPLE = 4
+# More of them are tried before a request is left to wait.
+SAMPLE_MOST = 12
+# Prefill that may stand before a request on an endpoint, in seconds.
+AHEAD_S = 0.25
+# Time that another zone costs, with the way there and back.
+OTHER_ZONE_S = 0.004
+# Part of the target between tokens that is planned to be used.
+BETWEEN_PART = 0.85
+# A batch may always grow to this many, whatever the targets say.
+LEAST_BATCH = 2.0
+# A prompt that prefills for longer than this stretches others' answers.
+LONG_PREFILL_S = 0.08
+
+
+class PredictedTimeRouter(Router):
+  """Takes the endpoint where the answer is predicted to be whole first.
+
+  It looks at a few candidates drawn at random, so that hosts with the same
+  late reports don't all run to the same endpoint. An endpoint has room while
+  the prefill before the request, the time between tokens and the KV memory
+  stay in bounds. Long prompts stay off the quiet endpoints.
+  """
+
+  def pick(self, ask, pool, own_zone, now, rng):
+    """Returns the endpoint with the least predicted time, or None."""
+    prefill_s = ask.prompt_tokens / ask.speeds.prefill_tokens_per_s
+    if ask.is_urgent and pool.quiet:
+      best = self._pick_from(ask, pool.quiet, own_zone, now, rng)
+      if best is not None:
+        return best
+      return self._pick_from(ask, pool.bulk, own_zone, now, rng)
+    if prefill_s > LONG_PREFILL_S and pool.bulk:
+      return self._pick_from(ask, pool.bulk, own_zone, now, rng)
+    return self._pick_from(ask, pool.all, own_zone, now, rng)
+
+  def _pick_from(self, ask, candidates, own_zone, now, rng):
+    best, best_s = None, 0.0
+    tries = min(SAMPLE_MOST, len(candidates))
+    for number, candidate in enumerate(rng.sample(candidates, tries)):
+      if number >= SAMPLE and best is not None:
+        break
+      if not is_usable(candidate, ask, now):
+        continue
+      time_s = self._predict(ask, candidate, now)
+      if time_s is None:
+        continue
+      if candidate.zone != own_zone:
+        time_s += OTHER_ZONE_S
+      if best is None or time_s < best_s:
+        best, best_s = candidate, time_s
+    return best
+
+  def _predict(
+      self, ask: Ask, candidate: load.EndpointLoad, now: float
+  ) -> float | None:
+    """Predicts the time to the whole answer, or None for want of room."""
+    speeds = ask.speeds
+    others = candidate.others(now)
+    prefill_tokens = others.prefill_tokens + candidate.prefill_sent
+    running = candidate.in_flight + others.running
+    running += others.prefill_tokens / max(1, ask.prompt_tokens)
+    between_s = _predict_between(ask, candidate, running)
+    if not _is_on_target(ask, candidate, running, between_s):
+      return None
+    taken = candidate.pieces_sent + others.pieces + ask.pieces
+    total = candidate.report.pieces_total
+    if taken > total * ask.room and running >= 1.0:
+      return None
+    ahead = prefill_tokens
+    if ask.is_urgent:
+      # The engine takes urgent prompts before others.
+      ahead = candidate.urgent_prefill_sent
+    ahead_s = ahead / speeds.prefill_tokens_per_s
+    if ahead_s > AHEAD_S * ask.room:
+      return None
+    tokens = ahead + ask.prompt_tokens
+    return tokens / speeds.prefill_tokens_per_s + ask.output_tokens * between_s
+
+
+def _predict_between(
+    ask: Ask, candidate: load.EndpointLoad, running: float
+) -> float:
+  """Predicts the mean time between tokens with the request in the batch.
+
+  In the long run each sequence of the batch brings its prefill once for all
+  of its output tokens, so that the prefill of all of them stretches a step by
+  the sum of their seconds for each output token.
+  """
+  stretch_s = candidate.stretch_sent_s + ask.stretch_s
+  unknown = running - candidate.in_flight
+  if unknown > 0.0:
+    mean_s = stretch_s / (candidate.in_flight + 1)
+    stretch_s += unknown * mean_s
+  return ask.speeds.step_s(running + 1.0) + stretch_s
+
+
+def _is_on_target(
+    ask: Ask, candidate: load.EndpointLoad, running: float, between_s: float
+) -> bool:
+  """Tells whether the batch may grow by the request."""
+  if running + 1.0 <= LEAST_BATCH:
+    return True
+  target_s = ask.strictest_s if candidate.is_quiet else ask.between_tokens_s
+  if target_s <= 0.0:
+    return True
+  return between_s <= target_s * BETWEEN_PART * ask.room
+
+
 ROUTER_BY_NAME = {
     'round-robin': RoundRobinRouter,
     'least-in-flight': LeastInFlightRouter,
+    'predicted-time': PredictedTimeRouter,
 }
 
 
--- /dev/null
+++ b/mulberrypick/core/shares.py
@@ -0,0 +1,185 @@
+"""What each tenant and each rank used of the whole fleet, lately.
+
+Every entry host charges what it starts and tells its peers the decayed sums
+once a second, so that a limit holds over the fleet and not per host. The sums
+are kept by forward decay: a charge is multiplied by a factor that grows with
+time, and old charges fade against new ones without being touched. A peer that
+is gone or cut off fades in the same way.
+"""
+
+import math
+from typing import NamedTuple
+
+# Seconds after which a charge counts for 1/e.
+DECAY_S = 10.0
+# The growing factor is brought back to 1 before it loses precision.
+REBASE_S = 300.0
+# Sums below this many engine seconds are forgotten.
+LEAST_USE_S = 0.005
+TENANTS_TOLD = 128
+
+
+class Digest(NamedTuple):
+  """What one host tells of its use; all in engine seconds.
+
+  Attributes:
+    used_by_tenant: Decayed use of each tenant here.
+    used_by_rank: Decayed use of each rank here.
+    waiting_by_rank: For each rank that waits here, the lowest use over share
+      of a waiting tenant.
+  """
+
+  used_by_tenant: dict[str, float]
+  used_by_rank: dict[str, float]
+  waiting_by_rank: dict[str, float]
+
+
+class _Ledger:
+  """Decayed sums by name: own ones, each peer's, and the total of all."""
+
+  def __init__(self):
+    self.own_by_name: dict[str, float] = {}
+    self.told_by_peer: dict[str, dict[str, float]] = {}
+    self.total_by_name: dict[str, float] = {}
+
+  def charge(self, name: str, amount: float) -> None:
+    self.own_by_name[name] = self.own_by_name.get(name, 0.0) + amount
+    self.total_by_name[name] = self.total_by_name.get(name, 0.0) + amount
+
+  def see_peer(self, peer: str, amount_by_name: dict[str, float]) -> None:
+    old_by_name = self.told_by_peer.get(peer, {})
+    for name, amount in old_by_name.items():
+      if name not in amount_by_name:
+        # It fell out of the peer's bounded digest, and fades by itself.
+        amount_by_name[name] = amount
+    for name, amount in amount_by_name.items():
+      change = amount - old_by_name.get(name, 0.0)
+      total = self.total_by_name.get(name, 0.0) + change
+      self.total_by_name[name] = max(0.0, total)
+    self.told_by_peer[peer] = amount_by_name
+
+  def rescale(self, factor: float) -> None:
+    self.own_by_name = _rescaled(self.own_by_name, factor)
+    self.total_by_name = _rescaled(self.total_by_name, factor)
+    for peer in list(self.told_by_peer):
+      told = _rescaled(self.told_by_peer[peer], factor)
+      self.told_by_peer[peer] = told
+      if not told:
+        del self.told_by_peer[peer]
+
+
+def _rescaled(by_name: dict[str, float], factor: float) -> dict[str, float]:
+  kept = {}
+  for name, amount in by_name.items():
+    if amount * factor >= LEAST_USE_S:
+      kept[name] = amount * factor
+  return kept
+
+
+class FleetUse:
+  """Decayed use over the fleet, in amounts that only compare to each other.
+
+  Attributes:
+    epoch: Grows when all amounts were rescaled and stored ones are void.
+  """
+
+  def __init__(self):
+    self.epoch = 0
+    self._base_at: float | None = None
+    self._by_tenant = _Ledger()
+    self._by_rank = _Ledger()
+    self._waiting_by_rank_by_peer: dict[str, dict[str, float]] = {}
+    self._told_at_by_peer: dict[str, float] = {}
+
+  def charge(self, tenant: str, rank: str, used_s: float, now: float) -> None:
+    """Charges engine seconds that start here."""
+    amount = used_s * self._factor(now)
+    self._by_tenant.charge(tenant, amount)
+    self._by_rank.charge(rank, amount)
+
+  def see_peer(self, peer: str, digest: Digest, now: float) -> None:
+    """Takes in what a peer tells."""
+    factor = self._factor(now)
+    self._by_tenant.see_peer(peer, _scaled(digest.used_by_tenant, factor))
+    self._by_rank.see_peer(peer, _scaled(digest.used_by_rank, factor))
+    waiting = _scaled(digest.waiting_by_rank, factor)
+    self._waiting_by_rank_by_peer[peer] = waiting
+    self._told_at_by_peer[peer] = now
+
+  def tenant_amount(self, tenant: str) -> float:
+    """Returns what a tenant used over the fleet, for comparing."""
+    return self._by_tenant.total_by_name.get(tenant, 0.0)
+
+  def rank_part(self, rank: str) -> float:
+    """Returns the part of all lately used engine time that a rank had."""
+    total = sum(self._by_rank.total_by_name.values())
+    if total <= 0.0:
+      return 0.0
+    return self._by_rank.total_by_name.get(rank, 0.0) / total
+
+  def rank_per_s(self, rank: str, now: float) -> float:
+    """Returns the engine seconds a second that a rank lately used."""
+    amount = self._by_rank.total_by_name.get(rank, 0.0)
+    return amount / self._factor(now) / DECAY_S
+
+  def least_waiting(self, rank: str, now: float, fresh_s: float) -> float:
+    """Returns the lowest use over share that waits for a rank at peers.
+
+    Args:
+      rank: Name of the rank.
+      now: Monotonic time.
+      fresh_s: Peers that were silent for longer don't count.
+
+    Returns:
+      The amount, or infinity if nothing waits at a peer.
+    """
+    least = math.inf
+    for peer, waiting_by_rank in self._waiting_by_rank_by_peer.items():
+      if now - self._told_at_by_peer[peer] > fresh_s:
+        continue
+      least = min(least, waiting_by_rank.get(rank, math.inf))
+    return least
+
+  def digest(
+      self, waiting_amount_by_rank: dict[str, float], now: float
+  ) -> Digest:
+    """Returns what this host tells its peers."""
+    factor = self._factor(now)
+    self._forget_silent(now)
+    own = self._by_tenant.own_by_name
+    names = sorted(own, key=own.get, reverse=True)[:TENANTS_TOLD]
+    used_by_tenant = {}
+    for name in names:
+      used_s = round(own[name] / factor, 3)
+      if used_s >= LEAST_USE_S:
+        used_by_tenant[name] = used_s
+    return Digest(
+        used_by_tenant,
+        _scaled(self._by_rank.own_by_name, 1.0 / factor),
+        _scaled(waiting_amount_by_rank, 1.0 / factor),
+    )
+
+  def _forget_silent(self, now: float) -> None:
+    for peer in list(self._told_at_by_peer):
+      if now - self._told_at_by_peer[peer] > REBASE_S:
+        del self._told_at_by_peer[peer]
+        del self._waiting_by_rank_by_peer[peer]
+
+  def _factor(self, now: float) -> float:
+    if self._base_at is None:
+      self._base_at = now
+    if now - self._base_at > REBASE_S:
+      shrink = math.exp((self._base_at - now) / DECAY_S)
+      self._by_tenant.rescale(shrink)
+      self._by_rank.rescale(shrink)
+      self._waiting_by_rank_by_peer = {
+          peer: _scaled(waiting, shrink)
+          for peer, waiting in self._waiting_by_rank_by_peer.items()
+      }
+      self._base_at = now
+      self.epoch += 1
+    return math.exp((now - self._base_at) / DECAY_S)
+
+
+def _scaled(by_name: dict[str, float], factor: float) -> dict[str, float]:
+  return {name: amount * factor for name, amount in by_name.items()}
--- /dev/null
+++ b/mulberrypick/core/waiting.py
@@ -0,0 +1,100 @@
+"""What waits for an endpoint, and what decides who goes next.
+
+Requests wait here and not in the engines' queues, because an engine knows
+neither tenants nor reserves.
+"""
+
+import abc
+from typing import NamedTuple
+
+from mulberrypick.core import cost as cost_model
+from mulberrypick.core import errors, partition, records, shares
+
+
+class Waiting(NamedTuple):
+  """A request that waits for an endpoint.
+
+  Attributes:
+    request: The request.
+    next_index: First token wanted; above 0 for a resume.
+    failed_endpoints: Endpoints that it is kept away from.
+    cost: What it is expected to take.
+    queued_at: When it came to wait.
+    is_again: Whether it ran before; such a request is never refused here for
+      want of room.
+    fingerprint: Hash of its content.
+  """
+
+  request: records.InferenceRequest
+  next_index: int
+  failed_endpoints: tuple[str, ...]
+  cost: cost_model.Cost
+  queued_at: float
+  is_again: bool
+  fingerprint: int
+
+
+class Refusal(NamedTuple):
+  """A waiting request that gets its final answer."""
+
+  waiting: Waiting
+  error: errors.RequestError
+
+
+class Admission(abc.ABC):
+  """The waiting requests of one entry host, in order of service."""
+
+  def configure(self, config: records.Config) -> None:  # noqa: B027
+    """Takes in a newer configuration."""
+
+  def set_capacity(self, queue: str, engines: float) -> None:  # noqa: B027
+    """Tells how many engines' worth of a queue's endpoints this host has."""
+
+  def see_peer(  # noqa: B027
+      self, peer: str, digest: shares.Digest, now: float
+  ) -> None:
+    """Takes in what tenants and ranks used on another host."""
+
+  def digest(self, now: float) -> shares.Digest:
+    """Returns what tenants and ranks used here, for the peers."""
+    del now
+    return shares.Digest({}, {}, {})
+
+  def demand(self, queue: str, now: float) -> partition.Demand | None:
+    """Returns the demand over the whole fleet, or None if not known."""
+    del queue, now
+
+  def room(self, queue: str, waiting: Waiting, now: float) -> float:
+    """Returns the part of an endpoint's room that a request may fill."""
+    del queue, waiting, now
+    return 1.0
+
+  @abc.abstractmethod
+  def offer(
+      self, queue: str, waiting: Waiting, now: float
+  ) -> errors.RequestError | None:
+    """Takes a request in, or returns why it is refused."""
+
+  @abc.abstractmethod
+  def peek(self, queue: str, now: float) -> Waiting | None:
+    """Returns the request of a queue that goes next, or None."""
+
+  @abc.abstractmethod
+  def take(self, queue: str, now: float) -> Waiting | None:
+    """Removes and returns the request that `peek` returned."""
+
+  @abc.abstractmethod
+  def withdraw(self, request_id: str) -> Waiting | None:
+    """Removes a request whose caller left."""
+
+  @abc.abstractmethod
+  def expire(self, now: float) -> list[Refusal]:
+    """Removes requests that can't be served in time any more."""
+
+  @abc.abstractmethod
+  def queues(self) -> list[str]:
+    """Returns the names of the queues that hold requests."""
+
+  @abc.abstractmethod
+  def waiting_by_rank(self) -> dict[str, int]:
+    """Counts the waiting requests of each rank."""
--- a/standins/policy_load.py
+++ b/standins/policy_load.py
@@ -188,6 +188,12 @@
   return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
 
 
+def percentiles(values: list[float]) -> str:
+  """Returns p50, p95 and p99, with slashes between."""
+  parts = [f'{percentile(values, percent):.3f}' for percent in (50, 95, 99)]
+  return '/'.join(parts)
+
+
 def summarize(outcomes: list[Outcome], seconds: float) -> dict[str, object]:
   """Returns the figures of one run.
 
@@ -203,16 +209,11 @@
     mine = [o for o in outcomes if o.rank == rank]
     good = [o for o in mine if o.is_good()]
     whole = [o for o in mine if o.total_s is not None]
-    first = [o.first_token_s for o in whole]
-    between = [o.between_s() for o in whole]
-    row[f'{rank}_arrived'] = len(mine)
     row[f'{rank}_good_per_s'] = round(len(good) / seconds, 2)
-    for percent in (50, 95, 99):
-      value = percentile(first, percent)
-      row[f'{rank}_ttft_p{percent}'] = round(value, 3)
-    for percent in (50, 95, 99):
-      value = percentile(between, percent)
-      row[f'{rank}_between_p{percent}'] = round(value, 3)
+    row[f'{rank}_good'] = f'{len(good)}/{len(mine)}'
+    first = [o.first_token_s for o in whole]
+    row[f'{rank}_ttft'] = percentiles(first)
+    row[f'{rank}_between'] = percentiles([o.between_s() for o in whole])
   refused = [o for o in outcomes if o.error is not None]
   count_by_kind = {}
   for outcome in refused:
--- a/standins/policy_loop.py
+++ b/standins/policy_loop.py
@@ -90,6 +90,8 @@
     if record is None:
       record = Record(request, length, entry)
       self.record_by_request[request.request_id] = record
+    else:
+      record.returns += 1
     record.request = request
     record.entry = entry
     record.error = None
@@ -118,7 +120,6 @@
     record.refused_after_s = self.now - record.request.arrived_at
     if not self.comes_back or error.retry_after_s <= 0 or record.returns:
       return
-    record.returns += 1
     old = record.request
     arrived_at = self.now + error.retry_after_s
     again = old._replace(
--- a/standins/policy_trial.py
+++ b/standins/policy_trial.py
@@ -126,7 +126,8 @@
     took_s = time.perf_counter() - began
     print(f'{scenario} {policy} took_s={took_s:.1f}')
     for name, value in row.items():
-      print(f'  {name}={json.dumps(value)}')
+      text = value if isinstance(value, str) else json.dumps(value)
+      print(f'  {name}={text}')
 
 
 if __name__ == '__main__':
