Admission offers one head for each rank and length of prompt

Cause: a long prompt at the head that waited for an endpoint of its kind kept short requests from endpoints with room.

--- a/mulberrypick/core/admission.py
+++ b/mulberrypick/core/admission.py
@@ -32,20 +32,18 @@
     self._queue_by_request[waiting.request.request_id] = queue
     return None
 
-  def peek(self, queue, now):
-    """Returns the oldest request; see `Admission.peek`."""
+  def heads(self, queue, now):
+    """Returns the oldest request; see `Admission.heads`."""
     del now
     waitings = self._waiting_by_queue.get(queue)
     if not waitings:
-      return None
-    return next(iter(waitings.values()))
+      return []
+    return [next(iter(waitings.values()))]
 
-  def take(self, queue, now):
-    """Removes the oldest request; see `Admission.take`."""
-    waiting = self.peek(queue, now)
-    if waiting is None:
-      return None
-    return self.withdraw(waiting.request.request_id)
+  def take(self, request_id, now):
+    """Removes a request that starts; see `Admission.take`."""
+    del now
+    self.withdraw(request_id)
 
   def withdraw(self, request_id):
     """Removes a request; see `Admission.withdraw`."""
--- a/mulberrypick/core/cost.py
+++ b/mulberrypick/core/cost.py
@@ -25,6 +25,8 @@
 PRIOR_OUTPUT_TOKENS = 128.0
 LENGTHS_KEPT = 4096
 PIECE_TOKENS = 16
+# A prompt that prefills for longer than this stretches others' answers.
+LONG_PREFILL_S = 0.08
 # An engine prefills at most this many tokens in one step.
 STEP_TOKENS = 512
 
@@ -71,6 +73,11 @@
     """Engine seconds in all."""
     return self.prefill_s + self.decode_s
 
+  @property
+  def is_long(self) -> bool:
+    """Whether the prompt stretches the answers of others for long."""
+    return self.prefill_s > LONG_PREFILL_S
+
   @property
   def stretch_s(self) -> float:
     """Seconds of prefill for each output token."""
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -281,14 +281,19 @@
     """Starts waiting requests of a queue while endpoints have room."""
     effects = []
     while True:
-      waiting = self._admission.peek(queue, now)
-      if waiting is None:
+      effect = self._start_next(queue, now)
+      if effect is None:
         return effects
+      effects.append(effect)
+
+  def _start_next(self, queue: str, now: float) -> messages.Start | None:
+    for waiting in self._admission.heads(queue, now):
       chosen = self._choose(queue, waiting, now)
       if chosen is None:
-        return effects
-      self._admission.take(queue, now)
-      effects.append(self._start(queue, waiting, chosen, now))
+        continue
+      self._admission.take(waiting.request.request_id, now)
+      return self._start(queue, waiting, chosen, now)
+    return None
 
   def _choose(
       self, queue: str, waiting: waiting_base.Waiting, now: float
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -12,6 +12,7 @@
 import itertools
 import math
 import random
+from typing import NamedTuple
 
 from mulberrypick.core import (
     drain_rate,
@@ -25,11 +26,11 @@
 # A tenant that the configuration does not know gets this share.
 LEAST_SHARE = 0.001
 # The wait may use up this part of the target for the first token.
-WAIT_PART = 0.6
+WAIT_PART = 0.45
 # A wait below this part of the target is never too long.
 LEAST_WAIT_PART = 0.25
 # A request that waited this many times its limit is refused after all.
-PATIENCE = 1.3
+PATIENCE = 2.0
 # Predicted times are uncertain: only refuse what is late by this margin.
 RUN_OPTIMISM = 0.7
 # Part of a tenant's rate that may be booked by those told to come back.
@@ -48,6 +49,21 @@
 DEFER_RATIO = 1.25
 
 
+class _Class(NamedTuple):
+  """Requests that wait for the same kind of room."""
+
+  rank: str
+  is_long: bool
+
+
+class _Place(NamedTuple):
+  """Where a waiting request stands."""
+
+  queue: str
+  key: _Class
+  tenant: str
+
+
 class _TenantLine:
   """The waiting requests of one tenant in one rank."""
 
@@ -60,8 +76,8 @@
     self.weight = weight
 
 
-class _RankLine:
-  """The waiting requests of one rank, by tenant."""
+class _ClassLine:
+  """The waiting requests of one class, by tenant."""
 
   def __init__(self, use: shares.FleetUse):
     self._use = use
@@ -134,14 +150,21 @@
 
 
 class _Queue:
-  """All that waits for one model."""
+  """All that waits for one model, in lines by rank and length of prompt."""
 
   def __init__(self):
-    self.line_by_rank: dict[str, _RankLine] = {}
+    self.line_by_class: dict[_Class, _ClassLine] = {}
     self.rate = drain_rate.DrainRate()
 
   def count(self) -> int:
-    return sum(line.count for line in self.line_by_rank.values())
+    return sum(line.count for line in self.line_by_class.values())
+
+  def count_of_rank(self, rank: str) -> int:
+    count = 0
+    for key, line in self.line_by_class.items():
+      if key.rank == rank:
+        count += line.count
+    return count
 
 
 class RankedFairAdmission(waiting_base.Admission):
@@ -152,11 +175,11 @@
     self._config = records.EMPTY_CONFIG
     self._use = shares.FleetUse()
     self._queue_by_name: dict[str, _Queue] = {}
-    self._place_by_request: dict[str, tuple[str, str, str]] = {}
+    self._place_by_request: dict[str, _Place] = {}
     self._late_heap: list[tuple[float, int, str]] = []
     self._late_at_by_request: dict[str, float] = {}
     self._ticket = itertools.count()
-    self._booked_until: dict[tuple[str, str, str], float] = {}
+    self._booked_until: dict[_Place, float] = {}
     self._slot_by_booking: collections.OrderedDict = collections.OrderedDict()
 
   def configure(self, config):
@@ -175,12 +198,12 @@
     """Returns the use to tell peers; see `Admission.digest`."""
     least_by_rank: dict[str, float] = {}
     for queue in self._queue_by_name.values():
-      for rank, line in queue.line_by_rank.items():
+      for key, line in queue.line_by_class.items():
         tenant = line.next_tenant()
         if tenant is None:
           continue
-        least = least_by_rank.get(rank, math.inf)
-        least_by_rank[rank] = min(least, line.key(tenant))
+        least = least_by_rank.get(key.rank, math.inf)
+        least_by_rank[key.rank] = min(least, line.key(tenant))
     return self._use.digest(least_by_rank, now)
 
   def offer(self, queue, waiting, now):
@@ -196,46 +219,45 @@
     held = self._queue(queue)
     if not held.count():
       held.rate.start_busy(now)
-    line = self._line(queue, request.rank)
+    place = _place(queue, waiting)
+    line = self._line(place)
     is_first = is_booked or waiting.is_again
     line.add(waiting, self._share(request.tenant), is_first)
     line_of_tenant = line.line_by_tenant[request.tenant]
     if len(line_of_tenant.waiting_by_request) == 1:
       line_of_tenant.rate.start_busy(now)
-    place = (queue, request.rank, request.tenant)
     self._place_by_request[request.request_id] = place
     self._plan_expiry(waiting, now)
     return None
 
-  def peek(self, queue, now):
-    """Returns the request that goes next; see `Admission.peek`."""
+  def heads(self, queue, now):
+    """Returns the next request of each class; see `Admission.heads`."""
     held = self._queue_by_name.get(queue)
     if held is None:
-      return None
-    rank = self._next_rank(held)
-    if rank is None:
-      return None
-    line = held.line_by_rank[rank]
-    tenant = line.next_tenant()
-    line_of_tenant = line.line_by_tenant[tenant]
-    return next(iter(line_of_tenant.waiting_by_request.values()))
-
-  def take(self, queue, now):
-    """Removes the request that goes next; see `Admission.take`."""
-    waiting = self.peek(queue, now)
-    if waiting is None:
-      return None
-    request = waiting.request
-    cost_s = waiting.cost.engine_s
-    line = self._line(queue, request.rank)
-    line.line_by_tenant[request.tenant].rate.drained(cost_s, now)
-    self.withdraw(request.request_id)
-    self._use.charge(request.tenant, request.rank, cost_s, now)
-    held = self._queue_by_name[queue]
+      return []
+    ordered = []
+    for key, line in held.line_by_class.items():
+      tenant = line.next_tenant()
+      if tenant is None:
+        continue
+      waitings = line.line_by_tenant[tenant].waiting_by_request
+      order = (self._rank_order(key.rank), line.key(tenant), key.is_long)
+      ordered.append((order, next(iter(waitings.values()))))
+    ordered.sort(key=lambda item: item[0])
+    return [waiting for _, waiting in ordered]
+
+  def take(self, request_id, now):
+    """Removes a request that starts; see `Admission.take`."""
+    place = self._place_by_request[request_id]
+    line_of_tenant = self._line(place).line_by_tenant[place.tenant]
+    cost_s = line_of_tenant.waiting_by_request[request_id].cost.engine_s
+    line_of_tenant.rate.drained(cost_s, now)
+    self.withdraw(request_id)
+    self._use.charge(place.tenant, place.key.rank, cost_s, now)
+    held = self._queue_by_name[place.queue]
     held.rate.drained(cost_s, now)
     if not held.count():
       held.rate.end_busy(now)
-    return waiting
 
   def demand(self, queue, now):
     """Returns the fleet's demand; see `Admission.demand`."""
@@ -254,7 +276,6 @@
     rank = self._config.rank_by_name.get(waiting.request.rank)
     if rank is None:
       return ROOM_OTHER
-    held = self._queue_by_name[queue]
     if rank.is_urgent or self._is_below_reserve(rank.name):
       room = ROOM_FIRST
     else:
@@ -262,7 +283,7 @@
       if self._is_more_urgent_at_peers(now):
         return ROOM_DEFERRED
     least = self._use.least_waiting(rank.name, now, FRESH_S)
-    own = held.line_by_rank[rank.name].key(waiting.request.tenant)
+    own = self._line(_place(queue, waiting)).key(waiting.request.tenant)
     if own > least * DEFER_RATIO:
       return ROOM_DEFERRED
     return room
@@ -273,9 +294,7 @@
     if place is None:
       return None
     self._late_at_by_request.pop(request_id, None)
-    queue, rank, tenant = place
-    held = self._queue_by_name[queue]
-    return held.line_by_rank[rank].remove(tenant, request_id)
+    return self._line(place).remove(place.tenant, request_id)
 
   def expire(self, now):
     """Removes what can't be served in time; see `Admission.expire`."""
@@ -284,7 +303,7 @@
       late_at, _, request_id = heapq.heappop(self._late_heap)
       if self._late_at_by_request.get(request_id) != late_at:
         continue
-      queue, _, _ = self._place_by_request[request_id]
+      queue = self._place_by_request[request_id].queue
       waiting = self.withdraw(request_id)
       held = self._queue_by_name[queue]
       if not held.count():
@@ -308,29 +327,26 @@
     """Counts the waiting requests of each rank."""
     counts = collections.Counter()
     for queue in self._queue_by_name.values():
-      for rank, line in queue.line_by_rank.items():
+      for key, line in queue.line_by_class.items():
         if line.count:
-          counts[rank] += line.count
+          counts[key.rank] += line.count
     return dict(counts)
 
   def predict_wait(self, queue: str, waiting: waiting_base.Waiting) -> float:
     """Returns the predicted wait of a newcomer, in seconds."""
     request = waiting.request
-    held = self._queue(queue)
-    line = self._line(queue, request.rank)
-    if not line.count:
-      return 0.0
-    rate = self._rank_rate(held, request.rank)
+    line = self._line(_place(queue, waiting))
     own = line.line_by_tenant.get(request.tenant)
     if own is None:
       return 0.0
+    rate = self._rank_rate(self._queue(queue), request.rank)
     own.rate.set_prior(rate * own.weight / max(own.weight, line.weight))
     return own.cost_s / own.rate.per_s()
 
   def _booked_s(self, queue, waiting, now: float) -> float:
     """Returns the part of the wait that those who come back will fill."""
-    key = (queue, waiting.request.rank, waiting.request.tenant)
-    ahead_s = self._booked_until.get(key, 0.0) - now
+    place = _place(queue, waiting)
+    ahead_s = self._booked_until.get(place, 0.0) - now
     return BOOKED_PART * max(0.0, min(ahead_s, self._wait_limit(waiting)))
 
   def _find_refusal(self, queue, waiting, is_booked, now):
@@ -379,13 +395,13 @@
   def _book(self, queue, waiting, excess_s: float, now: float) -> float:
     """Books a time to come back and returns the seconds until then."""
     request = waiting.request
-    rate = self._tenant_rate(queue, request) * BOOKED_PART
-    key = (queue, request.rank, request.tenant)
-    start_at = max(now + excess_s, self._booked_until.get(key, 0.0))
+    place = _place(queue, waiting)
+    rate = self._tenant_rate(place) * BOOKED_PART
+    start_at = max(now + excess_s, self._booked_until.get(place, 0.0))
     slot_at = start_at + waiting.cost.engine_s / rate
     if slot_at - now > LONGEST_RETRY_S:
       return LONGEST_RETRY_S * self._rng.uniform(0.75, 1.25)
-    self._booked_until[key] = slot_at
+    self._booked_until[place] = slot_at
     booking = (request.tenant, waiting.fingerprint)
     self._slot_by_booking[booking] = slot_at
     if len(self._slot_by_booking) > BOOKINGS_KEPT:
@@ -394,13 +410,13 @@
     retry_s = slot_at - now + SHORTEST_RETRY_S * self._rng.uniform(0.5, 1.5)
     return max(SHORTEST_RETRY_S, retry_s)
 
-  def _tenant_rate(self, queue, request) -> float:
-    line = self._line(queue, request.rank)
-    own = line.line_by_tenant.get(request.tenant)
+  def _tenant_rate(self, place: _Place) -> float:
+    line = self._line(place)
+    own = line.line_by_tenant.get(place.tenant)
     if own is not None:
       return own.rate.per_s()
-    weight = self._share(request.tenant)
-    rate = self._rank_rate(self._queue(queue), request.rank)
+    weight = self._share(place.tenant)
+    rate = self._rank_rate(self._queue(place.queue), place.key.rank)
     return rate * weight / max(weight, line.weight + weight)
 
   def _forget_booked(self, now: float) -> None:
@@ -416,20 +432,14 @@
     del self._slot_by_booking[booking]
     return True
 
-  def _next_rank(self, held: _Queue) -> str | None:
-    """Picks the rank that goes next: short of its reserve, else urgent."""
-    best = None
-    best_order = None
-    for name, line in held.line_by_rank.items():
-      if not line.count:
-        continue
-      rank = self._config.rank_by_name.get(name)
-      is_urgent = rank is not None and rank.is_urgent
-      is_short = not is_urgent and self._is_below_reserve(name)
-      order = (not is_short, not is_urgent)
-      if best is None or order < best_order:
-        best, best_order = name, order
-    return best
+  def _rank_order(self, name: str) -> int:
+    """Orders ranks: short of its reserve, then urgent, then the others."""
+    rank = self._config.rank_by_name.get(name)
+    if rank is None:
+      return 2
+    if rank.is_urgent:
+      return 1
+    return 0 if self._is_below_reserve(name) else 2
 
   def _is_below_reserve(self, name: str) -> bool:
     rank = self._config.rank_by_name.get(name)
@@ -450,9 +460,8 @@
     for other in self._config.rank_by_name.values():
       if other.name == name:
         continue
-      line = held.line_by_rank.get(other.name)
       if rank is not None and rank.is_urgent:
-        if line is not None and line.count:
+        if held.count_of_rank(other.name):
           part -= min(other.reserve, self._use.rank_part(other.name) + 0.05)
       elif other.is_urgent:
         part -= self._use.rank_part(other.name)
@@ -471,9 +480,15 @@
       queue = self._queue_by_name[name] = _Queue()
     return queue
 
-  def _line(self, queue: str, rank: str) -> _RankLine:
-    line_by_rank = self._queue(queue).line_by_rank
-    line = line_by_rank.get(rank)
+  def _line(self, place: _Place) -> _ClassLine:
+    line_by_class = self._queue(place.queue).line_by_class
+    line = line_by_class.get(place.key)
     if line is None:
-      line = line_by_rank[rank] = _RankLine(self._use)
+      line = line_by_class[place.key] = _ClassLine(self._use)
     return line
+
+
+def _place(queue: str, waiting: waiting_base.Waiting) -> _Place:
+  """Returns where a request stands, or would stand."""
+  key = _Class(waiting.request.rank, waiting.cost.is_long)
+  return _Place(queue, key, waiting.request.tenant)
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -123,8 +123,6 @@
 BETWEEN_PART = 0.85
 # A batch may always grow to this many, whatever the targets say.
 LEAST_BATCH = 2.0
-# A prompt that prefills for longer than this stretches others' answers.
-LONG_PREFILL_S = 0.08
 
 
 class PredictedTimeRouter(Router):
@@ -144,7 +142,7 @@
       if best is not None:
         return best
       return self._pick_from(ask, pool.bulk, own_zone, now, rng)
-    if prefill_s > LONG_PREFILL_S and pool.bulk:
+    if prefill_s > cost.LONG_PREFILL_S and pool.bulk:
       return self._pick_from(ask, pool.bulk, own_zone, now, rng)
     return self._pick_from(ask, pool.all, own_zone, now, rng)
 
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -76,12 +76,16 @@
     """Takes a request in, or returns why it is refused."""
 
   @abc.abstractmethod
-  def peek(self, queue: str, now: float) -> Waiting | None:
-    """Returns the request of a queue that goes next, or None."""
+  def heads(self, queue: str, now: float) -> list[Waiting]:
+    """Returns the requests of a queue that may go next, in order.
+
+    There is more than one where the first may have to wait for an endpoint
+    of a kind that the others don't need.
+    """
 
   @abc.abstractmethod
-  def take(self, queue: str, now: float) -> Waiting | None:
-    """Removes and returns the request that `peek` returned."""
+  def take(self, request_id: str, now: float) -> None:
+    """Removes a request that `heads` returned, as it starts now."""
 
   @abc.abstractmethod
   def withdraw(self, request_id: str) -> Waiting | None:
