--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -85,6 +85,7 @@
     self._epoch = use.epoch
     self._ticket = itertools.count()
     self.line_by_tenant: dict[str, _TenantLine] = {}
+    self.rate = drain_rate.DrainRate()
     self.cost_s = 0.0
     self.weight = 0.0
     self.count = 0
@@ -133,6 +134,11 @@
       heapq.heapreplace(self._heap, (current, next(self._ticket), tenant))
     return None
 
+  def least_key(self) -> float:
+    """Returns the lowest use over share that waits, infinity for none."""
+    tenant = self.next_tenant()
+    return math.inf if tenant is None else self.key(tenant)
+
   def key(self, tenant: str) -> float:
     """Returns the use of a waiting tenant over its share."""
     weight = self.line_by_tenant[tenant].weight
@@ -221,6 +227,8 @@
       held.rate.start_busy(now)
     place = _place(queue, waiting)
     line = self._line(place)
+    if not line.count:
+      line.rate.start_busy(now)
     is_first = is_booked or waiting.is_again
     line.add(waiting, self._share(request.tenant), is_first)
     line_of_tenant = line.line_by_tenant[request.tenant]
@@ -249,9 +257,11 @@
   def take(self, request_id, now):
     """Removes a request that starts; see `Admission.take`."""
     place = self._place_by_request[request_id]
-    line_of_tenant = self._line(place).line_by_tenant[place.tenant]
+    line = self._line(place)
+    line_of_tenant = line.line_by_tenant[place.tenant]
     cost_s = line_of_tenant.waiting_by_request[request_id].cost.engine_s
     line_of_tenant.rate.drained(cost_s, now)
+    line.rate.drained(cost_s, now)
     self.withdraw(request_id)
     self._use.charge(place.tenant, place.key.rank, cost_s, now)
     held = self._queue_by_name[place.queue]
@@ -336,12 +346,20 @@
     """Returns the predicted wait of a newcomer, in seconds."""
     request = waiting.request
     line = self._line(_place(queue, waiting))
+    weight = self._share(request.tenant)
+    key = self._use.tenant_amount(request.tenant) / weight
     own = line.line_by_tenant.get(request.tenant)
-    if own is None:
+    if own is None and key <= line.least_key():
       return 0.0
     rate = self._rank_rate(self._queue(queue), request.rank)
-    own.rate.set_prior(rate * own.weight / max(own.weight, line.weight))
-    return own.cost_s / own.rate.per_s()
+    line.rate.set_prior(rate)
+    own_s = waiting.cost.engine_s
+    own_rate = rate * weight / max(weight, line.weight)
+    if own is not None:
+      own.rate.set_prior(own_rate)
+      own_s += own.cost_s
+      own_rate = own.rate.per_s()
+    return min(line.cost_s / line.rate.per_s(), own_s / own_rate)
 
   def _booked_s(self, queue, waiting, now: float) -> float:
     """Returns the part of the wait that those who come back will fill."""
