--- a/mulberrypick/core/orders.py
+++ b/mulberrypick/core/orders.py
@@ -18,7 +18,9 @@
 
 import msgspec
 
-from mulberrypick.core import chart, errors, records
+from mulberrypick.core import chart
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 CHART = chart.load_chart('order')
 
