--- /dev/null
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -0,0 +1,301 @@
+"""Tests of the HTTP adapter for engines, against real stand-in processes."""
+
+import pathlib
+import tempfile
+import time
+import unittest
+
+from mulberrypick.adapters import engine
+from mulberrypick.adapters import http_engine
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from standins import answers
+from standins import launcher
+from standins import relay
+
+PATIENCE_S = 20.0
+STALL_S = 1.0
+SLOW = ('--decode-step-s', '0.02')
+MODELS = ('--models', 'reader@1,reader@1+jp')
+PROMPT = ' '.join(answers.WORDS[:64])
+
+
+def make_request(prompt, max_tokens=256, adapter=''):
+  return records.InferenceRequest(
+      'r1',
+      'mill',
+      'urgent',
+      's',
+      'reader',
+      adapter,
+      prompt,
+      0,
+      max_tokens,
+      0,
+      0,
+  )
+
+
+def make_attempt(program, start_index=0, attempt_id='r1/1'):
+  return records.Attempt(
+      attempt_id, program.name, program.address, start_index, 0
+  )
+
+
+def make_order(program, sequence, fence, action, role=''):
+  return records.Order(program.name, sequence, fence, action, '', '', '', role)
+
+
+class EngineCase(unittest.TestCase):
+
+  @classmethod
+  def setUpClass(cls):
+    folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+    cls.fleet = cls.enterClassContext(launcher.Fleet(pathlib.Path(folder)))
+    cls.adapter = http_engine.HttpEngine('127.0.2.1', stall_s=STALL_S)
+
+  def start(self, name, *flags, checks_fence=True):
+    program = self.fleet.start_engine(
+        name, 1, *MODELS, *flags, checks_fence=checks_fence
+    )
+    self.addCleanup(self.end, name)
+    return program
+
+  def end(self, name):
+    if name in self.fleet.program_by_name:
+      self.fleet.kill(name)
+
+  def state(self, program):
+    return self.adapter.read_state(program.name, program.address)
+
+  def wait_for(self, condition):
+    until = time.monotonic() + PATIENCE_S
+    while not condition():
+      self.assertLess(time.monotonic(), until, 'it did not come about')
+      time.sleep(0.02)
+
+
+class TestStreams(EngineCase):
+
+  def test_streams_the_whole_answer(self):
+    program = self.start('whole')
+    request = make_request('how far length=40', adapter='jp')
+    frames = list(self.adapter.generate(make_attempt(program), request))
+    expected = answers.expected_tokens('reader', 'jp', request.prompt, 256)
+    self.assertEqual([f.text for f in frames[:-1]], expected)
+    self.assertEqual([f.index for f in frames], list(range(41)))
+    self.assertEqual(
+        frames[-1], records.Frame('r1/1', 40, '', True, 'stop', 3, 0)
+    )
+
+  def test_resumes_at_an_index(self):
+    program = self.start('resume')
+    request = make_request('how far length=40', max_tokens=30)
+    frames = list(self.adapter.generate(make_attempt(program, 25), request))
+    expected = answers.expected_tokens('reader', '', request.prompt, 30)
+    self.assertEqual([f.text for f in frames[:-1]], expected[25:])
+    self.assertEqual(frames[-1].finish_reason, 'length')
+
+  def test_closing_the_iterator_cancels(self):
+    program = self.start('close', *SLOW)
+    stream = self.adapter.generate(
+        make_attempt(program), make_request('a length=5000', 5000)
+    )
+    next(stream)
+    self.assertEqual(self.state(program).running, 1)
+    stream.close()
+    self.wait_for(lambda: self.state(program).running == 0)
+
+  def test_closing_it_while_the_request_waits_cancels(self):
+    program = self.start('queue', *SLOW, '--max-running', '1')
+    first = self.adapter.generate(
+        make_attempt(program), make_request('a length=5000', 5000)
+    )
+    next(first)
+    waiting = self.adapter.generate(
+        make_attempt(program, attempt_id='r2/1'), make_request('b length=9')
+    )
+    # It stalls before its first token, which closes its connection.
+    with self.assertRaises(errors.EndpointFailedError):
+      next(waiting)
+    self.wait_for(lambda: self.state(program).running == 1)
+    first.close()
+
+  def test_cancel_ends_a_stream(self):
+    program = self.start('cancel', *SLOW)
+    attempt = make_attempt(program)
+    stream = self.adapter.generate(attempt, make_request('a length=500', 500))
+    next(stream)
+    self.adapter.cancel(attempt)
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+    self.adapter.cancel(attempt)
+
+  def test_a_crash_in_mid_stream_is_a_failure(self):
+    program = self.start('crash', *SLOW)
+    self.fleet.put_fault(program, crash_after_tokens=5)
+    stream = self.adapter.generate(
+        make_attempt(program), make_request('a length=100')
+    )
+    received = []
+    with self.assertRaises(errors.EndpointFailedError):
+      received.extend(frame.index for frame in stream)
+    self.assertNotEqual(self.fleet.wait('crash'), 0)
+
+  def test_a_prompt_that_crashes_the_engine(self):
+    program = self.start('poison')
+    with self.assertRaises(errors.EndpointFailedError):
+      list(
+          self.adapter.generate(
+              make_attempt(program), make_request('a crash=always')
+          )
+      )
+    self.assertNotEqual(self.fleet.wait('poison'), 0)
+    with self.assertRaises(errors.EndpointUnreachableError):
+      next(self.adapter.generate(make_attempt(program), make_request('a b')))
+
+  def test_a_paused_engine_is_a_failure(self):
+    program = self.start('pause', *SLOW)
+    stream = self.adapter.generate(
+        make_attempt(program), make_request('a length=5000', 5000)
+    )
+    next(stream)
+    self.fleet.pause('pause')
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+
+  def test_a_link_cut_in_mid_stream_is_a_failure(self):
+    program = self.start('link', *SLOW)
+    link = self.enterContext(relay.Relay(program.address))
+    attempt = make_attempt(program)._replace(address=link.address)
+    stream = self.adapter.generate(attempt, make_request('a length=900', 900))
+    next(stream)
+    link.cut()
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+    self.wait_for(lambda: self.state(program).running == 0)
+
+  def test_a_cut_zone_is_unreachable(self):
+    program = self.start('cut')
+    self.fleet.put_fault(program, cut=['127.0.2.'])
+    with self.assertRaises(errors.EndpointUnreachableError):
+      next(self.adapter.generate(make_attempt(program), make_request('a')))
+
+  def test_what_it_does_not_serve_is_refused(self):
+    program = self.start('refuse')
+    request = make_request('a')._replace(model='other')
+    with self.assertRaises(errors.EndpointRefusedError):
+      next(self.adapter.generate(make_attempt(program), request))
+
+  def test_kv_cache_moves_between_engines(self):
+    source = self.start('prefill', '--role', 'prefill')
+    target = self.start('decode', '--role', 'decode')
+    request = make_request(PROMPT, max_tokens=5)
+    with self.assertRaises(errors.EndpointRefusedError):
+      next(self.adapter.generate(make_attempt(target), request))
+    kv = self.adapter.prefill(make_attempt(source), request)
+    self.assertEqual(kv.tokens, 64)
+    frames = list(self.adapter.generate(make_attempt(target), request, kv))
+    expected = answers.expected_tokens('reader', '', PROMPT, 5)
+    self.assertEqual([f.text for f in frames[:-1]], expected)
+    self.assertEqual(frames[-1].cached_tokens, 63)
+    gone = kv._replace(kv_id='0')
+    with self.assertRaises(errors.EndpointRefusedError):
+      next(self.adapter.generate(make_attempt(target), request, gone))
+
+
+class TestReports(EngineCase):
+
+  def test_reads_load_and_cache_events(self):
+    program = self.start(
+        'events', '--event-lag-s', '0', '--event-gap-share', '0'
+    )
+    list(self.adapter.generate(make_attempt(program), make_request(PROMPT, 1)))
+    events = self.adapter.read_cache_events(program.name, program.address, 1)
+    blocks = answers.block_hashes('reader', '', PROMPT.split(), 16)
+    self.assertEqual(
+        events,
+        [
+            engine.CacheEvent(number + 1, True, block)
+            for number, block in enumerate(blocks)
+            if number >= 1
+        ],
+    )
+    report = self.adapter.read_load(program.name, program.address)
+    self.assertEqual(report.models, ('reader', 'reader+jp'))
+
+  def test_an_engine_that_is_away_is_unreachable(self):
+    address = launcher.free_address('127.0.1.1')
+    with self.assertRaises(errors.EndpointUnreachableError):
+      self.adapter.read_load('away', address)
+
+
+class TestOrders(EngineCase):
+
+  def test_an_old_fence_is_refused(self):
+    program = self.start('fence')
+    send = self.adapter.send_order
+    send(program.address, make_order(program, 1, 7, records.ACTION_UNDRAIN))
+    self.wait_for(lambda: not self.state(program).is_changing)
+    with self.assertRaises(errors.StaleFenceError) as caught:
+      send(program.address, make_order(program, 2, 6, records.ACTION_DRAIN))
+    self.assertEqual(caught.exception.current_fence, 7)
+    self.assertEqual(self.state(program).last_sequence, 1)
+
+  def test_an_engine_without_check_counts_the_conflict(self):
+    program = self.start('nofence', checks_fence=False)
+    for sequence, fence in ((1, 7), (2, 6)):
+      order = make_order(program, sequence, fence, records.ACTION_UNDRAIN)
+      self.adapter.send_order(program.address, order)
+      self.wait_for(lambda: not self.state(program).is_changing)
+    calls = self.fleet.call(program, 'GET', '/calls')
+    self.assertEqual((calls['orders'], calls['conflicts']), (2, 1))
+
+  def test_draining_lets_streams_finish_and_refuses_new_work(self):
+    program = self.start('drain', *SLOW)
+    request = make_request('a length=30')
+    stream = self.adapter.generate(make_attempt(program), request)
+    next(stream)
+    order = make_order(program, 1, 1, records.ACTION_DRAIN)
+    self.adapter.send_order(program.address, order)
+    self.wait_for(lambda: self.state(program).is_draining)
+    with self.assertRaises(errors.EndpointDrainingError):
+      next(self.adapter.generate(make_attempt(program), request))
+    self.assertTrue(list(stream)[-1].is_last)
+
+  def test_a_role_change_cuts_what_runs(self):
+    program = self.start('role', *SLOW, '--role-change-s', '0.2')
+    stream = self.adapter.generate(
+        make_attempt(program), make_request('a length=3000', 3000)
+    )
+    next(stream)
+    order = make_order(program, 1, 1, records.ACTION_ROLE, records.ROLE_DECODE)
+    self.adapter.send_order(program.address, order)
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+    self.wait_for(lambda: self.state(program).role == records.ROLE_DECODE)
+
+  def test_a_crash_halfway_through_an_order(self):
+    program = self.start('half', '--role-change-s', '0.2')
+    self.fleet.put_fault(program, crash_in_order=True)
+    order = make_order(program, 1, 1, records.ACTION_ROLE, records.ROLE_DECODE)
+    self.adapter.send_order(program.address, order)
+    self.assertNotEqual(self.fleet.wait('half'), 0)
+    again = self.start('half')
+    state = self.state(again)
+    self.assertEqual((state.incarnation, state.last_sequence), (2, 0))
+
+  def test_a_lost_link_is_told_from_one_that_never_was(self):
+    program = self.start('lost')
+    order = make_order(program, 1, 1, records.ACTION_DRAIN)
+    link = self.enterContext(relay.Relay(program.address))
+    link.cut()
+    # The relay takes the connection, and then breaks it.
+    with self.assertRaises(errors.EndpointFailedError):
+      self.adapter.send_order(link.address, order)
+    with self.assertRaises(errors.EndpointUnreachableError):
+      self.adapter.send_order(launcher.free_address('127.0.1.1'), order)
+
+
+if __name__ == '__main__':
+  unittest.main()
