--- a/standins/demo.py
+++ b/standins/demo.py
@@ -19,6 +19,7 @@
 
 from standins import bookings
 from standins import load
+from standins import load_client
 from standins import load_plan
 from standins import load_summary
 from standins import town
@@ -33,7 +34,6 @@
 BOOKINGS = 60
 BOOKINGS_PER_S = 6.0
 LOG_FOLDER = pathlib.Path('out/demo')
-EXAMPLE_MODEL = 'yard-talk'
 DECLARATION = pathlib.Path('examples/demo.json')
 
 CLASSES = [
@@ -120,7 +120,7 @@
     booked = pool.submit(make_bookings, urls)
     phases = [load_plan.Phase(PHASE_S, RATE_BY_CLASS)]
     arrivals = load_plan.plan_arrivals(CLASSES, phases, SEED)
-    results = load.run_load(urls, arrivals)
+    results = load.run_load(load_client.LoadClient(urls), arrivals)
     made_bookings = booked.result()
   failing.join()
   counts = count_executions(made)
