Tests of platform and service adapters; an answer without framing is lost

Cause: the new tests cut answers short. A head cut short read as a whole answer with an empty body: http.client takes the end of the connection for the end of the head, and a body without a length ends with the connection. For a call that may not be repeated that would have been recorded as its answer. Plain calls now refuse an answer that has neither length nor chunks, a platform write with a malformed answer is a lost answer, and a read is unavailable.

--- a/mulberrypick/adapters/http_platform.py
+++ b/mulberrypick/adapters/http_platform.py
@@ -70,7 +70,7 @@
     response = self._read(_object_path(key), self._timeout_s)
     if response.status == HTTPStatus.NOT_FOUND:
       return None
-    return _as_value(_decode(response, _Object))
+    return _as_value(_decode_read(response, _Object))
 
   def put(self, key: str, value: bytes, expected_version: int) -> int:
     """Writes an object if it stands at the expected version."""
@@ -82,19 +82,19 @@
             'expected_version': expected_version,
         }
     )
-    response = self._write('PUT', key, _object_path(key), body)
-    return _decode(response, _Version)['version']
+    answer = self._write('PUT', key, _object_path(key), body, _Version)
+    return answer['version']
 
   def delete(self, key: str, expected_version: int) -> None:
     """Deletes an object if it stands at the expected version."""
     path = f'{_object_path(key)}?expected_version={expected_version}'
-    self._write('DELETE', key, path, None)
+    self._write('DELETE', key, path, None, dict)
 
   def list_objects(self, prefix: str) -> platform.Listing:
     """Reads all objects under a prefix."""
     query = urllib.parse.urlencode({'prefix': prefix})
     response = self._read(f'/objects?{query}', self._timeout_s)
-    listing = _decode(response, _Objects)
+    listing = _decode_read(response, _Objects)
     values = map(_as_value, listing['objects'])
     return platform.Listing(
         listing['revision'], {value.key: value for value in values}
@@ -114,14 +114,14 @@
     response = self._read(f'/watch?{query}', timeout_s + self._timeout_s)
     if response.status == HTTPStatus.GONE:
       raise errors.WatchExpiredError(f'revision {after_revision} is gone')
-    batch = _decode(response, _Changes)
+    batch = _decode_read(response, _Changes)
     changes = [_as_value(change) for change in batch['changes']]
     return platform.WatchBatch(batch['revision'], changes)
 
   def list_hosts(self) -> list[records.Host]:
     """Reads the lagging list of live and leaving hosts."""
     response = self._read('/hosts', self._timeout_s)
-    hosts = _decode(response, _Hosts)['hosts']
+    hosts = _decode_read(response, _Hosts)['hosts']
     try:
       return [http_wire.decode_record(host, records.Host) for host in hosts]
     except (KeyError, msgspec.ValidationError) as error:
@@ -137,8 +137,13 @@
     return response
 
   def _write(
-      self, method: str, key: str, path: str, body: bytes | None
-  ) -> urllib3.BaseHTTPResponse:
+      self,
+      method: str,
+      key: str,
+      path: str,
+      body: bytes | None,
+      answer_type: type,
+  ):
     try:
       response = self._request(method, path, body, self._timeout_s)
     except (
@@ -148,12 +153,15 @@
       raise errors.PlatformUnavailableError(str(error)) from error
     except exceptions.HTTPError as error:
       raise errors.PlatformAnswerLostError(str(error)) from error
-    if response.status == HTTPStatus.CONFLICT:
-      version = _decode(response, _Version, HTTPStatus.CONFLICT)['version']
-      raise errors.ConflictError(key, version)
     if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
       raise errors.PlatformAnswerLostError(f'status {response.status}')
-    return response
+    try:
+      if response.status == HTTPStatus.CONFLICT:
+        answer = msgspec.json.decode(response.data, type=_Version)
+        raise errors.ConflictError(key, answer['version'])
+      return _decode(response, answer_type)
+    except msgspec.MsgspecError as error:
+      raise errors.PlatformAnswerLostError(f'malformed: {error}') from error
 
   def _request(
       self, method: str, path: str, body: bytes | None, timeout_s: float
@@ -185,18 +193,19 @@
     return 0.0
 
 
-def _decode(
-    response: urllib3.BaseHTTPResponse,
-    body_type: type,
-    status: int = HTTPStatus.OK,
-):
-  if response.status != status:
+def _decode(response: urllib3.BaseHTTPResponse, body_type: type):
+  if response.status != HTTPStatus.OK:
     name = http_wire.error_name(response.data)
     raise errors.PlatformError(f'{name}: status {response.status}')
+  return msgspec.json.decode(response.data, type=body_type)
+
+
+def _decode_read(response: urllib3.BaseHTTPResponse, body_type: type):
+  """Decodes the answer to a read, which is worth another try if cut short."""
   try:
-    return msgspec.json.decode(response.data, type=body_type)
+    return _decode(response, body_type)
   except msgspec.MsgspecError as error:
-    raise errors.PlatformError(f'malformed answer: {error}') from error
+    raise errors.PlatformUnavailableError(f'malformed: {error}') from error
 
 
 def _as_value(fields: _Object) -> platform.VersionedValue:
--- /dev/null
+++ b/mulberrypick/adapters/http_platform_test.py
@@ -0,0 +1,267 @@
+"""Tests of the HTTP adapter for the platform, against the real stand-in."""
+
+import pathlib
+import socket
+import tempfile
+import threading
+import time
+import unittest
+
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import platform
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from standins import launcher
+
+PATIENCE_S = 20.0
+TIMEOUT_S = 5.0
+LONG_S = 60.0
+
+
+class PlatformCase(unittest.TestCase):
+
+  @classmethod
+  def setUpClass(cls):
+    folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+    cls.fleet = cls.enterClassContext(launcher.Fleet(pathlib.Path(folder)))
+    cls.program = cls.fleet.start_platform('--hosts-lag-s', '0.2')
+    cls.adapter = http_platform.HttpPlatform(
+        cls.program.url, '127.0.2.1', TIMEOUT_S, 'test'
+    )
+
+  def setUp(self):
+    self.key = f'test/{self.id()}'
+
+  def put_fault(self, **faults):
+    self.fleet.put_fault(self.program, **faults)
+
+
+class TestObjects(PlatformCase):
+
+  def test_creates_updates_and_deletes(self):
+    first = self.adapter.put(self.key, b'one', platform.MISSING_VERSION)
+    second = self.adapter.put(self.key, b'two', first)
+    self.assertGreater(second, first)
+    self.assertEqual(
+        self.adapter.get(self.key),
+        platform.VersionedValue(self.key, second, b'two'),
+    )
+    self.adapter.delete(self.key, second)
+    self.assertIsNone(self.adapter.get(self.key))
+
+  def test_a_version_never_comes_back(self):
+    first = self.adapter.put(self.key, b'one', 0)
+    self.adapter.delete(self.key, first)
+    again = self.adapter.put(self.key, b'one', 0)
+    self.assertGreater(again, first)
+
+  def test_another_version_is_a_conflict(self):
+    version = self.adapter.put(self.key, b'one', 0)
+    for call in (
+        lambda: self.adapter.put(self.key, b'two', 0),
+        lambda: self.adapter.put(self.key, b'two', version + 1),
+        lambda: self.adapter.delete(self.key, version + 1),
+    ):
+      with self.assertRaises(errors.ConflictError) as caught:
+        call()
+      self.assertEqual(caught.exception.current_version, version)
+
+  def test_any_key_and_value_come_back(self):
+    key = self.key + '/a b?c=ü&d%2F#e'
+    value = bytes(range(256))
+    version = self.adapter.put(key, value, 0)
+    listing = self.adapter.list_objects(self.key)
+    self.assertEqual(
+        listing.value_by_key,
+        {key: platform.VersionedValue(key, version, value)},
+    )
+
+  def test_a_value_over_the_limit_is_an_error(self):
+    self.adapter.put(self.key, bytes(platform.MAX_VALUE_BYTES), 0)
+    with self.assertRaises(errors.PlatformError):
+      self.adapter.put(self.key, bytes(platform.MAX_VALUE_BYTES + 1), 0)
+
+
+class TestWatch(PlatformCase):
+
+  def test_tells_changes_in_order_and_goes_on(self):
+    start = self.adapter.list_objects(self.key).revision
+    first = self.adapter.put(self.key, b'one', 0)
+    second = self.adapter.put(self.key, b'two', first)
+    self.adapter.delete(self.key, second)
+    batch = self.adapter.watch(self.key, start, LONG_S)
+    self.assertEqual(
+        [(c.version, c.value) for c in batch.changes],
+        [(first, b'one'), (second, b'two'), (0, b'')],
+    )
+    after = self.adapter.watch(self.key, batch.revision, 0.05)
+    self.assertEqual(after.changes, [])
+
+  def test_wakes_up_on_a_change(self):
+    start = self.adapter.list_objects(self.key).revision
+    batches = []
+    watcher = threading.Thread(
+        target=lambda: batches.append(
+            self.adapter.watch(self.key, start, LONG_S)
+        )
+    )
+    watcher.start()
+    self.adapter.put(self.key + '/a', b'one', 0)
+    watcher.join(PATIENCE_S)
+    self.assertEqual([c.value for c in batches[0].changes], [b'one'])
+
+  def test_a_revision_of_the_future_is_expired(self):
+    with self.assertRaises(errors.WatchExpiredError):
+      self.adapter.watch(self.key, 10**9, LONG_S)
+
+  def test_an_outage_ends_it(self):
+    start = self.adapter.list_objects(self.key).revision
+    raised = []
+
+    def watch():
+      try:
+        self.adapter.watch(self.key, start, LONG_S)
+      except errors.PlatformUnavailableError as error:
+        raised.append(error)
+
+    watcher = threading.Thread(target=watch)
+    before = self.fleet.call(self.program, 'GET', '/calls')['watch']
+    watcher.start()
+    until = time.monotonic() + PATIENCE_S
+    while self.fleet.call(self.program, 'GET', '/calls')['watch'] == before:
+      self.assertLess(time.monotonic(), until)
+    self.put_fault(outage_s=LONG_S)
+    self.addCleanup(self.put_fault, outage_s=0)
+    watcher.join(PATIENCE_S)
+    self.assertEqual(len(raised), 1)
+
+
+class TestFaults(PlatformCase):
+
+  def test_a_lost_answer_is_told_apart_and_has_taken_effect(self):
+    self.put_fault(lose_answers=1, lose_prefix=self.key)
+    with self.assertRaises(errors.PlatformAnswerLostError):
+      self.adapter.put(self.key, b'one', 0)
+    found = self.adapter.get(self.key)
+    self.assertEqual(found.value, b'one')
+    self.put_fault(lose_answers=1)
+    with self.assertRaises(errors.PlatformAnswerLostError):
+      self.adapter.delete(self.key, found.version)
+    self.assertIsNone(self.adapter.get(self.key))
+
+  def test_an_outage_is_unavailable_and_has_no_effect(self):
+    self.put_fault(outage_s=LONG_S)
+    self.addCleanup(self.put_fault, outage_s=0)
+    for call in (
+        lambda: self.adapter.put(self.key, b'one', 0),
+        lambda: self.adapter.get(self.key),
+        lambda: self.adapter.list_objects(self.key),
+        self.adapter.list_hosts,
+    ):
+      with self.assertRaises(errors.PlatformUnavailableError) as caught:
+        call()
+      self.assertGreater(caught.exception.retry_after_s, 0)
+    self.put_fault(outage_s=0)
+    self.assertIsNone(self.adapter.get(self.key))
+
+  def test_a_late_answer_to_a_write_is_lost(self):
+    hasty = http_platform.HttpPlatform(self.program.url, '', 0.2, 'hasty')
+    self.adapter.put(self.key, b'one', 0)
+    self.put_fault(delay_s=1.0)
+    self.addCleanup(self.put_fault, delay_s=0)
+    with self.assertRaises(errors.PlatformAnswerLostError):
+      hasty.put(self.key + '/a', b'one', 0)
+    with self.assertRaises(errors.PlatformUnavailableError):
+      hasty.get(self.key)
+
+  def test_a_cut_zone_is_unavailable(self):
+    self.put_fault(cut=['127.0.2.'])
+    self.addCleanup(self.put_fault, cut=[])
+    with self.assertRaises(errors.PlatformUnavailableError):
+      self.adapter.put(self.key, b'one', 0)
+    other = http_platform.HttpPlatform(
+        self.program.url, '127.0.3.1', TIMEOUT_S, 'other'
+    )
+    self.assertIsNone(other.get(self.key))
+
+  def test_a_refused_connection_is_unavailable(self):
+    url = f'http://{launcher.free_address("127.0.0.1")}'
+    away = http_platform.HttpPlatform(url, '', TIMEOUT_S, 'test')
+    with self.assertRaises(errors.PlatformUnavailableError):
+      away.put(self.key, b'one', 0)
+    with self.assertRaises(errors.PlatformUnavailableError):
+      away.get(self.key)
+
+
+class TestAnswersCutShort(unittest.TestCase):
+
+  def make_adapter(self, answer):
+    listener = socket.create_server(('127.0.0.1', 0))
+    self.addCleanup(listener.close)
+
+    def serve():
+      connection, _ = listener.accept()
+      with connection:
+        connection.recv(65_536)
+        connection.sendall(answer)
+
+    threading.Thread(target=serve, daemon=True).start()
+    url = f'http://127.0.0.1:{listener.getsockname()[1]}'
+    return http_platform.HttpPlatform(url, '', TIMEOUT_S, 'test')
+
+  def test_a_write_is_lost_and_a_read_unavailable(self):
+    for answer in (
+        b'',
+        b'HTTP/1.1 200 OK\r\nContent-Le',
+        b'HTTP/1.1 409 Conflict\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n{"version',
+    ):
+      with self.subTest(answer):
+        with self.assertRaises(errors.PlatformAnswerLostError):
+          self.make_adapter(answer).put('a', b'', 0)
+        with self.assertRaises(errors.PlatformAnswerLostError):
+          self.make_adapter(answer).delete('a', 1)
+    for answer in (b'', b'HTTP/1.1 200 OK\r\nContent-Le'):
+      with self.assertRaises(errors.PlatformUnavailableError):
+        self.make_adapter(answer).get('a')
+
+
+class TestRates(unittest.TestCase):
+
+  def test_a_call_over_the_rate_is_unavailable_and_counted(self):
+    folder = self.enterContext(tempfile.TemporaryDirectory())
+    fleet = self.enterContext(launcher.Fleet(pathlib.Path(folder)))
+    program = fleet.start_platform('--writes-per-s', '2', '--reads-per-s', '3')
+    adapter = http_platform.HttpPlatform(program.url, '', TIMEOUT_S, 'test')
+    refused = 0
+    for number in range(10):
+      try:
+        adapter.put(f'key/{number}', b'', 0)
+      except errors.PlatformUnavailableError:
+        refused += 1
+    calls = fleet.call(program, 'GET', '/calls')
+    self.assertGreater(refused, 0)
+    self.assertEqual((calls['put'], calls['refused']), (10 - refused, refused))
+
+
+class TestHosts(PlatformCase):
+
+  def test_the_list_lags_behind(self):
+    host = launcher.make_host('h', 1, records.HOST_ENTRY, '127.0.1.1:1')
+    self.fleet.put_host(host)
+    self.wait_for([host])
+    leaving = host._replace(state=records.STATE_LEAVING)
+    self.fleet.put_host(leaving)
+    self.wait_for([leaving])
+    self.fleet.delete_host('h')
+    self.wait_for([])
+
+  def wait_for(self, hosts):
+    until = time.monotonic() + PATIENCE_S
+    while self.adapter.list_hosts() != hosts:
+      self.assertLess(time.monotonic(), until)
+      time.sleep(0.05)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/adapters/http_service.py
+++ b/mulberrypick/adapters/http_service.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_S = 1.0
 SHORTEST_TIMEOUT_S = 0.001
 READ_BYTES = 65_536
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 class HttpPlainService(service.PlainService):
@@ -70,12 +71,26 @@
       preload_content=False,
   )
   response = made.getresponse()
+  _check_framed(response)
   content_type = response.headers.get('Content-Type', '')
   return records.PlainAnswer(
       response.status, content_type, _read_whole(made, response, until)
   )
 
 
+def _check_framed(response: urllib3.BaseHTTPResponse) -> None:
+  """Raises if nothing tells where the answer ends.
+
+  A head that is cut short looks like one without a length, and its body like
+  a whole one that ends with the connection.
+  """
+  if response.status in BODILESS_STATUSES:
+    return
+  if response.chunked or response.length_remaining is not None:
+    return
+  raise exceptions.IncompleteRead(0, 0)
+
+
 def _headers(call: records.PlainCall) -> dict[str, str]:
   headers = {'X-Request-Id': call.request_id, 'Connection': 'close'}
   if call.content_type:
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -194,12 +194,14 @@
 
 def _read_call(environ: Mapping[str, object]) -> Call:
   length = int(environ.get('CONTENT_LENGTH') or 0)
+  # PATH_INFO is decoded already, but as Latin-1 and without `%2F`.
+  path = environ['REQUEST_URI'].partition('?')[0]
   pairs = urllib.parse.parse_qsl(
       environ['QUERY_STRING'], keep_blank_values=True
   )
   return Call(
       environ['REQUEST_METHOD'],
-      urllib.parse.unquote(environ['PATH_INFO']),
+      urllib.parse.unquote(path),
       dict(pairs),
       environ,
       environ['wsgi.input'].read(length) if length else b'',
