--- /dev/null
+++ b/standins/engine_parts_test.py
@@ -0,0 +1,103 @@
+"""Tests of the engine stand-in's orders, events and lagging reports."""
+
+import time
+import unittest
+
+import msgspec
+
+from mulberrypick.core import records
+from standins import engine_events
+from standins import engine_memory
+from standins import engine_orders
+
+PATIENCE_S = 20.0
+
+
+class TestOrders(unittest.TestCase):
+
+  def setUp(self):
+    self.cuts = []
+
+  def make(self, checks_fence=True, role_change_s=0.0):
+    settings = engine_orders.Settings('e', 1, checks_fence, role_change_s, 0.0)
+    return engine_orders.Orders(
+        settings, ('m@1', 'm@1+a'), records.ROLE_MIXED, self.cuts.append
+    )
+
+  def give(self, orders, sequence, fence=1, action='undrain', **fields):
+    order = records.Order('e', sequence, fence, action, '', '', '', '')
+    answer = orders.accept(order._replace(**fields))
+    return answer.status, msgspec.json.decode(answer.body)
+
+  def settle(self, orders):
+    until = time.monotonic() + PATIENCE_S
+    while orders.state(0).is_changing:
+      self.assertLess(time.monotonic(), until)
+      time.sleep(0.005)
+    return orders.state(0)
+
+  def test_fences_and_sequences(self):
+    for checks, steps in (
+        (True, ['1 5 ok', '2 4 fence', '2 5 ok', '3 6 ok']),
+        (False, ['1 5 ok', '2 4 ok', '3 5 ok']),
+        (True, ['4 5 ok', '4 5 ok', '3 5 sequence', '5 9 ok', '6 8 fence']),
+    ):
+      orders = self.make(checks)
+      for step in steps:
+        sequence, fence, expected = step.split()
+        _, body = self.give(orders, int(sequence), int(fence))
+        with self.subTest(checks=checks, step=step):
+          self.assertEqual(body.get('error', 'ok'), expected)
+        self.settle(orders)
+
+  def test_a_repeat_is_accepted_and_not_done_twice(self):
+    orders = self.make()
+    self.give(orders, 1, 1, 'load', model='x', version='1')
+    self.settle(orders)
+    status, _ = self.give(orders, 1, 2, 'load', model='x', version='1')
+    self.assertEqual((status, orders.accepted), (202, 1))
+    status, body = self.give(orders, 1, 2, 'load', model='x', version='2')
+    self.assertEqual((status, body), (409, {'error': 'sequence'}))
+
+  def test_two_orders_at_once_are_refused(self):
+    orders = self.make(role_change_s=PATIENCE_S)
+    self.give(orders, 1, 1, 'role', role='decode')
+    status, body = self.give(orders, 2, 1)
+    self.assertEqual((status, body), (409, {'error': 'changing'}))
+    refusal = orders.refusal('m', '')
+    self.assertEqual(msgspec.json.decode(refusal.body), {'error': 'role'})
+
+  def test_loads_and_unloads(self):
+    orders = self.make()
+    self.give(orders, 1, 1, 'load', model='m', version='2')
+    self.settle(orders)
+    self.give(orders, 2, 1, 'unload', model='m', version='1')
+    state = self.settle(orders)
+    self.assertEqual(state.models, ('m@1+a', 'm@2'))
+    self.assertEqual(orders.served_models(), ('m+a', 'm'))
+    self.give(orders, 3, 1, 'unload', model='m', version='2')
+    self.settle(orders)
+    until = time.monotonic() + PATIENCE_S
+    while not self.cuts:
+      self.assertLess(time.monotonic(), until)
+    # Only the last version that served the name cuts what runs.
+    self.assertEqual(self.cuts, ['m'])
+
+
+class TestEvents(unittest.TestCase):
+
+  def test_events_are_late_and_numbered_with_gaps(self):
+    changes = [engine_memory.Change(True, block) for block in range(400)]
+    late = engine_events.CacheEvents(60.0, 0.0, 1)
+    late.add(changes)
+    self.assertEqual(late.read(0), [])
+    gaps = engine_events.CacheEvents(0.0, 0.5, 1)
+    gaps.add(changes)
+    events = gaps.read(0)
+    self.assertTrue(0 < len(events) < 400)
+    self.assertTrue(all(e.number == e.block + 1 for e in events))
+    self.assertEqual(gaps.read(events[5].number), events[6:])
+
+
+if __name__ == '__main__':
+  unittest.main()
