--- a/mulberrypick/core/lease.py
+++ b/mulberrypick/core/lease.py
@@ -19,7 +19,8 @@
 
 import msgspec
 
-from mulberrypick.core import chart, errors
+from mulberrypick.core import chart
+from mulberrypick.core import errors
 
 CHART = chart.load_chart('lease')
 
--- a/mulberrypick/core/orders.py
+++ b/mulberrypick/core/orders.py
@@ -18,7 +18,9 @@
 
 import msgspec
 
-from mulberrypick.core import chart, errors, records
+from mulberrypick.core import chart
+from mulberrypick.core import errors
+from mulberrypick.core import records
 
 CHART = chart.load_chart('order')
 
@@ -28,7 +30,7 @@
 UNKNOWN = 'unknown'
 SETTLING = 'settling'
 
-_PREFIX = 'orders/'
+ORDER_PREFIX = 'orders/'
 _NEVER = float('-inf')
 
 
@@ -63,7 +65,12 @@
 
 def order_key(endpoint: str) -> str:
   """Returns the key of an engine's intent object."""
-  return _PREFIX + endpoint
+  return ORDER_PREFIX + endpoint
+
+
+def endpoint_of(key: str) -> str:
+  """Returns the engine that a key is about."""
+  return key.removeprefix(ORDER_PREFIX)
 
 
 def encode_intent(intent: Intent) -> bytes:
@@ -108,15 +115,20 @@
   return Track(state, version, intent)
 
 
-def begin_write(track: Track, order: records.Order, nonce: str) -> Track:
+def begin_write(
+    track: Track, order: records.Order, nonce: str, engine_sequence: int
+) -> Track:
   """Starts the write of an intent.
 
   Args:
     track: A settled track; the write replaces its `version`.
     order: The order; its sequence is set here.
     nonce: Unique to this write.
+    engine_sequence: Last sequence that the engine shows.
   """
-  sequence = track.intent.order.sequence + 1 if track.intent else 1
+  sequence = engine_sequence + 1
+  if track.intent:
+    sequence = max(sequence, track.intent.order.sequence + 1)
   intent = Intent(order._replace(sequence=sequence), nonce)
   state = chart.advance(CHART, track.state, 'write')
   return track._replace(state=state, intent=intent)
--- /dev/null
+++ b/mulberrypick/core/placement.py
@@ -0,0 +1,99 @@
+"""Which engines hold which model.
+
+Every controller works this out by itself from the same declaration and list of
+hosts. The share of each zone depends on these alone, so that the controllers of
+several zones agree without a word; within its zone the holder of the lease
+also goes by what the engines hold already, so that few models move.
+"""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from mulberrypick.core import records
+from mulberrypick.core import rendezvous
+
+
+class Piece(NamedTuple):
+  """What one order loads or unloads.
+
+  Attributes:
+    model: Name of the model.
+    version: Version of its weights.
+    adapter: Adapter, empty for the bare model.
+  """
+
+  model: str
+  version: str
+  adapter: str
+
+
+def parse_piece(loaded: str) -> Piece:
+  """Parses `name@version` or `name@version+adapter`."""
+  model, _, rest = loaded.partition('@')
+  version, _, adapter = rest.partition('+')
+  return Piece(model, version, adapter)
+
+
+def list_pieces(model: records.Model) -> list[Piece]:
+  """Lists the model and its adapters, in the order of loading."""
+  pieces = [Piece(model.name, model.version, '')]
+  for adapter in model.adapters:
+    pieces.append(Piece(model.name, model.version, adapter))
+  return pieces
+
+
+def count_by_zone(
+    model: records.Model, engines_by_zone: Mapping[str, int]
+) -> dict[str, int]:
+  """Spreads the replicas of a model over the zones.
+
+  Args:
+    model: The model.
+    engines_by_zone: Engines of each zone that may hold it.
+
+  Returns:
+    Replicas by zone; they differ by one at most while all zones have room, and
+    another zone has the odd one for each model.
+  """
+  share_by_zone = dict.fromkeys(engines_by_zone, 0)
+  zones = rendezvous.rank(model.name, engines_by_zone)
+  left = min(model.replicas, sum(engines_by_zone.values()))
+  while left:
+    for zone in zones:
+      if not left:
+        break
+      if share_by_zone[zone] == engines_by_zone[zone]:
+        continue
+      share_by_zone[zone] += 1
+      left -= 1
+  return share_by_zone
+
+
+def place(
+    model_by_name: Mapping[str, records.Model],
+    share_by_model: Mapping[str, int],
+    held_by_engine: Mapping[str, frozenset[str]],
+) -> dict[str, set[str]]:
+  """Chooses the engines of one zone for its share of every model.
+
+  Args:
+    model_by_name: The declared models.
+    share_by_model: Replicas of each model in this zone.
+    held_by_engine: Names of the models that each usable engine holds now.
+
+  Returns:
+    Names of the models that each engine shall hold.
+  """
+  wanted_by_engine = {engine: set() for engine in held_by_engine}
+  for name in sorted(model_by_name):
+    order = rendezvous.rank(name, held_by_engine)
+    # The sort is stable: engines that are alike stay in hashed order.
+    order.sort(
+        key=lambda engine, name=name: (
+            name not in held_by_engine[engine],
+            len(wanted_by_engine[engine]),
+        )
+    )
+    for engine in order[: share_by_model.get(name, 0)]:
+      wanted_by_engine[engine].add(name)
+  return wanted_by_engine
--- /dev/null
+++ b/mulberrypick/core/reconcile.py
@@ -0,0 +1,258 @@
+"""From what is declared and what engines are to the next orders.
+
+There is no plan that is kept: every look at the engines gives the orders that
+are due now, so that a successor, or the same holder after an engine crashed
+halfway, goes on from what is.
+
+An unload or a change of role cuts what runs, so each is preceded by a drain:
+the engine refuses new work, entries send it elsewhere, what runs ends by
+itself; only then the change, and the undrain at last. One change at a time
+touches any model of the zone, and replicas that are missing come first, so
+that a model is never down by more than one engine for a planned change.
+"""
+
+import abc
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from mulberrypick.core import placement
+from mulberrypick.core import records
+
+
+class View(NamedTuple):
+  """What the holder of a zone's lease sees.
+
+  Attributes:
+    zone: The zone.
+    model_by_name: The declared models.
+    hosts: The platform's list.
+    drains: Engines that operators want drained, of all zones.
+    state_by_engine: States just read; engines that can't be reached have none.
+    report_by_engine: Load reports, for the role planner.
+    unsettled: Engines whose last order is not settled.
+  """
+
+  zone: str
+  model_by_name: Mapping[str, records.Model]
+  hosts: tuple[records.Host, ...]
+  drains: frozenset[str]
+  state_by_engine: Mapping[str, records.EngineState]
+  report_by_engine: Mapping[str, records.EngineReport]
+  unsettled: frozenset[str]
+
+
+class RolePlanner(abc.ABC):
+  """Decides which role each engine of the zone shall have."""
+
+  @abc.abstractmethod
+  def plan(self, view: View, now: float) -> dict[str, str]:
+    """Returns the wanted role by engine; engines left out keep theirs.
+
+    Args:
+      view: What the holder sees.
+      now: Monotonic time.
+    """
+
+
+class KeepRoles(RolePlanner):
+  """Leaves every engine in its role."""
+
+  def plan(self, view: View, now: float) -> dict[str, str]:
+    """Wants no change."""
+    return {}
+
+
+class _Need(NamedTuple):
+  """What one engine lacks.
+
+  Attributes:
+    unloads: Pieces to unload, adapters before their model.
+    loads: Pieces to load, a model before its adapters.
+    role: Role to take, empty to keep its own.
+    is_drain_wanted: Whether an operator wants it drained.
+    models: Models that a change of this engine touches.
+  """
+
+  unloads: tuple[placement.Piece, ...]
+  loads: tuple[placement.Piece, ...]
+  role: str
+  is_drain_wanted: bool
+  models: frozenset[str]
+
+  @property
+  def is_disruptive(self) -> bool:
+    """Whether the engine has to be drained for it."""
+    return bool(self.unloads or self.role)
+
+  @property
+  def takes_away(self) -> bool:
+    """Whether the engine serves nothing for a time."""
+    return self.is_disruptive or self.is_drain_wanted
+
+
+def list_orders(
+    view: View, role_by_engine: Mapping[str, str]
+) -> list[records.Order]:
+  """Lists the orders that are due now, at most one for each engine.
+
+  Args:
+    view: What the holder sees.
+    role_by_engine: Wanted roles, of the role planner.
+
+  Returns:
+    Orders without sequence and fencing number, the most urgent first.
+  """
+  need_by_engine = _list_needs(view, role_by_engine)
+  orders = []
+  busy = set()
+  idle = []
+  for engine in sorted(need_by_engine):
+    state = view.state_by_engine[engine]
+    need = need_by_engine[engine]
+    if _is_under_way(view, state, need):
+      busy |= need.models
+      orders += _go_on(view, state, need)
+    else:
+      idle.append(engine)
+  # Engines that need no drain first: they bring replicas that are missing.
+  idle.sort(key=lambda engine: (need_by_engine[engine].takes_away, engine))
+  for engine in idle:
+    need = need_by_engine[engine]
+    order = _begin(view.state_by_engine[engine], need)
+    if order is None or busy & need.models:
+      continue
+    busy |= need.models
+    orders.append(order)
+  return orders
+
+
+def list_usable(view: View) -> dict[str, list[str]]:
+  """Lists the engines that may hold models, by zone.
+
+  Engines that leave, or that operators drain, are left out; their models move.
+  """
+  usable_by_zone = {}
+  for host in view.hosts:
+    if host.kind != records.HOST_ENGINE:
+      continue
+    usable = usable_by_zone.setdefault(host.zone, [])
+    if host.state != records.STATE_LIVE or host.name in view.drains:
+      continue
+    usable.append(host.name)
+  return usable_by_zone
+
+
+def list_engines(view: View) -> list[records.Host]:
+  """Lists the engines of the own zone that take orders: all but leaving."""
+  return [
+      host
+      for host in view.hosts
+      if host.kind == records.HOST_ENGINE
+      and host.zone == view.zone
+      and host.state == records.STATE_LIVE
+  ]
+
+
+def _list_needs(
+    view: View, role_by_engine: Mapping[str, str]
+) -> dict[str, _Need]:
+  usable_by_zone = list_usable(view)
+  count_by_zone = {zone: len(e) for zone, e in usable_by_zone.items()}
+  share_by_model = {}
+  for name, model in view.model_by_name.items():
+    share = placement.count_by_zone(model, count_by_zone)
+    share_by_model[name] = share.get(view.zone, 0)
+  held_by_engine = {
+      engine: _held_models(view.state_by_engine[engine])
+      for engine in usable_by_zone.get(view.zone, [])
+      if engine in view.state_by_engine
+  }
+  wanted_by_engine = placement.place(
+      view.model_by_name, share_by_model, held_by_engine
+  )
+  need_by_engine = {}
+  for host in list_engines(view):
+    state = view.state_by_engine.get(host.name)
+    if state is None:
+      continue
+    wanted = wanted_by_engine.get(host.name)
+    role = role_by_engine.get(host.name, state.role)
+    need_by_engine[host.name] = _find_need(view, state, wanted, role)
+  return need_by_engine
+
+
+def _held_models(state: records.EngineState) -> frozenset[str]:
+  return frozenset(placement.parse_piece(m).model for m in state.models)
+
+
+def _find_need(
+    view: View, state: records.EngineState, wanted: set[str] | None, role: str
+) -> _Need:
+  """Compares an engine with what it shall hold, None for what it has."""
+  held = [placement.parse_piece(loaded) for loaded in state.models]
+  is_drain_wanted = state.endpoint in view.drains
+  touched = {piece.model for piece in held}
+  if wanted is None or is_drain_wanted:
+    return _Need((), (), '', is_drain_wanted, frozenset(touched))
+  pieces = []
+  for name in sorted(wanted):
+    pieces += placement.list_pieces(view.model_by_name[name])
+  loads = tuple(piece for piece in pieces if piece not in held)
+  surplus = [piece for piece in held if piece not in pieces]
+  surplus.sort(key=lambda piece: (piece.adapter == '', piece))
+  touched |= {piece.model for piece in loads}
+  wanted_role = '' if role == state.role else role
+  return _Need(tuple(surplus), loads, wanted_role, False, frozenset(touched))
+
+
+def _is_under_way(view: View, state: records.EngineState, need: _Need) -> bool:
+  if state.endpoint in view.unsettled or state.is_changing:
+    return True
+  return state.is_draining and not need.is_drain_wanted
+
+
+def _go_on(
+    view: View, state: records.EngineState, need: _Need
+) -> list[records.Order]:
+  """Returns the next order of a change that is under way, if it is due."""
+  if state.endpoint in view.unsettled or state.is_changing:
+    return []
+  engine = state.endpoint
+  if need.is_disruptive and state.running:
+    return []
+  if need.unloads:
+    return [_order(engine, records.ACTION_UNLOAD, need.unloads[0])]
+  if need.role:
+    return [_role_order(engine, need.role)]
+  if need.loads:
+    return [_order(engine, records.ACTION_LOAD, need.loads[0])]
+  return [_order(engine, records.ACTION_UNDRAIN)]
+
+
+def _begin(state: records.EngineState, need: _Need) -> records.Order | None:
+  """Returns the first order of a change, or None if there is none to make."""
+  engine = state.endpoint
+  if need.is_drain_wanted:
+    if state.is_draining:
+      return None
+    return _order(engine, records.ACTION_DRAIN)
+  if need.is_disruptive:
+    return _order(engine, records.ACTION_DRAIN)
+  if need.loads:
+    return _order(engine, records.ACTION_LOAD, need.loads[0])
+  return None
+
+
+_NO_PIECE = placement.Piece('', '', '')
+
+
+def _order(
+    engine: str, action: str, piece: placement.Piece = _NO_PIECE
+) -> records.Order:
+  return records.Order(
+      engine, 0, 0, action, piece.model, piece.version, piece.adapter, ''
+  )
+
+
+def _role_order(engine: str, role: str) -> records.Order:
+  return records.Order(engine, 0, 0, records.ACTION_ROLE, '', '', '', role)
--- /dev/null
+++ b/mulberrypick/ops/controller_task.py
@@ -0,0 +1,282 @@
+"""The task that gives orders while its zone's lease is held here.
+
+It owns the view of the zone, and the one thread that may send an order. Each
+round reads the engines, settles what is open, and gives the orders that are
+due. Without a term it only keeps its view of the declaration up to date, so
+that a standby starts to work at once. While the platform is away no intent can
+be written, and so no order is given.
+"""
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.adapters import engine as engines
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import platform as platforms
+from mulberrypick.core import config_parts
+from mulberrypick.core import drains
+from mulberrypick.core import errors
+from mulberrypick.core import reconcile
+from mulberrypick.core import records
+from mulberrypick.ops import lease_holder
+from mulberrypick.ops import order_sender
+
+_logger = logging.getLogger(__name__)
+
+
+class ControllerIntervals(NamedTuple):
+  """How often the controller looks.
+
+  Attributes:
+    round_s: Between two looks at the engines, for the holder.
+    platform_s: Between two readings of the platform, for the holder.
+    standby_s: Between two readings of the platform, for the others.
+  """
+
+  round_s: float = 0.25
+  platform_s: float = 1.0
+  standby_s: float = 10.0
+
+
+class EngineStatus(NamedTuple):
+  """One engine as the controller sees it.
+
+  Attributes:
+    state: The engine's own state.
+    order_state: State of its last order in the chart `order`.
+    order: The last order, None if there was none.
+  """
+
+  state: records.EngineState
+  order_state: str
+  order: records.Order | None
+
+
+class ControllerStatus(NamedTuple):
+  """What `GET /status` of a controller shows.
+
+  Attributes:
+    name: Name of the host.
+    zone: Its zone.
+    is_holder: Whether it may give orders.
+    fence: Fencing number of its present or last term.
+    term_left_s: Seconds left of the term, 0 without one.
+    generation: Generation of the configuration that it goes by.
+    drains: Engines that operators want drained.
+    pending: Endpoints whose last order is not settled.
+    engines: The engines of the zone; empty for a standby.
+  """
+
+  name: str
+  zone: str
+  is_holder: bool
+  fence: int
+  term_left_s: float
+  generation: int
+  drains: tuple[str, ...]
+  pending: tuple[str, ...]
+  engines: tuple[EngineStatus, ...]
+
+
+class ControllerTask:
+  """One thread; `post` takes the messages of the lease holder."""
+
+  def __init__(
+      self,
+      name: str,
+      zone: str,
+      platform: platforms.Platform,
+      engine: engines.Engine,
+      planner: reconcile.RolePlanner,
+      order_timing: order_sender.OrderTiming,
+      intervals: ControllerIntervals,
+      on_stale: Callable[[lease_holder.StaleFence], None],
+  ):
+    """Makes the task; nothing runs yet.
+
+    Args:
+      name: Name of this host.
+      zone: The zone.
+      platform: The platform.
+      engine: Calls to engines, with timeouts well below the guard.
+      planner: Decides on roles.
+      order_timing: Times of orders.
+      intervals: How often it looks.
+      on_stale: Told when an engine refuses the fencing number.
+    """
+    self._name = name
+    self._platform = platform
+    self._engine = engine
+    self._planner = planner
+    self._order_timing = order_timing
+    self._intervals = intervals
+    self._on_stale = on_stale
+    self._messages = queue.SimpleQueue()
+    self._stopping = threading.Event()
+    self._term: lease_holder.Term | None = None
+    self._begun_fence = 0
+    self._generation = 0
+    self._fleet_part = ''
+    self._read_platform_at = float('-inf')
+    self._view = reconcile.View(zone, {}, (), frozenset(), {}, {}, frozenset())
+    self._thread = threading.Thread(target=self._run, name='orders')
+    self.is_settled = True
+    self.status = ControllerStatus(name, zone, False, 0, 0.0, 0, (), (), ())
+
+  def start(self) -> None:
+    """Starts the thread."""
+    self._thread.start()
+
+  def post(self, message: lease_holder.TermMessage) -> None:
+    """Posts a message of the lease holder."""
+    self._messages.put(message)
+
+  def stop(self) -> None:
+    """Ends the task after the order that it is giving, and waits for it."""
+    self._stopping.set()
+    self._messages.put(None)
+    if self._thread.is_alive():
+      self._thread.join()
+
+  def _run(self) -> None:
+    # The timer belongs to this thread, so the sender is made here.
+    self._sender = order_sender.OrderSender(
+        self._platform, self._engine, self._order_timing
+    )
+    while not self._stopping.is_set():
+      self._take_messages()
+      try:
+        self._round()
+      except errors.StaleFenceError as error:
+        self._end_term(error)
+      except (errors.PlatformError, errors.ConfigError) as error:
+        self._log('round_failed', error=str(error))
+      except Exception:
+        # A fault of one round must not leave the zone without a holder that
+        # renews its lease and does nothing.
+        _logger.exception('round_failed')
+      self._publish_status()
+
+  def _take_messages(self) -> None:
+    """Waits for a round's time, or for a message; takes all there are."""
+    timeout_s = self._intervals.round_s
+    while True:
+      try:
+        message = self._messages.get(timeout=timeout_s)
+      except queue.Empty:
+        return
+      if isinstance(message, lease_holder.Term):
+        self._term = message
+      if isinstance(message, lease_holder.TermEnded):
+        self._term = None
+      timeout_s = 0.0 if message is None else self._intervals.round_s
+      if self._stopping.is_set() or self._messages.empty():
+        return
+
+  def _end_term(self, error: errors.StaleFenceError) -> None:
+    fence = self._term.fence if self._term else 0
+    self._log('fence_refused', error=str(error), fence=fence)
+    self._term = None
+    self._on_stale(lease_holder.StaleFence(fence))
+
+  def _has_term(self) -> bool:
+    return self._term is not None and time.monotonic() < self._term.end_at
+
+  def _round(self) -> None:
+    self._read_platform()
+    if not self._has_term():
+      self._view = self._view._replace(state_by_engine={}, report_by_engine={})
+      return
+    if self._begun_fence != self._term.fence:
+      self._sender.begin_term()
+      self._begun_fence = self._term.fence
+    self._read_engines()
+    now = time.monotonic()
+    role_by_engine = self._planner.plan(self._view, now)
+    host_by_name = {host.name: host for host in self._view.hosts}
+    for order in reconcile.list_orders(self._view, role_by_engine):
+      if self._stopping.is_set() or not self._has_term():
+        return
+      state = self._view.state_by_engine[order.endpoint]
+      address = host_by_name[order.endpoint].address
+      self._sender.give(order, address, state.last_sequence, self._term)
+
+  def _read_platform(self) -> None:
+    interval_s = self._intervals.standby_s
+    if self._has_term():
+      interval_s = self._intervals.platform_s
+    now = time.monotonic()
+    if now < self._read_platform_at + interval_s:
+      return
+    # Also after a failure: a platform that comes back meets no crowd.
+    self._read_platform_at = now
+    hosts = tuple(self._platform.list_hosts())
+    requests = self._platform.list_objects(drains.DRAIN_PREFIX)
+    wanted = frozenset(map(drains.endpoint_of, requests.value_by_key))
+    self._view = self._view._replace(hosts=hosts, drains=wanted)
+    self._read_models()
+
+  def _read_models(self) -> None:
+    """Reads the declared models; never goes back to an older generation."""
+    stored = self._platform.get(config_parts.HEAD_KEY)
+    if stored is None:
+      return
+    head = config_parts.decode_head(stored.value)
+    if head.generation <= self._generation:
+      return
+    if head.fleet != self._fleet_part:
+      part = self._platform.get(config_parts.PART_PREFIX + head.fleet)
+      if part is None:
+        return  # Replaced meanwhile: there is a newer head.
+      fleet = config_parts.decode_fleet(head.fleet, part.value)
+      model_by_name = {model.name: model for model in fleet.models}
+      self._view = self._view._replace(model_by_name=model_by_name)
+      self._fleet_part = head.fleet
+    self._generation = head.generation
+
+  def _read_engines(self) -> None:
+    state_by_engine = {}
+    report_by_engine = {}
+    unsettled = set()
+    for host in reconcile.list_engines(self._view):
+      read_at = time.monotonic()
+      try:
+        state = self._engine.read_state(host.name, host.address)
+        report = self._engine.read_load(host.name, host.address)
+      except errors.EndpointError:
+        continue
+      state_by_engine[host.name] = state
+      report_by_engine[host.name] = report
+      if not self._sender.settle(state, read_at):
+        unsettled.add(host.name)
+    self._view = self._view._replace(
+        state_by_engine=state_by_engine,
+        report_by_engine=report_by_engine,
+        unsettled=frozenset(unsettled),
+    )
+
+  def _publish_status(self) -> None:
+    self.is_settled = self._sender.is_settled()
+    is_holder = self._has_term()
+    left_s = self._term.end_at - time.monotonic() if is_holder else 0.0
+    engine_statuses = []
+    for name, state in sorted(self._view.state_by_engine.items()):
+      track = self._sender.track_by_engine[name]
+      order = track.intent.order if track.intent else None
+      engine_statuses.append(EngineStatus(state, track.state, order))
+    self.status = self.status._replace(
+        is_holder=is_holder,
+        fence=self._begun_fence,
+        term_left_s=left_s,
+        generation=self._generation,
+        drains=tuple(sorted(self._view.drains)),
+        pending=tuple(sorted(self._view.unsettled)),
+        engines=tuple(engine_statuses),
+    )
+
+  def _log(self, event: str, **fields: object) -> None:
+    logs.log_event(_logger, logging.INFO, event, **fields)
--- /dev/null
+++ b/mulberrypick/ops/lease_holder.py
@@ -0,0 +1,212 @@
+"""The task that holds, or waits for, the lease of its zone.
+
+It owns its calls to the platform and the state of `core/lease.py`, and tells
+others of the term by messages: a `Term` whenever a write was confirmed, and
+`TermEnded` when it is over. What a `Term` says stays true until its end,
+however late it is read, so that no answer is waited for here.
+"""
+
+import logging
+import queue
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import platform as platforms
+from mulberrypick.core import errors
+from mulberrypick.core import lease as leases
+
+# Parts of a duration between two renewals, or two reads of one who waits.
+CALLS_PER_DURATION = 4
+RETRIES_PER_DURATION = 8
+
+_logger = logging.getLogger(__name__)
+
+
+class Term(NamedTuple):
+  """Orders may be given under this fencing number until the end.
+
+  Attributes:
+    fence: Fencing number of the term.
+    end_at: Monotonic time at which it ends, unless it is renewed.
+  """
+
+  fence: int
+  end_at: float
+
+
+class TermEnded(NamedTuple):
+  """The term with this fencing number is over."""
+
+  fence: int
+
+
+class StaleFence(NamedTuple):
+  """An engine has seen a higher number than this term's: it is over."""
+
+  fence: int
+
+
+class Stop(NamedTuple):
+  """Ends the task; with a release if no order can be in flight."""
+
+  releases: bool
+
+
+TermMessage = Term | TermEnded
+
+
+class LeaseHolder:
+  """One thread; `post` takes `StaleFence`, `stop` ends it."""
+
+  def __init__(
+      self,
+      platform: platforms.Platform,
+      zone: str,
+      name: str,
+      timing: leases.Timing,
+      publish: Callable[[TermMessage], None],
+  ):
+    """Makes the task; nothing runs yet.
+
+    Args:
+      platform: The platform.
+      zone: The zone whose lease it is.
+      name: Name of this host; the owner in the lease is unique to the process.
+      timing: Times of the lease.
+      publish: Takes the messages; must not block.
+    """
+    self._platform = platform
+    self._key = leases.lease_key(zone)
+    self._timing = timing
+    self._publish = publish
+    self._messages = queue.SimpleQueue()
+    self._lease = leases.Lease(owner=f'{name}/{secrets.token_hex(6)}')
+    self._told = TermEnded(0)
+    self._thread = threading.Thread(target=self._run, name='lease', daemon=True)
+
+  @property
+  def lease(self) -> leases.Lease:
+    """The state as it is now; immutable."""
+    return self._lease
+
+  def start(self) -> None:
+    """Starts the thread."""
+    self._thread.start()
+
+  def post(self, message: StaleFence) -> None:
+    """Posts a message to the task."""
+    self._messages.put(message)
+
+  def stop(self, releases: bool) -> None:
+    """Ends the task and waits for it.
+
+    Args:
+      releases: Whether to give the term up, so that a successor need not wait;
+        only if no order can be in flight.
+    """
+    self._messages.put(Stop(releases))
+    if self._thread.is_alive():
+      self._thread.join()
+
+  def _run(self) -> None:
+    wait_s = 0.0
+    while True:
+      message = self._next_message(wait_s)
+      if isinstance(message, Stop):
+        break
+      if isinstance(message, StaleFence) and message.fence == self._lease.fence:
+        self._change(leases.on_stale(self._lease))
+      try:
+        wait_s = self._step()
+      except errors.PlatformError as error:
+        self._log('lease_call_failed', error=str(error))
+        wait_s = self._timing.duration_s / RETRIES_PER_DURATION
+    if message.releases:
+      self._release()
+
+  def _next_message(self, wait_s: float) -> StaleFence | Stop | None:
+    try:
+      return self._messages.get(timeout=wait_s) if wait_s > 0 else None
+    except queue.Empty:
+      return None
+
+  def _step(self) -> float:
+    """Makes the next call; returns the seconds to wait after it."""
+    self._change(leases.on_time(self._lease, time.monotonic()))
+    if self._lease.state == leases.HOLDING:
+      self._write(leases.begin_renewal)
+    else:
+      self._read()
+      if self._may_take():
+        self._write(leases.begin_take)
+    return self._wait_s()
+
+  def _may_take(self) -> bool:
+    now = time.monotonic()
+    return leases.can_take(self._lease, now, self._timing.guard_s)
+
+  def _wait_s(self) -> float:
+    pace_s = self._timing.duration_s / CALLS_PER_DURATION
+    if self._lease.state == leases.HOLDING:
+      return max(self._lease.sent_at + pace_s - time.monotonic(), 0.001)
+    return pace_s
+
+  def _read(self) -> None:
+    value = self._platform.get(self._key)
+    now = time.monotonic()
+    version = value.version if value else platforms.MISSING_VERSION
+    record = leases.decode_record(value.value) if value else None
+    self._change(leases.on_read(self._lease, version, record, now))
+
+  def _write(self, begin: Callable) -> None:
+    nonce = secrets.token_hex(8)
+    duration_s = self._timing.duration_s
+    begun, record = begin(self._lease, time.monotonic(), nonce, duration_s)
+    self._lease = begun
+    value = leases.encode_record(record)
+    try:
+      version = self._platform.put(self._key, value, begun.version)
+    except errors.ConflictError:
+      self._change(leases.on_conflict(begun))
+    except errors.PlatformUnavailableError:
+      self._change(leases.on_unavailable(begun))
+      raise
+    except errors.PlatformError:
+      # Whatever else went wrong, the write may have taken effect.
+      self._change(leases.on_lost(begun))
+      raise
+    else:
+      self._change(leases.on_written(begun, version, record))
+
+  def _release(self) -> None:
+    if self._lease.state != leases.HOLDING:
+      return
+    version = self._lease.version
+    released, record = leases.begin_release(self._lease, secrets.token_hex(8))
+    self._change(released)
+    try:
+      self._platform.put(self._key, leases.encode_record(record), version)
+    except errors.PlatformError as error:
+      self._log('release_failed', error=str(error))
+
+  def _change(self, lease: leases.Lease) -> None:
+    """Keeps the state, and tells of the term where it changed."""
+    is_held = leases.is_authorized(lease, time.monotonic())
+    self._lease = lease
+    told = TermEnded(self._told.fence)
+    if is_held:
+      told = Term(lease.fence, lease.term_end_at)
+    if told == self._told:
+      return
+    if type(told) is not type(self._told):
+      event = 'term_begins' if is_held else 'term_ends'
+      self._log(event, fence=told.fence)
+    self._told = told
+    self._publish(told)
+
+  def _log(self, event: str, **fields: object) -> None:
+    logs.log_event(_logger, logging.INFO, event, key=self._key, **fields)
--- /dev/null
+++ b/mulberrypick/ops/order_sender.py
@@ -0,0 +1,211 @@
+"""Writes intents, sends orders, and settles what became of them.
+
+Part of the controller's task and run on its thread only, which is the one
+thread that the dead-man timer ends first. See `core/orders.py` for the rules.
+"""
+
+import logging
+import secrets
+import time
+from typing import NamedTuple
+
+from mulberrypick.adapters import engine as engines
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import platform as platforms
+from mulberrypick.core import errors
+from mulberrypick.core import orders
+from mulberrypick.core import records
+from mulberrypick.ops import dead_man
+from mulberrypick.ops import lease_holder
+
+_logger = logging.getLogger(__name__)
+
+
+class OrderTiming(NamedTuple):
+  """Times of orders.
+
+  Attributes:
+    guard_s: Longest time that an order can be in flight.
+    send_s: Part of the term that must be left to begin to send: a bit more
+      than the timeouts of the engine adapter, so that the timer ends only a
+      process that was paused.
+  """
+
+  guard_s: float
+  send_s: float
+
+
+class OrderSender:
+  """Gives orders under one term after the other.
+
+  Attributes:
+    track_by_engine: What is known of the orders to each engine.
+  """
+
+  def __init__(
+      self,
+      platform: platforms.Platform,
+      engine: engines.Engine,
+      timing: OrderTiming,
+  ):
+    """Makes the sender, on the thread that will send."""
+    self._platform = platform
+    self._engine = engine
+    self._timing = timing
+    self._timer = dead_man.DeadMan()
+    self.track_by_engine: dict[str, orders.Track] = {}
+
+  def begin_term(self) -> None:
+    """Reads all intents anew: another holder may have written some.
+
+    Raises:
+      PlatformError: They could not be read; the term has not begun.
+    """
+    listing = self._platform.list_objects(orders.ORDER_PREFIX)
+    self.track_by_engine = {}
+    for key, value in listing.value_by_key.items():
+      intent = orders.decode_intent(value.value)
+      track = orders.on_read(orders.Track(), value.version, intent)
+      self.track_by_engine[orders.endpoint_of(key)] = track
+
+  def settle(self, state: records.EngineState, read_at: float) -> bool:
+    """Settles an engine's last order by the engine's state.
+
+    Args:
+      state: The engine's state.
+      read_at: Monotonic time before it was read.
+
+    Returns:
+      Whether the next order may be planned on this state.
+    """
+    engine = state.endpoint
+    track = self.track_by_engine.get(engine, orders.Track())
+    is_fresh = track.state in (orders.SETTLED, orders.UNKNOWN)
+    if track.state in (orders.UNREAD, orders.SETTLING):
+      track = self._read(track, engine)
+    if track.state == orders.READY:
+      # The write took effect after all; what it was planned on has aged.
+      track = orders.drop(track)
+    if is_fresh:
+      track = orders.settle(track, state, read_at, self._timing.guard_s)
+    self.track_by_engine[engine] = track
+    return is_fresh and track.state == orders.SETTLED
+
+  def is_settled(self) -> bool:
+    """Tells whether no order can be in flight."""
+    states = {track.state for track in self.track_by_engine.values()}
+    return orders.UNKNOWN not in states
+
+  def give(
+      self,
+      order: records.Order,
+      address: str,
+      engine_sequence: int,
+      term: lease_holder.Term,
+  ) -> None:
+    """Writes an order's intent and sends it.
+
+    Args:
+      order: The order, without sequence and fencing number.
+      address: `ip:port` of the engine.
+      engine_sequence: Last sequence that the engine shows.
+      term: The term to give it under.
+
+    Raises:
+      PlatformError: The intent could not be written; nothing was sent.
+      StaleFenceError: The term is over.
+    """
+    track = self.track_by_engine[order.endpoint]
+    track = orders.begin_write(
+        track,
+        order._replace(fence=term.fence),
+        secrets.token_hex(8),
+        engine_sequence,
+    )
+    track = self._write(track)
+    self.track_by_engine[order.endpoint] = track
+    if track.state == orders.READY:
+      self._send(track, address, term)
+
+  def _read(self, track: orders.Track, engine: str) -> orders.Track:
+    value = self._platform.get(orders.order_key(engine))
+    if value is None:
+      return orders.on_read(track, platforms.MISSING_VERSION, None)
+    intent = orders.decode_intent(value.value)
+    return orders.on_read(track, value.version, intent)
+
+  def _write(self, track: orders.Track) -> orders.Track:
+    engine = track.intent.order.endpoint
+    value = orders.encode_intent(track.intent)
+    event = 'lost'
+    try:
+      version = self._platform.put(
+          orders.order_key(engine), value, track.version
+      )
+    except errors.ConflictError:
+      event = 'conflict'
+    except errors.PlatformUnavailableError:
+      event = 'unavailable'
+    except errors.PlatformError:
+      pass  # Whatever went wrong, the write may have taken effect.
+    else:
+      return orders.on_written(track, version)
+    self._log('intent_not_written', track.intent.order, cause=event)
+    return orders.on_unwritten(track, event)
+
+  def _send(
+      self, track: orders.Track, address: str, term: lease_holder.Term
+  ) -> None:
+    order = track.intent.order
+    engine = order.endpoint
+    try:
+      if term.end_at - time.monotonic() < self._timing.send_s:
+        raise dead_man.TermOverError('too little of the term is left')
+      self._timer.arm(term.end_at)
+    except dead_man.TermOverError as error:
+      self.track_by_engine[engine] = orders.drop(track)
+      self._log('order_dropped', order, cause=str(error))
+      return
+    try:
+      sent = orders.begin_send(track, time.monotonic())
+      event = self._call(address, order)
+    finally:
+      self._timer.disarm()
+    self.track_by_engine[engine] = orders.on_answer(
+        sent, event, time.monotonic()
+    )
+    if event == 'stale':
+      raise errors.StaleFenceError(engine, order.fence)
+
+  def _call(self, address: str, order: records.Order) -> str:
+    """Sends an order; returns the event of the chart."""
+    event = 'accepted'
+    cause = ''
+    try:
+      self._engine.send_order(address, order)
+    except errors.StaleFenceError as error:
+      event, cause = 'stale', str(error)
+    except (
+        errors.EndpointUnreachableError,
+        errors.EndpointRefusedError,
+    ) as error:
+      event, cause = 'not_run', str(error)
+    except errors.EndpointError as error:
+      event, cause = 'lost', str(error)
+    self._log('order_sent', order, outcome=event, cause=cause)
+    return event
+
+  def _log(self, event: str, order: records.Order, **fields: object) -> None:
+    logs.log_event(
+        _logger,
+        logging.INFO,
+        event,
+        endpoint=order.endpoint,
+        sequence=order.sequence,
+        fence=order.fence,
+        action=order.action,
+        model=order.model,
+        adapter=order.adapter,
+        role=order.role,
+        **fields,
+    )
--- /dev/null
+++ b/mulberrypick/scripts/controller.py
@@ -0,0 +1,200 @@
+"""The program `mulberrypick-controller`: orders to the engines of one zone.
+
+This is its composition root. One controller of each zone holds the lease, the
+others stand by. It may be killed at any instant without cutting a request.
+"""
+
+import logging
+import signal
+import threading
+from typing import Any
+
+import click
+
+from mulberrypick.adapters import http_engine
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import http_server
+from mulberrypick.adapters import logs
+from mulberrypick.core import errors
+from mulberrypick.core import lease as leases
+from mulberrypick.core import reconcile
+from mulberrypick.core import settings
+from mulberrypick.ops import controller_app
+from mulberrypick.ops import controller_task
+from mulberrypick.ops import dead_man
+from mulberrypick.ops import lease_holder
+from mulberrypick.ops import order_sender
+from mulberrypick.scripts import settings_command
+
+PROGRAM = 'mulberrypick-controller'
+LIMITS = http_server.ServerLimits(threads=4, queue=8)
+# The platform must answer within this part of a duration.
+PLATFORM_TIMEOUT_PART = 0.25
+# An order is given up by the kernel after this part of the guard.
+USER_TIMEOUT_PART = 0.5
+ENGINE_TIMEOUT_PART = 0.25
+# A term must last this many times as long as an order may take, so that
+# renewals in time leave room to send.
+MIN_ORDERS_PER_TERM = 2
+
+SETTINGS = (
+    settings.Setting('name', None, settings.parse_name, 'Name of this host.'),
+    settings.Setting('zone', None, settings.parse_name, 'Availability zone.'),
+    settings.Setting(
+        'listen',
+        '127.0.0.1:8083',
+        settings.parse_address,
+        'ip:port for /healthz and /status.',
+    ),
+    settings.Setting(
+        'platform_url',
+        None,
+        settings.parse_url,
+        'Base URL of the platform.',
+    ),
+    settings.Setting(
+        'source_ip',
+        '',
+        settings.parse_ip,
+        'Local IP of outgoing connections, empty for the default.',
+    ),
+    settings.Setting(
+        'lease_s',
+        '6',
+        settings.parse_seconds,
+        'Length of a term, in seconds.',
+    ),
+    settings.Setting(
+        'guard_s',
+        '2',
+        settings.parse_seconds,
+        'Longest delay of an order in flight, in seconds.',
+    ),
+    settings.Setting(
+        'round_s',
+        '0.25',
+        settings.parse_seconds,
+        'Time between two looks at the engines, in seconds.',
+    ),
+    settings.Setting(
+        'log_level',
+        'info',
+        settings.parse_choice(*logs.LEVELS),
+        'Least level of log lines.',
+    ),
+)
+
+_logger = logging.getLogger(__name__)
+
+
+def make_planner(name: str) -> reconcile.RolePlanner:
+  """Makes the role planner of a host."""
+  del name
+  return reconcile.KeepRoles()
+
+
+class Controller:
+  """All parts of a controller, wired."""
+
+  def __init__(self, value_by_name: dict[str, Any]):
+    """Makes and wires the parts; nothing runs yet.
+
+    Args:
+      value_by_name: The checked settings.
+    """
+    self._settings = value_by_name
+    self._stopping = threading.Event()
+    name = value_by_name['name']
+    zone = value_by_name['zone']
+    timing = leases.Timing(value_by_name['lease_s'], value_by_name['guard_s'])
+    engine_timeout_s = timing.guard_s * ENGINE_TIMEOUT_PART
+    self._lease = lease_holder.LeaseHolder(
+        self._make_platform(timing), zone, name, timing, self._tell_term
+    )
+    self._task = controller_task.ControllerTask(
+        name,
+        zone,
+        self._make_platform(timing),
+        http_engine.HttpEngine(
+            source_ip=value_by_name['source_ip'],
+            connect_timeout_s=engine_timeout_s,
+            report_timeout_s=engine_timeout_s,
+            order_user_timeout_s=timing.guard_s * USER_TIMEOUT_PART,
+        ),
+        make_planner(name),
+        order_sender.OrderTiming(timing.guard_s, timing.guard_s),
+        controller_task.ControllerIntervals(round_s=value_by_name['round_s']),
+        self._lease.post,
+    )
+    application = controller_app.ControllerApp(lambda: self._task.status)
+    self._server = http_server.EdgeServer(
+        tuple(value_by_name['listen']), application, LIMITS, 1.0
+    )
+
+  def _make_platform(self, timing: leases.Timing) -> http_platform.HttpPlatform:
+    return http_platform.HttpPlatform(
+        self._settings['platform_url'],
+        self._settings['source_ip'],
+        timing.duration_s * PLATFORM_TIMEOUT_PART,
+        self._settings['name'],
+    )
+
+  def _tell_term(self, message: lease_holder.TermMessage) -> None:
+    self._task.post(message)
+
+  def run(self) -> int:
+    """Runs until SIGTERM or SIGINT; returns the exit status."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+      signal.signal(number, lambda *_: self._stopping.set())
+    dead_man.block()
+    self._server.start_in_background()
+    self._task.start()
+    self._lease.start()
+    self._log_event('ready', address=self._settings['listen'])
+    self._stopping.wait()
+    self._log_event('stopping')
+    # No order is being given any more when the term is given up.
+    self._task.stop()
+    self._lease.stop(self._task.is_settled)
+    self._server.stop()
+    self._log_event('stopped')
+    return 0
+
+  def _log_event(self, event: str, **fields: object) -> None:
+    logs.log_event(_logger, logging.INFO, event, **fields)
+
+
+def check_settings(value_by_name: dict[str, Any]) -> None:
+  """Checks what no single setting shows.
+
+  Raises:
+    SettingsError: A term is too short for an order.
+  """
+  least_s = MIN_ORDERS_PER_TERM * value_by_name['guard_s']
+  if value_by_name['lease_s'] >= least_s:
+    return
+  place = '--lease-s (MULBERRYPICK_LEASE_S)'
+  message = f'must be {MIN_ORDERS_PER_TERM} times --guard-s at least'
+  raise errors.SettingsError([errors.Fault(place, message)])
+
+
+def run_controller(value_by_name: dict[str, Any]) -> int:
+  """Runs a controller with checked settings; returns the exit status."""
+  try:
+    check_settings(value_by_name)
+  except errors.SettingsError as error:
+    for fault in error.faults:
+      click.echo(f'{PROGRAM}: {fault.place}: {fault.message}', err=True)
+    return settings_command.EXIT_SETTINGS
+  logs.configure_logging(
+      value_by_name['log_level'], PROGRAM, value_by_name['name']
+  )
+  return Controller(value_by_name).run()
+
+
+main = settings_command.make_command(
+    PROGRAM, SETTINGS, run_controller, 'Gives orders to the engines of a zone.'
+)
+
+if __name__ == '__main__':
+  main()
