--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -100,13 +100,13 @@
     ),
     settings.Setting(
         'router',
-        'least-in-flight',
+        'predicted-time',
         settings.parse_choice(*routing.ROUTER_BY_NAME),
         'How an endpoint is chosen.',
     ),
     settings.Setting(
         'admission',
-        'first-come',
+        'ranked-fair',
         settings.parse_choice(*admission.ADMISSION_BY_NAME),
         'How waiting requests are ordered and refused.',
     ),
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -95,6 +95,9 @@
     for zone in ZONES:
       for number in range(ENTRIES_PER_ZONE):
         made.spawn_entry(f'entry-{zone}-{number}', zone, '--notice-s', '1')
+    for zone in ZONES:
+      for number in range(ENTRIES_PER_ZONE):
+        made.start_controller(f'controller-{zone}-{number}', zone)
     made.wait_entries()
   except BaseException:
     made.fleet.stop()
