--- /dev/null
+++ b/standins/bench_changes.py
@@ -0,0 +1,35 @@
+"""Planned changes under load: none may cut a request. Prints one table."""
+
+import pathlib
+import shutil
+import sys
+
+import click
+
+from standins import changes
+
+LOG_FOLDER = pathlib.Path('out/bench-changes')
+RATE = 40.0
+SECONDS = 25.0
+
+
+def main() -> int:
+  """Runs every change with a thousand requests; 0 if none was cut."""
+  shutil.rmtree(LOG_FOLDER, ignore_errors=True)
+  is_good = True
+  with changes.start_town(LOG_FOLDER) as made:
+    click.echo(f'{"change":34}{"requests":>9}{"bad":>5}{"took":>9}')
+    for name, change in changes.CHANGE_BY_NAME.items():
+      result = changes.run_under_load(
+          made, name, lambda change=change: change(made), RATE, SECONDS
+      )
+      click.echo(
+          f'{result.name:34}{result.requests:9}{result.bad:5}'
+          f'{result.took_s:7.1f} s'
+      )
+      is_good = is_good and result.bad == 0
+  return 0 if is_good else 1
+
+
+if __name__ == '__main__':
+  sys.exit(main())
--- /dev/null
+++ b/standins/changes.py
@@ -0,0 +1,284 @@
+"""Planned changes under load, and how long a leaving engine gets new work.
+
+Each change is made while requests stream through all entries; a request that
+is cut, wrong or failed breaks the promise. The bench runs all changes with a
+thousand requests, the tests fewer.
+"""
+
+import json
+import pathlib
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.core import drains
+from mulberrypick.core import records
+from standins import launcher
+from standins import load
+from standins import load_client
+from standins import load_plan
+from standins import load_summary
+from standins import town
+
+ZONES = (1, 2)
+ENGINES_PER_ZONE = 3
+ENTRIES_PER_ZONE = 2
+POLL_S = 0.02
+QUIET_S = 3.0
+SETTLE_TIMEOUT_S = 60.0
+BAD_OUTCOMES = (
+    load_summary.OUTCOME_CUT,
+    load_summary.OUTCOME_WRONG,
+    load_summary.OUTCOME_FAILED,
+    load_summary.OUTCOME_REFUSED,
+)
+ENGINE_FLAGS = (
+    '--models',
+    'm@1',
+    '--role-change-s',
+    '1',
+    '--load-model-s',
+    '1',
+)
+WORK = load_plan.WorkClass(
+    'work',
+    'assistant',
+    'm',
+    tenant='drivers',
+    rank='urgent',
+    deadline_s=60.0,
+    prompt_tokens=(20, 60),
+    output_tokens=(10, 120),
+)
+
+
+class ChangeResult(NamedTuple):
+  """What came of one change.
+
+  Attributes:
+    name: Name of the change.
+    requests: Requests in flight at the change or started during it.
+    bad: Those that were cut, wrong, failed or refused.
+    took_s: From the start of the change to its end.
+  """
+
+  name: str
+  requests: int
+  bad: int
+  took_s: float
+
+
+def declare(version: str) -> bytes:
+  """Declares the town, with a version of its model."""
+  engines = len(ZONES) * ENGINES_PER_ZONE
+  return json.dumps(
+      {
+          'format': 1,
+          'models': [{'name': 'm', 'version': version, 'replicas': engines}],
+          'ranks': [
+              {
+                  'name': 'urgent',
+                  'is_urgent': True,
+                  'first_token_s': 5.0,
+                  'between_tokens_s': 1.0,
+                  'deadline_s': 60.0,
+              }
+          ],
+          'services': [
+              {
+                  'name': 'assistant',
+                  'kind': 'model',
+                  'model': 'm',
+                  'rank': 'urgent',
+                  'timeout_s': 60.0,
+                  'max_attempts': 4,
+              }
+          ],
+          'tenants': [
+              {
+                  'name': 'drivers',
+                  'share': 1.0,
+                  'services': ['assistant'],
+                  'ranks': ['urgent'],
+              }
+          ],
+      }
+  ).encode()
+
+
+def start_town(log_folder: pathlib.Path) -> town.Town:
+  """Starts a town with two zones; every engine holds the model."""
+  made = town.Town(log_folder, ())
+  try:
+    for zone in ZONES:
+      for number in range(ENGINES_PER_ZONE):
+        made.fleet.start_engine(f'engine-{zone}-{number}', zone, *ENGINE_FLAGS)
+    made.apply(declare('1'))
+    for zone in ZONES:
+      for number in range(ENTRIES_PER_ZONE):
+        made.spawn_entry(f'entry-{zone}-{number}', zone, '--notice-s', '1')
+        made.start_controller(f'controller-{zone}-{number}', zone)
+    made.wait_entries()
+  except BaseException:
+    made.fleet.stop()
+    raise
+  return made
+
+
+def run_under_load(
+    made: town.Town,
+    name: str,
+    change: Callable[[], None],
+    rate: float,
+    seconds: float,
+) -> ChangeResult:
+  """Runs a change while requests stream.
+
+  Args:
+    made: The town.
+    name: Name of the change.
+    change: Makes the change and returns once it is done.
+    rate: Requests a second.
+    seconds: How long requests arrive.
+  """
+  arrivals = load_plan.plan_arrivals(
+      [WORK], [load_plan.Phase(seconds, {'work': rate})], seed=len(name)
+  )
+  client = load_client.LoadClient(made.list_urls())
+  took_s = []
+
+  def make_change() -> None:
+    time.sleep(1.0)
+    started_at = time.monotonic()
+    change()
+    took_s.append(time.monotonic() - started_at)
+
+  thread = threading.Thread(target=make_change)
+  thread.start()
+  results = load.run_load(client, arrivals)
+  thread.join()
+  bad = [result for result in results if result.outcome in BAD_OUTCOMES]
+  return ChangeResult(name, len(results), len(bad), took_s[0])
+
+
+def stop_entry(made: town.Town) -> None:
+  """Stops an entry as planned."""
+  status = made.stop_entry('entry-1-0')
+  if status:
+    raise RuntimeError(f'the entry exited with {status}')
+
+
+def stop_controller(made: town.Town) -> None:
+  """Stops a controller of each zone as planned, whoever holds the lease."""
+  for zone in ZONES:
+    made.fleet.terminate(f'controller-{zone}-0')
+
+
+def drain_engine(made: town.Town) -> None:
+  """Drains an engine as an operator does, waits, and lets it serve again."""
+  name = 'engine-1-0'
+  request = drains.encode_request(drains.DrainRequest('operator', 'a test'))
+  version = made.platform.put(drains.drain_key(name), request, 0)
+  wait_for_state(made, name, lambda state: state['is_draining'])
+  wait_for_state(made, name, lambda state: state['running'] == 0)
+  made.platform.delete(drains.drain_key(name), version)
+  wait_for_state(made, name, lambda state: not state['is_draining'])
+
+
+def change_model(made: town.Town) -> None:
+  """Puts another version of the model in force and waits for all engines."""
+  made.apply(declare('2'), planned_on=1)
+  for zone in ZONES:
+    for number in range(ENGINES_PER_ZONE):
+      name = f'engine-{zone}-{number}'
+      if name not in made.fleet.program_by_name:
+        continue
+      wait_for_state(
+          made,
+          name,
+          lambda state: 'm@2' in state['models'] and not state['is_draining'],
+      )
+
+
+def leave_by_list(made: town.Town) -> None:
+  """Marks an engine as leaving on the platform's list, then ends it."""
+  name = 'engine-2-0'
+  measure_leaving(made, name, lambda: mark_leaving(made, name))
+  made.fleet.delete_host(name)
+  made.fleet.terminate(name)
+
+
+def mark_leaving(made: town.Town, name: str) -> None:
+  """Marks an engine as leaving on the platform's list."""
+  address = made.fleet.program_by_name[name].address
+  zone = int(name.split('-')[1])
+  host = launcher.make_host(name, zone, records.HOST_ENGINE, address)
+  made.fleet.put_host(host._replace(state=records.STATE_LEAVING))
+
+
+def drain_directly(made: town.Town, name: str) -> None:
+  """Drains an engine at the engine itself, as its own host would."""
+  program = made.fleet.program_by_name[name]
+  state = made.fleet.call(program, 'GET', '/state')
+  order = records.Order(
+      name,
+      state['last_sequence'] + 1,
+      state['fence'],
+      records.ACTION_DRAIN,
+      '',
+      '',
+      '',
+      '',
+  )
+  made.fleet.call(program, 'POST', '/orders', order._asdict())
+
+
+def measure_leaving(
+    made: town.Town, name: str, leave: Callable[[], None]
+) -> float:
+  """Measures how long a leaving engine gets new work.
+
+  Args:
+    made: The town, under load.
+    name: Name of the engine.
+    leave: Gives the first sign.
+
+  Returns:
+    Seconds from the first sign to the last request that the engine took in.
+  """
+  program = made.fleet.program_by_name[name]
+  started_at = time.monotonic()
+  leave()
+  last_at = started_at
+  taken = made.fleet.call(program, 'GET', '/calls')['generate']
+  while time.monotonic() - last_at < QUIET_S:
+    now_taken = made.fleet.call(program, 'GET', '/calls')['generate']
+    if now_taken > taken:
+      taken = now_taken
+      last_at = time.monotonic()
+    time.sleep(POLL_S)
+  wait_for_state(made, name, lambda state: state['running'] == 0)
+  return last_at - started_at
+
+
+def wait_for_state(
+    made: town.Town, name: str, is_wanted: Callable[[dict], bool]
+) -> None:
+  """Waits until the state of an engine is as wanted."""
+  program = made.fleet.program_by_name[name]
+  until = time.monotonic() + SETTLE_TIMEOUT_S
+  while time.monotonic() < until:
+    if is_wanted(made.fleet.call(program, 'GET', '/state')):
+      return
+    time.sleep(POLL_S)
+  raise RuntimeError(f'{name} did not get into the wanted state')
+
+
+CHANGE_BY_NAME: dict[str, Callable[[town.Town], None]] = {
+    'stop an entry': stop_entry,
+    'stop a controller of each zone': stop_controller,
+    'drain an engine': drain_engine,
+    'leave by the list': leave_by_list,
+    'change the model version': change_model,
+}
