--- a/standins/engine_batch_test.py
+++ b/standins/engine_batch_test.py
@@ -161,6 +161,11 @@
     for _ in range(30):
       self.step()
     high = self.add(' '.join(answers.WORDS[56:256]), 3, priority=1)
+    self.step()
+    # What was put back has its whole context to compute again.
+    self.assertEqual(
+        self.batch.waiting_tokens(), high.prefill_left() + 200 + low.next_index
+    )
     steps = run(self.batch)
     order = [output.sequence for outputs in steps for output in outputs]
     self.assertLess(order.index(high), order.index(low))
