Fuzz of the dead-man timer: no byte after the term of a paused sender

A real process with the product's sender, adapter and timer is stopped at a random moment of its term and continued after it; a recorder counts bytes.

Ruled out: arming for the whole term. The process would end at every outage of the platform; armed around each order, it ends only when paused while it sends.

--- /dev/null
+++ b/standins/fuzz_dead_man_test.py
@@ -0,0 +1,28 @@
+"""A few rounds of the fuzz of the dead-man timer, and of one fault."""
+
+import unittest
+
+from standins import fuzz_dead_man
+
+ROUNDS = 8
+
+
+class TestFuzzDeadMan(unittest.TestCase):
+
+  def test_a_paused_sender_sends_no_byte_after_its_term(self):
+    for number in range(ROUNDS):
+      found = fuzz_dead_man.run_round(f'ci/{number}')
+      self.assertEqual(0, found.bytes_after, number)
+
+  def test_without_the_timer_bytes_get_through(self):
+    leaks = 0
+    for number in range(10 * ROUNDS):
+      found = fuzz_dead_man.run_round(f'ci/{number}', 'no-timer')
+      leaks += found.bytes_after
+      if leaks:
+        break
+    self.assertGreater(leaks, 0)
+
+
+if __name__ == '__main__':
+  unittest.main()
