--- a/standins/wire.py
+++ b/standins/wire.py
@@ -8,6 +8,7 @@
 
 import abc
 import logging
+import select
 import socket
 import sys
 import threading
@@ -55,12 +56,15 @@
 
   def is_caller_gone(self) -> bool:
     """Looks whether the caller closed the connection."""
+    # MSG_DONTWAIT alone is not enough: a Python socket with a timeout waits
+    # for bytes before it calls recv.
+    poll = select.poll()
     try:
-      flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-      return self.socket.recv(1, flags) == b''
-    except BlockingIOError:
-      return False
-    except OSError:
+      poll.register(self.socket, select.POLLIN)
+      if not poll.poll(0):
+        return False
+      return self.socket.recv(1, socket.MSG_PEEK) == b''
+    except (OSError, ValueError):
       return True
 
   def drop(self) -> None:
@@ -190,12 +194,14 @@
 
 def _read_call(environ: Mapping[str, object]) -> Call:
   length = int(environ.get('CONTENT_LENGTH') or 0)
+  # PATH_INFO is decoded already, but as Latin-1 and without `%2F`.
+  path = environ['REQUEST_URI'].partition('?')[0]
   pairs = urllib.parse.parse_qsl(
       environ['QUERY_STRING'], keep_blank_values=True
   )
   return Call(
       environ['REQUEST_METHOD'],
-      urllib.parse.unquote(environ['PATH_INFO']),
+      urllib.parse.unquote(path),
       dict(pairs),
       environ,
       environ['wsgi.input'].read(length) if length else b'',
