--- a/spec/check.py
+++ b/spec/check.py
@@ -21,7 +21,12 @@
 import minicheck
 from minicheck import _core
 
-MODULES = ('spec.lease_model', 'spec.claim_model', 'spec.config_model')
+MODULES = (
+    'spec.lease_model',
+    'spec.order_model',
+    'spec.claim_model',
+    'spec.config_model',
+)
 
 PROVED = 'proved'
 REFUTED = 'refuted'
--- /dev/null
+++ b/standins/authority_test.py
@@ -0,0 +1,212 @@
+"""Controllers as real processes: killed, paused, racing, without a platform.
+
+Whatever happens, no engine takes an order of an older term after one of a
+newer (its counter of conflicts stays 0), and the zone ends up with one holder
+that does what is declared.
+"""
+
+import pathlib
+import shutil
+import tempfile
+import time
+import unittest
+from collections.abc import Callable
+
+import msgspec
+
+from mulberrypick.core import drains
+from mulberrypick.core import records
+from standins import town
+
+ZONE = 1
+LEASE_FLAGS = ('--lease-s', '2', '--guard-s', '0.5', '--round-s', '0.05')
+ENGINE_FLAGS = ('--load-model-s', '0.1', '--role-change-s', '0.1')
+PLATFORM_FLAGS = ('--hosts-lag-s', '0.1')
+WAIT_S = 60.0
+POLL_S = 0.05
+
+
+def declare(version: str, replicas: int) -> bytes:
+  """Declares one model and nothing that uses it."""
+  model = {
+      'name': 'm',
+      'version': version,
+      'adapters': [],
+      'replicas': replicas,
+  }
+  return msgspec.json.encode({'format': 1, 'models': [model]})
+
+
+class TestAuthority(unittest.TestCase):
+
+  def setUp(self):
+    folder = pathlib.Path(tempfile.mkdtemp())
+    self.addCleanup(shutil.rmtree, folder)
+    self.town = town.Town(folder, PLATFORM_FLAGS)
+    self.fleet = self.town.fleet
+    self.addCleanup(self.fleet.stop)
+    # One engine of each kind.
+    for name, checks_fence in (('e1', True), ('e2', False)):
+      self.fleet.start_engine(
+          name, ZONE, *ENGINE_FLAGS, checks_fence=checks_fence
+      )
+
+  def start_controllers(self, *names: str) -> None:
+    for name in names:
+      self.town.start_controller(name, ZONE, *LEASE_FLAGS)
+
+  def wait_for(self, what: str, is_true: Callable[[], bool]) -> None:
+    until = time.monotonic() + WAIT_S
+    while not is_true():
+      if time.monotonic() > until:
+        logs = [p.log()[-1500:] for p in self.fleet.program_by_name.values()]
+        self.fail(f'never: {what}\n' + '\n'.join(logs))
+      time.sleep(POLL_S)
+
+  def status(self, controller: str) -> dict:
+    program = self.fleet.program_by_name[controller]
+    return self.fleet.call(program, 'GET', '/status')
+
+  def is_holder(self, controller: str) -> bool:
+    return self.status(controller)['is_holder']
+
+  def engine(self, name: str, path: str) -> dict:
+    return self.fleet.call(self.fleet.program_by_name[name], 'GET', path)
+
+  def holds(self, name: str, *models: str) -> bool:
+    state = self.engine(name, '/state')
+    is_idle = not state['is_changing'] and not state['is_draining']
+    return is_idle and sorted(state['models']) == sorted(models)
+
+  def all_hold(self, *models: str) -> bool:
+    return self.holds('e1', *models) and self.holds('e2', *models)
+
+  def count_orders(self) -> int:
+    calls = [self.engine(name, '/calls') for name in ('e1', 'e2')]
+    return sum(call['orders'] for call in calls)
+
+  def assert_no_conflicts(self) -> None:
+    for name in ('e1', 'e2'):
+      self.assertEqual(0, self.engine(name, '/calls')['conflicts'], name)
+
+  def test_a_killed_holder_is_followed_by_a_standby(self):
+    self.town.apply(declare('1', 2))
+    self.start_controllers('c1', 'c2')
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    holder, other = 'c1', 'c2'
+    if not self.is_holder(holder):
+      holder, other = other, holder
+    self.town.apply(declare('2', 2), planned_on=1)
+    # Killed at once: some change of version is only half done.
+    self.wait_for('begun', lambda: not self.all_hold('m@1'))
+    self.fleet.kill(holder)
+    self.wait_for('taken over', lambda: self.is_holder(other))
+    self.wait_for('changed', lambda: self.all_hold('m@2'))
+    self.assertGreater(self.status(other)['fence'], 1)
+    self.assert_no_conflicts()
+
+  def test_a_paused_holder_gives_no_order_once_it_goes_on(self):
+    self.town.apply(declare('1', 2))
+    self.start_controllers('c1', 'c2')
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    holder, other = 'c1', 'c2'
+    if not self.is_holder(holder):
+      holder, other = other, holder
+    self.town.apply(declare('2', 2), planned_on=1)
+    self.wait_for('begun', lambda: not self.all_hold('m@1'))
+    self.fleet.pause(holder)
+    self.wait_for('taken over', lambda: self.is_holder(other))
+    self.wait_for('changed', lambda: self.all_hold('m@2'))
+    orders = self.count_orders()
+    self.fleet.resume(holder)
+    program = self.fleet.program_by_name[holder]
+    self.wait_for(
+        'no term',
+        lambda: program.process.poll() is not None
+        or not self.is_holder(holder),
+    )
+    self.assertEqual(orders, self.count_orders())
+    self.assert_no_conflicts()
+
+  def test_a_planned_stop_hands_the_term_over(self):
+    self.start_controllers('c1', 'c2')
+    self.wait_for('held', lambda: self.is_holder('c1') or self.is_holder('c2'))
+    holder, other = 'c1', 'c2'
+    if not self.is_holder(holder):
+      holder, other = other, holder
+    self.assertEqual(0, self.fleet.terminate(holder))
+    lease = msgspec.json.decode(self.town.platform.get('leases/zone-1').value)
+    self.assertFalse(lease['owner'].startswith(holder))
+    self.wait_for('taken over', lambda: self.is_holder(other))
+
+  def test_without_the_platform_there_are_no_orders(self):
+    self.town.apply(declare('1', 2))
+    self.start_controllers('c1')
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    self.fleet.put_fault(self.fleet.platform, outage_s=4)
+    # Someone else takes the model away from the engine that checks nothing,
+    # so that an order is due.
+    order = records.Order('e2', 99, 0, 'unload', 'm', '1', '', '')
+    program = self.fleet.program_by_name['e2']
+    self.fleet.call(program, 'POST', '/orders', order._asdict())
+    self.wait_for('taken away', lambda: self.holds('e2'))
+    orders = self.count_orders()
+    self.wait_for('term over', lambda: not self.is_holder('c1'))
+    self.assertEqual(orders, self.count_orders())
+    self.wait_for('mended', lambda: self.all_hold('m@1'))
+
+  def test_lost_answers_of_lease_and_intents_are_settled(self):
+    self.fleet.put_fault(
+        self.fleet.platform, lose_answers=1, lose_prefix='leases/'
+    )
+    self.start_controllers('c1')
+    self.wait_for('held', lambda: self.is_holder('c1'))
+    self.fleet.put_fault(
+        self.fleet.platform, lose_answers=3, lose_prefix='orders/'
+    )
+    self.town.apply(declare('1', 2))
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    self.assert_no_conflicts()
+
+  def test_of_racing_controllers_one_holds_the_lease(self):
+    names = ('c1', 'c2', 'c3', 'c4')
+    self.town.apply(declare('1', 2))
+    for name in names:
+      self.start_controllers(name)
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    for version in ('2', '3'):
+      self.town.apply(declare(version, 2), planned_on=int(version) - 1)
+      self.wait_for('changed', lambda v=version: self.all_hold(f'm@{v}'))
+    holders = [name for name in names if self.is_holder(name)]
+    self.assertLessEqual(len(holders), 1)
+    self.assert_no_conflicts()
+
+  def test_a_request_of_an_operator_drains_an_engine_for_a_time(self):
+    self.town.apply(declare('1', 2))
+    self.start_controllers('c1')
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    request = drains.encode_request(drains.DrainRequest('ana', 'new disk'))
+    key = drains.drain_key('e1')
+    version = self.town.platform.put(key, request, 0)
+    self.wait_for('drained', lambda: self.engine('e1', '/state')['is_draining'])
+    self.assertEqual(['e1'], self.status('c1')['drains'])
+    self.town.platform.delete(key, version)
+    self.wait_for('back', lambda: self.holds('e1', 'm@1'))
+
+  def test_an_engine_that_restarts_in_mid_change_is_brought_to_its_state(self):
+    self.town.apply(declare('1', 2))
+    self.start_controllers('c1')
+    self.wait_for('loaded', lambda: self.all_hold('m@1'))
+    program = self.fleet.program_by_name['e1']
+    self.fleet.put_fault(program, crash_in_order=True)
+    self.town.apply(declare('2', 2), planned_on=1)
+    self.fleet.wait('e1')
+    self.fleet.start_engine(
+        'e1', ZONE, *ENGINE_FLAGS, '--models', 'm@1', checks_fence=True
+    )
+    self.wait_for('changed', lambda: self.all_hold('m@2'))
+    self.assert_no_conflicts()
+
+
+if __name__ == '__main__':
+  unittest.main()
