--- /dev/null
+++ b/spec/config_model.py
@@ -0,0 +1,15 @@
+"""Model of the configuration: how changes are applied, and how they spread."""
+
+from spec import check
+from spec import config_apply_model
+from spec import config_spread_model
+
+
+def specifications() -> list[check.Specification]:
+  """Lists the specifications and their broken variants."""
+  return [
+      *config_apply_model.specifications(),
+      config_spread_model.make_spread(),
+      *config_apply_model.broken_variants(),
+      *config_spread_model.broken_variants(),
+  ]
