--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Complete deployments, as their operators would write them."""
--- /dev/null
+++ b/examples/hanamura.py
@@ -0,0 +1,113 @@
+"""Hanamura Reading Circle Supplies: reading sets, four zones in Kyushu.
+
+Long novels go in and short answers come out, in waves before the circles
+meet. A coordinator whose group gathers within the hour is urgent; guides that
+are prepared days ahead are not. Loans are never repeated, stock checks may be.
+
+    python -m examples.hanamura > hanamura.json
+    mulberrypick plan hanamura.json
+"""
+
+from mulberrypick import declare
+
+
+def make_deployment() -> declare.Deployment:
+  """Returns what this operator declares."""
+  deployment = declare.Deployment()
+
+  # Two ranks, with targets and worth far apart. The larger reserve is that of
+  # the long summaries: most of the work, and what the lenders are paid for.
+  urgent = deployment.add_rank(
+      'urgent',
+      is_urgent=True,
+      first_token_s=1.0,
+      between_tokens_s=0.05,
+      deadline_s=20.0,
+      reserve=0.35,
+  )
+  other = deployment.add_rank(
+      'other',
+      is_urgent=False,
+      first_token_s=30.0,
+      between_tokens_s=0.25,
+      deadline_s=600.0,
+      reserve=0.5,
+  )
+
+  # One model on five engines.
+  guide = deployment.add_model(
+      'reading-guide',
+      version='4.1',
+      replicas=5,
+      adapters=('discussion', 'young-readers'),
+  )
+
+  # Asked for while people take their seats.
+  meeting_summary = deployment.add_model_service(
+      'meeting-summary',
+      model=guide,
+      adapter='discussion',
+      rank=urgent,
+      timeout_s=15.0,
+  )
+  # Whole novels in; asked for days before a meeting.
+  discussion_guide = deployment.add_model_service(
+      'discussion-guide',
+      model=guide,
+      adapter='discussion',
+      rank=other,
+      timeout_s=300.0,
+  )
+  class_guide = deployment.add_model_service(
+      'class-guide',
+      model=guide,
+      adapter='young-readers',
+      rank=other,
+      timeout_s=300.0,
+  )
+
+  # The platform lists the four replicas of the lending desk. A loan runs at
+  # most once. Stock checks only read, and may go to any replica again.
+  lending_desk = deployment.add_plain_service(
+      'lending-desk',
+      rank=urgent,
+      is_repeatable=False,
+      timeout_s=10.0,
+  )
+  stock_check = deployment.add_plain_service(
+      'stock-check',
+      rank=other,
+      is_repeatable=True,
+      timeout_s=3.0,
+      max_attempts=4,
+  )
+
+  deployment.add_tenant(
+      'librarians',
+      share=0.35,
+      services=(discussion_guide, lending_desk, meeting_summary, stock_check),
+      ranks=(urgent, other),
+  )
+  deployment.add_tenant(
+      'teachers',
+      share=0.3,
+      services=(class_guide, lending_desk, stock_check),
+      ranks=(urgent, other),
+  )
+  deployment.add_tenant(
+      'circle-leaders',
+      share=0.3,
+      services=(discussion_guide, meeting_summary, stock_check),
+      ranks=(urgent, other),
+  )
+  deployment.add_tenant(
+      'warehouse',
+      share=0.05,
+      services=(stock_check,),
+      ranks=(other,),
+  )
+  return deployment
+
+
+if __name__ == '__main__':
+  make_deployment().print_json()
--- /dev/null
+++ b/mulberrypick/declare.py
@@ -0,0 +1,315 @@
+"""The operators' library: a deployment as ordinary code that prints JSON.
+
+    deployment = declare.Deployment()
+    urgent = deployment.add_rank('urgent', is_urgent=True, ...)
+    ...
+    deployment.print_json()
+
+Each `add_` method checks what it is given against what was declared before,
+and raises `ConfigError` in the line that is wrong, with every fault of it. So
+a contradiction is found where it is written, and what is printed can be
+applied. The JSON is canonical: the same declaration prints the same bytes,
+whatever the order of its lines among entries of one kind.
+"""
+
+import hashlib
+import re
+import sys
+from typing import TextIO
+
+from mulberrypick.core import config
+from mulberrypick.core import errors
+from mulberrypick.core import records
+
+_PLACE = re.compile(r'(models|ranks|services|tenants)\[(\d+)\](.*)')
+
+DEFAULT_ATTEMPTS = 3
+
+
+def hash_token(token: str) -> str:
+  """Returns the digest of a tenant's bearer token.
+
+  The token itself belongs into a store of secrets, never into a declaration.
+  """
+  return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Deployment:
+  """The declared models, ranks, services and tenants of one fleet."""
+
+  def __init__(self):
+    self._model_by_name = {}
+    self._rank_by_name = {}
+    self._service_by_name = {}
+    self._tenant_by_name = {}
+    self._name_by_token = {}
+    self._shares = 0.0
+
+  def add_model(
+      self,
+      name: str,
+      *,
+      version: str,
+      replicas: int,
+      adapters: tuple[str, ...] = (),
+  ) -> records.Model:
+    """Declares a model.
+
+    Args:
+      name: Unique name.
+      version: Version of the weights in the weight store.
+      replicas: Engines that hold the model over the whole fleet.
+      adapters: Names of the adapters to load beside it.
+
+    Returns:
+      The model, to name it in services.
+
+    Raises:
+      ConfigError: The model is wrong; the error holds every fault.
+    """
+    model = records.Model(name, version, tuple(adapters), replicas)
+    self._check_new('models', self._model_by_name, model)
+    self._model_by_name[name] = model
+    return model
+
+  def add_rank(
+      self,
+      name: str,
+      *,
+      is_urgent: bool,
+      first_token_s: float,
+      between_tokens_s: float,
+      deadline_s: float,
+      reserve: float = 0.0,
+  ) -> records.Rank:
+    """Declares a rank of requests.
+
+    Args:
+      name: Unique name.
+      is_urgent: Whether its requests go before those of ranks that are not.
+      first_token_s: Target of the time to the first token, in seconds.
+      between_tokens_s: Target of the time between two tokens, in seconds.
+      deadline_s: Time to the whole answer when a caller names none.
+      reserve: Share of the fleet kept for the rank in a flood, 0 to 1; all
+        reserves together are at most 1.
+
+    Returns:
+      The rank, to name it in services and tenants.
+
+    Raises:
+      ConfigError: The rank is wrong; the error holds every fault.
+    """
+    rank = records.Rank(
+        name, is_urgent, first_token_s, between_tokens_s, deadline_s, reserve
+    )
+    self._check_new('ranks', self._rank_by_name, rank)
+    self._rank_by_name[name] = rank
+    return rank
+
+  def add_model_service(
+      self,
+      name: str,
+      *,
+      model: records.Model,
+      rank: records.Rank,
+      timeout_s: float,
+      adapter: str = '',
+      max_attempts: int = DEFAULT_ATTEMPTS,
+  ) -> records.Service:
+    """Declares a service that a model answers.
+
+    Args:
+      name: Unique name, by which callers ask for it.
+      model: The model.
+      rank: The rank of requests that name none.
+      timeout_s: Time that one attempt may take.
+      adapter: One of the model's adapters, empty for the bare model.
+      max_attempts: Attempts of one request in all.
+
+    Returns:
+      The service, to name it in tenants.
+
+    Raises:
+      ConfigError: The service is wrong; the error holds every fault.
+    """
+    service = records.Service(
+        name,
+        records.KIND_MODEL,
+        model.name,
+        adapter,
+        rank.name,
+        True,
+        max_attempts,
+        timeout_s,
+    )
+    return self._add_service(service)
+
+  def add_plain_service(
+      self,
+      name: str,
+      *,
+      rank: records.Rank,
+      is_repeatable: bool,
+      timeout_s: float,
+      max_attempts: int = DEFAULT_ATTEMPTS,
+  ) -> records.Service:
+    """Declares a service beside the engines, such as a booking desk.
+
+    Args:
+      name: Unique name; the platform lists its endpoints under it.
+      rank: The rank of requests that name none.
+      is_repeatable: Whether a call may be run again. If not, callers send an
+        idempotency key, and a call runs at most once.
+      timeout_s: Time that one attempt may take.
+      max_attempts: Attempts of one request in all. One of a call that may not
+        be repeated ends with the first byte that is sent.
+
+    Returns:
+      The service, to name it in tenants.
+
+    Raises:
+      ConfigError: The service is wrong; the error holds every fault.
+    """
+    service = records.Service(
+        name,
+        records.KIND_PLAIN,
+        '',
+        '',
+        rank.name,
+        is_repeatable,
+        max_attempts,
+        timeout_s,
+    )
+    return self._add_service(service)
+
+  def add_tenant(
+      self,
+      name: str,
+      *,
+      share: float,
+      services: tuple[records.Service, ...],
+      ranks: tuple[records.Rank, ...],
+      token_sha256: str = '',
+  ) -> records.Tenant:
+    """Declares a tenant.
+
+    Args:
+      name: Unique name.
+      share: Part of the fleet that it may claim, 0 to 1; all shares together
+        are at most 1.
+      services: The services that it may call.
+      ranks: The ranks that it may use.
+      token_sha256: Digest of its bearer token, see `hash_token`; empty to ask
+        for none.
+
+    Returns:
+      The tenant.
+
+    Raises:
+      ConfigError: The tenant is wrong; the error holds every fault.
+    """
+    tenant = records.Tenant(
+        name,
+        share,
+        tuple(service.name for service in services),
+        tuple(rank.name for rank in ranks),
+        token_sha256,
+    )
+    self._check_new('tenants', self._tenant_by_name, tenant)
+    self._check_share(tenant)
+    self._check_token(tenant)
+    self._shares += tenant.share
+    self._name_by_token[token_sha256] = name
+    self._tenant_by_name[name] = tenant
+    return tenant
+
+  def build(self) -> records.Config:
+    """Returns the whole configuration, checked once more as one.
+
+    Raises:
+      ConfigError: It is wrong as a whole; the error holds every fault.
+    """
+    built = self._config(self._tenant_by_name)
+    _check(built)
+    return built
+
+  def print_json(self, file: TextIO | None = None) -> None:
+    """Prints the canonical JSON, for review and for `mulberrypick plan`.
+
+    Args:
+      file: Where to print, standard output if None.
+
+    Raises:
+      ConfigError: The declaration is wrong as a whole.
+    """
+    text = config.format_config(self.build()).decode('ascii')
+    (file or sys.stdout).write(text)
+
+  def _config(
+      self, tenant_by_name: dict[str, records.Tenant]
+  ) -> records.Config:
+    return records.Config(
+        0,
+        dict(self._model_by_name),
+        dict(self._rank_by_name),
+        dict(self._service_by_name),
+        tenant_by_name,
+    )
+
+  def _add_service(self, service: records.Service) -> records.Service:
+    self._check_new('services', self._service_by_name, service)
+    self._service_by_name[service.name] = service
+    return service
+
+  def _check_new(self, section: str, by_name: dict, record) -> None:
+    """Checks an entry against all that it may refer to.
+
+    Other tenants are left out, so that thousands of them stay quick to
+    declare; `build` looks at all.
+    """
+    if not isinstance(record.name, str):
+      raise _fault(section, 'the name must be text')
+    if record.name in by_name:
+      raise _fault(f'{section} {record.name}', 'is declared twice')
+    built = self._config({})
+    field = f'{section.removesuffix("s")}_by_name'
+    grown = {**getattr(built, field), record.name: record}
+    _check(built._replace(**{field: grown}))
+
+  def _check_share(self, tenant: records.Tenant) -> None:
+    if self._shares + tenant.share <= 1 + config.SHARE_TOLERANCE:
+      return
+    message = (
+        f'{tenant.share:g} is more than the {max(0, 1 - self._shares):.6g}'
+        ' that the other tenants leave'
+    )
+    raise _fault(f'tenants {tenant.name}.share', message)
+
+  def _check_token(self, tenant: records.Tenant) -> None:
+    other = self._name_by_token.get(tenant.token_sha256)
+    if tenant.token_sha256 and other is not None:
+      place = f'tenants {tenant.name}.token_sha256'
+      raise _fault(place, f'is the token of {other} too')
+
+
+def _fault(place: str, message: str) -> errors.ConfigError:
+  return errors.ConfigError([errors.Fault(place, message)])
+
+
+def _check(declared: records.Config) -> None:
+  """Checks; faults name entries, since their order is not the caller's."""
+  try:
+    config.check_config(declared)
+  except errors.ConfigError as error:
+    data = config.to_data(declared)
+    faults = []
+    for fault in error.faults:
+      match = _PLACE.fullmatch(fault.place)
+      if match:
+        section, index, rest = match.groups()
+        name = data[section][int(index)]['name']
+        fault = fault._replace(place=f'{section} {name}{rest}')
+      faults.append(fault)
+    raise errors.ConfigError(faults) from error
+  except TypeError as error:
+    raise _fault('declaration', str(error)) from error
