Operators' command: plan, apply, show, status, drain, explain and the rest

Errors tell what to do next, and exit codes tell a refused configuration, a lost race, an outage and an unknown outcome apart. Drain refuses names that the platform does not list, since a slip of the pen would drain nothing and say nothing. Histograms are merged over hosts, not their percentiles.

--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -74,6 +74,14 @@
   """Whether a change was accepted could not be found out."""
 
 
+class UnknownEndpointError(MulberrypickError):
+  """The platform lists no such endpoint."""
+
+  def __init__(self, endpoint: str, known: list[str]):
+    listed = ', '.join(known) or 'none'
+    super().__init__(f'no endpoint {endpoint!r}; the platform lists {listed}')
+
+
 class ChartError(MulberrypickError):
   """A state chart has no such state, event or transition."""
 
--- /dev/null
+++ b/mulberrypick/ops/operator_actions.py
@@ -0,0 +1,207 @@
+"""What the operators' command does, apart from its command line.
+
+Each function returns a record that is printed as text or JSON.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from concurrent import futures
+from typing import Any
+from typing import NamedTuple
+
+from mulberrypick.adapters import http_operator
+from mulberrypick.adapters import platform as platform_lib
+from mulberrypick.core import config
+from mulberrypick.core import config_diff
+from mulberrypick.core import drains
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.core import status
+from mulberrypick.ops import config_fetch
+
+MAX_QUESTIONS_AT_ONCE = 16
+PLATFORM = 'platform'
+
+
+class Plan(NamedTuple):
+  """What applying a file would do.
+
+  Attributes:
+    planned_on: Generation in force, to be given to `apply`.
+    operator: Who applied that generation.
+    changes: What would change.
+  """
+
+  planned_on: int
+  operator: str
+  changes: tuple[config_diff.Change, ...]
+
+
+class Drained(NamedTuple):
+  """The outcome of a drain or undrain.
+
+  Attributes:
+    endpoint: The endpoint.
+    is_wanted: Whether it is to be drained now.
+    was_changed: Whether that is new.
+  """
+
+  endpoint: str
+  is_wanted: bool
+  was_changed: bool
+
+
+class Explanation(NamedTuple):
+  """What hosts know of a request.
+
+  Attributes:
+    request_id: The request.
+    lines_by_address: Decisions by the entry that made them, oldest first.
+    missing: Entries that did not answer.
+  """
+
+  request_id: str
+  lines_by_address: dict[str, list[str]]
+  missing: tuple[status.Missing, ...]
+
+
+def plan(platform: platform_lib.Platform, text: bytes) -> Plan:
+  """Compares a file with what is in force.
+
+  Raises:
+    ConfigError: The file is refused whole.
+    PlatformError: The platform can't be read.
+  """
+  _, current = config_fetch.read_tree(platform)
+  generation = current.config.generation
+  declared = config.parse_config(text, generation + 1)
+  changes = config_diff.diff_configs(current.config, declared)
+  history = current.tree.head.history
+  operator = history[0].operator if history else ''
+  return Plan(generation, operator, tuple(changes))
+
+
+def check_listed(platform: platform_lib.Platform, endpoint: str) -> None:
+  """Checks that the platform lists an endpoint, to catch slips of the pen.
+
+  Raises:
+    UnknownEndpointError: It does not.
+    PlatformError: The list can't be read.
+  """
+  names = sorted(
+      host.name
+      for host in platform.list_hosts()
+      if host.kind != records.HOST_ENTRY
+  )
+  if endpoint not in names:
+    raise errors.UnknownEndpointError(endpoint, names)
+
+
+def drain(
+    platform: platform_lib.Platform, endpoint: str, operator: str, reason: str
+) -> Drained:
+  """Asks for an endpoint to be drained; asking twice changes nothing.
+
+  Raises:
+    PlatformError: It could not be asked for.
+  """
+  value = drains.encode_request(drains.DrainRequest(operator, reason))
+  try:
+    platform.put(
+        drains.drain_key(endpoint), value, platform_lib.MISSING_VERSION
+    )
+  except errors.ConflictError:
+    return Drained(endpoint, True, False)
+  except errors.PlatformAnswerLostError:
+    # The object's presence is the request, whoever wrote it.
+    if platform.get(drains.drain_key(endpoint)) is None:
+      raise
+  return Drained(endpoint, True, True)
+
+
+def undrain(platform: platform_lib.Platform, endpoint: str) -> Drained:
+  """Takes back the request to drain an endpoint.
+
+  Raises:
+    PlatformError: It could not be taken back.
+  """
+  key = drains.drain_key(endpoint)
+  stored = platform.get(key)
+  if stored is None:
+    return Drained(endpoint, False, False)
+  try:
+    platform.delete(key, stored.version)
+  except (errors.ConflictError, errors.PlatformAnswerLostError):
+    if platform.get(key) is not None:
+      raise
+  return Drained(endpoint, False, True)
+
+
+def read_status(
+    platform: platform_lib.Platform | None,
+    client: http_operator.OperatorClient,
+    entries: Sequence[str],
+    controllers: Sequence[str],
+) -> status.StatusReport:
+  """Asks all hosts at once, and the platform for what is accepted."""
+  missing = []
+  generation, operator, wanted = -1, '', ()
+  if platform is not None:
+    try:
+      generation, operator, wanted = _read_platform(platform)
+    except (errors.PlatformError, errors.ConfigError) as error:
+      missing.append(status.Missing(PLATFORM, str(error)))
+  entry_by_address = _ask_all(entries, client.read_status, missing)
+  controller_by_address = _ask_all(controllers, client.read_status, missing)
+  shown = tuple(entry_by_address.values())
+  return status.StatusReport(
+      generation,
+      operator,
+      wanted,
+      shown,
+      tuple(controller_by_address.values()),
+      status.merge_latencies(shown),
+      tuple(missing),
+  )
+
+
+def explain(
+    client: http_operator.OperatorClient,
+    entries: Sequence[str],
+    request_id: str,
+) -> Explanation:
+  """Asks all entries what they know of a request."""
+  missing = []
+  found = _ask_all(
+      entries, lambda address: client.explain(address, request_id), missing
+  )
+  lines_by_address = {a: lines for a, lines in found.items() if lines}
+  return Explanation(request_id, lines_by_address, tuple(missing))
+
+
+def _read_platform(
+    platform: platform_lib.Platform,
+) -> tuple[int, str, tuple[str, ...]]:
+  _, current = config_fetch.read_tree(platform)
+  history = current.tree.head.history
+  listing = platform.list_objects(drains.DRAIN_PREFIX)
+  wanted = tuple(sorted(map(drains.endpoint_of, listing.value_by_key)))
+  operator = history[0].operator if history else ''
+  return current.config.generation, operator, wanted
+
+
+def _ask_all(
+    addresses: Sequence[str],
+    ask: Callable[[str], Any],
+    missing: list[status.Missing],
+) -> dict[str, Any]:
+  """Asks hosts in parallel; those without an answer go into `missing`."""
+  answer_by_address = {}
+  with futures.ThreadPoolExecutor(MAX_QUESTIONS_AT_ONCE) as pool:
+    asked = [(address, pool.submit(ask, address)) for address in addresses]
+    for address, future in asked:
+      try:
+        answer_by_address[address] = future.result()
+      except errors.EndpointError as error:
+        missing.append(status.Missing(address, str(error)))
+  return answer_by_address
--- /dev/null
+++ b/mulberrypick/scripts/operate.py
@@ -0,0 +1,257 @@
+"""The operators' command `mulberrypick`.
+
+Exit status: 0 done; 1 another error; 2 wrong usage or settings; 3 the
+configuration is refused; 4 another operator was faster; 5 the platform is
+away, nothing was changed; 6 the outcome is not known; 7 nothing was found;
+8 done, but some hosts did not answer.
+"""
+
+import sys
+from typing import Any
+
+import click
+from click import shell_completion
+
+import mulberrypick
+from mulberrypick.core import config
+from mulberrypick.core import config_diff
+from mulberrypick.core import errors
+from mulberrypick.core import settings
+from mulberrypick.core import status
+from mulberrypick.ops import config_apply
+from mulberrypick.ops import config_fetch
+from mulberrypick.ops import operator_actions
+from mulberrypick.scripts import operate_session
+
+SHELLS = ('bash', 'zsh', 'fish')
+
+
+def _check_settings(
+    context: click.Context, print_settings: bool, **text_by_name: str | None
+) -> None:
+  """Plans, applies and shows what mulberrypick serves."""
+  try:
+    context.obj = settings.parse_settings(
+        operate_session.SETTINGS, text_by_name
+    )
+  except errors.SettingsError as error:
+    for fault in error.faults:
+      click.echo(
+          f'{operate_session.PROGRAM}: {fault.place}: {fault.message}', err=True
+      )
+    sys.exit(operate_session.EXIT_USAGE)
+  if print_settings:
+    click.echo(settings.render_settings(operate_session.SETTINGS, context.obj))
+    context.exit()
+  if context.invoked_subcommand is None:
+    click.echo(context.get_help())
+    context.exit(operate_session.EXIT_USAGE)
+
+
+def _make_group() -> click.Group:
+  """Makes the group of commands with the table of settings as its flags."""
+  parameters: list[click.Parameter] = [
+      click.Option(
+          [setting.flag],
+          envvar=setting.variable,
+          help=setting.help,
+          default=None,
+          show_envvar=True,
+      )
+      for setting in operate_session.SETTINGS
+  ]
+  parameters.append(
+      click.Option(
+          ['--print-settings'],
+          is_flag=True,
+          help='Print the settings in force and exit.',
+      )
+  )
+  return click.Group(
+      operate_session.PROGRAM,
+      callback=click.pass_context(_check_settings),
+      params=parameters,
+      help=_check_settings.__doc__,
+      epilog=__doc__.split('\n\n', 1)[1],
+      invoke_without_command=True,
+  )
+
+
+main = _make_group()
+
+
+@main.command()
+@click.argument('file', type=click.File('rb'))
+@operate_session.command
+def validate(session: operate_session.Session, file: Any) -> None:
+  """Checks a configuration without asking anyone."""
+  parsed = config.parse_config(file.read(), 0)
+  count_by_section = {
+      'models': len(parsed.model_by_name),
+      'ranks': len(parsed.rank_by_name),
+      'services': len(parsed.service_by_name),
+      'tenants': len(parsed.tenant_by_name),
+  }
+  counts = ', '.join(f'{n} {name}' for name, n in count_by_section.items())
+  session.show(count_by_section, f'valid: {counts}')
+
+
+@main.command()
+@click.argument('file', type=click.File('rb'))
+@operate_session.command
+def plan(session: operate_session.Session, file: Any) -> None:
+  """Shows what a configuration would change, and what that does."""
+  made = operator_actions.plan(session.platform, file.read())
+  by = f', applied by {made.operator}' if made.operator else ''
+  lines = [f'planned on generation {made.planned_on}{by}']
+  if made.changes:
+    lines.append(config_diff.format_changes(list(made.changes)))
+    lines.append(
+        f'to apply: {operate_session.PROGRAM} apply {file.name}'
+        f' --planned-on {made.planned_on}'
+    )
+  else:
+    lines.append('nothing would change')
+  session.show(made, '\n'.join(lines))
+
+
+@main.command()
+@click.argument('file', type=click.File('rb'))
+@click.option(
+    '--planned-on',
+    type=click.IntRange(min=0),
+    required=True,
+    help='The generation that `plan` showed.',
+)
+@operate_session.command
+def apply(session: operate_session.Session, file: Any, planned_on: int) -> None:
+  """Puts a configuration in force, if nothing changed since its plan."""
+  applied = config_apply.apply_config(
+      session.platform, file.read(), planned_on, session.operator
+  )
+  text = f'accepted as generation {applied.generation}'
+  if applied.newest > applied.generation:
+    text += f'; generation {applied.newest} followed already'
+  session.show(applied, text)
+
+
+@main.command()
+@operate_session.command
+def show(session: operate_session.Session) -> None:
+  """Prints the configuration that is in force, as canonical JSON."""
+  _, current = config_fetch.read_tree(session.platform)
+  text = config.format_config(current.config).decode('ascii').rstrip('\n')
+  session.show(config.to_data(current.config), text)
+
+
+@main.command()
+@operate_session.command
+def tidy(session: operate_session.Session) -> None:
+  """Removes parts of configurations that no one can refer to any more."""
+  removed = config_apply.tidy(session.platform)
+  session.show({'removed': removed}, f'{removed} parts removed')
+
+
+@main.command('status')
+@operate_session.command
+def show_status(session: operate_session.Session) -> None:
+  """Shows zones, hosts, engines, leases and generations in force."""
+  platform = session.platform if session.value_by_name['platform_url'] else None
+  if platform is None and not session.entries and not session.controllers:
+    raise click.UsageError(
+        'nobody to ask: set --platform-url, --entries or --controllers before'
+        ' the command, or their MULBERRYPICK_ variables'
+    )
+  report = operator_actions.read_status(
+      platform, session.client, session.entries, session.controllers
+  )
+  session.show(report, status.format_status(report))
+  if report.missing:
+    sys.exit(operate_session.EXIT_PARTIAL)
+
+
+@main.command()
+@click.argument('endpoint')
+@click.option('--reason', default='', help='For other operators to read.')
+@click.option(
+    '--unlisted', is_flag=True, help='Even if the platform does not list it.'
+)
+@operate_session.command
+def drain(
+    session: operate_session.Session, endpoint: str, reason: str, unlisted: bool
+) -> None:
+  """Lets an endpoint finish what runs and gives it nothing new."""
+  if not unlisted:
+    operator_actions.check_listed(session.platform, endpoint)
+  drained = operator_actions.drain(
+      session.platform, endpoint, session.operator, reason
+  )
+  is_old = '' if drained.was_changed else ', as asked for before'
+  session.show(
+      drained,
+      f'{endpoint} is to be drained{is_old};'
+      f' see `{operate_session.PROGRAM} status`',
+  )
+
+
+@main.command()
+@click.argument('endpoint')
+@operate_session.command
+def undrain(session: operate_session.Session, endpoint: str) -> None:
+  """Lets an endpoint serve again."""
+  drained = operator_actions.undrain(session.platform, endpoint)
+  if drained.was_changed:
+    session.show(drained, f'{endpoint} may serve again')
+    return
+  session.show(drained, f'{endpoint} was not to be drained')
+  sys.exit(operate_session.EXIT_NOTHING)
+
+
+@main.command()
+@click.argument('request_id')
+@operate_session.command
+def explain(session: operate_session.Session, request_id: str) -> None:
+  """Shows why a request was routed, refused or retried as it was."""
+  if not session.entries:
+    raise click.UsageError(
+        'no entry to ask: set --entries before the command, or'
+        ' MULBERRYPICK_ENTRIES'
+    )
+  found = operator_actions.explain(session.client, session.entries, request_id)
+  lines = []
+  for address, known in found.lines_by_address.items():
+    lines.append(f'{address}:')
+    lines.extend(f'  {line}' for line in known)
+  for missing in found.missing:
+    lines.append(f'no answer from {missing.address}: {missing.error}')
+  if not found.lines_by_address:
+    lines.append(
+        f'no entry that answered knows {request_id}: entries remember the'
+        ' latest requests only'
+    )
+  session.show(found, '\n'.join(lines))
+  if not found.lines_by_address:
+    sys.exit(operate_session.EXIT_NOTHING)
+  if found.missing:
+    sys.exit(operate_session.EXIT_PARTIAL)
+
+
+@main.command()
+@operate_session.command
+def version(session: operate_session.Session) -> None:
+  """Prints the version."""
+  session.show({'version': mulberrypick.__version__}, mulberrypick.__version__)
+
+
+@main.command()
+@click.argument('shell', type=click.Choice(SHELLS))
+@operate_session.command
+def completion(session: operate_session.Session, shell: str) -> None:
+  """Prints a script that completes commands, to be sourced by a shell."""
+  kind = shell_completion.get_completion_class(shell)
+  made = kind(main, {}, operate_session.PROGRAM, '_MULBERRYPICK_COMPLETE')
+  session.show({'script': made.source()}, made.source())
+
+
+if __name__ == '__main__':
+  main()
--- /dev/null
+++ b/mulberrypick/scripts/operate_session.py
@@ -0,0 +1,225 @@
+"""The session of one operators' command: settings, output, ways to fail."""
+
+import functools
+import getpass
+import sys
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import click
+import msgspec
+
+from mulberrypick.adapters import http_operator
+from mulberrypick.adapters import http_platform
+from mulberrypick.core import errors
+from mulberrypick.core import settings
+
+PROGRAM = 'mulberrypick'
+EXIT_ERROR = 1
+EXIT_USAGE = 2
+EXIT_CONFIG = 3
+EXIT_RACE = 4
+EXIT_AWAY = 5
+EXIT_UNKNOWN = 6
+EXIT_NOTHING = 7
+EXIT_PARTIAL = 8
+
+TEXT = 'text'
+JSON = 'json'
+
+
+def _parse_optional_url(text: str) -> str:
+  return settings.parse_url(text) if text else ''
+
+
+SETTINGS = (
+    settings.Setting(
+        'platform_url', '', _parse_optional_url, 'Base URL of the platform.'
+    ),
+    settings.Setting(
+        'source_ip',
+        '',
+        settings.parse_ip,
+        'Local IP of connections to the platform, empty for the default.',
+    ),
+    settings.Setting(
+        'entries',
+        '',
+        settings.parse_addresses,
+        "Operators' addresses of the entries, ip:port,...",
+    ),
+    settings.Setting(
+        'controllers',
+        '',
+        settings.parse_addresses,
+        'Addresses of the controllers, ip:port,...',
+    ),
+    settings.Setting(
+        'operator', '', str, 'Your name, told to others; empty for your login.'
+    ),
+    settings.Setting(
+        'operator_token',
+        '',
+        str,
+        'Bearer token of operators, empty for none.',
+        is_secret=True,
+    ),
+    settings.Setting(
+        'timeout_s',
+        '5',
+        settings.parse_seconds,
+        'Longest wait for an answer of platform or host.',
+    ),
+    settings.Setting(
+        'output',
+        TEXT,
+        settings.parse_choice(TEXT, JSON),
+        'Form of what is printed, text or json.',
+    ),
+)
+
+_HINT_BY_ERROR = (
+    (errors.ConfigError, EXIT_CONFIG, 'mend the faults above and run it again'),
+    (
+        errors.ConfigRaceError,
+        EXIT_RACE,
+        'run `mulberrypick plan` again, and review what the other changed',
+    ),
+    (
+        errors.PlatformUnavailableError,
+        EXIT_AWAY,
+        'nothing was changed; try again when the platform is back',
+    ),
+    (
+        errors.ConfigUnknownError,
+        EXIT_UNKNOWN,
+        'run `mulberrypick status` before you try again',
+    ),
+    (
+        errors.UnknownEndpointError,
+        EXIT_NOTHING,
+        'check the name, or use --unlisted: the list lags behind',
+    ),
+    (
+        errors.PlatformAnswerLostError,
+        EXIT_UNKNOWN,
+        'it may have taken effect; the same command may safely be run again',
+    ),
+)
+
+
+class Session(NamedTuple):
+  """Settings in force, with what is made of them.
+
+  Attributes:
+    value_by_name: The checked settings.
+    output: `TEXT` or `JSON`.
+  """
+
+  value_by_name: dict[str, Any]
+  output: str
+
+  @property
+  def operator(self) -> str:
+    """The name that others are told."""
+    return self.value_by_name['operator'] or getpass.getuser()
+
+  @property
+  def platform(self) -> http_platform.HttpPlatform:
+    """The platform; a usage error if it is not set."""
+    url = self.value_by_name['platform_url']
+    if not url:
+      raise click.UsageError(
+          'this needs the platform: set --platform-url before the command, or'
+          ' MULBERRYPICK_PLATFORM_URL'
+      )
+    return http_platform.HttpPlatform(
+        url,
+        self.value_by_name['source_ip'],
+        self.value_by_name['timeout_s'],
+        PROGRAM,
+    )
+
+  @property
+  def client(self) -> http_operator.OperatorClient:
+    """Calls to hosts."""
+    return http_operator.OperatorClient(
+        self.value_by_name['timeout_s'], self.value_by_name['operator_token']
+    )
+
+  @property
+  def entries(self) -> list[str]:
+    """Addresses of the entries."""
+    return [str(address) for address in self.value_by_name['entries']]
+
+  @property
+  def controllers(self) -> list[str]:
+    """Addresses of the controllers."""
+    return [str(address) for address in self.value_by_name['controllers']]
+
+  def show(self, record: Any, text: str) -> None:
+    """Prints a record as text, or as JSON with its field names."""
+    if self.output == JSON:
+      text = msgspec.json.format(msgspec.json.encode(to_plain(record))).decode()
+    if text:
+      click.echo(text)
+
+
+def to_plain(value: Any) -> Any:
+  """Turns records into objects with field names, at any depth."""
+  if isinstance(value, tuple) and hasattr(value, '_asdict'):
+    return {key: to_plain(item) for key, item in value._asdict().items()}
+  if isinstance(value, dict):
+    return {key: to_plain(item) for key, item in value.items()}
+  if isinstance(value, list | tuple):
+    return [to_plain(item) for item in value]
+  return value
+
+
+def fail(session: Session, error: errors.MulberrypickError) -> None:
+  """Prints an error with what to do next, and exits."""
+  exit_status, hint = EXIT_ERROR, 'see the error above'
+  for kind, known_status, known_hint in _HINT_BY_ERROR:
+    if isinstance(error, kind):
+      exit_status, hint = known_status, known_hint
+      break
+  faults = error.faults if isinstance(error, errors.FaultsError) else []
+  if session.output == JSON:
+    record = {
+        'error': type(error).__name__,
+        'message': str(error),
+        'faults': faults,
+        'hint': hint,
+        'exit_status': exit_status,
+    }
+    session.show(record, '')
+    sys.exit(exit_status)
+  for fault in faults:
+    click.echo(f'{PROGRAM}: {fault.place}: {fault.message}', err=True)
+  if not faults:
+    click.echo(f'{PROGRAM}: {error}', err=True)
+  click.echo(f'{PROGRAM}: {hint}', err=True)
+  sys.exit(exit_status)
+
+
+def command(function: Callable[..., None]) -> Callable[..., None]:
+  """Gives a command its `--output`, its session, and its ways to fail."""
+
+  @click.option(
+      '--output',
+      type=click.Choice([TEXT, JSON]),
+      default=None,
+      help='Form of what is printed.',
+  )
+  @click.pass_context
+  @functools.wraps(function)
+  def run(context: click.Context, output: str | None, **arguments: Any):
+    value_by_name = context.obj
+    session = Session(value_by_name, output or value_by_name['output'])
+    try:
+      function(session, **arguments)
+    except errors.MulberrypickError as error:
+      fail(session, error)
+
+  return run
