Bring parts before the head, and measure the spread of configurations

A watching host heard of the head and then read its parts; an outage right after an acceptance could fall between. Now it watches the parts too, which are written first. Seen failing first: with the head alone watched, the test that no reads follow fails (1 of 9 in config_task_test).

--- a/mulberrypick/ops/config_task_test.py
+++ b/mulberrypick/ops/config_task_test.py
@@ -168,6 +168,17 @@
     self.assertTrue(has_read.wait(WAIT_S))
     cluster.wait_generation(1)
 
+  def test_parts_come_before_the_head_and_need_no_more_reads(self):
+    cluster = Cluster(self, 2)
+    cluster.wait_ready()
+    cluster.apply(0)
+    cluster.wait_generation(1)
+    before = [
+        n.task.counts().platform_calls.get('get', 0)
+        for n in cluster.node_by_name.values()
+    ]
+    self.assertEqual(sum(before), 0)
+
   def test_a_zone_that_was_cut_off_catches_up_and_never_goes_back(self):
     cluster = Cluster(self, 2)
     cluster.wait_ready()
--- a/mulberrypick/ops/config_watch.py
+++ b/mulberrypick/ops/config_watch.py
@@ -5,6 +5,10 @@
 only while it is elected. Failures are followed by growing, jittered pauses,
 longer for hosts further down in the election, so that an outage's end meets
 few calls at a time.
+
+It watches the parts as well as the head. Parts are written first, so that they
+have come by the time that the head does, and nothing more has to be read: an
+outage right after the acceptance finds the change on the watching hosts.
 """
 
 import collections
@@ -26,6 +30,9 @@
 IDLE_S = 0.5
 FIRST_PAUSE_S = 0.25
 MAX_PAUSE_S = 4.0
+WATCHED_PREFIX = 'config/'
+MAX_EARLY_PARTS = 128
+MAX_EARLY_BYTES = 2_000_000
 
 
 class PlatformRead(NamedTuple):
@@ -40,6 +47,36 @@
   part_by_name: dict[str, bytes]
 
 
+class _EarlyParts:
+  """Parts that came before their head, the latest of them, bounded."""
+
+  def __init__(self):
+    self._value_by_name = collections.OrderedDict()
+    self._size = 0
+
+  def add(self, stored: platform_lib.VersionedValue) -> None:
+    """Keeps a part; the oldest make room."""
+    name = stored.key.removeprefix(config_parts.PART_PREFIX)
+    if name in self._value_by_name:
+      return
+    self._value_by_name[name] = stored.value
+    self._size += len(stored.value)
+    while (
+        len(self._value_by_name) > MAX_EARLY_PARTS
+        or self._size > MAX_EARLY_BYTES
+    ):
+      _, value = self._value_by_name.popitem(last=False)
+      self._size -= len(value)
+
+  def read(self, names: list[str]) -> dict[str, bytes]:
+    """Returns those parts that came early."""
+    return {
+        name: self._value_by_name[name]
+        for name in names
+        if name in self._value_by_name
+    }
+
+
 class ConfigWatch:
   """Calls the platform; told by `elect` whether to.
 
@@ -74,6 +111,7 @@
     self._find_part = find_part
     self._list_start_sources = list_start_sources
     self._post = post
+    self._early = _EarlyParts()
     self._position = 0
     self._failures = 0
     self._has_read = False
@@ -130,18 +168,24 @@
     while self.is_elected and not self._stopping.is_set():
       self.is_hearing = True
       self.calls['watch'] += 1
-      batch = self._platform.watch(
-          config_parts.HEAD_KEY, revision, WATCH_TIMEOUT_S
-      )
+      batch = self._platform.watch(WATCHED_PREFIX, revision, WATCH_TIMEOUT_S)
       revision = batch.revision
-      if batch.changes:
-        self._take_newest(batch.changes[-1])
-
-  def _take_newest(self, change: platform_lib.VersionedValue) -> None:
-    if change.version == platform_lib.MISSING_VERSION:
+      self._take_changes(batch.changes)
+
+  def _take_changes(self, changes: list[platform_lib.VersionedValue]) -> None:
+    """Keeps the parts of a batch, and takes its newest head."""
+    newest = None
+    for change in changes:
+      if change.key == config_parts.HEAD_KEY:
+        newest = change
+      elif change.version != platform_lib.MISSING_VERSION:
+        self._early.add(change)
+    if newest is None:
+      return
+    if newest.version == platform_lib.MISSING_VERSION:
       logs.log_event(_logger, logging.ERROR, 'config_head_deleted')
       return
-    self._take(change.value)
+    self._take(newest.value)
 
   def _take(self, value: bytes | None) -> None:
     """Fetches what a head names and is not here, and posts both."""
@@ -149,7 +193,7 @@
       self._post(PlatformRead(config_parts.EMPTY_HEAD, {}))
       return
     head = config_parts.decode_head(value)
-    sources = [self._read_platform]
+    sources = [self._early.read, self._read_platform]
     missing = config_parts.list_missing(head, self._find_part)
     if len(missing) > config_fetch.MAX_SINGLE_READS or not self._has_read:
       sources = [*self._list_start_sources(), *sources]
--- /dev/null
+++ b/standins/bench_config.py
@@ -0,0 +1,371 @@
+"""Measures how fast configurations spread, and what that costs.
+
+    python -m standins.bench_config spread     # 8 daemons, three ways to fail
+    python -m standins.bench_config slopes     # 1 to 24 daemons
+    python -m standins.bench_config tenants    # up to 43,000 tenants
+
+Daemons are processes with the real sockets, task and adapter, in three zones,
+before the stand-in of the platform. One machine's processes share a monotonic
+clock, so that times of acceptance and adoption can be compared.
+"""
+
+import pathlib
+import statistics
+import tempfile
+import time
+
+import click
+import msgspec
+
+from mulberrypick import declare
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import config
+from mulberrypick.core import config_parts
+from mulberrypick.ops import config_apply
+from mulberrypick.ops import config_fetch
+from standins import config_daemon
+from standins import launcher
+
+ZONES = 3
+PLATFORM_TIMEOUT_S = 20.0
+ASK_TIMEOUT_S = 5.0
+WAIT_S = 60.0
+POLL_S = 0.05
+IDLE_S = 20.0
+OUTAGE_S = 10.0
+CHANGES_A_DAY = 6000
+DAY_S = 86_400.0
+
+
+def make_text(tenants: int, number: int) -> bytes:
+  """Returns a deployment of some size, one tenant changed by a number."""
+  deployment = declare.Deployment()
+  rank = deployment.add_rank(
+      'urgent',
+      is_urgent=True,
+      first_token_s=0.5,
+      between_tokens_s=0.05,
+      deadline_s=6.0,
+  )
+  model = deployment.add_model('assistant', version='1', replicas=4)
+  service = deployment.add_model_service(
+      'assistant', model=model, rank=rank, timeout_s=5.0
+  )
+  for index in range(tenants):
+    share = 1 / tenants
+    if index == number % tenants:
+      share /= 2 + number % 7
+    deployment.add_tenant(
+        f'tenant-{index:05}',
+        share=share,
+        services=(service,),
+        ranks=(rank,),
+        token_sha256=declare.hash_token(str(index)),
+    )
+  return config.format_config(deployment.build())
+
+
+class Bench:
+  """A platform, some daemons, and an operator who applies changes."""
+
+  def __init__(self, daemons: int, tenants: int = 4):
+    self.tenants = tenants
+    self.generation = 0
+    folder = pathlib.Path(tempfile.mkdtemp(prefix='bench-config-'))
+    self.fleet = launcher.Fleet(folder)
+    platform = self.fleet.start_platform()
+    self.platform = http_platform.HttpPlatform(
+        platform.url, '', PLATFORM_TIMEOUT_S, 'bench'
+    )
+    self.peers = zmq_peers.ZmqPeers('127.0.0.1:0', 'bench')
+    self.peers.start()
+    self.hosts = []
+    for number in range(daemons):
+      zone = 1 + number % ZONES
+      address = launcher.free_address(launcher.zone_ip(zone))
+      name, zone_name = f'daemon-{number}', launcher.zone_name(zone)
+      self.hosts.append(config_daemon.DaemonHost(name, zone_name, address))
+    self.apply_first()
+    for host in self.hosts:
+      self.start(host)
+    self.wait_generation()
+
+  def __enter__(self) -> 'Bench':
+    return self
+
+  def __exit__(self, *error: object) -> None:
+    self.peers.stop()
+    self.fleet.stop()
+
+  def start(self, host: config_daemon.DaemonHost) -> None:
+    """Starts a daemon without waiting for it."""
+    flags = (
+        '--name',
+        host.name,
+        '--hosts',
+        msgspec.json.encode(self.hosts).decode(),
+        '--platform-url',
+        self.fleet.platform.url,
+    )
+    self.fleet.spawn(host.name, 'standins.config_daemon', flags)
+
+  def apply(self, ends_in_outage: bool = False) -> float:
+    """Applies the next change as the operators' command does.
+
+    Args:
+      ends_in_outage: Whether the platform goes away as soon as it has answered
+        that the change is accepted; then old parts are not removed.
+
+    Returns:
+      The time just before the head was sent: no acceptance can be earlier.
+    """
+    text = make_text(self.tenants, self.generation)
+    _, old = config_fetch.read_tree(self.platform)
+    stored = self.platform.get(config_parts.HEAD_KEY)
+    acceptance = config_parts.Acceptance(
+        self.generation + 1, 'bench', str(self.generation)
+    )
+    declared = config.parse_config(text, acceptance.generation)
+    tree = config_parts.build_tree(declared, acceptance, old.tree)
+    held = config_parts.list_parts(old.tree)
+    for name, value in tree.part_by_name.items():
+      if name not in held:
+        self.platform.put(config_parts.PART_PREFIX + name, value, 0)
+    head = config_parts.encode_head(tree.head)
+    sent_at = time.monotonic()
+    self.platform.put(config_parts.HEAD_KEY, head, stored.version)
+    self.generation += 1
+    if ends_in_outage:
+      self.fleet.put_fault(self.fleet.platform, outage_s=OUTAGE_S)
+    else:
+      config_apply.remove_replaced(self.platform, old.tree, tree)
+    return sent_at
+
+  def apply_first(self) -> None:
+    """Applies the first generation."""
+    text = make_text(self.tenants, self.generation)
+    config_apply.apply_config(self.platform, text, self.generation, 'bench')
+    self.generation += 1
+
+  def ask(
+      self, host: config_daemon.DaemonHost, kind: str, body: bytes = b''
+  ) -> bytes | None:
+    """Asks a daemon."""
+    return self.peers.ask(host.address, kind, body, ASK_TIMEOUT_S)
+
+  def report(
+      self, host: config_daemon.DaemonHost
+  ) -> config_daemon.DaemonReport | None:
+    """Reads what a daemon did so far."""
+    answer = self.ask(host, config_daemon.KIND_REPORT)
+    if answer is None:
+      return None
+    return msgspec.json.decode(answer, type=config_daemon.DaemonReport)
+
+  def wait_generation(self, hosts=None, wait_s: float = WAIT_S) -> list[float]:
+    """Waits until daemons hold the newest generation.
+
+    Returns:
+      When each adopted it; shorter if some did not in time.
+    """
+    ends_at = time.monotonic() + wait_s
+    adopted_at = []
+    for host in hosts or self.hosts:
+      while time.monotonic() < ends_at:
+        report = self.report(host)
+        found = report and report.adopted_at.get(str(self.generation))
+        if found:
+          adopted_at.append(found)
+          break
+        time.sleep(POLL_S)
+    return adopted_at
+
+  def cut(self, zone: str, is_cut: bool) -> None:
+    """Cuts a zone off from the others and the platform, or heals it."""
+    kind = config_daemon.KIND_CUT if is_cut else config_daemon.KIND_HEAL
+    for host in self.hosts:
+      self.ask(host, kind, zone.encode())
+
+
+def show(what: str, delays_s: list[float], expected: int) -> None:
+  """Prints one line of figures."""
+  if not delays_s:
+    print(f'{what}: none of {expected} in time', flush=True)
+    return
+  print(
+      f'{what}: median {statistics.median(delays_s):.3f} s, worst'
+      f' {max(delays_s):.3f} s, {len(delays_s)} of {expected} in time',
+      flush=True,
+  )
+
+
+@click.group()
+def main() -> None:
+  """Measures the spread of configurations."""
+
+
+@main.command()
+@click.option('--daemons', default=8)
+@click.option('--changes', default=30)
+@click.option('--rounds', default=10, help='Of cuts and of outages.')
+def spread(daemons: int, changes: int, rounds: int) -> None:
+  """Time from acceptance to all daemons: plain, with a cut, in an outage."""
+  with Bench(daemons) as bench:
+    time.sleep(2.0)
+    delays_s, lasts_s = [], []
+    for _ in range(changes):
+      accepted_at = bench.apply()
+      adopted_at = bench.wait_generation()
+      delays_s += [at - accepted_at for at in adopted_at]
+      lasts_s.append(max(adopted_at) - accepted_at)
+    show('plain, each daemon', delays_s, daemons * changes)
+    show('plain, last daemon of a change', lasts_s, changes)
+    _measure_cuts(bench, rounds)
+    _measure_outages(bench, rounds)
+    _measure_restarts(bench, rounds)
+
+
+def _measure_cuts(bench: Bench, rounds: int) -> None:
+  zone = launcher.zone_name(2)
+  inside = [host for host in bench.hosts if host.zone == zone]
+  outside = [host for host in bench.hosts if host.zone != zone]
+  during_s, after_s = [], []
+  for _ in range(rounds):
+    bench.cut(zone, True)
+    accepted_at = bench.apply()
+    adopted_at = bench.wait_generation(outside)
+    during_s.append(max(adopted_at) - accepted_at)
+    time.sleep(1.0)
+    healed_at = time.monotonic()
+    bench.cut(zone, False)
+    adopted_at = bench.wait_generation(inside)
+    after_s.append(max(adopted_at) - healed_at)
+  show('one zone cut off, last of the others', during_s, rounds)
+  show('last of the zone, from the start of its healing', after_s, rounds)
+
+
+def _measure_outages(bench: Bench, rounds: int) -> None:
+  """The platform goes away as soon as its acceptance was answered."""
+  lasts_s = []
+  expected = 0
+  for _ in range(rounds):
+    accepted_at = bench.apply(ends_in_outage=True)
+    adopted_at = bench.wait_generation(wait_s=OUTAGE_S - 2.0)
+    expected += 1
+    if len(adopted_at) == len(bench.hosts):
+      lasts_s.append(max(adopted_at) - accepted_at)
+    bench.fleet.put_fault(bench.fleet.platform, outage_s=0)
+    bench.wait_generation()
+    time.sleep(8.0)  # Watches have to come back before the next outage.
+  show('platform out at acceptance, last daemon', lasts_s, expected)
+
+
+def _measure_restarts(bench: Bench, rounds: int) -> None:
+  """A daemon is killed and starts without memory in an outage."""
+  delays_s = []
+  host = bench.hosts[0]
+  for _ in range(rounds):
+    bench.fleet.put_fault(bench.fleet.platform, outage_s=60.0)
+    bench.fleet.kill(host.name)
+    started_at = time.monotonic()
+    bench.start(host)
+    delays_s += [at - started_at for at in bench.wait_generation([host])]
+  bench.fleet.put_fault(bench.fleet.platform, outage_s=0)
+  show('restart in an outage, start of process to adoption', delays_s, rounds)
+
+
+def _count_calls(bench: Bench) -> int:
+  counts = bench.fleet.call(bench.fleet.platform, 'GET', '/calls')
+  return sum(counts.values())
+
+
+@main.command()
+@click.option('--sizes', default='1,2,4,8,16,24')
+@click.option('--idle-s', default=IDLE_S)
+@click.option('--changes', default=20)
+def slopes(sizes: str, idle_s: float, changes: int) -> None:
+  """Bytes, calls, processor time and memory by the number of daemons."""
+  print('daemons  watch  idle B/s  idle cpu%  calls/s  B/change  MB')
+  for size in map(int, sizes.split(',')):
+    with Bench(size) as bench:
+      time.sleep(8.0)
+      _measure_slope(bench, idle_s, changes)
+
+
+def _measure_slope(bench: Bench, idle_s: float, changes: int) -> None:
+  size = len(bench.hosts)
+  before = [bench.report(host) for host in bench.hosts]
+  calls = _count_calls(bench)
+  time.sleep(idle_s)
+  idle = [bench.report(host) for host in bench.hosts]
+  calls = _count_calls(bench) - calls
+  started_at = time.monotonic()
+  for _ in range(changes):
+    bench.apply()
+    bench.wait_generation()
+  took_s = time.monotonic() - started_at
+  after = [bench.report(host) for host in bench.hosts]
+
+  def moved(report: config_daemon.DaemonReport) -> int:
+    return report.sent_bytes + report.received_bytes
+
+  idle_bytes = [moved(b) - moved(a) for a, b in zip(before, idle, strict=True)]
+  busy_bytes = [moved(b) - moved(a) for a, b in zip(idle, after, strict=True)]
+  idle_rate = statistics.mean(idle_bytes) / idle_s
+  per_change = (statistics.mean(busy_bytes) - idle_rate * took_s) / changes
+  cpu_s = statistics.mean(
+      b.cpu_s - a.cpu_s for a, b in zip(before, idle, strict=True)
+  )
+  print(
+      f'{size:7}  {sum(r.is_watching for r in idle):5}'
+      f'  {max(idle_bytes) / idle_s:8.0f}  {100 * cpu_s / idle_s:9.2f}'
+      f'  {calls / idle_s:7.2f}  {per_change:8.0f}'
+      f'  {max(r.resident_bytes for r in after) / 1e6:.1f}',
+      flush=True,
+  )
+
+
+@main.command()
+@click.option('--sizes', default='100,1000,10000,43000')
+@click.option('--daemons', default=4)
+@click.option('--changes', default=5)
+def tenants(sizes: str, daemons: int, changes: int) -> None:
+  """Time, bytes and memory by the number of tenants."""
+  print('tenants  parts  largest B  B/change  last s  cpu s/change  MB')
+  for size in map(int, sizes.split(',')):
+    with Bench(daemons, size) as bench:
+      time.sleep(3.0)
+      _measure_tenants(bench, size, changes)
+
+
+def _measure_tenants(bench: Bench, size: int, changes: int) -> None:
+  before = [bench.report(host) for host in bench.hosts]
+  lasts_s = []
+  for _ in range(changes):
+    accepted_at = bench.apply()
+    lasts_s.append(max(bench.wait_generation()) - accepted_at)
+  after = [bench.report(host) for host in bench.hosts]
+  _, snapshot = config_fetch.read_tree(bench.platform)
+  parts = [
+      snapshot.tree.part_by_name[name]
+      for name in config_parts.list_parts(snapshot.tree)
+  ]
+  moved = statistics.mean(
+      b.part_bytes - a.part_bytes for a, b in zip(before, after, strict=True)
+  )
+  cpu_s = statistics.mean(
+      b.cpu_s - a.cpu_s for a, b in zip(before, after, strict=True)
+  )
+  print(
+      f'{size:7}  {len(parts):5}  {max(map(len, parts)):9}'
+      f'  {moved / changes:8.0f}  {max(lasts_s):6.3f}  {cpu_s / changes:12.3f}'
+      f'  {max(r.resident_bytes for r in after) / 1e6:.1f}',
+      flush=True,
+  )
+  rate = moved / changes * CHANGES_A_DAY / DAY_S
+  print(f'         at {CHANGES_A_DAY} changes a day: {rate:.0f} B/s of parts')
+
+
+if __name__ == '__main__':
+  main()
--- /dev/null
+++ b/standins/config_daemon.py
@@ -0,0 +1,148 @@
+"""One entry host as far as its configuration goes, for the bench.
+
+It runs the real sockets, task and platform adapter, and tells the bench by the
+same sockets when it adopted what, and what it used for that.
+"""
+
+import resource
+import signal
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+import click
+import msgspec
+
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import records
+from mulberrypick.ops import config_task
+from standins import cut_peers
+
+KIND_REPORT = 'bench.report'
+KIND_CUT = 'bench.cut'
+KIND_HEAL = 'bench.heal'
+PLATFORM_TIMEOUT_S = 5.0
+KIB = 1024
+
+
+class DaemonHost(NamedTuple):
+  """One daemon of the bench: name, zone and peer address."""
+
+  name: str
+  zone: str
+  address: str
+
+
+class DaemonReport(NamedTuple):
+  """What a daemon tells the bench.
+
+  Attributes:
+    adopted_at: Monotonic time of each generation, by its number as text.
+    is_ready: Whether it is ready.
+    is_watching: Whether it watches the platform.
+    sent_bytes: Bytes sent to peers.
+    received_bytes: Bytes received from peers.
+    part_bytes: Bytes of parts fetched.
+    platform_calls: Calls to the platform by kind.
+    cpu_s: Processor time used.
+    resident_bytes: Largest memory.
+  """
+
+  adopted_at: dict[str, float]
+  is_ready: bool
+  is_watching: bool
+  sent_bytes: int
+  received_bytes: int
+  part_bytes: int
+  platform_calls: dict[str, int]
+  cpu_s: float
+  resident_bytes: int
+
+
+class Daemon:
+  """The parts of one daemon."""
+
+  def __init__(self, own: DaemonHost, hosts: list[DaemonHost], url: str):
+    self._adopted_at = {}
+    self._cuts = cut_peers.Cuts()
+    for host in hosts:
+      self._cuts.join(host.zone, host.name, host.address)
+    self._peers = cut_peers.CutPeers(
+        self._cuts, own.zone, own.name, listen_address=own.address
+    )
+    # Cuts lose what daemons tell each other, not what the bench asks.
+    for kind, handler in (
+        (KIND_REPORT, self._report),
+        (KIND_CUT, self._cut),
+        (KIND_HEAL, self._heal),
+    ):
+      zmq_peers.ZmqPeers.handle(self._peers, kind, handler)
+    source_ip = own.address.partition(':')[0]
+    platform = http_platform.HttpPlatform(
+        url, source_ip, PLATFORM_TIMEOUT_S, own.name
+    )
+    self._task = config_task.ConfigTask(
+        cut_peers.CutPlatform(platform, self._cuts, own.zone),
+        self._peers,
+        own.name,
+        lambda: [host.address for host in hosts],
+        self._publish,
+        lambda: [host.address for host in hosts if host.zone == own.zone],
+    )
+
+  def run(self, stopping: threading.Event) -> None:
+    """Runs until it is to stop."""
+    self._peers.start()
+    self._task.start()
+    print('event=ready', file=sys.stderr, flush=True)
+    stopping.wait()
+    self._task.stop()
+    self._peers.stop()
+
+  def _publish(self, config: records.Config) -> None:
+    self._adopted_at[str(config.generation)] = time.monotonic()
+
+  def _report(self, sender: str, body: bytes) -> bytes:
+    counts = self._task.counts()
+    sent = self._peers.counts()
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return msgspec.json.encode(
+        DaemonReport(
+            dict(self._adopted_at),
+            self._task.is_ready,
+            counts.is_watching,
+            sent.sent_bytes,
+            sent.received_bytes,
+            counts.part_bytes,
+            counts.platform_calls,
+            usage.ru_utime + usage.ru_stime,
+            usage.ru_maxrss * KIB,
+        )
+    )
+
+  def _cut(self, sender: str, body: bytes) -> bytes:
+    self._cuts.cut(body.decode())
+    return b'done'
+
+  def _heal(self, sender: str, body: bytes) -> bytes:
+    self._cuts.heal(body.decode())
+    return b'done'
+
+
+@click.command()
+@click.option('--name', required=True, help='Name of this daemon.')
+@click.option('--hosts', required=True, help='All daemons, as JSON.')
+@click.option('--platform-url', required=True, help='The platform.')
+def main(name: str, hosts: str, platform_url: str) -> None:
+  """Runs one daemon until SIGTERM."""
+  stopping = threading.Event()
+  signal.signal(signal.SIGTERM, lambda *_: stopping.set())
+  known = msgspec.json.decode(hosts, type=list[DaemonHost])
+  host_by_name = {host.name: host for host in known}
+  Daemon(host_by_name[name], known, platform_url).run(stopping)
+
+
+if __name__ == '__main__':
+  main()
--- a/standins/cut_peers.py
+++ b/standins/cut_peers.py
@@ -55,8 +55,14 @@
 class CutPeers(zmq_peers.ZmqPeers):
   """Real sockets whose messages get lost while a link is cut."""
 
-  def __init__(self, cuts: Cuts, group: str, name: str, **kwargs):
-    super().__init__('127.0.0.1:0', name, **kwargs)
+  def __init__(
+      self,
+      cuts: Cuts,
+      group: str,
+      name: str,
+      listen_address: str = '127.0.0.1:0',
+  ):
+    super().__init__(listen_address, name)
     self._cuts = cuts
     self._group = group
     self._name = name
