Admission: bookings are known on all hosts, and rates are capped

Cause: of those that came back when told to, 73 of a hundred were served, as they came back to another host and bookings were local. While a burst fills idle engines the queue drains four times faster than they work, so that too much was let in and booked.

Tried and dropped: letting those that come back go first in their tenant's line (the wait predicted for those behind them is broken); holding work back for a second for a peer's waiting tenant (0.6 of the room): whole seconds without a start at one host.

--- /dev/null
+++ b/mulberrypick/core/bookings.py
@@ -0,0 +1,65 @@
+"""Times that refused requests were told to come back at.
+
+A refused request is told a time when there will be room, and that room is
+booked for it. Those that come back then are known by their content, on any
+entry host, as hosts tell each other what they booked. Nothing stands idle for
+those that don't come back: a booking lets its request go first, and no more.
+"""
+
+import collections
+
+import xxhash
+
+BOOKINGS_KEPT = 10000
+TOLD_AT_ONCE = 200
+
+
+def booking_key(tenant: str, fingerprint: int) -> int:
+  """Returns the key of a request's booking."""
+  return xxhash.xxh64_intdigest(f'{tenant}|{fingerprint}'.encode())
+
+
+class Bookings:
+  """A bounded memory of bookings, own and told by peers."""
+
+  def __init__(self, bookings_kept: int = BOOKINGS_KEPT):
+    self._bookings_kept = bookings_kept
+    self._slot_by_key: collections.OrderedDict[int, float] = (
+        collections.OrderedDict()
+    )
+    self._untold: collections.deque[int] = collections.deque(
+        maxlen=TOLD_AT_ONCE
+    )
+
+  def book(self, key: int, slot_at: float) -> None:
+    """Books a time here."""
+    self._keep(key, slot_at)
+    self._untold.append(key)
+
+  def use(self, key: int, now: float) -> bool:
+    """Tells whether a request comes back when it was told to."""
+    slot_at = self._slot_by_key.get(key)
+    if slot_at is None or now < slot_at:
+      return False
+    del self._slot_by_key[key]
+    return True
+
+  def take_untold(self, now: float) -> dict[int, float]:
+    """Returns the seconds until each booking that peers don't know yet."""
+    booked = {}
+    for key in self._untold:
+      slot_at = self._slot_by_key.get(key)
+      if slot_at is not None:
+        booked[key] = round(max(0.0, slot_at - now), 2)
+    self._untold.clear()
+    return booked
+
+  def see_peer(self, booked: dict[int, float], now: float) -> None:
+    """Takes in what a peer booked."""
+    for key, seconds in booked.items():
+      self._keep(key, now + seconds)
+
+  def _keep(self, key: int, slot_at: float) -> None:
+    self._slot_by_key[key] = slot_at
+    if len(self._slot_by_key) > self._bookings_kept:
+      self._slot_by_key.popitem(last=False)
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -141,6 +141,7 @@
         self._fleet.leaving(),
         digest.used_by_rank,
         digest.waiting_by_rank,
+        booked=digest.booked,
     )
 
   def snapshot(self, now: float) -> DispatcherStatus:
@@ -242,7 +243,10 @@
     self._fleet.see_leaving(message.leaving)
     self._fleet.see_peer_load(message.peer, message.in_flight_by_endpoint, now)
     digest = shares.Digest(
-        message.used_by_tenant, message.used_by_rank, message.waiting_by_rank
+        message.used_by_tenant,
+        message.used_by_rank,
+        message.waiting_by_rank,
+        message.booked,
     )
     self._admission.see_peer(message.peer, digest, now)
     return self._pump_all(now)
--- a/mulberrypick/core/drain_rate.py
+++ b/mulberrypick/core/drain_rate.py
@@ -18,14 +18,22 @@
 
   def __init__(self):
     self._prior = 1.0
+    self._most = math.inf
     self._drained_s = 0.0
     self._busy_s = 0.0
     self._busy_from: float | None = None
     self._busy_since: float | None = None
 
-  def set_prior(self, per_s: float) -> None:
-    """Sets the rate that holds before there are measurements."""
+  def set_prior(self, per_s: float, most_per_s: float) -> None:
+    """Sets what is known without a measurement.
+
+    Args:
+      per_s: The rate that holds before there are measurements.
+      most_per_s: More than this can't last: while a burst fills idle engines
+        the queue drains faster than they work.
+    """
     self._prior = max(LEAST_RATE, per_s)
+    self._most = max(LEAST_RATE, most_per_s)
 
   def start_busy(self, now: float) -> None:
     """Notes that something waits in a queue that was empty."""
@@ -48,7 +56,8 @@
   def per_s(self) -> float:
     """Returns the rate in engine seconds a second."""
     drained_s = self._drained_s + self._prior * PRIOR_S
-    return max(LEAST_RATE, drained_s / (self._busy_s + PRIOR_S))
+    rate = drained_s / (self._busy_s + PRIOR_S)
+    return min(self._most, max(LEAST_RATE, rate))
 
   def _advance(self, now: float) -> None:
     if self._busy_since is None or now <= self._busy_since:
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -97,6 +97,7 @@
     waiting_by_rank: For each rank that waits there, the lowest use over share
       of a waiting tenant.
     suspects: Fingerprints of requests that ran on an endpoint that crashed.
+    booked: Seconds until refused requests were told to come back, by key.
   """
 
   peer: str
@@ -107,6 +108,7 @@
   used_by_rank: dict[str, float] = {}
   waiting_by_rank: dict[str, float] = {}
   suspects: tuple[int, ...] = ()
+  booked: dict[int, float] = {}
 
 
 class Tick(NamedTuple):
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 from mulberrypick.core import (
+    bookings,
     drain_rate,
     errors,
     partition,
@@ -33,20 +34,25 @@
 PATIENCE = 5.0
 # Predicted times are uncertain: only refuse what is late by this margin.
 RUN_OPTIMISM = 0.7
+# Engine seconds a second that one engine may be measured to do.
+MOST_RATE = 1.3
 # Part of a tenant's rate that may be booked by those told to come back.
-BOOKED_PART = 0.8
+BOOKED_PART = 0.7
 LONGEST_RETRY_S = 300.0
-SHORTEST_RETRY_S = 0.2
-BOOKINGS_KEPT = 20000
+# Newcomers may wait for this part of the limit while others are due back.
+BOOKED_LIMIT_PART = 0.25
+SPREAD_S = 0.3
+SHORTEST_RETRY_S = 1.2
+TENANTS_BOOKED = 5000
 REQUESTS_LIMIT = 5000
 # A digest of a peer older than this no longer holds work back.
 FRESH_S = 2.5
 # Parts of an endpoint's room that work may fill.
 ROOM_FIRST = 1.0
 ROOM_OTHER = 0.85
-ROOM_DEFERRED = 0.6
+ROOM_DEFERRED = 0.9
 # Work is deferred to a peer's when its tenant used this many times more.
-DEFER_RATIO = 1.25
+DEFER_RATIO = 1.5
 
 
 class _Class(NamedTuple):
@@ -186,7 +192,7 @@
     self._late_at_by_request: dict[str, float] = {}
     self._ticket = itertools.count()
     self._booked_until: dict[_Place, float] = {}
-    self._slot_by_booking: collections.OrderedDict = collections.OrderedDict()
+    self._bookings = bookings.Bookings()
 
   def configure(self, config):
     """Takes in a newer configuration; see `Admission.configure`."""
@@ -194,11 +200,12 @@
 
   def set_capacity(self, queue, engines):
     """Takes in how many engines there are; see `Admission.set_capacity`."""
-    self._queue(queue).rate.set_prior(engines)
+    self._queue(queue).rate.set_prior(engines, engines * MOST_RATE)
 
   def see_peer(self, peer, digest, now):
     """Takes in a peer's digest; see `Admission.see_peer`."""
     self._use.see_peer(peer, digest, now)
+    self._bookings.see_peer(digest.booked, now)
 
   def digest(self, now):
     """Returns the use to tell peers; see `Admission.digest`."""
@@ -210,14 +217,15 @@
           continue
         least = least_by_rank.get(key.rank, math.inf)
         least_by_rank[key.rank] = min(least, line.key(tenant))
-    return self._use.digest(least_by_rank, now)
+    return self._use.digest(least_by_rank, self._bookings.take_untold(now), now)
 
   def offer(self, queue, waiting, now):
     """Takes a request in, or refuses it; see `Admission.offer`."""
     request = waiting.request
     if request.request_id in self._place_by_request:
       self.withdraw(request.request_id)
-    is_booked = self._use_booking(queue, waiting, now)
+    key = bookings.booking_key(request.tenant, waiting.fingerprint)
+    is_booked = self._bookings.use(key, now)
     if not waiting.is_again:
       error = self._find_refusal(queue, waiting, is_booked, now)
       if error is not None:
@@ -229,8 +237,7 @@
     line = self._line(place)
     if not line.count:
       line.rate.start_busy(now)
-    is_first = is_booked or waiting.is_again
-    line.add(waiting, self._share(request.tenant), is_first)
+    line.add(waiting, self._share(request.tenant), waiting.is_again)
     line_of_tenant = line.line_by_tenant[request.tenant]
     if len(line_of_tenant.waiting_by_request) == 1:
       line_of_tenant.rate.start_busy(now)
@@ -291,11 +298,11 @@
     else:
       room = ROOM_OTHER
       if self._is_more_urgent_at_peers(now):
-        return ROOM_DEFERRED
+        return room * ROOM_DEFERRED
     least = self._use.least_waiting(rank.name, now, FRESH_S)
     own = self._line(_place(queue, waiting)).key(waiting.request.tenant)
     if own > least * DEFER_RATIO:
-      return ROOM_DEFERRED
+      return room * ROOM_DEFERRED
     return room
 
   def withdraw(self, request_id):
@@ -352,21 +359,15 @@
     if own is None and key <= line.least_key():
       return 0.0
     rate = self._rank_rate(self._queue(queue), request.rank)
-    line.rate.set_prior(rate)
+    line.rate.set_prior(rate, rate)
     own_s = waiting.cost.engine_s
     own_rate = rate * weight / max(weight, line.weight)
     if own is not None:
-      own.rate.set_prior(own_rate)
+      own.rate.set_prior(own_rate, rate)
       own_s += own.cost_s
       own_rate = own.rate.per_s()
     return min(line.cost_s / line.rate.per_s(), own_s / own_rate)
 
-  def _booked_s(self, queue, waiting, now: float) -> float:
-    """Returns the part of the wait that those who come back will fill."""
-    place = _place(queue, waiting)
-    ahead_s = self._booked_until.get(place, 0.0) - now
-    return BOOKED_PART * max(0.0, min(ahead_s, self._wait_limit(waiting)))
-
   def _find_refusal(self, queue, waiting, is_booked, now):
     request = waiting.request
     if self._queue(queue).count() >= REQUESTS_LIMIT:
@@ -381,9 +382,9 @@
     if is_booked:
       return None
     wait_s = self.predict_wait(queue, waiting)
-    if wait_s > 0.0:
-      wait_s += self._booked_s(queue, waiting, now)
     limit_s = self._wait_limit(waiting)
+    if self._booked_until.get(_place(queue, waiting), 0.0) > now:
+      limit_s *= BOOKED_LIMIT_PART
     if wait_s <= min(limit_s, left_s - run_s):
       return None
     excess_s = wait_s - min(limit_s, left_s - run_s)
@@ -420,13 +421,13 @@
     if slot_at - now > LONGEST_RETRY_S:
       return LONGEST_RETRY_S * self._rng.uniform(0.75, 1.25)
     self._booked_until[place] = slot_at
-    booking = (request.tenant, waiting.fingerprint)
-    self._slot_by_booking[booking] = slot_at
-    if len(self._slot_by_booking) > BOOKINGS_KEPT:
-      self._slot_by_booking.popitem(last=False)
+    if len(self._booked_until) > TENANTS_BOOKED:
       self._forget_booked(now)
-    retry_s = slot_at - now + SHORTEST_RETRY_S * self._rng.uniform(0.5, 1.5)
-    return max(SHORTEST_RETRY_S, retry_s)
+    retry_s = max(slot_at - now, SHORTEST_RETRY_S)
+    key = bookings.booking_key(request.tenant, waiting.fingerprint)
+    self._bookings.book(key, now + retry_s)
+    # A spread after the booked time, as clocks and ways differ.
+    return retry_s + SPREAD_S * self._rng.random()
 
   def _tenant_rate(self, place: _Place) -> float:
     line = self._line(place)
@@ -442,14 +443,6 @@
       if self._booked_until[key] < now:
         del self._booked_until[key]
 
-  def _use_booking(self, queue, waiting, now: float) -> bool:
-    booking = (waiting.request.tenant, waiting.fingerprint)
-    slot_at = self._slot_by_booking.get(booking)
-    if slot_at is None or now < slot_at:
-      return False
-    del self._slot_by_booking[booking]
-    return True
-
   def _rank_order(self, name: str) -> int:
     """Orders ranks: short of its reserve, then urgent, then the others."""
     rank = self._config.rank_by_name.get(name)
--- a/mulberrypick/core/shares.py
+++ b/mulberrypick/core/shares.py
@@ -27,11 +27,14 @@
     used_by_rank: Decayed use of each rank here.
     waiting_by_rank: For each rank that waits here, the lowest use over share
       of a waiting tenant.
+    booked: Seconds until a refused request was told to come back, by the key
+      of its booking; only those that the peers were not told yet.
   """
 
   used_by_tenant: dict[str, float]
   used_by_rank: dict[str, float]
   waiting_by_rank: dict[str, float]
+  booked: dict[int, float]
 
 
 class _Ledger:
@@ -141,7 +144,10 @@
     return least
 
   def digest(
-      self, waiting_amount_by_rank: dict[str, float], now: float
+      self,
+      waiting_amount_by_rank: dict[str, float],
+      booked: dict[int, float],
+      now: float,
   ) -> Digest:
     """Returns what this host tells its peers."""
     factor = self._factor(now)
@@ -157,6 +163,7 @@
         used_by_tenant,
         _scaled(self._by_rank.own_by_name, 1.0 / factor),
         _scaled(waiting_amount_by_rank, 1.0 / factor),
+        booked,
     )
 
   def _forget_silent(self, now: float) -> None:
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -58,7 +58,7 @@
   def digest(self, now: float) -> shares.Digest:
     """Returns what tenants and ranks used here, for the peers."""
     del now
-    return shares.Digest({}, {}, {})
+    return shares.Digest({}, {}, {}, {})
 
   def demand(self, queue: str, now: float) -> partition.Demand | None:
     """Returns the demand over the whole fleet, or None if not known."""
