--- a/mulberrypick/core/admission.py
+++ b/mulberrypick/core/admission.py
@@ -6,7 +6,8 @@
 
 import collections
 
-from mulberrypick.core import errors, ranked_fair
+from mulberrypick.core import errors
+from mulberrypick.core import ranked_fair
 from mulberrypick.core import waiting as waiting_base
 
 
--- a/mulberrypick/core/assembly_test.py
+++ b/mulberrypick/core/assembly_test.py
@@ -5,9 +5,12 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
 
-from mulberrypick.core import assembly, records
+from mulberrypick.core import assembly
+from mulberrypick.core import records
 
 FUZZ_EXAMPLES = int(os.environ.get('MULBERRYPICK_FUZZ_EXAMPLES', '200'))
 ANSWER = tuple(f'word{i} ' for i in range(12))
@@ -71,6 +74,8 @@
   def test_a_last_frame_that_counts_less_than_delivered_is_no_end(self):
     feed(self.answer, 'a 0 x,a 1 y,a 1 end')
     self.assertFalse(self.answer.is_whole)
+    feed(self.answer, 'a 2 end')
+    self.assertTrue(self.answer.is_whole)
 
   def test_holds_a_bounded_number_of_frames(self):
     for index in range(1, assembly.MAX_HELD_FRAMES + 10):
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -12,17 +12,15 @@
 
 import xxhash
 
-from mulberrypick.core import (
-    cost,
-    errors,
-    fleet,
-    journal,
-    load,
-    messages,
-    records,
-    routing,
-    shares,
-)
+from mulberrypick.core import cost
+from mulberrypick.core import errors
+from mulberrypick.core import fleet
+from mulberrypick.core import journal
+from mulberrypick.core import load
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
+from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
 
 PRIORITY_URGENT = 10
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -2,15 +2,13 @@
 
 import unittest
 
-from mulberrypick.core import (
-    admission,
-    dispatch,
-    errors,
-    messages,
-    records,
-    routing,
-)
+from mulberrypick.core import admission
 from mulberrypick.core import cost as cost_model
+from mulberrypick.core import dispatch
+from mulberrypick.core import errors
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
 from mulberrypick.core import waiting as waiting_base
 
 URGENT = records.Rank('urgent', True, 0.5, 0.05, 5.0, 0.3)
--- a/mulberrypick/core/fleet.py
+++ b/mulberrypick/core/fleet.py
@@ -7,7 +7,11 @@
 
 from typing import NamedTuple
 
-from mulberrypick.core import load, membership, messages, partition, records
+from mulberrypick.core import load
+from mulberrypick.core import membership
+from mulberrypick.core import messages
+from mulberrypick.core import partition
+from mulberrypick.core import records
 
 REFUSED_REST_S = 0.5
 UNREACHABLE_REST_S = 1.0
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -14,14 +14,12 @@
 import random
 from typing import NamedTuple
 
-from mulberrypick.core import (
-    bookings,
-    drain_rate,
-    errors,
-    partition,
-    records,
-    shares,
-)
+from mulberrypick.core import bookings
+from mulberrypick.core import drain_rate
+from mulberrypick.core import errors
+from mulberrypick.core import partition
+from mulberrypick.core import records
+from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
 
 # A tenant that the configuration does not know gets this share.
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -9,7 +9,8 @@
 import random
 from typing import NamedTuple
 
-from mulberrypick.core import cost, load
+from mulberrypick.core import cost
+from mulberrypick.core import load
 
 
 class Ask(NamedTuple):
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -8,7 +8,10 @@
 from typing import NamedTuple
 
 from mulberrypick.core import cost as cost_model
-from mulberrypick.core import errors, partition, records, shares
+from mulberrypick.core import errors
+from mulberrypick.core import partition
+from mulberrypick.core import records
+from mulberrypick.core import shares
 
 
 class Waiting(NamedTuple):
