--- /dev/null
+++ b/mulberrypick/core/class_line.py
@@ -0,0 +1,146 @@
+"""The waiting requests of one rank and kind of room, by tenant.
+
+The tenant goes next that used least of its share over the whole fleet. The
+heap keeps the use as it was when a tenant was pushed; as use only grows, a
+stale entry can only be too low, and is pushed again when it comes to the top.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+from typing import NamedTuple
+
+from mulberrypick.core import drain_rate
+from mulberrypick.core import shares
+from mulberrypick.core import waiting as waiting_base
+
+
+class WaitClass(NamedTuple):
+  """Requests that wait for the same kind of room."""
+
+  rank: str
+  is_long: bool
+
+
+class Place(NamedTuple):
+  """Where a waiting request stands."""
+
+  queue: str
+  key: WaitClass
+  tenant: str
+
+
+class TenantLine:
+  """The waiting requests of one tenant in one rank."""
+
+  __slots__ = ('waiting_by_request', 'cost_s', 'weight', 'rate')
+
+  def __init__(self, weight: float):
+    self.rate = drain_rate.DrainRate()
+    self.waiting_by_request = collections.OrderedDict()
+    self.cost_s = 0.0
+    self.weight = weight
+
+
+class ClassLine:
+  """The waiting requests of one class, by tenant."""
+
+  def __init__(self, use: shares.FleetUse):
+    self._use = use
+    self._heap: list[tuple[float, int, str]] = []
+    self._epoch = use.epoch
+    self._ticket = itertools.count()
+    self.line_by_tenant: dict[str, TenantLine] = {}
+    self.rate = drain_rate.DrainRate()
+    self.cost_s = 0.0
+    self.weight = 0.0
+    self.count = 0
+
+  def add(
+      self, waiting: waiting_base.Waiting, weight: float, is_first: bool
+  ) -> None:
+    """Adds a request at the end, or before all others of its tenant."""
+    tenant = waiting.request.tenant
+    line = self.line_by_tenant.get(tenant)
+    if line is None:
+      line = self.line_by_tenant[tenant] = TenantLine(weight)
+      self.weight += weight
+      self._push(tenant)
+    line.waiting_by_request[waiting.request.request_id] = waiting
+    if is_first:
+      line.waiting_by_request.move_to_end(
+          waiting.request.request_id, last=False
+      )
+    line.cost_s += waiting.cost.engine_s
+    self.cost_s += waiting.cost.engine_s
+    self.count += 1
+
+  def remove(self, tenant: str, request_id: str) -> waiting_base.Waiting:
+    """Removes a request and returns it."""
+    line = self.line_by_tenant[tenant]
+    waiting = line.waiting_by_request.pop(request_id)
+    line.cost_s -= waiting.cost.engine_s
+    self.cost_s -= waiting.cost.engine_s
+    self.count -= 1
+    if not line.waiting_by_request:
+      # Its heap entry goes when it comes to the top.
+      del self.line_by_tenant[tenant]
+      self.weight -= line.weight
+    return waiting
+
+  def next_tenant(self) -> str | None:
+    """Returns the waiting tenant that used least of its share."""
+    if self._epoch != self._use.epoch:
+      self._rebuild()
+    while self._heap:
+      key, _, tenant = self._heap[0]
+      line = self.line_by_tenant.get(tenant)
+      if line is None:
+        heapq.heappop(self._heap)
+        continue
+      current = self.key(tenant)
+      if current <= key * (1.0 + 1e-9):
+        return tenant
+      heapq.heapreplace(self._heap, (current, next(self._ticket), tenant))
+    return None
+
+  def least_key(self) -> float:
+    """Returns the lowest use over share that waits, infinity for none."""
+    tenant = self.next_tenant()
+    return math.inf if tenant is None else self.key(tenant)
+
+  def key(self, tenant: str) -> float:
+    """Returns the use of a waiting tenant over its share."""
+    weight = self.line_by_tenant[tenant].weight
+    return self._use.tenant_amount(tenant) / weight
+
+  def _push(self, tenant: str) -> None:
+    entry = (self.key(tenant), next(self._ticket), tenant)
+    heapq.heappush(self._heap, entry)
+
+  def _rebuild(self) -> None:
+    self._epoch = self._use.epoch
+    self._heap = []
+    for tenant in self.line_by_tenant:
+      self._push(tenant)
+
+
+class Queue:
+  """All that waits for one model, in lines by rank and length of prompt."""
+
+  def __init__(self):
+    self.line_by_class: dict[WaitClass, ClassLine] = {}
+    self.rate = drain_rate.DrainRate()
+
+  def count(self) -> int:
+    """Counts all that waits."""
+    return sum(line.count for line in self.line_by_class.values())
+
+  def count_of_rank(self, rank: str) -> int:
+    """Counts what waits of a rank."""
+    count = 0
+    for key, line in self.line_by_class.items():
+      if key.rank == rank:
+        count += line.count
+    return count
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -12,10 +12,9 @@
 import itertools
 import math
 import random
-from typing import NamedTuple
 
 from mulberrypick.core import bookings
-from mulberrypick.core import drain_rate
+from mulberrypick.core import class_line
 from mulberrypick.core import errors
 from mulberrypick.core import partition
 from mulberrypick.core import records
@@ -53,130 +52,6 @@
 DEFER_RATIO = 1.5
 
 
-class _Class(NamedTuple):
-  """Requests that wait for the same kind of room."""
-
-  rank: str
-  is_long: bool
-
-
-class _Place(NamedTuple):
-  """Where a waiting request stands."""
-
-  queue: str
-  key: _Class
-  tenant: str
-
-
-class _TenantLine:
-  """The waiting requests of one tenant in one rank."""
-
-  __slots__ = ('waiting_by_request', 'cost_s', 'weight', 'rate')
-
-  def __init__(self, weight: float):
-    self.rate = drain_rate.DrainRate()
-    self.waiting_by_request = collections.OrderedDict()
-    self.cost_s = 0.0
-    self.weight = weight
-
-
-class _ClassLine:
-  """The waiting requests of one class, by tenant."""
-
-  def __init__(self, use: shares.FleetUse):
-    self._use = use
-    self._heap: list[tuple[float, int, str]] = []
-    self._epoch = use.epoch
-    self._ticket = itertools.count()
-    self.line_by_tenant: dict[str, _TenantLine] = {}
-    self.rate = drain_rate.DrainRate()
-    self.cost_s = 0.0
-    self.weight = 0.0
-    self.count = 0
-
-  def add(self, waiting, weight: float, is_first: bool) -> None:
-    tenant = waiting.request.tenant
-    line = self.line_by_tenant.get(tenant)
-    if line is None:
-      line = self.line_by_tenant[tenant] = _TenantLine(weight)
-      self.weight += weight
-      self._push(tenant)
-    line.waiting_by_request[waiting.request.request_id] = waiting
-    if is_first:
-      line.waiting_by_request.move_to_end(
-          waiting.request.request_id, last=False
-      )
-    line.cost_s += waiting.cost.engine_s
-    self.cost_s += waiting.cost.engine_s
-    self.count += 1
-
-  def remove(self, tenant: str, request_id: str):
-    line = self.line_by_tenant[tenant]
-    waiting = line.waiting_by_request.pop(request_id)
-    line.cost_s -= waiting.cost.engine_s
-    self.cost_s -= waiting.cost.engine_s
-    self.count -= 1
-    if not line.waiting_by_request:
-      # Its heap entry goes when it comes to the top.
-      del self.line_by_tenant[tenant]
-      self.weight -= line.weight
-    return waiting
-
-  def next_tenant(self) -> str | None:
-    """Returns the waiting tenant that used least of its share."""
-    if self._epoch != self._use.epoch:
-      self._rebuild()
-    while self._heap:
-      key, _, tenant = self._heap[0]
-      line = self.line_by_tenant.get(tenant)
-      if line is None:
-        heapq.heappop(self._heap)
-        continue
-      current = self.key(tenant)
-      if current <= key * (1.0 + 1e-9):
-        return tenant
-      heapq.heapreplace(self._heap, (current, next(self._ticket), tenant))
-    return None
-
-  def least_key(self) -> float:
-    """Returns the lowest use over share that waits, infinity for none."""
-    tenant = self.next_tenant()
-    return math.inf if tenant is None else self.key(tenant)
-
-  def key(self, tenant: str) -> float:
-    """Returns the use of a waiting tenant over its share."""
-    weight = self.line_by_tenant[tenant].weight
-    return self._use.tenant_amount(tenant) / weight
-
-  def _push(self, tenant: str) -> None:
-    entry = (self.key(tenant), next(self._ticket), tenant)
-    heapq.heappush(self._heap, entry)
-
-  def _rebuild(self) -> None:
-    self._epoch = self._use.epoch
-    self._heap = []
-    for tenant in self.line_by_tenant:
-      self._push(tenant)
-
-
-class _Queue:
-  """All that waits for one model, in lines by rank and length of prompt."""
-
-  def __init__(self):
-    self.line_by_class: dict[_Class, _ClassLine] = {}
-    self.rate = drain_rate.DrainRate()
-
-  def count(self) -> int:
-    return sum(line.count for line in self.line_by_class.values())
-
-  def count_of_rank(self, rank: str) -> int:
-    count = 0
-    for key, line in self.line_by_class.items():
-      if key.rank == rank:
-        count += line.count
-    return count
-
-
 class RankedFairAdmission(waiting_base.Admission):
   """Ranks with reserves, tenants by share, refusals at once."""
 
@@ -184,12 +59,12 @@
     self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
     self._use = shares.FleetUse()
-    self._queue_by_name: dict[str, _Queue] = {}
-    self._place_by_request: dict[str, _Place] = {}
+    self._queue_by_name: dict[str, class_line.Queue] = {}
+    self._place_by_request: dict[str, class_line.Place] = {}
     self._late_heap: list[tuple[float, int, str]] = []
     self._late_at_by_request: dict[str, float] = {}
     self._ticket = itertools.count()
-    self._booked_until: dict[_Place, float] = {}
+    self._booked_until: dict[class_line.Place, float] = {}
     self._bookings = bookings.Bookings()
 
   def configure(self, config):
@@ -427,7 +302,7 @@
     # A spread after the booked time, as clocks and ways differ.
     return retry_s + SPREAD_S * self._rng.random()
 
-  def _tenant_rate(self, place: _Place) -> float:
+  def _tenant_rate(self, place: class_line.Place) -> float:
     line = self._line(place)
     own = line.line_by_tenant.get(place.tenant)
     if own is not None:
@@ -462,7 +337,7 @@
         return True
     return False
 
-  def _rank_rate(self, held: _Queue, name: str) -> float:
+  def _rank_rate(self, held: class_line.Queue, name: str) -> float:
     """Returns the engine seconds a second that a rank gets here."""
     rank = self._config.rank_by_name.get(name)
     part = 1.0
@@ -483,21 +358,21 @@
       return LEAST_SHARE
     return max(LEAST_SHARE, known.share)
 
-  def _queue(self, name: str) -> _Queue:
+  def _queue(self, name: str) -> class_line.Queue:
     queue = self._queue_by_name.get(name)
     if queue is None:
-      queue = self._queue_by_name[name] = _Queue()
+      queue = self._queue_by_name[name] = class_line.Queue()
     return queue
 
-  def _line(self, place: _Place) -> _ClassLine:
+  def _line(self, place: class_line.Place) -> class_line.ClassLine:
     line_by_class = self._queue(place.queue).line_by_class
     line = line_by_class.get(place.key)
     if line is None:
-      line = line_by_class[place.key] = _ClassLine(self._use)
+      line = line_by_class[place.key] = class_line.ClassLine(self._use)
     return line
 
 
-def _place(queue: str, waiting: waiting_base.Waiting) -> _Place:
+def _place(queue: str, waiting: waiting_base.Waiting) -> class_line.Place:
   """Returns where a request stands, or would stand."""
-  key = _Class(waiting.request.rank, waiting.cost.is_long)
-  return _Place(queue, key, waiting.request.tenant)
+  key = class_line.WaitClass(waiting.request.rank, waiting.cost.is_long)
+  return class_line.Place(queue, key, waiting.request.tenant)
--- /dev/null
+++ b/mulberrypick/core/shares_test.py
@@ -0,0 +1,75 @@
+"""Tests of the use of the fleet, as several hosts see it together."""
+
+import unittest
+
+from mulberrypick.core import shares
+
+
+def exchange(uses, now):
+  """Lets every host tell every other what it used."""
+  digests = [use.digest({}, {}, now) for use in uses]
+  for number, use in enumerate(uses):
+    for other, digest in enumerate(digests):
+      if other != number:
+        use.see_peer(f'entry-{other}', digest, now)
+
+
+class TestFleetUse(unittest.TestCase):
+
+  def test_all_hosts_see_the_same_parts(self):
+    for hosts in (1, 3, 9):
+      uses = [shares.FleetUse() for _ in range(hosts)]
+      for second in range(20):
+        # All of the urgent work arrives at one host.
+        uses[0].charge('a', 'urgent', 1.0, second)
+        for use in uses:
+          use.charge('b', 'other', 3.0 / hosts, second)
+        exchange(uses, second)
+      for use in uses:
+        self.assertAlmostEqual(0.25, use.rank_part('urgent'), delta=0.025)
+        ratio = use.tenant_amount('b') / use.tenant_amount('a')
+        self.assertAlmostEqual(3.0, ratio, delta=0.3)
+
+  def test_a_host_that_is_gone_fades(self):
+    first, second = shares.FleetUse(), shares.FleetUse()
+    second.charge('a', 'urgent', 10.0, 0.0)
+    first.see_peer('entry-2', second.digest({}, {}, 0.0), 0.0)
+    first.charge('b', 'other', 10.0, 60.0)
+    self.assertLess(first.rank_part('urgent'), 0.01)
+
+  def test_a_repeated_digest_is_not_counted_twice(self):
+    use = shares.FleetUse()
+    told = shares.Digest({'a': 5.0}, {'other': 5.0}, {}, {})
+    for _ in range(3):
+      use.see_peer('entry-2', told, 1.0)
+    self.assertAlmostEqual(0.5, use.rank_per_s('other', 1.0))
+
+  def test_amounts_stay_comparable_after_hours(self):
+    use = shares.FleetUse()
+    for second in range(0, 20000, 5):
+      use.charge('a', 'other', 1.0, second)
+      use.charge('b', 'other', 2.0, second)
+      use.digest({}, {}, second)
+    ratio = use.tenant_amount('b') / use.tenant_amount('a')
+    self.assertAlmostEqual(2.0, ratio)
+    self.assertGreater(use.epoch, 10)
+
+  def test_a_digest_is_bounded(self):
+    use = shares.FleetUse()
+    for number in range(5000):
+      use.charge(f't{number}', 'other', 1.0, 0.0)
+    digest = use.digest({}, {}, 0.0)
+    self.assertEqual(shares.TENANTS_TOLD, len(digest.used_by_tenant))
+
+  def test_what_waits_at_a_peer_counts_while_it_is_fresh(self):
+    first, second = shares.FleetUse(), shares.FleetUse()
+    second.charge('a', 'other', 4.0, 0.0)
+    amount = second.tenant_amount('a')
+    told = second.digest({'other': amount}, {}, 0.0)
+    first.see_peer('entry-2', told, 0.0)
+    self.assertAlmostEqual(4.0, first.least_waiting('other', 1.0, 2.0))
+    self.assertEqual(float('inf'), first.least_waiting('other', 3.0, 2.0))
+
+
+if __name__ == '__main__':
+  unittest.main()
