Requests that crash endpoints are found and refused; retries have a budget

Change: suspects run alone, on endpoints that their host has to itself for that purpose; after the second crash the one request that explains both is refused on all hosts, and its caller is told only once the peers can know it. Requests that had tokens before the crash are refused after the third.

--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -6,19 +6,22 @@
 only keeps the books: who waits, what runs where, and who is told what.
 """
 
-import collections
 import random
 from typing import NamedTuple
 
 import xxhash
 
+from mulberrypick.core import attempts
 from mulberrypick.core import cost
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
+from mulberrypick.core import isolation
 from mulberrypick.core import journal
 from mulberrypick.core import load
 from mulberrypick.core import messages
+from mulberrypick.core import quarantine
 from mulberrypick.core import records
+from mulberrypick.core import retry_budget
 from mulberrypick.core import routing
 from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
@@ -27,16 +30,7 @@
 PRIORITY_OTHER = 0
 RETRY_AFTER_S = 2.0
 PART_EVERY_S = 1.0
-# Requests whose attempts are counted; one that is gone starts again at 1.
-NUMBERS_KEPT = 20000
-
-
-class Running(NamedTuple):
-  """An attempt under way."""
-
-  waiting: waiting_base.Waiting
-  queue: str
-  attempt: records.Attempt
+ATTEMPTS_MOST = 3
 
 
 class DispatcherStatus(NamedTuple):
@@ -92,10 +86,9 @@
     self._entries = 1
     self._fleet = fleet.Fleet()
     self._cost = cost.CostModel()
-    self._running_by_attempt: dict[str, Running] = {}
-    self._number_by_request: collections.OrderedDict[str, int] = (
-        collections.OrderedDict()
-    )
+    self._attempts = attempts.Attempts()
+    self._isolation = isolation.Isolation(own_name)
+    self._retry_budget = retry_budget.RetryBudget()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
     self._handler_by_type = {
@@ -131,15 +124,17 @@
   def peer_seen(self, now: float) -> messages.PeerSeen:
     """Returns what this host tells its peers, once a second or so."""
     digest = self._admission.digest(now)
+    suspects, refused = self._isolation.tell(now)
     return messages.PeerSeen(
         self._own_name,
         self._fleet.cost_by_endpoint(),
         digest.used_by_tenant,
-        (),
+        refused,
         self._fleet.leaving(),
         digest.used_by_rank,
         digest.waiting_by_rank,
-        booked=digest.booked,
+        suspects,
+        digest.booked,
     )
 
   def snapshot(self, now: float) -> DispatcherStatus:
@@ -148,21 +143,16 @@
         self._config.generation,
         self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
-        len(self._running_by_attempt),
+        len(self._attempts.running_by_attempt),
         dict(self._refused_by_kind),
-        0,
+        len(self._isolation.quarantine.refused(now)),
     )
 
   def _submit(self, message, now):
     request = message.request
-    if request.deadline_at <= now:
-      error = errors.DeadlineError('the deadline has passed')
-      return [self._refuse(request.request_id, error)]
     queue = queue_name(request.model, request.adapter)
-    if not self._fleet.pool(queue).all:
-      error = errors.UnavailableError(
-          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
-      )
+    error = self._check(message, queue, now)
+    if error is not None:
       return [self._refuse(request.request_id, error)]
     waiting = waiting_base.Waiting(
         request,
@@ -170,23 +160,62 @@
         message.failed_endpoints,
         self._cost.cost(queue, request, message.next_index),
         now,
-        bool(message.next_index or message.failed_endpoints),
+        _is_again(message),
         fingerprint(request),
     )
+    if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
+      held = isolation.Held(queue, waiting)
+      self._isolation.held_by_request[request.request_id] = held
+      return self._pump_held(now)
+    return self._offer(queue, waiting, now)
+
+  def _check(
+      self, message: messages.Submit, queue: str, now: float
+  ) -> errors.RequestError | None:
+    """Returns why a request can't run whatever the load is, or None."""
+    request = message.request
+    if request.deadline_at <= now:
+      return errors.DeadlineError('the deadline has passed')
+    if not _is_again(message):
+      self._retry_budget.see_request()
+      if self._fleet.pool(queue).all:
+        return None
+      return errors.UnavailableError(
+          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
+      )
+    failures = self._attempts.failures(request.request_id)
+    service = self._config.service_by_name.get(request.service)
+    most = service.max_attempts if service is not None else ATTEMPTS_MOST
+    if failures >= most:
+      return errors.UnavailableError(
+          f'{failures} attempts broke off', retry_after_s=RETRY_AFTER_S
+      )
+    if not self._retry_budget.take(failures, now):
+      return errors.UnavailableError(
+          'too many retries are under way', retry_after_s=RETRY_AFTER_S
+      )
+    return None
+
+  def _offer(
+      self, queue: str, waiting: waiting_base.Waiting, now: float
+  ) -> list[messages.Effect]:
     error = self._admission.offer(queue, waiting, now)
     if error is not None:
-      return [self._refuse(request.request_id, error)]
+      return [self._refuse(waiting.request.request_id, error)]
     return self._pump(queue, now)
 
   def _withdraw(self, message, now):
     del now
-    if self._admission.withdraw(message.request_id) is not None:
-      self._number_by_request.pop(message.request_id, None)
-      self._journal.note(message.request_id, 'withdrawn while it waited')
+    request_id = message.request_id
+    held = self._isolation.held_by_request.pop(request_id, None)
+    waiting = self._admission.withdraw(request_id)
+    if held is not None or waiting is not None:
+      self._attempts.forget(request_id)
+      self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
   def _first_token(self, message, now):
-    running = self._running_by_attempt.get(message.attempt_id)
+    running = self._attempts.see_first_token(message.attempt_id)
     if running is None:
       return []
     known = self._fleet.endpoint(running.attempt.endpoint)
@@ -195,7 +224,7 @@
     return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
-    running = self._running_by_attempt.pop(message.attempt_id, None)
+    running = self._attempts.remove(message.attempt_id)
     if running is None:
       return []
     self._journal.note(
@@ -207,12 +236,25 @@
     if known is not None:
       known.remove(message.attempt_id, now)
     self._fleet.rest_after(message.endpoint, message.outcome, now)
+    self._learn(running, message, now)
+    return self._pump(running.queue, now) + self._pump_held(now)
+
+  def _learn(self, running, message, now: float) -> None:
+    """Draws the conclusions from the end of an attempt."""
+    waiting = running.waiting
+    has_token = self._attempts.take_token_mark(message.attempt_id)
     if message.outcome == messages.OUTCOME_WHOLE:
-      tokens = running.waiting.next_index + message.tokens
-      self._cost.see_output(running.waiting.request, tokens)
+      tokens = waiting.next_index + message.tokens
+      self._cost.see_output(waiting.request, tokens)
+      self._isolation.quarantine.see_whole(waiting.fingerprint)
+    if message.outcome == messages.OUTCOME_FAILED:
+      self._attempts.see_failure(message.request_id)
+      has_token = has_token or message.tokens > 0
+      self._isolation.quarantine.see_broken(
+          message.endpoint, waiting.fingerprint, has_token, now
+      )
     if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
-      self._number_by_request.pop(message.request_id, None)
-    return self._pump(running.queue, now)
+      self._attempts.forget(message.request_id)
 
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
@@ -224,6 +266,7 @@
 
   def _hosts_seen(self, message, now):
     self._fleet.see_hosts(message.hosts)
+    self._isolation.set_entries(self._fleet.entry_names())
     self._set_capacities()
     return self._pump_all(now)
 
@@ -247,6 +290,7 @@
         message.booked,
     )
     self._admission.see_peer(message.peer, digest, now)
+    self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
   def _tick(self, message, now):
@@ -256,7 +300,7 @@
     for refusal in self._admission.expire(now):
       request_id = refusal.waiting.request.request_id
       effects.append(self._refuse(request_id, refusal.error))
-    return effects + self._pump_all(now)
+    return effects + self._pump_all(now) + self._pump_held(now)
 
   def _set_capacities(self) -> None:
     self._entries = entries = self._fleet.entry_count()
@@ -297,22 +341,80 @@
       return self._start(queue, waiting, chosen, now)
     return None
 
+  def _pump_held(self, now: float) -> list[messages.Effect]:
+    """Runs or refuses requests that wait for a verdict."""
+    effects = []
+    for request_id, held in list(self._isolation.held_by_request.items()):
+      moved = self._move_held(held, now)
+      if moved is None:
+        continue
+      self._isolation.held_by_request.pop(request_id, None)
+      effects += moved
+    return effects
+
+  def _move_held(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    """Returns the effects for a held request, or None if it still waits."""
+    waiting = held.waiting
+    request = waiting.request
+    verdict = self._isolation.quarantine.verdict(waiting.fingerprint, now)
+    if verdict == quarantine.REFUSED:
+      if not self._isolation.may_refuse(held, now):
+        return None
+      error = errors.RepeatedCrashError('it crashed the endpoints that ran it')
+      return [self._refuse(request.request_id, error)]
+    if request.deadline_at <= now:
+      error = errors.DeadlineError('the deadline passed while it waited')
+      return [self._refuse(request.request_id, error)]
+    if verdict == quarantine.CLEAR:
+      return self._offer(held.queue, waiting._replace(is_again=True), now)
+    if verdict == quarantine.SUSPECT:
+      return self._start_alone(held, now)
+    return None
+
+  def _start_alone(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    waiting = held.waiting
+    if self._attempts.is_suspect_running(waiting.fingerprint):
+      return None
+    pool = self._fleet.pool(held.queue)
+    names = [known.name for known in pool.all]
+    busy = self._attempts.suspect_endpoints()
+    excluded = self._isolation.excluded(held, names, busy, now)
+    ask = self._make_ask(held.queue, waiting, 1.0, excluded)
+    chosen = self._pick(ask, pool, now)
+    if chosen is None:
+      return None
+    is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
+    return [self._start(held.queue, waiting, chosen, now, is_strong)]
+
   def _choose(
       self, queue: str, waiting: waiting_base.Waiting, now: float
   ) -> load.EndpointLoad | None:
     pool = self._fleet.pool(queue)
+    excluded = waiting.failed_endpoints
+    if excluded and all(known.name in excluded for known in pool.all):
+      # Better an endpoint that it was on before than none at all.
+      excluded = ()
+    room = self._admission.room(queue, waiting, now)
+    ask = self._make_ask(queue, waiting, room, excluded)
+    return self._pick(ask, pool, now)
+
+  def _pick(
+      self, ask: routing.Ask, pool: load.Pool, now: float
+  ) -> load.EndpointLoad | None:
     if not pool.all:
       return None
-    ask = self._make_ask(queue, waiting, now)
-    chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
-    if chosen is None and ask.excluded:
-      # Better an endpoint that refused it before than none at all.
-      ask = ask._replace(excluded=())
-      chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
-    return chosen
+    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
 
   def _make_ask(
-      self, queue: str, waiting: waiting_base.Waiting, now: float
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      room: float,
+      excluded: tuple[str, ...],
   ) -> routing.Ask:
     request = waiting.request
     rank = self._config.rank_by_name.get(request.rank)
@@ -326,9 +428,9 @@
         waiting.cost.stretch_s,
         self._cost.speeds(queue),
         self._entries,
-        self._admission.room(queue, waiting, now),
+        room,
         (),
-        waiting.failed_endpoints,
+        excluded,
     )
 
   def _is_urgent(self, request: records.InferenceRequest) -> bool:
@@ -341,11 +443,12 @@
       waiting: waiting_base.Waiting,
       chosen: load.EndpointLoad,
       now: float,
+      is_suspect: bool = False,
   ) -> messages.Start:
     request = waiting.request
     is_urgent = self._is_urgent(request)
     attempt = records.Attempt(
-        f'{request.request_id}/{self._next_number(request.request_id)}',
+        self._attempts.next_id(request.request_id),
         chosen.name,
         chosen.address,
         waiting.next_index,
@@ -361,8 +464,8 @@
         now,
     )
     chosen.add(sent)
-    running = Running(waiting, queue, attempt)
-    self._running_by_attempt[attempt.attempt_id] = running
+    running = attempts.Running(waiting, queue, attempt, is_suspect)
+    self._attempts.add(running)
     self._journal.note(
         request.request_id,
         f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
@@ -370,17 +473,10 @@
     )
     return messages.Start(request.request_id, attempt, None)
 
-  def _next_number(self, request_id: str) -> int:
-    number = self._number_by_request.get(request_id, 0) + 1
-    self._number_by_request[request_id] = number
-    if len(self._number_by_request) > NUMBERS_KEPT:
-      self._number_by_request.popitem(last=False)
-    return number
-
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
-    self._number_by_request.pop(request_id, None)
+    self._attempts.forget(request_id)
     count = self._refused_by_kind.get(error.kind, 0)
     self._refused_by_kind[error.kind] = count + 1
     self._journal.note(
@@ -391,6 +487,11 @@
     return messages.Refuse(request_id, error)
 
 
+def _is_again(message: messages.Submit) -> bool:
+  """Tells whether a request was sent to an endpoint before."""
+  return bool(message.next_index or message.failed_endpoints)
+
+
 def _strictest_between(config: records.Config) -> float:
   """Returns the strictest target of the time between tokens, 0 for none."""
   targets = []
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -183,6 +183,58 @@
     self.assertEqual(['e1', 'e2'], [e.name for e in status.endpoints])
 
 
+class TestCrashes(unittest.TestCase):
+
+  def test_a_crasher_takes_two_engines_and_its_neighbour_goes_on(self):
+    dispatcher = make_dispatcher(['e1', 'e2', 'e3', 'e4'])
+    crash = make_request('r1', prompt='crash')
+    first = submit(dispatcher, crash)
+    end(dispatcher, first, messages.OUTCOME_FAILED)
+    failed = (first.attempt.endpoint,)
+    second = submit(dispatcher, crash, 1.0, failed=failed)
+    self.assertNotEqual(failed[0], second.attempt.endpoint)
+    end(dispatcher, second, messages.OUTCOME_FAILED, 4.0)
+    failed += (second.attempt.endpoint,)
+    message = messages.Submit(crash, 0, failed)
+    # Its caller is told once the other hosts can know it.
+    self.assertEqual([], dispatcher.handle(message, 4.0))
+    told = dispatcher.peer_seen(4.1)
+    (refuse,) = dispatcher.handle(messages.Tick(), 4.2)
+    self.assertIsInstance(refuse.error, errors.RepeatedCrashError)
+
+    other_host = make_dispatcher()
+    other_host.handle(told._replace(peer='entry-9'), 4.3)
+    again = submit(other_host, crash._replace(request_id='r9'), 4.4)
+    self.assertIsInstance(again.error, errors.RepeatedCrashError)
+    innocent = submit(dispatcher, make_request('r2'), 5.0)
+    self.assertIsInstance(innocent, messages.Start)
+
+  def test_a_suspect_of_a_peer_waits_for_its_verdict(self):
+    dispatcher = make_dispatcher()
+    request = make_request('r1')
+    suspect = (dispatch.fingerprint(request),)
+    told = messages.PeerSeen('entry-2', {}, {}, (), (), suspects=suspect)
+    dispatcher.handle(told, 0.5)
+    message = messages.Submit(request, 0, ())
+    self.assertEqual([], dispatcher.handle(message, 1.0))
+    (start,) = dispatcher.handle(messages.Tick(), 5.0)
+    self.assertIsInstance(start, messages.Start)
+
+  def test_attempts_are_bounded(self):
+    dispatcher = make_dispatcher(['e1', 'e2', 'e3', 'e4', 'e5'])
+    request = make_request('r1', deadline_at=200.0)
+    failed = ()
+    for number in range(dispatch.ATTEMPTS_MOST):
+      now = 20.0 * number
+      start = submit(dispatcher, request, now, len(failed), failed)
+      failed += (start.attempt.endpoint,)
+      # Time enough passes for each failure to count on its own.
+      end(dispatcher, start, messages.OUTCOME_FAILED, now + 1.0)
+      dispatcher._isolation.quarantine.see_whole(dispatch.fingerprint(request))
+    refuse = submit(dispatcher, request, 90.0, 3, failed)
+    self.assertIsInstance(refuse.error, errors.UnavailableError)
+
+
 class TestBaselines(unittest.TestCase):
 
   def test_round_robin_takes_turns(self):
--- a/mulberrypick/core/fleet.py
+++ b/mulberrypick/core/fleet.py
@@ -88,6 +88,10 @@
       self._pool_by_queue[queue] = self._make_pool(queue, pool.all)
     return count
 
+  def entry_names(self) -> tuple[str, ...]:
+    """Returns the names of the live entry hosts, sorted."""
+    return self._membership.entry_names()
+
   def entry_count(self) -> int:
     """Returns the number of live entry hosts, at least 1."""
     return self._membership.entry_count()
--- a/mulberrypick/core/membership.py
+++ b/mulberrypick/core/membership.py
@@ -52,13 +52,17 @@
     """Returns the names of all known hosts."""
     return list(self._host_by_name)
 
-  def entry_count(self) -> int:
-    """Returns the number of live entry hosts, at least 1."""
-    count = 0
+  def entry_names(self) -> tuple[str, ...]:
+    """Returns the names of the live entry hosts, sorted."""
+    names = []
     for host in self._host_by_name.values():
       if host.kind == records.HOST_ENTRY and self.is_live(host.name):
-        count += 1
-    return max(1, count)
+        names.append(host.name)
+    return tuple(sorted(names))
+
+  def entry_count(self) -> int:
+    """Returns the number of live entry hosts, at least 1."""
+    return max(1, len(self.entry_names()))
 
   def leaving(self) -> tuple[str, ...]:
     """Returns the leaving incarnations as `name/incarnation`."""
--- /dev/null
+++ b/mulberrypick/core/quarantine_test.py
@@ -0,0 +1,137 @@
+"""Tests of how crashing requests are found, and innocent ones cleared."""
+
+import unittest
+
+from mulberrypick.core import isolation
+from mulberrypick.core import quarantine
+from mulberrypick.core import retry_budget
+
+CRASHER, BESIDE, OTHER = 1, 2, 3
+
+
+class TestQuarantine(unittest.TestCase):
+
+  def test_the_second_crash_tells_which_one_it_was(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', CRASHER, False, 0.0)
+    found.see_broken('e1', BESIDE, False, 0.01)
+    self.assertEqual(quarantine.SUSPECT, found.verdict(BESIDE, 0.1))
+    found.see_broken('e2', OTHER, True, 5.0)
+    found.see_broken('e2', CRASHER, False, 5.01)
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 5.1))
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 5.1))
+    self.assertEqual(quarantine.CLEAR, found.verdict(OTHER, 5.1))
+
+  def test_one_that_ran_to_its_end_is_cleared(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', BESIDE, False, 0.0)
+    found.see_whole(BESIDE)
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 0.1))
+
+  def test_two_breaks_of_one_crash_count_once(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', BESIDE, False, 0.0)
+    found.see_broken('e1', BESIDE, False, 0.5)
+    self.assertEqual(quarantine.SUSPECT, found.verdict(BESIDE, 1.0))
+
+  def test_one_with_tokens_is_refused_after_the_third_crash(self):
+    found = quarantine.Quarantine()
+    for second, endpoint in enumerate(('e1', 'e2')):
+      found.see_broken(endpoint, CRASHER, True, second * 3.0)
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CRASHER, 4.0))
+    self.assertTrue(found.is_strong(CRASHER))
+    found.see_broken('e3', CRASHER, True, 6.0)
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 6.1))
+
+  def test_a_failed_network_makes_no_suspects(self):
+    found = quarantine.Quarantine()
+    for number in range(5):
+      found.see_broken(f'e{number}', number, False, 0.1 * number)
+    for number in range(5):
+      self.assertEqual(quarantine.CLEAR, found.verdict(number, 1.0))
+
+  def test_one_request_that_moves_fast_is_no_failed_network(self):
+    found = quarantine.Quarantine()
+    for number in range(3):
+      found.see_broken(f'e{number}', CRASHER, False, 0.2 * number)
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 1.0))
+
+  def test_both_states_end_by_time(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', CRASHER, False, 0.0)
+    found.see_broken('e2', CRASHER, False, 3.0)
+    found.see_broken('e3', BESIDE, False, 9.0)
+    later = 9.0 + quarantine.SUSPECT_S
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, later))
+    later = 3.0 + quarantine.QUARANTINE_S
+    self.assertEqual(quarantine.CLEAR, found.verdict(CRASHER, later))
+
+  def test_a_peer_is_believed(self):
+    found = quarantine.Quarantine()
+    found.see_peer((BESIDE,), (CRASHER,), 0.0)
+    self.assertEqual(quarantine.ELSEWHERE, found.verdict(BESIDE, 1.0))
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 1.0))
+    silent = quarantine.PEER_FRESH_S + 1.0
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, silent))
+
+  def test_memory_is_bounded(self):
+    found = quarantine.Quarantine()
+    for number in range(3 * quarantine.KEPT):
+      found.see_broken('e1', number, False, 2.0 * number)
+    self.assertLessEqual(len(found.suspects(0.0)), quarantine.TOLD_AT_ONCE)
+
+
+class TestIsolation(unittest.TestCase):
+
+  def test_hosts_use_different_endpoints_for_suspects(self):
+    names = ('entry-1', 'entry-2', 'entry-3')
+    endpoints = [f'e{number}' for number in range(30)]
+    allowed = []
+    for name in names:
+      isolated = isolation.Isolation(name)
+      isolated.set_entries(names)
+      isolated.quarantine.see_broken('e0', CRASHER, False, 0.0)
+      held = make_held(queued_at=0.0)
+      excluded = isolated.excluded(held, endpoints, (), 0.1)
+      allowed.append(set(endpoints).difference(excluded))
+    self.assertEqual(set(endpoints), set().union(*allowed))
+    self.assertEqual(30, sum(len(names) for names in allowed))
+
+  def test_any_endpoint_does_after_a_while(self):
+    isolated = isolation.Isolation('entry-1')
+    isolated.set_entries(('entry-2',))
+    held = make_held(queued_at=0.0)
+    later = isolation.OWN_ONLY_S + 0.1
+    self.assertIn('e1', isolated.excluded(held, ['e1'], (), 0.1))
+    self.assertNotIn('e1', isolated.excluded(held, ['e1'], (), later))
+    self.assertIn('e1', isolated.excluded(held, ['e1'], ('e1',), later))
+
+
+class TestRetryBudget(unittest.TestCase):
+
+  def test_a_crash_costs_no_budget_but_repeats_do(self):
+    budget = retry_budget.RetryBudget()
+    for _ in range(500):
+      self.assertTrue(budget.take(1, 0.0))
+    taken = sum(1 for _ in range(500) if budget.take(2, 0.0))
+    self.assertEqual(retry_budget.MOST, taken)
+
+  def test_it_fills_with_requests(self):
+    budget = retry_budget.RetryBudget()
+    while budget.take(2, 0.0):
+      pass
+    for _ in range(10):
+      budget.see_request()
+    self.assertTrue(budget.take(2, 0.0))
+
+
+def make_held(queued_at):
+  """Makes a held request with the fingerprint of the crasher."""
+  waiting = isolation.waiting_base.Waiting(
+      None, 0, (), None, queued_at, True, CRASHER
+  )
+  return isolation.Held('m', waiting)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/standins/policy_load.py
+++ b/standins/policy_load.py
@@ -21,6 +21,7 @@
     'mill': 0.1,
 }
 FLOODER = 'mill'
+CRASHER_EVERY_S = 10.0
 URGENT = records.Rank('urgent', True, 0.5, 0.1, 5.0, 0.5)
 OTHER = records.Rank('other', False, 4.0, 0.2, 40.0, 0.3)
 
@@ -140,6 +141,30 @@
   return Arrival(request, length, rng.randrange(entries))
 
 
+def make_crashers(start_s: float, end_s: float) -> list[Arrival]:
+  """Makes requests that crash engines, one of each content every 10 s."""
+  crashers = []
+  now = start_s
+  while now < end_s - CRASHER_EVERY_S:
+    number = len(crashers)
+    request = records.InferenceRequest(
+        f'crasher-{number}',
+        FLOODER,
+        'other',
+        'crasher',
+        'm',
+        '',
+        f'crash=always {number}',
+        200,
+        64,
+        now,
+        now + OTHER.deadline_s,
+    )
+    crashers.append(Arrival(request, 20, number % 3))
+    now += CRASHER_EVERY_S
+  return crashers
+
+
 class Outcome(NamedTuple):
   """What became of one request.
 
--- a/standins/policy_loop.py
+++ b/standins/policy_loop.py
@@ -17,6 +17,7 @@
 from standins import policy_engine
 
 NET_S = 0.001
+RESEND_S = 0.02
 TICK_S = 0.02
 REPORT_EVERY_S = 0.25
 PEERS_EVERY_S = 1.0
@@ -56,6 +57,8 @@
     self.record_by_request: dict[str, Record] = {}
     self.lag_s = lag_s
     self.comes_back = False
+    self.crasher_repeats = 6
+    self.crash_after_tokens = 0
     self._events = []
     self._order = itertools.count()
     self._rng = random.Random(5)
@@ -120,6 +123,9 @@
     record.error = error
     record.end_at = self.now
     record.refused_after_s = self.now - record.request.arrived_at
+    if 'crash=always' in record.request.prompt:
+      self._send_crasher_again(record)
+      return
     if not self.comes_back or error.retry_after_s <= 0 or record.returns:
       return
     old = record.request
@@ -131,22 +137,36 @@
     entry = self._rng.randrange(len(self.dispatchers))
     self.after(error.retry_after_s, self.arrive, again, record.length, entry)
 
+  def _send_crasher_again(self, record):
+    """Sends a crashing request again at once, to another host, as new."""
+    if record.returns >= self.crasher_repeats:
+      return
+    entry = (record.entry + 1) % len(self.dispatchers)
+    again = record.request._replace(
+        request_id=f'{record.request.request_id}+',
+        arrived_at=self.now + RESEND_S,
+        deadline_at=self.now + RESEND_S + 40.0,
+    )
+    fresh = Record(again, record.length, entry)
+    fresh.returns = record.returns + 1
+    self.record_by_request[again.request_id] = fresh
+    self.after(RESEND_S, self._submit, fresh)
+
   def token(self, job):
     """Notes a token, and the end of the answer with the last one."""
     request_id = job.start.request_id
     record = self.record_by_request[request_id]
+    attempt = job.start.attempt
+    is_crasher = 'crash=always' in record.request.prompt
+    if is_crasher and job.made >= self.crash_after_tokens:
+      self.engine_by_name[attempt.endpoint].crash()
+      return
     job.made += 1
     record.made += 1
-    attempt = job.start.attempt
     if job.made == 1:
-      if 'crash=always' in record.request.prompt:
-        self.engine_by_name[attempt.endpoint].crash()
-        return
       if record.first_at is None:
         record.first_at = self.now
-      message = messages.FirstToken(
-          record.request.request_id, attempt.attempt_id
-      )
+      message = messages.FirstToken(request_id, attempt.attempt_id)
       self.tell(job.owner, message)
     if job.made >= job.left:
       record.end_at = self.now
--- a/standins/policy_trial.py
+++ b/standins/policy_trial.py
@@ -37,7 +37,7 @@
       stream(summary, 4.0, 0.0, seconds),
       stream(guide, 3.0, 0.0, seconds),
   ]
-  if scenario == 'steady':
+  if scenario in ('steady', 'crasher'):
     return steady
   if scenario == 'flood-other':
     flooder = policy_load.FLOODER
@@ -78,9 +78,14 @@
   streams = make_streams(scenario, seconds)
   for arrival in policy_load.make_arrivals(streams, ENTRIES, seed):
     loop.after(arrival.request.arrived_at, loop.arrive, *arrival)
+  if scenario == 'crasher':
+    for crasher in policy_load.make_crashers(WARM_S, seconds):
+      loop.after(crasher.request.arrived_at, loop.arrive, *crasher)
   loop.run(seconds + DRAIN_S)
   outcomes = []
   for record in loop.record_by_request.values():
+    if 'crash=always' in record.request.prompt:
+      continue
     outcome = make_outcome(record)
     if outcome.arrived_at >= WARM_S:
       outcomes.append(outcome)
@@ -88,6 +93,9 @@
   busy = [engine.busy_s for engine in loop.engine_by_name.values()]
   row['max_min_load'] = round(max(busy) / max(1e-9, min(busy)), 2)
   row['busy'] = round(sum(busy) / (seconds * len(busy)), 2)
+  row['crashes'] = loop.crashes
+  cut = sum(1 for o in outcomes if o.total_s is None and o.error is None)
+  row['cut'] = cut
   returned = [r for r in loop.record_by_request.values() if r.returns]
   served = sum(1 for r in returned if r.error is None)
   row['returned_served'] = f'{served}/{len(returned)}'
