--- a/standins/demo.py
+++ b/standins/demo.py
@@ -10,6 +10,7 @@
 import concurrent.futures
 import pathlib
 import shutil
+import subprocess
 import sys
 import threading
 import time
@@ -34,7 +35,8 @@
 BOOKINGS = 60
 BOOKINGS_PER_S = 6.0
 LOG_FOLDER = pathlib.Path('out/demo')
-DECLARATION = pathlib.Path('examples/demo.json')
+DECLARATION_MODULE = 'examples.small_town'
+OPERATE_MODULE = 'mulberrypick.scripts.operate'
 
 CLASSES = [
     load_plan.WorkClass(
@@ -91,7 +93,7 @@
             'yard-talk@1,long-read@1',
         )
       made.fleet.start_service(f'desk-{zone}', zone, 'booking-desk')
-    made.apply(DECLARATION.read_bytes())
+    apply_declaration(made, log_folder / 'small_town.json')
     for zone in ZONES:
       for number in range(ENTRIES_PER_ZONE):
         made.spawn_entry(f'entry-{zone}-{number}', zone, '--notice-s', '1')
@@ -105,6 +107,21 @@
   return made
 
 
+def apply_declaration(made: town.Town, path: pathlib.Path) -> None:
+  """Prints, plans and applies the declaration, as an operator does."""
+  path.write_bytes(run_module(DECLARATION_MODULE))
+  operate = (OPERATE_MODULE, '--platform-url', made.platform_url)
+  click.echo(run_module(*operate, 'plan', str(path)).decode())
+  apply = ('apply', str(path), '--planned-on', '0')
+  click.echo(run_module(*operate, *apply).decode())
+
+
+def run_module(module: str, *arguments: str) -> bytes:
+  """Runs a module to its end; returns what it printed."""
+  command = [sys.executable, '-m', module, *arguments]
+  return subprocess.run(command, check=True, stdout=subprocess.PIPE).stdout
+
+
 def run_scenario(made: town.Town) -> Outcome:
   """Sends all work while an engine crashes and an entry stops."""
   urls = made.list_urls()
