--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,17 @@
 
 unittest: setup
 	$(RUN) -m standins.run_tests
+
+.PHONY: bench bench-changes bench-outage model-check
+
+bench: setup
+	$(RUN) -m standins.bench_entry
+
+bench-changes: setup
+	$(RUN) -m standins.bench_changes
+
+bench-outage: setup
+	$(RUN) -m standins.bench_outage
+
+model-check: setup
+	$(RUN) -m spec.check
--- /dev/null
+++ b/standins/bench_outage.py
@@ -0,0 +1,130 @@
+"""The platform away for minutes: what goes on, what is refused, what recovers.
+
+Both kinds of work stream through two zones while the platform refuses every
+call. The table gives, for each stretch of time, the completions and bookings
+by outcome and the platform's calls a second by kind, so that a stampede on its
+return would show.
+"""
+
+import concurrent.futures
+import itertools
+import pathlib
+import shutil
+import sys
+import time
+from typing import NamedTuple
+
+import click
+
+from standins import bookings
+from standins import demo
+from standins import load
+from standins import load_client
+from standins import load_plan
+from standins import town
+
+LOG_FOLDER = pathlib.Path('out/bench-outage')
+STRETCH_S = 20.0
+OUTAGE_S = 60.0
+BOOKINGS_PER_S = 4.0
+RATE_BY_CLASS = {'questions': 8.0, 'summaries': 2.0}
+CALL_KINDS = ('get', 'put', 'delete', 'list', 'watch', 'hosts', 'refused')
+
+
+class Stretch(NamedTuple):
+  """What happened in a stretch of time.
+
+  Attributes:
+    name: Its name.
+    calls_per_s: Calls of the platform a second, by kind.
+    count_by_outcome: Completions by outcome.
+    count_by_booking: Tries of bookings by status and type.
+    slowest_refusal_s: Longest time to a refusal of a booking.
+  """
+
+  name: str
+  calls_per_s: dict[str, float]
+  count_by_outcome: dict[str, int]
+  count_by_booking: dict[str, int]
+  slowest_refusal_s: float
+
+
+def book_once(client: bookings.BookingClient, number: int) -> tuple[str, float]:
+  """Sends one booking once; returns what came and how long it took."""
+  booking = bookings.Booking(
+      f'outage-{number}', 'booking-desk', 'mills', '', b'{}'
+  )
+  started_at = time.monotonic()
+  answer = client.send(booking, number)
+  took_s = time.monotonic() - started_at
+  if answer.kind:
+    return f'{answer.status} {answer.kind} {answer.run}', took_s
+  return f'{answer.status}', took_s
+
+
+def run_stretch(
+    made: town.Town, name: str, seconds: float, numbers: itertools.count
+) -> Stretch:
+  """Runs both kinds of work for a while and counts."""
+  before = made.fleet.call(made.fleet.platform, 'GET', '/calls')
+  urls = made.list_urls()
+  arrivals = load_plan.plan_arrivals(
+      demo.CLASSES, [load_plan.Phase(seconds, RATE_BY_CLASS)], len(name)
+  )
+  client = bookings.BookingClient(urls)
+  with concurrent.futures.ThreadPoolExecutor(64) as pool:
+    loading = pool.submit(load.run_load, load_client.LoadClient(urls), arrivals)
+    booked = []
+    ends_at = time.monotonic() + seconds
+    while time.monotonic() < ends_at:
+      booked.append(pool.submit(book_once, client, next(numbers)))
+      time.sleep(1 / BOOKINGS_PER_S)
+    answers = [future.result() for future in booked]
+    after = made.fleet.call(made.fleet.platform, 'GET', '/calls')
+    results = loading.result()
+  return Stretch(
+      name,
+      {kind: (after[kind] - before[kind]) / seconds for kind in CALL_KINDS},
+      _count(result.outcome for result in results),
+      _count(answer for answer, _ in answers),
+      max((took for answer, took in answers if answer != '200'), default=0.0),
+  )
+
+
+def _count(values) -> dict[str, int]:
+  count_by_value: dict[str, int] = {}
+  for value in values:
+    count_by_value[value] = count_by_value.get(value, 0) + 1
+  return count_by_value
+
+
+def print_stretch(stretch: Stretch) -> None:
+  """Prints one block of the table."""
+  calls = ' '.join(
+      f'{kind}={rate:.2f}' for kind, rate in stretch.calls_per_s.items()
+  )
+  click.echo(f'{stretch.name}:')
+  click.echo(f'  platform calls a second: {calls}')
+  click.echo(f'  completions: {stretch.count_by_outcome}')
+  click.echo(f'  bookings: {stretch.count_by_booking}')
+  click.echo(f'  slowest refusal: {stretch.slowest_refusal_s:.3f} s')
+
+
+def main() -> int:
+  """Runs before, during and after an outage."""
+  shutil.rmtree(LOG_FOLDER, ignore_errors=True)
+  numbers = itertools.count()
+  with demo.start_town(LOG_FOLDER) as made:
+    print_stretch(run_stretch(made, 'before', STRETCH_S, numbers))
+    made.fleet.put_fault(made.fleet.platform, outage_s=OUTAGE_S)
+    print_stretch(run_stretch(made, 'outage', OUTAGE_S, numbers))
+    print_stretch(run_stretch(made, 'first 5 s after', 5.0, numbers))
+    print_stretch(run_stretch(made, 'after', STRETCH_S, numbers))
+    counts = demo.count_executions(made)
+  doubled = {key: count for key, count in counts.items() if count > 1}
+  click.echo(f'bookings run twice: {len(doubled)}')
+  return 1 if doubled else 0
+
+
+if __name__ == '__main__':
+  sys.exit(main())
--- a/standins/bookings.py
+++ b/standins/bookings.py
@@ -65,6 +65,20 @@
   executions: int
 
 
+class Answer(NamedTuple):
+  """What one try of a booking got.
+
+  Attributes:
+    status: HTTP status, 0 if there was none.
+    kind: Type of the refusal, empty for a booking.
+    run: What the refusal says about the execution.
+  """
+
+  status: int
+  kind: str
+  run: str
+
+
 class BookingClient:
   """Makes bookings over several entries. Safe for threads."""
 
@@ -84,13 +98,12 @@
     kinds = []
     outcome = OUTCOME_NOT_RUN
     for number in range(TRIES):
-      url = self._urls[(first + number) % len(self._urls)]
-      status, kind, run = self._send(url, booking)
-      if status == HTTPStatus.OK:
+      answer = self.send(booking, first + number)
+      if answer.status == HTTPStatus.OK:
         outcome = OUTCOME_BOOKED
         break
-      kinds.append(kind)
-      if run != OUTCOME_NOT_RUN:
+      kinds.append(answer.kind)
+      if answer.run != OUTCOME_NOT_RUN:
         # Once unknown, only an answer tells more.
         outcome = OUTCOME_UNKNOWN
       time.sleep(WAIT_S)
@@ -99,7 +112,9 @@
         booking.key, outcome, number + 1, total_s, tuple(kinds)
     )
 
-  def _send(self, url: str, booking: Booking) -> tuple[int, str, str]:
+  def send(self, booking: Booking, entry: int) -> Answer:
+    """Sends a booking once, to the entry of a number."""
+    url = self._urls[entry % len(self._urls)]
     headers = {
         'X-Mulberry-Tenant': booking.tenant,
         'Idempotency-Key': booking.key,
@@ -114,13 +129,13 @@
           headers=headers,
       )
     except (exceptions.NewConnectionError, exceptions.ConnectTimeoutError):
-      return 0, 'unreachable', OUTCOME_NOT_RUN
+      return Answer(0, 'unreachable', OUTCOME_NOT_RUN)
     except exceptions.HTTPError:
-      return 0, 'broken', OUTCOME_UNKNOWN
+      return Answer(0, 'broken', OUTCOME_UNKNOWN)
     if response.status == HTTPStatus.OK:
-      return response.status, '', ''
+      return Answer(response.status, '', '')
     error = json.loads(response.data)['error']
-    return response.status, error['type'], error['run']
+    return Answer(response.status, error['type'], error['run'])
 
 
 def check_bookings(
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -116,6 +116,22 @@
   click.echo(run_module(*operate, *apply).decode())
 
 
+def print_status(made: town.Town) -> None:
+  """Prints the status of the whole town, as an operator sees it."""
+  entries = [host.operator_address for host in made.entry_by_name.values()]
+  status = run_module(
+      OPERATE_MODULE,
+      '--platform-url',
+      made.platform_url,
+      '--entries',
+      ','.join(entries),
+      '--controllers',
+      ','.join(made.controller_addresses),
+      'status',
+  )
+  click.echo(status.decode())
+
+
 def run_module(module: str, *arguments: str) -> bytes:
   """Runs a module to its end; returns what it printed."""
   command = [sys.executable, '-m', module, *arguments]
@@ -219,6 +235,7 @@
   shutil.rmtree(LOG_FOLDER, ignore_errors=True)
   with start_town(LOG_FOLDER) as made:
     outcome = run_scenario(made)
+    print_status(made)
   print_table(outcome)
   verdict = 'kept' if is_good(outcome) else 'BROKEN'
   click.echo(f'promises {verdict}, {time.monotonic() - started_at:.0f} s')
--- a/standins/town.py
+++ b/standins/town.py
@@ -52,6 +52,7 @@
     """
     self.fleet = launcher.Fleet(log_folder)
     self.entry_by_name: dict[str, EntryHost] = {}
+    self.controller_addresses: list[str] = []
     self._http = urllib3.PoolManager(retries=False)
     program = self.fleet.start_platform(*platform_flags)
     self.platform_url = program.url
@@ -105,6 +106,7 @@
     """Starts a controller and waits until it answers."""
     address = launcher.free_address(launcher.zone_ip(zone))
     own_flags = (*self._common_flags(name, zone), '--listen', address)
+    self.controller_addresses.append(address)
     self.fleet.start_program(
         name,
         CONTROLLER_MODULE,
