Launcher starts a stand-in at a given address

Cause: an engine that is replaced usually keeps its address, and a pool of connections to the one before must not fail the first request after it. The test starts an engine anew three times at one address; it passed at once, as the pool looks for closed connections before it reuses one.

--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -56,10 +56,8 @@
     cls.fleet = cls.enterClassContext(launcher.Fleet(pathlib.Path(folder)))
     cls.adapter = http_engine.HttpEngine('127.0.2.1', stall_s=STALL_S)
 
-  def start(self, name, *flags, checks_fence=True):
-    program = self.fleet.start_engine(
-        name, 1, *MODELS, *flags, checks_fence=checks_fence
-    )
+  def start(self, name, *flags, **options):
+    program = self.fleet.start_engine(name, 1, *MODELS, *flags, **options)
     self.addCleanup(self.end, name)
     return program
 
@@ -166,6 +164,17 @@
     with self.assertRaises(errors.EndpointFailedError):
       list(stream)
 
+  def test_an_engine_that_starts_anew_is_reached_again(self):
+    program = self.start('anew')
+    request = make_request('a length=3')
+    for _ in range(3):
+      frames = list(self.adapter.generate(make_attempt(program), request))
+      self.assertEqual(len(frames), 4)
+      # The pool holds a connection to the engine that is gone.
+      self.fleet.kill('anew')
+      program = self.start('anew', address=program.address)
+    self.assertEqual(self.state(program).incarnation, 4)
+
   def test_a_link_cut_in_mid_stream_is_a_failure(self):
     program = self.start('link', *SLOW)
     link = self.enterContext(relay.Relay(program.address))
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -84,14 +84,27 @@
 
   def start_platform(self, *flags: str, zone: int = 0) -> Program:
     """Starts the platform stand-in."""
-    ip = zone_ip(zone)
-    self.platform = self._start_standin('platform', 'platform', ip, flags)
+    address = free_address(zone_ip(zone))
+    self.platform = self._start_standin('platform', 'platform', address, flags)
     return self.platform
 
   def start_engine(
-      self, name: str, zone: int, *flags: str, checks_fence: bool = True
+      self,
+      name: str,
+      zone: int,
+      *flags: str,
+      checks_fence: bool = True,
+      address: str = '',
   ) -> Program:
-    """Starts an engine stand-in and puts it on the platform's list."""
+    """Starts an engine stand-in and puts it on the platform's list.
+
+    Args:
+      name: Unique name; a name that ran before gets a higher incarnation.
+      zone: Number of its zone.
+      *flags: Further flags of the stand-in.
+      checks_fence: Whether it refuses old fencing numbers.
+      address: `ip:port` to listen on, empty for a free one in its zone.
+    """
     checks = '--checks-fence' if checks_fence else '--no-checks-fence'
     incarnation = self._next_incarnation(name)
     own_flags = (
@@ -103,8 +116,8 @@
         str(incarnation),
         checks,
     )
-    ip = zone_ip(zone)
-    program = self._start_standin(name, 'engine', ip, own_flags + flags)
+    address = address or free_address(zone_ip(zone))
+    program = self._start_standin(name, 'engine', address, own_flags + flags)
     host = make_host(name, zone, records.HOST_ENGINE, program.address)
     self.put_host(
         host._replace(incarnation=incarnation, checks_fence=checks_fence)
@@ -112,12 +125,25 @@
     return program
 
   def start_service(
-      self, name: str, zone: int, service: str, *flags: str
+      self,
+      name: str,
+      zone: int,
+      service: str,
+      *flags: str,
+      address: str = '',
   ) -> Program:
-    """Starts a plain service stand-in and puts it on the list."""
+    """Starts a plain service stand-in and puts it on the list.
+
+    Args:
+      name: Unique name; a name that ran before gets a higher incarnation.
+      zone: Number of its zone.
+      service: Name of the service that it serves.
+      *flags: Further flags of the stand-in.
+      address: `ip:port` to listen on, empty for a free one in its zone.
+    """
     own_flags = ('--name', name)
-    ip = zone_ip(zone)
-    program = self._start_standin(name, 'service', ip, own_flags + flags)
+    address = address or free_address(zone_ip(zone))
+    program = self._start_standin(name, 'service', address, own_flags + flags)
     host = make_host(name, zone, records.HOST_SERVICE, program.address)
     incarnation = self._next_incarnation(name)
     self.put_host(host._replace(service=service, incarnation=incarnation))
@@ -259,9 +285,8 @@
       program.process.wait(STOP_TIMEOUT_S)
 
   def _start_standin(
-      self, name: str, kind: str, ip: str, flags: tuple[str, ...]
+      self, name: str, kind: str, address: str, flags: tuple[str, ...]
   ) -> Program:
-    address = free_address(ip)
     listen = ('--listen', address)
     return self.start_program(
         name, f'standins.{kind}', listen + flags, address=address
