Engine adapter reads on after the last frame; a fault that garbles streams

Cause: the adapter ended at the first last frame. One of another attempt ended the wrong stream, and tokens that came after their own last frame were lost; both cost a resume. It reads up to the stream's end now, and a stream without the attempt's own last frame has failed. The fault sends foreign frames and ends, every token doubled, pairs swapped; with the assembly the answer is right. Its first run found that the stand-in wrote a token before the response's head when the first output sent nothing; mended.

--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -6,7 +6,6 @@
 timeout polls before every read, a second system call for each token.
 """
 
-import collections
 import contextlib
 import socket
 import struct
@@ -29,7 +28,7 @@
 REPORT_TIMEOUT_S = 2.0
 USER_TIMEOUT_S = 1.0
 CONNECTIONS_PER_ENGINE = 64
-READ_BYTES = 65_536
+FINISH_TIMEOUT_S = 0.1
 EVENT_END = b'\n\n'
 EVENT_START = len(b'data: ')
 REFUSAL_STATUSES = (
@@ -102,17 +101,22 @@
         _generate_body(attempt, request, kv),
         self._stall_s,
     )
+    chunks = response.read_chunked(decode_content=False)
+    has_last = False
     try:
       _check_status(attempt.endpoint, response, HTTPStatus.OK)
       _block_with_timeout(response, self._stall_s)
-      chunks = response.read_chunked(decode_content=False)
       for frame in _read_frames(attempt.endpoint, chunks):
+        if frame.is_last and frame.attempt_id == attempt.attempt_id:
+          has_last = True
         yield frame
-        if frame.is_last:
-          _finish(response, chunks, self._stall_s)
-          return
+      if not has_last:
+        raise errors.EndpointFailedError(attempt.endpoint, 'it was cut')
     finally:
-      response.close()
+      if has_last:
+        _finish(response, chunks)
+      else:
+        response.close()
 
   def prefill(
       self, attempt: records.Attempt, request: records.InferenceRequest
@@ -265,7 +269,10 @@
 def _read_frames(
     endpoint: str, chunks: Iterator[bytes]
 ) -> Iterator[records.Frame]:
-  """Reads events until the stream ends, which it may not do by itself."""
+  """Reads events until the stream ends.
+
+  That may be after the last frame: tokens that were late come behind it.
+  """
   rest = b''
   try:
     for data in chunks:
@@ -274,7 +281,6 @@
         yield _decode_frame(endpoint, event)
   except (exceptions.HTTPError, OSError) as error:
     raise errors.EndpointFailedError(endpoint, repr(error)) from error
-  raise errors.EndpointFailedError(endpoint, 'the stream was cut')
 
 
 def _decode_frame(endpoint: str, event: bytes) -> records.Frame:
@@ -309,16 +315,17 @@
 
 
 def _finish(
-    response: urllib3.BaseHTTPResponse,
-    chunks: Iterator[bytes],
-    timeout_s: float,
+    response: urllib3.BaseHTTPResponse, chunks: Iterator[bytes]
 ) -> None:
   """Reads the end of a whole stream, so that its connection is used again."""
-  response.connection.sock.settimeout(timeout_s)
+  if response.connection is not None:
+    response.connection.sock.settimeout(FINISH_TIMEOUT_S)
   try:
-    collections.deque(chunks, maxlen=0)
+    if next(chunks, None) is None:
+      return
   except (exceptions.HTTPError, OSError):
-    response.close()
+    pass
+  response.close()
 
 
 def _check_status(
--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -9,6 +9,7 @@
 
 from mulberrypick.adapters import engine
 from mulberrypick.adapters import http_engine
+from mulberrypick.core import assembly
 from mulberrypick.core import errors
 from mulberrypick.core import records
 from standins import answers
@@ -96,6 +97,14 @@
     self.assertEqual([f.text for f in frames[:-1]], expected[25:])
     self.assertEqual(frames[-1].finish_reason, 'length')
 
+  def test_a_whole_stream_leaves_its_connection_for_the_next(self):
+    program = self.start('reuse')
+    link = self.enterContext(relay.Relay(program.address))
+    attempt = make_attempt(program)._replace(address=link.address)
+    for _ in range(3):
+      list(self.adapter.generate(attempt, make_request('a length=3')))
+    self.assertEqual(link.connections, 1)
+
   def test_closing_the_iterator_cancels(self):
     program = self.start('close', *SLOW)
     stream = self.adapter.generate(
@@ -248,19 +257,40 @@
         with self.assertRaises(errors.EndpointFailedError):
           list(stream)
 
-  def test_an_event_may_come_in_pieces(self):
+  def test_an_event_may_come_in_pieces_and_after_the_last(self):
     event = b'data: {"attempt_id":"r1/1","index":0,"text":"a "}\n\n'
     last = b'data: {"attempt_id":"r1/1","index":1,"done":true}\n\n'
-    whole = event + last
+    late = b'data: {"attempt_id":"r1/1","index":0,"text":"a "}\n\n'
+    whole = event + last + late
     body = b''.join(chunk(whole[i : i + 7]) for i in range(0, len(whole), 7))
     frames = list(self.generate(body + chunk(b'')))
-    self.assertEqual([f.is_last for f in frames], [False, True])
+    self.assertEqual([f.is_last for f in frames], [False, True, False])
 
 
 def chunk(data):
   return b'%x\r\n%b\r\n' % (len(data), data)
 
 
+class TestGarbledStreams(EngineCase):
+
+  def test_frames_out_of_order_make_up_the_right_answer(self):
+    program = self.start('garble')
+    self.fleet.put_fault(program, garble_streams=1)
+    request = make_request('a length=21')
+    answer = assembly.Assembly()
+    answer.begin('r1/1')
+    texts = []
+    for frame in self.adapter.generate(make_attempt(program), request):
+      texts += answer.accept(frame)
+    expected = answers.expected_tokens('reader', '', request.prompt, 256)
+    self.assertEqual(texts, expected)
+    self.assertTrue(answer.is_whole)
+    self.assertGreater(answer.dropped, 0)
+    # The fault is for one stream, and its connection is used again.
+    frames = list(self.adapter.generate(make_attempt(program), request))
+    self.assertEqual([f.text for f in frames[:-1]], expected)
+
+
 class TestReports(EngineCase):
 
   def test_reads_load_and_cache_events(self):
--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -98,11 +98,14 @@
     self._export_by_id: dict[str, KvExport] = {}
     self._counts = {'generate': 0, 'prefill': 0, 'cancelled': 0}
     self._under_way = 0
+    self._streams_to_garble = 0
 
   def take_fault(self, name: str, value: object) -> None:
-    """Takes a crash, a delay of orders or a freeze of the batch."""
+    """Takes a crash, garbled streams or a fault of orders."""
     if name == 'crash_after_tokens':
       self._loop.crash_after = self._loop.tokens + int(value)
+    elif name == 'garble_streams':
+      self._streams_to_garble = int(value)
     elif name == 'order_delay_s':
       self._orders.delay_s = float(value)
     elif name == 'crash_in_order':
@@ -277,11 +280,20 @@
       self._under_way -= 1
     self._loop.send(engine_loop.Cancel(lambda other: other is work))
 
+  def _make_sink(
+      self, call: wire.Call, work: engine_batch.Work
+  ) -> engine_stream.StreamSink:
+    with self._lock:
+      if not self._streams_to_garble:
+        return engine_stream.StreamSink(call, work)
+      self._streams_to_garble -= 1
+    return engine_stream.GarblingSink(call, work)
+
   def _stream(
       self, call: wire.Call, work: engine_batch.Work
   ) -> Iterator[bytes]:
     """Streams an answer; yields nothing once, after it has submitted it."""
-    sink = engine_stream.StreamSink(call, work)
+    sink = self._make_sink(call, work)
     self._submit(work, sink)
     is_whole = False
     try:
--- a/standins/engine_stream.py
+++ b/standins/engine_stream.py
@@ -16,6 +16,8 @@
 
 LEFT_CHECK_EVERY_S = 0.05
 STREAM_CHECK_EVERY_S = 0.5
+FOREIGN_HEAD = b'data: {"attempt_id":"foreign/1","index":'
+FOREIGN_END = FOREIGN_HEAD + b'1,"done":true,"finish_reason":"stop"}\n\n'
 
 
 class Sink:
@@ -72,8 +74,11 @@
 
   def take(self, output: engine_batch.Output) -> None:
     """Writes an output, as far as the caller takes it."""
-    if output.text:
-      self._write(self._encode_token(output))
+    event = self._encode_output(output) if output.text else b''
+    if not event and not output.is_last:
+      # Nothing to send yet, and so nothing to start the response with.
+      return
+    self._write(event)
     super().take(output)
 
   def take_first(self) -> bytes:
@@ -101,6 +106,8 @@
     return self._unframed + self._encode_end()
 
   def _write(self, event: bytes) -> None:
+    if not event:
+      return
     with self._lock:
       self._unframed += event
       if not self._is_open:
@@ -118,9 +125,9 @@
         return
       self._unsent = data[written:]
 
-  def _encode_token(self, output: engine_batch.Output) -> bytes:
-    text = output.text.encode()
-    return b'%b%d,"text":"%b"}\n\n' % (self._head, output.index, text)
+  def _encode_output(self, output: engine_batch.Output) -> bytes:
+    """Encodes what is to be sent for an output, which may be nothing."""
+    return _encode_token(self._head, output.index, output.text)
 
   def _encode_end(self) -> bytes:
     work = self._work
@@ -136,6 +143,32 @@
     )
 
 
+class GarblingSink(StreamSink):
+  """A sink whose frames come foreign, doubled and out of order.
+
+  Before each token stands one of another attempt with the same index, and an
+  end of that attempt; every token is sent twice, and each pair is swapped.
+  """
+
+  def __init__(self, call: wire.Call, work: engine_batch.Work):
+    super().__init__(call, work)
+    self._held = b''
+
+  def _encode_output(self, output: engine_batch.Output) -> bytes:
+    token = super()._encode_output(output)
+    if output.index % 2 == 0 and not output.is_last:
+      self._held = token
+      return b''
+    foreign = _encode_token(FOREIGN_HEAD, output.index, 'foreign ')
+    events = foreign + FOREIGN_END + token + token + self._held + self._held
+    self._held = b''
+    return events
+
+
+def _encode_token(head: bytes, index: int, text: str) -> bytes:
+  return b'%b%d,"text":"%b"}\n\n' % (head, index, text.encode())
+
+
 def _wait(event: threading.Event, call: wire.Call, every_s: float) -> bool:
   while not event.wait(every_s):
     if call.is_caller_gone():
