A frozen engine stand-in computes nothing either

Cause: freeze_s held back new requests, but streams that ran went on: the batch's thread never got the time. The test was seen failing before.

--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -173,6 +173,19 @@
     with self.assertRaises(errors.EndpointFailedError):
       list(stream)
 
+  def test_a_frozen_engine_is_a_failure_that_passes(self):
+    program = self.start('freeze', *SLOW)
+    request = make_request('a length=200')
+    stream = self.adapter.generate(make_attempt(program), request)
+    next(stream)
+    self.fleet.put_fault(program, freeze_s=2 * STALL_S)
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+    patient = http_engine.HttpEngine(stall_s=PATIENCE_S)
+    request = make_request('a length=5')
+    frames = list(patient.generate(make_attempt(program), request))
+    self.assertEqual(len(frames), 6)
+
   def test_an_engine_that_starts_anew_is_reached_again(self):
     program = self.start('anew')
     request = make_request('a length=3')
--- a/standins/engine_app.py
+++ b/standins/engine_app.py
@@ -113,6 +113,11 @@
     else:
       raise ValueError(name)
 
+  def freeze(self, until: float) -> None:
+    """Answers and computes nothing up to a monotonic time."""
+    super().freeze(until)
+    self._loop.frozen_until = until
+
   def handle(self, call: wire.Call) -> wire.Answer:
     """Answers one request."""
     if call.path.startswith(KV):
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -131,6 +131,10 @@
   def take_fault(self, name: str, value: object) -> None:
     """Takes one fault of `POST /faults` that is not common to all."""
 
+  def freeze(self, until: float) -> None:
+    """Answers nothing up to a monotonic time."""
+    self.frozen_until = until
+
   def dispatch(self, call: Call) -> Answer:
     """Applies the common faults, then answers."""
     if call.path == '/faults' and call.method == 'POST':
@@ -151,7 +155,7 @@
       is_dropped = faults.pop('mode', '') == 'drop'
       self.cut = CutFault(tuple(faults.pop('cut')), is_dropped)
     if 'freeze_s' in faults:
-      self.frozen_until = time.monotonic() + faults.pop('freeze_s')
+      self.freeze(time.monotonic() + faults.pop('freeze_s'))
     for name, value in sorted(faults.items()):
       self.take_fault(name, value)
     return json_answer({})
