Check the protocol of claims by model checking, with broken variants

The model runs the program's own chart, slot decision and reply table. Ruled out: fewer requests only, as a removal without the nonce is found with three alone. Conclusion: runs at most once, not run is true, one answer, an answer is of a call that ran: proved within two entries, three requests and one crash.

--- /dev/null
+++ b/spec/claim_model.py
@@ -0,0 +1,111 @@
+"""Specification of claims: a call that may not be repeated runs at most once.
+
+One call with one key is requested several times, on either of two entry hosts.
+Each request is one claim of its own nonce (its number). The platform holds one
+record; conditional updates travel on their own and may take effect late, after
+their sender has given up on their answer. The version is left out: what takes
+effect voids all other updates on their way, as they name an older version.
+Calls travel to the service in the same way. An entry may crash in any state
+and comes back at its old address without memory; questions between entries may
+stay unanswered.
+
+The lifecycle is `charts/claim.toml`, what becomes of the record is decided by
+`claims.apply_changes`, and what a claimant says by `claims.find_reply`: the
+code that the program runs. Broken variants replace one decision each.
+"""
+
+from mulberrypick.core import chart, claims
+from spec import check, claim_state, claim_steps
+
+# The search of some 20 seconds that `make test` leaves out.
+THREE_REQUESTS = 'claim/three-requests'
+
+
+def _extend_chart(state: str, event: str, target: str) -> chart.Chart:
+  """Returns the chart with one transition that must not be there."""
+  table = {s: dict(t) for s, t in claims.CHART.target_by_event_by_state.items()}
+  table[state][event] = target
+  return claims.CHART._replace(target_by_event_by_state=table)
+
+
+BROKEN_BY_NAME = {
+    'send-before-claim': (
+        claim_state.Variant(
+            _extend_chart(claims.CLAIMING, 'send', claims.SENDING)
+        ),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'release-after-send': (
+        claim_state.Variant(
+            _extend_chart(claims.SENDING, 'release', claims.RELEASED)
+        ),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'send-after-release': (
+        claim_state.Variant(
+            _extend_chart(claims.RELEASED, 'send', claims.SENDING)
+        ),
+        claim_state.NOT_RUN_IS_TRUE,
+    ),
+    'silence-is-never': (
+        claim_state.Variant(takes_over_silent=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'guess-lost-answer': (
+        claim_state.Variant(grants_lost_answer=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'tell-before-release': (
+        claim_state.Variant(tells_before_release=True),
+        claim_state.NOT_RUN_IS_TRUE,
+    ),
+    'let-pending-go': (
+        claim_state.Variant(lets_pending_go=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'make-up-answer': (
+        claim_state.Variant(makes_up_answer=True),
+        claim_state.ONE_ANSWER,
+    ),
+    'answer-unrun': (
+        claim_state.Variant(makes_up_answer=True),
+        claim_state.ANSWER_IS_REAL,
+    ),
+    'drop-open': (
+        claim_state.Variant(drops_open=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'no-fence': (
+        claim_state.Variant(ignores_version=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+    'remove-any-nonce': (
+        claim_state.Variant(requests=3, removes_any=True),
+        claim_state.AT_MOST_ONCE,
+    ),
+}
+
+
+def specifications() -> list[check.Specification]:
+  """Returns the protocol and its broken variants."""
+  found = [
+      _make_specification('claim', claim_state.Variant()),
+      _make_specification(THREE_REQUESTS, claim_state.Variant(requests=3)),
+  ]
+  for name, (variant, breaks) in BROKEN_BY_NAME.items():
+    found.append(_make_specification(f'claim/{name}', variant, breaks))
+  return found
+
+
+def _make_specification(
+    name: str, variant: claim_state.Variant, breaks: str = ''
+) -> check.Specification:
+  return check.Specification(
+      name,
+      (claim_state.make_initial(variant.requests),),
+      lambda state: claim_steps.list_moves(state, variant),
+      claim_state.INVARIANT_BY_NAME,
+      claim_state.MAX_STATES,
+      breaks,
+      {} if breaks else claim_state.WITNESS_BY_NAME,
+  )
