--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -3,7 +3,7 @@
 It answers each message with effects and keeps no clock, socket or thread, so
 that a test or a bench can drive it as fast as it likes. The task that owns it
 runs the effects. What may vary is behind `Router` and `Admission`; this module
-only keeps the books: who waits, what runs where, and which endpoints count.
+only keeps the books: who waits, what runs where, and who is told what.
 """
 
 import random
@@ -11,47 +11,26 @@
 
 import xxhash
 
-from mulberrypick.core import (
-    admission,
-    errors,
-    journal,
-    load,
-    membership,
-    messages,
-    records,
-    routing,
-)
+from mulberrypick.core import attempts
+from mulberrypick.core import cost
+from mulberrypick.core import errors
+from mulberrypick.core import fleet
+from mulberrypick.core import isolation
+from mulberrypick.core import journal
+from mulberrypick.core import load
+from mulberrypick.core import messages
+from mulberrypick.core import quarantine
+from mulberrypick.core import records
+from mulberrypick.core import retry_budget
+from mulberrypick.core import routing
+from mulberrypick.core import shares
+from mulberrypick.core import waiting as waiting_base
 
 PRIORITY_URGENT = 10
 PRIORITY_OTHER = 0
-PIECE_TOKENS = 16
 RETRY_AFTER_S = 2.0
-REFUSED_REST_S = 0.5
-UNREACHABLE_REST_S = 1.0
-FAILED_REST_S = 2.0
-LONGEST_REST_S = 15.0
-
-
-class Running(NamedTuple):
-  """An attempt under way."""
-
-  waiting: admission.Waiting
-  queue: str
-  attempt: records.Attempt
-
-
-class EndpointStatus(NamedTuple):
-  """One endpoint in the status page."""
-
-  name: str
-  zone: str
-  role: str
-  is_live: bool
-  in_flight: int
-  running: int
-  pieces_free: int
-  report_age_s: float
-  rest_s: float
+PART_EVERY_S = 1.0
+ATTEMPTS_MOST = 3
 
 
 class DispatcherStatus(NamedTuple):
@@ -67,7 +46,7 @@
   """
 
   generation: int
-  endpoints: tuple[EndpointStatus, ...]
+  endpoints: tuple[fleet.EndpointStatus, ...]
   waiting_by_rank: dict[str, int]
   running: int
   refused_by_kind: dict[str, int]
@@ -81,8 +60,8 @@
 
 def fingerprint(request: records.InferenceRequest) -> int:
   """Returns the hash of what an endpoint is given to run."""
-  head = f'{request.model}|{request.adapter}|'
-  return xxhash.xxh64_intdigest((head + request.prompt).encode())
+  text = f'{request.model}|{request.adapter}|{request.prompt}'
+  return xxhash.xxh64_intdigest(text.encode())
 
 
 class Dispatcher:
@@ -93,20 +72,23 @@
       own_name: str,
       own_zone: str,
       router: routing.Router,
-      admission_policy: admission.Admission,
+      admission: waiting_base.Admission,
       seed: int = 1,
   ):
     self._own_name = own_name
     self._own_zone = own_zone
     self._router = router
-    self._admission = admission_policy
+    self._admission = admission
     self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
-    self._membership = membership.Membership()
-    self._load_by_endpoint: dict[str, load.EndpointLoad] = {}
-    self._loads_by_queue: dict[str, list[load.EndpointLoad]] = {}
-    self._running_by_attempt: dict[str, Running] = {}
-    self._number_by_request: dict[str, int] = {}
+    self._strictest_s = 0.0
+    self._part_at = 0.0
+    self._entries = 1
+    self._fleet = fleet.Fleet()
+    self._cost = cost.CostModel()
+    self._attempts = attempts.Attempts()
+    self._isolation = isolation.Isolation(own_name)
+    self._retry_budget = retry_budget.RetryBudget()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
     self._handler_by_type = {
@@ -141,88 +123,108 @@
 
   def peer_seen(self, now: float) -> messages.PeerSeen:
     """Returns what this host tells its peers, once a second or so."""
-    del now
-    cost_by_endpoint = {}
-    for name, known in self._load_by_endpoint.items():
-      if known.sent_by_attempt:
-        cost_by_endpoint[name] = round(known.cost_sent_s, 3)
+    digest = self._admission.digest(now)
+    suspects, refused = self._isolation.tell(now)
     return messages.PeerSeen(
-        self._own_name, cost_by_endpoint, {}, (), self._membership.leaving()
+        self._own_name,
+        self._fleet.cost_by_endpoint(),
+        digest.used_by_tenant,
+        refused,
+        self._fleet.leaving(),
+        digest.used_by_rank,
+        digest.waiting_by_rank,
+        suspects,
+        digest.booked,
     )
 
   def snapshot(self, now: float) -> DispatcherStatus:
     """Returns the state for the status page."""
-    endpoints = []
-    for name in sorted(self._load_by_endpoint):
-      endpoints.append(self._endpoint_status(name, now))
     return DispatcherStatus(
         self._config.generation,
-        tuple(endpoints),
+        self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
-        len(self._running_by_attempt),
+        len(self._attempts.running_by_attempt),
         dict(self._refused_by_kind),
-        0,
-    )
-
-  def _endpoint_status(self, name: str, now: float) -> EndpointStatus:
-    known = self._load_by_endpoint[name]
-    report = known.report
-    return EndpointStatus(
-        name,
-        known.zone,
-        report.role if report else '',
-        self._membership.is_live(name),
-        known.in_flight,
-        report.running if report else 0,
-        report.pieces_free if report else 0,
-        round(now - known.report_at, 3) if report else -1.0,
-        round(max(0.0, known.rest_until - now), 3),
+        len(self._isolation.quarantine.refused(now)),
     )
 
   def _submit(self, message, now):
     request = message.request
-    if request.deadline_at <= now:
-      error = errors.DeadlineError('the deadline has passed')
-      return [self._refuse(request.request_id, error)]
     queue = queue_name(request.model, request.adapter)
-    if not self._loads_by_queue.get(queue):
-      error = errors.UnavailableError(
-          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
-      )
+    error = self._check(message, queue, now)
+    if error is not None:
       return [self._refuse(request.request_id, error)]
-    waiting = admission.Waiting(
+    waiting = waiting_base.Waiting(
         request,
         message.next_index,
         message.failed_endpoints,
-        0.0,
+        self._cost.cost(queue, request, message.next_index),
         now,
-        bool(message.next_index or message.failed_endpoints),
+        _is_again(message),
         fingerprint(request),
     )
+    if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
+      held = isolation.Held(queue, waiting)
+      self._isolation.held_by_request[request.request_id] = held
+      return self._pump_held(now)
+    return self._offer(queue, waiting, now)
+
+  def _check(
+      self, message: messages.Submit, queue: str, now: float
+  ) -> errors.RequestError | None:
+    """Returns why a request can't run whatever the load is, or None."""
+    request = message.request
+    if request.deadline_at <= now:
+      return errors.DeadlineError('the deadline has passed')
+    if not _is_again(message):
+      self._retry_budget.see_request()
+      if self._fleet.pool(queue).all:
+        return None
+      return errors.UnavailableError(
+          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
+      )
+    failures = self._attempts.failures(request.request_id)
+    service = self._config.service_by_name.get(request.service)
+    most = service.max_attempts if service is not None else ATTEMPTS_MOST
+    if failures >= most:
+      return errors.UnavailableError(
+          f'{failures} attempts broke off', retry_after_s=RETRY_AFTER_S
+      )
+    if not self._retry_budget.take(failures, now):
+      return errors.UnavailableError(
+          'too many retries are under way', retry_after_s=RETRY_AFTER_S
+      )
+    return None
+
+  def _offer(
+      self, queue: str, waiting: waiting_base.Waiting, now: float
+  ) -> list[messages.Effect]:
     error = self._admission.offer(queue, waiting, now)
     if error is not None:
-      return [self._refuse(request.request_id, error)]
+      return [self._refuse(waiting.request.request_id, error)]
     return self._pump(queue, now)
 
   def _withdraw(self, message, now):
     del now
-    if self._admission.withdraw(message.request_id) is not None:
-      self._number_by_request.pop(message.request_id, None)
-      self._journal.note(message.request_id, 'withdrawn while it waited')
+    request_id = message.request_id
+    held = self._isolation.held_by_request.pop(request_id, None)
+    waiting = self._admission.withdraw(request_id)
+    if held is not None or waiting is not None:
+      self._attempts.forget(request_id)
+      self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
   def _first_token(self, message, now):
-    del now
-    running = self._running_by_attempt.get(message.attempt_id)
+    running = self._attempts.see_first_token(message.attempt_id)
     if running is None:
       return []
-    known = self._load_by_endpoint.get(running.attempt.endpoint)
+    known = self._fleet.endpoint(running.attempt.endpoint)
     if known is not None:
       known.see_first_token(message.attempt_id)
-    return []
+    return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
-    running = self._running_by_attempt.pop(message.attempt_id, None)
+    running = self._attempts.remove(message.attempt_id)
     if running is None:
       return []
     self._journal.note(
@@ -230,104 +232,90 @@
         f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
         f' tokens={message.tokens}',
     )
-    known = self._load_by_endpoint.get(message.endpoint)
+    known = self._fleet.endpoint(message.endpoint)
     if known is not None:
-      known.remove(message.attempt_id)
-      self._rest_after(known, message.outcome, now)
+      known.remove(message.attempt_id, now)
+    self._fleet.rest_after(message.endpoint, message.outcome, now)
+    self._learn(running, message, now)
+    return self._pump(running.queue, now) + self._pump_held(now)
+
+  def _learn(self, running, message, now: float) -> None:
+    """Draws the conclusions from the end of an attempt."""
+    waiting = running.waiting
+    has_token = self._attempts.take_token_mark(message.attempt_id)
+    if message.outcome == messages.OUTCOME_WHOLE:
+      tokens = waiting.next_index + message.tokens
+      self._cost.see_output(waiting.request, tokens)
+      self._isolation.quarantine.see_whole(waiting.fingerprint)
+    if message.outcome == messages.OUTCOME_FAILED:
+      self._attempts.see_failure(message.request_id)
+      has_token = has_token or message.tokens > 0
+      self._isolation.quarantine.see_broken(
+          message.endpoint, waiting.fingerprint, has_token, now
+      )
     if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
-      self._number_by_request.pop(message.request_id, None)
-    return self._pump(running.queue, now)
-
-  def _rest_after(self, known: load.EndpointLoad, outcome: str, now: float):
-    """Keeps new work from an endpoint for a while after a bad outcome."""
-    if outcome == messages.OUTCOME_WHOLE:
-      known.failures = 0
-    elif outcome == messages.OUTCOME_REFUSED:
-      known.rest(now + REFUSED_REST_S)
-    elif outcome == messages.OUTCOME_UNREACHABLE:
-      known.failures += 1
-      rest_s = UNREACHABLE_REST_S * 2.0 ** min(known.failures - 1, 4)
-      known.rest(now + min(LONGEST_REST_S, rest_s))
-    elif outcome == messages.OUTCOME_FAILED:
-      known.rest(now + FAILED_REST_S)
+      self._attempts.forget(message.request_id)
 
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
+    self._strictest_s = _strictest_between(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
   def _hosts_seen(self, message, now):
-    self._membership.see_hosts(message.hosts)
-    self._rebuild()
+    self._fleet.see_hosts(message.hosts)
+    self._isolation.set_entries(self._fleet.entry_names())
+    self._set_capacities()
     return self._pump_all(now)
 
   def _report_seen(self, message, now):
-    report = message.report
-    known = self._load_by_endpoint.get(report.endpoint)
-    if known is None:
+    if not self._fleet.see_report(message.report, now):
       return []
-    before = known.report
-    if not known.see_report(report, now):
-      return []
-    if before is None or _offers(before) != _offers(report):
-      self._rebuild()
+    self._cost.see_report(message.report)
+    self._set_capacities()
     effects = []
-    for queue in report.models:
+    for queue in message.report.models:
       effects += self._pump(queue, now)
     return effects
 
   def _peer_seen(self, message, now):
-    for name in message.leaving:
-      host, _, incarnation = name.rpartition('/')
-      self._membership.see_leaving(host, int(incarnation))
-    if message.leaving:
-      self._rebuild()
-    for name, known in self._load_by_endpoint.items():
-      cost_s = message.in_flight_by_endpoint.get(name, 0.0)
-      known.peer_cost_by_peer[message.peer] = cost_s
-    self._admission.see_peer_use(message.used_by_tenant)
+    self._fleet.see_leaving(message.leaving)
+    self._fleet.see_peer_load(message.peer, message.in_flight_by_endpoint, now)
+    digest = shares.Digest(
+        message.used_by_tenant,
+        message.used_by_rank,
+        message.waiting_by_rank,
+        message.booked,
+    )
+    self._admission.see_peer(message.peer, digest, now)
+    self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
   def _tick(self, message, now):
     del message
+    self._part(now)
     effects = []
     for refusal in self._admission.expire(now):
       request_id = refusal.waiting.request.request_id
       effects.append(self._refuse(request_id, refusal.error))
-    return effects + self._pump_all(now)
+    return effects + self._pump_all(now) + self._pump_held(now)
 
-  def _rebuild(self) -> None:
-    """Works out anew which endpoints may run what."""
-    for name in self._membership.names():
-      host = self._membership.host(name)
-      if host.kind != records.HOST_ENGINE:
-        continue
-      known = self._load_by_endpoint.get(name)
-      if known is None or known.incarnation < host.incarnation:
-        self._load_by_endpoint[name] = load.EndpointLoad(host)
-      elif known.address != host.address:
-        known.address = host.address
-    self._loads_by_queue = {}
-    for name in list(self._load_by_endpoint):
-      self._rebuild_one(name)
-
-  def _rebuild_one(self, name: str) -> None:
-    known = self._load_by_endpoint[name]
-    if self._membership.host(name) is None:
-      if not known.sent_by_attempt:
-        del self._load_by_endpoint[name]
-      return
-    report = known.report
-    if report is None or report.is_draining:
-      return
-    if report.role == records.ROLE_PREFILL:
-      return
-    if not self._membership.is_live(name):
+  def _set_capacities(self) -> None:
+    self._entries = entries = self._fleet.entry_count()
+    for queue, engines in self._fleet.engines_by_queue().items():
+      self._admission.set_capacity(queue, engines / entries)
+
+  def _part(self, now: float) -> None:
+    """Sizes the quiet part of each queue, once a second."""
+    if now < self._part_at:
       return
-    for queue in report.models:
-      self._loads_by_queue.setdefault(queue, []).append(known)
+    self._part_at = now + PART_EVERY_S
+    for queue in self._fleet.engines_by_queue():
+      demand = self._admission.demand(queue, now)
+      if demand is not None:
+        self._fleet.part(queue, demand)
 
   def _pump_all(self, now: float) -> list[messages.Effect]:
     effects = []
@@ -339,72 +327,145 @@
     """Starts waiting requests of a queue while endpoints have room."""
     effects = []
     while True:
-      waiting = self._admission.peek(queue, now)
-      if waiting is None:
+      effect = self._start_next(queue, now)
+      if effect is None:
         return effects
+      effects.append(effect)
+
+  def _start_next(self, queue: str, now: float) -> messages.Start | None:
+    for waiting in self._admission.heads(queue, now):
       chosen = self._choose(queue, waiting, now)
       if chosen is None:
-        return effects
-      self._admission.take(queue, now)
-      effects.append(self._start(queue, waiting, chosen, now))
+        continue
+      self._admission.take(waiting.request.request_id, now)
+      return self._start(queue, waiting, chosen, now)
+    return None
+
+  def _pump_held(self, now: float) -> list[messages.Effect]:
+    """Runs or refuses requests that wait for a verdict."""
+    effects = []
+    for request_id, held in list(self._isolation.held_by_request.items()):
+      moved = self._move_held(held, now)
+      if moved is None:
+        continue
+      self._isolation.held_by_request.pop(request_id, None)
+      effects += moved
+    return effects
+
+  def _move_held(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    """Returns the effects for a held request, or None if it still waits."""
+    waiting = held.waiting
+    request = waiting.request
+    verdict = self._isolation.quarantine.verdict(waiting.fingerprint, now)
+    if verdict == quarantine.REFUSED:
+      if not self._isolation.may_refuse(held, now):
+        return None
+      error = errors.RepeatedCrashError('it crashed the endpoints that ran it')
+      return [self._refuse(request.request_id, error)]
+    if request.deadline_at <= now:
+      error = errors.DeadlineError('the deadline passed while it waited')
+      return [self._refuse(request.request_id, error)]
+    if verdict == quarantine.CLEAR:
+      return self._offer(held.queue, waiting._replace(is_again=True), now)
+    if verdict == quarantine.SUSPECT:
+      return self._start_alone(held, now)
+    return None
+
+  def _start_alone(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    waiting = held.waiting
+    if self._attempts.is_suspect_running(waiting.fingerprint):
+      return None
+    pool = self._fleet.pool(held.queue)
+    names = [known.name for known in pool.all]
+    busy = self._attempts.suspect_endpoints()
+    excluded = self._isolation.excluded(held, names, busy, now)
+    ask = self._make_ask(held.queue, waiting, 1.0, excluded)
+    chosen = self._pick(ask, pool, now)
+    if chosen is None:
+      return None
+    is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
+    return [self._start(held.queue, waiting, chosen, now, is_strong)]
 
   def _choose(
-      self, queue: str, waiting: admission.Waiting, now: float
+      self, queue: str, waiting: waiting_base.Waiting, now: float
+  ) -> load.EndpointLoad | None:
+    pool = self._fleet.pool(queue)
+    excluded = waiting.failed_endpoints
+    if excluded and all(known.name in excluded for known in pool.all):
+      # Better an endpoint that it was on before than none at all.
+      excluded = ()
+    room = self._admission.room(queue, waiting, now)
+    ask = self._make_ask(queue, waiting, room, excluded)
+    return self._pick(ask, pool, now)
+
+  def _pick(
+      self, ask: routing.Ask, pool: load.Pool, now: float
   ) -> load.EndpointLoad | None:
-    candidates = self._loads_by_queue.get(queue)
-    if not candidates:
+    if not pool.all:
       return None
+    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
+
+  def _make_ask(
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      room: float,
+      excluded: tuple[str, ...],
+  ) -> routing.Ask:
     request = waiting.request
     rank = self._config.rank_by_name.get(request.rank)
-    ask = routing.Ask(
+    return routing.Ask(
         rank is not None and rank.is_urgent,
         request.prompt_tokens + waiting.next_index,
-        max(1, request.max_tokens - waiting.next_index),
+        waiting.cost.output_tokens,
+        waiting.cost.pieces,
         rank.between_tokens_s if rank is not None else 0.0,
+        self._strictest_s,
+        waiting.cost.stretch_s,
+        self._cost.speeds(queue),
+        self._entries,
+        room,
         (),
-        waiting.failed_endpoints,
+        excluded,
     )
-    chosen = self._router.pick(ask, candidates, self._own_zone, now, self._rng)
-    if chosen is None and ask.excluded:
-      # Better an endpoint that refused it before than none at all.
-      ask = ask._replace(excluded=())
-      chosen = self._router.pick(
-          ask, candidates, self._own_zone, now, self._rng
-      )
-    return chosen
+
+  def _is_urgent(self, request: records.InferenceRequest) -> bool:
+    rank = self._config.rank_by_name.get(request.rank)
+    return rank is not None and rank.is_urgent
 
   def _start(
       self,
       queue: str,
-      waiting: admission.Waiting,
+      waiting: waiting_base.Waiting,
       chosen: load.EndpointLoad,
       now: float,
+      is_suspect: bool = False,
   ) -> messages.Start:
     request = waiting.request
-    number = self._number_by_request.get(request.request_id, 0) + 1
-    self._number_by_request[request.request_id] = number
-    rank = self._config.rank_by_name.get(request.rank)
-    is_urgent = rank is not None and rank.is_urgent
+    is_urgent = self._is_urgent(request)
     attempt = records.Attempt(
-        f'{request.request_id}/{number}',
+        self._attempts.next_id(request.request_id),
         chosen.name,
         chosen.address,
         waiting.next_index,
         PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
     )
-    tokens = request.prompt_tokens + request.max_tokens
     sent = load.Sent(
         attempt.attempt_id,
-        request.request_id,
-        waiting.cost_s,
+        is_urgent,
+        waiting.cost.engine_s,
         request.prompt_tokens + waiting.next_index,
-        -(-tokens // PIECE_TOKENS),
+        waiting.cost.pieces,
+        waiting.cost.stretch_s,
         now,
     )
     chosen.add(sent)
-    self._running_by_attempt[attempt.attempt_id] = Running(
-        waiting, queue, attempt
-    )
+    running = attempts.Running(waiting, queue, attempt, is_suspect)
+    self._attempts.add(running)
     self._journal.note(
         request.request_id,
         f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
@@ -415,7 +476,7 @@
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
-    self._number_by_request.pop(request_id, None)
+    self._attempts.forget(request_id)
     count = self._refused_by_kind.get(error.kind, 0)
     self._refused_by_kind[error.kind] = count + 1
     self._journal.note(
@@ -426,6 +487,15 @@
     return messages.Refuse(request_id, error)
 
 
-def _offers(report: records.EngineReport) -> tuple:
-  """Returns the parts of a report that decide where it is a candidate."""
-  return report.models, report.role, report.is_draining
+def _is_again(message: messages.Submit) -> bool:
+  """Tells whether a request was sent to an endpoint before."""
+  return bool(message.next_index or message.failed_endpoints)
+
+
+def _strictest_between(config: records.Config) -> float:
+  """Returns the strictest target of the time between tokens, 0 for none."""
+  targets = []
+  for rank in config.rank_by_name.values():
+    if rank.between_tokens_s > 0.0:
+      targets.append(rank.between_tokens_s)
+  return min(targets, default=0.0)
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from mulberrypick.core import (
-    admission,
-    dispatch,
-    errors,
-    messages,
-    records,
-    routing,
-)
+from mulberrypick.core import admission
+from mulberrypick.core import cost as cost_model
+from mulberrypick.core import dispatch
+from mulberrypick.core import errors
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import routing
+from mulberrypick.core import waiting as waiting_base
 
 URGENT = records.Rank('urgent', True, 0.5, 0.05, 5.0, 0.3)
 OTHER = records.Rank('other', False, 2.0, 0.2, 30.0, 0.3)
@@ -183,6 +183,58 @@
     self.assertEqual(['e1', 'e2'], [e.name for e in status.endpoints])
 
 
+class TestCrashes(unittest.TestCase):
+
+  def test_a_crasher_takes_two_engines_and_its_neighbour_goes_on(self):
+    dispatcher = make_dispatcher(['e1', 'e2', 'e3', 'e4'])
+    crash = make_request('r1', prompt='crash')
+    first = submit(dispatcher, crash)
+    end(dispatcher, first, messages.OUTCOME_FAILED)
+    failed = (first.attempt.endpoint,)
+    second = submit(dispatcher, crash, 1.0, failed=failed)
+    self.assertNotEqual(failed[0], second.attempt.endpoint)
+    end(dispatcher, second, messages.OUTCOME_FAILED, 4.0)
+    failed += (second.attempt.endpoint,)
+    message = messages.Submit(crash, 0, failed)
+    # Its caller is told once the other hosts can know it.
+    self.assertEqual([], dispatcher.handle(message, 4.0))
+    told = dispatcher.peer_seen(4.1)
+    (refuse,) = dispatcher.handle(messages.Tick(), 4.2)
+    self.assertIsInstance(refuse.error, errors.RepeatedCrashError)
+
+    other_host = make_dispatcher()
+    other_host.handle(told._replace(peer='entry-9'), 4.3)
+    again = submit(other_host, crash._replace(request_id='r9'), 4.4)
+    self.assertIsInstance(again.error, errors.RepeatedCrashError)
+    innocent = submit(dispatcher, make_request('r2'), 5.0)
+    self.assertIsInstance(innocent, messages.Start)
+
+  def test_a_suspect_of_a_peer_waits_for_its_verdict(self):
+    dispatcher = make_dispatcher()
+    request = make_request('r1')
+    suspect = (dispatch.fingerprint(request),)
+    told = messages.PeerSeen('entry-2', {}, {}, (), (), suspects=suspect)
+    dispatcher.handle(told, 0.5)
+    message = messages.Submit(request, 0, ())
+    self.assertEqual([], dispatcher.handle(message, 1.0))
+    (start,) = dispatcher.handle(messages.Tick(), 5.0)
+    self.assertIsInstance(start, messages.Start)
+
+  def test_attempts_are_bounded(self):
+    dispatcher = make_dispatcher(['e1', 'e2', 'e3', 'e4', 'e5'])
+    request = make_request('r1', deadline_at=200.0)
+    failed = ()
+    for number in range(dispatch.ATTEMPTS_MOST):
+      now = 20.0 * number
+      start = submit(dispatcher, request, now, len(failed), failed)
+      failed += (start.attempt.endpoint,)
+      # Time enough passes for each failure to count on its own.
+      end(dispatcher, start, messages.OUTCOME_FAILED, now + 1.0)
+      dispatcher._isolation.quarantine.see_whole(dispatch.fingerprint(request))
+    refuse = submit(dispatcher, request, 90.0, 3, failed)
+    self.assertIsInstance(refuse.error, errors.UnavailableError)
+
+
 class TestBaselines(unittest.TestCase):
 
   def test_round_robin_takes_turns(self):
@@ -196,7 +248,10 @@
 
   def test_first_come_refuses_when_the_queue_is_full(self):
     queue = admission.FirstComeFirstServed(queue_limit=1)
-    waiting = admission.Waiting(make_request('r1'), 0, (), 0.0, 0.0, False, 1)
+    cost = cost_model.Cost(1, 0.1, 0.1, 0.1, 1)
+    waiting = waiting_base.Waiting(
+        make_request('r1'), 0, (), cost, 0.0, False, 1
+    )
     self.assertIsNone(queue.offer('m', waiting, 0.0))
     other = waiting._replace(request=make_request('r2'))
     error = queue.offer('m', other, 0.0)
--- a/spec/check.py
+++ b/spec/check.py
@@ -14,13 +14,19 @@
 import importlib.util
 import sys
 import time
-from collections.abc import Callable, Hashable
+from collections.abc import Callable
+from collections.abc import Hashable
 from typing import NamedTuple
 
 import minicheck
 from minicheck import _core
 
-MODULES = ('spec.lease_model', 'spec.claim_model', 'spec.config_model')
+MODULES = (
+    'spec.lease_model',
+    'spec.order_model',
+    'spec.claim_model',
+    'spec.config_model',
+)
 
 PROVED = 'proved'
 REFUTED = 'refuted'
