--- a/standins/changes.py
+++ b/standins/changes.py
@@ -5,8 +5,10 @@
 thousand requests, the tests fewer.
 """
 
+import datetime
 import json
 import pathlib
+import re
 import threading
 import time
 from collections.abc import Callable
@@ -26,6 +28,7 @@
 ENTRIES_PER_ZONE = 2
 POLL_S = 0.02
 QUIET_S = 3.0
+OBSERVE_S = 1.0
 SETTLE_TIMEOUT_S = 60.0
 BAD_OUTCOMES = (
     load_summary.OUTCOME_CUT,
@@ -33,6 +36,10 @@
     load_summary.OUTCOME_FAILED,
     load_summary.OUTCOME_REFUSED,
 )
+_REFUSED = re.compile(
+    r'at="(?P<at>[^"]+)".* event=attempt_failed .*endpoint=(?P<endpoint>\S+)'
+    r' outcome=refused '
+)
 ENGINE_FLAGS = (
     '--models',
     'm@1',
@@ -234,6 +241,23 @@
   made.fleet.call(program, 'POST', '/orders', order._asdict())
 
 
+def find_busiest(made: town.Town, zone: int) -> str:
+  """Finds the engine of a zone that takes in most work just now."""
+  prefix = f'engine-{zone}-'
+  names = [
+      name for name in made.fleet.program_by_name if name.startswith(prefix)
+  ]
+  before = {name: count_taken(made, name) for name in names}
+  time.sleep(OBSERVE_S)
+  return max(names, key=lambda name: count_taken(made, name) - before[name])
+
+
+def count_taken(made: town.Town, name: str) -> int:
+  """Counts the requests that an engine has taken in."""
+  program = made.fleet.program_by_name[name]
+  return made.fleet.call(program, 'GET', '/calls')['generate']
+
+
 def measure_leaving(
     made: town.Town, name: str, leave: Callable[[], None]
 ) -> float:
@@ -245,21 +269,42 @@
     leave: Gives the first sign.
 
   Returns:
-    Seconds from the first sign to the last request that the engine took in.
+    Seconds from the first sign to the last request that was sent to the
+    engine, whether it took it in or refused it.
   """
-  program = made.fleet.program_by_name[name]
   started_at = time.monotonic()
+  started_clock = datetime.datetime.now()
   leave()
   last_at = started_at
-  taken = made.fleet.call(program, 'GET', '/calls')['generate']
+  taken = count_taken(made, name)
   while time.monotonic() - last_at < QUIET_S:
-    now_taken = made.fleet.call(program, 'GET', '/calls')['generate']
+    now_taken = count_taken(made, name)
     if now_taken > taken:
       taken = now_taken
       last_at = time.monotonic()
     time.sleep(POLL_S)
   wait_for_state(made, name, lambda state: state['running'] == 0)
-  return last_at - started_at
+  refused_s = find_last_refusal_s(made, name, started_clock)
+  return max(last_at - started_at, refused_s)
+
+
+def find_last_refusal_s(
+    made: town.Town, name: str, started_clock: datetime.datetime
+) -> float:
+  """Finds, in the logs of the entries, the last attempt that was refused.
+
+  Returns:
+    Seconds from `started_clock`, 0 if there was none.
+  """
+  last_s = 0.0
+  for entry in made.entry_by_name.values():
+    for line in entry.program.log().splitlines():
+      match = _REFUSED.match(line)
+      if match is None or match['endpoint'] != name:
+        continue
+      at = datetime.datetime.strptime(match['at'], '%Y-%m-%d %H:%M:%S,%f')
+      last_s = max(last_s, (at - started_clock).total_seconds())
+  return last_s
 
 
 def wait_for_state(
