--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -194,6 +194,12 @@
       except errors.PlatformUnavailableError as error:
         self._note_away(error)
         break
+      except Exception as error:
+        # A value that can't be read, or an answer that nobody foresaw, must
+        # not end the thread: the slot would stay busy for ever.
+        may_stand = True
+        self._note_away(errors.PlatformUnavailableError(repr(error)))
+        break
       self._away_pause_s = AWAY_PAUSE_S
       self.changes += len(group)
       for waiting, outcome in zip(group, outcomes, strict=True):
@@ -229,8 +235,13 @@
 
   def _note_away(self, error: errors.PlatformUnavailableError) -> None:
     pause_s = self._rng.uniform(0.5, 1.0) * self._away_pause_s
-    self._away_until = self._clock() + max(pause_s, error.retry_after_s)
+    pause_s = max(pause_s, error.retry_after_s)
+    self._away_until = self._clock() + pause_s
     self._away_pause_s = min(MAX_AWAY_PAUSE_S, 2 * self._away_pause_s)
     logs.log_event(
-        log, logging.WARNING, 'claims_away', pause_s=round(pause_s, 3)
+        log,
+        logging.WARNING,
+        'claims_away',
+        pause_s=round(pause_s, 3),
+        error=str(error),
     )
--- a/spec/claim_model.py
+++ b/spec/claim_model.py
@@ -14,8 +14,11 @@
 code that the program runs. Broken variants replace one decision each.
 """
 
-from mulberrypick.core import chart, claims
-from spec import check, claim_state, claim_steps
+from mulberrypick.core import chart
+from mulberrypick.core import claims
+from spec import check
+from spec import claim_state
+from spec import claim_steps
 
 # The search of some 20 seconds that `make test` leaves out.
 THREE_REQUESTS = 'claim/three-requests'
--- a/spec/claim_model_test.py
+++ b/spec/claim_model_test.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from spec import check, claim_model
+from spec import check
+from spec import claim_model
 
 
 class TestClaimModel(unittest.TestCase):
--- a/spec/claim_state.py
+++ b/spec/claim_state.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from mulberrypick.core import chart, claims
+from mulberrypick.core import chart
+from mulberrypick.core import claims
 
 KEY = 'key'
 ENTRIES = (0, 1)
--- a/spec/claim_steps.py
+++ b/spec/claim_steps.py
@@ -1,6 +1,8 @@
 """The steps of the specification of claims: all moves out of a state."""
 
-from mulberrypick.core import chart, claims, records
+from mulberrypick.core import chart
+from mulberrypick.core import claims
+from mulberrypick.core import records
 from spec import claim_state as parts
 
 Moves = list[tuple[str, parts.State]]
