Load tool takes only a stream that ends with its last chunk as whole

Cause: it stopped at the end marker, so that a connection which broke behind it counted as whole, and no connection was used twice. It reads up to the stream's end now, by chunk as the engine adapter does.

--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -7,8 +7,6 @@
 """
 
 import contextlib
-import socket
-import struct
 from collections.abc import Iterator
 from http import HTTPStatus
 from typing import TypedDict
@@ -105,7 +103,7 @@
     has_last = False
     try:
       _check_status(attempt.endpoint, response, HTTPStatus.OK)
-      _block_with_timeout(response, self._stall_s)
+      http_wire.block_with_timeout(response, self._stall_s)
       for frame in _read_frames(attempt.endpoint, chunks):
         if frame.is_last and frame.attempt_id == attempt.attempt_id:
           has_last = True
@@ -299,21 +297,6 @@
     raise errors.EndpointFailedError(endpoint, f'frame: {error}') from error
 
 
-def _block_with_timeout(
-    response: urllib3.BaseHTTPResponse, timeout_s: float
-) -> None:
-  """Makes the reads of a stream block, up to a timeout of the kernel's."""
-  stream = response.connection.sock
-  stream.settimeout(None)
-  whole_s = int(timeout_s)
-  microseconds = int((timeout_s - whole_s) * 1_000_000)
-  stream.setsockopt(
-      socket.SOL_SOCKET,
-      socket.SO_RCVTIMEO,
-      struct.pack('ll', whole_s, microseconds),
-  )
-
-
 def _finish(
     response: urllib3.BaseHTTPResponse, chunks: Iterator[bytes]
 ) -> None:
--- a/mulberrypick/adapters/http_wire.py
+++ b/mulberrypick/adapters/http_wire.py
@@ -112,3 +112,26 @@
       retries=False,
       source_address=source_address(source_ip),
   )
+
+
+def block_with_timeout(
+    response: urllib3.BaseHTTPResponse, timeout_s: float
+) -> None:
+  """Makes the reads of a stream block, up to a timeout of the kernel's.
+
+  A Python socket with a timeout polls before every read, which is a second
+  system call for each token of a stream.
+
+  Args:
+    response: The response, of which only the head has been read.
+    timeout_s: Longest wait for the next byte.
+  """
+  stream = response.connection.sock
+  stream.settimeout(None)
+  whole_s = int(timeout_s)
+  microseconds = int((timeout_s - whole_s) * 1_000_000)
+  stream.setsockopt(
+      socket.SOL_SOCKET,
+      socket.SO_RCVTIMEO,
+      struct.pack('ll', whole_s, microseconds),
+  )
--- a/standins/load_client.py
+++ b/standins/load_client.py
@@ -11,6 +11,7 @@
 import urllib3
 from urllib3 import exceptions
 
+from mulberrypick.adapters import http_wire
 from standins import answers
 from standins import load_plan
 from standins import load_summary
@@ -18,7 +19,6 @@
 CONNECTIONS_PER_ENTRY = 512
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 60.0
-READ_BYTES = 65_536
 EVENT_END = b'\n\n'
 EVENT_START = len(b'data: ')
 END_MARKER = b'data: [DONE]'
@@ -128,7 +128,8 @@
       try:
         ending = _read_answer(response, progress)
       finally:
-        _close(response)
+        # One that was read to its end is back in the pool already.
+        response.close()
     except exceptions.HTTPError as error:
       # A stream that breaks after its first token was cut.
       outcome = load_summary.OUTCOME_FAILED
@@ -206,24 +207,26 @@
 
 
 def _read_events(response: urllib3.BaseHTTPResponse) -> Iterator[_Event]:
-  """Reads events up to the end marker.
+  """Reads events up to the end of the stream, which the marker announces.
 
   Raises:
-    urllib3.exceptions.HTTPError: The stream ended without the marker.
+    urllib3.exceptions.HTTPError: The stream broke or ended without the marker.
   """
+  http_wire.block_with_timeout(response, READ_TIMEOUT_S)
   rest = b''
-  while True:
-    data = response.read1(READ_BYTES)
-    if not data:
-      raise exceptions.ProtocolError('the stream ended without its marker')
+  is_marked = False
+  for data in response.read_chunked(decode_content=False):
     *events, rest = (rest + data).split(EVENT_END)
     for event in events:
       if event == END_MARKER:
-        return
+        is_marked = True
+        continue
       try:
         yield _event_decoder.decode(event[EVENT_START:])
       except msgspec.MsgspecError as error:
         raise exceptions.ProtocolError(str(error)) from error
+  if not is_marked:
+    raise exceptions.ProtocolError('the stream ended without its marker')
 
 
 def _read_refusal(response: urllib3.BaseHTTPResponse) -> _Ending:
@@ -240,16 +243,6 @@
   )
 
 
-def _close(response: urllib3.BaseHTTPResponse) -> None:
-  """Gives the connection back if its answer was read to the end."""
-  try:
-    if response.read1(READ_BYTES):
-      response.close()
-  except exceptions.HTTPError:
-    response.close()
-  response.release_conn()
-
-
 def _make_result(
     arrival: load_plan.Arrival,
     late_s: float,
--- a/standins/load_test.py
+++ b/standins/load_test.py
@@ -63,6 +63,8 @@
     for token in tokens[2:]:
       yield event({'text': token, 'finish_reason': None})
     yield event({'text': '', 'finish_reason': 'stop'}) + b'data: [DONE]\n\n'
+    if self.fault == 'unended':
+      call.drop()
 
 
 def event(choice):
@@ -98,6 +100,7 @@
         ('wrong', 'wrong', ''),
         ('short', 'wrong', ''),
         ('break', 'cut', 'ProtocolError'),
+        ('unended', 'cut', 'ProtocolError'),
         ('error', 'cut', 'unavailable'),
     ):
       self.entry.fault = fault
