A stream whose connection closes after it is read like any other

Cause: the HTTP library lets go of the socket when the other side announces Connection: close, as an entry does once it stops. Setting the kernel's timeout on it then raised AttributeError, in the demo through the load tool, and so it would have in the engine adapter.

--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -301,8 +301,9 @@
     response: urllib3.BaseHTTPResponse, chunks: Iterator[bytes]
 ) -> None:
   """Reads the end of a whole stream, so that its connection is used again."""
-  if response.connection is not None:
-    response.connection.sock.settimeout(FINISH_TIMEOUT_S)
+  stream = http_wire.open_socket(response)
+  if stream is not None:
+    stream.settimeout(FINISH_TIMEOUT_S)
   try:
     if next(chunks, None) is None:
       return
--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -239,7 +239,7 @@
 
 class TestBrokenStreams(unittest.TestCase):
 
-  def generate(self, body):
+  def generate(self, body, headers=b''):
     listener = socket.create_server(('127.0.0.1', 0))
     self.addCleanup(listener.close)
 
@@ -247,8 +247,8 @@
       connection, _ = listener.accept()
       with connection:
         connection.recv(65_536)
-        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-        connection.sendall(head + body)
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+        connection.sendall(head + headers + b'\r\n' + body)
 
     threading.Thread(target=serve, daemon=True).start()
     address = f'127.0.0.1:{listener.getsockname()[1]}'
@@ -270,6 +270,13 @@
         with self.assertRaises(errors.EndpointFailedError):
           list(stream)
 
+  def test_an_engine_may_close_the_connection_after_a_whole_answer(self):
+    last = b'data: {"attempt_id":"r1/1","index":0,"done":true}\n\n'
+    body = chunk(last) + chunk(b'')
+    stream = self.generate(body, b'Connection: close\r\n')
+    self.assertTrue(next(stream).is_last)
+    stream.close()
+
   def test_an_event_may_come_in_pieces_and_after_the_last(self):
     event = b'data: {"attempt_id":"r1/1","index":0,"text":"a "}\n\n'
     last = b'data: {"attempt_id":"r1/1","index":1,"done":true}\n\n'
--- a/mulberrypick/adapters/http_wire.py
+++ b/mulberrypick/adapters/http_wire.py
@@ -114,6 +114,15 @@
   )
 
 
+def open_socket(response: urllib3.BaseHTTPResponse) -> socket.socket | None:
+  """Returns the socket of a response, None if it will not be used again.
+
+  The library lets go of the socket once the other side has said that it closes
+  the connection; what is left of the answer is read with the timeout before.
+  """
+  return response.connection and response.connection.sock
+
+
 def block_with_timeout(
     response: urllib3.BaseHTTPResponse, timeout_s: float
 ) -> None:
@@ -126,7 +135,9 @@
     response: The response, of which only the head has been read.
     timeout_s: Longest wait for the next byte.
   """
-  stream = response.connection.sock
+  stream = open_socket(response)
+  if stream is None:
+    return
   stream.settimeout(None)
   whole_s = int(timeout_s)
   microseconds = int((timeout_s - whole_s) * 1_000_000)
