Entry: a part that does not start ends the process; ports of tests do not clash

Cause: changes_test failed once in five runs. An entry could not bind, since a connection going out had taken its port between the choice and the start, and then hung: the parts that had started were never stopped.

Ruled out: load alone (the log shows the bind).

--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -318,11 +318,16 @@
     """Runs until SIGTERM or SIGINT, then drains.
 
     Returns:
-      The exit status, 0 after a graceful stop.
+      The exit status: 0 after a graceful stop, 1 if a part did not start.
     """
     for number in (signal.SIGTERM, signal.SIGINT):
       signal.signal(number, lambda *_: self._stopping.set())
-    self._start()
+    try:
+      self._start()
+    except Exception:
+      _logger.exception('start_failed')
+      self._stop_parts()
+      return 1
     self._stopping.wait()
     self._drain()
     return 0
@@ -356,6 +361,10 @@
     self._state.note_draining()
     # The balancer needs time to notice, and goes on sending callers until then.
     time.sleep(self._settings['notice_s'])
+    self._stop_parts()
+    self._log_event('stopped')
+
+  def _stop_parts(self) -> None:
     for part in (
         self._callers_server,
         self._calls,
@@ -367,7 +376,6 @@
         self._operators_server,
     ):
       self._stop_part(part)
-    self._log_event('stopped')
 
   def _stop_part(self, part: Any) -> None:
     """Stops a part; its failure must not keep the others from stopping."""
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -8,6 +8,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -29,6 +30,8 @@
 CALL_TIMEOUT_S = 10.0
 READY_LINE = 'event=ready'
 LOG_TAIL_BYTES = 2000
+LISTEN_PORTS = range(10_000, 32_000)
+PORT_TRIES = 50
 
 
 class LaunchError(Exception):
@@ -336,11 +339,20 @@
 
 
 def free_address(ip: str) -> str:
-  """Returns `ip:port` with a port that was free just now."""
-  with socket.socket() as probe:
-    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    probe.bind((ip, 0))
-    return f'{ip}:{probe.getsockname()[1]}'
+  """Returns `ip:port` with a port that was free just now.
+
+  The port lies below those that the system gives to outgoing connections:
+  one of theirs might take it before the process that it is meant for.
+  """
+  for port in random.SystemRandom().sample(LISTEN_PORTS, k=PORT_TRIES):
+    with socket.socket() as probe:
+      probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+      try:
+        probe.bind((ip, port))
+      except OSError:
+        continue
+      return f'{ip}:{port}'
+  raise LaunchError(f'no port of {PORT_TRIES} tried is free on {ip}')
 
 
 def _complaint(program: Program, what: str) -> str:
