--- a/mulberrypick/ops/controller_task.py
+++ b/mulberrypick/ops/controller_task.py
@@ -192,7 +192,7 @@
       self._view = self._view._replace(state_by_engine={}, report_by_engine={})
       return
     if self._begun_fence != self._term.fence:
-      self._sender.begin_term()
+      self._sender.begin_term(self._term.fence)
       self._begun_fence = self._term.fence
     self._read_engines()
     now = time.monotonic()
--- a/mulberrypick/ops/order_sender.py
+++ b/mulberrypick/ops/order_sender.py
@@ -53,14 +53,19 @@
     self._engine = engine
     self._timing = timing
     self._timer = dead_man.DeadMan()
+    self._fence = 0
     self.track_by_engine: dict[str, orders.Track] = {}
 
-  def begin_term(self) -> None:
+  def begin_term(self, fence: int) -> None:
     """Reads all intents anew: another holder may have written some.
 
+    Args:
+      fence: Fencing number of the term.
+
     Raises:
       PlatformError: They could not be read; the term has not begun.
     """
+    self._fence = fence
     listing = self._platform.list_objects(orders.ORDER_PREFIX)
     self.track_by_engine = {}
     for key, value in listing.value_by_key.items():
@@ -77,6 +82,10 @@
 
     Returns:
       Whether the next order may be planned on this state.
+
+    Raises:
+      PlatformError: The intent had to be read, and could not.
+      StaleFenceError: The intent is of a newer term: this one is over.
     """
     engine = state.endpoint
     track = self.track_by_engine.get(engine, orders.Track())
@@ -132,6 +141,8 @@
     if value is None:
       return orders.on_read(track, platforms.MISSING_VERSION, None)
     intent = orders.decode_intent(value.value)
+    if intent.order.fence > self._fence:
+      raise errors.StaleFenceError(engine, intent.order.fence)
     return orders.on_read(track, value.version, intent)
 
   def _write(self, track: orders.Track) -> orders.Track:
