--- a/mulberrypick/ops/claim_fuzz_test.py
+++ b/mulberrypick/ops/claim_fuzz_test.py
@@ -15,11 +15,19 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-
-from mulberrypick.adapters import memory_platform, platform, service
-from mulberrypick.core import errors, records
-from mulberrypick.ops import claim_task, plain_calls, plain_calls_test, slot_writer
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+
+from mulberrypick.adapters import memory_platform
+from mulberrypick.adapters import platform
+from mulberrypick.adapters import service
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.ops import claim_task
+from mulberrypick.ops import plain_calls
+from mulberrypick.ops import plain_calls_test
+from mulberrypick.ops import slot_writer
 
 FUZZ_EXAMPLES = int(os.environ.get('MULBERRYPICK_FUZZ_EXAMPLES', '200'))
 NAMES = ('a', 'b')
--- a/mulberrypick/scripts/controller.py
+++ b/mulberrypick/scripts/controller.py
@@ -87,20 +87,17 @@
 _logger = logging.getLogger(__name__)
 
 
-def make_planner(name: str) -> reconcile.RolePlanner:
-  """Makes the role planner of a host."""
-  del name
-  return reconcile.KeepRoles()
-
-
 class Controller:
   """All parts of a controller, wired."""
 
-  def __init__(self, value_by_name: dict[str, Any]):
+  def __init__(
+      self, value_by_name: dict[str, Any], planner: reconcile.RolePlanner
+  ):
     """Makes and wires the parts; nothing runs yet.
 
     Args:
       value_by_name: The checked settings.
+      planner: Decides on the roles of engines.
     """
     self._settings = value_by_name
     self._stopping = threading.Event()
@@ -121,7 +118,7 @@
             report_timeout_s=engine_timeout_s,
             order_user_timeout_s=timing.guard_s * USER_TIMEOUT_PART,
         ),
-        make_planner(name),
+        planner,
         order_sender.OrderTiming(timing.guard_s, timing.guard_s),
         controller_task.ControllerIntervals(round_s=value_by_name['round_s']),
         self._lease.post,
@@ -178,8 +175,19 @@
   raise errors.SettingsError([errors.Fault(place, message)])
 
 
-def run_controller(value_by_name: dict[str, Any]) -> int:
-  """Runs a controller with checked settings; returns the exit status."""
+def run_controller(
+    value_by_name: dict[str, Any],
+    planner: reconcile.RolePlanner | None = None,
+) -> int:
+  """Runs a controller with parsed settings.
+
+  Args:
+    value_by_name: The settings.
+    planner: Decides on the roles of engines; None keeps them.
+
+  Returns:
+    The exit status.
+  """
   try:
     check_settings(value_by_name)
   except errors.SettingsError as error:
@@ -189,7 +197,7 @@
   logs.configure_logging(
       value_by_name['log_level'], PROGRAM, value_by_name['name']
   )
-  return Controller(value_by_name).run()
+  return Controller(value_by_name, planner or reconcile.KeepRoles()).run()
 
 
 main = settings_command.make_command(
--- /dev/null
+++ b/standins/planned_changes.py
@@ -0,0 +1,290 @@
+"""Planned changes under load: drain, new version, roles, stops.
+
+A town of two zones serves a steady load, while an operator drains an engine,
+every engine gets another version of the model, one engine changes its role
+every few seconds, a controller stops and another is killed, and an entry host
+stops. Every answer is checked token by token: none may be cut.
+
+`python -m standins.planned_changes` prints the counts.
+"""
+
+import collections
+import pathlib
+import sys
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+import click
+import msgspec
+
+from mulberrypick.core import drains
+from standins import launcher
+from standins import load
+from standins import load_client
+from standins import load_plan
+from standins import load_summary
+from standins import town
+
+ZONES = (1, 2)
+ENGINES_PER_ZONE = 2
+ENTRIES = 3
+SEED = 5
+ENGINE_FLAGS = ('--load-model-s', '0.5', '--role-change-s', '1.0')
+ENGINE_MODELS = ('--models', 'm@1')
+CONTROLLER_FLAGS = ('--lease-s', '2', '--guard-s', '0.5')
+SWAP_MODULE = 'standins.swap_roles'
+WAIT_S = 120.0
+POLL_S = 0.05
+CLASS = load_plan.WorkClass(
+    'ask',
+    'ask',
+    'm',
+    tenant='mills',
+    rank='urgent',
+    deadline_s=60.0,
+    output_tokens=(20, 60),
+)
+
+
+class Changes(NamedTuple):
+  """What happened.
+
+  Attributes:
+    results: Of the requests.
+    orders_by_action: Orders that engines took, by action.
+    entry_status: Exit status of the entry that was stopped.
+    controller_status: Exit status of the controller that was stopped.
+    changed_s: Seconds that the changes took.
+  """
+
+  results: list[load_summary.Result]
+  orders_by_action: dict[str, int]
+  entry_status: int
+  controller_status: int
+  changed_s: float
+
+
+def declare(version: str) -> bytes:
+  """Declares one model on every engine, and one service."""
+  engines = len(ZONES) * ENGINES_PER_ZONE
+  table = {
+      'format': 1,
+      'models': [
+          {'name': 'm', 'version': version, 'adapters': [], 'replicas': engines}
+      ],
+      'ranks': [
+          {
+              'name': 'urgent',
+              'is_urgent': True,
+              'first_token_s': 2.0,
+              'between_tokens_s': 1.0,
+              'deadline_s': 60.0,
+              'reserve': 0.9,
+          }
+      ],
+      'services': [
+          {
+              'name': 'ask',
+              'kind': 'model',
+              'model': 'm',
+              'adapter': '',
+              'rank': 'urgent',
+              'is_repeatable': True,
+              'max_attempts': 6,
+              'timeout_s': 60.0,
+          }
+      ],
+      'tenants': [
+          {
+              'name': 'mills',
+              'share': 1.0,
+              'services': ['ask'],
+              'ranks': ['urgent'],
+              'token_sha256': '',
+          }
+      ],
+  }
+  return msgspec.json.encode(table)
+
+
+class Scenario:
+  """The town, and the changes one after the other."""
+
+  def __init__(self, log_folder: pathlib.Path):
+    """Starts the town; it ends with `close`."""
+    self._town = town.Town(log_folder, ('--hosts-lag-s', '0.5'))
+    self._fleet = self._town.fleet
+    self._engines = []
+    self._controllers = []
+    try:
+      self._start()
+    except BaseException:
+      self.close()
+      raise
+
+  def close(self) -> None:
+    """Ends all processes."""
+    self._fleet.stop()
+
+  def _start(self) -> None:
+    for zone in ZONES:
+      for number in range(ENGINES_PER_ZONE):
+        name = f'engine-{zone}-{number}'
+        # One of each kind in a zone.
+        self._fleet.start_engine(
+            name,
+            zone,
+            *ENGINE_FLAGS,
+            *ENGINE_MODELS,
+            checks_fence=bool(number),
+        )
+        self._engines.append(name)
+    self._town.apply(declare('1'))
+    for number in range(ENTRIES):
+      zone = ZONES[number % len(ZONES)]
+      self._town.spawn_entry(f'entry-{number}', zone, '--notice-s', '1')
+    self._town.wait_entries()
+    for name, zone in (('c1', 1), ('c2', 1), ('c3', 2)):
+      self._start_controller(name, zone)
+
+  def _start_controller(self, name: str, zone: int) -> None:
+    """Starts a controller, in zone 1 one that changes roles."""
+    ip = launcher.zone_ip(zone)
+    address = launcher.free_address(ip)
+    flags = (
+        *('--name', name),
+        *('--zone', launcher.zone_name(zone)),
+        *('--source-ip', ip),
+        *('--platform-url', self._town.platform_url),
+        *('--listen', address),
+        *CONTROLLER_FLAGS,
+    )
+    module = SWAP_MODULE if zone == 1 else town.CONTROLLER_MODULE
+    self._fleet.start_program(
+        name, module, flags, address=address, ready_path='/healthz'
+    )
+    self._controllers.append(name)
+
+  def run(self, rate: float, duration_s: float) -> Changes:
+    """Makes all changes while requests arrive.
+
+    Args:
+      rate: Requests a second.
+      duration_s: How long they arrive at least.
+    """
+    outcome = {}
+
+    def change() -> None:
+      started_at = time.monotonic()
+      outcome['statuses'] = self._change()
+      outcome['changed_s'] = time.monotonic() - started_at
+
+    changing = threading.Thread(target=change)
+    changing.start()
+    results = []
+    client = load_client.LoadClient(self._town.list_urls())
+    phases = [load_plan.Phase(duration_s, {CLASS.name: rate})]
+    seed = SEED
+    while changing.is_alive() or not results:
+      arrivals = load_plan.plan_arrivals([CLASS], phases, seed)
+      results += load.run_load(client, arrivals)
+      seed += 1
+    changing.join()
+    entry_status, controller_status = outcome['statuses']
+    return Changes(
+        results,
+        self._count_orders(),
+        entry_status,
+        controller_status,
+        outcome['changed_s'],
+    )
+
+  def _change(self) -> tuple[int, int]:
+    self._drain('engine-1-1')
+    self._town.apply(declare('2'), planned_on=1)
+    self._wait(lambda: self._all_hold('m@2'))
+    controller_status = self._fleet.terminate('c1')
+    self._drain('engine-2-0')
+    self._fleet.kill('c2')
+    self._start_controller('c4', 1)
+    entry_status = self._town.stop_entry('entry-0')
+    self._town.apply(declare('3'), planned_on=2)
+    self._wait(lambda: self._all_hold('m@3'))
+    return entry_status, controller_status
+
+  def _drain(self, engine: str) -> None:
+    key = drains.drain_key(engine)
+    request = drains.encode_request(drains.DrainRequest('ana', 'new disk'))
+    version = self._town.platform.put(key, request, 0)
+    self._wait(lambda: self._is_drained(engine))
+    self._town.platform.delete(key, version)
+    self._wait(lambda: not self._state(engine)['is_draining'])
+
+  def _state(self, engine: str) -> dict:
+    return self._fleet.call(
+        self._fleet.program_by_name[engine], 'GET', '/state'
+    )
+
+  def _is_drained(self, engine: str) -> bool:
+    state = self._state(engine)
+    return state['is_draining'] and not state['running']
+
+  def _all_hold(self, model: str) -> bool:
+    states = [self._state(engine) for engine in self._engines]
+    return all(state['models'] == [model] for state in states)
+
+  def _wait(self, is_true: Callable[[], bool]) -> None:
+    until = time.monotonic() + WAIT_S
+    while not is_true():
+      if time.monotonic() > until:
+        raise launcher.LaunchError('a change did not come about')
+      time.sleep(POLL_S)
+
+  def _count_orders(self) -> dict[str, int]:
+    """Counts the orders that were taken, from the controllers' logs."""
+    counts = collections.Counter()
+    folder = next(iter(self._fleet.program_by_name.values())).log_path.parent
+    for name in self._controllers:
+      for line in (folder / f'{name}.log').read_text().splitlines():
+        if 'event=order_sent' not in line or 'outcome=accepted' not in line:
+          continue
+        action = line.split('action=')[1].split()[0]
+        counts[action] += 1
+    return dict(counts)
+
+
+def count_outcomes(changes: Changes) -> dict[str, int]:
+  """Counts the requests by outcome."""
+  return dict(collections.Counter(r.outcome for r in changes.results))
+
+
+@click.command()
+@click.option('--rate', default=30.0, show_default=True, help='Requests a s.')
+@click.option('--duration-s', default=40.0, show_default=True)
+@click.option('--log-folder', default='out/planned_changes', show_default=True)
+def main(rate: float, duration_s: float, log_folder: str) -> None:
+  """Makes planned changes under load and prints what became of requests."""
+  scenario = Scenario(pathlib.Path(log_folder))
+  try:
+    changes = scenario.run(rate, duration_s)
+  finally:
+    scenario.close()
+  outcomes = count_outcomes(changes)
+  click.echo(f'requests={len(changes.results)} outcomes={outcomes}')
+  click.echo(f'orders={changes.orders_by_action}')
+  click.echo(
+      f'entry_status={changes.entry_status}'
+      f' controller_status={changes.controller_status}'
+      f' changed_s={changes.changed_s:.1f}'
+  )
+  for result in changes.results:
+    if result.outcome != load_summary.OUTCOME_WHOLE:
+      click.echo(f'not whole: {result._replace(gaps_s=())}')
+  is_whole = set(outcomes) == {load_summary.OUTCOME_WHOLE}
+  sys.exit(0 if is_whole else 1)
+
+
+if __name__ == '__main__':
+  main()
--- /dev/null
+++ b/standins/swap_roles.py
@@ -0,0 +1,37 @@
+"""A controller that changes the role of one engine every few seconds.
+
+Everything but its role planner is the product's controller. It shows what a
+change of role does to the requests of the zone.
+"""
+
+import functools
+
+from mulberrypick.core import reconcile
+from mulberrypick.core import records
+from mulberrypick.scripts import controller
+from mulberrypick.scripts import settings_command
+
+PERIOD_S = 4.0
+
+
+class SwapRoles(reconcile.RolePlanner):
+  """Wants the first engine of the zone to be mixed and prefill in turn."""
+
+  def plan(self, view: reconcile.View, now: float) -> dict[str, str]:
+    """Returns the wanted role of the first engine."""
+    engines = sorted(view.state_by_engine)
+    if not engines:
+      return {}
+    is_odd = int(now / PERIOD_S) % 2
+    return {engines[0]: records.ROLE_PREFILL if is_odd else records.ROLE_MIXED}
+
+
+main = settings_command.make_command(
+    'swap-roles',
+    controller.SETTINGS,
+    functools.partial(controller.run_controller, planner=SwapRoles()),
+    'Changes the role of one engine every few seconds.',
+)
+
+if __name__ == '__main__':
+  main()
