Kill a claimant at every step, and repeat its call on another host

Each of 11 steps between the call's arrival and the end of its recording: the claimant is a process that ends by SIGKILL there; the call is repeated on another host, and again on one that came up anew at the dead one's address. Executions are counted at the service. Found on the way: the HTTP adapter of plain services gives an answer no more than its connect timeout (1 s), as the client library sets the socket's timeout again in request and getresponse; the service here works 0.6 s until that is mended.

--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -403,5 +403,5 @@
       'plain_attempt_failed',
       request_id=call.request_id,
       endpoint=host.name,
-      error=type(error).__name__,
+      error=str(error),
   )
--- /dev/null
+++ b/standins/claim_driver.py
@@ -0,0 +1,179 @@
+r"""Runs one call of a plain service and kills itself at a step of its path.
+
+    python -m standins.claim_driver --platform http://127.0.1.1:8080 \
+        --service 127.0.1.1:8081 --peers 127.0.1.1:8082 --key k1
+
+The step is in the environment, `MULBERRYPICK_KILL_AT`: one of the steps of
+`plain_calls`, or one of those below. The process ends by SIGKILL there, so that
+nothing of it is tidied up.
+"""
+
+import os
+import signal
+import threading
+import time
+
+import click
+
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import http_service
+from mulberrypick.adapters import platform
+from mulberrypick.adapters import service
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import claims
+from mulberrypick.core import records
+from mulberrypick.ops import plain_calls
+
+STEP_VARIABLE = 'MULBERRYPICK_KILL_AT'
+# Before and after the update that claims, and the one that records.
+STEP_CLAIM_WRITE = 'claim_write'
+STEP_CLAIM_WRITTEN = 'claim_written'
+STEP_RECORD_WRITE = 'record_write'
+STEP_RECORD_WRITTEN = 'record_written'
+# Allowed to send, and no byte sent yet.
+STEP_SENDING = 'sending'
+# The service is at work on the call.
+STEP_IN_CALL = 'in_call'
+
+WRITE_STEPS = (
+    (STEP_CLAIM_WRITE, STEP_CLAIM_WRITTEN),
+    (STEP_RECORD_WRITE, STEP_RECORD_WRITTEN),
+)
+TIMEOUT_S = 5.0
+IN_CALL_S = 0.3
+BODY = b'{"bales":3}'
+SERVICE = records.Service(
+    'desk', records.KIND_PLAIN, '', '', 'urgent', False, 3, TIMEOUT_S
+)
+
+
+def make_call(key: str) -> records.PlainCall:
+  """Makes the booking that all of these processes send."""
+  return records.PlainCall(
+      'r1',
+      'mill',
+      'urgent',
+      SERVICE.name,
+      'POST',
+      '/bookings',
+      'application/json',
+      BODY,
+      key,
+      time.monotonic() + 4 * TIMEOUT_S,
+  )
+
+
+def make_host(address: str) -> records.Host:
+  """Makes the endpoint of an address."""
+  return records.Host(
+      'desk-1',
+      'a',
+      records.HOST_SERVICE,
+      address,
+      '',
+      SERVICE.name,
+      1,
+      records.STATE_LIVE,
+      False,
+  )
+
+
+class Killer(plain_calls.StepObserver):
+  """Ends this process when it reaches the step."""
+
+  def __init__(self, step: str):
+    self._step = step
+
+  def observe(self, step: str) -> None:
+    """Takes note that a step was reached."""
+    if step == self._step:
+      os.kill(os.getpid(), signal.SIGKILL)
+
+
+class KillingPlatform(http_platform.HttpPlatform):
+  """The platform, with a step before and after each write of a claim."""
+
+  killer = Killer('')
+  writes = 0
+
+  def put(self, key: str, value: bytes, expected_version: int) -> int:
+    """Writes an object if it stands at the expected version."""
+    if not key.startswith(claims.SLOT_PREFIX):
+      return super().put(key, value, expected_version)
+    before, after = WRITE_STEPS[min(self.writes, 1)]
+    self.writes += 1
+    self.killer.observe(before)
+    version = super().put(key, value, expected_version)
+    self.killer.observe(after)
+    return version
+
+
+class KillingService(service.PlainService):
+  """The service, with steps before and in the middle of each call."""
+
+  def __init__(self, killer: Killer):
+    self._killer = killer
+    self._service = http_service.HttpPlainService()
+
+  def call(
+      self,
+      endpoint: str,
+      address: str,
+      call: records.PlainCall,
+      timeout_s: float,
+  ) -> records.PlainAnswer:
+    """Runs one call."""
+    self._killer.observe(STEP_SENDING)
+    timer = threading.Timer(IN_CALL_S, self._killer.observe, (STEP_IN_CALL,))
+    timer.daemon = True
+    timer.start()
+    return self._service.call(endpoint, address, call, timeout_s)
+
+
+def make_runner(
+    held: platform.Platform,
+    called: service.PlainService,
+    peers: zmq_peers.ZmqPeers,
+    name: str,
+    peer_address: str,
+    observer: plain_calls.StepObserver | None = None,
+) -> plain_calls.PlainCallRunner:
+  """Makes a runner that waits but shortly for other claimants."""
+  return plain_calls.PlainCallRunner(
+      held,
+      called,
+      peers,
+      name,
+      peer_address,
+      observer=observer,
+      pending_wait_s=0.2,
+  )
+
+
+@click.command()
+@click.option('--platform', 'platform_url', required=True, help='Base URL.')
+@click.option('--service', 'service_address', required=True, help='ip:port.')
+@click.option('--peers', 'peer_address', required=True, help='ip:port.')
+@click.option('--key', required=True, help='Idempotency key.')
+def main(
+    platform_url: str, service_address: str, peer_address: str, key: str
+) -> None:
+  """Runs the call, unless it is killed before."""
+  killer = Killer(os.environ.get(STEP_VARIABLE, ''))
+  held = KillingPlatform(platform_url, '', TIMEOUT_S, 'driver')
+  held.killer = killer
+  peers = zmq_peers.ZmqPeers(peer_address, 'driver')
+  runner = make_runner(
+      held, KillingService(killer), peers, 'driver', peer_address, killer
+  )
+  peers.start()
+  runner.start()
+  hosts = [make_host(service_address)]
+  answer = runner.run(make_call(key), SERVICE, hosts, time.monotonic)
+  print(answer.body.decode())
+  runner.stop()
+  peers.stop()
+
+
+if __name__ == '__main__':
+  main()
--- /dev/null
+++ b/standins/claim_driver_test.py
@@ -0,0 +1,115 @@
+"""Kills a claimant at every step, and repeats its call on another host."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import http_service
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import errors
+from mulberrypick.ops import plain_calls
+from standins import claim_driver
+from standins import launcher
+
+WAIT_S = 60.0
+WORK_S = '0.6'
+
+ANSWERED = 'answered'
+UNKNOWN = 'unknown'
+
+# What the repeat is told, and how often the call has run after it.
+EXPECTED_BY_STEP = {
+    plain_calls.STEP_BEFORE_CLAIM: (ANSWERED, 1),
+    claim_driver.STEP_CLAIM_WRITE: (ANSWERED, 1),
+    claim_driver.STEP_CLAIM_WRITTEN: (UNKNOWN, 0),
+    plain_calls.STEP_CLAIMED: (UNKNOWN, 0),
+    plain_calls.STEP_BEFORE_SEND: (UNKNOWN, 0),
+    claim_driver.STEP_SENDING: (UNKNOWN, 0),
+    claim_driver.STEP_IN_CALL: (UNKNOWN, 1),
+    plain_calls.STEP_ANSWERED: (UNKNOWN, 1),
+    claim_driver.STEP_RECORD_WRITE: (UNKNOWN, 1),
+    claim_driver.STEP_RECORD_WRITTEN: (ANSWERED, 1),
+    plain_calls.STEP_RECORDED: (ANSWERED, 1),
+}
+
+
+class TestKilledClaimant(unittest.TestCase):
+
+  @classmethod
+  def setUpClass(cls):
+    folder = cls.enterClassContext(tempfile.TemporaryDirectory())
+    cls.fleet = cls.enterClassContext(launcher.Fleet(pathlib.Path(folder)))
+    cls.fleet.start_platform()
+    cls.desk = cls.fleet.start_service('desk-1', 0, 'desk', '--work-s', WORK_S)
+
+  def make_runner(self, name, address='127.0.0.1:0'):
+    peers = zmq_peers.ZmqPeers(address, name)
+    url = self.fleet.platform.url
+    held = http_platform.HttpPlatform(url, '', claim_driver.TIMEOUT_S, name)
+    called = http_service.HttpPlainService()
+    if address.endswith(':0'):
+      address = launcher.free_address('127.0.0.1')
+      peers.address = address
+    runner = claim_driver.make_runner(held, called, peers, name, address)
+    peers.start()
+    self.addCleanup(peers.stop)
+    runner.start()
+    self.addCleanup(runner.stop)
+    return runner
+
+  def run_driver(self, key, step, peer_address):
+    """Runs the claimant to its end, and returns its exit status."""
+    command = [sys.executable, '-m', 'standins.claim_driver']
+    command += ['--platform', self.fleet.platform.url, '--key', key]
+    command += ['--service', self.desk.address, '--peers', peer_address]
+    variables = {**os.environ, claim_driver.STEP_VARIABLE: step}
+    done = subprocess.run(
+        command, env=variables, timeout=WAIT_S, capture_output=True
+    )
+    return done.returncode
+
+  def repeat(self, runner, key):
+    """Repeats the call; returns what was told, and the body of the answer."""
+    hosts = [claim_driver.make_host(self.desk.address)]
+    call = claim_driver.make_call(key)
+    try:
+      answer = runner.run(call, claim_driver.SERVICE, hosts, time.monotonic)
+    except errors.RequestError as error:
+      return error.run, b''
+    return ANSWERED, answer.body
+
+  def count_executions(self, key):
+    counts = self.fleet.call(self.desk, 'GET', '/executions')['count_by_key']
+    return counts.get(key, 0)
+
+  def test_a_call_runs_at_most_once_wherever_its_claimant_dies(self):
+    other = self.make_runner('other')
+    for step, expected in EXPECTED_BY_STEP.items():
+      with self.subTest(step):
+        address = launcher.free_address('127.0.0.1')
+        status = self.run_driver(step, step, address)
+        self.assertEqual(-signal.SIGKILL, status)
+        told, body = self.repeat(other, step)
+        self.assertEqual(expected, (told, self.count_executions(step)))
+        # The same again on a host that came up anew at the dead one's address.
+        reborn = self.make_runner('driver', address)
+        self.assertEqual((told, body), self.repeat(reborn, step))
+        self.assertEqual(expected[1], self.count_executions(step))
+
+  def test_a_claimant_that_lives_records_its_answer(self):
+    address = launcher.free_address('127.0.0.1')
+    self.assertEqual(0, self.run_driver('alive', '', address))
+    told, body = self.repeat(self.make_runner('other'), 'alive')
+    self.assertEqual(ANSWERED, told)
+    self.assertIn(b'"key":"alive"', body)
+    self.assertEqual(1, self.count_executions('alive'))
+
+
+if __name__ == '__main__':
+  unittest.main()
