--- a/mulberrypick/ops/claim_task.py
+++ b/mulberrypick/ops/claim_task.py
@@ -89,6 +89,7 @@
       clock: Callable[[], float] = time.monotonic,
       rng: random.Random | None = None,
       writers: int = WRITERS,
+      writes_per_s: float = slot_writer.WRITES_PER_S,
   ):
     self._platform = platform
     self._own_name = own_name
@@ -98,7 +99,7 @@
     self._claim_by_nonce: dict[str, OwnClaim] = {}
     self._is_stopping = threading.Event()
     self.writer = slot_writer.SlotWriter(
-        platform, clock, rng or random.Random(), writers
+        platform, clock, rng or random.Random(), writers, writes_per_s
     )
     self._epoch_thread = threading.Thread(
         target=self._keep_epoch, name='claim-epoch', daemon=True
--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -29,6 +29,7 @@
 from mulberrypick.core import errors
 from mulberrypick.core import records
 from mulberrypick.ops import claim_task
+from mulberrypick.ops import slot_writer
 
 ASK_TIMEOUT_S = 0.3
 # A repeat of a call that is under way waits this long for its answer.
@@ -78,6 +79,7 @@
       observer: StepObserver | None = None,
       rng: random.Random | None = None,
       writers: int = claim_task.WRITERS,
+      writes_per_s: float = slot_writer.WRITES_PER_S,
       ask_timeout_s: float = ASK_TIMEOUT_S,
       pending_wait_s: float = PENDING_WAIT_S,
   ):
@@ -92,6 +94,7 @@
       observer: Is told of each step.
       rng: Source of jitter.
       writers: Threads that write claims.
+      writes_per_s: Rate to which this host keeps its writes of claims.
       ask_timeout_s: Longest wait for a claimant.
       pending_wait_s: Longest wait for the answer of a call under way.
     """
@@ -112,6 +115,7 @@
         own_peer_address,
         rng=self._rng,
         writers=writers,
+        writes_per_s=writes_per_s,
     )
 
   def start(self) -> None:
--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -10,6 +10,10 @@
 failed write costs more of the platform's rate than a read. The entry host
 would also have to hold all recorded answers.
 
+The platform's rate of writes is shared by all entry hosts. Each host keeps to
+a rate of its own, with a small burst; when that is used up, the groups grow
+instead of the number of writes.
+
 After a conflict or a lost answer the slot is read again and the same changes
 are applied again; they are idempotent by nonce. When the platform is away, a
 pause that grows with each failure begins. In it, changes whose caller waits
@@ -37,6 +41,10 @@
 # Pause after the platform was away.
 AWAY_PAUSE_S = 0.25
 MAX_AWAY_PAUSE_S = 2.0
+# Updates of one host, conflicts included: nine hosts stay below the platform's
+# 400 writes a second.
+WRITES_PER_S = 40.0
+WRITE_BURST = 20.0
 # Changes in one update; a bound on the time that one holds its slot.
 MAX_GROUP = 2000
 
@@ -84,6 +92,7 @@
       clock: Callable[[], float],
       rng: random.Random,
       writers: int,
+      writes_per_s: float = WRITES_PER_S,
   ):
     self.groups = 0
     self.changes = 0
@@ -100,6 +109,9 @@
     self._busy_slots: set[int] = set()
     self._ready: queue.SimpleQueue[int | None] = queue.SimpleQueue()
     self._stopped = threading.Event()
+    self._writes_per_s = writes_per_s
+    self._writes_left = WRITE_BURST
+    self._refilled_at = clock()
     self._away_until = 0.0
     self._away_pause_s = AWAY_PAUSE_S
     self._threads = [
@@ -147,6 +159,7 @@
   def _run(self) -> None:
     while (slot := self._ready.get()) is not None:
       self._wait_while_away(slot)
+      self._wait_for_rate()
       with self._lock:
         group = self._waiting_by_slot[slot][:MAX_GROUP]
         del self._waiting_by_slot[slot][:MAX_GROUP]
@@ -169,6 +182,23 @@
       self._fail_passing(slot, pause_s)
       self._stopped.wait(min(pause_s, 0.02))
 
+  def _wait_for_rate(self) -> None:
+    """Waits until this host may write again; changes gather meanwhile."""
+    while (wait_s := self._refill()) > 0 and not self._stopped.is_set():
+      self._stopped.wait(wait_s)
+
+  def _refill(self) -> float:
+    """Returns the seconds until the next write; takes it if there are none."""
+    with self._lock:
+      now = self._clock()
+      added = (now - self._refilled_at) * self._writes_per_s
+      self._writes_left = min(WRITE_BURST, self._writes_left + added)
+      self._refilled_at = now
+      if self._writes_left < 1:
+        return (1 - self._writes_left) / self._writes_per_s
+      self._writes_left -= 1
+      return 0.0
+
   def _fail_passing(self, slot: int, pause_s: float) -> None:
     with self._lock:
       waiting = self._waiting_by_slot[slot]
--- /dev/null
+++ b/standins/bench_claims.py
@@ -0,0 +1,260 @@
+"""Measures what a booking costs the platform, and how many it can carry.
+
+    python -m standins.bench_claims table      # writes for each booking
+    python -m standins.bench_claims budget     # under the platform's own rates
+
+Entry hosts are processes with the real runner, adapter and peers, before the
+stand-in of the platform; the service is a function that takes `WORK_S`. Each
+host has a number of callers in a closed loop, every booking with a new key.
+"One object for each key" is the same code with as many slots as keys.
+"""
+
+import contextlib
+import json
+import pathlib
+import random
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import click
+from hdrh import histogram
+
+from mulberrypick.adapters import http_platform
+from mulberrypick.adapters import service
+from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import claims
+from mulberrypick.core import errors
+from mulberrypick.core import records
+from mulberrypick.ops import plain_calls
+from standins import claim_driver
+from standins import launcher
+
+WORK_S = 0.002
+WARM_UP_S = 1.0
+PLATFORM_TIMEOUT_S = 5.0
+PLATFORM_WRITES_PER_S = 400
+NO_LIMIT = '1000000'
+SLOTS_FOR_EACH_KEY = 2**40
+BODY = b'{"confirmed":true}' + b' ' * 100
+US_PER_S = 1_000_000
+LONGEST_US = 60 * US_PER_S
+
+
+class InstantService(service.PlainService):
+  """A service that answers after a fixed time, without a network."""
+
+  def call(
+      self,
+      endpoint: str,
+      address: str,
+      call: records.PlainCall,
+      timeout_s: float,
+  ) -> records.PlainAnswer:
+    """Runs one call."""
+    time.sleep(WORK_S)
+    return records.PlainAnswer(200, 'application/json', BODY)
+
+
+class Load:
+  """Callers in a closed loop, and what they saw."""
+
+  def __init__(self, runner: plain_calls.PlainCallRunner, name: str):
+    self._runner = runner
+    self._name = name
+    self._lock = threading.Lock()
+    self._latency = histogram.HdrHistogram(1, LONGEST_US, 3)
+    self._refused = 0
+    self._is_counted = False
+    self._is_over = False
+
+  def run(self, callers: int, seconds: float) -> dict[str, float]:
+    """Runs the load, and returns its figures after the warm-up."""
+    threads = [
+        threading.Thread(target=self._book, args=(number,), daemon=True)
+        for number in range(callers)
+    ]
+    for thread in threads:
+      thread.start()
+    time.sleep(WARM_UP_S)
+    self._is_counted = True
+    time.sleep(seconds)
+    self._is_counted = False
+    bookings = self._latency.get_total_count()
+    self._is_over = True
+    return {
+        'bookings': bookings,
+        'refused': self._refused,
+        'p50_ms': self._latency.get_value_at_percentile(50) / 1000,
+        'p99_ms': self._latency.get_value_at_percentile(99) / 1000,
+    }
+
+  def _book(self, number: int) -> None:
+    rng = random.Random(number)
+    hosts = [claim_driver.make_host('none:1')]
+    while not self._is_over:
+      key = f'{self._name}/{number}/{rng.getrandbits(64):x}'
+      call = claim_driver.make_call(key)
+      started_at = time.monotonic()
+      try:
+        self._runner.run(call, claim_driver.SERVICE, hosts, time.monotonic)
+      except errors.RequestError as error:
+        self._refused += self._is_counted
+        time.sleep(min(1.0, error.retry_after_s))
+        continue
+      took_us = int((time.monotonic() - started_at) * US_PER_S)
+      with self._lock:
+        if self._is_counted:
+          self._latency.record_value(took_us)
+
+
+def measure(
+    fleet: launcher.Fleet,
+    entries: int,
+    callers: int,
+    slots: int,
+    seconds: float,
+    writes_per_s: float,
+) -> dict[str, float]:
+  """Runs one line of the table, and returns its figures."""
+  command = [sys.executable, '-m', 'standins.bench_claims', 'entry']
+  command += ['--platform', fleet.platform.url, '--slots', str(slots)]
+  command += ['--callers', str(callers), '--seconds', str(seconds)]
+  command += ['--writes-per-s', str(writes_per_s)]
+  processes = []
+  for number in range(entries):
+    address = launcher.free_address('127.0.0.1')
+    own = ['--name', f'e{number}-{time.time_ns()}', '--peers', address]
+    processes.append(
+        subprocess.Popen(
+            command + own, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+        )
+    )
+  results = [json.loads(process.communicate()[0]) for process in processes]
+  bookings = sum(result['bookings'] for result in results)
+  writes = sum(result['writes'] for result in results)
+  return {
+      'bookings_per_s': bookings / seconds,
+      'writes_per_s': writes / seconds,
+      'writes_per_booking': writes / max(1, bookings),
+      'conflicts': sum(result['conflicts'] for result in results),
+      'refused': sum(result['refused'] for result in results),
+      'p50_ms': max(result['p50_ms'] for result in results),
+      'p99_ms': max(result['p99_ms'] for result in results),
+  }
+
+
+def print_table(lines: list[tuple], flags: tuple[str, ...], seconds: float):
+  """Measures and prints lines of entries, callers, slots and rate."""
+  print(
+      'entries  callers  slots     bookings/s  writes/s  writes/booking'
+      '  carried by 400/s  conflicts  refused  p50 ms  p99 ms'
+  )
+  for entries, callers, slots, rate in lines:
+    with contextlib.ExitStack() as stack:
+      folder = stack.enter_context(tempfile.TemporaryDirectory())
+      fleet = stack.enter_context(launcher.Fleet(pathlib.Path(folder)))
+      fleet.start_platform(*flags)
+      found = measure(fleet, entries, callers, slots, seconds, rate)
+    name = 'each key' if slots == SLOTS_FOR_EACH_KEY else str(slots)
+    carried = PLATFORM_WRITES_PER_S / max(0.001, found['writes_per_booking'])
+    print(
+        f'{entries:7d}  {callers:7d}  {name:8s}'
+        f'  {found["bookings_per_s"]:10.0f}'
+        f'  {found["writes_per_s"]:8.0f}  {found["writes_per_booking"]:14.2f}'
+        f'  {carried:16.0f}  {found["conflicts"]:9d}  {found["refused"]:7d}'
+        f'  {found["p50_ms"]:6.1f}  {found["p99_ms"]:6.1f}',
+        flush=True,
+    )
+
+
+@click.group()
+def main() -> None:
+  """Measures claims."""
+
+
+@main.command()
+@click.option('--seconds', default=4.0, help='Length of each line.')
+@click.option('--entries', default='1,3,8', help='Entry hosts.')
+@click.option('--callers', default='1,16,64', help='Callers of each host.')
+@click.option('--slots', default='0,16', help='Slots; 0 for each key.')
+@click.option('--rate', default=40.0, help='Writes a second of each host.')
+def table(
+    seconds: float, entries: str, callers: str, slots: str, rate: float
+) -> None:
+  """Prints writes for each booking; the platform has no limit."""
+  lines = []
+  for slot_count in map(int, slots.split(',')):
+    for entry_count in map(int, entries.split(',')):
+      for caller_count in map(int, callers.split(',')):
+        # One object for each key gains nothing by waiting.
+        paced = rate if slot_count else float(NO_LIMIT)
+        used = slot_count or SLOTS_FOR_EACH_KEY
+        lines.append((entry_count, caller_count, used, paced))
+  flags = ('--writes-per-s', NO_LIMIT, '--reads-per-s', NO_LIMIT)
+  print_table(lines, flags, seconds)
+
+
+@main.command()
+@click.option('--seconds', default=6.0, help='Length of each line.')
+@click.option('--entries', default=8, help='Entry hosts.')
+@click.option('--callers', default='16,64', help='Callers of each host.')
+@click.option('--slots', default='0,8,16,64', help='Slots; 0 for each key.')
+def budget(seconds: float, entries: int, callers: str, slots: str) -> None:
+  """Prints what comes through under the platform's own rates."""
+  lines = []
+  for slot_count in map(int, slots.split(',')):
+    for caller_count in map(int, callers.split(',')):
+      used = slot_count or SLOTS_FOR_EACH_KEY
+      lines.append((entries, caller_count, used, 40.0))
+  print_table(lines, (), seconds)
+
+
+@main.command()
+@click.option('--platform', 'platform_url', required=True, help='Base URL.')
+@click.option('--name', required=True, help='Name of the host.')
+@click.option('--peers', required=True, help='ip:port.')
+@click.option('--slots', type=int, required=True, help='Slots.')
+@click.option('--callers', type=int, required=True, help='Callers.')
+@click.option('--seconds', type=float, required=True, help='Length.')
+@click.option('--writes-per-s', type=float, required=True, help='Rate.')
+def entry(
+    platform_url: str,
+    name: str,
+    peers: str,
+    slots: int,
+    callers: int,
+    seconds: float,
+    writes_per_s: float,
+) -> None:
+  """Runs one entry host and prints its figures."""
+  claims.SLOT_COUNT = slots
+  held = http_platform.HttpPlatform(platform_url, '', PLATFORM_TIMEOUT_S, name)
+  own_peers = zmq_peers.ZmqPeers(peers, name)
+  runner = plain_calls.PlainCallRunner(
+      held, InstantService(), own_peers, name, peers, writes_per_s=writes_per_s
+  )
+  own_peers.start()
+  runner.start()
+  load = Load(runner, name)
+  writer = runner.claims.writer
+  counted = []
+
+  def count_after_warm_up():
+    time.sleep(WARM_UP_S)
+    counted.append((writer.groups + writer.conflicts, writer.conflicts))
+
+  counter = threading.Thread(target=count_after_warm_up)
+  counter.start()
+  found = load.run(callers, seconds)
+  counter.join()
+  writes, conflicts = counted[0]
+  found['writes'] = writer.groups + writer.conflicts - writes
+  found['conflicts'] = writer.conflicts - conflicts
+  print(json.dumps(found))
+
+
+if __name__ == '__main__':
+  main()
