--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -17,7 +17,8 @@
 After a conflict or a lost answer the slot is read again and the same changes
 are applied again; they are idempotent by nonce. When the platform is away, a
 pause that grows with each failure begins. In it, changes whose caller waits
-are failed at once, and all others stay queued: thus an outage costs few calls,
+are failed at once, and all others stay queued. After it one thread tries the
+platform and the others wait for what it finds: thus an outage costs few calls,
 and its end brings no stampede.
 """
 
@@ -43,6 +44,7 @@
 # Pause after the platform was away.
 AWAY_PAUSE_S = 0.25
 MAX_AWAY_PAUSE_S = 2.0
+AWAY_POLL_S = 0.02
 # Updates of one host, conflicts included: nine hosts stay below the platform's
 # 400 writes a second.
 WRITES_PER_S = 40.0
@@ -120,7 +122,9 @@
     self._writes_per_s = writes_per_s
     self._writes_left = WRITE_BURST
     self._refilled_at = clock()
+    self._is_away = False
     self._away_until = 0.0
+    self._probe = threading.Lock()
     self._away_pause_s = AWAY_PAUSE_S
     self._threads = [
         threading.Thread(target=self._run, name=f'claims-{n}', daemon=True)
@@ -167,11 +171,13 @@
   def _run(self) -> None:
     while (slot := self._ready.get()) is not None:
       if not self._forward_group(slot):
-        self._wait_while_away(slot)
+        is_probe = self._wait_while_away(slot)
         self._wait_for_rate()
         group = self._take_group(slot, MAX_GROUP)
         if group:
           self._write_group(slot, group)
+        if is_probe:
+          self._probe.release()
       self._finish(slot)
 
   def _take_group(self, slot: int, count: int) -> list[Waiting]:
@@ -242,11 +248,21 @@
     if has_more and not self._stopped.is_set():
       self._ready.put(slot)
 
-  def _wait_while_away(self, slot: int) -> None:
-    """Waits for the end of the pause, failing what can't wait."""
-    while (pause_s := self.get_pause_s()) > 0 and not self._stopped.is_set():
-      self._fail_passing(slot, pause_s)
-      self._stopped.wait(min(pause_s, 0.02))
+  def _wait_while_away(self, slot: int) -> bool:
+    """Waits for the platform, failing what can't wait.
+
+    Returns:
+      Whether this thread is the one that tries whether the platform is back;
+      it has to release `_probe` afterwards.
+    """
+    while self._is_away and not self._stopped.is_set():
+      pause_s = self.get_pause_s()
+      if pause_s <= 0 and self._probe.acquire(blocking=False):
+        return True
+      if pause_s > 0:
+        self._fail_passing(slot, pause_s)
+      self._stopped.wait(AWAY_POLL_S)
+    return False
 
   def _wait_for_rate(self) -> None:
     """Waits until this host may write again; changes gather meanwhile."""
@@ -296,6 +312,7 @@
         may_stand = True
         self._note_away(errors.PlatformUnavailableError(repr(error)))
         break
+      self._is_away = False
       self._away_pause_s = AWAY_PAUSE_S
       self.changes += len(group)
       for waiting, outcome in zip(group, outcomes, strict=True):
@@ -334,6 +351,7 @@
     pause_s = self._rng.uniform(0.5, 1.0) * self._away_pause_s
     pause_s = max(pause_s, error.retry_after_s)
     self._away_until = self._clock() + pause_s
+    self._is_away = True
     self._away_pause_s = min(MAX_AWAY_PAUSE_S, 2 * self._away_pause_s)
     logs.log_event(
         log,
