--- a/mulberrypick/adapters/zmq_peers.py
+++ b/mulberrypick/adapters/zmq_peers.py
@@ -6,6 +6,10 @@
 is unbounded and no message outlives its time: a DEALER takes messages only
 while it is connected (`IMMEDIATE`), what waits for a connection is kept here
 with a deadline, and a question that was given up on is never sent late.
+
+Broken connections are found by TCP: data that is not acknowledged in time ends
+the connection, and keepalive ends idle ones. ZeroMQ's own heartbeats were ruled
+out: sent each second on each connection, they cost far more than the messages.
 """
 
 import collections
@@ -29,8 +33,10 @@
 MAX_MESSAGE_BYTES = 4_000_000
 TELL_LIFETIME_S = 1.0
 IDLE_CLOSE_S = 60.0
-HEARTBEAT_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 3000
+UNACKNOWLEDGED_MS = 3000
+KEEPALIVE_IDLE_S = 60
+KEEPALIVE_INTERVAL_S = 10
+KEEPALIVE_PROBES = 3
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
 POLL_MS = 100
@@ -190,8 +196,11 @@
     zmq_socket.setsockopt(zmq.SNDHWM, self._high_water_mark)
     zmq_socket.setsockopt(zmq.RCVHWM, self._high_water_mark)
     zmq_socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
-    zmq_socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-    zmq_socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    zmq_socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_MS)
+    zmq_socket.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    zmq_socket.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S)
+    zmq_socket.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+    zmq_socket.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES)
     zmq_socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     zmq_socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
     zmq_socket.setsockopt(zmq.IMMEDIATE, 1)
--- a/mulberrypick/core/config_election.py
+++ b/mulberrypick/core/config_election.py
@@ -13,7 +13,7 @@
 TASK = 'config-watch'
 WATCHERS_PER_ZONE = 2
 BEACON_S = 2.0
-BEACON_S_PER_HOST = 0.1
+BEACON_S_PER_HOST = 0.25
 MISSED_BEACONS = 3
 
 
--- a/mulberrypick/ops/config_task.py
+++ b/mulberrypick/ops/config_task.py
@@ -6,10 +6,12 @@
 one bounded queue.
 
 News spread by two ways that mend each other. Who adopts a generation tells a
-few random peers at once, and every second each process tells one random peer
-which generation it holds; a peer that knows better answers, one that knows
-less asks. Parts come from whoever told, so that an outage of the platform
-right after an acceptance stops nothing once a single host has read it.
+few partners at once, and every second each process tells one of them which
+generation it holds; a peer that knows better answers, one that knows less asks.
+Partners are few, random, and replaced one at a time, so that connections stay
+few however many hosts there are. Parts come from whoever told, so that an
+outage of the platform right after an acceptance stops nothing once a single
+host has read it.
 """
 
 import collections
@@ -38,7 +40,8 @@
 
 KIND_TOLD = 'config.told'
 KIND_HEAD = 'config.head'
-FAN_OUT = 4
+PARTNERS = 4
+PARTNER_ROTATION_S = 30.0
 START_FAN_OUT = 8
 DIGEST_INTERVAL_S = 1.0
 TICK_S = 0.1
@@ -127,6 +130,8 @@
     self._is_ready = False
     self._informed_at = None
     self._digest_at = 0.0
+    self._rotate_at = 0.0
+    self._partners = []
     self._beacon_at = 0.0
     self._adopted = 0
     self._fetched = collections.Counter()
@@ -289,7 +294,7 @@
     self._adopted += 1
     self._log_event('config_adopted')
     self._publish(adopted)
-    for address in self._sample(self._list_peers(), FAN_OUT):
+    for address in self._partners:
       self._tell(address)
 
   def _tick(self, now: float) -> None:
@@ -306,14 +311,26 @@
         self._tell(address)
 
   def _send_digests(self, now: float) -> None:
+    self._choose_partners(now)
     if self._is_ready:
-      interval_s, count = DIGEST_INTERVAL_S, 1
+      interval_s, chosen = DIGEST_INTERVAL_S, self._sample(self._partners, 1)
     else:
-      interval_s, count = START_ASK_INTERVAL_S, START_FAN_OUT
+      interval_s = START_ASK_INTERVAL_S
+      chosen = self._sample(self._list_peers(), START_FAN_OUT)
     self._digest_at = now + interval_s * self._random.uniform(0.8, 1.2)
-    for address in self._sample(self._list_peers(), count):
+    for address in chosen:
       self._tell(address, is_question=not self._is_ready)
 
+  def _choose_partners(self, now: float) -> None:
+    """Drops partners that left and, now and then, one of the others."""
+    known = set(self._list_peers()) - {self._own_address}
+    kept = [address for address in self._partners if address in known]
+    if now >= self._rotate_at:
+      self._rotate_at = now + PARTNER_ROTATION_S
+      kept = kept[1:]
+    wanted = PARTNERS - len(kept)
+    self._partners = kept + self._sample(list(known - set(kept)), wanted)
+
   def _tell(self, address: str, is_question: bool = False) -> None:
     generation = self.generation if self._is_ready else UNREADY_GENERATION
     told = Told(
--- a/standins/bench_config.py
+++ b/standins/bench_config.py
@@ -10,7 +10,9 @@
 """
 
 import pathlib
+import re
 import statistics
+import subprocess
 import tempfile
 import time
 
@@ -34,6 +36,8 @@
 POLL_S = 0.05
 IDLE_S = 20.0
 OUTAGE_S = 10.0
+# IP and TCP with timestamps.
+HEADER_BYTES = 52
 CHANGES_A_DAY = 6000
 DAY_S = 86_400.0
 
@@ -66,6 +70,36 @@
   return config.format_config(deployment.build())
 
 
+_SOCKET_PID = re.compile(r'pid=(\d+)')
+_SOCKET_COUNT = re.compile(
+    r'(bytes_sent|bytes_received|segs_out|segs_in):(\d+)'
+)
+
+
+def read_wire_bytes(pids: set[int]) -> dict[int, int]:
+  """Reads what the kernel counts for the open TCP connections of processes.
+
+  Args:
+    pids: The processes.
+
+  Returns:
+    Bytes sent and received by each process, with a header for each segment.
+    Connections that were closed are not in it any more.
+  """
+  listed = subprocess.run(
+      ['ss', '-tinpOH'], capture_output=True, text=True, check=True
+  )
+  bytes_by_pid = dict.fromkeys(pids, 0)
+  for line in listed.stdout.splitlines():
+    found = _SOCKET_PID.search(line)
+    if not found or int(found.group(1)) not in pids:
+      continue
+    for name, count in _SOCKET_COUNT.findall(line):
+      unit = HEADER_BYTES if name.startswith('segs') else 1
+      bytes_by_pid[int(found.group(1))] += unit * int(count)
+  return bytes_by_pid
+
+
 class Bench:
   """A platform, some daemons, and an operator who applies changes."""
 
@@ -286,7 +320,7 @@
 @click.option('--changes', default=20)
 def slopes(sizes: str, idle_s: float, changes: int) -> None:
   """Bytes, calls, processor time and memory by the number of daemons."""
-  print('daemons  watch  idle B/s  idle cpu%  calls/s  B/change  MB')
+  print('daemons  watch  idle B/s  wire B/s  idle cpu%  calls/s  B/change  MB')
   for size in map(int, sizes.split(',')):
     with Bench(size) as bench:
       time.sleep(8.0)
@@ -297,7 +331,12 @@
   size = len(bench.hosts)
   before = [bench.report(host) for host in bench.hosts]
   calls = _count_calls(bench)
+  pids = {
+      bench.fleet.program_by_name[host.name].process.pid for host in bench.hosts
+  }
+  wire = read_wire_bytes(pids)
   time.sleep(idle_s)
+  wire_after = read_wire_bytes(pids)
   idle = [bench.report(host) for host in bench.hosts]
   calls = _count_calls(bench) - calls
   started_at = time.monotonic()
@@ -319,7 +358,9 @@
   )
   print(
       f'{size:7}  {sum(r.is_watching for r in idle):5}'
-      f'  {max(idle_bytes) / idle_s:8.0f}  {100 * cpu_s / idle_s:9.2f}'
+      f'  {max(idle_bytes) / idle_s:8.0f}'
+      f'  {max(wire_after[p] - wire[p] for p in pids) / idle_s:8.0f}'
+      f'  {100 * cpu_s / idle_s:9.2f}'
       f'  {calls / idle_s:7.2f}  {per_change:8.0f}'
       f'  {max(r.resident_bytes for r in after) / 1e6:.1f}',
       flush=True,
