Routing looks at the prefixes that endpoints hold

Cause: reading sets are shared by circles, and each prompt was prefilled whole. Change: blocks known from own sends and cache events, bounded to 60,000 entries; an endpoint that holds a prefix is weighed beside the sample, by the prefill that it saves. predicted-time-without-cache is the baseline. Ruled out: always going where the prefix is; a batch of 100 there costs more than the prefill of 3,000 tokens (routing_test).

--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -19,6 +19,7 @@
 from mulberrypick.core import journal
 from mulberrypick.core import load
 from mulberrypick.core import messages
+from mulberrypick.core import placement
 from mulberrypick.core import quarantine
 from mulberrypick.core import records
 from mulberrypick.core import retry_budget
@@ -76,16 +77,14 @@
       seed: int = 1,
   ):
     self._own_name = own_name
-    self._own_zone = own_zone
-    self._router = router
     self._admission = admission
-    self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
-    self._strictest_s = 0.0
     self._part_at = 0.0
-    self._entries = 1
     self._fleet = fleet.Fleet()
     self._cost = cost.CostModel()
+    self._placement = placement.Placement(
+        own_zone, router, self._fleet, self._cost, random.Random(seed)
+    )
     self._attempts = attempts.Attempts()
     self._isolation = isolation.Isolation(own_name)
     self._retry_budget = retry_budget.RetryBudget()
@@ -100,6 +99,7 @@
         messages.HostsSeen: self._hosts_seen,
         messages.ReportSeen: self._report_seen,
         messages.PeerSeen: self._peer_seen,
+        messages.CacheSeen: self._cache_seen,
         messages.Tick: self._tick,
     }
 
@@ -162,6 +162,7 @@
         now,
         _is_again(message),
         fingerprint(request),
+        self._placement.hash_prompt(request),
     )
     if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
       held = isolation.Held(queue, waiting)
@@ -247,6 +248,12 @@
       tokens = waiting.next_index + message.tokens
       self._cost.see_output(waiting.request, tokens)
       self._isolation.quarantine.see_whole(waiting.fingerprint)
+      self._placement.see_answer(
+          message.endpoint,
+          waiting,
+          message.prompt_tokens,
+          message.cached_tokens,
+      )
     if message.outcome == messages.OUTCOME_FAILED:
       self._attempts.see_failure(message.request_id)
       has_token = has_token or message.tokens > 0
@@ -260,7 +267,7 @@
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
-    self._strictest_s = _strictest_between(message.config)
+    self._placement.configure(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
@@ -292,6 +299,11 @@
     self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
+  def _cache_seen(self, message, now):
+    del now
+    self._placement.see_cache(message.endpoint, message.stored, message.evicted)
+    return []
+
   def _tick(self, message, now):
     del message
     self._part(now)
@@ -302,7 +314,8 @@
     return effects + self._pump_all(now) + self._pump_held(now)
 
   def _set_capacities(self) -> None:
-    self._entries = entries = self._fleet.entry_count()
+    entries = self._fleet.entry_count()
+    self._placement.entries = entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
@@ -383,8 +396,7 @@
     names = [known.name for known in pool.all]
     busy = self._attempts.suspect_endpoints()
     excluded = self._isolation.excluded(held, names, busy, now)
-    ask = self._make_ask(held.queue, waiting, 1.0, excluded)
-    chosen = self._pick(ask, pool, now)
+    chosen = self._placement.find(held.queue, waiting, 1.0, excluded, now)
     if chosen is None:
       return None
     is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
@@ -399,39 +411,7 @@
       # Better an endpoint that it was on before than none at all.
       excluded = ()
     room = self._admission.room(queue, waiting, now)
-    ask = self._make_ask(queue, waiting, room, excluded)
-    return self._pick(ask, pool, now)
-
-  def _pick(
-      self, ask: routing.Ask, pool: load.Pool, now: float
-  ) -> load.EndpointLoad | None:
-    if not pool.all:
-      return None
-    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
-
-  def _make_ask(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      room: float,
-      excluded: tuple[str, ...],
-  ) -> routing.Ask:
-    request = waiting.request
-    rank = self._config.rank_by_name.get(request.rank)
-    return routing.Ask(
-        rank is not None and rank.is_urgent,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.output_tokens,
-        waiting.cost.pieces,
-        rank.between_tokens_s if rank is not None else 0.0,
-        self._strictest_s,
-        waiting.cost.stretch_s,
-        self._cost.speeds(queue),
-        self._entries,
-        room,
-        (),
-        excluded,
-    )
+    return self._placement.find(queue, waiting, room, excluded, now)
 
   def _is_urgent(self, request: records.InferenceRequest) -> bool:
     rank = self._config.rank_by_name.get(request.rank)
@@ -454,16 +434,19 @@
         waiting.next_index,
         PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
     )
+    prompt_tokens = max(1, request.prompt_tokens + waiting.next_index)
+    cached = self._placement.cached_tokens(chosen.name, waiting.blocks)
     sent = load.Sent(
         attempt.attempt_id,
         is_urgent,
         waiting.cost.engine_s,
-        request.prompt_tokens + waiting.next_index,
+        max(1, prompt_tokens - cached),
         waiting.cost.pieces,
-        waiting.cost.stretch_s,
+        waiting.cost.stretch_s * max(0.0, 1.0 - cached / prompt_tokens),
         now,
     )
     chosen.add(sent)
+    self._placement.see_start(chosen.name, waiting)
     running = attempts.Running(waiting, queue, attempt, is_suspect)
     self._attempts.add(running)
     self._journal.note(
@@ -490,12 +473,3 @@
 def _is_again(message: messages.Submit) -> bool:
   """Tells whether a request was sent to an endpoint before."""
   return bool(message.next_index or message.failed_endpoints)
-
-
-def _strictest_between(config: records.Config) -> float:
-  """Returns the strictest target of the time between tokens, 0 for none."""
-  targets = []
-  for rank in config.rank_by_name.values():
-    if rank.between_tokens_s > 0.0:
-      targets.append(rank.between_tokens_s)
-  return min(targets, default=0.0)
--- a/mulberrypick/core/fleet.py
+++ b/mulberrypick/core/fleet.py
@@ -243,7 +243,8 @@
     bulk = [known for known in loads if known.name not in names]
     for known in loads:
       known.is_quiet = known.name in names
-    return load.Pool(loads, quiet, bulk)
+    all_names = frozenset(known.name for known in loads)
+    return load.Pool(loads, quiet, bulk, all_names)
 
 
 def _offers(report: records.EngineReport) -> tuple:
--- a/mulberrypick/core/load.py
+++ b/mulberrypick/core/load.py
@@ -66,11 +66,13 @@
     all: All of them.
     quiet: Those that are kept free of long prompts.
     bulk: The others.
+    names: Names of all of them.
   """
 
   all: list['EndpointLoad']
   quiet: list['EndpointLoad']
   bulk: list['EndpointLoad']
+  names: frozenset[str] = frozenset()
 
 
 class EndpointLoad:
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -112,6 +112,20 @@
   booked: dict[int, float] = {}
 
 
+class CacheSeen(NamedTuple):
+  """Cache events of an engine, in the order of their numbers.
+
+  Attributes:
+    endpoint: The engine.
+    stored: Blocks that it stored.
+    evicted: Blocks that it evicted.
+  """
+
+  endpoint: str
+  stored: tuple[int, ...]
+  evicted: tuple[int, ...]
+
+
 class Tick(NamedTuple):
   """Time passed; sent every 20 ms or so while requests wait."""
 
@@ -125,6 +139,7 @@
     | HostsSeen
     | ReportSeen
     | PeerSeen
+    | CacheSeen
     | Tick
 )
 
--- /dev/null
+++ b/mulberrypick/core/prefix_cache.py
@@ -0,0 +1,110 @@
+"""Which endpoints are likely to hold a prompt's prefix in their cache.
+
+Known from what this host sent itself, and from the cache events of engines,
+which come late and with gaps. So it is only a guess, bounded in size: a wrong
+one costs a prefill that was thought to be saved, and is dropped when an engine
+says with its answer that nothing was in its cache.
+
+The hash of a block is chained, so that one look-up of the deepest known block
+tells how much of the prompt is there.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import xxhash
+
+BLOCK_TOKENS = 16
+BLOCKS_MOST = 256
+HASH_BYTES = 8
+# Entries over all endpoints; an entry is one block on one endpoint.
+ENTRIES_KEPT = 60000
+# Endpoints that one decision looks at.
+WARM_MOST = 3
+
+
+def hash_blocks(model: str, adapter: str, prompt: str) -> tuple[int, ...]:
+  """Hashes the full blocks of a prompt, each chained to the one before.
+
+  Args:
+    model: Name of the model.
+    adapter: Name of the adapter, empty for none.
+    prompt: The prompt; a word counts as a token.
+
+  Returns:
+    One hash for each of the first `BLOCKS_MOST` full blocks.
+  """
+  words = prompt.split(None, BLOCK_TOKENS * BLOCKS_MOST)
+  words = words[: BLOCK_TOKENS * BLOCKS_MOST]
+  previous = xxhash.xxh64_intdigest(f'{model}|{adapter}'.encode())
+  hashes = []
+  for start in range(0, len(words) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
+    block = '\x1f'.join(words[start : start + BLOCK_TOKENS])
+    head = previous.to_bytes(HASH_BYTES, 'big')
+    previous = xxhash.xxh64_intdigest(head + block.encode())
+    hashes.append(previous)
+  return tuple(hashes)
+
+
+class PrefixCache:
+  """Blocks by endpoint, the longest unused of which are forgotten."""
+
+  def __init__(self, entries_kept: int = ENTRIES_KEPT):
+    self._entries_kept = entries_kept
+    self._entries: collections.OrderedDict[tuple[int, str], None] = (
+        collections.OrderedDict()
+    )
+    self._endpoints_by_block: dict[int, set[str]] = {}
+
+  def store(self, endpoint: str, blocks: Iterable[int]) -> None:
+    """Notes that an endpoint holds blocks."""
+    for block in blocks:
+      entry = (block, endpoint)
+      if entry in self._entries:
+        self._entries.move_to_end(entry)
+        continue
+      self._entries[entry] = None
+      self._endpoints_by_block.setdefault(block, set()).add(endpoint)
+    while len(self._entries) > self._entries_kept:
+      (block, old), _ = self._entries.popitem(last=False)
+      self._drop_endpoint(block, old)
+
+  def evict(self, endpoint: str, blocks: Iterable[int]) -> None:
+    """Notes that an endpoint does not hold blocks any more."""
+    for block in blocks:
+      if (block, endpoint) in self._entries:
+        del self._entries[(block, endpoint)]
+        self._drop_endpoint(block, endpoint)
+
+  def find(self, blocks: tuple[int, ...]) -> dict[str, int]:
+    """Finds the endpoints that hold most of a prompt.
+
+    Args:
+      blocks: Hashes of the prompt's blocks.
+
+    Returns:
+      Tokens in the cache by endpoint, for a few endpoints.
+    """
+    low, high = 0, len(blocks)
+    # Blocks are stored from the front, so that known ones come first.
+    while low < high:
+      middle = (low + high) // 2
+      if blocks[middle] in self._endpoints_by_block:
+        low = middle + 1
+      else:
+        high = middle
+    if low == 0:
+      return {}
+    endpoints = sorted(self._endpoints_by_block[blocks[low - 1]])
+    tokens = low * BLOCK_TOKENS
+    return dict.fromkeys(endpoints[:WARM_MOST], tokens)
+
+  def __len__(self) -> int:
+    """Returns the number of entries."""
+    return len(self._entries)
+
+  def _drop_endpoint(self, block: int, endpoint: str) -> None:
+    endpoints = self._endpoints_by_block[block]
+    endpoints.discard(endpoint)
+    if not endpoints:
+      del self._endpoints_by_block[block]
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -6,6 +6,7 @@
 """
 
 import abc
+import functools
 import random
 from typing import NamedTuple
 
@@ -27,7 +28,8 @@
     speeds: Speeds of the engines.
     entries: Entry hosts that share the endpoints.
     room: Part of an endpoint's room that it may fill, 0 to 1.
-    blocks: Hashes of the prompt's blocks, chained; may be empty.
+    warm: Endpoints that are thought to hold tokens of the prompt, with their
+      number.
     excluded: Names of endpoints that must not run it.
   """
 
@@ -41,7 +43,7 @@
   speeds: cost.Speeds
   entries: int
   room: float
-  blocks: tuple[int, ...]
+  warm: tuple[tuple[load.EndpointLoad, int], ...]
   excluded: tuple[str, ...]
 
 
@@ -51,7 +53,13 @@
 
 
 class Router(abc.ABC):
-  """Picks an endpoint for a request."""
+  """Picks an endpoint for a request.
+
+  Attributes:
+    uses_cache: Whether it looks at the prefixes that endpoints hold.
+  """
+
+  uses_cache = False
 
   @abc.abstractmethod
   def pick(
@@ -135,6 +143,9 @@
   stay in bounds. Long prompts stay off the quiet endpoints.
   """
 
+  def __init__(self, uses_cache: bool = True):
+    self.uses_cache = uses_cache
+
   def pick(self, ask, pool, own_zone, now, rng):
     """Returns the endpoint with the least predicted time, or None."""
     prefill_s = ask.prompt_tokens / ask.speeds.prefill_tokens_per_s
@@ -149,23 +160,33 @@
 
   def _pick_from(self, ask, candidates, own_zone, now, rng):
     best, best_s = None, 0.0
+    kinds = {candidate.is_quiet for candidate in candidates[:1]}
+    for candidate, cached in ask.warm:
+      if candidate.is_quiet not in kinds:
+        continue
+      time_s = self._time(ask, candidate, cached, own_zone, now)
+      if time_s is not None and (best is None or time_s < best_s):
+        best, best_s = candidate, time_s
     tries = min(SAMPLE_MOST, len(candidates))
     for number, candidate in enumerate(rng.sample(candidates, tries)):
       if number >= SAMPLE and best is not None:
         break
-      if not is_usable(candidate, ask, now):
-        continue
-      time_s = self._predict(ask, candidate, now)
-      if time_s is None:
-        continue
-      if candidate.zone != own_zone:
-        time_s += OTHER_ZONE_S
-      if best is None or time_s < best_s:
+      time_s = self._time(ask, candidate, 0, own_zone, now)
+      if time_s is not None and (best is None or time_s < best_s):
         best, best_s = candidate, time_s
     return best
 
+  def _time(self, ask, candidate, cached, own_zone, now):
+    """Predicts the time on an endpoint, or None if it is out."""
+    if not is_usable(candidate, ask, now):
+      return None
+    time_s = self._predict(ask, candidate, cached, now)
+    if time_s is not None and candidate.zone != own_zone:
+      time_s += OTHER_ZONE_S
+    return time_s
+
   def _predict(
-      self, ask: Ask, candidate: load.EndpointLoad, now: float
+      self, ask: Ask, candidate: load.EndpointLoad, cached: int, now: float
   ) -> float | None:
     """Predicts the time to the whole answer, or None for want of room."""
     speeds = ask.speeds
@@ -173,7 +194,7 @@
     prefill_tokens = others.prefill_tokens + candidate.prefill_sent
     running = candidate.in_flight + others.running
     running += others.prefill_tokens / max(1, ask.prompt_tokens)
-    between_s = _predict_between(ask, candidate, running)
+    between_s = _predict_between(ask, candidate, running, cached)
     if not _is_on_target(ask, candidate, running, between_s):
       return None
     taken = candidate.pieces_sent + others.pieces + ask.pieces
@@ -191,12 +212,12 @@
       return None
     if ask.is_urgent and candidate.is_quiet:
       ahead += others.prefill_tokens
-    tokens = ahead + ask.prompt_tokens
+    tokens = ahead + max(1, ask.prompt_tokens - cached)
     return tokens / speeds.prefill_tokens_per_s + ask.output_tokens * between_s
 
 
 def _predict_between(
-    ask: Ask, candidate: load.EndpointLoad, running: float
+    ask: Ask, candidate: load.EndpointLoad, running: float, cached: int
 ) -> float:
   """Predicts the mean time between tokens with the request in the batch.
 
@@ -204,11 +225,13 @@
   of its output tokens, so that the prefill of all of them stretches a step by
   the sum of their seconds for each output token.
   """
-  stretch_s = candidate.stretch_sent_s + ask.stretch_s
+  stretch_s = candidate.stretch_sent_s
   unknown = running - candidate.in_flight
   if unknown > 0.0:
-    mean_s = stretch_s / (candidate.in_flight + 1)
+    mean_s = (stretch_s + ask.stretch_s) / (candidate.in_flight + 1)
     stretch_s += unknown * mean_s
+  own_part = max(0.0, 1.0 - cached / max(1, ask.prompt_tokens))
+  stretch_s += ask.stretch_s * own_part
   return ask.speeds.step_s(running + 1.0) + stretch_s
 
 
@@ -228,6 +251,9 @@
     'round-robin': RoundRobinRouter,
     'least-in-flight': LeastInFlightRouter,
     'predicted-time': PredictedTimeRouter,
+    'predicted-time-without-cache': functools.partial(
+        PredictedTimeRouter, uses_cache=False
+    ),
 }
 
 
--- a/mulberrypick/core/routing_test.py
+++ b/mulberrypick/core/routing_test.py
@@ -6,8 +6,10 @@
 from mulberrypick.core import cost
 from mulberrypick.core import load
 from mulberrypick.core import partition
+from mulberrypick.core import prefix_cache
 from mulberrypick.core import records
 from mulberrypick.core import routing
+from standins import answers
 
 SPEEDS = cost.Speeds(4000.0, 0.02, 0.001, 8.0)
 
@@ -106,6 +108,42 @@
     self.assertEqual('resting', pick(ask, [resting, failed], now=6.0))
 
 
+class TestPrefix(unittest.TestCase):
+
+  def test_a_cached_prefix_is_worth_a_little_queue_but_not_a_long_one(self):
+    warm, cold = make_load('warm', running=1), make_load('cold')
+    ask = make_ask(prompt=3000, warm=((warm, 2800),))
+    self.assertEqual('warm', pick(ask, [warm, cold]))
+    busy = make_load('busy', running=100)
+    ask = make_ask(prompt=3000, warm=((busy, 2800),))
+    self.assertEqual('cold', pick(ask, [busy, cold]))
+
+  def test_the_deepest_known_block_counts(self):
+    cache = prefix_cache.PrefixCache()
+    shared = ' '.join(f'w{number}' for number in range(64))
+    first = prefix_cache.hash_blocks('m', '', shared + ' a' * 32)
+    second = prefix_cache.hash_blocks('m', '', shared + ' b' * 32)
+    self.assertEqual(6, len(first))
+    self.assertEqual(first[:4], second[:4])
+    cache.store('e1', first)
+    self.assertEqual({'e1': 64}, cache.find(second))
+    self.assertEqual({'e1': 96}, cache.find(first))
+    cache.evict('e1', first)
+    self.assertEqual({}, cache.find(second))
+
+  def test_hashes_are_those_of_the_engines(self):
+    prompt = ' '.join(f'w{number}' for number in range(40))
+    expected = answers.block_hashes('m', 'x', prompt.split(), 16)
+    self.assertEqual(
+        tuple(expected), prefix_cache.hash_blocks('m', 'x', prompt)
+    )
+
+  def test_memory_is_bounded(self):
+    cache = prefix_cache.PrefixCache(entries_kept=10)
+    cache.store('e1', range(100))
+    self.assertEqual(10, len(cache))
+
+
 class TestOthers(unittest.TestCase):
 
   def test_own_work_is_taken_off_a_report(self):
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -26,6 +26,7 @@
     is_again: Whether it ran before; such a request is never refused here for
       want of room.
     fingerprint: Hash of its content.
+    blocks: Hashes of the prompt's blocks, chained; may be empty.
   """
 
   request: records.InferenceRequest
@@ -35,6 +36,7 @@
   queued_at: float
   is_again: bool
   fingerprint: int
+  blocks: tuple[int, ...] = ()
 
 
 class Refusal(NamedTuple):
--- a/standins/bench_policy.py
+++ b/standins/bench_policy.py
@@ -33,6 +33,7 @@
     'round-robin': ('round-robin', 'first-come'),
     'least': ('least-in-flight', 'first-come'),
     'product': ('predicted-time', 'ranked-fair'),
+    'no-cache': ('predicted-time-without-cache', 'ranked-fair'),
 }
 ENGINE_FLAGS = (
     '--models',
@@ -45,6 +46,8 @@
     '0.002',
 )
 SHARE_BY_TENANT = {'prevoz': 0.4, 'kumamoto': 0.3, 'yard': 0.2, 'mill': 0.1}
+# Reading sets, each shared by a circle.
+SETS = 6
 FLOODER = 'mill'
 BETWEEN_BY_RANK = {'urgent': 0.12, 'other': 0.3}
 FIRST_BY_RANK = {'urgent': 0.6, 'other': 4.0}
@@ -71,6 +74,7 @@
     'question': Shape('urgent', (40, 80), (30, 50), 0.2),
     'summary': Shape('other', (1500, 2500), (30, 50), 0.95),
     'guide': Shape('other', (60, 100), (90, 150), 0.57),
+    'set': Shape('other', (1500, 2500), (30, 50), 0.95),
     'crasher': Shape('other', (40, 60), (20, 20), 0.1),
 }
 
@@ -138,6 +142,7 @@
     'lag': Scenario(
         ((10.0, PROMPTS), (10.0, OUTPUTS)), ('--load-lag-s', '3.0')
     ),
+    'prefix': Scenario(((20.0, (Part('question', 1.5), Part('set', 7.0))),)),
     'crasher': Scenario(((24.0, STEADY),), crashers=True),
 }
 
@@ -164,6 +169,8 @@
               prompt_tokens=shape.prompt_tokens,
               output_tokens=shape.output_tokens,
               max_tokens=256,
+              prefix_tokens=1400 if name == 'set' else 0,
+              groups=SETS,
           )
       )
   return classes
@@ -354,14 +361,17 @@
   """Returns what the engines did, and how much of it was for nothing."""
   work = []
   tokens = 0
+  prefill_tokens = 0
   for counted in calls.values():
     if counted is None:
       continue
     tokens += counted['tokens']
+    prefill_tokens += counted['prefill_tokens']
     work.append(counted['prefill_tokens'] / 3000 + counted['tokens'] * 0.005)
   useful = sum(r.tokens for r in results if is_good(r))
   return {
       'engines_gone': sum(1 for counted in calls.values() if counted is None),
+      'prefill_tokens': prefill_tokens,
       'wasted_tokens': max(0, tokens - useful),
       'max_min_load': round(max(work) / max(0.001, min(work)), 2),
   }
