--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -13,13 +13,13 @@
 
 from mulberrypick.core import attempts
 from mulberrypick.core import cost
+from mulberrypick.core import endpoint_choice
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
 from mulberrypick.core import isolation
 from mulberrypick.core import journal
 from mulberrypick.core import load
 from mulberrypick.core import messages
-from mulberrypick.core import placement
 from mulberrypick.core import quarantine
 from mulberrypick.core import records
 from mulberrypick.core import retry_budget
@@ -82,7 +82,7 @@
     self._part_at = 0.0
     self._fleet = fleet.Fleet()
     self._cost = cost.CostModel()
-    self._placement = placement.Placement(
+    self._choice = endpoint_choice.EndpointChoice(
         own_zone, router, self._fleet, self._cost, random.Random(seed)
     )
     self._attempts = attempts.Attempts()
@@ -162,7 +162,7 @@
         now,
         _is_again(message),
         fingerprint(request),
-        self._placement.hash_prompt(request),
+        self._choice.hash_prompt(request),
     )
     if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
       held = isolation.Held(queue, waiting)
@@ -248,7 +248,7 @@
       tokens = waiting.next_index + message.tokens
       self._cost.see_output(waiting.request, tokens)
       self._isolation.quarantine.see_whole(waiting.fingerprint)
-      self._placement.see_answer(
+      self._choice.see_answer(
           message.endpoint,
           waiting,
           message.prompt_tokens,
@@ -267,7 +267,7 @@
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
-    self._placement.configure(message.config)
+    self._choice.configure(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
@@ -301,7 +301,7 @@
 
   def _cache_seen(self, message, now):
     del now
-    self._placement.see_cache(message.endpoint, message.stored, message.evicted)
+    self._choice.see_cache(message.endpoint, message.stored, message.evicted)
     return []
 
   def _tick(self, message, now):
@@ -315,7 +315,7 @@
 
   def _set_capacities(self) -> None:
     entries = self._fleet.entry_count()
-    self._placement.entries = entries
+    self._choice.entries = entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
@@ -396,7 +396,7 @@
     names = [known.name for known in pool.all]
     busy = self._attempts.suspect_endpoints()
     excluded = self._isolation.excluded(held, names, busy, now)
-    chosen = self._placement.find(held.queue, waiting, 1.0, excluded, now)
+    chosen = self._choice.find(held.queue, waiting, 1.0, excluded, now)
     if chosen is None:
       return None
     is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
@@ -411,7 +411,7 @@
       # Better an endpoint that it was on before than none at all.
       excluded = ()
     room = self._admission.room(queue, waiting, now)
-    return self._placement.find(queue, waiting, room, excluded, now)
+    return self._choice.find(queue, waiting, room, excluded, now)
 
   def _is_urgent(self, request: records.InferenceRequest) -> bool:
     rank = self._config.rank_by_name.get(request.rank)
@@ -435,7 +435,7 @@
         PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
     )
     prompt_tokens = max(1, request.prompt_tokens + waiting.next_index)
-    cached = self._placement.cached_tokens(chosen.name, waiting.blocks)
+    cached = self._choice.cached_tokens(chosen.name, waiting.blocks)
     sent = load.Sent(
         attempt.attempt_id,
         is_urgent,
@@ -446,7 +446,7 @@
         now,
     )
     chosen.add(sent)
-    self._placement.see_start(chosen.name, waiting)
+    self._choice.see_start(chosen.name, waiting)
     running = attempts.Running(waiting, queue, attempt, is_suspect)
     self._attempts.add(running)
     self._journal.note(
--- /dev/null
+++ b/mulberrypick/core/endpoint_choice.py
@@ -0,0 +1,155 @@
+"""Finds an endpoint for a request: what the router has to know, put together.
+
+It joins what is known of the request, its cost, its prefix and its rank, with
+the endpoints of its queue. Which of them is best is the router's decision.
+"""
+
+import random
+
+from mulberrypick.core import cost
+from mulberrypick.core import fleet
+from mulberrypick.core import load
+from mulberrypick.core import prefix_cache
+from mulberrypick.core import records
+from mulberrypick.core import routing
+from mulberrypick.core import waiting as waiting_base
+
+
+class EndpointChoice:
+  """Asks the router for one request at a time."""
+
+  def __init__(
+      self,
+      own_zone: str,
+      router: routing.Router,
+      known_fleet: fleet.Fleet,
+      cost_model: cost.CostModel,
+      rng: random.Random,
+  ):
+    """Makes a choice of endpoints.
+
+    Args:
+      own_zone: Zone of this host.
+      router: Decides.
+      known_fleet: The endpoints.
+      cost_model: Speeds of the engines.
+      rng: The dispatcher's seeded source.
+    """
+    self._own_zone = own_zone
+    self._router = router
+    self._fleet = known_fleet
+    self._cost = cost_model
+    self._rng = rng
+    self._config = records.EMPTY_CONFIG
+    self._strictest_s = 0.0
+    self._prefix = prefix_cache.PrefixCache()
+    self.entries = 1
+
+  def configure(self, config: records.Config) -> None:
+    """Takes in a newer configuration."""
+    self._config = config
+    self._strictest_s = _strictest_between(config)
+
+  def hash_prompt(self, request: records.InferenceRequest) -> tuple[int, ...]:
+    """Returns the hashes of the prompt's blocks, if the router uses them."""
+    if not self._router.uses_cache:
+      return ()
+    return prefix_cache.hash_blocks(
+        request.model, request.adapter, request.prompt
+    )
+
+  def see_cache(
+      self, endpoint: str, stored: tuple[int, ...], evicted: tuple[int, ...]
+  ) -> None:
+    """Takes in cache events of an engine."""
+    self._prefix.evict(endpoint, evicted)
+    self._prefix.store(endpoint, stored)
+
+  def see_answer(
+      self,
+      endpoint: str,
+      waiting: waiting_base.Waiting,
+      prompt_tokens: int,
+      cached_tokens: int,
+  ) -> None:
+    """Drops a wrong guess: what ran there was not in the cache.
+
+    Args:
+      endpoint: The engine.
+      waiting: The request.
+      prompt_tokens: Prompt tokens as the engine counted them, or 0.
+      cached_tokens: Those of them that were in its cache.
+    """
+    if prompt_tokens and not cached_tokens:
+      self._prefix.evict(endpoint, waiting.blocks)
+
+  def find(
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      room: float,
+      excluded: tuple[str, ...],
+      now: float,
+  ) -> load.EndpointLoad | None:
+    """Finds an endpoint.
+
+    Args:
+      queue: Name of the queue.
+      waiting: The request.
+      room: Part of an endpoint's room that it may fill.
+      excluded: Endpoints that must not run it.
+      now: Monotonic time.
+
+    Returns:
+      The endpoint, or None if the request has to wait.
+    """
+    pool = self._fleet.pool(queue)
+    if not pool.all:
+      return None
+    ask = self._make_ask(queue, waiting, room, excluded)
+    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
+
+  def see_start(self, endpoint: str, waiting: waiting_base.Waiting) -> None:
+    """Notes that an endpoint will hold the prefix of a request."""
+    self._prefix.store(endpoint, waiting.blocks)
+
+  def cached_tokens(self, endpoint: str, blocks: tuple[int, ...]) -> int:
+    """Returns the prompt tokens that an endpoint is thought to hold."""
+    return self._prefix.find(blocks).get(endpoint, 0)
+
+  def _make_ask(self, queue, waiting, room, excluded) -> routing.Ask:
+    request = waiting.request
+    rank = self._config.rank_by_name.get(request.rank)
+    return routing.Ask(
+        rank is not None and rank.is_urgent,
+        request.prompt_tokens + waiting.next_index,
+        waiting.cost.output_tokens,
+        waiting.cost.pieces,
+        rank.between_tokens_s if rank is not None else 0.0,
+        self._strictest_s,
+        waiting.cost.stretch_s,
+        self._cost.speeds(queue),
+        self.entries,
+        room,
+        self._find_warm(queue, waiting),
+        excluded,
+    )
+
+  def _find_warm(
+      self, queue: str, waiting: waiting_base.Waiting
+  ) -> tuple[tuple[load.EndpointLoad, int], ...]:
+    warm = []
+    names = self._fleet.pool(queue).names
+    for name, tokens in self._prefix.find(waiting.blocks).items():
+      if name in names:
+        warm.append((self._fleet.endpoint(name), tokens))
+    return tuple(warm)
+
+
+def _strictest_between(config: records.Config) -> float:
+  """Returns the strictest target of the time between tokens, 0 for none."""
+  targets = []
+  for rank in config.rank_by_name.values():
+    if rank.between_tokens_s > 0.0:
+      targets.append(rank.between_tokens_s)
+  return min(targets, default=0.0)
--- a/mulberrypick/core/placement.py
+++ b/mulberrypick/core/placement.py
@@ -1,155 +1,99 @@
-"""Finds an endpoint for a request: what the router has to know, put together.
+"""Which engines hold which model.
 
-It joins what is known of the request, its cost, its prefix and its rank, with
-the endpoints of its queue. Which of them is best is the router's decision.
+Every controller works this out by itself from the same declaration and list of
+hosts. The share of each zone depends on these alone, so that the controllers of
+several zones agree without a word; within its zone the holder of the lease
+also goes by what the engines hold already, so that few models move.
 """
 
-import random
+from collections.abc import Mapping
+from typing import NamedTuple
 
-from mulberrypick.core import cost
-from mulberrypick.core import fleet
-from mulberrypick.core import load
-from mulberrypick.core import prefix_cache
 from mulberrypick.core import records
-from mulberrypick.core import routing
-from mulberrypick.core import waiting as waiting_base
-
-
-class Placement:
-  """Asks the router for one request at a time."""
-
-  def __init__(
-      self,
-      own_zone: str,
-      router: routing.Router,
-      known_fleet: fleet.Fleet,
-      cost_model: cost.CostModel,
-      rng: random.Random,
-  ):
-    """Makes a placement.
-
-    Args:
-      own_zone: Zone of this host.
-      router: Decides.
-      known_fleet: The endpoints.
-      cost_model: Speeds of the engines.
-      rng: The dispatcher's seeded source.
-    """
-    self._own_zone = own_zone
-    self._router = router
-    self._fleet = known_fleet
-    self._cost = cost_model
-    self._rng = rng
-    self._config = records.EMPTY_CONFIG
-    self._strictest_s = 0.0
-    self._prefix = prefix_cache.PrefixCache()
-    self.entries = 1
-
-  def configure(self, config: records.Config) -> None:
-    """Takes in a newer configuration."""
-    self._config = config
-    self._strictest_s = _strictest_between(config)
-
-  def hash_prompt(self, request: records.InferenceRequest) -> tuple[int, ...]:
-    """Returns the hashes of the prompt's blocks, if the router uses them."""
-    if not self._router.uses_cache:
-      return ()
-    return prefix_cache.hash_blocks(
-        request.model, request.adapter, request.prompt
+from mulberrypick.core import rendezvous
+
+
+class Piece(NamedTuple):
+  """What one order loads or unloads.
+
+  Attributes:
+    model: Name of the model.
+    version: Version of its weights.
+    adapter: Adapter, empty for the bare model.
+  """
+
+  model: str
+  version: str
+  adapter: str
+
+
+def parse_piece(loaded: str) -> Piece:
+  """Parses `name@version` or `name@version+adapter`."""
+  model, _, rest = loaded.partition('@')
+  version, _, adapter = rest.partition('+')
+  return Piece(model, version, adapter)
+
+
+def list_pieces(model: records.Model) -> list[Piece]:
+  """Lists the model and its adapters, in the order of loading."""
+  pieces = [Piece(model.name, model.version, '')]
+  for adapter in model.adapters:
+    pieces.append(Piece(model.name, model.version, adapter))
+  return pieces
+
+
+def count_by_zone(
+    model: records.Model, engines_by_zone: Mapping[str, int]
+) -> dict[str, int]:
+  """Spreads the replicas of a model over the zones.
+
+  Args:
+    model: The model.
+    engines_by_zone: Engines of each zone that may hold it.
+
+  Returns:
+    Replicas by zone; they differ by one at most while all zones have room, and
+    another zone has the odd one for each model.
+  """
+  share_by_zone = dict.fromkeys(engines_by_zone, 0)
+  zones = rendezvous.rank(model.name, engines_by_zone)
+  left = min(model.replicas, sum(engines_by_zone.values()))
+  while left:
+    for zone in zones:
+      if not left:
+        break
+      if share_by_zone[zone] == engines_by_zone[zone]:
+        continue
+      share_by_zone[zone] += 1
+      left -= 1
+  return share_by_zone
+
+
+def place(
+    model_by_name: Mapping[str, records.Model],
+    share_by_model: Mapping[str, int],
+    held_by_engine: Mapping[str, frozenset[str]],
+) -> dict[str, set[str]]:
+  """Chooses the engines of one zone for its share of every model.
+
+  Args:
+    model_by_name: The declared models.
+    share_by_model: Replicas of each model in this zone.
+    held_by_engine: Names of the models that each usable engine holds now.
+
+  Returns:
+    Names of the models that each engine shall hold.
+  """
+  wanted_by_engine = {engine: set() for engine in held_by_engine}
+  for name in sorted(model_by_name):
+    order = rendezvous.rank(name, held_by_engine)
+    # The sort is stable: engines that are alike stay in hashed order.
+    order.sort(
+        key=lambda engine, name=name: (
+            name not in held_by_engine[engine],
+            len(wanted_by_engine[engine]),
+        )
     )
-
-  def see_cache(
-      self, endpoint: str, stored: tuple[int, ...], evicted: tuple[int, ...]
-  ) -> None:
-    """Takes in cache events of an engine."""
-    self._prefix.evict(endpoint, evicted)
-    self._prefix.store(endpoint, stored)
-
-  def see_answer(
-      self,
-      endpoint: str,
-      waiting: waiting_base.Waiting,
-      prompt_tokens: int,
-      cached_tokens: int,
-  ) -> None:
-    """Drops a wrong guess: what ran there was not in the cache.
-
-    Args:
-      endpoint: The engine.
-      waiting: The request.
-      prompt_tokens: Prompt tokens as the engine counted them, or 0.
-      cached_tokens: Those of them that were in its cache.
-    """
-    if prompt_tokens and not cached_tokens:
-      self._prefix.evict(endpoint, waiting.blocks)
-
-  def find(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      room: float,
-      excluded: tuple[str, ...],
-      now: float,
-  ) -> load.EndpointLoad | None:
-    """Finds an endpoint.
-
-    Args:
-      queue: Name of the queue.
-      waiting: The request.
-      room: Part of an endpoint's room that it may fill.
-      excluded: Endpoints that must not run it.
-      now: Monotonic time.
-
-    Returns:
-      The endpoint, or None if the request has to wait.
-    """
-    pool = self._fleet.pool(queue)
-    if not pool.all:
-      return None
-    ask = self._make_ask(queue, waiting, room, excluded)
-    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
-
-  def see_start(self, endpoint: str, waiting: waiting_base.Waiting) -> None:
-    """Notes that an endpoint will hold the prefix of a request."""
-    self._prefix.store(endpoint, waiting.blocks)
-
-  def cached_tokens(self, endpoint: str, blocks: tuple[int, ...]) -> int:
-    """Returns the prompt tokens that an endpoint is thought to hold."""
-    return self._prefix.find(blocks).get(endpoint, 0)
-
-  def _make_ask(self, queue, waiting, room, excluded) -> routing.Ask:
-    request = waiting.request
-    rank = self._config.rank_by_name.get(request.rank)
-    return routing.Ask(
-        rank is not None and rank.is_urgent,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.output_tokens,
-        waiting.cost.pieces,
-        rank.between_tokens_s if rank is not None else 0.0,
-        self._strictest_s,
-        waiting.cost.stretch_s,
-        self._cost.speeds(queue),
-        self.entries,
-        room,
-        self._find_warm(queue, waiting),
-        excluded,
-    )
-
-  def _find_warm(
-      self, queue: str, waiting: waiting_base.Waiting
-  ) -> tuple[tuple[load.EndpointLoad, int], ...]:
-    warm = []
-    names = self._fleet.pool(queue).names
-    for name, tokens in self._prefix.find(waiting.blocks).items():
-      if name in names:
-        warm.append((self._fleet.endpoint(name), tokens))
-    return tuple(warm)
-
-
-def _strictest_between(config: records.Config) -> float:
-  """Returns the strictest target of the time between tokens, 0 for none."""
-  targets = []
-  for rank in config.rank_by_name.values():
-    if rank.between_tokens_s > 0.0:
-      targets.append(rank.between_tokens_s)
-  return min(targets, default=0.0)
+    for engine in order[: share_by_model.get(name, 0)]:
+      wanted_by_engine[engine].add(name)
+  return wanted_by_engine
