Requests may be prefilled on one engine and decoded on another

Cause: engines in the role prefill or decode refuse what the other does; a decode engine was sent whole prompts and refused each. Ruled out: keeping decode engines out; a fleet with split roles would stand half idle.

--- a/mulberrypick/core/attempts.py
+++ b/mulberrypick/core/attempts.py
@@ -21,12 +21,14 @@
     queue: Name of its queue.
     attempt: The attempt.
     is_suspect: Whether it has to run alone for having been in a crash.
+    is_prefill: Whether it only prefills, for another attempt to generate.
   """
 
   waiting: waiting_base.Waiting
   queue: str
   attempt: records.Attempt
   is_suspect: bool
+  is_prefill: bool = False
 
 
 class Attempts:
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -243,6 +243,8 @@
   def _learn(self, running, message, now: float) -> None:
     """Draws the conclusions from the end of an attempt."""
     waiting = running.waiting
+    if running.is_prefill and message.outcome != messages.OUTCOME_FAILED:
+      return
     has_token = self._attempts.take_token_mark(message.attempt_id)
     if message.outcome == messages.OUTCOME_WHOLE:
       tokens = waiting.next_index + message.tokens
@@ -425,6 +427,33 @@
       now: float,
       is_suspect: bool = False,
   ) -> messages.Start:
+    prefill = None
+    if chosen.is_decoder and not waiting.next_index:
+      prefiller = self._choice.find_prefiller(queue, now)
+      if prefiller is not None:
+        prefill = self._book(queue, waiting, prefiller, now, False, True)
+    attempt = self._book(
+        queue, waiting, chosen, now, is_suspect, False, prefill is not None
+    )
+    self._choice.see_start(chosen.name, waiting)
+    self._journal.note(
+        waiting.request.request_id,
+        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
+        f' waited_s={now - waiting.queued_at:.3f}',
+    )
+    return messages.Start(waiting.request.request_id, attempt, prefill)
+
+  def _book(
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      chosen: load.EndpointLoad,
+      now: float,
+      is_suspect: bool,
+      is_prefill: bool,
+      is_prefilled: bool = False,
+  ) -> records.Attempt:
+    """Puts an attempt into the books and returns it."""
     request = waiting.request
     is_urgent = self._is_urgent(request)
     attempt = records.Attempt(
@@ -436,25 +465,25 @@
     )
     prompt_tokens = max(1, request.prompt_tokens + waiting.next_index)
     cached = self._choice.cached_tokens(chosen.name, waiting.blocks)
+    if is_prefilled:
+      cached = prompt_tokens
+    left = max(0.0, 1.0 - cached / prompt_tokens)
+    cost_s = waiting.cost.prefill_s * left
+    if not is_prefill:
+      cost_s += waiting.cost.decode_s
     sent = load.Sent(
         attempt.attempt_id,
         is_urgent,
-        waiting.cost.engine_s,
-        max(1, prompt_tokens - cached),
+        cost_s,
+        round(prompt_tokens * left),
         waiting.cost.pieces,
-        waiting.cost.stretch_s * max(0.0, 1.0 - cached / prompt_tokens),
+        0.0 if is_prefill else waiting.cost.stretch_s * left,
         now,
     )
     chosen.add(sent)
-    self._choice.see_start(chosen.name, waiting)
-    running = attempts.Running(waiting, queue, attempt, is_suspect)
+    running = attempts.Running(waiting, queue, attempt, is_suspect, is_prefill)
     self._attempts.add(running)
-    self._journal.note(
-        request.request_id,
-        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
-        f' waited_s={now - waiting.queued_at:.3f}',
-    )
-    return messages.Start(request.request_id, attempt, None)
+    return attempt
 
   def _refuse(
       self, request_id: str, error: errors.RequestError
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -183,6 +183,48 @@
     self.assertEqual(['e1', 'e2'], [e.name for e in status.endpoints])
 
 
+class TestSplitRoles(unittest.TestCase):
+
+  def make_split(self, roles):
+    dispatcher = make_dispatcher(
+        list(roles), routing.make_router('predicted-time')
+    )
+    for name, role in roles.items():
+      report = make_report(name, role=role)
+      dispatcher.handle(messages.ReportSeen(report), 0.1)
+    return dispatcher
+
+  def test_a_prompt_is_prefilled_on_the_engine_for_it(self):
+    roles = {'p': records.ROLE_PREFILL, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    start = submit(dispatcher, make_request('r1'), 0.2)
+    self.assertEqual('d', start.attempt.endpoint)
+    self.assertEqual('p', start.prefill_attempt.endpoint)
+    self.assertNotEqual(
+        start.attempt.attempt_id, start.prefill_attempt.attempt_id
+    )
+    prefill = start._replace(attempt=start.prefill_attempt)
+    end(dispatcher, prefill, messages.OUTCOME_WHOLE)
+    end(dispatcher, start, messages.OUTCOME_WHOLE)
+    status = dispatcher.snapshot(2.0)
+    self.assertEqual(0, status.running)
+    self.assertEqual([0, 0], [e.in_flight for e in status.endpoints])
+
+  def test_a_resume_needs_no_engine_for_prefill(self):
+    roles = {'p': records.ROLE_PREFILL, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    start = submit(dispatcher, make_request('r1'), 0.2, 5, ('gone',))
+    self.assertEqual('d', start.attempt.endpoint)
+    self.assertIsNone(start.prefill_attempt)
+
+  def test_an_engine_that_decodes_gets_nothing_without_one_that_prefills(self):
+    roles = {'m': records.ROLE_MIXED, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    for number in range(4):
+      start = submit(dispatcher, make_request(f'r{number}'), 0.2)
+      self.assertEqual('m', start.attempt.endpoint)
+
+
 class TestCrashes(unittest.TestCase):
 
   def test_a_crasher_takes_two_engines_and_its_neighbour_goes_on(self):
--- a/mulberrypick/core/endpoint_choice.py
+++ b/mulberrypick/core/endpoint_choice.py
@@ -14,6 +14,11 @@
 from mulberrypick.core import routing
 from mulberrypick.core import waiting as waiting_base
 
+PREFILLERS_TRIED = 4
+# Prefill that may stand before a request on an engine for it, in seconds; each
+# host keeps to its part.
+REMOTE_AHEAD_S = 1.5
+
 
 class EndpointChoice:
   """Asks the router for one request at a time."""
@@ -131,10 +136,36 @@
         self._cost.speeds(queue),
         self.entries,
         room,
+        self._remote_s(queue, waiting),
         self._find_warm(queue, waiting),
         excluded,
     )
 
+  def find_prefiller(self, queue: str, now: float) -> load.EndpointLoad | None:
+    """Finds the engine that has the least to prefill, among a few."""
+    loads = self._fleet.prefillers(queue)
+    best = None
+    for known in self._rng.sample(loads, min(PREFILLERS_TRIED, len(loads))):
+      if known.rest_until > now:
+        continue
+      if best is None or _prefill_ahead(known, now) < _prefill_ahead(best, now):
+        best = known
+    return best
+
+  def _remote_s(self, queue: str, waiting) -> float | None:
+    """Predicts a prefill on an engine for it, or None if there is none."""
+    if waiting.next_index:
+      # A resume prefills where it decodes.
+      return 0.0
+    loads = self._fleet.prefillers(queue)
+    if not loads:
+      return None
+    speed = self._cost.speeds(queue).prefill_tokens_per_s
+    least = min(known.prefill_sent for known in loads)
+    if least / speed > REMOTE_AHEAD_S / self.entries:
+      return None
+    return (least + waiting.request.prompt_tokens) / speed
+
   def _find_warm(
       self, queue: str, waiting: waiting_base.Waiting
   ) -> tuple[tuple[load.EndpointLoad, int], ...]:
@@ -146,6 +177,10 @@
     return tuple(warm)
 
 
+def _prefill_ahead(known: load.EndpointLoad, now: float) -> float:
+  return known.prefill_sent + known.others(now).prefill_tokens
+
+
 def _strictest_between(config: records.Config) -> float:
   """Returns the strictest target of the time between tokens, 0 for none."""
   targets = []
--- a/mulberrypick/core/fleet.py
+++ b/mulberrypick/core/fleet.py
@@ -86,6 +86,9 @@
   def part(self, queue: str, demand: partition.Demand) -> int:
     """Parts a queue's endpoints by the demand; returns the quiet ones."""
     pool = self.pool(queue)
+    if any(known.is_decoder for known in pool.all):
+      # Long prompts are prefilled elsewhere already.
+      return 0
     present = self._quiet_count_by_queue.get(queue, 0)
     count = partition.size(len(pool.all), demand, present)
     if count != present:
--- a/mulberrypick/core/load.py
+++ b/mulberrypick/core/load.py
@@ -140,6 +140,13 @@
     self._ended: collections.deque = collections.deque(maxlen=ENDED_KEPT)
     self._told_by_peer: dict[str, tuple[float, float]] = {}
 
+  @property
+  def is_decoder(self) -> bool:
+    """Whether it only decodes what was prefilled elsewhere."""
+    if self.report is None:
+      return False
+    return self.report.role == records.ROLE_DECODE
+
   @property
   def in_flight(self) -> int:
     """Own attempts under way."""
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -28,6 +28,8 @@
     speeds: Speeds of the engines.
     entries: Entry hosts that share the endpoints.
     room: Part of an endpoint's room that it may fill, 0 to 1.
+    remote_s: Time that a prefill on another endpoint takes, None if there is
+      none for it.
     warm: Endpoints that are thought to hold tokens of the prompt, with their
       number.
     excluded: Names of endpoints that must not run it.
@@ -43,12 +45,15 @@
   speeds: cost.Speeds
   entries: int
   room: float
+  remote_s: float | None
   warm: tuple[tuple[load.EndpointLoad, int], ...]
   excluded: tuple[str, ...]
 
 
 def is_usable(candidate: load.EndpointLoad, ask: Ask, now: float) -> bool:
   """Tells whether an endpoint may run the request now."""
+  if candidate.is_decoder and ask.remote_s is None:
+    return False
   return candidate.rest_until <= now and candidate.name not in ask.excluded
 
 
@@ -191,6 +196,8 @@
     """Predicts the time to the whole answer, or None for want of room."""
     speeds = ask.speeds
     others = candidate.others(now)
+    if candidate.is_decoder:
+      cached = ask.prompt_tokens
     prefill_tokens = others.prefill_tokens + candidate.prefill_sent
     running = candidate.in_flight + others.running
     running += others.prefill_tokens / max(1, ask.prompt_tokens)
@@ -212,6 +219,8 @@
       return None
     if ask.is_urgent and candidate.is_quiet:
       ahead += others.prefill_tokens
+    if candidate.is_decoder:
+      return ask.remote_s + ask.output_tokens * between_s
     tokens = ahead + max(1, ask.prompt_tokens - cached)
     return tokens / speeds.prefill_tokens_per_s + ask.output_tokens * between_s
 
--- a/mulberrypick/core/routing_test.py
+++ b/mulberrypick/core/routing_test.py
@@ -40,7 +40,7 @@
   """Makes the needs of a request with an answer of 50 tokens."""
   ask = routing.Ask(
       is_urgent, prompt, 50, 10, 0.1 if is_urgent else 0.2, 0.1,
-      prompt / 4000 / 50, SPEEDS, 1, 1.0, (), (),
+      prompt / 4000 / 50, SPEEDS, 1, 1.0, None, (), (),
   )  # fmt: skip
   return ask._replace(**changes)
 
--- a/standins/bench_policy.py
+++ b/standins/bench_policy.py
@@ -94,8 +94,8 @@
 
 
 STEADY = (Part('question', 1.5), Part('summary', 4.0), Part('guide', 3.0))
-PROMPTS = (Part('question', 1.5), Part('summary', 9.0), Part('guide', 1.0))
-OUTPUTS = (Part('question', 1.5), Part('summary', 1.0), Part('guide', 9.0))
+PROMPTS = (Part('question', 1.5), Part('summary', 14.0), Part('guide', 1.0))
+OUTPUTS = (Part('question', 1.5), Part('summary', 1.0), Part('guide', 20.0))
 
 
 class Scenario(NamedTuple):
