--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -13,6 +13,7 @@
 
 from mulberrypick.core import attempts
 from mulberrypick.core import cost
+from mulberrypick.core import demand_meter
 from mulberrypick.core import endpoint_choice
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
@@ -44,6 +45,8 @@
     running: Attempts under way.
     refused_by_kind: Refusals since the start.
     quarantined: Requests that are refused for crashing endpoints.
+    demand_by_model: Engine seconds a second that arrive here for each model,
+      for prefill and for decode.
   """
 
   generation: int
@@ -52,6 +55,7 @@
   running: int
   refused_by_kind: dict[str, int]
   quarantined: int
+  demand_by_model: dict[str, tuple[float, float]] = {}
 
 
 def queue_name(model: str, adapter: str) -> str:
@@ -88,6 +92,7 @@
     self._attempts = attempts.Attempts()
     self._isolation = isolation.Isolation(own_name)
     self._retry_budget = retry_budget.RetryBudget()
+    self._demand = demand_meter.DemandMeter()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
     self._handler_by_type = {
@@ -146,6 +151,7 @@
         len(self._attempts.running_by_attempt),
         dict(self._refused_by_kind),
         len(self._isolation.quarantine.refused(now)),
+        self._demand.by_model(now),
     )
 
   def _submit(self, message, now):
@@ -164,6 +170,9 @@
         fingerprint(request),
         self._choice.hash_prompt(request),
     )
+    if not waiting.is_again:
+      cost_s = (waiting.cost.prefill_s, waiting.cost.decode_s)
+      self._demand.add(request.model, *cost_s, now)
     if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
       held = isolation.Held(queue, waiting)
       self._isolation.held_by_request[request.request_id] = held
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -225,6 +225,20 @@
       self.assertEqual('m', start.attempt.endpoint)
 
 
+class TestDemand(unittest.TestCase):
+
+  def test_the_status_tells_what_arrives_even_if_it_is_refused(self):
+    dispatcher = make_dispatcher(['e1'])
+    request = make_request('r', prompt_tokens=8000, deadline_at=900.0)
+    for number in range(100):
+      numbered = request._replace(request_id=f'r{number}')
+      dispatcher.handle(messages.Submit(numbered, 0, ()), 0.1 * number)
+    prefill, decode = dispatcher.snapshot(10.0).demand_by_model['m']
+    # Ten a second, one second of prefill each.
+    self.assertAlmostEqual(10.0, prefill, delta=1.0)
+    self.assertGreater(decode, 0.0)
+
+
 class TestCrashes(unittest.TestCase):
 
   def test_a_crasher_takes_two_engines_and_its_neighbour_goes_on(self):
--- a/mulberrypick/core/roles.py
+++ b/mulberrypick/core/roles.py
@@ -37,7 +37,7 @@
 # Without news of the demand for this long, nothing changes.
 FRESH_S = 5.0
 # An engine that does both does each at this part of its speed.
-MIXED_PART = 0.9
+MIXED_PART = 1.0
 
 
 class RoleDemand(NamedTuple):
--- a/standins/policy_loop.py
+++ b/standins/policy_loop.py
@@ -13,11 +13,15 @@
 
 from mulberrypick.core import dispatch
 from mulberrypick.core import messages
+from mulberrypick.core import reconcile
 from mulberrypick.core import records
+from mulberrypick.core import roles
 from standins import policy_engine
 
 NET_S = 0.001
 RESEND_S = 0.02
+TRANSFER_S = 0.02
+PLAN_EVERY_S = 1.0
 TICK_S = 0.02
 REPORT_EVERY_S = 0.25
 PEERS_EVERY_S = 1.0
@@ -116,7 +120,9 @@
       job = policy_engine.Job(
           effect, entry, record.request, record.length, next(self._order)
       )
-      engine = self.engine_by_name[effect.attempt.endpoint]
+      if effect.prefill_attempt is not None:
+        job.attempt = effect.prefill_attempt
+      engine = self.engine_by_name[job.attempt.endpoint]
       self.after(NET_S, engine.add, job)
 
   def _refused(self, record, error):
@@ -175,11 +181,22 @@
   def end(self, job, outcome):
     """Tells the end of an attempt, and asks again for one that was cut."""
     record = self.record_by_request[job.start.request_id]
-    attempt = job.start.attempt
+    attempt = job.attempt
     self.engine_by_name[attempt.endpoint].jobs.pop(attempt.attempt_id, None)
+    if attempt is job.start.prefill_attempt:
+      # The engine that decodes gets no KV cache and refuses.
+      self._tell_end(job, attempt, outcome)
+      attempt = job.start.attempt
     record.work_tokens += job.made
+    if outcome != messages.OUTCOME_WHOLE:
+      record.failed.append(attempt.endpoint)
+    self._tell_end(job, attempt, outcome)
+    if outcome != messages.OUTCOME_WHOLE:
+      self._submit(record)
+
+  def _tell_end(self, job, attempt, outcome):
     message = messages.AttemptEnded(
-        record.request.request_id,
+        job.start.request_id,
         attempt.attempt_id,
         attempt.endpoint,
         outcome,
@@ -187,11 +204,45 @@
         0,
         0,
     )
-    if outcome != messages.OUTCOME_WHOLE:
-      record.failed.append(attempt.endpoint)
     self.tell(job.owner, message)
-    if outcome != messages.OUTCOME_WHOLE:
-      self._submit(record)
+
+  def prefilled(self, job):
+    """Moves a job to the engine that decodes it."""
+    prefiller = self.engine_by_name[job.attempt.endpoint]
+    del prefiller.jobs[job.attempt.attempt_id]
+    self._tell_end(job, job.attempt, messages.OUTCOME_WHOLE)
+    job.attempt = job.start.attempt
+    engine = self.engine_by_name[job.attempt.endpoint]
+    self.after(TRANSFER_S, engine.add, job)
+
+  def plan_roles(self, planner):
+    """Lets a planner change roles once a second."""
+    demand = [0.0, 0.0]
+    for dispatcher in self.dispatchers:
+      told = dispatcher.snapshot(self.now).demand_by_model
+      for index, value in enumerate(told.get('m', (0.0, 0.0))):
+        demand[index] += value
+    told = {'m': roles.RoleDemand(*demand)}
+    planner.see_demand(told, self.now)
+    states = {}
+    for name, engine in self.engine_by_name.items():
+      states[name] = records.EngineState(
+          name,
+          engine.incarnation,
+          engine.role,
+          ('m@1',),
+          0,
+          0,
+          bool(engine.next_role),
+          False,
+          len(engine.jobs),
+      )
+    view = reconcile.View('', {}, (), frozenset(), states, {}, frozenset())
+    for name, role in planner.plan(view, self.now).items():
+      engine = self.engine_by_name[name]
+      if engine.role != role and not engine.next_role:
+        engine.take_role(role)
+    self.after(PLAN_EVERY_S, self.plan_roles, planner)
 
   def tell_hosts(self):
     """Tells every dispatcher the list of hosts."""
