--- /dev/null
+++ b/mulberrypick/core/attempt_books.py
@@ -0,0 +1,185 @@
+"""The books of attempts: what starts where, and what its end teaches.
+
+Every attempt is counted at its endpoint while it runs. Its end teaches the
+length of answers, what engines hold in their caches, which requests crash
+them, and which endpoints need a rest.
+"""
+
+from mulberrypick.core import attempts
+from mulberrypick.core import cost
+from mulberrypick.core import endpoint_choice
+from mulberrypick.core import fleet
+from mulberrypick.core import isolation
+from mulberrypick.core import journal
+from mulberrypick.core import load
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import waiting as waiting_base
+
+PRIORITY_URGENT = 10
+PRIORITY_OTHER = 0
+
+
+class AttemptBooks:
+  """Starts and ends of attempts.
+
+  Attributes:
+    attempts: The attempts under way.
+  """
+
+  def __init__(
+      self,
+      known_fleet: fleet.Fleet,
+      choice: endpoint_choice.EndpointChoice,
+      cost_model: cost.CostModel,
+      isolated: isolation.Isolation,
+      kept_journal: journal.Journal,
+  ):
+    """Makes empty books that teach the given parts."""
+    self._fleet = known_fleet
+    self._choice = choice
+    self._cost = cost_model
+    self._isolation = isolated
+    self._journal = kept_journal
+    self._config = records.EMPTY_CONFIG
+    self.attempts = attempts.Attempts()
+
+  def configure(self, config: records.Config) -> None:
+    """Takes in a newer configuration."""
+    self._config = config
+
+  def see_first_token(self, attempt_id: str) -> attempts.Running | None:
+    """Notes an attempt's first token; None for one that is over."""
+    running = self.attempts.see_first_token(attempt_id)
+    if running is None:
+      return None
+    known = self._fleet.endpoint(running.attempt.endpoint)
+    if known is not None:
+      known.see_first_token(attempt_id)
+    return running
+
+  def end(
+      self, message: messages.AttemptEnded, now: float
+  ) -> attempts.Running | None:
+    """Takes an attempt out; None for an unknown one."""
+    running = self.attempts.remove(message.attempt_id)
+    if running is None:
+      return None
+    self._journal.note(
+        message.request_id,
+        f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
+        f' tokens={message.tokens}',
+    )
+    known = self._fleet.endpoint(message.endpoint)
+    if known is not None:
+      known.remove(message.attempt_id, now)
+    self._fleet.rest_after(message.endpoint, message.outcome, now)
+    self._learn(running, message, now)
+    return running
+
+  def _is_urgent(self, request: records.InferenceRequest) -> bool:
+    rank = self._config.rank_by_name.get(request.rank)
+    return rank is not None and rank.is_urgent
+
+  def start(
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      chosen: load.EndpointLoad,
+      now: float,
+      is_suspect: bool = False,
+  ) -> messages.Start:
+    """Starts a request on an endpoint.
+
+    Args:
+      queue: Name of its queue.
+      waiting: The request.
+      chosen: The endpoint.
+      now: Monotonic time.
+      is_suspect: Whether it has to run alone for having been in a crash.
+
+    Returns:
+      The effect.
+    """
+    prefill = None
+    if chosen.is_decoder and not waiting.next_index:
+      prefiller = self._choice.find_prefiller(queue, now)
+      if prefiller is not None:
+        prefill = self._book(queue, waiting, prefiller, now, False, True)
+    attempt = self._book(
+        queue, waiting, chosen, now, is_suspect, False, prefill is not None
+    )
+    self._choice.see_start(chosen.name, waiting)
+    self._journal.note(
+        waiting.request.request_id,
+        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
+        f' waited_s={now - waiting.queued_at:.3f}',
+    )
+    return messages.Start(waiting.request.request_id, attempt, prefill)
+
+  def _book(
+      self,
+      queue: str,
+      waiting: waiting_base.Waiting,
+      chosen: load.EndpointLoad,
+      now: float,
+      is_suspect: bool,
+      is_prefill: bool,
+      is_prefilled: bool = False,
+  ) -> records.Attempt:
+    """Puts an attempt into the books and returns it."""
+    request = waiting.request
+    is_urgent = self._is_urgent(request)
+    attempt = records.Attempt(
+        self.attempts.next_id(request.request_id),
+        chosen.name,
+        chosen.address,
+        waiting.next_index,
+        PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
+    )
+    prompt_tokens = max(1, request.prompt_tokens + waiting.next_index)
+    cached = self._choice.cached_tokens(chosen.name, waiting.blocks)
+    if is_prefilled:
+      cached = prompt_tokens
+    left = max(0.0, 1.0 - cached / prompt_tokens)
+    cost_s = waiting.cost.prefill_s * left
+    if not is_prefill:
+      cost_s += waiting.cost.decode_s
+    sent = load.Sent(
+        attempt.attempt_id,
+        is_urgent,
+        cost_s,
+        round(prompt_tokens * left),
+        waiting.cost.pieces,
+        0.0 if is_prefill else waiting.cost.stretch_s * left,
+        now,
+    )
+    chosen.add(sent)
+    running = attempts.Running(waiting, queue, attempt, is_suspect, is_prefill)
+    self.attempts.add(running)
+    return attempt
+
+  def _learn(self, running, message, now: float) -> None:
+    """Draws the conclusions from the end of an attempt."""
+    waiting = running.waiting
+    if running.is_prefill and message.outcome != messages.OUTCOME_FAILED:
+      return
+    has_token = self.attempts.take_token_mark(message.attempt_id)
+    if message.outcome == messages.OUTCOME_WHOLE:
+      tokens = waiting.next_index + message.tokens
+      self._cost.see_output(waiting.request, tokens)
+      self._isolation.quarantine.see_whole(waiting.fingerprint)
+      self._choice.see_answer(
+          message.endpoint,
+          waiting,
+          message.prompt_tokens,
+          message.cached_tokens,
+      )
+    if message.outcome == messages.OUTCOME_FAILED:
+      self.attempts.see_failure(message.request_id)
+      has_token = has_token or message.tokens > 0
+      self._isolation.quarantine.see_broken(
+          message.endpoint, waiting.fingerprint, has_token, now
+      )
+    if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
+      self.attempts.forget(message.request_id)
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -9,9 +9,7 @@
 import random
 from typing import NamedTuple
 
-import xxhash
-
-from mulberrypick.core import attempts
+from mulberrypick.core import attempt_books
 from mulberrypick.core import cost
 from mulberrypick.core import demand_meter
 from mulberrypick.core import endpoint_choice
@@ -28,8 +26,6 @@
 from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
 
-PRIORITY_URGENT = 10
-PRIORITY_OTHER = 0
 RETRY_AFTER_S = 2.0
 PART_EVERY_S = 1.0
 ATTEMPTS_MOST = 3
@@ -58,17 +54,6 @@
   demand_by_model: dict[str, tuple[float, float]] = {}
 
 
-def queue_name(model: str, adapter: str) -> str:
-  """Returns the name that reports use for a model and its adapter."""
-  return f'{model}+{adapter}' if adapter else model
-
-
-def fingerprint(request: records.InferenceRequest) -> int:
-  """Returns the hash of what an endpoint is given to run."""
-  text = f'{request.model}|{request.adapter}|{request.prompt}'
-  return xxhash.xxh64_intdigest(text.encode())
-
-
 class Dispatcher:
   """Routes, queues and refuses the requests of one entry host."""
 
@@ -89,12 +74,14 @@
     self._choice = endpoint_choice.EndpointChoice(
         own_zone, router, self._fleet, self._cost, random.Random(seed)
     )
-    self._attempts = attempts.Attempts()
     self._isolation = isolation.Isolation(own_name)
     self._retry_budget = retry_budget.RetryBudget()
     self._demand = demand_meter.DemandMeter()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
+    self._books = attempt_books.AttemptBooks(
+        self._fleet, self._choice, self._cost, self._isolation, self._journal
+    )
     self._handler_by_type = {
         messages.Submit: self._submit,
         messages.Withdraw: self._withdraw,
@@ -148,7 +135,7 @@
         self._config.generation,
         self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
-        len(self._attempts.running_by_attempt),
+        len(self._books.attempts.running_by_attempt),
         dict(self._refused_by_kind),
         len(self._isolation.quarantine.refused(now)),
         self._demand.by_model(now),
@@ -156,7 +143,7 @@
 
   def _submit(self, message, now):
     request = message.request
-    queue = queue_name(request.model, request.adapter)
+    queue = waiting_base.queue_name(request.model, request.adapter)
     error = self._check(message, queue, now)
     if error is not None:
       return [self._refuse(request.request_id, error)]
@@ -167,7 +154,7 @@
         self._cost.cost(queue, request, message.next_index),
         now,
         _is_again(message),
-        fingerprint(request),
+        waiting_base.fingerprint(request),
         self._choice.hash_prompt(request),
     )
     if not waiting.is_again:
@@ -193,7 +180,7 @@
       return errors.UnavailableError(
           f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
       )
-    failures = self._attempts.failures(request.request_id)
+    failures = self._books.attempts.failures(request.request_id)
     service = self._config.service_by_name.get(request.service)
     most = service.max_attempts if service is not None else ATTEMPTS_MOST
     if failures >= most:
@@ -220,65 +207,28 @@
     held = self._isolation.held_by_request.pop(request_id, None)
     waiting = self._admission.withdraw(request_id)
     if held is not None or waiting is not None:
-      self._attempts.forget(request_id)
+      self._books.attempts.forget(request_id)
       self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
   def _first_token(self, message, now):
-    running = self._attempts.see_first_token(message.attempt_id)
+    running = self._books.see_first_token(message.attempt_id)
     if running is None:
       return []
-    known = self._fleet.endpoint(running.attempt.endpoint)
-    if known is not None:
-      known.see_first_token(message.attempt_id)
     return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
-    running = self._attempts.remove(message.attempt_id)
+    running = self._books.end(message, now)
     if running is None:
       return []
-    self._journal.note(
-        message.request_id,
-        f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
-        f' tokens={message.tokens}',
-    )
-    known = self._fleet.endpoint(message.endpoint)
-    if known is not None:
-      known.remove(message.attempt_id, now)
-    self._fleet.rest_after(message.endpoint, message.outcome, now)
-    self._learn(running, message, now)
     return self._pump(running.queue, now) + self._pump_held(now)
 
-  def _learn(self, running, message, now: float) -> None:
-    """Draws the conclusions from the end of an attempt."""
-    waiting = running.waiting
-    if running.is_prefill and message.outcome != messages.OUTCOME_FAILED:
-      return
-    has_token = self._attempts.take_token_mark(message.attempt_id)
-    if message.outcome == messages.OUTCOME_WHOLE:
-      tokens = waiting.next_index + message.tokens
-      self._cost.see_output(waiting.request, tokens)
-      self._isolation.quarantine.see_whole(waiting.fingerprint)
-      self._choice.see_answer(
-          message.endpoint,
-          waiting,
-          message.prompt_tokens,
-          message.cached_tokens,
-      )
-    if message.outcome == messages.OUTCOME_FAILED:
-      self._attempts.see_failure(message.request_id)
-      has_token = has_token or message.tokens > 0
-      self._isolation.quarantine.see_broken(
-          message.endpoint, waiting.fingerprint, has_token, now
-      )
-    if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
-      self._attempts.forget(message.request_id)
-
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
     self._choice.configure(message.config)
+    self._books.configure(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
@@ -362,7 +312,7 @@
       if chosen is None:
         continue
       self._admission.take(waiting.request.request_id, now)
-      return self._start(queue, waiting, chosen, now)
+      return self._books.start(queue, waiting, chosen, now)
     return None
 
   def _pump_held(self, now: float) -> list[messages.Effect]:
@@ -401,17 +351,17 @@
       self, held: isolation.Held, now: float
   ) -> list[messages.Effect] | None:
     waiting = held.waiting
-    if self._attempts.is_suspect_running(waiting.fingerprint):
+    if self._books.attempts.is_suspect_running(waiting.fingerprint):
       return None
     pool = self._fleet.pool(held.queue)
     names = [known.name for known in pool.all]
-    busy = self._attempts.suspect_endpoints()
+    busy = self._books.attempts.suspect_endpoints()
     excluded = self._isolation.excluded(held, names, busy, now)
     chosen = self._choice.find(held.queue, waiting, 1.0, excluded, now)
     if chosen is None:
       return None
     is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
-    return [self._start(held.queue, waiting, chosen, now, is_strong)]
+    return [self._books.start(held.queue, waiting, chosen, now, is_strong)]
 
   def _choose(
       self, queue: str, waiting: waiting_base.Waiting, now: float
@@ -424,80 +374,10 @@
     room = self._admission.room(queue, waiting, now)
     return self._choice.find(queue, waiting, room, excluded, now)
 
-  def _is_urgent(self, request: records.InferenceRequest) -> bool:
-    rank = self._config.rank_by_name.get(request.rank)
-    return rank is not None and rank.is_urgent
-
-  def _start(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      chosen: load.EndpointLoad,
-      now: float,
-      is_suspect: bool = False,
-  ) -> messages.Start:
-    prefill = None
-    if chosen.is_decoder and not waiting.next_index:
-      prefiller = self._choice.find_prefiller(queue, now)
-      if prefiller is not None:
-        prefill = self._book(queue, waiting, prefiller, now, False, True)
-    attempt = self._book(
-        queue, waiting, chosen, now, is_suspect, False, prefill is not None
-    )
-    self._choice.see_start(chosen.name, waiting)
-    self._journal.note(
-        waiting.request.request_id,
-        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
-        f' waited_s={now - waiting.queued_at:.3f}',
-    )
-    return messages.Start(waiting.request.request_id, attempt, prefill)
-
-  def _book(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      chosen: load.EndpointLoad,
-      now: float,
-      is_suspect: bool,
-      is_prefill: bool,
-      is_prefilled: bool = False,
-  ) -> records.Attempt:
-    """Puts an attempt into the books and returns it."""
-    request = waiting.request
-    is_urgent = self._is_urgent(request)
-    attempt = records.Attempt(
-        self._attempts.next_id(request.request_id),
-        chosen.name,
-        chosen.address,
-        waiting.next_index,
-        PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
-    )
-    prompt_tokens = max(1, request.prompt_tokens + waiting.next_index)
-    cached = self._choice.cached_tokens(chosen.name, waiting.blocks)
-    if is_prefilled:
-      cached = prompt_tokens
-    left = max(0.0, 1.0 - cached / prompt_tokens)
-    cost_s = waiting.cost.prefill_s * left
-    if not is_prefill:
-      cost_s += waiting.cost.decode_s
-    sent = load.Sent(
-        attempt.attempt_id,
-        is_urgent,
-        cost_s,
-        round(prompt_tokens * left),
-        waiting.cost.pieces,
-        0.0 if is_prefill else waiting.cost.stretch_s * left,
-        now,
-    )
-    chosen.add(sent)
-    running = attempts.Running(waiting, queue, attempt, is_suspect, is_prefill)
-    self._attempts.add(running)
-    return attempt
-
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
-    self._attempts.forget(request_id)
+    self._books.attempts.forget(request_id)
     count = self._refused_by_kind.get(error.kind, 0)
     self._refused_by_kind[error.kind] = count + 1
     self._journal.note(
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -268,7 +268,7 @@
   def test_a_suspect_of_a_peer_waits_for_its_verdict(self):
     dispatcher = make_dispatcher()
     request = make_request('r1')
-    suspect = (dispatch.fingerprint(request),)
+    suspect = (waiting_base.fingerprint(request),)
     told = messages.PeerSeen('entry-2', {}, {}, (), (), suspects=suspect)
     dispatcher.handle(told, 0.5)
     message = messages.Submit(request, 0, ())
@@ -286,7 +286,9 @@
       failed += (start.attempt.endpoint,)
       # Time enough passes for each failure to count on its own.
       end(dispatcher, start, messages.OUTCOME_FAILED, now + 1.0)
-      dispatcher._isolation.quarantine.see_whole(dispatch.fingerprint(request))
+      dispatcher._isolation.quarantine.see_whole(
+          waiting_base.fingerprint(request)
+      )
     refuse = submit(dispatcher, request, 90.0, 3, failed)
     self.assertIsInstance(refuse.error, errors.UnavailableError)
 
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -7,6 +7,8 @@
 import abc
 from typing import NamedTuple
 
+import xxhash
+
 from mulberrypick.core import cost as cost_model
 from mulberrypick.core import errors
 from mulberrypick.core import partition
@@ -14,6 +16,17 @@
 from mulberrypick.core import shares
 
 
+def queue_name(model: str, adapter: str) -> str:
+  """Returns the name that reports use for a model and its adapter."""
+  return f'{model}+{adapter}' if adapter else model
+
+
+def fingerprint(request: records.InferenceRequest) -> int:
+  """Returns the hash of what an endpoint is given to run."""
+  text = f'{request.model}|{request.adapter}|{request.prompt}'
+  return xxhash.xxh64_intdigest(text.encode())
+
+
 class Waiting(NamedTuple):
   """A request that waits for an endpoint.
 
