--- a/standins/policy_trial.py
+++ b/standins/policy_trial.py
@@ -6,6 +6,7 @@
 import json
 import math
 import time
+import zlib
 
 import click
 
@@ -66,6 +67,19 @@
   return streams
 
 
+def lean(arrival):
+  """Sends all of a flooding tenant, and half of the rest, to one entry."""
+  request = arrival.request
+  if request.tenant == policy_load.FLOODER or hash_half(request.request_id):
+    return arrival._replace(entry=0)
+  return arrival
+
+
+def hash_half(text):
+  """Tells for half of all texts that they are chosen."""
+  return zlib.crc32(text.encode()) % 2 == 0
+
+
 def set_roles(loop, split):
   """Gives the engines their first roles; `split` counts those for prefill."""
   if split < 0:
@@ -77,7 +91,16 @@
 
 
 def run(
-    scenario, policy, seconds, lag_s, seed, comes_back, split=-1, planner='keep'
+    scenario,
+    policy,
+    seconds,
+    lag_s,
+    seed,
+    comes_back,
+    split=-1,
+    planner='keep',
+    entries=ENTRIES,
+    uneven=False,
 ):
   """Runs one workload with one policy and returns its figures."""
   router, admission_name = POLICY_BY_NAME[policy]
@@ -92,14 +115,16 @@
     )
 
   loop = policy_loop.Loop(
-      make, policy_load.make_config(), ENTRIES, ENGINES, lag_s
+      make, policy_load.make_config(), entries, ENGINES, lag_s
   )
   loop.comes_back = comes_back
   set_roles(loop, split)
   if planner != 'keep':
     loop.plan_roles(roles.make_role_planner(planner))
   streams = make_streams(scenario, seconds)
-  for arrival in policy_load.make_arrivals(streams, ENTRIES, seed):
+  for arrival in policy_load.make_arrivals(streams, entries, seed):
+    if uneven:
+      arrival = lean(arrival)
     loop.after(arrival.request.arrived_at, loop.arrive, *arrival)
   if scenario == 'crasher':
     for crasher in policy_load.make_crashers(WARM_S, seconds):
@@ -157,6 +182,8 @@
 @click.option('--comes-back', is_flag=True)
 @click.option('--split', default=-1, help='Engines for prefill, -1 for mixed.')
 @click.option('--planner', default='keep')
+@click.option('--entries', default=ENTRIES)
+@click.option('--uneven', is_flag=True)
 def main(
     scenario,
     policies,
@@ -166,12 +193,23 @@
     comes_back,
     split,
     planner,
+    entries,
+    uneven,
 ):
   """Prints the figures of each policy."""
   for policy in policies.split(','):
     began = time.perf_counter()
     row = run(
-        scenario, policy, seconds, lag_s, seed, comes_back, split, planner
+        scenario,
+        policy,
+        seconds,
+        lag_s,
+        seed,
+        comes_back,
+        split,
+        planner,
+        entries,
+        uneven,
     )
     took_s = time.perf_counter() - began
     print(f'{scenario} {policy} took_s={took_s:.1f}')
