Controllers plan roles by the demand that entries report; cache events reach the router

Cause: the role planner and the prefix cache had landed as decisions without their inputs. The holder of a lease asks entries for the demand once a second and takes its zone's share; the entry that reports an engine reads its cache events too and passes at most 128 blocks of each round on.

Ruled out: a handler that asks the dispatcher on the peers' task (it would block all messages); the body is prepared each half second instead.

Not measured: the gain of roles with real processes.

--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -129,6 +129,10 @@
         digest.booked,
     )
 
+  def demand_by_model(self, now: float) -> dict[str, tuple[float, float]]:
+    """Returns engine seconds a second that arrive here, by model."""
+    return self._demand.by_model(now)
+
   def snapshot(self, now: float) -> DispatcherStatus:
     """Returns the state for the status page."""
     return DispatcherStatus(
@@ -138,7 +142,7 @@
         len(self._books.attempts.running_by_attempt),
         dict(self._refused_by_kind),
         len(self._isolation.quarantine.refused(now)),
-        self._demand.by_model(now),
+        self.demand_by_model(now),
     )
 
   def _submit(self, message, now):
--- a/mulberrypick/ops/controller_task.py
+++ b/mulberrypick/ops/controller_task.py
@@ -22,6 +22,8 @@
 from mulberrypick.core import errors
 from mulberrypick.core import reconcile
 from mulberrypick.core import records
+from mulberrypick.core import roles
+from mulberrypick.ops import demand_task
 from mulberrypick.ops import lease_holder
 from mulberrypick.ops import order_sender
 
@@ -131,8 +133,15 @@
     """Starts the thread."""
     self._thread.start()
 
-  def post(self, message: lease_holder.TermMessage) -> None:
-    """Posts a message of the lease holder."""
+  @property
+  def hosts(self) -> tuple[records.Host, ...]:
+    """The newest list of hosts while it holds the lease, else empty."""
+    return self._view.hosts if self._has_term() else ()
+
+  def post(
+      self, message: lease_holder.TermMessage | demand_task.DemandSeen
+  ) -> None:
+    """Posts a message of the lease holder or the demand task."""
     self._messages.put(message)
 
   def stop(self) -> None:
@@ -173,10 +182,16 @@
         self._term = message
       if isinstance(message, lease_holder.TermEnded):
         self._term = None
+      if isinstance(message, demand_task.DemandSeen):
+        self._see_demand(message)
       timeout_s = 0.0 if message is None else self._intervals.round_s
       if self._stopping.is_set() or self._messages.empty():
         return
 
+  def _see_demand(self, message: demand_task.DemandSeen) -> None:
+    if isinstance(self._planner, roles.DemandSink):
+      self._planner.see_demand(message.demand_by_model, time.monotonic())
+
   def _end_term(self, error: errors.StaleFenceError) -> None:
     fence = self._term.fence if self._term else 0
     self._log('fence_refused', error=str(error), fence=fence)
--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -31,14 +31,19 @@
 KIND_ASK_HOSTS = 'ask_hosts'
 KIND_REPORTS = 'reports'
 KIND_LOAD = 'load'
+KIND_CACHE = 'cache'
+KIND_DEMAND = 'demand'
 HOSTS_READERS = 2
 POLL_THREADS = 8
 ASK_TIMEOUT_S = 1.0
+# Blocks that one message tells of; the rest of a burst is left out.
+CACHE_BLOCKS_MOST = 128
 
 _logger = logging.getLogger(__name__)
 
 _HOSTS_DECODER = msgspec.msgpack.Decoder(tuple[records.Host, ...])
 _REPORTS_DECODER = msgspec.msgpack.Decoder(tuple[records.EngineReport, ...])
+_CACHE_DECODER = msgspec.msgpack.Decoder(tuple[messages.CacheSeen, ...])
 _PEER_DECODER = msgspec.msgpack.Decoder(messages.PeerSeen)
 
 
@@ -48,16 +53,31 @@
   Attributes:
     hosts_s: Between two readings of the list of hosts.
     reports_s: Between two polls of an engine.
+    cache_s: Between two readings of an engine's cache events.
     load_s: Between two messages to peers about the own load.
     silence_s: Silence after which an entry asks by itself.
   """
 
   hosts_s: float = 1.0
   reports_s: float = 0.5
+  cache_s: float = 1.0
   load_s: float = 0.5
   silence_s: float = 3.0
 
 
+class OwnLoad(NamedTuple):
+  """What this host tells others of its work.
+
+  Attributes:
+    seen: For all peers.
+    demand_by_model: For controllers that ask: engine seconds a second that
+      arrive here, for prefill and for decode.
+  """
+
+  seen: messages.PeerSeen
+  demand_by_model: dict[str, tuple[float, float]]
+
+
 class _Received(NamedTuple):
   """A message of a peer, posted from the peers' task."""
 
@@ -76,7 +96,7 @@
       engine: engine_adapter.Engine,
       peers: peers_adapter.Peers,
       publish: Callable[[messages.Message], None],
-      read_own_load: Callable[[], messages.PeerSeen],
+      read_own_load: Callable[[], OwnLoad],
       intervals: FleetIntervals,
       seed_addresses: tuple[str, ...] = (),
   ):
@@ -89,7 +109,7 @@
       engine: Gives load reports.
       peers: Carries what entries tell each other.
       publish: Gets `HostsSeen`, `ReportSeen` and `PeerSeen`.
-      read_own_load: Reads what this host tells its peers.
+      read_own_load: Reads what this host tells its peers and controllers.
       intervals: How often the task acts.
       seed_addresses: Peer addresses to ask before any host is known.
     """
@@ -106,13 +126,16 @@
     self._hosts: tuple[records.Host, ...] = ()
     self._hosts_at = 0.0
     self._report_at_by_endpoint: dict[str, float] = {}
+    self._event_number_by_endpoint: dict[str, int] = {}
+    self._demand_body = msgspec.msgpack.encode({})
     self._pool = concurrent.futures.ThreadPoolExecutor(
         POLL_THREADS, 'engine-poll'
     )
     self._stopping = threading.Event()
     self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
-    for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD):
+    for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD, KIND_CACHE):
       peers.handle(kind, self._make_handler(kind))
+    peers.handle(KIND_DEMAND, lambda sender, body: self._demand_body)
     peers.handle(KIND_ASK_HOSTS, self._answer_hosts)
 
   @property
@@ -162,11 +185,18 @@
 
   def _run(self) -> None:
     next_at_by_step = dict.fromkeys(
-        (self._step_hosts, self._step_reports, self._step_load), 0.0
+        (
+            self._step_hosts,
+            self._step_reports,
+            self._step_cache,
+            self._step_load,
+        ),
+        0.0,
     )
     interval_by_step = {
         self._step_hosts: self._intervals.hosts_s,
         self._step_reports: self._intervals.reports_s,
+        self._step_cache: self._intervals.cache_s,
         self._step_load: self._intervals.load_s,
     }
     while not self._stopping.is_set():
@@ -209,6 +239,9 @@
         self._see_hosts(_HOSTS_DECODER.decode(received.body))
       elif received.kind == KIND_REPORTS:
         self._see_reports(_REPORTS_DECODER.decode(received.body))
+      elif received.kind == KIND_CACHE:
+        for seen in _CACHE_DECODER.decode(received.body):
+          self._publish(seen)
       else:
         self._publish(_PEER_DECODER.decode(received.body))
     except msgspec.DecodeError as error:
@@ -287,8 +320,47 @@
       self._report_at_by_endpoint[report.endpoint] = now
       self._publish(messages.ReportSeen(report))
 
+  def _step_cache(self) -> None:
+    """Reads the cache events of the engines that this entry reports."""
+    names = self._zone_names()
+    polls = [
+        self._pool.submit(self._read_cache, host)
+        for host in self._hosts
+        if host.kind == records.HOST_ENGINE and self._polls(host, names)
+    ]
+    done, _ = concurrent.futures.wait(polls, self._intervals.cache_s)
+    news = []
+    for poll in done:
+      if poll.exception() is None and poll.result() is not None:
+        news.append(poll.result())
+    if not news:
+      return
+    for seen in news:
+      self._publish(seen)
+    body = msgspec.msgpack.encode(tuple(news))
+    for peer in self._list_entries(self._own_zone):
+      self._peers.tell(peer.peer_address, KIND_CACHE, body)
+
+  def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
+    # Numbers begin anew with each incarnation of an engine.
+    key = f'{host.name}/{host.incarnation}'
+    after = self._event_number_by_endpoint.get(key, 0)
+    events = self._engine.read_cache_events(host.name, host.address, after)
+    if not events:
+      return None
+    self._event_number_by_endpoint[key] = events[-1].number
+    stored = [event.block for event in events if event.is_stored]
+    evicted = [event.block for event in events if not event.is_stored]
+    return messages.CacheSeen(
+        host.name,
+        tuple(stored[-CACHE_BLOCKS_MOST:]),
+        tuple(evicted[-CACHE_BLOCKS_MOST:]),
+    )
+
   def _step_load(self) -> None:
-    body = msgspec.msgpack.encode(self._read_own_load())
+    own = self._read_own_load()
+    self._demand_body = msgspec.msgpack.encode(own.demand_by_model)
+    body = msgspec.msgpack.encode(own.seen)
     for peer in self._list_entries(''):
       self._peers.tell(peer.peer_address, KIND_LOAD, body)
 
--- a/mulberrypick/ops/fleet_task_test.py
+++ b/mulberrypick/ops/fleet_task_test.py
@@ -4,6 +4,9 @@
 import time
 import unittest
 
+import msgspec
+
+from mulberrypick.adapters import engine
 from mulberrypick.adapters import memory_platform
 from mulberrypick.adapters import peers as peers_adapter
 from mulberrypick.core import errors
@@ -12,7 +15,7 @@
 from mulberrypick.ops import fleet_task
 
 WAIT_S = 20.0
-FAST = fleet_task.FleetIntervals(0.02, 0.02, 0.02, 0.2)
+FAST = fleet_task.FleetIntervals(0.02, 0.02, 0.02, 0.02, 0.2)
 
 
 class Network:
@@ -64,6 +67,14 @@
         endpoint, 1, 'mixed', ('m',), 0, 0, 9, 9, False, 1.0, 1.0, 0.0
     )
 
+  def read_cache_events(self, endpoint, address, after_number):
+    if after_number:
+      return []
+    return [
+        engine.CacheEvent(3, True, 77),
+        engine.CacheEvent(5, False, 78),
+    ]
+
 
 def make_host(name, kind):
   address = f'{name}:1'
@@ -90,7 +101,9 @@
         self.engine.make_reader(name),
         FakePeers(self.network, f'{name}:1'),
         seen.append,
-        lambda: messages.PeerSeen(name, {}, {}, (), ()),
+        lambda: fleet_task.OwnLoad(
+            messages.PeerSeen(name, {}, {}, (), ()), {'m': (1.0, 2.0)}
+        ),
         FAST,
         seeds,
     )
@@ -127,6 +140,25 @@
     # Until the first list has come an entry may poll alone; then one does.
     self.wait_until(self.is_each_engine_polled_by_one)
 
+  def test_every_entry_hears_of_cache_events(self):
+    names = [host.name for host in self.entries]
+    for name in names:
+      self.start(name)
+    wanted = messages.CacheSeen('engine-3', (77,), (78,))
+    for name in names:
+      self.wait_until(
+          lambda name=name: wanted in list(self.seen_by_entry[name])
+      )
+
+  def test_controllers_are_told_of_the_demand(self):
+    self.start('entry-0')
+    asker = FakePeers(self.network, 'controller:1')
+    encoded = msgspec.msgpack.encode({'m': (1.0, 2.0)})
+    self.wait_until(
+        lambda: asker.ask('entry-0:1', fleet_task.KIND_DEMAND, b'', 1)
+        == encoded
+    )
+
   def is_each_engine_polled_by_one(self):
     with self.engine.lock:
       self.engine.pollers_by_endpoint.clear()
--- a/mulberrypick/scripts/controller.py
+++ b/mulberrypick/scripts/controller.py
@@ -15,13 +15,16 @@
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_server
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import zmq_peers
 from mulberrypick.core import errors
 from mulberrypick.core import lease as leases
 from mulberrypick.core import reconcile
+from mulberrypick.core import roles
 from mulberrypick.core import settings
 from mulberrypick.ops import controller_app
 from mulberrypick.ops import controller_task
 from mulberrypick.ops import dead_man
+from mulberrypick.ops import demand_task
 from mulberrypick.ops import lease_holder
 from mulberrypick.ops import order_sender
 from mulberrypick.scripts import settings_command
@@ -76,6 +79,12 @@
         settings.parse_seconds,
         'Time between two looks at the engines, in seconds.',
     ),
+    settings.Setting(
+        'roles',
+        'forecast',
+        settings.parse_choice(*roles.ROLE_PLANNER_BY_NAME),
+        'How roles of engines are planned.',
+    ),
     settings.Setting(
         'log_level',
         'info',
@@ -123,6 +132,13 @@
         controller_task.ControllerIntervals(round_s=value_by_name['round_s']),
         self._lease.post,
     )
+    own_ip = value_by_name['listen'].ip
+    self._peers = zmq_peers.ZmqPeers(
+        f'{own_ip}:0', name, value_by_name['source_ip']
+    )
+    self._demand = demand_task.DemandTask(
+        zone, self._peers, lambda: self._task.hosts, self._task.post
+    )
     application = controller_app.ControllerApp(lambda: self._task.status)
     self._server = http_server.EdgeServer(
         tuple(value_by_name['listen']), application, LIMITS, 1.0
@@ -147,10 +163,14 @@
     self._server.start_in_background()
     self._task.start()
     self._lease.start()
+    self._peers.start()
+    self._demand.start()
     self._log_event('ready', address=self._settings['listen'])
     self._stopping.wait()
     self._log_event('stopping')
     # No order is being given any more when the term is given up.
+    self._demand.stop()
+    self._peers.stop()
     self._task.stop()
     self._lease.stop(self._task.is_settled)
     self._server.stop()
@@ -183,7 +203,7 @@
 
   Args:
     value_by_name: The settings.
-    planner: Decides on the roles of engines; None keeps them.
+    planner: Decides on the roles of engines; None for the one of the settings.
 
   Returns:
     The exit status.
@@ -197,7 +217,9 @@
   logs.configure_logging(
       value_by_name['log_level'], PROGRAM, value_by_name['name']
   )
-  return Controller(value_by_name, planner or reconcile.KeepRoles()).run()
+  if planner is None:
+    planner = roles.make_role_planner(value_by_name['roles'])
+  return Controller(value_by_name, planner).run()
 
 
 main = settings_command.make_command(
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -163,6 +163,7 @@
     dispatcher: Endpoints, queues and refusals.
     metrics: Histograms and outcomes.
     hosts: The list of hosts that it goes by.
+    peers: Bytes and messages between entry hosts since the start.
   """
 
   name: str
@@ -173,6 +174,7 @@
   dispatcher: dispatch.DispatcherStatus
   metrics: metrics_task.MetricsSnapshot
   hosts: tuple[records.Host, ...]
+  peers: zmq_peers.PeerCounts
 
 
 class Entry:
@@ -288,9 +290,11 @@
         _logger, logging.INFO, 'config_in_force', generation=config.generation
     )
 
-  def _read_own_load(self) -> messages.PeerSeen:
+  def _read_own_load(self) -> fleet_task.OwnLoad:
     return self._dispatch.query(
-        lambda dispatcher, now: dispatcher.peer_seen(now)
+        lambda dispatcher, now: fleet_task.OwnLoad(
+            dispatcher.peer_seen(now), dispatcher.demand_by_model(now)
+        )
     )
 
   def _explain(self, request_id: str) -> list[str]:
@@ -312,6 +316,7 @@
         dispatcher,
         self._metrics.snapshot(),
         self._state.hosts,
+        self._peers.counts(),
     )
 
   def run(self) -> int:
