--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -31,7 +31,12 @@
 READY_LINE = 'event=ready'
 LOG_TAIL_BYTES = 2000
 LISTEN_PORTS = range(10_000, 32_000)
-PORT_TRIES = 50
+
+
+# Other launchers on this machine go through the ports in another order.
+_port_order = iter(
+    random.SystemRandom().sample(LISTEN_PORTS, k=len(LISTEN_PORTS))
+)
 
 
 class LaunchError(Exception):
@@ -341,18 +346,18 @@
 def free_address(ip: str) -> str:
   """Returns `ip:port` with a port that was free just now.
 
-  The port lies below those that the system gives to outgoing connections:
-  one of theirs might take it before the process that it is meant for.
+  The port lies below those that the system gives to outgoing connections: one
+  of theirs might take it before the process that it is meant for. No port is
+  given out twice, since the first process may not have bound it yet.
   """
-  for port in random.SystemRandom().sample(LISTEN_PORTS, k=PORT_TRIES):
+  for port in _port_order:
     with socket.socket() as probe:
-      probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
       try:
         probe.bind((ip, port))
       except OSError:
         continue
       return f'{ip}:{port}'
-  raise LaunchError(f'no port of {PORT_TRIES} tried is free on {ip}')
+  raise LaunchError('all ports have been given out')
 
 
 def _complaint(program: Program, what: str) -> str:
