--- a/standins/fuzz_dead_man.py
+++ b/standins/fuzz_dead_man.py
@@ -100,16 +100,17 @@
     self._selector.register(connection, selectors.EVENT_READ)
 
   def _receive(self, connection: socket.socket) -> None:
+    """Counts what has arrived; a sender that has died resets."""
     try:
       data = connection.recv(RECV_BYTES)
-    except ConnectionResetError:
+      self.received += len(data)
+      if data.endswith(BODY_END):
+        connection.send(ANSWER)
+    except ConnectionError:
       data = b''
-    self.received += len(data)
     if not data:
       self._selector.unregister(connection)
       connection.close()
-    elif data.endswith(BODY_END):
-      connection.send(ANSWER)
 
 
 def run_round(seed: str, fault: str = 'none') -> Round:
