--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -183,6 +183,62 @@
     self.assertEqual(['e1', 'e2'], [e.name for e in status.endpoints])
 
 
+class TestSplitRoles(unittest.TestCase):
+
+  def make_split(self, roles):
+    dispatcher = make_dispatcher(
+        list(roles), routing.make_router('predicted-time')
+    )
+    for name, role in roles.items():
+      report = make_report(name, role=role)
+      dispatcher.handle(messages.ReportSeen(report), 0.1)
+    return dispatcher
+
+  def test_a_prompt_is_prefilled_on_the_engine_for_it(self):
+    roles = {'p': records.ROLE_PREFILL, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    start = submit(dispatcher, make_request('r1'), 0.2)
+    self.assertEqual('d', start.attempt.endpoint)
+    self.assertEqual('p', start.prefill_attempt.endpoint)
+    self.assertNotEqual(
+        start.attempt.attempt_id, start.prefill_attempt.attempt_id
+    )
+    prefill = start._replace(attempt=start.prefill_attempt)
+    end(dispatcher, prefill, messages.OUTCOME_WHOLE)
+    end(dispatcher, start, messages.OUTCOME_WHOLE)
+    status = dispatcher.snapshot(2.0)
+    self.assertEqual(0, status.running)
+    self.assertEqual([0, 0], [e.in_flight for e in status.endpoints])
+
+  def test_a_resume_needs_no_engine_for_prefill(self):
+    roles = {'p': records.ROLE_PREFILL, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    start = submit(dispatcher, make_request('r1'), 0.2, 5, ('gone',))
+    self.assertEqual('d', start.attempt.endpoint)
+    self.assertIsNone(start.prefill_attempt)
+
+  def test_an_engine_that_decodes_gets_nothing_without_one_that_prefills(self):
+    roles = {'m': records.ROLE_MIXED, 'd': records.ROLE_DECODE}
+    dispatcher = self.make_split(roles)
+    for number in range(4):
+      start = submit(dispatcher, make_request(f'r{number}'), 0.2)
+      self.assertEqual('m', start.attempt.endpoint)
+
+
+class TestDemand(unittest.TestCase):
+
+  def test_the_status_tells_what_arrives_even_if_it_is_refused(self):
+    dispatcher = make_dispatcher(['e1'])
+    request = make_request('r', prompt_tokens=8000, deadline_at=900.0)
+    for number in range(100):
+      numbered = request._replace(request_id=f'r{number}')
+      dispatcher.handle(messages.Submit(numbered, 0, ()), 0.1 * number)
+    prefill, decode = dispatcher.snapshot(10.0).demand_by_model['m']
+    # Ten a second, one second of prefill each.
+    self.assertAlmostEqual(10.0, prefill, delta=1.0)
+    self.assertGreater(decode, 0.0)
+
+
 class TestCrashes(unittest.TestCase):
 
   def test_a_crasher_takes_two_engines_and_its_neighbour_goes_on(self):
@@ -212,7 +268,7 @@
   def test_a_suspect_of_a_peer_waits_for_its_verdict(self):
     dispatcher = make_dispatcher()
     request = make_request('r1')
-    suspect = (dispatch.fingerprint(request),)
+    suspect = (waiting_base.fingerprint(request),)
     told = messages.PeerSeen('entry-2', {}, {}, (), (), suspects=suspect)
     dispatcher.handle(told, 0.5)
     message = messages.Submit(request, 0, ())
@@ -230,7 +286,9 @@
       failed += (start.attempt.endpoint,)
       # Time enough passes for each failure to count on its own.
       end(dispatcher, start, messages.OUTCOME_FAILED, now + 1.0)
-      dispatcher._isolation.quarantine.see_whole(dispatch.fingerprint(request))
+      dispatcher._isolation.quarantine.see_whole(
+          waiting_base.fingerprint(request)
+      )
     refuse = submit(dispatcher, request, 90.0, 3, failed)
     self.assertIsInstance(refuse.error, errors.UnavailableError)
 
--- a/mulberrypick/core/load.py
+++ b/mulberrypick/core/load.py
@@ -66,11 +66,13 @@
     all: All of them.
     quiet: Those that are kept free of long prompts.
     bulk: The others.
+    names: Names of all of them.
   """
 
   all: list['EndpointLoad']
   quiet: list['EndpointLoad']
   bulk: list['EndpointLoad']
+  names: frozenset[str] = frozenset()
 
 
 class EndpointLoad:
@@ -138,6 +140,13 @@
     self._ended: collections.deque = collections.deque(maxlen=ENDED_KEPT)
     self._told_by_peer: dict[str, tuple[float, float]] = {}
 
+  @property
+  def is_decoder(self) -> bool:
+    """Whether it only decodes what was prefilled elsewhere."""
+    if self.report is None:
+      return False
+    return self.report.role == records.ROLE_DECODE
+
   @property
   def in_flight(self) -> int:
     """Own attempts under way."""
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -7,6 +7,8 @@
 import abc
 from typing import NamedTuple
 
+import xxhash
+
 from mulberrypick.core import cost as cost_model
 from mulberrypick.core import errors
 from mulberrypick.core import partition
@@ -14,6 +16,17 @@
 from mulberrypick.core import shares
 
 
+def queue_name(model: str, adapter: str) -> str:
+  """Returns the name that reports use for a model and its adapter."""
+  return f'{model}+{adapter}' if adapter else model
+
+
+def fingerprint(request: records.InferenceRequest) -> int:
+  """Returns the hash of what an endpoint is given to run."""
+  text = f'{request.model}|{request.adapter}|{request.prompt}'
+  return xxhash.xxh64_intdigest(text.encode())
+
+
 class Waiting(NamedTuple):
   """A request that waits for an endpoint.
 
@@ -26,6 +39,7 @@
     is_again: Whether it ran before; such a request is never refused here for
       want of room.
     fingerprint: Hash of its content.
+    blocks: Hashes of the prompt's blocks, chained; may be empty.
   """
 
   request: records.InferenceRequest
@@ -35,6 +49,7 @@
   queued_at: float
   is_again: bool
   fingerprint: int
+  blocks: tuple[int, ...] = ()
 
 
 class Refusal(NamedTuple):
--- a/mulberrypick/ops/claim_task.py
+++ b/mulberrypick/ops/claim_task.py
@@ -29,10 +29,13 @@
 from mulberrypick.core import claims
 from mulberrypick.core import errors
 from mulberrypick.core import records
+from mulberrypick.ops import slot_forwarder
 from mulberrypick.ops import slot_writer
 
 PEER_KIND = 'claim'
-WRITERS = 8
+# A writer for each slot: one that waits for another host must not keep the
+# changes waiting that this host was sent.
+WRITERS = claims.SLOT_COUNT
 # Claims whose outcome isn't recorded yet; above it new ones are refused.
 MAX_UNSETTLED = 10_000
 # A claim that wasn't used this long after it was asked for is never sent.
@@ -89,6 +92,8 @@
       clock: Callable[[], float] = time.monotonic,
       rng: random.Random | None = None,
       writers: int = WRITERS,
+      writes_per_s: float = slot_writer.WRITES_PER_S,
+      list_peers: Callable[[], tuple[str, ...]] | None = None,
   ):
     self._platform = platform
     self._own_name = own_name
@@ -98,8 +103,12 @@
     self._claim_by_nonce: dict[str, OwnClaim] = {}
     self._is_stopping = threading.Event()
     self.writer = slot_writer.SlotWriter(
-        platform, clock, rng or random.Random(), writers
+        platform, clock, rng or random.Random(), writers, writes_per_s
     )
+    if list_peers is not None:
+      self.writer.forwarder = slot_forwarder.SlotForwarder(
+          peers, own_peer_address, list_peers, self.writer.apply_forwarded
+      )
     self._epoch_thread = threading.Thread(
         target=self._keep_epoch, name='claim-epoch', daemon=True
     )
--- a/mulberrypick/ops/slot_writer.py
+++ b/mulberrypick/ops/slot_writer.py
@@ -10,14 +10,20 @@
 failed write costs more of the platform's rate than a read. The entry host
 would also have to hold all recorded answers.
 
+The platform's rate of writes is shared by all entry hosts. Each host keeps to
+a rate of its own, with a small burst; when that is used up, the groups grow
+instead of the number of writes.
+
 After a conflict or a lost answer the slot is read again and the same changes
 are applied again; they are idempotent by nonce. When the platform is away, a
 pause that grows with each failure begins. In it, changes whose caller waits
-are failed at once, and all others stay queued: thus an outage costs few calls,
+are failed at once, and all others stay queued. After it one thread tries the
+platform and the others wait for what it finds: thus an outage costs few calls,
 and its end brings no stampede.
 """
 
 import collections
+import functools
 import logging
 import queue
 import random
@@ -29,6 +35,7 @@
 from mulberrypick.adapters import platform as platform_lib
 from mulberrypick.core import claims
 from mulberrypick.core import errors
+from mulberrypick.ops import slot_forwarder
 
 MAX_TRIES = 30
 # Pause after a conflict, grown with the tries and drawn at random below it.
@@ -37,6 +44,11 @@
 # Pause after the platform was away.
 AWAY_PAUSE_S = 0.25
 MAX_AWAY_PAUSE_S = 2.0
+AWAY_POLL_S = 0.02
+# Updates of one host, conflicts included: nine hosts stay below the platform's
+# 400 writes a second.
+WRITES_PER_S = 40.0
+WRITE_BURST = 20.0
 # Changes in one update; a bound on the time that one holds its slot.
 MAX_GROUP = 2000
 
@@ -62,11 +74,15 @@
     change: The change.
     reply: Takes the `Outcome` or `Failure`; called on a writer thread.
     is_lasting: Whether it is kept until it is done, whatever happens.
+    is_forwarded: Whether another host sent it, so that it is written here.
+    may_stand: Whether another host may have applied it already.
   """
 
   change: claims.Change
   reply: Callable[[claims.Outcome | Failure], None]
   is_lasting: bool
+  is_forwarded: bool = False
+  may_stand: bool = False
 
 
 class SlotWriter:
@@ -76,6 +92,7 @@
     groups: Conditional updates that succeeded.
     changes: Changes that they carried, or that needed no write.
     conflicts: Conditional updates that met another version.
+    forwarder: Knows the preferred writers of slots; None to write them all.
   """
 
   def __init__(
@@ -84,7 +101,9 @@
       clock: Callable[[], float],
       rng: random.Random,
       writers: int,
+      writes_per_s: float = WRITES_PER_S,
   ):
+    self.forwarder: slot_forwarder.SlotForwarder | None = None
     self.groups = 0
     self.changes = 0
     self.conflicts = 0
@@ -100,7 +119,12 @@
     self._busy_slots: set[int] = set()
     self._ready: queue.SimpleQueue[int | None] = queue.SimpleQueue()
     self._stopped = threading.Event()
+    self._writes_per_s = writes_per_s
+    self._writes_left = WRITE_BURST
+    self._refilled_at = clock()
+    self._is_away = False
     self._away_until = 0.0
+    self._probe = threading.Lock()
     self._away_pause_s = AWAY_PAUSE_S
     self._threads = [
         threading.Thread(target=self._run, name=f'claims-{n}', daemon=True)
@@ -146,14 +170,75 @@
 
   def _run(self) -> None:
     while (slot := self._ready.get()) is not None:
-      self._wait_while_away(slot)
-      with self._lock:
-        group = self._waiting_by_slot[slot][:MAX_GROUP]
-        del self._waiting_by_slot[slot][:MAX_GROUP]
-      if group:
-        self._write_group(slot, group)
+      if not self._forward_group(slot):
+        is_probe = self._wait_while_away(slot)
+        self._wait_for_rate()
+        group = self._take_group(slot, MAX_GROUP)
+        if group:
+          self._write_group(slot, group)
+        if is_probe:
+          self._probe.release()
       self._finish(slot)
 
+  def _take_group(self, slot: int, count: int) -> list[Waiting]:
+    with self._lock:
+      group = self._waiting_by_slot[slot][:count]
+      del self._waiting_by_slot[slot][:count]
+    return group
+
+  def _forward_group(self, slot: int) -> bool:
+    """Has a group written by the slot's preferred writer.
+
+    Returns:
+      Whether it was; if not, all of it waits as before.
+    """
+    writer = self.forwarder.find_writer(slot) if self.forwarder else ''
+    if not writer:
+      return False
+    group = self._take_group(slot, slot_forwarder.MAX_FORWARDED)
+    own = [waiting for waiting in group if not waiting.is_forwarded]
+    outcomes = None
+    if len(own) == len(group):
+      changes = [waiting.change for waiting in own]
+      outcomes = self.forwarder.forward(writer, changes)
+    if outcomes is None:
+      doubtful = [waiting._replace(may_stand=True) for waiting in group]
+      with self._lock:
+        self._waiting_by_slot[slot][:0] = doubtful
+      return False
+    self.changes += len(group)
+    for waiting, outcome in zip(group, outcomes, strict=True):
+      waiting.reply(outcome)
+    return True
+
+  def apply_forwarded(
+      self,
+      changes: list[claims.Change],
+      answer: Callable[[list[claims.Outcome] | None], None],
+  ) -> None:
+    """Queues changes of another host.
+
+    Args:
+      changes: Changes of one slot.
+      answer: Takes their outcomes once all are there, or None.
+    """
+    if self._stopped.is_set():
+      answer(None)
+      return
+    result_by_index: dict[int, claims.Outcome | Failure] = {}
+
+    def collect(index: int, result: claims.Outcome | Failure) -> None:
+      result_by_index[index] = result
+      if len(result_by_index) < len(changes):
+        return
+      results = [result_by_index[i] for i in range(len(changes))]
+      is_failed = any(isinstance(r, Failure) for r in results)
+      answer(None if is_failed else results)
+
+    for index, change in enumerate(changes):
+      reply = functools.partial(collect, index)
+      self.submit(Waiting(change, reply, False, True))
+
   def _finish(self, slot: int) -> None:
     with self._idle:
       has_more = bool(self._waiting_by_slot[slot])
@@ -163,11 +248,38 @@
     if has_more and not self._stopped.is_set():
       self._ready.put(slot)
 
-  def _wait_while_away(self, slot: int) -> None:
-    """Waits for the end of the pause, failing what can't wait."""
-    while (pause_s := self.get_pause_s()) > 0 and not self._stopped.is_set():
-      self._fail_passing(slot, pause_s)
-      self._stopped.wait(min(pause_s, 0.02))
+  def _wait_while_away(self, slot: int) -> bool:
+    """Waits for the platform, failing what can't wait.
+
+    Returns:
+      Whether this thread is the one that tries whether the platform is back;
+      it has to release `_probe` afterwards.
+    """
+    while self._is_away and not self._stopped.is_set():
+      pause_s = self.get_pause_s()
+      if pause_s <= 0 and self._probe.acquire(blocking=False):
+        return True
+      if pause_s > 0:
+        self._fail_passing(slot, pause_s)
+      self._stopped.wait(AWAY_POLL_S)
+    return False
+
+  def _wait_for_rate(self) -> None:
+    """Waits until this host may write again; changes gather meanwhile."""
+    while (wait_s := self._refill()) > 0 and not self._stopped.is_set():
+      self._stopped.wait(wait_s)
+
+  def _refill(self) -> float:
+    """Returns the seconds until the next write; takes it if there are none."""
+    with self._lock:
+      now = self._clock()
+      added = (now - self._refilled_at) * self._writes_per_s
+      self._writes_left = min(WRITE_BURST, self._writes_left + added)
+      self._refilled_at = now
+      if self._writes_left < 1:
+        return (1 - self._writes_left) / self._writes_per_s
+      self._writes_left -= 1
+      return 0.0
 
   def _fail_passing(self, slot: int, pause_s: float) -> None:
     with self._lock:
@@ -175,7 +287,7 @@
       passing = [w for w in waiting if not w.is_lasting]
       waiting[:] = [w for w in waiting if w.is_lasting]
     for item in passing:
-      item.reply(Failure(False, pause_s))
+      item.reply(Failure(item.may_stand, pause_s))
 
   def _write_group(self, slot: int, group: list[Waiting]) -> None:
     key = claims.make_slot_key(slot)
@@ -200,6 +312,7 @@
         may_stand = True
         self._note_away(errors.PlatformUnavailableError(repr(error)))
         break
+      self._is_away = False
       self._away_pause_s = AWAY_PAUSE_S
       self.changes += len(group)
       for waiting, outcome in zip(group, outcomes, strict=True):
@@ -227,7 +340,8 @@
       self._waiting_by_slot[slot][:0] = lasting
     for waiting in group:
       if not waiting.is_lasting:
-        waiting.reply(Failure(may_stand, self.get_pause_s()))
+        is_doubtful = may_stand or waiting.may_stand
+        waiting.reply(Failure(is_doubtful, self.get_pause_s()))
 
   def _pause(self, tries: int) -> None:
     bound_s = min(MAX_CONFLICT_PAUSE_S, CONFLICT_PAUSE_S * (tries + 1))
@@ -237,6 +351,7 @@
     pause_s = self._rng.uniform(0.5, 1.0) * self._away_pause_s
     pause_s = max(pause_s, error.retry_after_s)
     self._away_until = self._clock() + pause_s
+    self._is_away = True
     self._away_pause_s = min(MAX_AWAY_PAUSE_S, 2 * self._away_pause_s)
     logs.log_event(
         log,
