Control messages keep to a budget of bytes; host lists go out only when changed

Cause: measured with idle entries and a crowd of engines, control cost 7.3 KB/s and 9.7% of a core at 24 entries, 59 KB/s at 1,700 engines: the whole list of hosts went to the zone each second, loads to all peers each half second, and each engine was polled three times a second.

Change: a digest instead of an unchanged list; intervals that grow so that all kinds together stay below 2.5 KB/s; at most 15 questions of a kind a second to engines; who polls which engine is worked out once for each list.

The price is older news: at 1,700 engines for 2 entries a zone a report is a minute old.

--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -14,9 +14,11 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from mulberrypick.adapters import engine as engine_adapter
 from mulberrypick.adapters import logs
@@ -28,6 +30,7 @@
 from mulberrypick.core import rendezvous
 
 KIND_HOSTS = 'hosts'
+KIND_HOSTS_DIGEST = 'hosts_digest'
 KIND_ASK_HOSTS = 'ask_hosts'
 KIND_REPORTS = 'reports'
 KIND_LOAD = 'load'
@@ -38,6 +41,15 @@
 ASK_TIMEOUT_S = 1.0
 # Blocks that one message tells of; the rest of a burst is left out.
 CACHE_BLOCKS_MOST = 128
+# Bytes a second that one entry may tell, by kind, together below the 3 KB that
+# control may cost a daemon; intervals grow with the number of peers instead.
+LOAD_BYTES_PER_S = 1500.0
+REPORTS_BYTES_PER_S = 750.0
+CACHE_BYTES_PER_S = 250.0
+# Envelope of a message between peers.
+MESSAGE_BYTES = 32
+# Questions to engines a second, of each kind.
+POLLS_PER_S = 15.0
 
 _logger = logging.getLogger(__name__)
 
@@ -125,7 +137,10 @@
     self._inbox: queue.Queue[_Received] = queue.Queue(1000)
     self._hosts: tuple[records.Host, ...] = ()
     self._hosts_at = 0.0
+    self._hosts_digest = b''
+    self._own_engines: frozenset[str] = frozenset()
     self._report_at_by_endpoint: dict[str, float] = {}
+    self._reports_interval_s = 0.0
     self._event_number_by_endpoint: dict[str, int] = {}
     self._demand_body = msgspec.msgpack.encode({})
     self._pool = concurrent.futures.ThreadPoolExecutor(
@@ -133,7 +148,13 @@
     )
     self._stopping = threading.Event()
     self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
-    for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD, KIND_CACHE):
+    for kind in (
+        KIND_HOSTS,
+        KIND_HOSTS_DIGEST,
+        KIND_REPORTS,
+        KIND_LOAD,
+        KIND_CACHE,
+    ):
       peers.handle(kind, self._make_handler(kind))
     peers.handle(KIND_DEMAND, lambda sender, body: self._demand_body)
     peers.handle(KIND_ASK_HOSTS, self._answer_hosts)
@@ -193,24 +214,18 @@
         ),
         0.0,
     )
-    interval_by_step = {
-        self._step_hosts: self._intervals.hosts_s,
-        self._step_reports: self._intervals.reports_s,
-        self._step_cache: self._intervals.cache_s,
-        self._step_load: self._intervals.load_s,
-    }
     while not self._stopping.is_set():
-      now = time.monotonic()
       for step, next_at in next_at_by_step.items():
-        if now < next_at:
+        if time.monotonic() < next_at:
           continue
-        next_at_by_step[step] = now + interval_by_step[step]
-        self._run_step(step)
+        started_at = time.monotonic()
+        next_at_by_step[step] = started_at + self._run_step(step)
       self._take_messages(min(next_at_by_step.values()))
 
-  def _run_step(self, step: Callable[[], None]) -> None:
+  def _run_step(self, step: Callable[[], float]) -> float:
+    """Runs a step; returns the seconds from its start to the next one."""
     try:
-      step()
+      return step()
     except errors.MulberrypickError as error:
       logs.log_event(
           _logger,
@@ -221,6 +236,7 @@
       )
     except Exception:
       _logger.exception('fleet_step_broken')
+    return self._intervals.hosts_s
 
   def _take_messages(self, until: float) -> None:
     while not self._stopping.is_set():
@@ -237,6 +253,8 @@
     try:
       if received.kind == KIND_HOSTS:
         self._see_hosts(_HOSTS_DECODER.decode(received.body))
+      elif received.kind == KIND_HOSTS_DIGEST:
+        self._see_hosts_digest(received.body)
       elif received.kind == KIND_REPORTS:
         self._see_reports(_REPORTS_DECODER.decode(received.body))
       elif received.kind == KIND_CACHE:
@@ -253,20 +271,32 @@
           reason=str(error),
       )
 
-  def _step_hosts(self) -> None:
+  def _step_hosts(self) -> float:
     now = time.monotonic()
     is_silent = now - self._hosts_at > self._intervals.silence_s
     if not (is_silent or self._is_hosts_reader()):
-      return
+      return self._intervals.hosts_s
     try:
       hosts = tuple(self._platform.list_hosts())
     except errors.PlatformError:
       self._ask_peers_for_hosts()
       raise
+    has_changed = hosts != self._hosts
     self._see_hosts(hosts)
-    body = msgspec.msgpack.encode(hosts)
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_HOSTS, body)
+    # The whole list goes out only when it has changed. An entry that missed it
+    # sees another digest, is not kept up to date by it, and asks by itself.
+    if has_changed:
+      self._tell_zone(KIND_HOSTS, msgspec.msgpack.encode(hosts))
+    else:
+      self._tell_zone(KIND_HOSTS_DIGEST, self._hosts_digest)
+    return self._intervals.hosts_s
+
+  def _tell_zone(self, kind: str, body: bytes) -> float:
+    """Tells all other entries of the zone; returns the bytes sent."""
+    zone_entries = self._list_entries(self._own_zone)
+    for peer in zone_entries:
+      self._peers.tell(peer.peer_address, kind, body)
+    return len(zone_entries) * (len(body) + MESSAGE_BYTES)
 
   def _ask_peers_for_hosts(self) -> None:
     """Asks peers, when nothing is known and the platform is away."""
@@ -285,34 +315,55 @@
 
   def _see_hosts(self, hosts: tuple[records.Host, ...]) -> None:
     self._hosts_at = time.monotonic()
+    if hosts == self._hosts:
+      return
     self._hosts = hosts
+    self._hosts_digest = digest_hosts(hosts)
+    names = self._zone_names()
+    self._own_engines = frozenset(
+        host.name
+        for host in hosts
+        if host.kind == records.HOST_ENGINE
+        and rendezvous.rank(f'report/{host.name}', names)[0] == self._own_name
+    )
     self._publish(messages.HostsSeen(hosts))
 
-  def _step_reports(self) -> None:
-    names = self._zone_names()
+  def _see_hosts_digest(self, digest: bytes) -> None:
+    if digest == self._hosts_digest:
+      self._hosts_at = time.monotonic()
+
+  def _step_reports(self) -> float:
     polls = [
         self._pool.submit(self._engine.read_load, host.name, host.address)
+        for host in self._list_own_engines()
+    ]
+    reports = tuple(_take_results(polls, self._intervals.reports_s))
+    if not reports:
+      return self._intervals.reports_s
+    self._see_reports(reports)
+    body = msgspec.msgpack.encode(reports)
+    sent_bytes = self._tell_zone(KIND_REPORTS, body)
+    self._reports_interval_s = max(
+        self._intervals.reports_s,
+        sent_bytes / REPORTS_BYTES_PER_S,
+        len(polls) / POLLS_PER_S,
+    )
+    return self._reports_interval_s
+
+  def _list_own_engines(self) -> list[records.Host]:
+    """Lists the engines that this entry polls, as their reporter or alone."""
+    # Engines are shared out evenly, so that others take about as long.
+    silence_s = max(self._intervals.silence_s, 2 * self._reports_interval_s)
+    silent_at = time.monotonic() - silence_s
+    return [
+        host
         for host in self._hosts
-        if host.kind == records.HOST_ENGINE and self._polls(host, names)
+        if host.kind == records.HOST_ENGINE
+        and (
+            host.name in self._own_engines
+            or self._report_at_by_endpoint.get(host.name, 0.0) < silent_at
+        )
     ]
-    if not polls:
-      return
-    done, _ = concurrent.futures.wait(polls, self._intervals.reports_s)
-    reports = []
-    for poll in done:
-      if poll.exception() is None:
-        reports.append(poll.result())
-    self._see_reports(tuple(reports))
-    body = msgspec.msgpack.encode(tuple(reports))
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_REPORTS, body)
-
-  def _polls(self, host: records.Host, names: list[str]) -> bool:
-    """Tells whether this entry polls an engine, as its reporter or alone."""
-    if rendezvous.rank(f'report/{host.name}', names)[0] == self._own_name:
-      return True
-    reported_at = self._report_at_by_endpoint.get(host.name, 0.0)
-    return time.monotonic() - reported_at > self._intervals.silence_s
 
   def _see_reports(self, reports: tuple[records.EngineReport, ...]) -> None:
     now = time.monotonic()
@@ -320,26 +371,30 @@
       self._report_at_by_endpoint[report.endpoint] = now
       self._publish(messages.ReportSeen(report))
 
-  def _step_cache(self) -> None:
+  def _step_cache(self) -> float:
     """Reads the cache events of the engines that this entry reports."""
-    names = self._zone_names()
     polls = [
         self._pool.submit(self._read_cache, host)
         for host in self._hosts
-        if host.kind == records.HOST_ENGINE and self._polls(host, names)
+        if host.name in self._own_engines
+    ]
+    news = [
+        seen
+        for seen in _take_results(polls, self._intervals.cache_s)
+        if seen is not None
     ]
-    done, _ = concurrent.futures.wait(polls, self._intervals.cache_s)
-    news = []
-    for poll in done:
-      if poll.exception() is None and poll.result() is not None:
-        news.append(poll.result())
-    if not news:
-      return
     for seen in news:
       self._publish(seen)
-    body = msgspec.msgpack.encode(tuple(news))
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_CACHE, body)
+    sent_bytes = 0.0
+    if news:
+      sent_bytes = self._tell_zone(
+          KIND_CACHE, msgspec.msgpack.encode(tuple(news))
+      )
+    return max(
+        self._intervals.cache_s,
+        sent_bytes / CACHE_BYTES_PER_S,
+        len(polls) / POLLS_PER_S,
+    )
 
   def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
     # Numbers begin anew with each incarnation of an engine.
@@ -357,12 +412,15 @@
         tuple(evicted[-CACHE_BLOCKS_MOST:]),
     )
 
-  def _step_load(self) -> None:
+  def _step_load(self) -> float:
     own = self._read_own_load()
     self._demand_body = msgspec.msgpack.encode(own.demand_by_model)
     body = msgspec.msgpack.encode(own.seen)
-    for peer in self._list_entries(''):
+    others = self._list_entries('')
+    for peer in others:
       self._peers.tell(peer.peer_address, KIND_LOAD, body)
+    sent_bytes = len(others) * (len(body) + MESSAGE_BYTES)
+    return max(self._intervals.load_s, sent_bytes / LOAD_BYTES_PER_S)
 
   def _zone_names(self) -> list[str]:
     names = [host.name for host in self._list_entries(self._own_zone)]
@@ -378,3 +436,16 @@
         and host.name != self._own_name
         and (not zone or host.zone == zone)
     ]
+
+
+def digest_hosts(hosts: tuple[records.Host, ...]) -> bytes:
+  """Returns a digest of a list of hosts, for those that may hold it too."""
+  return xxhash.xxh3_64_digest(msgspec.msgpack.encode(hosts))
+
+
+def _take_results(
+    polls: list[concurrent.futures.Future], timeout_s: float
+) -> list[Any]:
+  """Returns the results that came in time; failures are left out."""
+  done, _ = concurrent.futures.wait(polls, timeout_s)
+  return [poll.result() for poll in done if poll.exception() is None]
--- /dev/null
+++ b/standins/bench_control.py
@@ -0,0 +1,152 @@
+"""What control costs an entry host, by entries and by engines.
+
+Idle entries are run before a platform stand-in and a crowd of idle engines.
+For each size: processor time, memory and peer bytes of an entry, and calls of
+the platform by kind. The slopes feed docs/CAPACITY.md.
+"""
+
+import json
+import pathlib
+import shutil
+import statistics
+import sys
+import time
+from typing import NamedTuple
+
+import click
+
+from mulberrypick.core import records
+from standins import bench_entry
+from standins import launcher
+from standins import town
+
+LOG_FOLDER = pathlib.Path('out/bench-control')
+ZONES = 3
+SETTLE_S = 6.0
+OBSERVE_S = 10.0
+SIZES = (
+    (1, 8),
+    (4, 8),
+    (8, 8),
+    (16, 8),
+    (24, 8),
+    (6, 4),
+    (6, 24),
+    (6, 96),
+    (6, 384),
+    (6, 1700),
+)
+CALL_KINDS = ('get', 'put', 'list', 'watch', 'hosts')
+
+
+class Cost(NamedTuple):
+  """Cost of control at one size.
+
+  Attributes:
+    entries: Entry hosts.
+    engines: Engines.
+    core: Mean part of a core that an entry uses.
+    core_most: The same of the busiest entry.
+    memory_mb: Mean resident memory of an entry.
+    sent_per_s: Mean bytes a second that an entry sends to peers.
+    platform_per_s: Calls of the platform a second, all entries together.
+  """
+
+  entries: int
+  engines: int
+  core: float
+  core_most: float
+  memory_mb: float
+  sent_per_s: float
+  platform_per_s: dict[str, float]
+
+
+def put_crowd(made: town.Town, engines: int) -> None:
+  """Starts a crowd and puts its engines on the list."""
+  address = launcher.free_address(launcher.zone_ip(1))
+  flags = ('--listen', address)
+  made.fleet.start_program(
+      'crowd', 'standins.engine_crowd', flags, address=address
+  )
+  for number in range(engines):
+    name = f'engine-{number}'
+    host = launcher.make_host(
+        name, 1 + number % ZONES, records.HOST_ENGINE, f'{address}/{name}'
+    )
+    made.fleet.put_host(host)
+
+
+def measure(entries: int, engines: int) -> Cost:
+  """Measures one size."""
+  folder = LOG_FOLDER / f'{entries}-{engines}'
+  with town.Town(folder, ('--reads-per-s', '5000')) as made:
+    put_crowd(made, engines)
+    made.apply(json.dumps(bench_entry.DECLARATION).encode())
+    for number in range(entries):
+      made.spawn_entry(f'entry-{number}', 1 + number % ZONES)
+    made.wait_entries()
+    time.sleep(SETTLE_S)
+    hosts = list(made.entry_by_name.values())
+    pids = [host.program.process.pid for host in hosts]
+    cpu_before = [bench_entry.read_cpu_s(pid) for pid in pids]
+    sent_before = [read_sent(made, host) for host in hosts]
+    calls_before = made.fleet.call(made.fleet.platform, 'GET', '/calls')
+    time.sleep(OBSERVE_S)
+    cpu_after = [bench_entry.read_cpu_s(pid) for pid in pids]
+    calls_after = made.fleet.call(made.fleet.platform, 'GET', '/calls')
+    sent_after = [read_sent(made, host) for host in hosts]
+    memory = [bench_entry.read_memory_mb(pid) for pid in pids]
+  cores = [
+      (after - before) / OBSERVE_S
+      for before, after in zip(cpu_before, cpu_after, strict=True)
+  ]
+  sent = [
+      (after - before) / OBSERVE_S
+      for before, after in zip(sent_before, sent_after, strict=True)
+  ]
+  return Cost(
+      entries,
+      engines,
+      statistics.mean(cores),
+      max(cores),
+      statistics.mean(memory),
+      statistics.mean(sent),
+      {
+          kind: (calls_after[kind] - calls_before[kind]) / OBSERVE_S
+          for kind in CALL_KINDS
+      },
+  )
+
+
+def read_sent(made: town.Town, host: town.EntryHost) -> int:
+  """Reads the bytes that an entry has sent to peers."""
+  return made.read_status(host)['peers']['sent_bytes']
+
+
+def print_cost(cost: Cost) -> None:
+  """Prints one line of the table."""
+  calls = ' '.join(
+      f'{kind}={rate:.1f}' for kind, rate in cost.platform_per_s.items()
+  )
+  click.echo(
+      f'{cost.entries:7}{cost.engines:9}{cost.core * 100:9.2f}'
+      f'{cost.core_most * 100:9.2f}{cost.memory_mb:9.1f}'
+      f'{cost.sent_per_s:11.0f}   {calls}'
+  )
+
+
+def main() -> int:
+  """Measures all sizes."""
+  shutil.rmtree(LOG_FOLDER, ignore_errors=True)
+  click.echo(
+      f'{"entries":>7}{"engines":>9}{"core %":>9}{"most %":>9}{"MB":>9}'
+      f'{"sent B/s":>11}   platform calls/s'
+  )
+  for entries, engines in SIZES:
+    print_cost(measure(entries, engines))
+    sys.stdout.flush()
+  return 0
+
+
+if __name__ == '__main__':
+  sys.exit(main())
