--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -9,10 +9,10 @@
 import random
 from typing import NamedTuple
 
-import xxhash
-
-from mulberrypick.core import attempts
+from mulberrypick.core import attempt_books
 from mulberrypick.core import cost
+from mulberrypick.core import demand_meter
+from mulberrypick.core import endpoint_choice
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
 from mulberrypick.core import isolation
@@ -26,8 +26,6 @@
 from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
 
-PRIORITY_URGENT = 10
-PRIORITY_OTHER = 0
 RETRY_AFTER_S = 2.0
 PART_EVERY_S = 1.0
 ATTEMPTS_MOST = 3
@@ -43,6 +41,8 @@
     running: Attempts under way.
     refused_by_kind: Refusals since the start.
     quarantined: Requests that are refused for crashing endpoints.
+    demand_by_model: Engine seconds a second that arrive here for each model,
+      for prefill and for decode.
   """
 
   generation: int
@@ -51,17 +51,7 @@
   running: int
   refused_by_kind: dict[str, int]
   quarantined: int
-
-
-def queue_name(model: str, adapter: str) -> str:
-  """Returns the name that reports use for a model and its adapter."""
-  return f'{model}+{adapter}' if adapter else model
-
-
-def fingerprint(request: records.InferenceRequest) -> int:
-  """Returns the hash of what an endpoint is given to run."""
-  text = f'{request.model}|{request.adapter}|{request.prompt}'
-  return xxhash.xxh64_intdigest(text.encode())
+  demand_by_model: dict[str, tuple[float, float]] = {}
 
 
 class Dispatcher:
@@ -76,21 +66,22 @@
       seed: int = 1,
   ):
     self._own_name = own_name
-    self._own_zone = own_zone
-    self._router = router
     self._admission = admission
-    self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
-    self._strictest_s = 0.0
     self._part_at = 0.0
-    self._entries = 1
     self._fleet = fleet.Fleet()
     self._cost = cost.CostModel()
-    self._attempts = attempts.Attempts()
+    self._choice = endpoint_choice.EndpointChoice(
+        own_zone, router, self._fleet, self._cost, random.Random(seed)
+    )
     self._isolation = isolation.Isolation(own_name)
     self._retry_budget = retry_budget.RetryBudget()
+    self._demand = demand_meter.DemandMeter()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
+    self._books = attempt_books.AttemptBooks(
+        self._fleet, self._choice, self._cost, self._isolation, self._journal
+    )
     self._handler_by_type = {
         messages.Submit: self._submit,
         messages.Withdraw: self._withdraw,
@@ -100,6 +91,7 @@
         messages.HostsSeen: self._hosts_seen,
         messages.ReportSeen: self._report_seen,
         messages.PeerSeen: self._peer_seen,
+        messages.CacheSeen: self._cache_seen,
         messages.Tick: self._tick,
     }
 
@@ -137,20 +129,25 @@
         digest.booked,
     )
 
+  def demand_by_model(self, now: float) -> dict[str, tuple[float, float]]:
+    """Returns engine seconds a second that arrive here, by model."""
+    return self._demand.by_model(now)
+
   def snapshot(self, now: float) -> DispatcherStatus:
     """Returns the state for the status page."""
     return DispatcherStatus(
         self._config.generation,
         self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
-        len(self._attempts.running_by_attempt),
+        len(self._books.attempts.running_by_attempt),
         dict(self._refused_by_kind),
         len(self._isolation.quarantine.refused(now)),
+        self.demand_by_model(now),
     )
 
   def _submit(self, message, now):
     request = message.request
-    queue = queue_name(request.model, request.adapter)
+    queue = waiting_base.queue_name(request.model, request.adapter)
     error = self._check(message, queue, now)
     if error is not None:
       return [self._refuse(request.request_id, error)]
@@ -161,8 +158,12 @@
         self._cost.cost(queue, request, message.next_index),
         now,
         _is_again(message),
-        fingerprint(request),
+        waiting_base.fingerprint(request),
+        self._choice.hash_prompt(request),
     )
+    if not waiting.is_again:
+      cost_s = (waiting.cost.prefill_s, waiting.cost.decode_s)
+      self._demand.add(request.model, *cost_s, now)
     if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
       held = isolation.Held(queue, waiting)
       self._isolation.held_by_request[request.request_id] = held
@@ -183,7 +184,7 @@
       return errors.UnavailableError(
           f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
       )
-    failures = self._attempts.failures(request.request_id)
+    failures = self._books.attempts.failures(request.request_id)
     service = self._config.service_by_name.get(request.service)
     most = service.max_attempts if service is not None else ATTEMPTS_MOST
     if failures >= most:
@@ -210,57 +211,28 @@
     held = self._isolation.held_by_request.pop(request_id, None)
     waiting = self._admission.withdraw(request_id)
     if held is not None or waiting is not None:
-      self._attempts.forget(request_id)
+      self._books.attempts.forget(request_id)
       self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
   def _first_token(self, message, now):
-    running = self._attempts.see_first_token(message.attempt_id)
+    running = self._books.see_first_token(message.attempt_id)
     if running is None:
       return []
-    known = self._fleet.endpoint(running.attempt.endpoint)
-    if known is not None:
-      known.see_first_token(message.attempt_id)
     return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
-    running = self._attempts.remove(message.attempt_id)
+    running = self._books.end(message, now)
     if running is None:
       return []
-    self._journal.note(
-        message.request_id,
-        f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
-        f' tokens={message.tokens}',
-    )
-    known = self._fleet.endpoint(message.endpoint)
-    if known is not None:
-      known.remove(message.attempt_id, now)
-    self._fleet.rest_after(message.endpoint, message.outcome, now)
-    self._learn(running, message, now)
     return self._pump(running.queue, now) + self._pump_held(now)
 
-  def _learn(self, running, message, now: float) -> None:
-    """Draws the conclusions from the end of an attempt."""
-    waiting = running.waiting
-    has_token = self._attempts.take_token_mark(message.attempt_id)
-    if message.outcome == messages.OUTCOME_WHOLE:
-      tokens = waiting.next_index + message.tokens
-      self._cost.see_output(waiting.request, tokens)
-      self._isolation.quarantine.see_whole(waiting.fingerprint)
-    if message.outcome == messages.OUTCOME_FAILED:
-      self._attempts.see_failure(message.request_id)
-      has_token = has_token or message.tokens > 0
-      self._isolation.quarantine.see_broken(
-          message.endpoint, waiting.fingerprint, has_token, now
-      )
-    if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
-      self._attempts.forget(message.request_id)
-
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
-    self._strictest_s = _strictest_between(message.config)
+    self._choice.configure(message.config)
+    self._books.configure(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
@@ -292,6 +264,11 @@
     self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
+  def _cache_seen(self, message, now):
+    del now
+    self._choice.see_cache(message.endpoint, message.stored, message.evicted)
+    return []
+
   def _tick(self, message, now):
     del message
     self._part(now)
@@ -302,7 +279,8 @@
     return effects + self._pump_all(now) + self._pump_held(now)
 
   def _set_capacities(self) -> None:
-    self._entries = entries = self._fleet.entry_count()
+    entries = self._fleet.entry_count()
+    self._choice.entries = entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
@@ -338,7 +316,7 @@
       if chosen is None:
         continue
       self._admission.take(waiting.request.request_id, now)
-      return self._start(queue, waiting, chosen, now)
+      return self._books.start(queue, waiting, chosen, now)
     return None
 
   def _pump_held(self, now: float) -> list[messages.Effect]:
@@ -377,18 +355,17 @@
       self, held: isolation.Held, now: float
   ) -> list[messages.Effect] | None:
     waiting = held.waiting
-    if self._attempts.is_suspect_running(waiting.fingerprint):
+    if self._books.attempts.is_suspect_running(waiting.fingerprint):
       return None
     pool = self._fleet.pool(held.queue)
     names = [known.name for known in pool.all]
-    busy = self._attempts.suspect_endpoints()
+    busy = self._books.attempts.suspect_endpoints()
     excluded = self._isolation.excluded(held, names, busy, now)
-    ask = self._make_ask(held.queue, waiting, 1.0, excluded)
-    chosen = self._pick(ask, pool, now)
+    chosen = self._choice.find(held.queue, waiting, 1.0, excluded, now)
     if chosen is None:
       return None
     is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
-    return [self._start(held.queue, waiting, chosen, now, is_strong)]
+    return [self._books.start(held.queue, waiting, chosen, now, is_strong)]
 
   def _choose(
       self, queue: str, waiting: waiting_base.Waiting, now: float
@@ -399,84 +376,12 @@
       # Better an endpoint that it was on before than none at all.
       excluded = ()
     room = self._admission.room(queue, waiting, now)
-    ask = self._make_ask(queue, waiting, room, excluded)
-    return self._pick(ask, pool, now)
-
-  def _pick(
-      self, ask: routing.Ask, pool: load.Pool, now: float
-  ) -> load.EndpointLoad | None:
-    if not pool.all:
-      return None
-    return self._router.pick(ask, pool, self._own_zone, now, self._rng)
-
-  def _make_ask(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      room: float,
-      excluded: tuple[str, ...],
-  ) -> routing.Ask:
-    request = waiting.request
-    rank = self._config.rank_by_name.get(request.rank)
-    return routing.Ask(
-        rank is not None and rank.is_urgent,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.output_tokens,
-        waiting.cost.pieces,
-        rank.between_tokens_s if rank is not None else 0.0,
-        self._strictest_s,
-        waiting.cost.stretch_s,
-        self._cost.speeds(queue),
-        self._entries,
-        room,
-        (),
-        excluded,
-    )
-
-  def _is_urgent(self, request: records.InferenceRequest) -> bool:
-    rank = self._config.rank_by_name.get(request.rank)
-    return rank is not None and rank.is_urgent
-
-  def _start(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      chosen: load.EndpointLoad,
-      now: float,
-      is_suspect: bool = False,
-  ) -> messages.Start:
-    request = waiting.request
-    is_urgent = self._is_urgent(request)
-    attempt = records.Attempt(
-        self._attempts.next_id(request.request_id),
-        chosen.name,
-        chosen.address,
-        waiting.next_index,
-        PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
-    )
-    sent = load.Sent(
-        attempt.attempt_id,
-        is_urgent,
-        waiting.cost.engine_s,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.pieces,
-        waiting.cost.stretch_s,
-        now,
-    )
-    chosen.add(sent)
-    running = attempts.Running(waiting, queue, attempt, is_suspect)
-    self._attempts.add(running)
-    self._journal.note(
-        request.request_id,
-        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
-        f' waited_s={now - waiting.queued_at:.3f}',
-    )
-    return messages.Start(request.request_id, attempt, None)
+    return self._choice.find(queue, waiting, room, excluded, now)
 
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
-    self._attempts.forget(request_id)
+    self._books.attempts.forget(request_id)
     count = self._refused_by_kind.get(error.kind, 0)
     self._refused_by_kind[error.kind] = count + 1
     self._journal.note(
@@ -490,12 +395,3 @@
 def _is_again(message: messages.Submit) -> bool:
   """Tells whether a request was sent to an endpoint before."""
   return bool(message.next_index or message.failed_endpoints)
-
-
-def _strictest_between(config: records.Config) -> float:
-  """Returns the strictest target of the time between tokens, 0 for none."""
-  targets = []
-  for rank in config.rank_by_name.values():
-    if rank.between_tokens_s > 0.0:
-      targets.append(rank.between_tokens_s)
-  return min(targets, default=0.0)
--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -29,6 +29,7 @@
 from mulberrypick.core import errors
 from mulberrypick.core import records
 from mulberrypick.ops import claim_task
+from mulberrypick.ops import slot_writer
 
 ASK_TIMEOUT_S = 0.3
 # A repeat of a call that is under way waits this long for its answer.
@@ -78,6 +79,8 @@
       observer: StepObserver | None = None,
       rng: random.Random | None = None,
       writers: int = claim_task.WRITERS,
+      writes_per_s: float = slot_writer.WRITES_PER_S,
+      list_peers: Callable[[], tuple[str, ...]] | None = None,
       ask_timeout_s: float = ASK_TIMEOUT_S,
       pending_wait_s: float = PENDING_WAIT_S,
   ):
@@ -92,6 +95,9 @@
       observer: Is told of each step.
       rng: Source of jitter.
       writers: Threads that write claims.
+      writes_per_s: Rate to which this host keeps its writes of claims.
+      list_peers: Lists the peer addresses of the entry hosts that live; with
+        it, claims of a slot are gathered at one of them.
       ask_timeout_s: Longest wait for a claimant.
       pending_wait_s: Longest wait for the answer of a call under way.
     """
@@ -112,6 +118,8 @@
         own_peer_address,
         rng=self._rng,
         writers=writers,
+        writes_per_s=writes_per_s,
+        list_peers=list_peers,
     )
 
   def start(self) -> None:
@@ -403,5 +411,5 @@
       'plain_attempt_failed',
       request_id=call.request_id,
       endpoint=host.name,
-      error=type(error).__name__,
+      error=str(error),
   )
