--- a/mulberrypick/ops/controller_task.py
+++ b/mulberrypick/ops/controller_task.py
@@ -25,6 +25,9 @@
 from mulberrypick.ops import lease_holder
 from mulberrypick.ops import order_sender
 
+# Rounds of planning and reading what was planned on, in one look.
+MAX_PLANS = 3
+
 _logger = logging.getLogger(__name__)
 
 
@@ -35,11 +38,14 @@
     round_s: Between two looks at the engines, for the holder.
     platform_s: Between two readings of the platform, for the holder.
     standby_s: Between two readings of the platform, for the others.
+    sweep_per_s: Engines without a change that are read in a second; bounds
+      the holder's work in a large zone.
   """
 
   round_s: float = 0.25
   platform_s: float = 1.0
   standby_s: float = 10.0
+  sweep_per_s: float = 20.0
 
 
 class EngineStatus(NamedTuple):
@@ -122,6 +128,8 @@
     self._generation = 0
     self._fleet_part = ''
     self._read_platform_at = float('-inf')
+    self._read_at_by_engine: dict[str, float] = {}
+    self._fresh: set[str] = set()
     self._view = reconcile.View(zone, {}, (), frozenset(), {}, {}, frozenset())
     self._thread = threading.Thread(target=self._run, name='orders')
     self.is_settled = True
@@ -189,22 +197,70 @@
   def _round(self) -> None:
     self._read_platform()
     if not self._has_term():
-      self._view = self._view._replace(state_by_engine={}, report_by_engine={})
+      self._forget_engines()
       return
     if self._begun_fence != self._term.fence:
       self._sender.begin_term(self._term.fence)
+      self._forget_engines()
       self._begun_fence = self._term.fence
-    self._read_engines()
-    now = time.monotonic()
-    role_by_engine = self._planner.plan(self._view, now)
+    self._read_engines(self._list_due())
     host_by_name = {host.name: host for host in self._view.hosts}
-    for order in reconcile.list_orders(self._view, role_by_engine):
+    for order in self._list_orders():
       if self._stopping.is_set() or not self._has_term():
         return
       state = self._view.state_by_engine[order.endpoint]
       address = host_by_name[order.endpoint].address
+      # What is known of the engine ends here, whatever becomes of the order.
+      del self._read_at_by_engine[order.endpoint]
       self._sender.give(order, address, state.last_sequence, self._term)
 
+  def _forget_engines(self) -> None:
+    self._read_at_by_engine = {}
+    self._view = self._view._replace(
+        state_by_engine={}, report_by_engine={}, unsettled=frozenset()
+    )
+
+  def _list_orders(self) -> list[records.Order]:
+    """Lists the orders that are due, each planned on a state just read."""
+    now = time.monotonic()
+    for _ in range(MAX_PLANS):
+      role_by_engine = self._planner.plan(self._view, now)
+      found = reconcile.list_orders(self._view, role_by_engine)
+      stale = {o.endpoint for o in found} - self._fresh
+      if not stale:
+        return found
+      self._read_engines(stale)
+    return [order for order in found if order.endpoint in self._fresh]
+
+  def _list_due(self) -> set[str]:
+    """Starts a round; returns the engines to read in it.
+
+    Those are the ones that a change is under way on, those never read in this
+    term, and as many of the others, oldest first, as the sweep allows.
+    """
+    self._fresh = set()
+    now = time.monotonic()
+    due = set()
+    quiet = []
+    for host in reconcile.list_engines(self._view):
+      read_at = self._read_at_by_engine.get(host.name)
+      state = self._view.state_by_engine.get(host.name)
+      if (
+          read_at is None
+          or host.name in self._view.unsettled
+          or state
+          and (state.is_changing or state.is_draining)
+      ):
+        due.add(host.name)
+      else:
+        quiet.append((read_at, host.name))
+    quiet.sort()
+    sweep_s = len(quiet) / self._intervals.sweep_per_s
+    for read_at, name in quiet:
+      if now - read_at >= sweep_s:
+        due.add(name)
+    return due
+
   def _read_platform(self) -> None:
     interval_s = self._intervals.standby_s
     if self._has_term():
@@ -238,12 +294,22 @@
       self._fleet_part = head.fleet
     self._generation = head.generation
 
-  def _read_engines(self) -> None:
-    state_by_engine = {}
-    report_by_engine = {}
-    unsettled = set()
+  def _read_engines(self, names: set[str]) -> None:
+    """Reads some engines; those that can't be read are dropped."""
+    state_by_engine = dict(self._view.state_by_engine)
+    report_by_engine = dict(self._view.report_by_engine)
+    unsettled = set(self._view.unsettled)
+    listed = set()
     for host in reconcile.list_engines(self._view):
+      listed.add(host.name)
+      if host.name not in names:
+        continue
       read_at = time.monotonic()
+      self._read_at_by_engine[host.name] = read_at
+      self._fresh.add(host.name)
+      unsettled.discard(host.name)
+      state_by_engine.pop(host.name, None)
+      report_by_engine.pop(host.name, None)
       try:
         state = self._engine.read_state(host.name, host.address)
         report = self._engine.read_load(host.name, host.address)
@@ -254,9 +320,9 @@
       if not self._sender.settle(state, read_at):
         unsettled.add(host.name)
     self._view = self._view._replace(
-        state_by_engine=state_by_engine,
-        report_by_engine=report_by_engine,
-        unsettled=frozenset(unsettled),
+        state_by_engine=_keep(state_by_engine, listed),
+        report_by_engine=_keep(report_by_engine, listed),
+        unsettled=frozenset(unsettled & listed),
     )
 
   def _publish_status(self) -> None:
@@ -280,3 +346,10 @@
 
   def _log(self, event: str, **fields: object) -> None:
     logs.log_event(_logger, logging.INFO, event, **fields)
+
+
+def _keep(value_by_engine: dict, listed: set[str]) -> dict:
+  """Returns the entries of engines that are still listed."""
+  return {
+      name: value for name, value in value_by_engine.items() if name in listed
+  }
