Ask the role planner once a round

A round may plan orders up to three times, after reading what it plans on; the planner keeps a history, so it is asked once.

--- a/mulberrypick/ops/controller_task.py
+++ b/mulberrypick/ops/controller_task.py
@@ -237,9 +237,9 @@
 
   def _list_orders(self) -> list[records.Order]:
     """Lists the orders that are due, each planned on a state just read."""
-    now = time.monotonic()
+    # Once a round: the planner keeps a history of its own.
+    role_by_engine = self._planner.plan(self._view, time.monotonic())
     for _ in range(MAX_PLANS):
-      role_by_engine = self._planner.plan(self._view, now)
       found = reconcile.list_orders(self._view, role_by_engine)
       stale = {o.endpoint for o in found} - self._fresh
       if not stale:
