Go on gathering after an outage; measure the platform's calls around one

Cause: a preferred writer that answered 'not written' in an outage was left alone for 5 s, in which all hosts wrote for themselves. Conclusion: only silence is answered by leaving a host alone, for 2 s.

--- a/mulberrypick/ops/slot_forwarder.py
+++ b/mulberrypick/ops/slot_forwarder.py
@@ -8,8 +8,9 @@
 through the conditional update wherever they are applied, so that whoever gets
 no answer in time writes the slot itself.
 
-A preferred writer that stayed silent, or that could not write, is left alone
-for a while.
+A preferred writer that stayed silent is left alone for a while. One that says
+that it could not write is not: its platform may be back with the next group,
+and hosts that each write for themselves meet many conflicts.
 """
 
 import itertools
@@ -28,7 +29,7 @@
 KIND_CHANGES = 'claim-changes'
 KIND_OUTCOMES = 'claim-outcomes'
 FORWARD_TIMEOUT_S = 1.0
-SILENT_S = 5.0
+SILENT_S = 2.0
 # Changes of one message, each with an answer of bounded size.
 MAX_FORWARDED = 200
 
@@ -110,15 +111,13 @@
       self._replies_by_number[number] = replies
     message = ChangesMessage(number, self._own_address, changes)
     self._peers.tell(address, KIND_CHANGES, msgspec.msgpack.encode(message))
+    outcomes = None
     try:
       outcomes = replies.get(timeout=FORWARD_TIMEOUT_S)
     except queue.Empty:
-      outcomes = None
+      self._silent_until_by_address[address] = time.monotonic() + SILENT_S
     with self._lock:
       del self._replies_by_number[number]
-    if outcomes is None or len(outcomes) != len(changes):
-      self._silent_until_by_address[address] = time.monotonic() + SILENT_S
-      return None
     return outcomes
 
   def _take_changes(self, sender: str, body: bytes) -> None:
--- a/standins/bench_claims.py
+++ b/standins/bench_claims.py
@@ -2,6 +2,7 @@
 
     python -m standins.bench_claims table      # writes for each booking
     python -m standins.bench_claims budget     # under the platform's own rates
+    python -m standins.bench_claims outage     # calls before, during and after
 
 Entry hosts are processes with the real runner, adapter and peers, before the
 stand-in of the platform; the service is a function that takes `WORK_S`. Each
@@ -121,6 +122,33 @@
     is_gathered: bool,
 ) -> dict[str, float]:
   """Runs one line of the table, and returns its figures."""
+  processes = start_entries(
+      fleet, entries, callers, slots, seconds, writes_per_s, is_gathered
+  )
+  results = [json.loads(process.communicate()[0]) for process in processes]
+  bookings = sum(result['bookings'] for result in results)
+  writes = sum(result['writes'] for result in results)
+  return {
+      'bookings_per_s': bookings / seconds,
+      'writes_per_s': writes / seconds,
+      'writes_per_booking': writes / max(1, bookings),
+      'conflicts': sum(result['conflicts'] for result in results),
+      'refused': sum(result['refused'] for result in results),
+      'p50_ms': max(result['p50_ms'] for result in results),
+      'p99_ms': max(result['p99_ms'] for result in results),
+  }
+
+
+def start_entries(
+    fleet: launcher.Fleet,
+    entries: int,
+    callers: int,
+    slots: int,
+    seconds: float,
+    writes_per_s: float,
+    is_gathered: bool,
+) -> list[subprocess.Popen]:
+  """Starts entry hosts that print their figures when they are done."""
   command = [sys.executable, '-m', 'standins.bench_claims', 'entry']
   command += ['--platform', fleet.platform.url, '--slots', str(slots)]
   command += ['--callers', str(callers), '--seconds', str(seconds)]
@@ -136,18 +164,7 @@
             command + own, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
         )
     )
-  results = [json.loads(process.communicate()[0]) for process in processes]
-  bookings = sum(result['bookings'] for result in results)
-  writes = sum(result['writes'] for result in results)
-  return {
-      'bookings_per_s': bookings / seconds,
-      'writes_per_s': writes / seconds,
-      'writes_per_booking': writes / max(1, bookings),
-      'conflicts': sum(result['conflicts'] for result in results),
-      'refused': sum(result['refused'] for result in results),
-      'p50_ms': max(result['p50_ms'] for result in results),
-      'p99_ms': max(result['p99_ms'] for result in results),
-  }
+  return processes
 
 
 def print_table(
@@ -230,6 +247,38 @@
   print_table(lines, (), seconds, gathered)
 
 
+@main.command()
+@click.option('--entries', default=8, help='Entry hosts.')
+@click.option('--callers', default=16, help='Callers of each host.')
+@click.option('--before-s', default=8, help='Seconds before the outage.')
+@click.option('--outage-s', default=20, help='Seconds of the outage.')
+@click.option('--after-s', default=10, help='Seconds after the outage.')
+def outage(
+    entries: int, callers: int, before_s: int, outage_s: int, after_s: int
+) -> None:
+  """Prints the platform's calls in each second around an outage."""
+  seconds = before_s + outage_s + after_s
+  print('second  gets  puts  refused')
+  with contextlib.ExitStack() as stack:
+    folder = stack.enter_context(tempfile.TemporaryDirectory())
+    fleet = stack.enter_context(launcher.Fleet(pathlib.Path(folder)))
+    fleet.start_platform()
+    processes = start_entries(
+        fleet, entries, callers, claims.SLOT_COUNT, seconds, 40.0, True
+    )
+    last = fleet.call(fleet.platform, 'GET', '/calls')
+    for second in range(seconds):
+      if second == before_s:
+        fleet.put_fault(fleet.platform, outage_s=outage_s)
+      time.sleep(1.0)
+      now = fleet.call(fleet.platform, 'GET', '/calls')
+      changed = [now[kind] - last[kind] for kind in ('get', 'put', 'refused')]
+      print('{:6d}  {:4d}  {:4d}  {:7d}'.format(second, *changed), flush=True)
+      last = now
+    for process in processes:
+      print(process.communicate()[0].decode().strip())
+
+
 @main.command()
 @click.option('--platform', 'platform_url', required=True, help='Base URL.')
 @click.option('--name', required=True, help='Name of the host.')
