--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -8,6 +8,7 @@
 
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -29,6 +30,8 @@
 CALL_TIMEOUT_S = 10.0
 READY_LINE = 'event=ready'
 LOG_TAIL_BYTES = 2000
+LISTEN_PORTS = range(10_000, 32_000)
+PORT_TRIES = 50
 
 
 class LaunchError(Exception):
@@ -84,14 +87,27 @@
 
   def start_platform(self, *flags: str, zone: int = 0) -> Program:
     """Starts the platform stand-in."""
-    ip = zone_ip(zone)
-    self.platform = self._start_standin('platform', 'platform', ip, flags)
+    address = free_address(zone_ip(zone))
+    self.platform = self._start_standin('platform', 'platform', address, flags)
     return self.platform
 
   def start_engine(
-      self, name: str, zone: int, *flags: str, checks_fence: bool = True
+      self,
+      name: str,
+      zone: int,
+      *flags: str,
+      checks_fence: bool = True,
+      address: str = '',
   ) -> Program:
-    """Starts an engine stand-in and puts it on the platform's list."""
+    """Starts an engine stand-in and puts it on the platform's list.
+
+    Args:
+      name: Unique name; a name that ran before gets a higher incarnation.
+      zone: Number of its zone.
+      *flags: Further flags of the stand-in.
+      checks_fence: Whether it refuses old fencing numbers.
+      address: `ip:port` to listen on, empty for a free one in its zone.
+    """
     checks = '--checks-fence' if checks_fence else '--no-checks-fence'
     incarnation = self._next_incarnation(name)
     own_flags = (
@@ -103,8 +119,8 @@
         str(incarnation),
         checks,
     )
-    ip = zone_ip(zone)
-    program = self._start_standin(name, 'engine', ip, own_flags + flags)
+    address = address or free_address(zone_ip(zone))
+    program = self._start_standin(name, 'engine', address, own_flags + flags)
     host = make_host(name, zone, records.HOST_ENGINE, program.address)
     self.put_host(
         host._replace(incarnation=incarnation, checks_fence=checks_fence)
@@ -112,12 +128,25 @@
     return program
 
   def start_service(
-      self, name: str, zone: int, service: str, *flags: str
+      self,
+      name: str,
+      zone: int,
+      service: str,
+      *flags: str,
+      address: str = '',
   ) -> Program:
-    """Starts a plain service stand-in and puts it on the list."""
+    """Starts a plain service stand-in and puts it on the list.
+
+    Args:
+      name: Unique name; a name that ran before gets a higher incarnation.
+      zone: Number of its zone.
+      service: Name of the service that it serves.
+      *flags: Further flags of the stand-in.
+      address: `ip:port` to listen on, empty for a free one in its zone.
+    """
     own_flags = ('--name', name)
-    ip = zone_ip(zone)
-    program = self._start_standin(name, 'service', ip, own_flags + flags)
+    address = address or free_address(zone_ip(zone))
+    program = self._start_standin(name, 'service', address, own_flags + flags)
     host = make_host(name, zone, records.HOST_SERVICE, program.address)
     incarnation = self._next_incarnation(name)
     self.put_host(host._replace(service=service, incarnation=incarnation))
@@ -259,9 +288,8 @@
       program.process.wait(STOP_TIMEOUT_S)
 
   def _start_standin(
-      self, name: str, kind: str, ip: str, flags: tuple[str, ...]
+      self, name: str, kind: str, address: str, flags: tuple[str, ...]
   ) -> Program:
-    address = free_address(ip)
     listen = ('--listen', address)
     return self.start_program(
         name, f'standins.{kind}', listen + flags, address=address
@@ -311,11 +339,20 @@
 
 
 def free_address(ip: str) -> str:
-  """Returns `ip:port` with a port that was free just now."""
-  with socket.socket() as probe:
-    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    probe.bind((ip, 0))
-    return f'{ip}:{probe.getsockname()[1]}'
+  """Returns `ip:port` with a port that was free just now.
+
+  The port lies below those that the system gives to outgoing connections:
+  one of theirs might take it before the process that it is meant for.
+  """
+  for port in random.SystemRandom().sample(LISTEN_PORTS, k=PORT_TRIES):
+    with socket.socket() as probe:
+      probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+      try:
+        probe.bind((ip, port))
+      except OSError:
+        continue
+      return f'{ip}:{port}'
+  raise LaunchError(f'no port of {PORT_TRIES} tried is free on {ip}')
 
 
 def _complaint(program: Program, what: str) -> str:
