Pass a silent writer over for the next host in the order of the hash

Cause: while a dead host stayed on the lagging list, each host wrote that host's slots for itself, in conflict with the others, and waited 1 s for it again every 2 s. Conclusion: all hosts take the same next one, and ask the dead one every 10 s.

--- a/mulberrypick/ops/claim_task.py
+++ b/mulberrypick/ops/claim_task.py
@@ -19,6 +19,7 @@
 import time
 import uuid
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -93,7 +94,7 @@
       rng: random.Random | None = None,
       writers: int = WRITERS,
       writes_per_s: float = slot_writer.WRITES_PER_S,
-      list_peers: Callable[[], tuple[str, ...]] | None = None,
+      list_peers: Callable[[], Sequence[str]] | None = None,
   ):
     self._platform = platform
     self._own_name = own_name
--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -17,6 +17,7 @@
 import threading
 import time
 from collections.abc import Callable
+from collections.abc import Sequence
 
 import msgspec
 import tenacity
@@ -80,7 +81,7 @@
       rng: random.Random | None = None,
       writers: int = claim_task.WRITERS,
       writes_per_s: float = slot_writer.WRITES_PER_S,
-      list_peers: Callable[[], tuple[str, ...]] | None = None,
+      list_peers: Callable[[], Sequence[str]] | None = None,
       ask_timeout_s: float = ASK_TIMEOUT_S,
       pending_wait_s: float = PENDING_WAIT_S,
   ):
--- a/mulberrypick/ops/plain_calls_test.py
+++ b/mulberrypick/ops/plain_calls_test.py
@@ -326,6 +326,20 @@
       self.run_call(self.c, make_call(f'k{number}'))
     self.assertEqual({1}, set(self.service.count_by_key.values()))
 
+  def test_the_next_host_takes_the_place_of_a_silent_one(self):
+    slot_forwarder.FORWARD_TIMEOUT_S = 0.01
+    addresses = ('c:2', 'd:2', 'gone:2')
+    runners = [self.make_runner(n, list_peers=lambda: addresses) for n in 'cd']
+    for runner in runners:
+      runner.claims.writer.forwarder.forward('gone:2', [])
+    for slot in range(claims.SLOT_COUNT):
+      writers = {
+          runner.claims.writer.forwarder.find_writer(slot) or own
+          for runner, own in zip(runners, addresses, strict=False)
+      }
+      self.assertEqual(1, len(writers))
+      self.assertNotIn('gone:2', writers)
+
   def test_a_writer_that_has_stopped_is_done_without(self):
     self.d.stop()
     for number in range(32):
--- a/mulberrypick/ops/slot_forwarder.py
+++ b/mulberrypick/ops/slot_forwarder.py
@@ -8,9 +8,10 @@
 through the conditional update wherever they are applied, so that whoever gets
 no answer in time writes the slot itself.
 
-A preferred writer that stayed silent is left alone for a while. One that says
-that it could not write is not: its platform may be back with the next group,
-and hosts that each write for themselves meet many conflicts.
+A preferred writer that stayed silent is passed over for a while, and the next
+one in the order of the hash takes its place, the same one for all hosts. One
+that says that it could not write is not: its platform may be back with the
+next group, and hosts that each write for themselves meet many conflicts.
 """
 
 import itertools
@@ -18,6 +19,7 @@
 import threading
 import time
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -29,7 +31,7 @@
 KIND_CHANGES = 'claim-changes'
 KIND_OUTCOMES = 'claim-outcomes'
 FORWARD_TIMEOUT_S = 1.0
-SILENT_S = 2.0
+SILENT_S = 10.0
 # Changes of one message, each with an answer of bounded size.
 MAX_FORWARDED = 200
 
@@ -64,7 +66,7 @@
       self,
       peers: peers_lib.Peers,
       own_address: str,
-      list_peers: Callable[[], tuple[str, ...]],
+      list_peers: Callable[[], Sequence[str]],
       apply: Callable[[list[claims.Change], Callable[[Outcomes], None]], None],
   ):
     """Registers the handlers.
@@ -88,16 +90,17 @@
 
   def find_writer(self, slot: int) -> str:
     """Returns the address of a slot's preferred writer, empty for this host."""
-    addresses = {self._own_address, *self._list_peers()}
+    now = time.monotonic()
+    addresses = {self._own_address}
+    for address in self._list_peers():
+      if self._silent_until_by_address.get(address, 0.0) <= now:
+        addresses.add(address)
 
     def rank(address: str) -> int:
       return xxhash.xxh64_intdigest(f'{slot}|{address}'.encode())
 
     address = max(addresses, key=rank)
-    silent_until = self._silent_until_by_address.get(address, 0.0)
-    if address == self._own_address or time.monotonic() < silent_until:
-      return ''
-    return address
+    return '' if address == self._own_address else address
 
   def forward(self, address: str, changes: list[claims.Change]) -> Outcomes:
     """Sends changes to a writer, and waits for their outcomes.
@@ -115,11 +118,18 @@
     try:
       outcomes = replies.get(timeout=FORWARD_TIMEOUT_S)
     except queue.Empty:
-      self._silent_until_by_address[address] = time.monotonic() + SILENT_S
+      self._note_silent(address)
     with self._lock:
       del self._replies_by_number[number]
     return outcomes
 
+  def _note_silent(self, address: str) -> None:
+    now = time.monotonic()
+    with self._lock:
+      kept = {a: t for a, t in self._silent_until_by_address.items() if t > now}
+      kept[address] = now + SILENT_S
+      self._silent_until_by_address = kept
+
   def _take_changes(self, sender: str, body: bytes) -> None:
     message = msgspec.msgpack.decode(body, type=ChangesMessage)
 
