--- a/mulberrypick/ops/plain_calls.py
+++ b/mulberrypick/ops/plain_calls.py
@@ -11,7 +11,6 @@
 claimant speaks or its record appears.
 """
 
-import abc
 import logging
 import random
 import threading
@@ -29,6 +28,7 @@
 from mulberrypick.core import claims
 from mulberrypick.core import errors
 from mulberrypick.core import records
+from mulberrypick.ops import call_steps
 from mulberrypick.ops import claim_task
 from mulberrypick.ops import slot_writer
 
@@ -42,31 +42,9 @@
 MAX_BACKOFF_S = 0.5
 STOP_TIMEOUT_S = 60.0
 
-# Steps of a call, as told to a `StepObserver`.
-STEP_BEFORE_CLAIM = 'before_claim'
-STEP_CLAIMED = 'claimed'
-STEP_BEFORE_SEND = 'before_send'
-STEP_ANSWERED = 'answered'
-STEP_RECORDED = 'recorded'
-
 log = logging.getLogger(__name__)
 
 
-class StepObserver(abc.ABC):
-  """Is told of each step of a call; tests end the process there."""
-
-  @abc.abstractmethod
-  def observe(self, step: str) -> None:
-    """Takes note that a call reached a step, on the thread of the call."""
-
-
-class _NoObserver(StepObserver):
-  """Observes nothing."""
-
-  def observe(self, step: str) -> None:
-    """Does nothing."""
-
-
 class PlainCallRunner:
   """Runs calls to plain services; `run` may be called from any thread."""
 
@@ -77,7 +55,7 @@
       peers: peers_lib.Peers,
       own_name: str,
       own_peer_address: str,
-      observer: StepObserver | None = None,
+      observer: call_steps.StepObserver | None = None,
       rng: random.Random | None = None,
       writers: int = claim_task.WRITERS,
       writes_per_s: float = slot_writer.WRITES_PER_S,
@@ -105,7 +83,7 @@
     self._service = service
     self._peers = peers
     self._own_peer_address = own_peer_address
-    self._observer = observer or _NoObserver()
+    self._observer = observer or call_steps.NoObserver()
     self._rng = rng or random.Random()
     self._ask_timeout_s = ask_timeout_s
     self._pending_wait_s = pending_wait_s
@@ -213,7 +191,7 @@
     claimed = self._obtain(call, now)
     if isinstance(claimed, records.PlainAnswer):
       return claimed
-    self._observer.observe(STEP_CLAIMED)
+    self._observer.observe(call_steps.STEP_CLAIMED)
     try:
       return self._send(claimed.nonce, call, service, endpoints, now)
     finally:
@@ -230,7 +208,7 @@
     old_nonce = ''
     silent_nonce = ''
     while True:
-      self._observer.observe(STEP_BEFORE_CLAIM)
+      self._observer.observe(call_steps.STEP_BEFORE_CLAIM)
       timeout_s = call.deadline_at - now()
       result = self.claims.claim(key, fingerprint, timeout_s, old_nonce)
       if isinstance(result, claim_task.Granted):
@@ -301,7 +279,7 @@
     run = errors.RUN_NOT_RUN
     for host in _choose_attempts(service, endpoints):
       timeout_s = _bound_timeout(call, service, now, run)
-      self._observer.observe(STEP_BEFORE_SEND)
+      self._observer.observe(call_steps.STEP_BEFORE_SEND)
       if not self.claims.begin_send(nonce):
         break
       answer = self._send_once(nonce, host, call, timeout_s)
@@ -335,9 +313,9 @@
       _log_attempt(call, host, error)
       self.claims.record_unknown(nonce)
       raise _unknown_error() from error
-    self._observer.observe(STEP_ANSWERED)
+    self._observer.observe(call_steps.STEP_ANSWERED)
     self.claims.record_answer(nonce, answer)
-    self._observer.observe(STEP_RECORDED)
+    self._observer.observe(call_steps.STEP_RECORDED)
     return answer
 
 
--- a/spec/claim_steps.py
+++ b/spec/claim_steps.py
@@ -88,13 +88,8 @@
 
 
 def _make_update(number: int, request: parts.Request) -> parts.Update:
-  return parts.Update(
-      number,
-      request.action,
-      request.given_up,
-      request.answer,
-      request.claim,
-  )
+  given_up, answer = request.given_up, request.answer
+  return parts.Update(number, request.action, given_up, answer, request.claim)
 
 
 def _apply(
--- a/standins/claim_driver.py
+++ b/standins/claim_driver.py
@@ -4,7 +4,7 @@
         --service 127.0.1.1:8081 --peers 127.0.1.1:8082 --key k1
 
 The step is in the environment, `MULBERRYPICK_KILL_AT`: one of the steps of
-`plain_calls`, or one of those below. The process ends by SIGKILL there, so that
+`call_steps`, or one of those below. The process ends by SIGKILL there, so that
 nothing of it is tidied up.
 """
 
@@ -22,6 +22,7 @@
 from mulberrypick.adapters import zmq_peers
 from mulberrypick.core import claims
 from mulberrypick.core import records
+from mulberrypick.ops import call_steps
 from mulberrypick.ops import plain_calls
 
 STEP_VARIABLE = 'MULBERRYPICK_KILL_AT'
@@ -78,7 +79,7 @@
   )
 
 
-class Killer(plain_calls.StepObserver):
+class Killer(call_steps.StepObserver):
   """Ends this process when it reaches the step."""
 
   def __init__(self, step: str):
@@ -136,7 +137,7 @@
     peers: zmq_peers.ZmqPeers,
     name: str,
     peer_address: str,
-    observer: plain_calls.StepObserver | None = None,
+    observer: call_steps.StepObserver | None = None,
 ) -> plain_calls.PlainCallRunner:
   """Makes a runner that waits but shortly for other claimants."""
   return plain_calls.PlainCallRunner(
--- a/standins/claim_driver_test.py
+++ b/standins/claim_driver_test.py
@@ -12,8 +12,9 @@
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_service
 from mulberrypick.adapters import zmq_peers
+from mulberrypick.core import claims
 from mulberrypick.core import errors
-from mulberrypick.ops import plain_calls
+from mulberrypick.ops import call_steps
 from standins import claim_driver
 from standins import launcher
 
@@ -25,17 +26,17 @@
 
 # What the repeat is told, and how often the call has run after it.
 EXPECTED_BY_STEP = {
-    plain_calls.STEP_BEFORE_CLAIM: (ANSWERED, 1),
+    call_steps.STEP_BEFORE_CLAIM: (ANSWERED, 1),
     claim_driver.STEP_CLAIM_WRITE: (ANSWERED, 1),
     claim_driver.STEP_CLAIM_WRITTEN: (UNKNOWN, 0),
-    plain_calls.STEP_CLAIMED: (UNKNOWN, 0),
-    plain_calls.STEP_BEFORE_SEND: (UNKNOWN, 0),
+    call_steps.STEP_CLAIMED: (UNKNOWN, 0),
+    call_steps.STEP_BEFORE_SEND: (UNKNOWN, 0),
     claim_driver.STEP_SENDING: (UNKNOWN, 0),
     claim_driver.STEP_IN_CALL: (UNKNOWN, 1),
-    plain_calls.STEP_ANSWERED: (UNKNOWN, 1),
+    call_steps.STEP_ANSWERED: (UNKNOWN, 1),
     claim_driver.STEP_RECORD_WRITE: (UNKNOWN, 1),
     claim_driver.STEP_RECORD_WRITTEN: (ANSWERED, 1),
-    plain_calls.STEP_RECORDED: (ANSWERED, 1),
+    call_steps.STEP_RECORDED: (ANSWERED, 1),
 }
 
 
@@ -110,6 +111,29 @@
     self.assertIn(b'"key":"alive"', body)
     self.assertEqual(1, self.count_executions('alive'))
 
+  def test_lost_answers_of_claim_and_record_change_nothing(self):
+    other = self.make_runner('other')
+    self.fleet.put_fault(
+        self.fleet.platform, lose_answers=2, lose_prefix=claims.SLOT_PREFIX
+    )
+    told, body = self.repeat(other, 'lost')
+    self.assertEqual(ANSWERED, told)
+    self.assertEqual((told, body), self.repeat(self.make_runner('b'), 'lost'))
+    self.assertEqual(1, self.count_executions('lost'))
+
+  def test_an_outage_refuses_as_not_run_and_a_repeat_runs_after_it(self):
+    other = self.make_runner('other')
+    self.fleet.put_fault(self.fleet.platform, outage_s=3600)
+    told, _ = self.repeat(other, 'outage')
+    self.assertEqual(errors.RUN_NOT_RUN, told)
+    self.assertEqual(0, self.count_executions('outage'))
+    self.fleet.put_fault(self.fleet.platform, outage_s=0)
+    until = time.monotonic() + WAIT_S
+    while told != ANSWERED and time.monotonic() < until:
+      time.sleep(0.05)
+      told, _ = self.repeat(other, 'outage')
+    self.assertEqual((ANSWERED, 1), (told, self.count_executions('outage')))
+
 
 if __name__ == '__main__':
   unittest.main()
