Read a large configuration in bounded pieces; measure memory as it is

Names of parts begin with their digest, so that a listing by its first digit bounds an answer to a sixteenth of the tree.

--- a/mulberrypick/core/config_parts.py
+++ b/mulberrypick/core/config_parts.py
@@ -5,8 +5,8 @@
 parts of a few kilobytes, and index parts name the leaves, down from the head.
 A change replaces one leaf and the indexes above it.
 
-A part is named `GENERATION-DIGEST`: the generation that first held it and a
-digest of its bytes. Readers cannot mix generations, since every name fixes
+A part is named `DIGEST-GENERATION`: a digest of its bytes, and the generation
+that first held it. Readers cannot mix generations, since every name fixes
 the bytes. A part that has left the tree never comes back into it, because a
 later generation takes over names only from the one it was planned on and
 writes the rest under its own number. That makes the removal of old parts safe
@@ -224,7 +224,7 @@
     tree: The newest tree.
     names: The names in that tree, from `list_parts`.
   """
-  generation = name.partition('-')[0]
+  generation = name.rpartition('-')[2]
   if not generation.isdigit():
     return False
   return int(generation) <= tree.head.generation and name not in names
@@ -232,7 +232,7 @@
 
 def check_part(name: str, value: bytes) -> bool:
   """Tells whether the bytes are those that the name stands for."""
-  return name.partition('-')[2] == _digest(value)
+  return name.partition('-')[0] == _digest(value)
 
 
 def decode_fleet(name: str, value: bytes) -> Fleet:
@@ -264,14 +264,14 @@
     self.part_by_name = {}
     self._generation = generation
     self._old_name_by_digest = {
-        name.partition('-')[2]: name for name in list_parts(old)
+        name.partition('-')[0]: name for name in list_parts(old)
     }
 
   def add(self, value: bytes) -> str:
     digest = _digest(value)
     name = self._old_name_by_digest.get(digest)
     if name is None:
-      name = f'{self._generation}-{digest}'
+      name = f'{digest}-{self._generation}'
     self.part_by_name[name] = value
     return name
 
--- a/mulberrypick/ops/config_fetch.py
+++ b/mulberrypick/ops/config_fetch.py
@@ -17,7 +17,8 @@
 PEER_TIMEOUT_S = 2.0
 MAX_NAMES_PER_QUESTION = 256
 MAX_ANSWER_BYTES = 1_000_000
-# With more parts than this to read, one listing is cheaper than single reads.
+# With more parts than this to read, listings are cheaper than single reads.
+# One listing for each first digit of the digests bounds the size of an answer.
 MAX_SINGLE_READS = 16
 MAX_ROUNDS = 64
 
@@ -72,11 +73,7 @@
 
   def read(names: list[str]) -> dict[str, bytes]:
     if len(names) > MAX_SINGLE_READS:
-      listing = platform.list_objects(config_parts.PART_PREFIX)
-      return {
-          key.removeprefix(config_parts.PART_PREFIX): stored.value
-          for key, stored in listing.value_by_key.items()
-      }
+      return _list_parts(platform, set(names))
     found = {}
     for name in names:
       stored = platform.get(config_parts.PART_PREFIX + name)
@@ -87,6 +84,26 @@
   return read
 
 
+def count_calls(names: list[str]) -> tuple[str, int]:
+  """Tells which calls the source of the platform makes: kind and number."""
+  if len(names) > MAX_SINGLE_READS:
+    return 'list', len({name[0] for name in names})
+  return 'get', len(names)
+
+
+def _list_parts(
+    platform: platform_lib.Platform, names: set[str]
+) -> dict[str, bytes]:
+  found = {}
+  for digit in sorted({name[0] for name in names}):
+    prefix = config_parts.PART_PREFIX
+    listing = platform.list_objects(prefix + digit)
+    for key, stored in listing.value_by_key.items():
+      # Those below a missing index were not asked for yet, but will be.
+      found[key.removeprefix(prefix)] = stored.value
+  return found
+
+
 def fetch_parts(
     head: config_parts.Head,
     find: Callable[[str], bytes | None],
--- a/mulberrypick/ops/config_watch.py
+++ b/mulberrypick/ops/config_watch.py
@@ -206,8 +206,7 @@
     self._post(PlatformRead(head, fetched))
 
   def _read_platform(self, names: list[str]) -> dict[str, bytes]:
-    is_listing = len(names) > config_fetch.MAX_SINGLE_READS
-    kind, count = ('list', 1) if is_listing else ('get', len(names))
+    kind, count = config_fetch.count_calls(names)
     self.calls[kind] += count
     return config_fetch.make_platform_source(self._platform)(names)
 
--- a/standins/config_daemon.py
+++ b/standins/config_daemon.py
@@ -4,6 +4,7 @@
 same sockets when it adopted what, and what it used for that.
 """
 
+import pathlib
 import resource
 import signal
 import sys
@@ -61,6 +62,18 @@
   resident_bytes: int
 
 
+def read_peak_bytes() -> int:
+  """Reads the largest memory of this process since its start.
+
+  `getrusage` would tell that of its parent if that was larger, since the
+  figure outlives the start of another program.
+  """
+  for line in pathlib.Path('/proc/self/status').read_text().splitlines():
+    if line.startswith('VmHWM:'):
+      return int(line.split()[1]) * KIB
+  return 0
+
+
 class Daemon:
   """The parts of one daemon."""
 
@@ -118,7 +131,7 @@
             counts.part_bytes,
             counts.platform_calls,
             usage.ru_utime + usage.ru_stime,
-            usage.ru_maxrss * KIB,
+            read_peak_bytes(),
         )
     )
 
