--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -6,37 +6,29 @@
 only keeps the books: who waits, what runs where, and who is told what.
 """
 
-import collections
 import random
 from typing import NamedTuple
 
-import xxhash
-
+from mulberrypick.core import attempt_books
 from mulberrypick.core import cost
+from mulberrypick.core import demand_meter
+from mulberrypick.core import endpoint_choice
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
+from mulberrypick.core import isolation
 from mulberrypick.core import journal
 from mulberrypick.core import load
 from mulberrypick.core import messages
+from mulberrypick.core import quarantine
 from mulberrypick.core import records
+from mulberrypick.core import retry_budget
 from mulberrypick.core import routing
 from mulberrypick.core import shares
 from mulberrypick.core import waiting as waiting_base
 
-PRIORITY_URGENT = 10
-PRIORITY_OTHER = 0
 RETRY_AFTER_S = 2.0
 PART_EVERY_S = 1.0
-# Requests whose attempts are counted; one that is gone starts again at 1.
-NUMBERS_KEPT = 20000
-
-
-class Running(NamedTuple):
-  """An attempt under way."""
-
-  waiting: waiting_base.Waiting
-  queue: str
-  attempt: records.Attempt
+ATTEMPTS_MOST = 3
 
 
 class DispatcherStatus(NamedTuple):
@@ -49,6 +41,8 @@
     running: Attempts under way.
     refused_by_kind: Refusals since the start.
     quarantined: Requests that are refused for crashing endpoints.
+    demand_by_model: Engine seconds a second that arrive here for each model,
+      for prefill and for decode.
   """
 
   generation: int
@@ -57,17 +51,7 @@
   running: int
   refused_by_kind: dict[str, int]
   quarantined: int
-
-
-def queue_name(model: str, adapter: str) -> str:
-  """Returns the name that reports use for a model and its adapter."""
-  return f'{model}+{adapter}' if adapter else model
-
-
-def fingerprint(request: records.InferenceRequest) -> int:
-  """Returns the hash of what an endpoint is given to run."""
-  text = f'{request.model}|{request.adapter}|{request.prompt}'
-  return xxhash.xxh64_intdigest(text.encode())
+  demand_by_model: dict[str, tuple[float, float]] = {}
 
 
 class Dispatcher:
@@ -82,22 +66,22 @@
       seed: int = 1,
   ):
     self._own_name = own_name
-    self._own_zone = own_zone
-    self._router = router
     self._admission = admission
-    self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
-    self._strictest_s = 0.0
     self._part_at = 0.0
-    self._entries = 1
     self._fleet = fleet.Fleet()
     self._cost = cost.CostModel()
-    self._running_by_attempt: dict[str, Running] = {}
-    self._number_by_request: collections.OrderedDict[str, int] = (
-        collections.OrderedDict()
+    self._choice = endpoint_choice.EndpointChoice(
+        own_zone, router, self._fleet, self._cost, random.Random(seed)
     )
+    self._isolation = isolation.Isolation(own_name)
+    self._retry_budget = retry_budget.RetryBudget()
+    self._demand = demand_meter.DemandMeter()
     self._refused_by_kind: dict[str, int] = {}
     self._journal = journal.Journal()
+    self._books = attempt_books.AttemptBooks(
+        self._fleet, self._choice, self._cost, self._isolation, self._journal
+    )
     self._handler_by_type = {
         messages.Submit: self._submit,
         messages.Withdraw: self._withdraw,
@@ -107,6 +91,7 @@
         messages.HostsSeen: self._hosts_seen,
         messages.ReportSeen: self._report_seen,
         messages.PeerSeen: self._peer_seen,
+        messages.CacheSeen: self._cache_seen,
         messages.Tick: self._tick,
     }
 
@@ -131,37 +116,40 @@
   def peer_seen(self, now: float) -> messages.PeerSeen:
     """Returns what this host tells its peers, once a second or so."""
     digest = self._admission.digest(now)
+    suspects, refused = self._isolation.tell(now)
     return messages.PeerSeen(
         self._own_name,
         self._fleet.cost_by_endpoint(),
         digest.used_by_tenant,
-        (),
+        refused,
         self._fleet.leaving(),
         digest.used_by_rank,
         digest.waiting_by_rank,
+        suspects,
+        digest.booked,
     )
 
+  def demand_by_model(self, now: float) -> dict[str, tuple[float, float]]:
+    """Returns engine seconds a second that arrive here, by model."""
+    return self._demand.by_model(now)
+
   def snapshot(self, now: float) -> DispatcherStatus:
     """Returns the state for the status page."""
     return DispatcherStatus(
         self._config.generation,
         self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
-        len(self._running_by_attempt),
+        len(self._books.attempts.running_by_attempt),
         dict(self._refused_by_kind),
-        0,
+        len(self._isolation.quarantine.refused(now)),
+        self.demand_by_model(now),
     )
 
   def _submit(self, message, now):
     request = message.request
-    if request.deadline_at <= now:
-      error = errors.DeadlineError('the deadline has passed')
-      return [self._refuse(request.request_id, error)]
-    queue = queue_name(request.model, request.adapter)
-    if not self._fleet.pool(queue).all:
-      error = errors.UnavailableError(
-          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
-      )
+    queue = waiting_base.queue_name(request.model, request.adapter)
+    error = self._check(message, queue, now)
+    if error is not None:
       return [self._refuse(request.request_id, error)]
     waiting = waiting_base.Waiting(
         request,
@@ -169,60 +157,88 @@
         message.failed_endpoints,
         self._cost.cost(queue, request, message.next_index),
         now,
-        bool(message.next_index or message.failed_endpoints),
-        fingerprint(request),
+        _is_again(message),
+        waiting_base.fingerprint(request),
+        self._choice.hash_prompt(request),
     )
+    if not waiting.is_again:
+      cost_s = (waiting.cost.prefill_s, waiting.cost.decode_s)
+      self._demand.add(request.model, *cost_s, now)
+    if self._isolation.must_hold(waiting.fingerprint, waiting.is_again, now):
+      held = isolation.Held(queue, waiting)
+      self._isolation.held_by_request[request.request_id] = held
+      return self._pump_held(now)
+    return self._offer(queue, waiting, now)
+
+  def _check(
+      self, message: messages.Submit, queue: str, now: float
+  ) -> errors.RequestError | None:
+    """Returns why a request can't run whatever the load is, or None."""
+    request = message.request
+    if request.deadline_at <= now:
+      return errors.DeadlineError('the deadline has passed')
+    if not _is_again(message):
+      self._retry_budget.see_request()
+      if self._fleet.pool(queue).all:
+        return None
+      return errors.UnavailableError(
+          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
+      )
+    failures = self._books.attempts.failures(request.request_id)
+    service = self._config.service_by_name.get(request.service)
+    most = service.max_attempts if service is not None else ATTEMPTS_MOST
+    if failures >= most:
+      return errors.UnavailableError(
+          f'{failures} attempts broke off', retry_after_s=RETRY_AFTER_S
+      )
+    if not self._retry_budget.take(failures, now):
+      return errors.UnavailableError(
+          'too many retries are under way', retry_after_s=RETRY_AFTER_S
+      )
+    return None
+
+  def _offer(
+      self, queue: str, waiting: waiting_base.Waiting, now: float
+  ) -> list[messages.Effect]:
     error = self._admission.offer(queue, waiting, now)
     if error is not None:
-      return [self._refuse(request.request_id, error)]
+      return [self._refuse(waiting.request.request_id, error)]
     return self._pump(queue, now)
 
   def _withdraw(self, message, now):
     del now
-    if self._admission.withdraw(message.request_id) is not None:
-      self._number_by_request.pop(message.request_id, None)
-      self._journal.note(message.request_id, 'withdrawn while it waited')
+    request_id = message.request_id
+    held = self._isolation.held_by_request.pop(request_id, None)
+    waiting = self._admission.withdraw(request_id)
+    if held is not None or waiting is not None:
+      self._books.attempts.forget(request_id)
+      self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
   def _first_token(self, message, now):
-    running = self._running_by_attempt.get(message.attempt_id)
+    running = self._books.see_first_token(message.attempt_id)
     if running is None:
       return []
-    known = self._fleet.endpoint(running.attempt.endpoint)
-    if known is not None:
-      known.see_first_token(message.attempt_id)
     return self._pump(running.queue, now)
 
   def _attempt_ended(self, message, now):
-    running = self._running_by_attempt.pop(message.attempt_id, None)
+    running = self._books.end(message, now)
     if running is None:
       return []
-    self._journal.note(
-        message.request_id,
-        f'{message.attempt_id} on {message.endpoint}: {message.outcome},'
-        f' tokens={message.tokens}',
-    )
-    known = self._fleet.endpoint(message.endpoint)
-    if known is not None:
-      known.remove(message.attempt_id, now)
-    self._fleet.rest_after(message.endpoint, message.outcome, now)
-    if message.outcome == messages.OUTCOME_WHOLE:
-      tokens = running.waiting.next_index + message.tokens
-      self._cost.see_output(running.waiting.request, tokens)
-    if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
-      self._number_by_request.pop(message.request_id, None)
-    return self._pump(running.queue, now)
+    return self._pump(running.queue, now) + self._pump_held(now)
 
   def _config_seen(self, message, now):
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
-    self._strictest_s = _strictest_between(message.config)
+    self._choice.configure(message.config)
+    self._books.configure(message.config)
     self._admission.configure(message.config)
     return self._pump_all(now)
 
   def _hosts_seen(self, message, now):
     self._fleet.see_hosts(message.hosts)
+    self._isolation.set_entries(self._fleet.entry_names())
     self._set_capacities()
     return self._pump_all(now)
 
@@ -230,7 +246,6 @@
     if not self._fleet.see_report(message.report, now):
       return []
     self._cost.see_report(message.report)
-    self._set_capacities()
     effects = []
     for queue in message.report.models:
       effects += self._pump(queue, now)
@@ -240,11 +255,20 @@
     self._fleet.see_leaving(message.leaving)
     self._fleet.see_peer_load(message.peer, message.in_flight_by_endpoint, now)
     digest = shares.Digest(
-        message.used_by_tenant, message.used_by_rank, message.waiting_by_rank
+        message.used_by_tenant,
+        message.used_by_rank,
+        message.waiting_by_rank,
+        message.booked,
     )
     self._admission.see_peer(message.peer, digest, now)
+    self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
+  def _cache_seen(self, message, now):
+    del now
+    self._choice.see_cache(message.endpoint, message.stored, message.evicted)
+    return []
+
   def _tick(self, message, now):
     del message
     self._part(now)
@@ -252,10 +276,11 @@
     for refusal in self._admission.expire(now):
       request_id = refusal.waiting.request.request_id
       effects.append(self._refuse(request_id, refusal.error))
-    return effects + self._pump_all(now)
+    return effects + self._pump_all(now) + self._pump_held(now)
 
   def _set_capacities(self) -> None:
-    self._entries = entries = self._fleet.entry_count()
+    entries = self._fleet.entry_count()
+    self._choice.entries = entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
@@ -264,6 +289,7 @@
     if now < self._part_at:
       return
     self._part_at = now + PART_EVERY_S
+    self._set_capacities()
     for queue in self._fleet.engines_by_queue():
       demand = self._admission.demand(queue, now)
       if demand is not None:
@@ -290,93 +316,72 @@
       if chosen is None:
         continue
       self._admission.take(waiting.request.request_id, now)
-      return self._start(queue, waiting, chosen, now)
+      return self._books.start(queue, waiting, chosen, now)
     return None
 
+  def _pump_held(self, now: float) -> list[messages.Effect]:
+    """Runs or refuses requests that wait for a verdict."""
+    effects = []
+    for request_id, held in list(self._isolation.held_by_request.items()):
+      moved = self._move_held(held, now)
+      if moved is None:
+        continue
+      self._isolation.held_by_request.pop(request_id, None)
+      effects += moved
+    return effects
+
+  def _move_held(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    """Returns the effects for a held request, or None if it still waits."""
+    waiting = held.waiting
+    request = waiting.request
+    verdict = self._isolation.quarantine.verdict(waiting.fingerprint, now)
+    if verdict == quarantine.REFUSED:
+      if not self._isolation.may_refuse(held, now):
+        return None
+      error = errors.RepeatedCrashError('it crashed the endpoints that ran it')
+      return [self._refuse(request.request_id, error)]
+    if request.deadline_at <= now:
+      error = errors.DeadlineError('the deadline passed while it waited')
+      return [self._refuse(request.request_id, error)]
+    if verdict == quarantine.CLEAR:
+      return self._offer(held.queue, waiting._replace(is_again=True), now)
+    if verdict == quarantine.SUSPECT:
+      return self._start_alone(held, now)
+    return None
+
+  def _start_alone(
+      self, held: isolation.Held, now: float
+  ) -> list[messages.Effect] | None:
+    waiting = held.waiting
+    if self._books.attempts.is_suspect_running(waiting.fingerprint):
+      return None
+    pool = self._fleet.pool(held.queue)
+    names = [known.name for known in pool.all]
+    busy = self._books.attempts.suspect_endpoints()
+    excluded = self._isolation.excluded(held, names, busy, now)
+    chosen = self._choice.find(held.queue, waiting, 1.0, excluded, now)
+    if chosen is None:
+      return None
+    is_strong = self._isolation.quarantine.is_strong(waiting.fingerprint)
+    return [self._books.start(held.queue, waiting, chosen, now, is_strong)]
+
   def _choose(
       self, queue: str, waiting: waiting_base.Waiting, now: float
   ) -> load.EndpointLoad | None:
     pool = self._fleet.pool(queue)
-    if not pool.all:
-      return None
-    ask = self._make_ask(queue, waiting, now)
-    chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
-    if chosen is None and ask.excluded:
-      # Better an endpoint that refused it before than none at all.
-      ask = ask._replace(excluded=())
-      chosen = self._router.pick(ask, pool, self._own_zone, now, self._rng)
-    return chosen
-
-  def _make_ask(
-      self, queue: str, waiting: waiting_base.Waiting, now: float
-  ) -> routing.Ask:
-    request = waiting.request
-    rank = self._config.rank_by_name.get(request.rank)
-    return routing.Ask(
-        rank is not None and rank.is_urgent,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.output_tokens,
-        waiting.cost.pieces,
-        rank.between_tokens_s if rank is not None else 0.0,
-        self._strictest_s,
-        waiting.cost.stretch_s,
-        self._cost.speeds(queue),
-        self._entries,
-        self._admission.room(queue, waiting, now),
-        (),
-        waiting.failed_endpoints,
-    )
-
-  def _is_urgent(self, request: records.InferenceRequest) -> bool:
-    rank = self._config.rank_by_name.get(request.rank)
-    return rank is not None and rank.is_urgent
-
-  def _start(
-      self,
-      queue: str,
-      waiting: waiting_base.Waiting,
-      chosen: load.EndpointLoad,
-      now: float,
-  ) -> messages.Start:
-    request = waiting.request
-    is_urgent = self._is_urgent(request)
-    attempt = records.Attempt(
-        f'{request.request_id}/{self._next_number(request.request_id)}',
-        chosen.name,
-        chosen.address,
-        waiting.next_index,
-        PRIORITY_URGENT if is_urgent else PRIORITY_OTHER,
-    )
-    sent = load.Sent(
-        attempt.attempt_id,
-        is_urgent,
-        waiting.cost.engine_s,
-        request.prompt_tokens + waiting.next_index,
-        waiting.cost.pieces,
-        waiting.cost.stretch_s,
-        now,
-    )
-    chosen.add(sent)
-    running = Running(waiting, queue, attempt)
-    self._running_by_attempt[attempt.attempt_id] = running
-    self._journal.note(
-        request.request_id,
-        f'{attempt.attempt_id} to {chosen.name}: in_flight={chosen.in_flight}'
-        f' waited_s={now - waiting.queued_at:.3f}',
-    )
-    return messages.Start(request.request_id, attempt, None)
-
-  def _next_number(self, request_id: str) -> int:
-    number = self._number_by_request.get(request_id, 0) + 1
-    self._number_by_request[request_id] = number
-    if len(self._number_by_request) > NUMBERS_KEPT:
-      self._number_by_request.popitem(last=False)
-    return number
+    excluded = waiting.failed_endpoints
+    if excluded and all(known.name in excluded for known in pool.all):
+      # Better an endpoint that it was on before than none at all.
+      excluded = ()
+    room = self._admission.room(queue, waiting, now)
+    return self._choice.find(queue, waiting, room, excluded, now)
 
   def _refuse(
       self, request_id: str, error: errors.RequestError
   ) -> messages.Refuse:
-    self._number_by_request.pop(request_id, None)
+    self._books.attempts.forget(request_id)
     count = self._refused_by_kind.get(error.kind, 0)
     self._refused_by_kind[error.kind] = count + 1
     self._journal.note(
@@ -387,10 +392,6 @@
     return messages.Refuse(request_id, error)
 
 
-def _strictest_between(config: records.Config) -> float:
-  """Returns the strictest target of the time between tokens, 0 for none."""
-  targets = []
-  for rank in config.rank_by_name.values():
-    if rank.between_tokens_s > 0.0:
-      targets.append(rank.between_tokens_s)
-  return min(targets, default=0.0)
+def _is_again(message: messages.Submit) -> bool:
+  """Tells whether a request was sent to an endpoint before."""
+  return bool(message.next_index or message.failed_endpoints)
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -98,6 +98,7 @@
     waiting_by_rank: For each rank that waits there, the lowest use over share
       of a waiting tenant.
     suspects: Fingerprints of requests that ran on an endpoint that crashed.
+    booked: Seconds until refused requests were told to come back, by key.
   """
 
   peer: str
@@ -108,6 +109,21 @@
   used_by_rank: dict[str, float] = {}
   waiting_by_rank: dict[str, float] = {}
   suspects: tuple[int, ...] = ()
+  booked: dict[int, float] = {}
+
+
+class CacheSeen(NamedTuple):
+  """Cache events of an engine, in the order of their numbers.
+
+  Attributes:
+    endpoint: The engine.
+    stored: Blocks that it stored.
+    evicted: Blocks that it evicted.
+  """
+
+  endpoint: str
+  stored: tuple[int, ...]
+  evicted: tuple[int, ...]
 
 
 class Tick(NamedTuple):
@@ -123,6 +139,7 @@
     | HostsSeen
     | ReportSeen
     | PeerSeen
+    | CacheSeen
     | Tick
 )
 
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -12,9 +12,9 @@
 import itertools
 import math
 import random
-from typing import NamedTuple
 
-from mulberrypick.core import drain_rate
+from mulberrypick.core import bookings
+from mulberrypick.core import class_line
 from mulberrypick.core import errors
 from mulberrypick.core import partition
 from mulberrypick.core import records
@@ -31,144 +31,25 @@
 PATIENCE = 5.0
 # Predicted times are uncertain: only refuse what is late by this margin.
 RUN_OPTIMISM = 0.7
+# Engine seconds a second that one engine may be measured to do.
+MOST_RATE = 1.3
 # Part of a tenant's rate that may be booked by those told to come back.
-BOOKED_PART = 0.8
+BOOKED_PART = 0.7
 LONGEST_RETRY_S = 300.0
-SHORTEST_RETRY_S = 0.2
-BOOKINGS_KEPT = 20000
+# Newcomers may wait for this part of the limit while others are due back.
+BOOKED_LIMIT_PART = 0.25
+SPREAD_S = 0.3
+SHORTEST_RETRY_S = 1.2
+TENANTS_BOOKED = 5000
 REQUESTS_LIMIT = 5000
 # A digest of a peer older than this no longer holds work back.
 FRESH_S = 2.5
 # Parts of an endpoint's room that work may fill.
 ROOM_FIRST = 1.0
 ROOM_OTHER = 0.85
-ROOM_DEFERRED = 0.6
+ROOM_DEFERRED = 0.9
 # Work is deferred to a peer's when its tenant used this many times more.
-DEFER_RATIO = 1.25
-
-
-class _Class(NamedTuple):
-  """Requests that wait for the same kind of room."""
-
-  rank: str
-  is_long: bool
-
-
-class _Place(NamedTuple):
-  """Where a waiting request stands."""
-
-  queue: str
-  key: _Class
-  tenant: str
-
-
-class _TenantLine:
-  """The waiting requests of one tenant in one rank."""
-
-  __slots__ = ('waiting_by_request', 'cost_s', 'weight', 'rate')
-
-  def __init__(self, weight: float):
-    self.rate = drain_rate.DrainRate()
-    self.waiting_by_request = collections.OrderedDict()
-    self.cost_s = 0.0
-    self.weight = weight
-
-
-class _ClassLine:
-  """The waiting requests of one class, by tenant."""
-
-  def __init__(self, use: shares.FleetUse):
-    self._use = use
-    self._heap: list[tuple[float, int, str]] = []
-    self._epoch = use.epoch
-    self._ticket = itertools.count()
-    self.line_by_tenant: dict[str, _TenantLine] = {}
-    self.rate = drain_rate.DrainRate()
-    self.cost_s = 0.0
-    self.weight = 0.0
-    self.count = 0
-
-  def add(self, waiting, weight: float, is_first: bool) -> None:
-    tenant = waiting.request.tenant
-    line = self.line_by_tenant.get(tenant)
-    if line is None:
-      line = self.line_by_tenant[tenant] = _TenantLine(weight)
-      self.weight += weight
-      self._push(tenant)
-    line.waiting_by_request[waiting.request.request_id] = waiting
-    if is_first:
-      line.waiting_by_request.move_to_end(
-          waiting.request.request_id, last=False
-      )
-    line.cost_s += waiting.cost.engine_s
-    self.cost_s += waiting.cost.engine_s
-    self.count += 1
-
-  def remove(self, tenant: str, request_id: str):
-    line = self.line_by_tenant[tenant]
-    waiting = line.waiting_by_request.pop(request_id)
-    line.cost_s -= waiting.cost.engine_s
-    self.cost_s -= waiting.cost.engine_s
-    self.count -= 1
-    if not line.waiting_by_request:
-      # Its heap entry goes when it comes to the top.
-      del self.line_by_tenant[tenant]
-      self.weight -= line.weight
-    return waiting
-
-  def next_tenant(self) -> str | None:
-    """Returns the waiting tenant that used least of its share."""
-    if self._epoch != self._use.epoch:
-      self._rebuild()
-    while self._heap:
-      key, _, tenant = self._heap[0]
-      line = self.line_by_tenant.get(tenant)
-      if line is None:
-        heapq.heappop(self._heap)
-        continue
-      current = self.key(tenant)
-      if current <= key * (1.0 + 1e-9):
-        return tenant
-      heapq.heapreplace(self._heap, (current, next(self._ticket), tenant))
-    return None
-
-  def least_key(self) -> float:
-    """Returns the lowest use over share that waits, infinity for none."""
-    tenant = self.next_tenant()
-    return math.inf if tenant is None else self.key(tenant)
-
-  def key(self, tenant: str) -> float:
-    """Returns the use of a waiting tenant over its share."""
-    weight = self.line_by_tenant[tenant].weight
-    return self._use.tenant_amount(tenant) / weight
-
-  def _push(self, tenant: str) -> None:
-    entry = (self.key(tenant), next(self._ticket), tenant)
-    heapq.heappush(self._heap, entry)
-
-  def _rebuild(self) -> None:
-    self._epoch = self._use.epoch
-    self._heap = []
-    for tenant in self.line_by_tenant:
-      self._push(tenant)
-
-
-class _Queue:
-  """All that waits for one model, in lines by rank and length of prompt."""
-
-  def __init__(self):
-    self.line_by_class: dict[_Class, _ClassLine] = {}
-    self.rate = drain_rate.DrainRate()
-
-  def count(self) -> int:
-    return sum(line.count for line in self.line_by_class.values())
-
-  def count_of_rank(self, rank: str) -> int:
-    count = 0
-    for key, line in self.line_by_class.items():
-      if key.rank == rank:
-        count += line.count
-    return count
+DEFER_RATIO = 1.5
 
 
 class RankedFairAdmission(waiting_base.Admission):
@@ -178,13 +59,15 @@
     self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
     self._use = shares.FleetUse()
-    self._queue_by_name: dict[str, _Queue] = {}
-    self._place_by_request: dict[str, _Place] = {}
+    self._queue_by_name: dict[str, class_line.Queue] = {}
+    self._place_by_request: dict[str, class_line.Place] = {}
     self._late_heap: list[tuple[float, int, str]] = []
     self._late_at_by_request: dict[str, float] = {}
     self._ticket = itertools.count()
-    self._booked_until: dict[_Place, float] = {}
-    self._slot_by_booking: collections.OrderedDict = collections.OrderedDict()
+    self._booked_until: collections.OrderedDict[class_line.Place, float] = (
+        collections.OrderedDict()
+    )
+    self._bookings = bookings.Bookings()
 
   def configure(self, config):
     """Takes in a newer configuration; see `Admission.configure`."""
@@ -192,11 +75,12 @@
 
   def set_capacity(self, queue, engines):
     """Takes in how many engines there are; see `Admission.set_capacity`."""
-    self._queue(queue).rate.set_prior(engines)
+    self._queue(queue).rate.set_prior(engines, engines * MOST_RATE)
 
   def see_peer(self, peer, digest, now):
     """Takes in a peer's digest; see `Admission.see_peer`."""
     self._use.see_peer(peer, digest, now)
+    self._bookings.see_peer(digest.booked, now)
 
   def digest(self, now):
     """Returns the use to tell peers; see `Admission.digest`."""
@@ -208,14 +92,15 @@
           continue
         least = least_by_rank.get(key.rank, math.inf)
         least_by_rank[key.rank] = min(least, line.key(tenant))
-    return self._use.digest(least_by_rank, now)
+    return self._use.digest(least_by_rank, self._bookings.take_untold(now), now)
 
   def offer(self, queue, waiting, now):
     """Takes a request in, or refuses it; see `Admission.offer`."""
     request = waiting.request
     if request.request_id in self._place_by_request:
       self.withdraw(request.request_id)
-    is_booked = self._use_booking(queue, waiting, now)
+    key = bookings.booking_key(request.tenant, waiting.fingerprint)
+    is_booked = self._bookings.use(key, now)
     if not waiting.is_again:
       error = self._find_refusal(queue, waiting, is_booked, now)
       if error is not None:
@@ -227,8 +112,7 @@
     line = self._line(place)
     if not line.count:
       line.rate.start_busy(now)
-    is_first = is_booked or waiting.is_again
-    line.add(waiting, self._share(request.tenant), is_first)
+    line.add(waiting, self._share(request.tenant), waiting.is_again)
     line_of_tenant = line.line_by_tenant[request.tenant]
     if len(line_of_tenant.waiting_by_request) == 1:
       line_of_tenant.rate.start_busy(now)
@@ -289,11 +173,11 @@
     else:
       room = ROOM_OTHER
       if self._is_more_urgent_at_peers(now):
-        return ROOM_DEFERRED
+        return room * ROOM_DEFERRED
     least = self._use.least_waiting(rank.name, now, FRESH_S)
     own = self._line(_place(queue, waiting)).key(waiting.request.tenant)
     if own > least * DEFER_RATIO:
-      return ROOM_DEFERRED
+      return room * ROOM_DEFERRED
     return room
 
   def withdraw(self, request_id):
@@ -350,21 +234,15 @@
     if own is None and key <= line.least_key():
       return 0.0
     rate = self._rank_rate(self._queue(queue), request.rank)
-    line.rate.set_prior(rate)
+    line.rate.set_prior(rate, rate)
     own_s = waiting.cost.engine_s
     own_rate = rate * weight / max(weight, line.weight)
     if own is not None:
-      own.rate.set_prior(own_rate)
+      own.rate.set_prior(own_rate, rate)
       own_s += own.cost_s
       own_rate = own.rate.per_s()
     return min(line.cost_s / line.rate.per_s(), own_s / own_rate)
 
-  def _booked_s(self, queue, waiting, now: float) -> float:
-    """Returns the part of the wait that those who come back will fill."""
-    place = _place(queue, waiting)
-    ahead_s = self._booked_until.get(place, 0.0) - now
-    return BOOKED_PART * max(0.0, min(ahead_s, self._wait_limit(waiting)))
-
   def _find_refusal(self, queue, waiting, is_booked, now):
     request = waiting.request
     if self._queue(queue).count() >= REQUESTS_LIMIT:
@@ -379,9 +257,9 @@
     if is_booked:
       return None
     wait_s = self.predict_wait(queue, waiting)
-    if wait_s > 0.0:
-      wait_s += self._booked_s(queue, waiting, now)
     limit_s = self._wait_limit(waiting)
+    if self._booked_until.get(_place(queue, waiting), 0.0) > now:
+      limit_s *= BOOKED_LIMIT_PART
     if wait_s <= min(limit_s, left_s - run_s):
       return None
     excess_s = wait_s - min(limit_s, left_s - run_s)
@@ -418,15 +296,16 @@
     if slot_at - now > LONGEST_RETRY_S:
       return LONGEST_RETRY_S * self._rng.uniform(0.75, 1.25)
     self._booked_until[place] = slot_at
-    booking = (request.tenant, waiting.fingerprint)
-    self._slot_by_booking[booking] = slot_at
-    if len(self._slot_by_booking) > BOOKINGS_KEPT:
-      self._slot_by_booking.popitem(last=False)
-      self._forget_booked(now)
-    retry_s = slot_at - now + SHORTEST_RETRY_S * self._rng.uniform(0.5, 1.5)
-    return max(SHORTEST_RETRY_S, retry_s)
-
-  def _tenant_rate(self, place: _Place) -> float:
+    self._booked_until.move_to_end(place)
+    if len(self._booked_until) > TENANTS_BOOKED:
+      self._booked_until.popitem(last=False)
+    retry_s = max(slot_at - now, SHORTEST_RETRY_S)
+    key = bookings.booking_key(request.tenant, waiting.fingerprint)
+    self._bookings.book(key, now + retry_s)
+    # A spread after the booked time, as clocks and ways differ.
+    return retry_s + SPREAD_S * self._rng.random()
+
+  def _tenant_rate(self, place: class_line.Place) -> float:
     line = self._line(place)
     own = line.line_by_tenant.get(place.tenant)
     if own is not None:
@@ -435,19 +314,6 @@
     rate = self._rank_rate(self._queue(place.queue), place.key.rank)
     return rate * weight / max(weight, line.weight + weight)
 
-  def _forget_booked(self, now: float) -> None:
-    for key in list(self._booked_until):
-      if self._booked_until[key] < now:
-        del self._booked_until[key]
-
-  def _use_booking(self, queue, waiting, now: float) -> bool:
-    booking = (waiting.request.tenant, waiting.fingerprint)
-    slot_at = self._slot_by_booking.get(booking)
-    if slot_at is None or now < slot_at:
-      return False
-    del self._slot_by_booking[booking]
-    return True
-
   def _rank_order(self, name: str) -> int:
     """Orders ranks: short of its reserve, then urgent, then the others."""
     rank = self._config.rank_by_name.get(name)
@@ -469,7 +335,7 @@
         return True
     return False
 
-  def _rank_rate(self, held: _Queue, name: str) -> float:
+  def _rank_rate(self, held: class_line.Queue, name: str) -> float:
     """Returns the engine seconds a second that a rank gets here."""
     rank = self._config.rank_by_name.get(name)
     part = 1.0
@@ -490,21 +356,21 @@
       return LEAST_SHARE
     return max(LEAST_SHARE, known.share)
 
-  def _queue(self, name: str) -> _Queue:
+  def _queue(self, name: str) -> class_line.Queue:
     queue = self._queue_by_name.get(name)
     if queue is None:
-      queue = self._queue_by_name[name] = _Queue()
+      queue = self._queue_by_name[name] = class_line.Queue()
     return queue
 
-  def _line(self, place: _Place) -> _ClassLine:
+  def _line(self, place: class_line.Place) -> class_line.ClassLine:
     line_by_class = self._queue(place.queue).line_by_class
     line = line_by_class.get(place.key)
     if line is None:
-      line = line_by_class[place.key] = _ClassLine(self._use)
+      line = line_by_class[place.key] = class_line.ClassLine(self._use)
     return line
 
 
-def _place(queue: str, waiting: waiting_base.Waiting) -> _Place:
+def _place(queue: str, waiting: waiting_base.Waiting) -> class_line.Place:
   """Returns where a request stands, or would stand."""
-  key = _Class(waiting.request.rank, waiting.cost.is_long)
-  return _Place(queue, key, waiting.request.tenant)
+  key = class_line.WaitClass(waiting.request.rank, waiting.cost.is_long)
+  return class_line.Place(queue, key, waiting.request.tenant)
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -100,13 +100,13 @@
     ),
     settings.Setting(
         'router',
-        'least-in-flight',
+        'predicted-time',
         settings.parse_choice(*routing.ROUTER_BY_NAME),
         'How an endpoint is chosen.',
     ),
     settings.Setting(
         'admission',
-        'first-come',
+        'ranked-fair',
         settings.parse_choice(*admission.ADMISSION_BY_NAME),
         'How waiting requests are ordered and refused.',
     ),
@@ -163,6 +163,7 @@
     dispatcher: Endpoints, queues and refusals.
     metrics: Histograms and outcomes.
     hosts: The list of hosts that it goes by.
+    peers: Bytes and messages between entry hosts since the start.
   """
 
   name: str
@@ -173,6 +174,7 @@
   dispatcher: dispatch.DispatcherStatus
   metrics: metrics_task.MetricsSnapshot
   hosts: tuple[records.Host, ...]
+  peers: zmq_peers.PeerCounts
 
 
 class Entry:
@@ -288,9 +290,11 @@
         _logger, logging.INFO, 'config_in_force', generation=config.generation
     )
 
-  def _read_own_load(self) -> messages.PeerSeen:
+  def _read_own_load(self) -> fleet_task.OwnLoad:
     return self._dispatch.query(
-        lambda dispatcher, now: dispatcher.peer_seen(now)
+        lambda dispatcher, now: fleet_task.OwnLoad(
+            dispatcher.peer_seen(now), dispatcher.demand_by_model(now)
+        )
     )
 
   def _explain(self, request_id: str) -> list[str]:
@@ -312,17 +316,23 @@
         dispatcher,
         self._metrics.snapshot(),
         self._state.hosts,
+        self._peers.counts(),
     )
 
   def run(self) -> int:
     """Runs until SIGTERM or SIGINT, then drains.
 
     Returns:
-      The exit status, 0 after a graceful stop.
+      The exit status: 0 after a graceful stop, 1 if a part did not start.
     """
     for number in (signal.SIGTERM, signal.SIGINT):
       signal.signal(number, lambda *_: self._stopping.set())
-    self._start()
+    try:
+      self._start()
+    except Exception:
+      _logger.exception('start_failed')
+      self._stop_parts()
+      return 1
     self._stopping.wait()
     self._drain()
     return 0
@@ -356,6 +366,10 @@
     self._state.note_draining()
     # The balancer needs time to notice, and goes on sending callers until then.
     time.sleep(self._settings['notice_s'])
+    self._stop_parts()
+    self._log_event('stopped')
+
+  def _stop_parts(self) -> None:
     for part in (
         self._callers_server,
         self._calls,
@@ -367,7 +381,6 @@
         self._operators_server,
     ):
       self._stop_part(part)
-    self._log_event('stopped')
 
   def _stop_part(self, part: Any) -> None:
     """Stops a part; its failure must not keep the others from stopping."""
--- a/standins/policy_loop.py
+++ b/standins/policy_loop.py
@@ -13,10 +13,15 @@
 
 from mulberrypick.core import dispatch
 from mulberrypick.core import messages
+from mulberrypick.core import reconcile
 from mulberrypick.core import records
+from mulberrypick.core import roles
 from standins import policy_engine
 
 NET_S = 0.001
+RESEND_S = 0.02
+TRANSFER_S = 0.02
+PLAN_EVERY_S = 1.0
 TICK_S = 0.02
 REPORT_EVERY_S = 0.25
 PEERS_EVERY_S = 1.0
@@ -56,6 +61,8 @@
     self.record_by_request: dict[str, Record] = {}
     self.lag_s = lag_s
     self.comes_back = False
+    self.crasher_repeats = 6
+    self.crash_after_tokens = 0
     self._events = []
     self._order = itertools.count()
     self._rng = random.Random(5)
@@ -113,13 +120,18 @@
       job = policy_engine.Job(
           effect, entry, record.request, record.length, next(self._order)
       )
-      engine = self.engine_by_name[effect.attempt.endpoint]
+      if effect.prefill_attempt is not None:
+        job.attempt = effect.prefill_attempt
+      engine = self.engine_by_name[job.attempt.endpoint]
       self.after(NET_S, engine.add, job)
 
   def _refused(self, record, error):
     record.error = error
     record.end_at = self.now
     record.refused_after_s = self.now - record.request.arrived_at
+    if 'crash=always' in record.request.prompt:
+      self._send_crasher_again(record)
+      return
     if not self.comes_back or error.retry_after_s <= 0 or record.returns:
       return
     old = record.request
@@ -131,22 +143,36 @@
     entry = self._rng.randrange(len(self.dispatchers))
     self.after(error.retry_after_s, self.arrive, again, record.length, entry)
 
+  def _send_crasher_again(self, record):
+    """Sends a crashing request again at once, to another host, as new."""
+    if record.returns >= self.crasher_repeats:
+      return
+    entry = (record.entry + 1) % len(self.dispatchers)
+    again = record.request._replace(
+        request_id=f'{record.request.request_id}+',
+        arrived_at=self.now + RESEND_S,
+        deadline_at=self.now + RESEND_S + 40.0,
+    )
+    fresh = Record(again, record.length, entry)
+    fresh.returns = record.returns + 1
+    self.record_by_request[again.request_id] = fresh
+    self.after(RESEND_S, self._submit, fresh)
+
   def token(self, job):
     """Notes a token, and the end of the answer with the last one."""
     request_id = job.start.request_id
     record = self.record_by_request[request_id]
+    attempt = job.start.attempt
+    is_crasher = 'crash=always' in record.request.prompt
+    if is_crasher and job.made >= self.crash_after_tokens:
+      self.engine_by_name[attempt.endpoint].crash()
+      return
     job.made += 1
     record.made += 1
-    attempt = job.start.attempt
     if job.made == 1:
-      if 'crash=always' in record.request.prompt:
-        self.engine_by_name[attempt.endpoint].crash()
-        return
       if record.first_at is None:
         record.first_at = self.now
-      message = messages.FirstToken(
-          record.request.request_id, attempt.attempt_id
-      )
+      message = messages.FirstToken(request_id, attempt.attempt_id)
       self.tell(job.owner, message)
     if job.made >= job.left:
       record.end_at = self.now
@@ -155,11 +181,22 @@
   def end(self, job, outcome):
     """Tells the end of an attempt, and asks again for one that was cut."""
     record = self.record_by_request[job.start.request_id]
-    attempt = job.start.attempt
+    attempt = job.attempt
     self.engine_by_name[attempt.endpoint].jobs.pop(attempt.attempt_id, None)
+    if attempt is job.start.prefill_attempt:
+      # The engine that decodes gets no KV cache and refuses.
+      self._tell_end(job, attempt, outcome)
+      attempt = job.start.attempt
     record.work_tokens += job.made
+    if outcome != messages.OUTCOME_WHOLE:
+      record.failed.append(attempt.endpoint)
+    self._tell_end(job, attempt, outcome)
+    if outcome != messages.OUTCOME_WHOLE:
+      self._submit(record)
+
+  def _tell_end(self, job, attempt, outcome):
     message = messages.AttemptEnded(
-        record.request.request_id,
+        job.start.request_id,
         attempt.attempt_id,
         attempt.endpoint,
         outcome,
@@ -167,11 +204,45 @@
         0,
         0,
     )
-    if outcome != messages.OUTCOME_WHOLE:
-      record.failed.append(attempt.endpoint)
     self.tell(job.owner, message)
-    if outcome != messages.OUTCOME_WHOLE:
-      self._submit(record)
+
+  def prefilled(self, job):
+    """Moves a job to the engine that decodes it."""
+    prefiller = self.engine_by_name[job.attempt.endpoint]
+    del prefiller.jobs[job.attempt.attempt_id]
+    self._tell_end(job, job.attempt, messages.OUTCOME_WHOLE)
+    job.attempt = job.start.attempt
+    engine = self.engine_by_name[job.attempt.endpoint]
+    self.after(TRANSFER_S, engine.add, job)
+
+  def plan_roles(self, planner):
+    """Lets a planner change roles once a second."""
+    demand = [0.0, 0.0]
+    for dispatcher in self.dispatchers:
+      told = dispatcher.snapshot(self.now).demand_by_model
+      for index, value in enumerate(told.get('m', (0.0, 0.0))):
+        demand[index] += value
+    told = {'m': roles.RoleDemand(*demand)}
+    planner.see_demand(told, self.now)
+    states = {}
+    for name, engine in self.engine_by_name.items():
+      states[name] = records.EngineState(
+          name,
+          engine.incarnation,
+          engine.role,
+          ('m@1',),
+          0,
+          0,
+          bool(engine.next_role),
+          False,
+          len(engine.jobs),
+      )
+    view = reconcile.View('', {}, (), frozenset(), states, {}, frozenset())
+    for name, role in planner.plan(view, self.now).items():
+      engine = self.engine_by_name[name]
+      if engine.role != role and not engine.next_role:
+        engine.take_role(role)
+    self.after(PLAN_EVERY_S, self.plan_roles, planner)
 
   def tell_hosts(self):
     """Tells every dispatcher the list of hosts."""
