An endpoint that reports after a break did not crash; parts by load

And with 9 hosts and uneven arrivals each host kept to a ninth of the urgent prefill window, also the busiest. Change: a report of the same incarnation from after the break clears those who were suspected for it; a host's part of the window is its part of the use.

--- a/mulberrypick/core/attempt_books.py
+++ b/mulberrypick/core/attempt_books.py
@@ -178,8 +178,13 @@
     if message.outcome == messages.OUTCOME_FAILED:
       self.attempts.see_failure(message.request_id)
       has_token = has_token or message.tokens > 0
+      known = self._fleet.endpoint(message.endpoint)
       self._isolation.quarantine.see_broken(
-          message.endpoint, waiting.fingerprint, has_token, now
+          message.endpoint,
+          known.incarnation if known is not None else 0,
+          waiting.fingerprint,
+          has_token,
+          now,
       )
     if message.outcome in (messages.OUTCOME_WHOLE, messages.OUTCOME_CANCELLED):
       self.attempts.forget(message.request_id)
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -241,7 +241,11 @@
   def _report_seen(self, message, now):
     if not self._fleet.see_report(message.report, now):
       return []
-    self._cost.see_report(message.report)
+    report = message.report
+    self._cost.see_report(report)
+    self._isolation.quarantine.see_alive(
+        report.endpoint, report.incarnation, now - report.age_s
+    )
     effects = []
     for queue in message.report.models:
       effects += self._pump(queue, now)
@@ -276,7 +280,7 @@
 
   def _set_capacities(self) -> None:
     entries = self._fleet.entry_count()
-    self._choice.entries = entries
+    self._choice.own_part = self._admission.own_part() or 1.0 / entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
--- a/mulberrypick/core/endpoint_choice.py
+++ b/mulberrypick/core/endpoint_choice.py
@@ -21,7 +21,11 @@
 
 
 class EndpointChoice:
-  """Asks the router for one request at a time."""
+  """Asks the router for one request at a time.
+
+  Attributes:
+    own_part: Part of the fleet's load that comes through this host.
+  """
 
   def __init__(
       self,
@@ -48,7 +52,7 @@
     self._config = records.EMPTY_CONFIG
     self._strictest_s = 0.0
     self._prefix = prefix_cache.PrefixCache()
-    self.entries = 1
+    self.own_part = 1.0
 
   def configure(self, config: records.Config) -> None:
     """Takes in a newer configuration."""
@@ -134,7 +138,7 @@
         self._strictest_s,
         waiting.cost.stretch_s,
         self._cost.speeds(queue),
-        self.entries,
+        self.own_part,
         room,
         self._remote_s(queue, waiting),
         self._find_warm(queue, waiting),
@@ -162,7 +166,7 @@
       return None
     speed = self._cost.speeds(queue).prefill_tokens_per_s
     least = min(known.prefill_sent for known in loads)
-    if least / speed > REMOTE_AHEAD_S / self.entries:
+    if least / speed > REMOTE_AHEAD_S * self.own_part:
       return None
     return (least + waiting.request.prompt_tokens) / speed
 
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -13,7 +13,9 @@
 
 Requests are known by a hash of their content, as the caller makes a new id
 each time. Many endpoints that break off at once, with no request in common,
-are a failed network and no crash; nobody is suspected then.
+are a failed network and no crash; nobody is suspected then. And an incarnation
+that reports after the break did not crash: an attempt that was given up for
+its silence says nothing about the request.
 """
 
 import collections
@@ -29,6 +31,8 @@
 CRASH_S = 1.5
 # This many endpoints within that time are a failed network.
 NETWORK_ENDPOINTS = 3
+# The age of a report is only known about this well.
+ALIVE_MARGIN_S = 0.1
 CRASHES_TO_REFUSE = 2
 KEPT = 2000
 TOLD_AT_ONCE = 100
@@ -60,12 +64,14 @@
   Attributes:
     number: Grows with every crash.
     endpoint: The endpoint.
+    incarnation: The incarnation that ran them.
     began_at: When the first attempt broke off.
     hashes: The requests that ran there; grows while the crash is reported.
   """
 
   number: int
   endpoint: str
+  incarnation: int
   began_at: float
   hashes: set[int]
 
@@ -80,25 +86,32 @@
     self._refused_until: collections.OrderedDict[int, float] = (
         collections.OrderedDict()
     )
+    self._crashes_by_refused: dict[int, tuple[int, ...]] = {}
     self._peer_suspect_until: dict[int, float] = {}
     self._crashes: collections.deque[Crash] = collections.deque(maxlen=64)
     self._count = 0
 
   def see_broken(
-      self, endpoint: str, fingerprint: int, has_token: bool, now: float
+      self,
+      endpoint: str,
+      incarnation: int,
+      fingerprint: int,
+      has_token: bool,
+      now: float,
   ) -> None:
     """Notes that an attempt broke off after it was sent.
 
     Args:
       endpoint: Where it ran.
+      incarnation: The endpoint's incarnation.
       fingerprint: Hash of the request's content.
       has_token: Whether it had given a token.
       now: Monotonic time.
     """
-    crash = self._find_crash(endpoint, now)
+    crash = self._find_crash(endpoint, incarnation, now)
     crash.hashes.add(fingerprint)
     if self._is_network(now):
-      self._drop_recent(now)
+      self._drop({crash.number for crash in self._recent(now)})
       return
     old = self._suspect_by_hash.get(fingerprint)
     if old is None or now - old.seen_at > SUSPECT_S:
@@ -113,6 +126,23 @@
     if len(crashes) >= CRASHES_TO_REFUSE:
       self._judge(crash.number, now)
 
+  def see_alive(self, endpoint: str, incarnation: int, alive_at: float) -> None:
+    """Notes that an incarnation was alive: what broke off before was no crash.
+
+    Args:
+      endpoint: The endpoint.
+      incarnation: Its incarnation.
+      alive_at: When it was seen alive.
+    """
+    numbers = set()
+    for crash in self._crashes:
+      if crash.endpoint != endpoint or crash.incarnation != incarnation:
+        continue
+      if alive_at > crash.began_at + ALIVE_MARGIN_S:
+        numbers.add(crash.number)
+    if numbers:
+      self._drop(numbers)
+
   def see_whole(self, fingerprint: int) -> None:
     """Notes that a request ran to its end: it crashes nothing."""
     self._suspect_by_hash.pop(fingerprint, None)
@@ -169,14 +199,14 @@
         refused.append(fingerprint)
     return tuple(refused[-TOLD_AT_ONCE:])
 
-  def _find_crash(self, endpoint: str, now: float) -> Crash:
+  def _find_crash(self, endpoint: str, incarnation: int, now: float) -> Crash:
     for crash in reversed(self._crashes):
       if now - crash.began_at > CRASH_S:
         break
       if crash.endpoint == endpoint:
         return crash
     self._count += 1
-    crash = Crash(self._count, endpoint, now, set())
+    crash = Crash(self._count, endpoint, incarnation, now, set())
     self._crashes.append(crash)
     return crash
 
@@ -194,9 +224,8 @@
         recent.append(crash)
     return recent
 
-  def _drop_recent(self, now: float) -> None:
-    """Clears those who are suspected for what was no crash."""
-    numbers = {crash.number for crash in self._recent(now)}
+  def _drop(self, numbers: set[int]) -> None:
+    """Clears those who are suspected or refused for what was no crash."""
     for fingerprint, suspect in list(self._suspect_by_hash.items()):
       left = tuple(n for n in suspect.crashes if n not in numbers)
       if left:
@@ -204,6 +233,10 @@
         self._suspect_by_hash[fingerprint] = kept
       else:
         del self._suspect_by_hash[fingerprint]
+    for fingerprint, crashes in list(self._crashes_by_refused.items()):
+      if numbers.intersection(crashes):
+        del self._crashes_by_refused[fingerprint]
+        self._refused_until.pop(fingerprint, None)
 
   def _judge(self, number: int, now: float) -> None:
     """Refuses the one request that explains two crashes, if there is one."""
@@ -224,6 +257,7 @@
     (found,) = repeated
     explained = set(self._suspect_by_hash[found].crashes)
     del self._suspect_by_hash[found]
+    self._crashes_by_refused[found] = tuple(explained)
     self._refuse(found, now)
     for fingerprint, suspect in list(self._suspect_by_hash.items()):
       if explained.issuperset(suspect.crashes):
@@ -232,7 +266,8 @@
   def _refuse(self, fingerprint: int, now: float) -> None:
     self._refused_until[fingerprint] = now + QUARANTINE_S
     if len(self._refused_until) > KEPT:
-      self._refused_until.popitem(last=False)
+      old, _ = self._refused_until.popitem(last=False)
+      self._crashes_by_refused.pop(old, None)
 
   def _forget_told(self, now: float) -> None:
     for fingerprint, until in list(self._peer_suspect_until.items()):
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -13,54 +13,72 @@
 
   def test_the_second_crash_tells_which_one_it_was(self):
     found = quarantine.Quarantine()
-    found.see_broken('e1', CRASHER, False, 0.0)
-    found.see_broken('e1', BESIDE, False, 0.01)
+    found.see_broken('e1', 1, CRASHER, False, 0.0)
+    found.see_broken('e1', 1, BESIDE, False, 0.01)
     self.assertEqual(quarantine.SUSPECT, found.verdict(BESIDE, 0.1))
-    found.see_broken('e2', OTHER, True, 5.0)
-    found.see_broken('e2', CRASHER, False, 5.01)
+    found.see_broken('e2', 1, OTHER, True, 5.0)
+    found.see_broken('e2', 1, CRASHER, False, 5.01)
     self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 5.1))
     self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 5.1))
     self.assertEqual(quarantine.CLEAR, found.verdict(OTHER, 5.1))
 
   def test_one_that_ran_to_its_end_is_cleared(self):
     found = quarantine.Quarantine()
-    found.see_broken('e1', BESIDE, False, 0.0)
+    found.see_broken('e1', 1, BESIDE, False, 0.0)
     found.see_whole(BESIDE)
     self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 0.1))
 
   def test_two_breaks_of_one_crash_count_once(self):
     found = quarantine.Quarantine()
-    found.see_broken('e1', BESIDE, False, 0.0)
-    found.see_broken('e1', BESIDE, False, 0.5)
+    found.see_broken('e1', 1, BESIDE, False, 0.0)
+    found.see_broken('e1', 1, BESIDE, False, 0.5)
     self.assertEqual(quarantine.SUSPECT, found.verdict(BESIDE, 1.0))
 
   def test_one_with_tokens_is_refused_after_the_third_crash(self):
     found = quarantine.Quarantine()
     for second, endpoint in enumerate(('e1', 'e2')):
-      found.see_broken(endpoint, CRASHER, True, second * 3.0)
+      found.see_broken(endpoint, 1, CRASHER, True, second * 3.0)
     self.assertEqual(quarantine.SUSPECT, found.verdict(CRASHER, 4.0))
     self.assertTrue(found.is_strong(CRASHER))
-    found.see_broken('e3', CRASHER, True, 6.0)
+    found.see_broken('e3', 1, CRASHER, True, 6.0)
     self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 6.1))
 
   def test_a_failed_network_makes_no_suspects(self):
     found = quarantine.Quarantine()
     for number in range(5):
-      found.see_broken(f'e{number}', number, False, 0.1 * number)
+      found.see_broken(f'e{number}', 1, number, False, 0.1 * number)
     for number in range(5):
       self.assertEqual(quarantine.CLEAR, found.verdict(number, 1.0))
 
   def test_one_request_that_moves_fast_is_no_failed_network(self):
     found = quarantine.Quarantine()
     for number in range(3):
-      found.see_broken(f'e{number}', CRASHER, False, 0.2 * number)
+      found.see_broken(f'e{number}', 1, CRASHER, False, 0.2 * number)
     self.assertEqual(quarantine.REFUSED, found.verdict(CRASHER, 1.0))
 
+  def test_an_endpoint_that_reports_afterwards_did_not_crash(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', 1, BESIDE, False, 0.0)
+    found.see_alive('e1', 1, 0.5)
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 1.0))
+    found.see_broken('e2', 1, BESIDE, False, 10.0)
+    found.see_broken('e3', 1, BESIDE, False, 15.0)
+    self.assertEqual(quarantine.REFUSED, found.verdict(BESIDE, 15.1))
+    found.see_alive('e3', 1, 15.5)
+    self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, 16.0))
+
+  def test_a_new_incarnation_or_an_old_report_clears_nobody(self):
+    found = quarantine.Quarantine()
+    found.see_broken('e1', 1, CRASHER, False, 10.0)
+    found.see_alive('e1', 2, 12.0)
+    found.see_alive('e1', 1, 9.0)
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CRASHER, 13.0))
+
   def test_both_states_end_by_time(self):
     found = quarantine.Quarantine()
-    found.see_broken('e1', CRASHER, False, 0.0)
-    found.see_broken('e2', CRASHER, False, 3.0)
-    found.see_broken('e3', BESIDE, False, 9.0)
+    found.see_broken('e1', 1, CRASHER, False, 0.0)
+    found.see_broken('e2', 1, CRASHER, False, 3.0)
+    found.see_broken('e3', 1, BESIDE, False, 9.0)
     later = 9.0 + quarantine.SUSPECT_S
     self.assertEqual(quarantine.CLEAR, found.verdict(BESIDE, later))
     later = 3.0 + quarantine.QUARANTINE_S
@@ -77,7 +95,7 @@
   def test_memory_is_bounded(self):
     found = quarantine.Quarantine()
     for number in range(3 * quarantine.KEPT):
-      found.see_broken('e1', number, False, 2.0 * number)
+      found.see_broken('e1', 1, number, False, 2.0 * number)
     self.assertLessEqual(len(found.suspects(0.0)), quarantine.TOLD_AT_ONCE)
 
 
@@ -90,7 +108,7 @@
     for name in names:
       isolated = isolation.Isolation(name)
       isolated.set_entries(names)
-      isolated.quarantine.see_broken('e0', CRASHER, False, 0.0)
+      isolated.quarantine.see_broken('e0', 1, CRASHER, False, 0.0)
       held = make_held(queued_at=0.0)
       excluded = isolated.excluded(held, endpoints, (), 0.1)
       allowed.append(set(endpoints).difference(excluded))
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -163,6 +163,10 @@
       reserve += rank.reserve
     return partition.Demand(urgent, other, reserve)
 
+  def own_part(self):
+    """Returns this host's part; see `Admission.own_part`."""
+    return self._use.own_part()
+
   def room(self, queue, waiting, now):
     """Returns the part of an endpoint it may fill; see `Admission.room`."""
     rank = self._config.rank_by_name.get(waiting.request.rank)
--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -26,7 +26,7 @@
     strictest_s: Strictest such target of all ranks, or 0.
     stretch_s: Seconds of prefill for each of its output tokens.
     speeds: Speeds of the engines.
-    entries: Entry hosts that share the endpoints.
+    own_part: Part of the load that comes through this host.
     room: Part of an endpoint's room that it may fill, 0 to 1.
     remote_s: Time that a prefill on another endpoint takes, None if there is
       none for it.
@@ -43,7 +43,7 @@
   strictest_s: float
   stretch_s: float
   speeds: cost.Speeds
-  entries: int
+  own_part: float
   room: float
   remote_s: float | None
   warm: tuple[tuple[load.EndpointLoad, int], ...]
@@ -214,7 +214,7 @@
       # The engine takes urgent prompts before others. What other hosts send
       # changes faster than it is reported, so that each keeps to its part.
       ahead = candidate.urgent_prefill_sent
-      limit_s = AHEAD_S / ask.entries
+      limit_s = AHEAD_S * ask.own_part
     if ahead / speeds.prefill_tokens_per_s > limit_s:
       return None
     if ask.is_urgent and candidate.is_quiet:
--- a/mulberrypick/core/shares.py
+++ b/mulberrypick/core/shares.py
@@ -120,6 +120,13 @@
       return 0.0
     return self._by_rank.total_by_name.get(rank, 0.0) / total
 
+  def own_part(self) -> float:
+    """Returns the part of the fleet's use that is due to this host."""
+    total = sum(self._by_rank.total_by_name.values())
+    if total <= 0.0:
+      return 0.0
+    return min(1.0, sum(self._by_rank.own_by_name.values()) / total)
+
   def rank_per_s(self, rank: str, now: float) -> float:
     """Returns the engine seconds a second that a rank lately used."""
     amount = self._by_rank.total_by_name.get(rank, 0.0)
--- a/mulberrypick/core/waiting.py
+++ b/mulberrypick/core/waiting.py
@@ -82,6 +82,10 @@
     """Returns the demand over the whole fleet, or None if not known."""
     del queue, now
 
+  def own_part(self) -> float:
+    """Returns the part of the fleet's use that is due to this host."""
+    return 0.0
+
   def room(self, queue: str, waiting: Waiting, now: float) -> float:
     """Returns the part of an endpoint's room that a request may fill."""
     del queue, waiting, now
