--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -9,6 +9,7 @@
 
 from mulberrypick.adapters import engine
 from mulberrypick.adapters import http_engine
+from mulberrypick.core import assembly
 from mulberrypick.core import errors
 from mulberrypick.core import records
 from standins import answers
@@ -56,10 +57,8 @@
     cls.fleet = cls.enterClassContext(launcher.Fleet(pathlib.Path(folder)))
     cls.adapter = http_engine.HttpEngine('127.0.2.1', stall_s=STALL_S)
 
-  def start(self, name, *flags, checks_fence=True):
-    program = self.fleet.start_engine(
-        name, 1, *MODELS, *flags, checks_fence=checks_fence
-    )
+  def start(self, name, *flags, **options):
+    program = self.fleet.start_engine(name, 1, *MODELS, *flags, **options)
     self.addCleanup(self.end, name)
     return program
 
@@ -98,6 +97,14 @@
     self.assertEqual([f.text for f in frames[:-1]], expected[25:])
     self.assertEqual(frames[-1].finish_reason, 'length')
 
+  def test_a_whole_stream_leaves_its_connection_for_the_next(self):
+    program = self.start('reuse')
+    link = self.enterContext(relay.Relay(program.address))
+    attempt = make_attempt(program)._replace(address=link.address)
+    for _ in range(3):
+      list(self.adapter.generate(attempt, make_request('a length=3')))
+    self.assertEqual(link.connections, 1)
+
   def test_closing_the_iterator_cancels(self):
     program = self.start('close', *SLOW)
     stream = self.adapter.generate(
@@ -166,6 +173,30 @@
     with self.assertRaises(errors.EndpointFailedError):
       list(stream)
 
+  def test_a_frozen_engine_is_a_failure_that_passes(self):
+    program = self.start('freeze', *SLOW)
+    request = make_request('a length=200')
+    stream = self.adapter.generate(make_attempt(program), request)
+    next(stream)
+    self.fleet.put_fault(program, freeze_s=2 * STALL_S)
+    with self.assertRaises(errors.EndpointFailedError):
+      list(stream)
+    patient = http_engine.HttpEngine(stall_s=PATIENCE_S)
+    request = make_request('a length=5')
+    frames = list(patient.generate(make_attempt(program), request))
+    self.assertEqual(len(frames), 6)
+
+  def test_an_engine_that_starts_anew_is_reached_again(self):
+    program = self.start('anew')
+    request = make_request('a length=3')
+    for _ in range(3):
+      frames = list(self.adapter.generate(make_attempt(program), request))
+      self.assertEqual(len(frames), 4)
+      # The pool holds a connection to the engine that is gone.
+      self.fleet.kill('anew')
+      program = self.start('anew', address=program.address)
+    self.assertEqual(self.state(program).incarnation, 4)
+
   def test_a_link_cut_in_mid_stream_is_a_failure(self):
     program = self.start('link', *SLOW)
     link = self.enterContext(relay.Relay(program.address))
@@ -208,7 +239,7 @@
 
 class TestBrokenStreams(unittest.TestCase):
 
-  def generate(self, body):
+  def generate(self, body, headers=b''):
     listener = socket.create_server(('127.0.0.1', 0))
     self.addCleanup(listener.close)
 
@@ -216,8 +247,8 @@
       connection, _ = listener.accept()
       with connection:
         connection.recv(65_536)
-        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
-        connection.sendall(head + body)
+        head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+        connection.sendall(head + headers + b'\r\n' + body)
 
     threading.Thread(target=serve, daemon=True).start()
     address = f'127.0.0.1:{listener.getsockname()[1]}'
@@ -239,19 +270,47 @@
         with self.assertRaises(errors.EndpointFailedError):
           list(stream)
 
-  def test_an_event_may_come_in_pieces(self):
+  def test_an_engine_may_close_the_connection_after_a_whole_answer(self):
+    last = b'data: {"attempt_id":"r1/1","index":0,"done":true}\n\n'
+    body = chunk(last) + chunk(b'')
+    stream = self.generate(body, b'Connection: close\r\n')
+    self.assertTrue(next(stream).is_last)
+    stream.close()
+
+  def test_an_event_may_come_in_pieces_and_after_the_last(self):
     event = b'data: {"attempt_id":"r1/1","index":0,"text":"a "}\n\n'
     last = b'data: {"attempt_id":"r1/1","index":1,"done":true}\n\n'
-    whole = event + last
+    late = b'data: {"attempt_id":"r1/1","index":0,"text":"a "}\n\n'
+    whole = event + last + late
     body = b''.join(chunk(whole[i : i + 7]) for i in range(0, len(whole), 7))
     frames = list(self.generate(body + chunk(b'')))
-    self.assertEqual([f.is_last for f in frames], [False, True])
+    self.assertEqual([f.is_last for f in frames], [False, True, False])
 
 
 def chunk(data):
   return b'%x\r\n%b\r\n' % (len(data), data)
 
 
+class TestGarbledStreams(EngineCase):
+
+  def test_frames_out_of_order_make_up_the_right_answer(self):
+    program = self.start('garble')
+    self.fleet.put_fault(program, garble_streams=1)
+    request = make_request('a length=21')
+    answer = assembly.Assembly()
+    answer.begin('r1/1')
+    texts = []
+    for frame in self.adapter.generate(make_attempt(program), request):
+      texts += answer.accept(frame)
+    expected = answers.expected_tokens('reader', '', request.prompt, 256)
+    self.assertEqual(texts, expected)
+    self.assertTrue(answer.is_whole)
+    self.assertGreater(answer.dropped, 0)
+    # The fault is for one stream, and its connection is used again.
+    frames = list(self.adapter.generate(make_attempt(program), request))
+    self.assertEqual([f.text for f in frames[:-1]], expected)
+
+
 class TestReports(EngineCase):
 
   def test_reads_load_and_cache_events(self):
--- a/spec/claim_steps.py
+++ b/spec/claim_steps.py
@@ -1,6 +1,8 @@
 """The steps of the specification of claims: all moves out of a state."""
 
-from mulberrypick.core import chart, claims, records
+from mulberrypick.core import chart
+from mulberrypick.core import claims
+from mulberrypick.core import records
 from spec import claim_state as parts
 
 Moves = list[tuple[str, parts.State]]
@@ -337,7 +339,7 @@
 ) -> Moves:
   """A conditional update reaches the platform, perhaps late."""
   record, outcome = _apply(state.record, update, variant)
-  left = frozenset()
+  left = state.updates if variant.forwards else frozenset()
   if variant.ignores_version:
     left = state.updates - {update}
     record = None
