--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -181,20 +181,14 @@
       self._retry_budget.see_request()
       if self._fleet.pool(queue).all:
         return None
-      return errors.UnavailableError(
-          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable(f'no live endpoint holds {queue}')
     failures = self._books.attempts.failures(request.request_id)
     service = self._config.service_by_name.get(request.service)
     most = service.max_attempts if service is not None else ATTEMPTS_MOST
     if failures >= most:
-      return errors.UnavailableError(
-          f'{failures} attempts broke off', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable(f'{failures} attempts broke off')
     if not self._retry_budget.take(failures, now):
-      return errors.UnavailableError(
-          'too many retries are under way', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable('too many retries are under way')
     return None
 
   def _offer(
@@ -396,6 +390,10 @@
     return messages.Refuse(request_id, error)
 
 
+def _unavailable(message: str) -> errors.UnavailableError:
+  return errors.UnavailableError(message, retry_after_s=RETRY_AFTER_S)
+
+
 def _is_again(message: messages.Submit) -> bool:
   """Tells whether a request was sent to an endpoint before."""
   return bool(message.next_index or message.failed_endpoints)
--- a/standins/policy_load.py
+++ b/standins/policy_load.py
@@ -124,12 +124,11 @@
   rank = URGENT if shape.rank == 'urgent' else OTHER
   prompt = max(8, round(shape.prompt_tokens * rng.uniform(0.5, 1.5)))
   length = max(4, round(shape.output_tokens * rng.uniform(0.5, 1.5)))
-  service = f'{shape.rank}-{shape.prompt_tokens}'
   request = records.InferenceRequest(
       request_id,
       tenant,
       shape.rank,
-      service,
+      service_name(shape),
       'm',
       '',
       request_id,
@@ -178,6 +177,7 @@
     error: The refusal, or None.
     refused_after_s: Time until the refusal.
     worked_tokens: Tokens that engines made for it.
+    engine_s: Engine seconds that it takes, about.
   """
 
   tenant: str
@@ -189,6 +189,7 @@
   error: errors.RequestError | None
   refused_after_s: float
   worked_tokens: int
+  engine_s: float
 
   def between_s(self) -> float:
     """Returns the mean time between two tokens of a whole answer."""
@@ -206,6 +207,19 @@
     return self.total_s <= rank.deadline_s
 
 
+def engine_seconds(service: str) -> float:
+  """Returns what a request of a service takes, about."""
+  for shape in (QUESTION, SUMMARY, GUIDE):
+    if service == service_name(shape):
+      return shape.engine_s
+  return 0.0
+
+
+def service_name(shape: Shape) -> str:
+  """Returns the name of the service of a shape."""
+  return f'{shape.rank}-{shape.prompt_tokens}'
+
+
 def percentile(values: list[float], percent: float) -> float:
   """Returns a percentile of unsorted values, 0.0 for none."""
   if not values:
@@ -236,6 +250,8 @@
     good = [o for o in mine if o.is_good()]
     whole = [o for o in mine if o.total_s is not None]
     row[f'{rank}_good_per_s'] = round(len(good) / seconds, 2)
+    work_s = sum(o.engine_s for o in good)
+    row[f'{rank}_good_engine_s'] = round(work_s / seconds, 2)
     row[f'{rank}_good'] = f'{len(good)}/{len(mine)}'
     first = [o.first_token_s for o in whole]
     row[f'{rank}_ttft'] = percentiles(first)
--- /dev/null
+++ b/standins/policy_scenarios.py
@@ -0,0 +1,210 @@
+"""The scenarios of the bench of policies: what arrives, and what goes wrong.
+
+Engines are slowed so that a dozen of them and their load fit on one machine;
+loads are given in engine seconds a second.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from standins import launcher
+from standins import load_plan
+from standins import town
+
+ZONES = (1, 2, 3)
+ENGINES = 12
+WARM_S = 6.0
+LOADER_START_S = 2.0
+SEED = 23
+SHARE_BY_TENANT = {'prevoz': 0.4, 'kumamoto': 0.3, 'yard': 0.2, 'mill': 0.1}
+# Reading sets, each shared by a circle.
+SETS = 6
+FLOODER = 'mill'
+BETWEEN_BY_RANK = {'urgent': 0.24, 'other': 0.6}
+FIRST_BY_RANK = {'urgent': 1.0, 'other': 6.0}
+DEADLINE_BY_RANK = {'urgent': 15.0, 'other': 40.0}
+
+
+class Shape(NamedTuple):
+  """One kind of request.
+
+  Attributes:
+    rank: Its rank.
+    prompt_tokens: Least and most tokens of the prompt.
+    output_tokens: Least and most tokens of the answer.
+    engine_s: Engine seconds that one takes, about.
+  """
+
+  rank: str
+  prompt_tokens: tuple[int, int]
+  output_tokens: tuple[int, int]
+  engine_s: float
+
+
+SHAPE_BY_NAME = {
+    'question': Shape('urgent', (40, 80), (30, 50), 0.35),
+    'summary': Shape('other', (1500, 2500), (30, 50), 1.7),
+    'guide': Shape('other', (60, 100), (90, 150), 0.85),
+    'set': Shape('other', (1500, 2500), (30, 50), 1.7),
+    'crasher': Shape('other', (40, 60), (20, 20), 0.2),
+}
+
+
+class Part(NamedTuple):
+  """Load of one shape in one phase, in engine seconds a second.
+
+  Attributes:
+    shape: Name of the shape.
+    load: The load.
+    tenant: The only tenant, or empty for all by their shares.
+  """
+
+  shape: str
+  load: float
+  tenant: str = ''
+
+
+STEADY = (Part('question', 1.5), Part('summary', 4.0), Part('guide', 3.0))
+PROMPTS = (Part('question', 1.5), Part('summary', 11.0), Part('guide', 1.0))
+OUTPUTS = (Part('question', 1.5), Part('summary', 1.0), Part('guide', 14.0))
+
+
+class Scenario(NamedTuple):
+  """What happens in one run.
+
+  Attributes:
+    phases: Duration in seconds and load of each phase, after the warm-up.
+    engine_flags: More flags of the engines.
+    act: Runs beside the load, if anything happens to the fleet.
+    crashers: Whether crashing requests are sent.
+  """
+
+  phases: tuple[tuple[float, tuple[Part, ...]], ...]
+  engine_flags: tuple[str, ...] = ()
+  act: Callable[[town.Town], None] | None = None
+  crashers: bool = False
+
+
+def crash_and_withdraw(made: town.Town) -> None:
+  """Crashes an engine, and withdraws another a little later."""
+  time.sleep(LOADER_START_S + WARM_S + 4.0)
+  engine = made.fleet.program_by_name['engine-0']
+  made.fleet.put_fault(engine, crash_after_tokens=1)
+  time.sleep(4.0)
+  leaving = made.fleet.program_by_name['engine-5']
+  host = launcher.make_host('engine-5', zone_of(5), 'engine', leaving.address)
+  made.fleet.put_host(host._replace(state='leaving', incarnation=1))
+
+
+SCENARIO_BY_NAME = {
+    'steady': Scenario(((20.0, STEADY),)),
+    'swing': Scenario(
+        ((10.0, PROMPTS), (10.0, OUTPUTS), (10.0, PROMPTS), (10.0, OUTPUTS))
+    ),
+    'flood-other': Scenario(
+        ((20.0, (*STEADY, Part('summary', 60.0, FLOODER))),)
+    ),
+    'flood-urgent': Scenario(
+        ((20.0, (*STEADY, Part('question', 60.0, FLOODER))),)
+    ),
+    'crash-swing': Scenario(
+        ((10.0, PROMPTS), (10.0, OUTPUTS)), act=crash_and_withdraw
+    ),
+    'lag': Scenario(
+        ((10.0, PROMPTS), (10.0, OUTPUTS)), ('--load-lag-s', '3.0')
+    ),
+    'prefix': Scenario(((20.0, (Part('question', 1.5), Part('set', 7.0))),)),
+    'crasher': Scenario(((24.0, STEADY),), crashers=True),
+}
+
+
+def zone_of(number: int) -> int:
+  """Returns the zone of an engine or entry."""
+  return ZONES[number % len(ZONES)]
+
+
+def make_classes() -> list[load_plan.WorkClass]:
+  """Makes one class for each shape and tenant."""
+  classes = []
+  for name, shape in SHAPE_BY_NAME.items():
+    for tenant in SHARE_BY_TENANT:
+      classes.append(
+          load_plan.WorkClass(
+              f'{name}-{tenant}',
+              name,
+              'm',
+              tenant=tenant,
+              rank=shape.rank,
+              deadline_s=DEADLINE_BY_RANK[shape.rank],
+              first_token_s=FIRST_BY_RANK[shape.rank],
+              prompt_tokens=shape.prompt_tokens,
+              output_tokens=shape.output_tokens,
+              max_tokens=256,
+              prefix_tokens=1400 if name == 'set' else 0,
+              groups=SETS,
+          )
+      )
+  return classes
+
+
+def make_phases(scenario: Scenario) -> list[load_plan.Phase]:
+  """Makes the phases of a run, with half a load as warm-up."""
+  warm = tuple(part._replace(load=part.load / 2) for part in STEADY)
+  phases = []
+  for duration_s, parts in ((WARM_S, warm), *scenario.phases):
+    rate_by_class: dict[str, float] = {}
+    for part in parts:
+      rate = part.load / SHAPE_BY_NAME[part.shape].engine_s
+      shares = {part.tenant: 1.0} if part.tenant else SHARE_BY_TENANT
+      for tenant, share in shares.items():
+        name = f'{part.shape}-{tenant}'
+        rate_by_class[name] = rate_by_class.get(name, 0.0) + rate * share
+    phases.append(load_plan.Phase(duration_s, rate_by_class))
+  return phases
+
+
+def make_declaration() -> bytes:
+  """Makes the configuration of the bench."""
+  ranks = []
+  for name, reserve in (('urgent', 0.5), ('other', 0.3)):
+    ranks.append(
+        {
+            'name': name,
+            'is_urgent': name == 'urgent',
+            'first_token_s': FIRST_BY_RANK[name],
+            'between_tokens_s': BETWEEN_BY_RANK[name],
+            'deadline_s': DEADLINE_BY_RANK[name],
+            'reserve': reserve,
+        }
+    )
+  services = []
+  for name, shape in SHAPE_BY_NAME.items():
+    services.append(
+        {
+            'name': name,
+            'kind': 'model',
+            'model': 'm',
+            'rank': shape.rank,
+            'timeout_s': 60.0,
+        }
+    )
+  tenants = []
+  for name, share in SHARE_BY_TENANT.items():
+    tenants.append(
+        {
+            'name': name,
+            'share': share,
+            'services': list(SHAPE_BY_NAME),
+            'ranks': ['urgent', 'other'],
+        }
+    )
+  declaration = {
+      'format': 1,
+      'models': [{'name': 'm', 'version': '1', 'replicas': ENGINES}],
+      'ranks': ranks,
+      'services': services,
+      'tenants': tenants,
+  }
+  return json.dumps(declaration).encode()
--- a/standins/policy_trial.py
+++ b/standins/policy_trial.py
@@ -170,6 +170,7 @@
       record.error,
       record.refused_after_s,
       record.work_tokens,
+      policy_load.engine_seconds(request.service),
   )
 
 
