Ends the prefill of attempts whose first token is not told

Cause: entries tell the first token of a request, not that of its resumed attempts, so that an endpoint seemed to prefill for as long as those ran. Conclusion: a guard; telling each first token remains the right thing.

--- a/mulberrypick/core/load.py
+++ b/mulberrypick/core/load.py
@@ -16,6 +16,8 @@
 ENDED_KEPT = 64
 # Age of a report at which the load of others counts for 1/e of it.
 FADE_S = 4.0
+# Longest time that an attempt is on its way to the endpoint.
+WAY_S = 0.2
 # Peers that were silent for longer have nothing under way.
 PEER_FRESH_S = 5.0
 
@@ -163,6 +165,8 @@
     self.report = report
     self.report_at = true_at
     self._others = self._find_others(report, true_at)
+    if not report.waiting_tokens:
+      self._see_nothing_waits(true_at)
     return True
 
   def see_peer(self, peer: str, cost_s: float, now: float) -> None:
@@ -223,6 +227,13 @@
     """Keeps new work away until a time."""
     self.rest_until = max(self.rest_until, until)
 
+  def _see_nothing_waits(self, true_at: float) -> None:
+    """Ends the prefill of attempts whose first token was not told."""
+    for attempt_id in list(self.prefill_by_attempt):
+      sent = self.sent_by_attempt[attempt_id]
+      if sent.sent_at < true_at - WAY_S:
+        self.see_first_token(attempt_id)
+
   def _running_at_peers(self, now: float) -> float:
     """Estimates the sequences of peers from their engine seconds."""
     cost_s = 0.0
--- a/mulberrypick/core/routing_test.py
+++ b/mulberrypick/core/routing_test.py
@@ -165,6 +165,14 @@
     known.see_report(report, 4.0)
     self.assertEqual(0, known.others(4.0).running)
 
+  def test_a_report_without_waiting_prompts_ends_what_it_shows(self):
+    known = make_load('e')
+    known.add(make_sent(1, prefill=400))
+    known.see_report(known.report._replace(running=1), 0.1)
+    self.assertEqual(400, known.prefill_sent)
+    known.see_report(known.report._replace(running=1), 5.0)
+    self.assertEqual(0, known.prefill_sent)
+
   def test_an_older_report_changes_nothing(self):
     known = make_load('e')
     known.see_report(known.report._replace(running=9), 5.0)
