--- a/mulberrypick/core/partition.py
+++ b/mulberrypick/core/partition.py
@@ -15,7 +15,7 @@
 import xxhash
 
 # Urgent work is given this many times the engine seconds that it needs.
-HEADROOM = 1.2
+HEADROOM = 1.4
 # Changes below this many endpoints are left alone.
 HYSTERESIS = 0.6
 
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -24,7 +24,7 @@
 # A tenant that the configuration does not know gets this share.
 LEAST_SHARE = 0.001
 # The wait may use up this part of the target for the first token.
-WAIT_PART = 0.6
+WAIT_PART = 0.45
 # A wait below this part of the target is never too long.
 LEAST_WAIT_PART = 0.25
 # A request that waited this many times its limit is refused after all.
