A cached prefix is worth as much of a queue as it saves

Change: the bound on prefill before a request grows by the time that is saved; the predicted time still decides.

--- a/mulberrypick/core/routing.py
+++ b/mulberrypick/core/routing.py
@@ -215,6 +215,9 @@
       # changes faster than it is reported, so that each keeps to its part.
       ahead = candidate.urgent_prefill_sent
       limit_s = AHEAD_S * ask.own_part
+    # What is in the cache need not wait for a free endpoint: it is worth as
+    # much of a queue as it saves.
+    limit_s += cached / speeds.prefill_tokens_per_s
     if ahead / speeds.prefill_tokens_per_s > limit_s:
       return None
     if ask.is_urgent and candidate.is_quiet:
--- a/mulberrypick/core/routing_test.py
+++ b/mulberrypick/core/routing_test.py
@@ -118,6 +118,14 @@
     ask = make_ask(prompt=3000, warm=((busy, 2800),))
     self.assertEqual('cold', pick(ask, [busy, cold]))
 
+  def test_a_cached_prefix_is_worth_the_prefill_before_it(self):
+    warm, cold = make_load('warm'), make_load('cold')
+    warm.add(make_sent(1, prefill=1200))
+    ask = make_ask(prompt=3000, warm=((warm, 2800),))
+    self.assertEqual('warm', pick(ask, [warm, cold]))
+    ask = make_ask(prompt=3000)
+    self.assertEqual('cold', pick(ask, [warm, cold]))
+
   def test_the_deepest_known_block_counts(self):
     cache = prefix_cache.PrefixCache()
     shared = ' '.join(f'w{number}' for number in range(64))
