--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -181,20 +181,14 @@
       self._retry_budget.see_request()
       if self._fleet.pool(queue).all:
         return None
-      return errors.UnavailableError(
-          f'no live endpoint holds {queue}', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable(f'no live endpoint holds {queue}')
     failures = self._books.attempts.failures(request.request_id)
     service = self._config.service_by_name.get(request.service)
     most = service.max_attempts if service is not None else ATTEMPTS_MOST
     if failures >= most:
-      return errors.UnavailableError(
-          f'{failures} attempts broke off', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable(f'{failures} attempts broke off')
     if not self._retry_budget.take(failures, now):
-      return errors.UnavailableError(
-          'too many retries are under way', retry_after_s=RETRY_AFTER_S
-      )
+      return _unavailable('too many retries are under way')
     return None
 
   def _offer(
@@ -245,7 +239,11 @@
   def _report_seen(self, message, now):
     if not self._fleet.see_report(message.report, now):
       return []
-    self._cost.see_report(message.report)
+    report = message.report
+    self._cost.see_report(report)
+    self._isolation.quarantine.see_alive(
+        report.endpoint, report.incarnation, now - report.age_s
+    )
     effects = []
     for queue in message.report.models:
       effects += self._pump(queue, now)
@@ -280,7 +278,7 @@
 
   def _set_capacities(self) -> None:
     entries = self._fleet.entry_count()
-    self._choice.entries = entries
+    self._choice.own_part = self._admission.own_part() or 1.0 / entries
     for queue, engines in self._fleet.engines_by_queue().items():
       self._admission.set_capacity(queue, engines / entries)
 
@@ -392,6 +390,10 @@
     return messages.Refuse(request_id, error)
 
 
+def _unavailable(message: str) -> errors.UnavailableError:
+  return errors.UnavailableError(message, retry_after_s=RETRY_AFTER_S)
+
+
 def _is_again(message: messages.Submit) -> bool:
   """Tells whether a request was sent to an endpoint before."""
   return bool(message.next_index or message.failed_endpoints)
