Suspects that failed on every endpoint run again instead of waiting for their deadline

Cause: a suspect was kept away from all endpoints that it had failed on, even by a refused connection, and with all of a pool among them it was held until its deadline.

Seen failing first: the new test returned both endpoints as excluded. Run: the 16 tests of quarantine pass.

--- a/mulberrypick/core/isolation.py
+++ b/mulberrypick/core/isolation.py
@@ -77,7 +77,11 @@
       now: float,
   ) -> tuple[str, ...]:
     """Returns the endpoints that a suspect must not run on."""
-    excluded = set(held.waiting.failed_endpoints).union(suspect_endpoints)
+    excluded = set(held.waiting.failed_endpoints)
+    if excluded.issuperset(endpoints):
+      # Better an endpoint that it was on before than to wait for a deadline.
+      excluded.clear()
+    excluded.update(suspect_endpoints)
     own_only_s = OWN_ONLY_S
     if not self.quarantine.is_strong(held.waiting.fingerprint):
       own_only_s = WEAK_OWN_ONLY_S
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -115,6 +115,16 @@
     self.assertEqual(set(endpoints), set().union(*allowed))
     self.assertEqual(30, sum(len(names) for names in allowed))
 
+  def test_a_suspect_that_failed_everywhere_may_run_again(self):
+    isolated = isolation.Isolation('entry-1')
+    held = make_held(queued_at=0.0)
+    waiting = held.waiting._replace(failed_endpoints=('e1', 'e2'))
+    held = held._replace(waiting=waiting)
+    self.assertEqual((), isolated.excluded(held, ['e1', 'e2'], (), 0.1))
+    self.assertEqual(
+        {'e1', 'e2'}, set(isolated.excluded(held, ['e1', 'e2', 'e3'], (), 0.1))
+    )
+
   def test_any_endpoint_does_after_a_while(self):
     isolated = isolation.Isolation('entry-1')
     isolated.set_entries(('entry-2',))
