--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,9 @@
 unittest: setup
 	$(RUN) -m standins.run_tests
 
-.PHONY: bench bench-changes bench-outage model-check
+.PHONY: bench bench-changes bench-outage bench-leaving bench-control
+.PHONY: bench-claims bench-config bench-decisions bench-policy
+.PHONY: model-check fuzz
 
 bench: setup
 	$(RUN) -m standins.bench_entry
@@ -39,5 +41,31 @@
 bench-outage: setup
 	$(RUN) -m standins.bench_outage
 
+bench-leaving: setup
+	$(RUN) -m standins.bench_leaving
+
+bench-control: setup
+	$(RUN) -m standins.bench_control
+
+bench-claims: setup
+	$(RUN) -m standins.bench_claims
+
+bench-config: setup
+	$(RUN) -m standins.bench_config spread
+	$(RUN) -m standins.bench_config slopes
+	$(RUN) -m standins.bench_config tenants
+
+bench-decisions: setup
+	$(RUN) -m standins.bench_decisions
+
+bench-policy: setup
+	$(RUN) -m standins.bench_policy
+
 model-check: setup
 	$(RUN) -m spec.check
+
+fuzz: setup
+	$(RUN) -m standins.fuzz_dead_man --rounds 200
+	MULBERRYPICK_FUZZ_EXAMPLES=4000 $(RUN) -m unittest \
+		mulberrypick.core.orders_test mulberrypick.core.assembly_test \
+		mulberrypick.core.config_store_test mulberrypick.ops.claim_fuzz_test
