--- /dev/null
+++ b/mulberrypick/ops/engine_poller.py
@@ -0,0 +1,148 @@
+"""Polls engines for load reports and cache events, on a few threads.
+
+In each zone one entry polls an engine and tells the others. Which one follows
+from rendezvous hashing over the zone's entries, worked out once for each list
+of hosts. An engine of which nothing was heard for a while is polled by all.
+"""
+
+import concurrent.futures
+import time
+from typing import Any
+
+from mulberrypick.adapters import engine as engine_adapter
+from mulberrypick.core import messages
+from mulberrypick.core import records
+from mulberrypick.core import rendezvous
+
+POLL_THREADS = 8
+# Blocks that one message tells of; the rest of a burst is left out.
+CACHE_BLOCKS_MOST = 128
+
+
+class EnginePoller:
+  """Used by one task; its threads only run the calls."""
+
+  def __init__(self, own_name: str, engine: engine_adapter.Engine):
+    """Makes the poller, which knows no engine yet.
+
+    Args:
+      own_name: Name of this entry host.
+      engine: Speaks to engines.
+    """
+    self._own_name = own_name
+    self._engine = engine
+    self._engines: list[records.Host] = []
+    self._own_engines: list[records.Host] = []
+    self._report_at_by_endpoint: dict[str, float] = {}
+    self._event_number_by_endpoint: dict[str, int] = {}
+    self._pool = concurrent.futures.ThreadPoolExecutor(
+        POLL_THREADS, 'engine-poll'
+    )
+
+  def stop(self) -> None:
+    """Ends the threads; calls under way are left to their timeouts."""
+    self._pool.shutdown(wait=False, cancel_futures=True)
+
+  def assign(
+      self, hosts: tuple[records.Host, ...], zone_entries: list[str]
+  ) -> None:
+    """Works out which engines this entry polls.
+
+    Args:
+      hosts: The newest list of hosts.
+      zone_entries: Names of the live entries of the zone, this one included.
+    """
+    self._engines = [host for host in hosts if host.kind == records.HOST_ENGINE]
+    self._own_engines = []
+    for host in self._engines:
+      pollers = rendezvous.rank(f'report/{host.name}', zone_entries)
+      if pollers[0] == self._own_name:
+        self._own_engines.append(host)
+    names = {host.name for host in self._engines}
+    self._report_at_by_endpoint = _keep(self._report_at_by_endpoint, names)
+    keys = {_incarnation_key(host) for host in self._engines}
+    self._event_number_by_endpoint = _keep(self._event_number_by_endpoint, keys)
+
+  def note_reports(self, reports: tuple[records.EngineReport, ...]) -> None:
+    """Notes of which engines something was heard, here or through a peer."""
+    now = time.monotonic()
+    for report in reports:
+      self._report_at_by_endpoint[report.endpoint] = now
+
+  def poll_loads(
+      self, silence_s: float, timeout_s: float
+  ) -> tuple[records.EngineReport, ...]:
+    """Polls the own engines, and those of which nothing was heard.
+
+    Args:
+      silence_s: Silence after which an engine is polled by everybody.
+      timeout_s: Wait for the answers; later ones are lost.
+
+    Returns:
+      The reports that came in time.
+    """
+    silent_at = time.monotonic() - silence_s
+    heard_at = self._report_at_by_endpoint
+    silent = [
+        host
+        for host in self._engines
+        if heard_at.get(host.name, 0.0) < silent_at
+    ]
+    asked = {host.name: host for host in self._own_engines + silent}
+    polls = [
+        self._pool.submit(self._engine.read_load, host.name, host.address)
+        for host in asked.values()
+    ]
+    return tuple(_take_results(polls, timeout_s))
+
+  def poll_caches(self, timeout_s: float) -> tuple[messages.CacheSeen, ...]:
+    """Reads the new cache events of the own engines.
+
+    Args:
+      timeout_s: Wait for the answers; later ones are lost.
+
+    Returns:
+      News, of engines that had any.
+    """
+    polls = [
+        self._pool.submit(self._read_cache, host) for host in self._own_engines
+    ]
+    results = _take_results(polls, timeout_s)
+    return tuple(seen for seen in results if seen is not None)
+
+  @property
+  def own_count(self) -> int:
+    """Number of engines that this entry polls."""
+    return len(self._own_engines)
+
+  def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
+    key = _incarnation_key(host)
+    after = self._event_number_by_endpoint.get(key, 0)
+    events = self._engine.read_cache_events(host.name, host.address, after)
+    if not events:
+      return None
+    self._event_number_by_endpoint[key] = events[-1].number
+    stored = [event.block for event in events if event.is_stored]
+    evicted = [event.block for event in events if not event.is_stored]
+    return messages.CacheSeen(
+        host.name,
+        tuple(stored[-CACHE_BLOCKS_MOST:]),
+        tuple(evicted[-CACHE_BLOCKS_MOST:]),
+    )
+
+
+def _incarnation_key(host: records.Host) -> str:
+  """Returns a key under which event numbers go on: they begin anew with it."""
+  return f'{host.name}/{host.incarnation}'
+
+
+def _keep(value_by_key: dict[str, Any], keys: set[str]) -> dict[str, Any]:
+  return {key: value for key, value in value_by_key.items() if key in keys}
+
+
+def _take_results(
+    polls: list[concurrent.futures.Future], timeout_s: float
+) -> list[Any]:
+  """Returns the results that came in time; failures are left out."""
+  done, _ = concurrent.futures.wait(polls, timeout_s)
+  return [poll.result() for poll in done if poll.exception() is None]
--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -8,13 +8,11 @@
 dispatcher has in flight.
 """
 
-import concurrent.futures
 import logging
 import queue
 import threading
 import time
 from collections.abc import Callable
-from typing import Any
 from typing import NamedTuple
 
 import msgspec
@@ -28,6 +26,7 @@
 from mulberrypick.core import messages
 from mulberrypick.core import records
 from mulberrypick.core import rendezvous
+from mulberrypick.ops import engine_poller
 
 KIND_HOSTS = 'hosts'
 KIND_HOSTS_DIGEST = 'hosts_digest'
@@ -37,10 +36,7 @@
 KIND_CACHE = 'cache'
 KIND_DEMAND = 'demand'
 HOSTS_READERS = 2
-POLL_THREADS = 8
 ASK_TIMEOUT_S = 1.0
-# Blocks that one message tells of; the rest of a burst is left out.
-CACHE_BLOCKS_MOST = 128
 # Bytes a second that one entry may tell, by kind, together below the 3 KB that
 # control may cost a daemon; intervals grow with the number of peers instead.
 LOAD_BYTES_PER_S = 1500.0
@@ -128,7 +124,6 @@
     self._own_name = own_name
     self._own_zone = own_zone
     self._platform = platform
-    self._engine = engine
     self._peers = peers
     self._publish = publish
     self._read_own_load = read_own_load
@@ -138,14 +133,9 @@
     self._hosts: tuple[records.Host, ...] = ()
     self._hosts_at = 0.0
     self._hosts_digest = b''
-    self._own_engines: frozenset[str] = frozenset()
-    self._report_at_by_endpoint: dict[str, float] = {}
     self._reports_interval_s = 0.0
-    self._event_number_by_endpoint: dict[str, int] = {}
     self._demand_body = msgspec.msgpack.encode({})
-    self._pool = concurrent.futures.ThreadPoolExecutor(
-        POLL_THREADS, 'engine-poll'
-    )
+    self._poller = engine_poller.EnginePoller(own_name, engine)
     self._stopping = threading.Event()
     self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
     for kind in (
@@ -186,7 +176,7 @@
     """Ends the task."""
     self._stopping.set()
     self._thread.join()
-    self._pool.shutdown(wait=False, cancel_futures=True)
+    self._poller.stop()
 
   def _make_handler(self, kind: str) -> peers_adapter.Handler:
     def handler(sender: str, body: bytes) -> None:
@@ -291,7 +281,7 @@
       self._tell_zone(KIND_HOSTS_DIGEST, self._hosts_digest)
     return self._intervals.hosts_s
 
-  def _tell_zone(self, kind: str, body: bytes) -> float:
+  def _tell_zone(self, kind: str, body: bytes) -> int:
     """Tells all other entries of the zone; returns the bytes sent."""
     zone_entries = self._list_entries(self._own_zone)
     for peer in zone_entries:
@@ -319,13 +309,7 @@
       return
     self._hosts = hosts
     self._hosts_digest = digest_hosts(hosts)
-    names = self._zone_names()
-    self._own_engines = frozenset(
-        host.name
-        for host in hosts
-        if host.kind == records.HOST_ENGINE
-        and rendezvous.rank(f'report/{host.name}', names)[0] == self._own_name
-    )
+    self._poller.assign(hosts, self._zone_names())
     self._publish(messages.HostsSeen(hosts))
 
   def _see_hosts_digest(self, digest: bytes) -> None:
@@ -333,83 +317,36 @@
       self._hosts_at = time.monotonic()
 
   def _step_reports(self) -> float:
-    polls = [
-        self._pool.submit(self._engine.read_load, host.name, host.address)
-        for host in self._list_own_engines()
-    ]
-    reports = tuple(_take_results(polls, self._intervals.reports_s))
+    # Engines are shared out evenly, so that others take about as long.
+    silence_s = max(self._intervals.silence_s, 2 * self._reports_interval_s)
+    reports = self._poller.poll_loads(silence_s, self._intervals.reports_s)
     if not reports:
       return self._intervals.reports_s
     self._see_reports(reports)
-    body = msgspec.msgpack.encode(reports)
-    sent_bytes = self._tell_zone(KIND_REPORTS, body)
+    sent_bytes = self._tell_zone(KIND_REPORTS, msgspec.msgpack.encode(reports))
     self._reports_interval_s = max(
         self._intervals.reports_s,
         sent_bytes / REPORTS_BYTES_PER_S,
-        len(polls) / POLLS_PER_S,
+        len(reports) / POLLS_PER_S,
     )
     return self._reports_interval_s
 
-  def _list_own_engines(self) -> list[records.Host]:
-    """Lists the engines that this entry polls, as their reporter or alone."""
-    # Engines are shared out evenly, so that others take about as long.
-    silence_s = max(self._intervals.silence_s, 2 * self._reports_interval_s)
-    silent_at = time.monotonic() - silence_s
-    return [
-        host
-        for host in self._hosts
-        if host.kind == records.HOST_ENGINE
-        and (
-            host.name in self._own_engines
-            or self._report_at_by_endpoint.get(host.name, 0.0) < silent_at
-        )
-    ]
-
   def _see_reports(self, reports: tuple[records.EngineReport, ...]) -> None:
-    now = time.monotonic()
+    self._poller.note_reports(reports)
     for report in reports:
-      self._report_at_by_endpoint[report.endpoint] = now
       self._publish(messages.ReportSeen(report))
 
   def _step_cache(self) -> float:
-    """Reads the cache events of the engines that this entry reports."""
-    polls = [
-        self._pool.submit(self._read_cache, host)
-        for host in self._hosts
-        if host.name in self._own_engines
-    ]
-    news = [
-        seen
-        for seen in _take_results(polls, self._intervals.cache_s)
-        if seen is not None
-    ]
+    news = self._poller.poll_caches(self._intervals.cache_s)
     for seen in news:
       self._publish(seen)
-    sent_bytes = 0.0
+    sent_bytes = 0
     if news:
-      sent_bytes = self._tell_zone(
-          KIND_CACHE, msgspec.msgpack.encode(tuple(news))
-      )
+      sent_bytes = self._tell_zone(KIND_CACHE, msgspec.msgpack.encode(news))
     return max(
         self._intervals.cache_s,
         sent_bytes / CACHE_BYTES_PER_S,
-        len(polls) / POLLS_PER_S,
-    )
-
-  def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
-    # Numbers begin anew with each incarnation of an engine.
-    key = f'{host.name}/{host.incarnation}'
-    after = self._event_number_by_endpoint.get(key, 0)
-    events = self._engine.read_cache_events(host.name, host.address, after)
-    if not events:
-      return None
-    self._event_number_by_endpoint[key] = events[-1].number
-    stored = [event.block for event in events if event.is_stored]
-    evicted = [event.block for event in events if not event.is_stored]
-    return messages.CacheSeen(
-        host.name,
-        tuple(stored[-CACHE_BLOCKS_MOST:]),
-        tuple(evicted[-CACHE_BLOCKS_MOST:]),
+        self._poller.own_count / POLLS_PER_S,
     )
 
   def _step_load(self) -> float:
@@ -441,11 +378,3 @@
 def digest_hosts(hosts: tuple[records.Host, ...]) -> bytes:
   """Returns a digest of a list of hosts, for those that may hold it too."""
   return xxhash.xxh3_64_digest(msgspec.msgpack.encode(hosts))
-
-
-def _take_results(
-    polls: list[concurrent.futures.Future], timeout_s: float
-) -> list[Any]:
-  """Returns the results that came in time; failures are left out."""
-  done, _ = concurrent.futures.wait(polls, timeout_s)
-  return [poll.result() for poll in done if poll.exception() is None]
