--- a/mulberrypick/core/routing_test.py
+++ b/mulberrypick/core/routing_test.py
@@ -118,6 +118,14 @@
     ask = make_ask(prompt=3000, warm=((busy, 2800),))
     self.assertEqual('cold', pick(ask, [busy, cold]))
 
+  def test_a_cached_prefix_is_worth_the_prefill_before_it(self):
+    warm, cold = make_load('warm'), make_load('cold')
+    warm.add(make_sent(1, prefill=1200))
+    ask = make_ask(prompt=3000, warm=((warm, 2800),))
+    self.assertEqual('warm', pick(ask, [warm, cold]))
+    ask = make_ask(prompt=3000)
+    self.assertEqual('cold', pick(ask, [warm, cold]))
+
   def test_the_deepest_known_block_counts(self):
     cache = prefix_cache.PrefixCache()
     shared = ' '.join(f'w{number}' for number in range(64))
@@ -165,6 +173,14 @@
     known.see_report(report, 4.0)
     self.assertEqual(0, known.others(4.0).running)
 
+  def test_a_report_without_waiting_prompts_ends_what_it_shows(self):
+    known = make_load('e')
+    known.add(make_sent(1, prefill=400))
+    known.see_report(known.report._replace(running=1), 0.1)
+    self.assertEqual(400, known.prefill_sent)
+    known.see_report(known.report._replace(running=1), 5.0)
+    self.assertEqual(0, known.prefill_sent)
+
   def test_an_older_report_changes_nothing(self):
     known = make_load('e')
     known.see_report(known.report._replace(running=9), 5.0)
--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -8,7 +8,6 @@
 dispatcher has in flight.
 """
 
-import concurrent.futures
 import logging
 import queue
 import threading
@@ -17,6 +16,7 @@
 from typing import NamedTuple
 
 import msgspec
+import xxhash
 
 from mulberrypick.adapters import engine as engine_adapter
 from mulberrypick.adapters import logs
@@ -26,18 +26,26 @@
 from mulberrypick.core import messages
 from mulberrypick.core import records
 from mulberrypick.core import rendezvous
+from mulberrypick.ops import engine_poller
 
 KIND_HOSTS = 'hosts'
+KIND_HOSTS_DIGEST = 'hosts_digest'
 KIND_ASK_HOSTS = 'ask_hosts'
 KIND_REPORTS = 'reports'
 KIND_LOAD = 'load'
 KIND_CACHE = 'cache'
 KIND_DEMAND = 'demand'
 HOSTS_READERS = 2
-POLL_THREADS = 8
 ASK_TIMEOUT_S = 1.0
-# Blocks that one message tells of; the rest of a burst is left out.
-CACHE_BLOCKS_MOST = 128
+# Bytes a second that one entry may tell, by kind, together below the 3 KB that
+# control may cost a daemon; intervals grow with the number of peers instead.
+LOAD_BYTES_PER_S = 1500.0
+REPORTS_BYTES_PER_S = 750.0
+CACHE_BYTES_PER_S = 250.0
+# Envelope of a message between peers.
+MESSAGE_BYTES = 32
+# Questions to engines a second, of each kind.
+POLLS_PER_S = 15.0
 
 _logger = logging.getLogger(__name__)
 
@@ -116,7 +124,6 @@
     self._own_name = own_name
     self._own_zone = own_zone
     self._platform = platform
-    self._engine = engine
     self._peers = peers
     self._publish = publish
     self._read_own_load = read_own_load
@@ -125,15 +132,19 @@
     self._inbox: queue.Queue[_Received] = queue.Queue(1000)
     self._hosts: tuple[records.Host, ...] = ()
     self._hosts_at = 0.0
-    self._report_at_by_endpoint: dict[str, float] = {}
-    self._event_number_by_endpoint: dict[str, int] = {}
+    self._hosts_digest = b''
+    self._reports_interval_s = 0.0
     self._demand_body = msgspec.msgpack.encode({})
-    self._pool = concurrent.futures.ThreadPoolExecutor(
-        POLL_THREADS, 'engine-poll'
-    )
+    self._poller = engine_poller.EnginePoller(own_name, engine)
     self._stopping = threading.Event()
     self._thread = threading.Thread(target=self._run, name='fleet', daemon=True)
-    for kind in (KIND_HOSTS, KIND_REPORTS, KIND_LOAD, KIND_CACHE):
+    for kind in (
+        KIND_HOSTS,
+        KIND_HOSTS_DIGEST,
+        KIND_REPORTS,
+        KIND_LOAD,
+        KIND_CACHE,
+    ):
       peers.handle(kind, self._make_handler(kind))
     peers.handle(KIND_DEMAND, lambda sender, body: self._demand_body)
     peers.handle(KIND_ASK_HOSTS, self._answer_hosts)
@@ -165,7 +176,7 @@
     """Ends the task."""
     self._stopping.set()
     self._thread.join()
-    self._pool.shutdown(wait=False, cancel_futures=True)
+    self._poller.stop()
 
   def _make_handler(self, kind: str) -> peers_adapter.Handler:
     def handler(sender: str, body: bytes) -> None:
@@ -193,24 +204,18 @@
         ),
         0.0,
     )
-    interval_by_step = {
-        self._step_hosts: self._intervals.hosts_s,
-        self._step_reports: self._intervals.reports_s,
-        self._step_cache: self._intervals.cache_s,
-        self._step_load: self._intervals.load_s,
-    }
     while not self._stopping.is_set():
-      now = time.monotonic()
       for step, next_at in next_at_by_step.items():
-        if now < next_at:
+        if time.monotonic() < next_at:
           continue
-        next_at_by_step[step] = now + interval_by_step[step]
-        self._run_step(step)
+        started_at = time.monotonic()
+        next_at_by_step[step] = started_at + self._run_step(step)
       self._take_messages(min(next_at_by_step.values()))
 
-  def _run_step(self, step: Callable[[], None]) -> None:
+  def _run_step(self, step: Callable[[], float]) -> float:
+    """Runs a step; returns the seconds from its start to the next one."""
     try:
-      step()
+      return step()
     except errors.MulberrypickError as error:
       logs.log_event(
           _logger,
@@ -221,6 +226,7 @@
       )
     except Exception:
       _logger.exception('fleet_step_broken')
+    return self._intervals.hosts_s
 
   def _take_messages(self, until: float) -> None:
     while not self._stopping.is_set():
@@ -237,6 +243,8 @@
     try:
       if received.kind == KIND_HOSTS:
         self._see_hosts(_HOSTS_DECODER.decode(received.body))
+      elif received.kind == KIND_HOSTS_DIGEST:
+        self._see_hosts_digest(received.body)
       elif received.kind == KIND_REPORTS:
         self._see_reports(_REPORTS_DECODER.decode(received.body))
       elif received.kind == KIND_CACHE:
@@ -253,20 +261,32 @@
           reason=str(error),
       )
 
-  def _step_hosts(self) -> None:
+  def _step_hosts(self) -> float:
     now = time.monotonic()
     is_silent = now - self._hosts_at > self._intervals.silence_s
     if not (is_silent or self._is_hosts_reader()):
-      return
+      return self._intervals.hosts_s
     try:
       hosts = tuple(self._platform.list_hosts())
     except errors.PlatformError:
       self._ask_peers_for_hosts()
       raise
+    has_changed = hosts != self._hosts
     self._see_hosts(hosts)
-    body = msgspec.msgpack.encode(hosts)
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_HOSTS, body)
+    # The whole list goes out only when it has changed. An entry that missed it
+    # sees another digest, is not kept up to date by it, and asks by itself.
+    if has_changed:
+      self._tell_zone(KIND_HOSTS, msgspec.msgpack.encode(hosts))
+    else:
+      self._tell_zone(KIND_HOSTS_DIGEST, self._hosts_digest)
+    return self._intervals.hosts_s
+
+  def _tell_zone(self, kind: str, body: bytes) -> int:
+    """Tells all other entries of the zone; returns the bytes sent."""
+    zone_entries = self._list_entries(self._own_zone)
+    for peer in zone_entries:
+      self._peers.tell(peer.peer_address, kind, body)
+    return len(zone_entries) * (len(body) + MESSAGE_BYTES)
 
   def _ask_peers_for_hosts(self) -> None:
     """Asks peers, when nothing is known and the platform is away."""
@@ -285,84 +305,59 @@
 
   def _see_hosts(self, hosts: tuple[records.Host, ...]) -> None:
     self._hosts_at = time.monotonic()
+    if hosts == self._hosts:
+      return
     self._hosts = hosts
+    self._hosts_digest = digest_hosts(hosts)
+    self._poller.assign(hosts, self._zone_names())
     self._publish(messages.HostsSeen(hosts))
 
-  def _step_reports(self) -> None:
-    names = self._zone_names()
-    polls = [
-        self._pool.submit(self._engine.read_load, host.name, host.address)
-        for host in self._hosts
-        if host.kind == records.HOST_ENGINE and self._polls(host, names)
-    ]
-    if not polls:
-      return
-    done, _ = concurrent.futures.wait(polls, self._intervals.reports_s)
-    reports = []
-    for poll in done:
-      if poll.exception() is None:
-        reports.append(poll.result())
-    self._see_reports(tuple(reports))
-    body = msgspec.msgpack.encode(tuple(reports))
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_REPORTS, body)
-
-  def _polls(self, host: records.Host, names: list[str]) -> bool:
-    """Tells whether this entry polls an engine, as its reporter or alone."""
-    if rendezvous.rank(f'report/{host.name}', names)[0] == self._own_name:
-      return True
-    reported_at = self._report_at_by_endpoint.get(host.name, 0.0)
-    return time.monotonic() - reported_at > self._intervals.silence_s
+  def _see_hosts_digest(self, digest: bytes) -> None:
+    if digest == self._hosts_digest:
+      self._hosts_at = time.monotonic()
+
+  def _step_reports(self) -> float:
+    # Engines are shared out evenly, so that others take about as long.
+    silence_s = max(self._intervals.silence_s, 2 * self._reports_interval_s)
+    reports = self._poller.poll_loads(silence_s, self._intervals.reports_s)
+    if not reports:
+      return self._intervals.reports_s
+    self._see_reports(reports)
+    sent_bytes = self._tell_zone(KIND_REPORTS, msgspec.msgpack.encode(reports))
+    self._reports_interval_s = max(
+        self._intervals.reports_s,
+        sent_bytes / REPORTS_BYTES_PER_S,
+        len(reports) / POLLS_PER_S,
+    )
+    return self._reports_interval_s
 
   def _see_reports(self, reports: tuple[records.EngineReport, ...]) -> None:
-    now = time.monotonic()
+    self._poller.note_reports(reports)
     for report in reports:
-      self._report_at_by_endpoint[report.endpoint] = now
       self._publish(messages.ReportSeen(report))
 
-  def _step_cache(self) -> None:
-    """Reads the cache events of the engines that this entry reports."""
-    names = self._zone_names()
-    polls = [
-        self._pool.submit(self._read_cache, host)
-        for host in self._hosts
-        if host.kind == records.HOST_ENGINE and self._polls(host, names)
-    ]
-    done, _ = concurrent.futures.wait(polls, self._intervals.cache_s)
-    news = []
-    for poll in done:
-      if poll.exception() is None and poll.result() is not None:
-        news.append(poll.result())
-    if not news:
-      return
+  def _step_cache(self) -> float:
+    news = self._poller.poll_caches(self._intervals.cache_s)
     for seen in news:
       self._publish(seen)
-    body = msgspec.msgpack.encode(tuple(news))
-    for peer in self._list_entries(self._own_zone):
-      self._peers.tell(peer.peer_address, KIND_CACHE, body)
-
-  def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
-    # Numbers begin anew with each incarnation of an engine.
-    key = f'{host.name}/{host.incarnation}'
-    after = self._event_number_by_endpoint.get(key, 0)
-    events = self._engine.read_cache_events(host.name, host.address, after)
-    if not events:
-      return None
-    self._event_number_by_endpoint[key] = events[-1].number
-    stored = [event.block for event in events if event.is_stored]
-    evicted = [event.block for event in events if not event.is_stored]
-    return messages.CacheSeen(
-        host.name,
-        tuple(stored[-CACHE_BLOCKS_MOST:]),
-        tuple(evicted[-CACHE_BLOCKS_MOST:]),
+    sent_bytes = 0
+    if news:
+      sent_bytes = self._tell_zone(KIND_CACHE, msgspec.msgpack.encode(news))
+    return max(
+        self._intervals.cache_s,
+        sent_bytes / CACHE_BYTES_PER_S,
+        self._poller.own_count / POLLS_PER_S,
     )
 
-  def _step_load(self) -> None:
+  def _step_load(self) -> float:
     own = self._read_own_load()
     self._demand_body = msgspec.msgpack.encode(own.demand_by_model)
     body = msgspec.msgpack.encode(own.seen)
-    for peer in self._list_entries(''):
+    others = self._list_entries('')
+    for peer in others:
       self._peers.tell(peer.peer_address, KIND_LOAD, body)
+    sent_bytes = len(others) * (len(body) + MESSAGE_BYTES)
+    return max(self._intervals.load_s, sent_bytes / LOAD_BYTES_PER_S)
 
   def _zone_names(self) -> list[str]:
     names = [host.name for host in self._list_entries(self._own_zone)]
@@ -378,3 +373,8 @@
         and host.name != self._own_name
         and (not zone or host.zone == zone)
     ]
+
+
+def digest_hosts(hosts: tuple[records.Host, ...]) -> bytes:
+  """Returns a digest of a list of hosts, for those that may hold it too."""
+  return xxhash.xxh3_64_digest(msgspec.msgpack.encode(hosts))
