--- a/standins/bench_config.py
+++ b/standins/bench_config.py
@@ -10,9 +10,7 @@
 """
 
 import pathlib
-import re
 import statistics
-import subprocess
 import tempfile
 import time
 
@@ -28,6 +26,7 @@
 from mulberrypick.ops import config_fetch
 from standins import config_daemon
 from standins import launcher
+from standins import wire_bytes
 
 ZONES = 3
 PLATFORM_TIMEOUT_S = 20.0
@@ -36,8 +35,6 @@
 POLL_S = 0.05
 IDLE_S = 20.0
 OUTAGE_S = 10.0
-# IP and TCP with timestamps.
-HEADER_BYTES = 52
 CHANGES_A_DAY = 6000
 DAY_S = 86_400.0
 
@@ -70,36 +67,6 @@
   return config.format_config(deployment.build())
 
 
-_SOCKET_PID = re.compile(r'pid=(\d+)')
-_SOCKET_COUNT = re.compile(
-    r'(bytes_sent|bytes_received|segs_out|segs_in):(\d+)'
-)
-
-
-def read_wire_bytes(pids: set[int]) -> dict[int, int]:
-  """Reads what the kernel counts for the open TCP connections of processes.
-
-  Args:
-    pids: The processes.
-
-  Returns:
-    Bytes sent and received by each process, with a header for each segment.
-    Connections that were closed are not in it any more.
-  """
-  listed = subprocess.run(
-      ['ss', '-tinpOH'], capture_output=True, text=True, check=True
-  )
-  bytes_by_pid = dict.fromkeys(pids, 0)
-  for line in listed.stdout.splitlines():
-    found = _SOCKET_PID.search(line)
-    if not found or int(found.group(1)) not in pids:
-      continue
-    for name, count in _SOCKET_COUNT.findall(line):
-      unit = HEADER_BYTES if name.startswith('segs') else 1
-      bytes_by_pid[int(found.group(1))] += unit * int(count)
-  return bytes_by_pid
-
-
 class Bench:
   """A platform, some daemons, and an operator who applies changes."""
 
@@ -334,9 +301,9 @@
   pids = {
       bench.fleet.program_by_name[host.name].process.pid for host in bench.hosts
   }
-  wire = read_wire_bytes(pids)
+  wire = wire_bytes.read_wire_bytes(pids)
   time.sleep(idle_s)
-  wire_after = read_wire_bytes(pids)
+  wire_after = wire_bytes.read_wire_bytes(pids)
   idle = [bench.report(host) for host in bench.hosts]
   calls = _count_calls(bench) - calls
   started_at = time.monotonic()
