--- a/Makefile
+++ b/Makefile
@@ -69,3 +69,8 @@
 	MULBERRYPICK_FUZZ_EXAMPLES=4000 $(RUN) -m unittest \
 		mulberrypick.core.orders_test mulberrypick.core.assembly_test \
 		mulberrypick.core.config_store_test mulberrypick.ops.claim_fuzz_test
+
+.PHONY: capacity
+
+capacity: setup
+	$(RUN) -m standins.capacity --write
--- /dev/null
+++ b/standins/capacity.py
@@ -0,0 +1,302 @@
+"""Works docs/CAPACITY.md out from the measured slopes in docs/slopes.toml.
+
+    python -m standins.capacity           # prints the tables
+    python -m standins.capacity --write   # puts them into the page
+
+The target is the letter's; what today's code costs at that size follows from
+slopes and the rules of the code. A test fails when the page is stale.
+"""
+
+import math
+import pathlib
+import sys
+import tomllib
+from typing import NamedTuple
+
+import click
+
+from mulberrypick.ops import fleet_task
+
+SLOPES_FILE = pathlib.Path('docs/slopes.toml')
+PAGE = pathlib.Path('docs/CAPACITY.md')
+BEGIN = '<!-- tables: python -m standins.capacity --write -->\n'
+END = '<!-- end of tables -->\n'
+
+DAEMONS = 400
+REPLICAS = 1_700
+ZONES = 5
+MODELS = 19
+REQUESTS_PER_S = 5_700
+TOKENS_PER_S = 1_500_000
+CHANGES_A_DAY = 6_000
+DAY_S = 86_400
+SPREAD_LIMIT_S = 19.0
+CORE_LIMIT_PERCENT = 4.7
+MEMORY_LIMIT_MB = 64.0
+BYTES_LIMIT = 3_000.0
+WRITES_LIMIT = 400.0
+READS_LIMIT = 2_000.0
+NEWS_LIMIT_S = 2.0
+SWEEP_LIMIT_S = 5.0
+# Replicas that one daemon would route to, of each model that it serves.
+SUBSET = 24
+HOSTS_READERS = 2
+MEASURED_DAEMONS = 8
+
+
+class Row(NamedTuple):
+  """One line of the table.
+
+  Attributes:
+    role: Which process.
+    what: What is worked out.
+    value: Its value at the target, with today's code.
+    limit: Its limit.
+    unit: Unit of both.
+    carrier: What carries it, or what replaces today's code.
+  """
+
+  role: str
+  what: str
+  value: float
+  limit: float
+  unit: str
+  carrier: str
+
+  @property
+  def verdict(self) -> str:
+    """`holds`, or by how much the limit is missed."""
+    if self.value <= self.limit:
+      return 'holds'
+    return f'misses by {self.value / self.limit:.1f}x'
+
+
+def read_slopes() -> dict[str, float]:
+  """Reads the value of each slope by its name."""
+  data = tomllib.loads(SLOPES_FILE.read_text())
+  return {name: entry['value'] for name, entry in data.items()}
+
+
+def list_data_rows(slopes: dict[str, float]) -> list[Row]:
+  """Works out the data path of one daemon."""
+  tokens = TOKENS_PER_S / DAEMONS
+  requests = REQUESTS_PER_S / DAEMONS
+  core = tokens * slopes['token_core_us'] + requests * slopes['request_core_us']
+  bookings = WRITES_LIMIT / slopes['writes_per_booking']
+  return [
+      Row(
+          'entry, data',
+          f'{requests:.1f} requests and {tokens:.0f} tokens a second',
+          core / 1e6 * 100,
+          100.0,
+          '% of a core',
+          'a thread a stream; one system call to read and to write a token',
+      ),
+      Row(
+          'entry, data',
+          'share of all requests that could be bookings',
+          REQUESTS_PER_S / bookings * 100,
+          100.0,
+          '% of 400 writes/s if all were',
+          'slots with group commit; archives of sealed slots for retention',
+      ),
+  ]
+
+
+def list_control_rows(slopes: dict[str, float]) -> list[Row]:
+  """Works out what control costs one daemon."""
+  zone_daemons = DAEMONS / ZONES
+  polled = REPLICAS / zone_daemons
+  polls_per_s = min(polled * 2, fleet_task.POLLS_PER_S)
+  poll_core = polls_per_s / 2 * slopes['poll_core_percent_per_engine']
+  peer_core = (DAEMONS - 1) * slopes['control_core_percent_per_peer']
+  change_core = CHANGES_A_DAY * slopes['config_change_core_s'] / DAY_S * 100
+  core = slopes['control_core_percent'] + poll_core + peer_core + change_core
+  load_s = (
+      (DAEMONS - 1) * slopes['load_message_bytes'] / fleet_task.LOAD_BYTES_PER_S
+  )
+  report_s = (
+      (zone_daemons - 1)
+      * polled
+      * slopes['report_bytes']
+      / fleet_task.REPORTS_BYTES_PER_S
+  )
+  subset_core = SUBSET * slopes['poll_core_percent_per_engine'] / 3
+  memory = (
+      slopes['entry_memory_mb']
+      + slopes['decision_memory_mb']
+      + slopes['config_memory_mb']
+  )
+  config_bytes = (
+      slopes['config_bytes_per_s']
+      + CHANGES_A_DAY * slopes['config_change_bytes'] / DAY_S * 2
+  )
+  fleet_bytes = (
+      fleet_task.LOAD_BYTES_PER_S
+      + fleet_task.REPORTS_BYTES_PER_S
+      + fleet_task.CACHE_BYTES_PER_S
+  )
+  return [
+      Row(
+          'entry, control',
+          'processor time',
+          core,
+          CORE_LIMIT_PERCENT,
+          '% of a core',
+          'a message to each peer goes; zone digests by a relay a zone instead',
+      ),
+      Row(
+          'entry, control',
+          f'polls of a subset of {SUBSET} replicas once a second',
+          subset_core,
+          CORE_LIMIT_PERCENT,
+          '% of a core',
+          'subsets by rendezvous hash, so that no report has to be passed on',
+      ),
+      Row(
+          'entry, control',
+          'memory',
+          memory,
+          MEMORY_LIMIT_MB,
+          'MB',
+          'leaves of the configuration decoded on demand, one copy in memory',
+      ),
+      Row(
+          'entry, control',
+          'bytes, fleet news (kept to a budget) and configuration',
+          fleet_bytes + config_bytes,
+          BYTES_LIMIT,
+          'B/s',
+          'deltas of tenants, not leaves; zone digests halve the budgets',
+      ),
+      Row(
+          'entry, control',
+          "age of a peer's load, within the budget of bytes",
+          load_s,
+          NEWS_LIMIT_S,
+          's',
+          'digest a zone, in-zone news to the hosts that share a subset only',
+      ),
+      Row(
+          'entry, control',
+          "age of an engine's report, within the budget of bytes",
+          report_s,
+          NEWS_LIMIT_S,
+          's',
+          'direct polls of the own subset; load in the head of each answer',
+      ),
+  ]
+
+
+def list_other_rows(slopes: dict[str, float]) -> list[Row]:
+  """Works out controllers, platform and configuration."""
+  zone_daemons = DAEMONS / ZONES
+  standby_reads = (zone_daemons - 1) * ZONES * slopes['standby_reads_per_s']
+  reads = (
+      standby_reads
+      + ZONES * slopes['holder_calls_per_s']
+      + ZONES * HOSTS_READERS
+      + ZONES * HOSTS_READERS
+  )
+  rounds = math.log2(DAEMONS) / math.log2(MEASURED_DAEMONS)
+  ask_core = DAEMONS * slopes['demand_ask_core_us'] / 1e6 * 100
+  return [
+      Row(
+          'controller',
+          'time to look at every engine of a zone',
+          REPLICAS / ZONES / slopes['sweep_engines_per_s'],
+          SWEEP_LIMIT_S,
+          's',
+          'leases by group of engines in a zone, each with its own holder',
+      ),
+      Row(
+          'controller',
+          'asking every entry for its demand once a second',
+          ask_core,
+          CORE_LIMIT_PERCENT,
+          '% of a core',
+          'demand carried in the zone digests',
+      ),
+      Row(
+          'platform',
+          'reads: leases, hosts, watches',
+          reads,
+          READS_LIMIT,
+          'a second',
+          'two readers a zone; standbys further down read more rarely',
+      ),
+      Row(
+          'platform',
+          'writes: changes of configuration, 3 parts and a head each',
+          CHANGES_A_DAY * 4 / DAY_S,
+          WRITES_LIMIT,
+          'a second',
+          'content-addressed parts',
+      ),
+      Row(
+          'configuration',
+          'time to the last daemon, by rounds of gossip',
+          slopes['config_spread_s'] * rounds,
+          SPREAD_LIMIT_S,
+          's',
+          'push to a few partners, digests each second',
+      ),
+  ]
+
+
+def render_rows(rows: list[Row]) -> str:
+  """Renders rows as a Markdown table."""
+  lines = [
+      "| role | what | at the target | limit | today's code | mechanism |",
+      '| --- | --- | --- | --- | --- | --- |',
+  ]
+  for row in rows:
+    lines.append(
+        f'| {row.role} | {row.what} | {row.value:,.1f} {row.unit}'
+        f' | {row.limit:,.1f} | {row.verdict} | {row.carrier} |'
+    )
+  return '\n'.join(lines) + '\n'
+
+
+def render_slopes() -> str:
+  """Renders the slopes with their commands."""
+  data = tomllib.loads(SLOPES_FILE.read_text())
+  lines = ['| slope | value | command |', '| --- | --- | --- |']
+  for entry in data.values():
+    lines.append(
+        f'| {entry["what"]} | {entry["value"]:g} | `{entry["command"]}` |'
+    )
+  return '\n'.join(lines) + '\n'
+
+
+def render_tables() -> str:
+  """Renders all tables of the page."""
+  slopes = read_slopes()
+  rows = (
+      list_data_rows(slopes)
+      + list_control_rows(slopes)
+      + list_other_rows(slopes)
+  )
+  return f'\n{render_rows(rows)}\n## Slopes\n\n{render_slopes()}\n'
+
+
+def replace_tables(page: str, tables: str) -> str:
+  """Returns the page with its tables replaced."""
+  head, _, rest = page.partition(BEGIN)
+  _, _, tail = rest.partition(END)
+  return head + BEGIN + tables + END + tail
+
+
+@click.command()
+@click.option('--write', is_flag=True, help='Put the tables into the page.')
+def main(write: bool) -> None:
+  """Prints the tables, or puts them into docs/CAPACITY.md."""
+  tables = render_tables()
+  if not write:
+    click.echo(tables)
+    return
+  PAGE.write_text(replace_tables(PAGE.read_text(), tables))
+
+
+if __name__ == '__main__':
+  sys.exit(main())
