Send dropped results by statsd; list the metrics in a table

metrics_dropped was named and counted, and shown at /status, but never sent: a full queue was not to be seen where operators alert. It is sent with the next result that is recorded.

--- a/mulberrypick/ops/metrics_task.py
+++ b/mulberrypick/ops/metrics_task.py
@@ -31,6 +31,73 @@
 METRIC_ATTEMPTS = 'attempts'
 METRIC_DROPPED = 'metrics_dropped'
 
+KIND_COUNTER = 'counter'
+KIND_TIMER = 'timer'
+LABELS = '<tenant>.<rank>'
+LABELS_OUTCOME = '<tenant>.<rank>.<outcome>'
+
+
+class Metric(NamedTuple):
+  """A metric as it is sent by statsd.
+
+  Attributes:
+    name: One of the `METRIC_` names.
+    kind: `KIND_COUNTER` or `KIND_TIMER`; timers are in milliseconds.
+    labels: What follows the name, empty for nothing.
+    help: One line for the page of metrics.
+  """
+
+  name: str
+  kind: str
+  labels: str
+  help: str
+
+
+METRICS = (
+    Metric(
+        METRIC_REQUESTS,
+        KIND_COUNTER,
+        LABELS_OUTCOME,
+        'Completions that ended: whole, left, or the type of the error.',
+    ),
+    Metric(
+        METRIC_ATTEMPTS,
+        KIND_COUNTER,
+        LABELS,
+        'Attempts on engines; above the number of requests by the retries.',
+    ),
+    Metric(
+        METRIC_TOKENS,
+        KIND_COUNTER,
+        LABELS,
+        'Tokens that were given to callers.',
+    ),
+    Metric(
+        METRIC_FIRST_TOKEN,
+        KIND_TIMER,
+        LABELS,
+        'From arrival to the first token.',
+    ),
+    Metric(
+        METRIC_BETWEEN_TOKENS,
+        KIND_TIMER,
+        LABELS,
+        'Mean time between two tokens of one answer.',
+    ),
+    Metric(
+        METRIC_TOTAL,
+        KIND_TIMER,
+        LABELS,
+        'From arrival to the last token, of whole answers only.',
+    ),
+    Metric(
+        METRIC_DROPPED,
+        KIND_COUNTER,
+        '',
+        'Results that no metric counts, as the queue of metrics was full.',
+    ),
+)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -102,6 +169,7 @@
     self._histogram_by_key: dict[HistogramKey, histogram.HdrHistogram] = {}
     self._count_by_outcome: dict[str, int] = {}
     self._dropped = 0
+    self._dropped_told = 0
     self._thread = threading.Thread(
         target=self._run, name='metrics', daemon=True
     )
@@ -143,6 +211,7 @@
     labels = f'{request.tenant}.{request.rank}'
     outcomes = self._count_by_outcome
     outcomes[result.outcome] = outcomes.get(result.outcome, 0) + 1
+    self._count_dropped()
     self._count(f'{METRIC_REQUESTS}.{labels}.{result.outcome}', 1)
     self._count(f'{METRIC_ATTEMPTS}.{labels}', result.attempts)
     self._count(f'{METRIC_TOKENS}.{labels}', result.tokens)
@@ -155,6 +224,11 @@
       between_s = stream_s / (result.tokens - 1)
       self._time(METRIC_BETWEEN_TOKENS, request, between_s)
 
+  def _count_dropped(self) -> None:
+    dropped = self._dropped
+    self._count(METRIC_DROPPED, dropped - self._dropped_told)
+    self._dropped_told = dropped
+
   def _count(self, name: str, count: int) -> None:
     if self._client is not None and count:
       self._client.incr(name, count)
