Page for operators; its refusals, events, flags and metrics are checked

A test compares it with the code where it would go stale: every child of RequestError with status and type, and every log event, flag and metric that it names.

--- a/standins/write_reference_test.py
+++ b/standins/write_reference_test.py
@@ -1,9 +1,11 @@
 """Tests that the generated pages say what the code does."""
 
 import pathlib
+import re
 import tempfile
 import unittest
 
+from mulberrypick.core import errors
 from mulberrypick.ops import metrics_task
 from standins import write_reference
 
@@ -38,3 +40,33 @@
       if constant.startswith('METRIC_'):
         names.add(value)
     self.assertEqual({metric.name for metric in metrics_task.METRICS}, names)
+
+
+class TestOperations(unittest.TestCase):
+
+  def setUp(self):
+    self.text = (ROOT / 'docs/OPERATIONS.md').read_text()
+
+  def test_every_refusal_is_explained(self):
+    for kind in errors.RequestError.__subclasses__():
+      self.assertIn(f'\n| {kind.status} | `{kind.kind}` |', self.text)
+
+  def test_log_events_exist(self):
+    events = re.findall(r'^\| `(\w+)` \| (?:ERROR|WARN|INFO)', self.text, re.M)
+    self.assertTrue(events)
+    paths = (ROOT / 'mulberrypick').rglob('*.py')
+    source = ''.join(path.read_text() for path in paths)
+    for event in events:
+      self.assertIn(f"'{event}'", source)
+
+  def test_settings_exist(self):
+    flags = {'--planned-on', '--reason'}
+    for table in write_reference.TABLE_BY_PROGRAM.values():
+      flags.update(setting.flag for setting in table)
+    used = set(re.findall(r'--[a-z]+(?:-[a-z]+)*', self.text))
+    self.assertLessEqual(used, flags)
+
+  def test_metrics_exist(self):
+    names = {metric.name for metric in metrics_task.METRICS}
+    used = set(re.findall(r'`mulberrypick\.([a-z_]+)', self.text))
+    self.assertLessEqual(used - {'declare'}, names)
