A completion that an engine may have begun is not refused as not run

Cause: a refusal after failed attempts kept the default run of the error. A prompt that crashed two engines of the demo's town got 422 with run not_run, though explain showed it sent to both; so did a 503 or 504 after a broken attempt without a token. The glossary says of not_run that no byte was sent.

Now a failed attempt, or a prefill that was run, makes it unknown; refusals by all engines stay not_run. The test of the broken engine failed before the change with not_run. Ruled out: setting it in the dispatcher, which does not know whether a byte left.

--- a/mulberrypick/ops/completions.py
+++ b/mulberrypick/ops/completions.py
@@ -77,6 +77,7 @@
     self._assembly = assembly.Assembly()
     self._attempts = 0
     self._first_token_at = 0.0
+    self._may_have_run = False
     self._left = threading.Event()
     self._running: records.Attempt | None = None
     self._prompt_tokens = 0
@@ -146,7 +147,7 @@
         continue
       if isinstance(effect, messages.Start):
         return effect
-      raise self._mark_partial(effect.error)
+      raise self._mark_run(effect.error)
     self._withdraw(reply)
     raise CallerLeftError('the caller left')
 
@@ -160,9 +161,12 @@
     if isinstance(effect, messages.Start):
       self._end_attempt(effect.attempt, messages.OUTCOME_CANCELLED, 0)
 
-  def _mark_partial(self, error: errors.RequestError) -> errors.RequestError:
+  def _mark_run(self, error: errors.RequestError) -> errors.RequestError:
+    """Has a refusal say what earlier attempts may have run."""
     if self._assembly.next_index > 0:
       error.run = errors.RUN_PARTIAL
+    elif self._may_have_run:
+      error.run = errors.RUN_UNKNOWN
     return error
 
   def _run_attempt(self, start: messages.Start) -> Iterator[str]:
@@ -205,6 +209,7 @@
       outcome = self._note_failure(error, messages.OUTCOME_FAILED)
       self._end_attempt(attempt, outcome, 0)
       return None
+    self._may_have_run = True
     self._end_attempt(attempt, messages.OUTCOME_WHOLE, 0)
     return kv
 
@@ -234,6 +239,9 @@
     )
 
   def _note_failure(self, error: errors.EndpointError, outcome: str) -> str:
+    not_run = (errors.EndpointUnreachableError, errors.EndpointRefusedError)
+    if not isinstance(error, not_run):
+      self._may_have_run = True
     logs.log_event(
         _logger,
         logging.WARNING,
--- a/mulberrypick/ops/edge_test.py
+++ b/mulberrypick/ops/edge_test.py
@@ -54,7 +54,8 @@
   """Streams `w0 w1 ...`; the prompt says what goes wrong.
 
   A prompt `fail=N` breaks the stream of the first attempt before token N, and
-  `hang` streams nothing until it is cancelled.
+  `hang` streams nothing until it is cancelled, `broken` breaks every stream
+  before its first token, and `refused` is refused by all engines.
   """
 
   def __init__(self):
@@ -66,6 +67,10 @@
     fail_at = -1
     if request.prompt.startswith('fail=') and len(self.attempts) == 1:
       fail_at = int(request.prompt.removeprefix('fail='))
+    if request.prompt == 'refused':
+      raise errors.EndpointRefusedError(attempt.endpoint, 'busy')
+    if request.prompt == 'broken':
+      raise errors.EndpointFailedError(attempt.endpoint, 'broken')
     if request.prompt == 'hang':
       self.cancelled.wait(WAIT_S)
       raise errors.EndpointFailedError(attempt.endpoint, 'cancelled')
@@ -194,6 +199,20 @@
     self.assertEqual((0, 4), (first.start_index, second.start_index))
     self.assertNotEqual(first.endpoint, second.endpoint)
 
+  def test_not_run_is_said_if_all_engines_refused_it(self):
+    # It would wait for engines until its deadline.
+    headers = TENANT | {'X-Mulberry-Deadline-Ms': '1000'}
+    body = {'model': 'assistant', 'prompt': 'refused'}
+    response = self.ask(headers=headers, body=body)
+    self.assertEqual('not_run', json.loads(response.data)['error']['run'])
+
+  def test_not_run_is_not_said_once_an_engine_may_have_run_it(self):
+    response = self.ask(body={'model': 'assistant', 'prompt': 'broken'})
+    error = json.loads(response.data)['error']
+    self.assertEqual(
+        ('repeated_crash', 'unknown'), (error['type'], error['run'])
+    )
+
   def test_refusals_of_bad_input(self):
     good = {'model': 'assistant', 'prompt': 'a'}
     key = TENANT | {'Idempotency-Key': 'k'}
