Refuse to drain what nobody would drain

drain desk-1, an endpoint of a plain service, exited with 0 and said that it is to be drained, and status listed it; the desk went on taking bookings, as only controllers read these requests, and only for engines. It exits with 7 now and names the engines.

--- a/mulberrypick/ops/operator_actions.py
+++ b/mulberrypick/ops/operator_actions.py
@@ -82,7 +82,9 @@
 
 
 def check_listed(platform: platform_lib.Platform, endpoint: str) -> None:
-  """Checks that the platform lists an endpoint, to catch slips of the pen.
+  """Checks that the platform lists an engine, to catch slips of the pen.
+
+  Nobody would see to the drain of anything else.
 
   Raises:
     UnknownEndpointError: It does not.
@@ -91,7 +93,7 @@
   names = sorted(
       host.name
       for host in platform.list_hosts()
-      if host.kind != records.HOST_ENTRY
+      if host.kind == records.HOST_ENGINE
   )
   if endpoint not in names:
     raise errors.UnknownEndpointError(endpoint, names)
--- a/mulberrypick/scripts/operate_test.py
+++ b/mulberrypick/scripts/operate_test.py
@@ -142,6 +142,18 @@
         'undrain', 'engine-1', expected=operate_session.EXIT_NOTHING
     )
 
+  def test_only_engines_can_be_drained(self):
+    for name, kind in (
+        ('desk-1', records.HOST_SERVICE),
+        ('entry-1', records.HOST_ENTRY),
+    ):
+      address = launcher.free_address('127.0.0.1')
+      host = launcher.make_host(name, 1, kind, address)
+      self.town.fleet.put_host(host)
+      self.run_command('drain', name, expected=operate_session.EXIT_NOTHING)
+    status = json.loads(self.run_command('status', '--output', 'json'))
+    self.assertEqual(status['drains'], [])
+
   def test_status_of_an_entry_and_of_hosts_that_are_away(self):
     self.town.apply(self.file.read_bytes())
     entry = self.town.spawn_entry('entry-1', 1, '--notice-s', '0')
