The status of a controller asks for the operators' token when one is set

Cause: an entry's status asked for the token, a controller's was open to whoever reaches its address. The check moves from the entry's operators' application into ops/operator_token.py, which both use; digests are compared in constant time. /healthz stays open: it tells nothing, and who looks after processes holds no token.

Seen failing: without the check in the controller's application operator_token_test fails (200 instead of 401).

--- a/mulberrypick/ops/controller_app.py
+++ b/mulberrypick/ops/controller_app.py
@@ -1,4 +1,8 @@
-"""The HTTP application of a controller: health, and its status as JSON."""
+"""The HTTP application of a controller: health, and its status as JSON.
+
+The status asks for the operators' token when one is set. Health does not: who
+looks after processes holds no token, and it tells nothing.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -7,6 +11,7 @@
 
 from mulberrypick.core import errors
 from mulberrypick.ops import http_exchange
+from mulberrypick.ops import operator_token
 
 PATH_HEALTH = '/healthz'
 PATH_STATUS = '/status'
@@ -16,13 +21,15 @@
 class ControllerApp:
   """A WSGI application that only reads."""
 
-  def __init__(self, read_status: Callable[[], Any]):
+  def __init__(self, read_status: Callable[[], Any], token: str = ''):
     """Makes the application.
 
     Args:
       read_status: Returns records of the state.
+      token: The operators' bearer token, empty to ask for none.
     """
     self._read_status = read_status
+    self._token = operator_token.OperatorToken(token)
 
   def __call__(
       self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -40,5 +47,6 @@
     if exchange.path == PATH_HEALTH:
       return exchange.answer_json(HTTPStatus.OK, {'status': 'ok'})
     if exchange.path == PATH_STATUS:
+      self._token.check(exchange.headers)
       return exchange.answer_json(HTTPStatus.OK, self._read_status())
     raise errors.NotFoundError(f'no path {exchange.path}')
--- a/mulberrypick/ops/operator_app.py
+++ b/mulberrypick/ops/operator_app.py
@@ -5,15 +5,13 @@
 when one is set.
 """
 
-import hashlib
-import hmac
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import Any
 
-from mulberrypick.core import caller as caller_checks
 from mulberrypick.core import errors
 from mulberrypick.ops import http_exchange
+from mulberrypick.ops import operator_token
 
 PATH_STATUS = '/status'
 PREFIX_EXPLAIN = '/explain/'
@@ -38,7 +36,7 @@
     """
     self._read_status = read_status
     self._explain = explain
-    self._token_sha256 = _digest(token) if token else ''
+    self._token = operator_token.OperatorToken(token)
 
   def __call__(
       self, environ: dict[str, Any], start_response: Callable[..., Any]
@@ -47,19 +45,11 @@
     exchange = http_exchange.Exchange(environ, start_response, 'operator')
     try:
       exchange.read_body(MAX_BODY_BYTES)
-      self._check_token(exchange)
+      self._token.check(exchange.headers)
       return self._route(exchange)
     except errors.RequestError as error:
       return exchange.answer_error(error)
 
-  def _check_token(self, exchange: http_exchange.Exchange) -> None:
-    if not self._token_sha256:
-      return
-    given = exchange.headers.get(caller_checks.HEADER_AUTHORIZATION, '')
-    digest = _digest(given.removeprefix('Bearer '))
-    if not hmac.compare_digest(digest, self._token_sha256):
-      raise errors.UnauthorizedError('the operator token is missing or wrong')
-
   def _route(self, exchange: http_exchange.Exchange) -> Iterable[bytes]:
     exchange.require_method('GET')
     if exchange.path == PATH_STATUS:
@@ -71,7 +61,3 @@
           200, {'request_id': request_id, 'lines': lines}
       )
     raise errors.NotFoundError(f'there is no path {exchange.path!r}')
-
-
-def _digest(token: str) -> str:
-  return hashlib.sha256(token.encode()).hexdigest()
