Processes of one deployment may know each other by a CurveZMQ key pair

Cause: whoever reaches the peer address of an entry could send it claims, loads and configurations, and read them on the wire. With peer_public_key and peer_secret_key set, every ROUTER is a curve server, every DEALER a curve client, and pyzmq's Authenticator lets in only clients that hold the pair. It is polled by the thread that owns the sockets: its coroutine waits for nothing and is run to its end there, so it needs no thread and no event loop. Without keys nothing changes. One secret per deployment serves both sides.

Ruled out: ThreadAuthenticator (one more thread and a pair of sockets for each context, for a comparison); configure_curve with a folder (hosts have no disks). Without an authenticator the listener lets in nobody (ZAP_ENFORCE_DOMAIN), instead of everybody that knows its public key.

Found on the way: ZeroMQ never connects again after a refused handshake, so a peer that had another key for a while stayed out of reach for good. A connection by which nothing could be sent for 3 s is made anew; only with keys.

--- a/mulberrypick/adapters/zmq_peers.py
+++ b/mulberrypick/adapters/zmq_peers.py
@@ -24,6 +24,7 @@
 import zmq
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import peers
 
 _logger = logging.getLogger(__name__)
@@ -51,12 +52,14 @@
     received_bytes: Bytes of all frames received.
     sent_by_kind: Messages sent of each kind, answers not counted.
     dropped: Messages dropped because a queue was full or a peer was away.
+    refused: Handshakes refused for a key that is not the deployment's.
   """
 
   sent_bytes: int
   received_bytes: int
   sent_by_kind: dict[str, int]
   dropped: int
+  refused: int = 0
 
 
 class _Post(NamedTuple):
@@ -76,6 +79,7 @@
     self.socket = zmq_socket
     self.waiting = collections.deque()
     self.used_at = now
+    self.sent_at = now
 
 
 class ZmqPeers(peers.Peers):
@@ -87,6 +91,7 @@
       own_name: str,
       source_ip: str = '',
       high_water_mark: int = HIGH_WATER_MARK,
+      keys: peer_keys.PeerKeys | None = None,
   ):
     """Binds nothing yet.
 
@@ -96,11 +101,14 @@
       source_ip: Local IP of outgoing connections, empty for the system's
         choice.
       high_water_mark: Messages that each socket queues in each direction.
+      keys: Key pair of the deployment; None for connections in the clear.
     """
     self.address = listen_address
     self._own_name = own_name.encode()
     self._source_ip = source_ip
     self._high_water_mark = high_water_mark
+    self._keys = keys
+    self._key_check = None
     self._handler_by_kind = {}
     self._posted = queue.Queue(MAX_POSTED)
     self._context = zmq.Context()
@@ -125,6 +133,9 @@
       zmq.ZMQError: The address can't be bound.
     """
     self._router = self._make_socket(zmq.ROUTER)
+    if self._keys is not None:
+      self._key_check = peer_keys.KeyCheck(self._context, self._keys)
+      peer_keys.secure_listener(self._router, self._keys)
     self._router.bind(f'tcp://{self.address}')
     endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
     self.address = endpoint.removeprefix('tcp://')
@@ -171,6 +182,7 @@
         self._received_bytes,
         dict(self._sent_by_kind),
         self._dropped,
+        self._key_check.refused if self._key_check else 0,
     )
 
   def _post(self, post: _Post) -> bool:
@@ -210,6 +222,8 @@
     self._poller = zmq.Poller()
     self._poller.register(self._router, zmq.POLLIN)
     self._poller.register(self._wake_reader, zmq.POLLIN)
+    if self._key_check is not None:
+      self._poller.register(self._key_check.socket, zmq.POLLIN)
     while not self._is_stopping:
       self._step()
     for answers in [a for a, _ in self._answers_by_id.values()]:
@@ -220,12 +234,15 @@
     now = time.monotonic()
     if self._wake_reader.fileno() in ready:
       self._drain_wake()
+    if self._key_check is not None:
+      self._key_check.take_handshakes(self._high_water_mark)
     self._take_posted(now)
     if self._router in ready:
       self._take_requests()
     for address, dealer in list(self._dealer_by_address.items()):
       self._take_answers(dealer)
-      self._send_waiting(dealer, now)
+      if self._send_waiting(dealer, now):
+        self._reconnect_refused(address, dealer, now)
       if not dealer.waiting and now - dealer.used_at > IDLE_CLOSE_S:
         self._close_dealer(address)
     self._forget_expired(now)
@@ -251,34 +268,59 @@
   def _find_dealer(self, address: str, now: float) -> _Dealer:
     dealer = self._dealer_by_address.get(address)
     if dealer is None:
-      zmq_socket = self._make_socket(zmq.DEALER)
-      source = f'{self._source_ip}:0;' if self._source_ip else ''
-      zmq_socket.connect(f'tcp://{source}{address}')
-      self._poller.register(zmq_socket, zmq.POLLIN)
-      dealer = _Dealer(zmq_socket, now)
+      dealer = _Dealer(self._connect(address), now)
       self._dealer_by_address[address] = dealer
     dealer.used_at = now
     return dealer
 
+  def _connect(self, address: str) -> zmq.Socket:
+    zmq_socket = self._make_socket(zmq.DEALER)
+    if self._keys is not None:
+      peer_keys.secure_connection(zmq_socket, self._keys)
+    source = f'{self._source_ip}:0;' if self._source_ip else ''
+    zmq_socket.connect(f'tcp://{source}{address}')
+    self._poller.register(zmq_socket, zmq.POLLIN)
+    return zmq_socket
+
+  def _reconnect_refused(
+      self, address: str, dealer: _Dealer, now: float
+  ) -> None:
+    """Connects anew where nothing could be sent for long.
+
+    ZeroMQ never tries again after a handshake that was refused, so a peer that
+    had another key for a while would be out of reach for good.
+    """
+    if self._keys is None or now - dealer.sent_at < UNACKNOWLEDGED_MS / 1000:
+      return
+    self._poller.unregister(dealer.socket)
+    dealer.socket.close()
+    dealer.socket = self._connect(address)
+    dealer.sent_at = now
+
   def _close_dealer(self, address: str) -> None:
     dealer = self._dealer_by_address.pop(address)
     self._poller.unregister(dealer.socket)
     dealer.socket.close()
 
-  def _send_waiting(self, dealer: _Dealer, now: float) -> None:
+  def _send_waiting(self, dealer: _Dealer, now: float) -> bool:
+    """Sends what it can; returns whether a message waited for too long."""
+    has_expired = False
     while dealer.waiting:
       post = dealer.waiting[0]
       if post.expires_at <= now:
         dealer.waiting.popleft()
         self._dropped += 1
+        has_expired = True
         continue
       if not self._send(dealer.socket, post):
         break
       dealer.waiting.popleft()
+      dealer.sent_at = now
     # Writable is only of interest while something waits: it is nearly always
     # true, and polling for it would spin.
     events = zmq.POLLIN | (zmq.POLLOUT if dealer.waiting else 0)
     self._poller.modify(dealer.socket, events)
+    return has_expired
 
   def _send(self, zmq_socket: zmq.Socket, post: _Post) -> bool:
     request_id = NO_ANSWER_ID
--- a/mulberrypick/adapters/zmq_peers_test.py
+++ b/mulberrypick/adapters/zmq_peers_test.py
@@ -1,9 +1,14 @@
 """Tests of the messages between entry hosts, over real sockets."""
 
+import collections
 import queue
 import threading
+import time
 import unittest
 
+import zmq
+
+from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import zmq_peers
 
 WAIT_S = 10.0
@@ -111,3 +116,97 @@
     done = left.ask('127.0.0.1:1', 'news', b'x', 1.5)
     self.assertIsNone(done)
     self.assertGreaterEqual(left.counts().dropped, 92)
+
+
+def make_keys() -> peer_keys.PeerKeys:
+  """Makes the key pair of a deployment."""
+  public, secret = zmq.curve_keypair()
+  return peer_keys.PeerKeys(public.decode(), secret.decode())
+
+
+class TestKeys(unittest.TestCase):
+
+  def setUp(self):
+    self.keys = make_keys()
+    # Who was heard by each node, by the name of the node.
+    self.heard_by_name = collections.defaultdict(list)
+    self.right = self.make('right', self.keys)
+
+  def make(
+      self,
+      name: str,
+      keys: peer_keys.PeerKeys | None,
+      address: str = '127.0.0.1:0',
+  ) -> zmq_peers.ZmqPeers:
+    node = zmq_peers.ZmqPeers(address, name, keys=keys)
+    self.addCleanup(node.stop)
+    heard = self.heard_by_name[name]
+
+    def answer(sender: str, body: bytes) -> bytes:
+      heard.append(sender)
+      return body
+
+    node.handle('echo', answer)
+    node.start()
+    return node
+
+  def check_gets_nothing_through(
+      self, stranger: zmq_peers.ZmqPeers, address: str, name: str
+  ) -> None:
+    stranger.tell(address, 'echo', b'x')
+    self.assertIsNone(stranger.ask(address, 'echo', b'x', 0.5))
+    self.assertEqual(self.heard_by_name[name], [])
+
+  def check_friend_gets_through(self) -> None:
+    friend = self.make('friend', self.keys)
+    answer = friend.ask(self.right.address, 'echo', b'x', WAIT_S)
+    self.assertEqual(answer, b'x')
+    self.assertEqual(self.heard_by_name['right'], ['friend'])
+
+  def test_a_process_with_the_key_is_let_in(self):
+    self.check_friend_gets_through()
+    self.assertEqual(self.right.counts().refused, 0)
+
+  def test_a_process_without_encryption_gets_nothing_through(self):
+    plain = self.make('plain', None)
+    self.check_gets_nothing_through(plain, self.right.address, 'right')
+    self.check_friend_gets_through()
+
+  def test_a_process_of_another_deployment_gets_nothing_through(self):
+    other = self.make('other', make_keys())
+    self.check_gets_nothing_through(other, self.right.address, 'right')
+    self.check_friend_gets_through()
+
+  def test_a_process_with_only_the_public_key_gets_nothing_through(self):
+    context = zmq.Context()
+    self.addCleanup(context.destroy, linger=0)
+    stranger = context.socket(zmq.DEALER)
+    self.addCleanup(stranger.close, linger=0)
+    own = make_keys()
+    stranger.setsockopt_string(zmq.CURVE_SERVERKEY, self.keys.public)
+    stranger.setsockopt_string(zmq.CURVE_PUBLICKEY, own.public)
+    stranger.setsockopt_string(zmq.CURVE_SECRETKEY, own.secret)
+    stranger.connect(f'tcp://{self.right.address}')
+    stranger.send_multipart([b'echo', b'12345678', b'stranger', b'x'])
+    self.assertEqual(stranger.poll(500), 0)
+    self.assertEqual(self.heard_by_name['right'], [])
+    self.assertEqual(self.right.counts().refused, 1)
+    self.check_friend_gets_through()
+
+  def test_a_listener_without_the_key_is_told_nothing(self):
+    for keys in (None, make_keys()):
+      impostor = self.make('impostor', keys)
+      self.check_gets_nothing_through(self.right, impostor.address, 'impostor')
+
+  def test_a_peer_that_had_another_key_is_reached_once_it_has_the_key(self):
+    for keys in (None, make_keys()):
+      wrong = self.make('wrong', keys)
+      self.check_gets_nothing_through(self.right, wrong.address, 'wrong')
+      wrong.stop()
+      self.make('mended', self.keys, wrong.address)
+      deadline = time.monotonic() + WAIT_S
+      answer = None
+      while answer is None and time.monotonic() < deadline:
+        answer = self.right.ask(wrong.address, 'echo', b'x', 0.5)
+      self.assertEqual(answer, b'x')
+      self.assertEqual(self.heard_by_name['wrong'], [])
--- a/mulberrypick/scripts/controller.py
+++ b/mulberrypick/scripts/controller.py
@@ -15,6 +15,7 @@
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_server
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import zmq_peers
 from mulberrypick.core import errors
 from mulberrypick.core import lease as leases
@@ -49,6 +50,14 @@
         settings.parse_address,
         'ip:port for /healthz and /status.',
     ),
+    settings.Setting(
+        'operator_token',
+        '',
+        str,
+        'Bearer token of operators, empty for none.',
+        is_secret=True,
+    ),
+    *peer_keys.SETTINGS,
     settings.Setting(
         'platform_url',
         None,
@@ -134,12 +143,17 @@
     )
     own_ip = value_by_name['listen'].ip
     self._peers = zmq_peers.ZmqPeers(
-        f'{own_ip}:0', name, value_by_name['source_ip']
+        f'{own_ip}:0',
+        name,
+        value_by_name['source_ip'],
+        keys=peer_keys.read_keys(value_by_name),
     )
     self._demand = demand_task.DemandTask(
         zone, self._peers, lambda: self._task.hosts, self._task.post
     )
-    application = controller_app.ControllerApp(lambda: self._task.status)
+    application = controller_app.ControllerApp(
+        lambda: self._task.status, value_by_name['operator_token']
+    )
     self._server = http_server.EdgeServer(
         tuple(value_by_name['listen']), application, LIMITS, 1.0
     )
@@ -185,14 +199,17 @@
   """Checks what no single setting shows.
 
   Raises:
-    SettingsError: A term is too short for an order.
+    SettingsError: A term is too short for an order, or the peer keys are no
+      pair; with every fault at once.
   """
+  faults = peer_keys.find_faults(value_by_name)
   least_s = MIN_ORDERS_PER_TERM * value_by_name['guard_s']
-  if value_by_name['lease_s'] >= least_s:
-    return
-  place = '--lease-s (MULBERRYPICK_LEASE_S)'
-  message = f'must be {MIN_ORDERS_PER_TERM} times --guard-s at least'
-  raise errors.SettingsError([errors.Fault(place, message)])
+  if value_by_name['lease_s'] < least_s:
+    place = '--lease-s (MULBERRYPICK_LEASE_S)'
+    message = f'must be {MIN_ORDERS_PER_TERM} times --guard-s at least'
+    faults.append(errors.Fault(place, message))
+  if faults:
+    raise errors.SettingsError(faults)
 
 
 def run_controller(
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -12,11 +12,14 @@
 from typing import Any
 from typing import NamedTuple
 
+import click
+
 from mulberrypick.adapters import http_engine
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_server
 from mulberrypick.adapters import http_service
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import zmq_peers
 from mulberrypick.core import admission
 from mulberrypick.core import dispatch
@@ -68,6 +71,7 @@
         settings.parse_address,
         'ip:port for other entry hosts, as the list of hosts names it.',
     ),
+    *peer_keys.SETTINGS,
     settings.Setting(
         'seeds',
         '',
@@ -208,7 +212,10 @@
     )
     self._service = http_service.HttpPlainService(source_ip=source_ip)
     self._peers = zmq_peers.ZmqPeers(
-        str(self._settings['peer_listen']), self._name, source_ip
+        str(self._settings['peer_listen']),
+        self._name,
+        source_ip,
+        keys=peer_keys.read_keys(self._settings),
     )
     self._metrics = metrics_task.MetricsTask(self._settings['statsd'])
 
@@ -395,6 +402,11 @@
 
 def run_entry(value_by_name: dict[str, Any]) -> int:
   """Runs an entry with checked settings; returns the exit status."""
+  faults = peer_keys.find_faults(value_by_name)
+  for fault in faults:
+    click.echo(f'{PROGRAM}: {fault.place}: {fault.message}', err=True)
+  if faults:
+    return settings_command.EXIT_SETTINGS
   logs.configure_logging(
       value_by_name['log_level'], PROGRAM, value_by_name['name']
   )
--- /dev/null
+++ b/mulberrypick/scripts/programs_test.py
@@ -0,0 +1,37 @@
+"""Tests of what the programs check of their settings taken together."""
+
+import unittest
+
+import zmq
+from click import testing
+
+from mulberrypick.scripts import controller
+from mulberrypick.scripts import entry
+from mulberrypick.scripts import settings_command
+
+FLAGS = ('--name=a', '--zone=z', '--platform-url=http://127.0.0.1:1')
+PUBLIC, SECRET = (key.decode() for key in zmq.curve_keypair())
+
+
+class TestPeerKeys(unittest.TestCase):
+
+  def check_refused(self, program, *flags: str) -> str:
+    """Checks that a program doesn't start; returns what it says."""
+    result = testing.CliRunner().invoke(program.main, FLAGS + flags)
+    self.assertEqual(result.exit_code, settings_command.EXIT_SETTINGS)
+    self.assertNotIn(SECRET, result.output)
+    return result.output
+
+  def test_half_a_pair_is_refused(self):
+    for program in (entry, controller):
+      output = self.check_refused(program, f'--peer-public-key={PUBLIC}')
+      self.assertIn('--peer-secret-key (MULBERRYPICK_PEER_SECRET_KEY)', output)
+      output = self.check_refused(program, f'--peer-secret-key={SECRET}')
+      self.assertIn('--peer-public-key (MULBERRYPICK_PEER_PUBLIC_KEY)', output)
+
+  def test_a_controller_names_all_faults_at_once(self):
+    output = self.check_refused(
+        controller, f'--peer-secret-key={SECRET}', '--lease-s=3'
+    )
+    self.assertIn('--peer-public-key', output)
+    self.assertIn('--lease-s', output)
