Edge tests: repeats and other bodies under one key, a caller that leaves in mid-stream

The first expectation, a call of cancel, was wrong: in mid-stream the adapter closes the connection, which cancels; the test asks for that now.

--- a/mulberrypick/ops/edge_test.py
+++ b/mulberrypick/ops/edge_test.py
@@ -10,6 +10,9 @@
 
 from mulberrypick.adapters import engine as engine_adapter
 from mulberrypick.adapters import http_server
+from mulberrypick.adapters import memory_platform
+from mulberrypick.adapters import peers
+from mulberrypick.adapters import service
 from mulberrypick.core import admission
 from mulberrypick.core import dispatch
 from mulberrypick.core import errors
@@ -19,6 +22,7 @@
 from mulberrypick.ops import dispatch_task
 from mulberrypick.ops import edge
 from mulberrypick.ops import entry_state
+from mulberrypick.ops import plain_calls
 
 WAIT_S = 20.0
 TENANT = {'X-Mulberry-Tenant': 'mill'}
@@ -75,9 +79,16 @@
       self.cancelled.wait(WAIT_S)
       raise errors.EndpointFailedError(attempt.endpoint, 'cancelled')
     for index in range(attempt.start_index, request.max_tokens):
+      if request.prompt == 'drip' and self.cancelled.wait(0.01):
+        raise errors.EndpointFailedError(attempt.endpoint, 'cancelled')
       if index == fail_at:
         raise errors.EndpointFailedError(attempt.endpoint, 'broken')
-      yield records.Frame(attempt.attempt_id, index, f'w{index} ', False, '')
+      try:
+        yield records.Frame(attempt.attempt_id, index, f'w{index} ', False, '')
+      except GeneratorExit:
+        # The adapter closes the connection here, which cancels the work.
+        self.cancelled.set()
+        raise
     yield records.Frame(
         attempt.attempt_id, request.max_tokens, '', True, 'length'
     )
@@ -101,13 +112,26 @@
     raise NotImplementedError
 
 
-class FakeCalls:
+class FakeService(service.PlainService):
   """Answers each plain call with its path."""
 
-  def run(self, call, service, endpoints, now):
+  def call(self, endpoint, address, call, timeout_s):
     return records.PlainAnswer(201, 'text/plain', call.path.encode())
 
 
+class NoPeers(peers.Peers):
+  """The only entry host there is."""
+
+  def handle(self, kind, handler):
+    pass
+
+  def tell(self, peer_address, kind, body):
+    pass
+
+  def ask(self, peer_address, kind, body, timeout_s):
+    return None
+
+
 def make_host(name: str) -> records.Host:
   return records.Host(
       name, 'a', 'engine', '127.0.0.1:1', '', '', 1, 'live', True
@@ -140,13 +164,25 @@
     task.post(messages.HostsSeen((make_host('e1'), make_host('e2'))))
     task.post(messages.ReportSeen(make_report('e1')))
     task.post(messages.ReportSeen(make_report('e2')))
+    state.see_hosts(
+        (
+            make_host('desk')._replace(
+                kind=records.HOST_SERVICE, service='booking'
+            ),
+        )
+    )
+    runner = plain_calls.PlainCallRunner(
+        memory_platform.MemoryPlatform(), FakeService(), NoPeers(), 'e', 'e:1'
+    )
+    runner.start()
+    self.addCleanup(runner.stop)
     self.results = []
     self.edge = edge.Edge(
         'entry-1',
         state,
         task,
         self.engine,
-        FakeCalls(),
+        runner,
         self.results.append,
         edge.EdgeLimits(body_bytes=10_000, prompt_tokens=500),
     )
@@ -276,6 +312,33 @@
     response = self.ask(path='/services/booking/book?stack=4', headers=headers)
     self.assertEqual((201, b'/book?stack=4'), (response.status, response.data))
 
+  def test_a_repeat_is_answered_and_another_body_refused(self):
+    headers = TENANT | {'Idempotency-Key': 'k2'}
+    path = '/services/booking/book'
+    for _ in range(2):
+      response = self.ask(path=path, headers=headers, body=b'4 bales')
+      self.assertEqual(201, response.status)
+    response = self.ask(path=path, headers=headers, body=b'5 bales')
+    self.assertEqual(409, response.status)
+    error = json.loads(response.data)['error']
+    self.assertEqual('idempotency_key_conflict', error['type'])
+
+  def test_a_caller_that_leaves_in_mid_stream_cancels_its_work(self):
+    body = (
+        b'{"model": "assistant", "prompt": "drip", "stream": true,'
+        b' "max_tokens": 9000}'
+    )
+    sock = socket.create_connection(('127.0.0.1', self.port))
+    sock.settimeout(WAIT_S)
+    sock.sendall(encode_request(body))
+    received = b''
+    while b'w3 ' not in received:
+      received += sock.recv(4096)
+    sock.close()
+    self.assertTrue(self.engine.cancelled.wait(WAIT_S))
+    self._wait_until(lambda: self.results)
+    self.assertEqual('left', self.results[0].outcome)
+
   def test_slow_senders_are_ended_and_do_not_take_all_threads(self):
     body_begun = encode_request(b'{' * 9)[:-8]
     heads = [body_begun, b'GET /healthz HT']
