--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,10 @@
 		mulberrypick.core.orders_test mulberrypick.core.assembly_test \
 		mulberrypick.core.config_store_test mulberrypick.ops.claim_fuzz_test
 
-.PHONY: capacity
+.PHONY: capacity reference
 
 capacity: setup
 	$(RUN) -m standins.capacity --write
+
+reference: setup
+	$(RUN) -m standins.write_reference
