--- /dev/null
+++ b/standins/bench_peers.py
@@ -0,0 +1,155 @@
+"""What encryption between the system's own processes costs.
+
+Two nodes in one process ask each other over real sockets, in the clear and
+with a key pair in turn. Processor time is of both ends with their ZeroMQ
+threads; each question and each answer counts as a message. A connection is
+made, used for one question, and closed; what it costs more with keys is the
+handshake. Medians of several rounds.
+"""
+
+import statistics
+import sys
+import threading
+import time
+from typing import NamedTuple
+
+import click
+import zmq
+
+from mulberrypick.adapters import peer_keys
+from mulberrypick.adapters import zmq_peers
+
+ADDRESS = '127.0.0.1:0'
+TIMEOUT_S = 30.0
+MESSAGES_PER_ASK = 2
+
+
+class Cost(NamedTuple):
+  """Cost of messages or connections.
+
+  Attributes:
+    per_s: How many a second.
+    cpu_us: Processor time of one, both ends, in microseconds.
+  """
+
+  per_s: float
+  cpu_us: float
+
+
+class Pair:
+  """Two nodes, the right one of which answers with what it is sent."""
+
+  def __init__(self, keys: peer_keys.PeerKeys | None):
+    """Makes and starts both nodes."""
+    self._keys = keys
+    self.right = zmq_peers.ZmqPeers(ADDRESS, 'right', keys=keys)
+    self.right.handle('echo', lambda sender, body: body)
+    self.right.start()
+    self.left = self.make_left()
+
+  def make_left(self) -> zmq_peers.ZmqPeers:
+    """Makes and starts a node that asks."""
+    node = zmq_peers.ZmqPeers(ADDRESS, 'left', keys=self._keys)
+    node.start()
+    return node
+
+  def ask(self, node: zmq_peers.ZmqPeers, body: bytes) -> None:
+    """Asks once and checks the answer."""
+    answer = node.ask(self.right.address, 'echo', body, TIMEOUT_S)
+    if answer != body:
+      raise RuntimeError('a question was not answered')
+
+  def stop(self) -> None:
+    """Stops both nodes."""
+    self.left.stop()
+    self.right.stop()
+
+
+def measure_messages(pair: Pair, asks: int, size: int, threads: int) -> Cost:
+  """Measures questions and answers over one connection."""
+  body = bytes(size)
+  pair.ask(pair.left, body)
+  done = []
+
+  def run() -> None:
+    for _ in range(asks // threads):
+      pair.ask(pair.left, body)
+    done.append(asks // threads)
+
+  started_at, cpu_before = time.monotonic(), time.process_time()
+  workers = [threading.Thread(target=run) for _ in range(threads)]
+  for worker in workers:
+    worker.start()
+  for worker in workers:
+    worker.join()
+  if len(done) != threads:
+    raise RuntimeError('a thread failed')
+  return _cost(started_at, cpu_before, sum(done) * MESSAGES_PER_ASK)
+
+
+def measure_connections(pair: Pair, connections: int) -> Cost:
+  """Measures connections, each made anew for one question."""
+  started_at, cpu_before = time.monotonic(), time.process_time()
+  for _ in range(connections):
+    node = pair.make_left()
+    pair.ask(node, b'x')
+    node.stop()
+  return _cost(started_at, cpu_before, connections)
+
+
+def _cost(started_at: float, cpu_before: float, number: int) -> Cost:
+  cpu_s = time.process_time() - cpu_before
+  return Cost(number / (time.monotonic() - started_at), cpu_s / number * 1e6)
+
+
+def print_costs(label: str, clear: list[Cost], curve: list[Cost]) -> None:
+  """Prints one line of the table."""
+  line = f'{label:<24}'
+  for costs in (clear, curve):
+    line += f'{statistics.median(cost.per_s for cost in costs):12.0f}'
+  cpus = [
+      statistics.median(cost.cpu_us for cost in costs)
+      for costs in (clear, curve)
+  ]
+  line += ''.join(f'{cpu:13.1f}' for cpu in (*cpus, cpus[1] - cpus[0]))
+  click.echo(line)
+
+
+@click.command()
+@click.option('--rounds', default=5, show_default=True)
+@click.option('--asks', default=4000, show_default=True)
+@click.option('--connections', default=100, show_default=True)
+@click.option('--threads', default=16, show_default=True)
+@click.option('--size', 'sizes', multiple=True, default=(300, 3000, 30000))
+def main(
+    rounds: int,
+    asks: int,
+    connections: int,
+    threads: int,
+    sizes: tuple[int, ...],
+) -> None:
+  """Measures messages of each size in bytes, and connections."""
+  public, secret = (key.decode() for key in zmq.curve_keypair())
+  pairs = [Pair(None), Pair(peer_keys.PeerKeys(public, secret))]
+  click.echo(
+      f'{"":24}{"clear /s":>12}{"curve /s":>12}{"clear us":>13}'
+      f'{"curve us":>13}{"more us":>13}'
+  )
+  for size in sizes:
+    costs = [[], []]
+    for _ in range(rounds):
+      for place, pair in enumerate(pairs):
+        costs[place].append(measure_messages(pair, asks, size, threads))
+    print_costs(f'messages of {size} B', *costs)
+    sys.stdout.flush()
+  costs = [[], []]
+  for _ in range(rounds):
+    for place, pair in enumerate(pairs):
+      costs[place].append(measure_connections(pair, connections))
+  print_costs('connections', *costs)
+  for pair in pairs:
+    pair.stop()
+
+
+if __name__ == '__main__':
+  main()
