Loads of entries are told at least once a second, also when messages are long

Cause: in a flood of urgent work the messages grow to kilobytes, and the budget of bytes then stretched their interval to seconds; shares and bookings grew old.

Conclusion: the budget is for calm times; a flood may exceed it.

--- a/mulberrypick/ops/fleet_task.py
+++ b/mulberrypick/ops/fleet_task.py
@@ -42,6 +42,9 @@
 LOAD_BYTES_PER_S = 1500.0
 REPORTS_BYTES_PER_S = 750.0
 CACHE_BYTES_PER_S = 250.0
+# Shares and bookings go by what peers tell: in a flood, when messages are long,
+# they must not grow old. The budget is exceeded then.
+LONGEST_LOAD_S = 1.0
 # Envelope of a message between peers.
 MESSAGE_BYTES = 32
 # Questions to engines a second, of each kind.
@@ -357,7 +360,8 @@
     for peer in others:
       self._peers.tell(peer.peer_address, KIND_LOAD, body)
     sent_bytes = len(others) * (len(body) + MESSAGE_BYTES)
-    return max(self._intervals.load_s, sent_bytes / LOAD_BYTES_PER_S)
+    wait_s = min(sent_bytes / LOAD_BYTES_PER_S, LONGEST_LOAD_S)
+    return max(self._intervals.load_s, wait_s)
 
   def _zone_names(self) -> list[str]:
     names = [host.name for host in self._list_entries(self._own_zone)]
