--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -30,6 +30,9 @@
 PART_EVERY_S = 1.0
 ATTEMPTS_MOST = 3
 
+# What has to be done, in order.
+Effects = list[messages.Effect]
+
 
 class DispatcherStatus(NamedTuple):
   """What `/status` shows of the dispatcher.
@@ -95,9 +98,7 @@
         messages.Tick: self._tick,
     }
 
-  def handle(
-      self, message: messages.Message, now: float
-  ) -> list[messages.Effect]:
+  def handle(self, message: messages.Message, now: float) -> Effects:
     """Takes in a message.
 
     Args:
@@ -145,7 +146,7 @@
         self.demand_by_model(now),
     )
 
-  def _submit(self, message, now):
+  def _submit(self, message: messages.Submit, now: float) -> Effects:
     request = message.request
     queue = waiting_base.queue_name(request.model, request.adapter)
     error = self._check(message, queue, now)
@@ -193,13 +194,13 @@
 
   def _offer(
       self, queue: str, waiting: waiting_base.Waiting, now: float
-  ) -> list[messages.Effect]:
+  ) -> Effects:
     error = self._admission.offer(queue, waiting, now)
     if error is not None:
       return [self._refuse(waiting.request.request_id, error)]
     return self._pump(queue, now)
 
-  def _withdraw(self, message, now):
+  def _withdraw(self, message: messages.Withdraw, now: float) -> Effects:
     del now
     request_id = message.request_id
     held = self._isolation.held_by_request.pop(request_id, None)
@@ -209,19 +210,21 @@
       self._journal.note(request_id, 'withdrawn while it waited')
     return []
 
-  def _first_token(self, message, now):
+  def _first_token(self, message: messages.FirstToken, now: float) -> Effects:
     running = self._books.see_first_token(message.attempt_id)
     if running is None:
       return []
     return self._pump(running.queue, now)
 
-  def _attempt_ended(self, message, now):
+  def _attempt_ended(
+      self, message: messages.AttemptEnded, now: float
+  ) -> Effects:
     running = self._books.end(message, now)
     if running is None:
       return []
     return self._pump(running.queue, now) + self._pump_held(now)
 
-  def _config_seen(self, message, now):
+  def _config_seen(self, message: messages.ConfigSeen, now: float) -> Effects:
     if message.config.generation <= self._config.generation:
       return []
     self._config = message.config
@@ -230,13 +233,13 @@
     self._admission.configure(message.config)
     return self._pump_all(now)
 
-  def _hosts_seen(self, message, now):
+  def _hosts_seen(self, message: messages.HostsSeen, now: float) -> Effects:
     self._fleet.see_hosts(message.hosts)
     self._isolation.set_entries(self._fleet.entry_names())
     self._set_capacities()
     return self._pump_all(now)
 
-  def _report_seen(self, message, now):
+  def _report_seen(self, message: messages.ReportSeen, now: float) -> Effects:
     if not self._fleet.see_report(message.report, now):
       return []
     report = message.report
@@ -249,7 +252,7 @@
       effects += self._pump(queue, now)
     return effects
 
-  def _peer_seen(self, message, now):
+  def _peer_seen(self, message: messages.PeerSeen, now: float) -> Effects:
     self._fleet.see_leaving(message.leaving)
     self._fleet.see_peer_load(message.peer, message.in_flight_by_endpoint, now)
     digest = shares.Digest(
@@ -262,12 +265,12 @@
     self._isolation.see_peer(message.suspects, message.quarantined, now)
     return self._pump_all(now)
 
-  def _cache_seen(self, message, now):
+  def _cache_seen(self, message: messages.CacheSeen, now: float) -> Effects:
     del now
     self._choice.see_cache(message.endpoint, message.stored, message.evicted)
     return []
 
-  def _tick(self, message, now):
+  def _tick(self, message: messages.Tick, now: float) -> Effects:
     del message
     self._part(now)
     effects = []
@@ -293,13 +296,13 @@
       if demand is not None:
         self._fleet.part(queue, demand)
 
-  def _pump_all(self, now: float) -> list[messages.Effect]:
+  def _pump_all(self, now: float) -> Effects:
     effects = []
     for queue in self._admission.queues():
       effects += self._pump(queue, now)
     return effects
 
-  def _pump(self, queue: str, now: float) -> list[messages.Effect]:
+  def _pump(self, queue: str, now: float) -> Effects:
     """Starts waiting requests of a queue while endpoints have room."""
     effects = []
     while True:
@@ -317,7 +320,7 @@
       return self._books.start(queue, waiting, chosen, now)
     return None
 
-  def _pump_held(self, now: float) -> list[messages.Effect]:
+  def _pump_held(self, now: float) -> Effects:
     """Runs or refuses requests that wait for a verdict."""
     effects = []
     for request_id, held in list(self._isolation.held_by_request.items()):
@@ -328,9 +331,7 @@
       effects += moved
     return effects
 
-  def _move_held(
-      self, held: isolation.Held, now: float
-  ) -> list[messages.Effect] | None:
+  def _move_held(self, held: isolation.Held, now: float) -> Effects | None:
     """Returns the effects for a held request, or None if it still waits."""
     waiting = held.waiting
     request = waiting.request
@@ -349,9 +350,7 @@
       return self._start_alone(held, now)
     return None
 
-  def _start_alone(
-      self, held: isolation.Held, now: float
-  ) -> list[messages.Effect] | None:
+  def _start_alone(self, held: isolation.Held, now: float) -> Effects | None:
     waiting = held.waiting
     if self._books.attempts.is_suspect_running(waiting.fingerprint):
       return None
--- a/mulberrypick/scripts/controller.py
+++ b/mulberrypick/scripts/controller.py
@@ -9,8 +9,6 @@
 import threading
 from typing import Any
 
-import click
-
 from mulberrypick.adapters import http_engine
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_server
@@ -195,28 +193,22 @@
     logs.log_event(_logger, logging.INFO, event, **fields)
 
 
-def check_settings(value_by_name: dict[str, Any]) -> None:
-  """Checks what no single setting shows.
-
-  Raises:
-    SettingsError: A term is too short for an order, or the peer keys are no
-      pair; with every fault at once.
-  """
+def find_faults(value_by_name: dict[str, Any]) -> list[errors.Fault]:
+  """Finds a term too short for an order, and peer keys that are no pair."""
   faults = peer_keys.find_faults(value_by_name)
   least_s = MIN_ORDERS_PER_TERM * value_by_name['guard_s']
   if value_by_name['lease_s'] < least_s:
     place = '--lease-s (MULBERRYPICK_LEASE_S)'
     message = f'must be {MIN_ORDERS_PER_TERM} times --guard-s at least'
     faults.append(errors.Fault(place, message))
-  if faults:
-    raise errors.SettingsError(faults)
+  return faults
 
 
 def run_controller(
     value_by_name: dict[str, Any],
     planner: reconcile.RolePlanner | None = None,
 ) -> int:
-  """Runs a controller with parsed settings.
+  """Runs a controller with checked settings.
 
   Args:
     value_by_name: The settings.
@@ -225,12 +217,6 @@
   Returns:
     The exit status.
   """
-  try:
-    check_settings(value_by_name)
-  except errors.SettingsError as error:
-    for fault in error.faults:
-      click.echo(f'{PROGRAM}: {fault.place}: {fault.message}', err=True)
-    return settings_command.EXIT_SETTINGS
   logs.configure_logging(
       value_by_name['log_level'], PROGRAM, value_by_name['name']
   )
@@ -240,7 +226,11 @@
 
 
 main = settings_command.make_command(
-    PROGRAM, SETTINGS, run_controller, 'Gives orders to the engines of a zone.'
+    PROGRAM,
+    SETTINGS,
+    run_controller,
+    'Gives orders to the engines of a zone.',
+    find_faults,
 )
 
 if __name__ == '__main__':
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -12,8 +12,6 @@
 from typing import Any
 from typing import NamedTuple
 
-import click
-
 from mulberrypick.adapters import http_engine
 from mulberrypick.adapters import http_platform
 from mulberrypick.adapters import http_server
@@ -296,11 +294,6 @@
 
 def run_entry(value_by_name: dict[str, Any]) -> int:
   """Runs an entry with checked settings; returns the exit status."""
-  faults = peer_keys.find_faults(value_by_name)
-  for fault in faults:
-    click.echo(f'{PROGRAM}: {fault.place}: {fault.message}', err=True)
-  if faults:
-    return settings_command.EXIT_SETTINGS
   logs.configure_logging(
       value_by_name['log_level'], PROGRAM, value_by_name['name']
   )
@@ -308,7 +301,11 @@
 
 
 main = settings_command.make_command(
-    PROGRAM, SETTINGS, run_entry, 'Serves callers on one entry host.'
+    PROGRAM,
+    SETTINGS,
+    run_entry,
+    'Serves callers on one entry host.',
+    peer_keys.find_faults,
 )
 
 if __name__ == '__main__':
--- a/mulberrypick/scripts/programs_test.py
+++ b/mulberrypick/scripts/programs_test.py
@@ -35,3 +35,9 @@
     )
     self.assertIn('--peer-public-key', output)
     self.assertIn('--lease-s', output)
+
+  def test_printing_the_settings_checks_them_too(self):
+    output = self.check_refused(
+        entry, f'--peer-secret-key={SECRET}', '--print-settings'
+    )
+    self.assertIn('--peer-public-key', output)
--- a/mulberrypick/scripts/settings_command.py
+++ b/mulberrypick/scripts/settings_command.py
@@ -18,6 +18,7 @@
     table: tuple[settings.Setting, ...],
     run: Callable[[dict[str, Any]], int],
     help_text: str,
+    find_faults: Callable[[dict[str, Any]], list[errors.Fault]],
 ) -> click.Command:
   """Makes the command of a program that runs until it is stopped.
 
@@ -26,6 +27,7 @@
     table: Its settings.
     run: Runs the program with its checked settings; returns the exit status.
     help_text: First lines of `--help`.
+    find_faults: Finds what no single setting shows.
 
   Returns:
     The command. It exits with 2 if a setting is wrong, after naming all faults.
@@ -34,6 +36,9 @@
   def callback(print_settings: bool, **text_by_name: str | None) -> None:
     try:
       value_by_name = settings.parse_settings(table, text_by_name)
+      faults = find_faults(value_by_name)
+      if faults:
+        raise errors.SettingsError(faults)
     except errors.SettingsError as error:
       for fault in error.faults:
         click.echo(f'{name}: {fault.place}: {fault.message}', err=True)
--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -14,7 +14,9 @@
 from typing import NamedTuple
 
 import click
+import msgspec
 
+from mulberrypick.core import records
 from mulberrypick.ops import fleet_task
 
 SLOPES_FILE = pathlib.Path('docs/slopes.toml')
@@ -77,6 +79,25 @@
   return {name: entry['value'] for name, entry in data.items()}
 
 
+def count_report_bytes() -> int:
+  """Counts the bytes of one load report between entries."""
+  report = records.EngineReport(
+      'engine-1234',
+      1,
+      records.ROLE_MIXED,
+      ('reading-guide+summary',),
+      1000,
+      20,
+      2000,
+      1000,
+      False,
+      8000.0,
+      0.01,
+      0.5,
+  )
+  return len(msgspec.msgpack.encode(report))
+
+
 def list_data_rows(slopes: dict[str, float]) -> list[Row]:
   """Works out the data path of one daemon."""
   tokens = TOKENS_PER_S / DAEMONS
@@ -118,7 +139,7 @@
   report_s = (
       (zone_daemons - 1)
       * polled
-      * slopes['report_bytes']
+      * count_report_bytes()
       / fleet_task.REPORTS_BYTES_PER_S
   )
   subset_core = SUBSET * slopes['poll_core_percent_per_engine'] / 3
--- a/standins/swap_roles.py
+++ b/standins/swap_roles.py
@@ -31,6 +31,7 @@
     controller.SETTINGS,
     functools.partial(controller.run_controller, planner=SwapRoles()),
     'Changes the role of one engine every few seconds.',
+    controller.find_faults,
 )
 
 if __name__ == '__main__':
