--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -153,7 +153,7 @@
       + CHANGES_A_DAY * slopes['config_change_bytes'] / DAY_S * 2
   )
   fleet_bytes = (
-      fleet_task.LOAD_BYTES_PER_S
+      load_bytes / load_s
       + fleet_task.REPORTS_BYTES_PER_S
       + fleet_task.CACHE_BYTES_PER_S
   )
@@ -184,15 +184,15 @@
       ),
       Row(
           'entry, control',
-          'bytes, fleet news (kept to a budget) and configuration',
+          'bytes, fleet news and configuration',
           fleet_bytes + config_bytes,
           BYTES_LIMIT,
           'B/s',
-          'deltas of tenants, not leaves; zone digests halve the budgets',
+          'zone digests by a relay; deltas of tenants, not leaves',
       ),
       Row(
           'entry, control',
-          "age of a peer's load, within the budget of bytes",
+          "age of a peer's load, told to every peer",
           load_s,
           NEWS_LIMIT_S,
           's',
