--- a/standins/capacity.py
+++ b/standins/capacity.py
@@ -133,8 +133,9 @@
   peer_core = (DAEMONS - 1) * slopes['control_core_percent_per_peer']
   change_core = CHANGES_A_DAY * slopes['config_change_core_s'] / DAY_S * 100
   core = slopes['control_core_percent'] + poll_core + peer_core + change_core
-  load_s = (
-      (DAEMONS - 1) * slopes['load_message_bytes'] / fleet_task.LOAD_BYTES_PER_S
+  load_bytes = (DAEMONS - 1) * slopes['load_message_bytes']
+  load_s = min(
+      load_bytes / fleet_task.LOAD_BYTES_PER_S, fleet_task.LONGEST_LOAD_S
   )
   report_s = (
       (zone_daemons - 1)
