--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(RUN) -m standins.run_tests
 
 .PHONY: bench bench-changes bench-outage bench-leaving bench-control
-.PHONY: bench-claims bench-config bench-decisions bench-policy
+.PHONY: bench-claims bench-config bench-decisions bench-peers bench-policy
 .PHONY: model-check fuzz
 
 bench: setup
@@ -58,6 +58,9 @@
 bench-decisions: setup
 	$(RUN) -m standins.bench_decisions
 
+bench-peers: setup
+	$(RUN) -m standins.bench_peers
+
 bench-policy: setup
 	$(RUN) -m standins.bench_policy
 
