--- a/standins/bench_outage.py
+++ b/standins/bench_outage.py
@@ -25,7 +25,7 @@
 
 LOG_FOLDER = pathlib.Path('out/bench-outage')
 STRETCH_S = 20.0
-OUTAGE_S = 60.0
+OUTAGE_S = 150.0
 BOOKINGS_PER_S = 4.0
 RATE_BY_CLASS = {'questions': 8.0, 'summaries': 2.0}
 CALL_KINDS = ('get', 'put', 'delete', 'list', 'watch', 'hosts', 'refused')
