One place for the settings that both programs share; an edge test without a pause

Cause: six settings stood in both tables, two tests of authority began with the same seven lines, and the test of a full pool paused 20 ms between connections, so that its verdict could hang on the speed of the machine; it waits for each thread to be taken now.

--- a/mulberrypick/ops/edge_test.py
+++ b/mulberrypick/ops/edge_test.py
@@ -367,13 +367,14 @@
   def test_connections_beyond_the_pool_are_refused_at_once(self):
     body = b'{"model": "assistant", "prompt": "hang"}'
     socks = []
-    for _ in range(6):
+    for number in range(6):
       sock = socket.create_connection(('127.0.0.1', self.port))
       self.addCleanup(sock.close)
       sock.sendall(encode_request(body))
       socks.append(sock)
-      time.sleep(0.02)
-    self._wait_until(lambda: len(self.engine.attempts) == 4)
+      # Four take the threads one by one; the last two fill the queue.
+      running = min(number + 1, 4)
+      self._wait_until(lambda n=running: len(self.engine.attempts) == n)
     late = socket.create_connection(('127.0.0.1', self.port))
     self.addCleanup(late.close)
     late.settimeout(WAIT_S)
--- a/mulberrypick/scripts/controller.py
+++ b/mulberrypick/scripts/controller.py
@@ -26,6 +26,7 @@
 from mulberrypick.ops import demand_task
 from mulberrypick.ops import lease_holder
 from mulberrypick.ops import order_sender
+from mulberrypick.scripts import host_settings
 from mulberrypick.scripts import settings_command
 
 PROGRAM = 'mulberrypick-controller'
@@ -40,34 +41,18 @@
 MIN_ORDERS_PER_TERM = 2
 
 SETTINGS = (
-    settings.Setting('name', None, settings.parse_name, 'Name of this host.'),
-    settings.Setting('zone', None, settings.parse_name, 'Availability zone.'),
+    host_settings.NAME,
+    host_settings.ZONE,
     settings.Setting(
         'listen',
         '127.0.0.1:8083',
         settings.parse_address,
         'ip:port for /healthz and /status.',
     ),
-    settings.Setting(
-        'operator_token',
-        '',
-        str,
-        'Bearer token of operators, empty for none.',
-        is_secret=True,
-    ),
+    host_settings.OPERATOR_TOKEN,
     *peer_keys.SETTINGS,
-    settings.Setting(
-        'platform_url',
-        None,
-        settings.parse_url,
-        'Base URL of the platform.',
-    ),
-    settings.Setting(
-        'source_ip',
-        '',
-        settings.parse_ip,
-        'Local IP of outgoing connections, empty for the default.',
-    ),
+    host_settings.PLATFORM_URL,
+    host_settings.SOURCE_IP,
     settings.Setting(
         'lease_s',
         '6',
@@ -92,12 +77,7 @@
         settings.parse_choice(*roles.ROLE_PLANNER_BY_NAME),
         'How roles of engines are planned.',
     ),
-    settings.Setting(
-        'log_level',
-        'info',
-        settings.parse_choice(*logs.LEVELS),
-        'Least level of log lines.',
-    ),
+    host_settings.LOG_LEVEL,
 )
 
 _logger = logging.getLogger(__name__)
--- a/mulberrypick/scripts/entry_settings.py
+++ b/mulberrypick/scripts/entry_settings.py
@@ -1,14 +1,14 @@
 """The table of settings of `mulberrypick-entry`."""
 
-from mulberrypick.adapters import logs
 from mulberrypick.adapters import peer_keys
 from mulberrypick.core import admission
 from mulberrypick.core import routing
 from mulberrypick.core import settings
+from mulberrypick.scripts import host_settings
 
 SETTINGS = (
-    settings.Setting('name', None, settings.parse_name, 'Name of this host.'),
-    settings.Setting('zone', None, settings.parse_name, 'Availability zone.'),
+    host_settings.NAME,
+    host_settings.ZONE,
     settings.Setting(
         'listen',
         '127.0.0.1:8080',
@@ -21,13 +21,7 @@
         settings.parse_address,
         'ip:port for operators; keep callers away from it.',
     ),
-    settings.Setting(
-        'operator_token',
-        '',
-        str,
-        'Bearer token of operators, empty for none.',
-        is_secret=True,
-    ),
+    host_settings.OPERATOR_TOKEN,
     settings.Setting(
         'peer_listen',
         '127.0.0.1:8082',
@@ -41,30 +35,15 @@
         settings.parse_addresses,
         'Peer addresses to ask while the platform is away, ip:port,...',
     ),
-    settings.Setting(
-        'source_ip',
-        '',
-        settings.parse_ip,
-        'Local IP of outgoing connections, empty for the default.',
-    ),
-    settings.Setting(
-        'platform_url',
-        None,
-        settings.parse_url,
-        'Base URL of the platform.',
-    ),
+    host_settings.SOURCE_IP,
+    host_settings.PLATFORM_URL,
     settings.Setting(
         'statsd',
         '',
         settings.parse_optional_address,
         'ip:port for statsd datagrams, empty for none.',
     ),
-    settings.Setting(
-        'log_level',
-        'info',
-        settings.parse_choice(*logs.LEVELS),
-        'Least level of log lines.',
-    ),
+    host_settings.LOG_LEVEL,
     settings.Setting(
         'router',
         'predicted-time',
--- a/standins/authority_test.py
+++ b/standins/authority_test.py
@@ -98,7 +98,8 @@
     for name in ('e1', 'e2'):
       self.assertEqual(0, self.engine(name, '/calls')['conflicts'], name)
 
-  def test_a_killed_holder_is_followed_by_a_standby(self):
+  def begin_change_of_version(self) -> tuple[str, str]:
+    """Starts two controllers and a change; returns holder and standby."""
     self.town.apply(declare('1', 2))
     self.start_controllers('c1', 'c2')
     self.wait_for('loaded', lambda: self.all_hold('m@1'))
@@ -106,6 +107,10 @@
     if not self.is_holder(holder):
       holder, other = other, holder
     self.town.apply(declare('2', 2), planned_on=1)
+    return holder, other
+
+  def test_a_killed_holder_is_followed_by_a_standby(self):
+    holder, other = self.begin_change_of_version()
     # Killed at once: some change of version is only half done.
     self.wait_for('begun', lambda: not self.all_hold('m@1'))
     self.fleet.kill(holder)
@@ -115,13 +120,7 @@
     self.assert_no_conflicts()
 
   def test_a_paused_holder_gives_no_order_once_it_goes_on(self):
-    self.town.apply(declare('1', 2))
-    self.start_controllers('c1', 'c2')
-    self.wait_for('loaded', lambda: self.all_hold('m@1'))
-    holder, other = 'c1', 'c2'
-    if not self.is_holder(holder):
-      holder, other = other, holder
-    self.town.apply(declare('2', 2), planned_on=1)
+    holder, other = self.begin_change_of_version()
     self.wait_for('begun', lambda: not self.all_hold('m@1'))
     self.fleet.pause(holder)
     self.wait_for('taken over', lambda: self.is_holder(other))
