A refusal without its body holds nobody up; errors passed over are logged

Cause: the body of a refusal was read to its end before the caller was told: an endpoint that sends the head and holds the body back kept the caller until the route's time-out, and 'not run' became 504. Found by reading the handlers of errors; four of them passed over an error with a reason but no line. Ruled out: ending the connection after each refusal (a new one costs 1 ms and a price; the body comes with the head nearly always). After: 503, not run, at once; refusal_not_whole, handle_not_freed, hosts_unread and peer_behind are told.

--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import enum
+import logging
 from collections.abc import Callable
 from typing import NamedTuple
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -12,8 +14,12 @@
 from mulberrypick.platform import requests
 from mulberrypick.platform import words
 
+_log = logging.getLogger(__name__)
 # Bodies of plain answers that are read whole before they go on.
 ANSWER_BYTES_MOST = 16 * 1024 * 1024
+# Time for the body of a refusal after its head (s): they come together, and a
+# caller must not wait for what is only read to keep a connection.
+REFUSAL_S = 0.1
 # These promise that nothing ran; without the endpoint's own word they don't.
 PROMISING = (408, 421, 429, 503)
 
@@ -176,6 +182,22 @@
     self._books.tokens[self._rank] -= self._tokens
     self._tokens = 0
 
+  async def _read_refusal(self) -> None:
+    """Reads a refusal to its end, so that the connection can be kept."""
+    try:
+      async with asyncio.timeout(REFUSAL_S):
+        await self.exchange.read_all(ANSWER_BYTES_MOST)
+    except (errors.ExchangeBrokenError, TimeoutError) as error:
+      # The head alone makes the promise; the connection is ended.
+      logs.log_event(
+          _log,
+          logging.INFO,
+          'refusal_not_whole',
+          request=self._call.id,
+          endpoint=self._endpoint.name,
+          error=repr(error),
+      )
+
   async def _judge(
       self, head: stream_client.Head, needs_mark: bool
   ) -> SendResult:
@@ -188,11 +210,7 @@
         state.book.see_leaving(self._endpoint.incarnation, now)
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
-      try:
-        await self.exchange.read_all(ANSWER_BYTES_MOST)
-      except errors.ExchangeBrokenError:
-        # The head alone makes the promise; the connection is ended.
-        pass
+      await self._read_refusal()
       return SendResult(Outcome.NOT_RUN, f'status_{head.status}')
     if head.status < 300 and not kind.is_trusted and needs_mark:
       state.book.see_failure(self._endpoint, now)
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -93,6 +93,7 @@
     self.name = ''
     self.wants_config = False
     self.store_s = 0.0
+    self.is_behind = False
 
 
 class PeerTask:
@@ -178,11 +179,21 @@
         told.config = self._state.config.raw
         message = msgspec.msgpack.encode(told)
         told.config = b''
-      try:
-        # A raw send: it either takes the message at once or drops it.
-        zmq.Socket.send(peer.socket, message, zmq.NOBLOCK)
-      except zmq.Again:
-        continue
+      self._send(peer, message)
+
+  def _send(self, peer: _Peer, message: bytes) -> None:
+    """Sends at once or not at all: newer messages follow anyway."""
+    try:
+      # A raw send: that of the event loop's socket would wait.
+      zmq.Socket.send(peer.socket, message, zmq.NOBLOCK)
+    except zmq.Again:
+      if not peer.is_behind:
+        peer.is_behind = True
+        logs.log_event(
+            _log, logging.WARNING, 'peer_behind', peer=peer.name or 'unheard'
+        )
+      return
+    peer.is_behind = False
 
   def _compose(self, now: float) -> Told:
     state = self._state
@@ -282,10 +293,7 @@
         wants_config=True,
         config_version=version,
     )
-    try:
-      zmq.Socket.send(peer.socket, msgspec.msgpack.encode(ask), zmq.NOBLOCK)
-    except zmq.Again:
-      return
+    self._send(peer, msgspec.msgpack.encode(ask))
 
   def _living(self, now: float) -> list[str]:
     living = []
@@ -340,6 +348,7 @@
     self._peers = peers
     self._client = client
     self._is_entered = False
+    self._is_unread = False
 
   async def run(self) -> None:
     """Enters once and looks at the list from time to time."""
@@ -351,15 +360,22 @@
           await self._client.put(words.HOSTS_KIND, host.name, address)
           self._is_entered = True
         listed = await self._client.list_objects(words.HOSTS_KIND)
-      except errors.StoreError:
-        # The tasks that watch the store log that it is away.
+      except errors.StoreError as error:
+        self._note_unread(error)
         await asyncio.sleep(self.RETRY_S)
         continue
+      self._is_unread = False
       for item in listed.objects:
         if isinstance(item.spec, str):
           self._peers.add_host(item.spec)
       await asyncio.sleep(self.LOOK_S)
 
+  def _note_unread(self, error: errors.StoreError) -> None:
+    if self._is_unread:
+      return
+    self._is_unread = True
+    logs.log_event(_log, logging.WARNING, 'hosts_unread', error=error.reason)
+
   async def leave(self) -> None:
     """Takes this host's entry out."""
     if not self._is_entered:
--- a/mulberrypick/ops/prompt_handles.py
+++ b/mulberrypick/ops/prompt_handles.py
@@ -1,7 +1,9 @@
 """Frees the memory of prompts that were read for nobody."""
 
 import asyncio
+import logging
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -9,6 +11,7 @@
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import words
 
+_log = logging.getLogger(__name__)
 # Time of a call that frees the memory of a prompt (s); it lapses by itself.
 FREE_S = 0.5
 # Tasks that the loop alone would not keep alive.
@@ -47,6 +50,16 @@
       )
       await exchange.read_all(endpoint_send.ANSWER_BYTES_MOST)
       state.pool.give_back(reader, connection)
-  except (errors.ConnectError, errors.ExchangeBrokenError, TimeoutError):
+  except (
+      errors.ConnectError,
+      errors.ExchangeBrokenError,
+      TimeoutError,
+  ) as error:
     # The endpoint frees it by itself after a few seconds.
-    return
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'handle_not_freed',
+        endpoint=reader.name,
+        error=repr(error),
+    )
--- a/mulberrypick/platform/gateway_peers_test.py
+++ b/mulberrypick/platform/gateway_peers_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from mulberrypick.core import engine_load
+from mulberrypick.ops import gateway_peers
 from mulberrypick.platform import gateway_test
 from mulberrypick.scripts import gateway_app
 
@@ -46,6 +47,14 @@
     )
     self.assertFalse(other.state.is_ready)
 
+  async def test_list_of_hosts_that_is_not_read_is_told_once(self):
+    self.town.store.fail('busy')
+    with self.assertLogs(gateway_peers.__name__, 'WARNING') as lines:
+      other = await self.start_other()
+      await self.until(lambda: other.state.config is not None)
+    unread = [x for x in lines.output if 'hosts_unread' in x]
+    self.assertEqual(len(unread), 1)
+
   async def test_work_under_way_is_known_at_the_other_host(self):
     self.town.set_all('desk', work_s=30.0)
     other = await self.start_other()
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -103,6 +103,13 @@
     self.assertGreater(float(answer.headers['retry-after']), 0)
     self.assertEqual(self.town.runs('r1'), 0)
 
+  async def test_refusal_without_its_body_does_not_hold_the_caller_up(self):
+    self.town.set_all('desk', mode='held')
+    answer = await self.call('/unsafe/x', 'r1')
+    self.assertEqual(answer.status, 503)
+    self.assertIn(b'"run":"not_run"', answer.body)
+    self.assertEqual(self.town.runs('r1'), 0)
+
   async def test_safe_is_tried_at_a_second_replica_at_most(self):
     self.town.set_all('desk', mode='reset')
     answer = await self.call('/safe/x', 'r1', method='GET')
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -28,10 +28,10 @@
     rate: Prompt tokens that an engine reads a second, one prompt at a time and
       without the parts it has read before; 0 reads at once.
     mode: `ok`; `mute` never answers; `reset` breaks off before an answer;
-      `full` refuses as not run; `unmarked` answers without its mark; `stray`
-      sends a foreign answer first; `extra` sends one more after its own;
-      `torn` breaks a stream off after two events; `still` stands still there;
-      `unframed` sends a body
+      `full` refuses as not run; `held` does too, and holds the body back;
+      `unmarked` answers without its mark; `stray` sends a foreign answer
+      first; `extra` sends one more after its own; `torn` breaks a stream off
+      after two events; `still` stands still there; `unframed` sends a body
       that ends with the connection; `encoded` names an encoding.
   """
 
@@ -129,6 +129,11 @@
       name = (b'X-Mulberrypick-Instance-Id', self.name.encode())
       caller.write_answer(421, [name], b'')
       return
+    if self.behaviour.mode == 'held':
+      caller.write_head(
+          503, [*_refusal(request), (b'Content-Length', b'9')], True
+      )
+      await asyncio.Event().wait()
     if self.behaviour.mode == 'full':
       self._refuse(caller, request)
       return
@@ -157,8 +162,7 @@
   def _refuse(
       self, caller: stream_server.ServerConnection, request: str
   ) -> None:
-    marks = [(_ID, request.encode()), (b'X-Mulberrypick-Not-Executed', b'1')]
-    caller.write_answer(503, marks, b'')
+    caller.write_answer(503, _refusal(request), b'')
 
   async def _run(
       self,
@@ -262,3 +266,7 @@
       caller.write(b'%x\r\n%s\r\n' % (len(event), event))
       await asyncio.sleep(self.behaviour.event_s)
     caller.write(b'0\r\n\r\n')
+
+
+def _refusal(request: str) -> list[tuple[bytes, bytes]]:
+  return [(_ID, request.encode()), (b'X-Mulberrypick-Not-Executed', b'1')]
