Hosts tell each other by relays of groups once they are many

Change: above 16 hosts those of a zone form groups of about ten; a member tells the first of its group that is not silent, and hears from it the sum of all others; relays tell each other sums (core/host_circle, load_sum). Nobody is elected. Only relays watch the store; members look when a relay tells of a change, and every 8 s. Hosts that know different hosts tell each other which. Up to 16 hosts nothing changes but the gossip of hosts, now on a difference. Failed at first: hosts that knew few hosts told relays that did not answer and stayed alone (now told which hosts there are); members missed entries that lapsed in an outage, as the relay found them by a list and not by a watch (now told too). Both have tests in gateway_relay_test.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -112,9 +112,13 @@
   def see_peer(
       self, host: str, load_by_endpoint: dict[str, Load], now: float
   ) -> None:
-    """Takes in what another host has under way."""
+    """Takes in what another host, or several together, have under way."""
     self._peers[host] = _PeerLoad(load_by_endpoint, now)
 
+  def drop_peers(self) -> None:
+    """Forgets what all other hosts have under way."""
+    self._peers.clear()
+
   def drop_peer(self, host: str) -> None:
     """Forgets a host that left."""
     self._peers.pop(host, None)
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -1,147 +1,92 @@
-"""Messages between the gateways of all hosts, over ZeroMQ.
+"""Tells other hosts what this one does, and takes in what they tell.
 
-Every host tells every other a short while apart what it has under way, which
-endpoints leave, which requests crash endpoints, and which configuration it
-has. All of it is state, not change, so that a lost message costs nothing but
-time. A host that hears of a newer configuration asks for it.
+What is under way, which endpoints leave, which requests crash endpoints, and
+which configuration is in force. Nearly all of it is state, not change, so that
+a lost message costs nothing but time. A host that hears of a newer
+configuration asks for it. Whom a host tells is decided by `host_circle`.
 """
 
 import asyncio
 import logging
+from collections.abc import Iterable
 
 import msgspec
-import zmq
 import zmq.asyncio
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import engine_load
-from mulberrypick.core import errors
+from mulberrypick.core import host_circle
+from mulberrypick.core import load_sum
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import peer_books
+from mulberrypick.ops import peer_links
+from mulberrypick.ops import peer_message
 from mulberrypick.platform import objects
-from mulberrypick.platform import store
-from mulberrypick.platform import words
 
 _log = logging.getLogger(__name__)
 # Shortest pause between two messages to a host while its load changes, and what
-# each host adds to it (s): in a flood 300 prompts a second are placed, and what
-# others placed unheard is what the prediction is off by; but what one host
-# sends must not grow with the number of hosts.
+# each host that is told adds to it (s): in a flood 300 prompts a second are
+# placed, and what others placed unheard is what the prediction is off by; but
+# what one host sends must not grow with the number of hosts.
 TELL_S = 0.008
 TELL_PER_HOST_S = 0.001
 # Longest pause (s): a host is heard of even if it does nothing.
 TELL_IDLE_S = 0.25
-# A host that was silent for this long is not counted as living (s).
-LIVING_S = 2.0
-# A host that was silent for this long is forgotten (s).
-FORGET_S = 30.0
-# Messages that wait for a host; more are dropped, newer ones follow anyway.
-WAITING_MOST = 20
-# Probes on links between hosts (ms): a link that went silent is opened anew.
-HEARTBEAT_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 2500
+# What a relay sends at most (bytes a second): the slowest link that the users
+# name carries 5 Mbit/s, and this is a third of it.
+RELAY_BYTES_PER_S = 200_000
 # Parts of prompts told in one message.
 PARTS_MOST = 200
-# Contact with the store for this long proves that it was not away long enough
-# for entries to lapse: longer than a silent watch takes to be noticed (s).
-STEADY_S = 4.0
-# How often hosts tell each other whom they hear (s).
-TELL_HOSTS_S = 1.0
-# How often a configuration is asked for until it is here (s).
+# How often a question is asked until it is answered (s).
 ASK_S = 0.5
 
 
-class Told(msgspec.Struct, array_like=True, omit_defaults=True):
-  """What one host tells the others.
-
-  Attributes:
-    host: Its name.
-    address: Where it listens, `IP:PORT`.
-    config_version: Version in force there, 0 for none.
-    load: Count, urgent tokens, other tokens and decoding by endpoint.
-    parts: Endpoint, key and tokens of parts placed since the last message.
-    leaving: Name and start of endpoints that leave.
-    suspects: Requests that may crash endpoints.
-    refused: Requests that do.
-    hosts: Addresses of other hosts.
-    wants_config: Whether it asks for the configuration.
-    config: The configuration, if the receiver asked for it.
-    is_leaving: Whether it stops.
-    store_s: Seconds of contact with the store without a gap.
-  """
-
-  host: str
-  address: str
-  config_version: int = 0
-  load: dict[str, tuple[int, int, int, int]] = {}
-  parts: list[tuple[str, str, int]] = []
-  leaving: list[tuple[str, int]] = []
-  suspects: list[int] = []
-  refused: list[int] = []
-  hosts: list[str] = []
-  wants_config: bool = False
-  config: bytes = b''
-  is_leaving: bool = False
-  store_s: float = 0.0
-
-
-class _Peer:
-
-  def __init__(self, socket: zmq.asyncio.Socket, now: float):
-    self.socket = socket
-    self.heard_at = float('-inf')
-    self.added_at = now
-    self.name = ''
-    self.wants_config = False
-    self.store_s = 0.0
-    self.is_behind = False
-
-
 class PeerTask:
-  """Owns the sockets to other hosts."""
+  """Knows the other hosts, and tells them."""
 
   def __init__(self, state: gateway_state.GatewayState):
     host = state.host
     self._state = state
-    self._context = zmq.asyncio.Context()
     self._address = f'{host.ip}:{host.peer_port}'
-    self._peer_by_address: dict[str, _Peer] = {}
+    self._links = peer_links.PeerLinks(self._address)
+    own = host_circle.KnownHost(host.name, host.zone, self._address)
+    self._books = peer_books.PeerBooks(state, own)
+    # Hosts of which only the address is known yet, and since when.
+    self._unmet: dict[str, float] = {}
     self._asked_at = float('-inf')
-    self._hosts_told_at = float('-inf')
+    self._asked_config_at = float('-inf')
+    # What a relay passes on: parts of its members, and of other relays.
+    self._group_parts: list[tuple[str, str, int]] = []
+    self._foreign_parts: list[tuple[str, str, int]] = []
+    self._sent_bytes = 0
 
   def add_host(self, address: str) -> None:
-    """Opens a link to a host."""
-    if address == self._address or address in self._peer_by_address:
-      return
-    socket = self._context.socket(zmq.DEALER)
-    _set_options(socket)
-    socket.connect(f'tcp://{address}')
-    now = asyncio.get_running_loop().time()
-    self._peer_by_address[address] = _Peer(socket, now)
+    """Takes in a host of which only the address is known."""
+    known = {host.address for host in self._books.hosts.hosts()}
+    if address not in known:
+      self._unmet.setdefault(address, asyncio.get_running_loop().time())
 
-  def remove_host(self, address: str) -> None:
-    """Closes the link to a host."""
-    peer = self._peer_by_address.pop(address, None)
-    if peer is not None:
-      peer.socket.close(0)
-      self._state.load.drop_peer(address)
+  def see_list(self, hosts: list[host_circle.KnownHost]) -> None:
+    """Takes in the list of the store."""
+    self._books.hosts.see_list(hosts)
+    for host in hosts:
+      self._unmet.pop(host.address, None)
 
   def close(self) -> None:
     """Closes all sockets at once."""
-    self._context.destroy(0)
+    self._links.close()
 
   async def run(self) -> None:
     """Listens and tells, for good."""
     for seed in self._state.host.seeds:
       self.add_host(seed)
-    listener = self._context.socket(zmq.ROUTER)
-    _set_options(listener)
-    listener.bind(f'tcp://{self._address}')
+    listener = self._links.listen()
     async with asyncio.TaskGroup() as group:
       group.create_task(self._listen(listener))
       group.create_task(self._tell())
 
   async def _listen(self, listener: zmq.asyncio.Socket) -> None:
-    decoder = msgspec.msgpack.Decoder(Told)
+    decoder = msgspec.msgpack.Decoder(peer_message.Told)
     while True:
       frames = await listener.recv_multipart()
       try:
@@ -151,12 +96,13 @@
             _log, logging.WARNING, 'peer_unreadable', error=str(error)
         )
         continue
-      self._take(told)
+      if told.address != self._address:
+        self._take(told)
 
   async def _tell(self) -> None:
     news = self._state.load_news
     while True:
-      await asyncio.sleep(TELL_S + TELL_PER_HOST_S * len(self._peer_by_address))
+      await asyncio.sleep(self._pause_s())
       try:
         async with asyncio.timeout(TELL_IDLE_S):
           await news.wait()
@@ -166,87 +112,140 @@
       news.clear()
       self.tell_now()
 
+  def _pause_s(self) -> float:
+    circle = self._books.circle
+    links = len(circle.members) + len(circle.relays)
+    pause_s = TELL_S + TELL_PER_HOST_S * links
+    if circle.role is host_circle.Role.RELAY:
+      pause_s = max(pause_s, self._sent_bytes / RELAY_BYTES_PER_S)
+    return pause_s
+
   def tell_now(self) -> None:
-    """Tells all hosts once."""
+    """Tells once whomever this host tells."""
     now = asyncio.get_running_loop().time()
-    self._count_living(now)
-    told = self._compose(now)
-    encoded = msgspec.msgpack.encode(told)
-    for peer in list(self._peer_by_address.values()):
-      message = encoded
-      if peer.wants_config and self._state.config is not None:
-        peer.wants_config = False
-        told.config = self._state.config.raw
-        message = msgspec.msgpack.encode(told)
-        told.config = b''
-      self._send(peer, message)
-
-  def _send(self, peer: _Peer, message: bytes) -> None:
-    """Sends at once or not at all: newer messages follow anyway."""
-    try:
-      # A raw send: that of the event loop's socket would wait.
-      zmq.Socket.send(peer.socket, message, zmq.NOBLOCK)
-    except zmq.Again:
-      if not peer.is_behind:
-        peer.is_behind = True
-        logs.log_event(
-            _log, logging.WARNING, 'peer_behind', peer=peer.name or 'unheard'
-        )
-      return
-    peer.is_behind = False
-
-  def _compose(self, now: float) -> Told:
+    self._sent_bytes = 0
+    self._books.choose(self._links.opened_at, now)
+    self._books.count_living(now)
+    own = self._compose(now)
+    self._tell_unmet(now)
+    circle = self._books.circle
+    if circle.role is host_circle.Role.RELAY:
+      self._tell_as_relay(own, now)
+    else:
+      self._send(circle.members | circle.relays, own)
+    self._links.close_unneeded(circle.members | circle.relays, now)
+
+  def _compose(self, now: float) -> peer_message.Told:
     state = self._state
     parts = state.placed[-PARTS_MOST:]
     state.placed.clear()
     load = {}
     for name, item in state.load.told().items():
       load[name] = tuple(item)
-    return Told(
-        host=state.host.name,
+    told = self._sign()
+    told.load = load
+    told.parts = parts
+    told.leaving = state.book.leaving(now)
+    told.suspects = list(state.quarantine.suspects(now))
+    told.refused = list(state.quarantine.refused(now))
+    told.is_leaving = state.is_leaving
+    told.changed_at = state.store_changed_at
+    if state.watches_store and state.store_since:
+      told.store_s = now - state.store_since
+    return told
+
+  def _sign(self) -> peer_message.Told:
+    host = self._state.host
+    config = self._state.config
+    return peer_message.Told(
+        host=host.name,
+        zone=host.zone,
         address=self._address,
-        config_version=state.config.version if state.config else 0,
-        load=load,
-        parts=parts,
-        leaving=state.book.leaving(now),
-        suspects=list(state.quarantine.suspects(now)),
-        refused=list(state.quarantine.refused(now)),
-        hosts=self._hosts_to_tell(now),
-        wants_config=self._wants_config(now),
-        is_leaving=state.is_leaving,
-        store_s=now - state.store_since if state.store_since else 0.0,
+        role=self._books.circle.role,
+        relay=self._books.circle.relay,
+        config_version=config.version if config else 0,
+        digest=self._books.hosts.digest(),
     )
 
-  def _hosts_to_tell(self, now: float) -> list[str]:
-    if now - self._hosts_told_at < TELL_HOSTS_S:
-      return []
-    self._hosts_told_at = now
-    return self._living(now)
-
-  def _wants_config(self, now: float) -> bool:
-    if self._state.config is not None or now - self._asked_at < ASK_S:
-      return False
+  def _tell_unmet(self, now: float) -> None:
+    """Asks those of whom only the address is known who they are."""
+    for address, since in list(self._unmet.items()):
+      if now - since > peer_books.FORGET_S:
+        del self._unmet[address]
+    if not self._unmet or now - self._asked_at < ASK_S:
+      return
     self._asked_at = now
-    return True
-
-  def _take(self, told: Told) -> None:
-    state = self._state
+    ask = self._sign()
+    ask.is_aside = True
+    ask.asks_config = self._state.config is None
+    self._send(self._unmet, ask)
+
+  def _tell_as_relay(self, own: peer_message.Told, now: float) -> None:
+    """Tells relays of the own group, and members of everybody else."""
+    members, relays = self._books.members(now), self._books.relays(now)
+    group_load = load_sum.add_up([own.load, *(m.load for m in members)])
+    suspects = set(own.suspects).union(*(m.suspects for m in members))
+    own.load = group_load
+    own.parts = own.parts + self._group_parts
+    own.suspects = list(suspects)
+    own.hosts = 1 + len(members)
+    self._send(self._books.circle.relays, own)
+    total = load_sum.add_up([group_load, *(r.load for r in relays)])
+    own.is_rest = True
+    own.hosts = self._state.hosts
+    own.parts = own.parts + self._foreign_parts
+    own.suspects = list(suspects.union(*(r.suspects for r in relays)))
+    self._group_parts, self._foreign_parts = [], []
+    for member in members:
+      own.load = load_sum.take_out(total, member.load)
+      self._send((member.address,), own)
+
+  def _send(self, addresses: Iterable[str], told: peer_message.Told) -> None:
+    message = msgspec.msgpack.encode(told)
+    for address in addresses:
+      self._links.send(address, message)
+      self._sent_bytes += len(message)
+
+  def _take(self, told: peer_message.Told) -> None:
     now = asyncio.get_running_loop().time()
-    if told.address == self._address:
+    self._books.hosts.see(peer_message.known_host(told))
+    self._unmet.pop(told.address, None)
+    for known in told.known:
+      self._books.hosts.see_hearsay(host_circle.KnownHost(*known))
+    knows_others = self._books.knows_others(told, now)
+    if told.asks_config or knows_others:
+      self._answer(told, knows_others)
+    self._take_config(told, now)
+    if told.is_aside:
+      return
+    old = self._books.hear(told, now)
+    self._take_load(told, old, now)
+    self._take_beliefs(told, now)
+    self._take_store_news(told, old, now)
+
+  def _take_load(
+      self, told: peer_message.Told, old: peer_message.Told, now: float
+  ) -> None:
+    """Takes in work, unless it reaches this host by another way too."""
+    key = self._books.work_key(told)
+    if key is None:
       return
-    self.add_host(told.address)
-    peer = self._peer_by_address[told.address]
-    if now - peer.heard_at > LIVING_S:
-      logs.log_event(_log, logging.INFO, 'peer_heard', peer=told.host)
-    peer.heard_at = now
-    peer.name = told.host
-    peer.store_s = told.store_s
-    for address in told.hosts:
-      self.add_host(address)
     load = {}
     for name, item in told.load.items():
       load[name] = engine_load.Load(*item)
-    state.load.see_peer(told.address, load, now)
+    self._state.load.see_peer(key, load, now)
+    role = host_circle.Role
+    if self._books.circle.role is role.RELAY:
+      parts = self._foreign_parts
+      if told.role == role.MEMBER:
+        parts = self._group_parts
+      parts += told.parts
+      del parts[:-PARTS_MOST]
+      if told.load != old.load or told.parts:
+        self._state.load_news.set()
+
+  def _take_beliefs(self, told: peer_message.Told, now: float) -> None:
+    state = self._state
     for name, key, tokens in told.parts:
       endpoint = state.book.find(name)
       if endpoint is not None:
@@ -254,6 +253,7 @@
     for name, born_ms in told.leaving:
       if state.book.see_leaving((name, born_ms), now):
         state.drop_endpoint(name)
+        state.load_news.set()
         logs.log_event(
             _log,
             logging.INFO,
@@ -262,11 +262,33 @@
             reason='peer',
         )
     state.quarantine.see_peer(tuple(told.suspects), tuple(told.refused), now)
-    if told.wants_config:
-      peer.wants_config = True
-    self._take_config(told)
 
-  def _take_config(self, told: Told) -> None:
+  def _take_store_news(
+      self, told: peer_message.Told, old: peer_message.Told, now: float
+  ) -> None:
+    """Hears of changes in the store that this host does not watch itself."""
+    state = self._state
+    if (
+        told.address == self._books.circle.relay
+        and told.store_s
+        and not old.store_s
+    ):
+      state.book.note_store_back(now)
+    for kind, revision in told.changed_at.items():
+      if state.note_store_change(kind, revision):
+        state.wake_store_tasks()
+
+  def _answer(self, told: peer_message.Told, knows_others: bool) -> None:
+    """Answers a question, or one that knows other hosts, at once."""
+    reply = self._sign()
+    reply.is_aside = True
+    if knows_others:
+      reply.known = [tuple(host) for host in self._books.hosts.hosts()]
+    if told.asks_config and self._state.config is not None:
+      reply.config = self._state.config.raw
+    self._send((told.address,), reply)
+
+  def _take_config(self, told: peer_message.Told, now: float) -> None:
     state = self._state
     version = state.config.version if state.config else 0
     if told.config:
@@ -280,109 +302,10 @@
             source=told.host,
         )
       return
-    if told.config_version <= version:
-      return
-    peer = self._peer_by_address[told.address]
-    now = asyncio.get_running_loop().time()
-    if now - self._asked_at < ASK_S:
-      return
-    self._asked_at = now
-    ask = Told(
-        host=state.host.name,
-        address=self._address,
-        wants_config=True,
-        config_version=version,
-    )
-    self._send(peer, msgspec.msgpack.encode(ask))
-
-  def _living(self, now: float) -> list[str]:
-    living = []
-    for address, peer in self._peer_by_address.items():
-      if now - peer.heard_at < LIVING_S:
-        living.append(address)
-    return living
-
-  def _count_living(self, now: float) -> None:
-    living = self._living(now)
-    self._state.hosts = 1 + len(living)
-    rank = 0
-    for address in living:
-      peer = self._peer_by_address[address]
-      rank += peer.store_s > 0 and peer.name < self._state.host.name
-    self._state.rank_among_hosts = rank
-    self._state.was_store_steady = any(
-        self._peer_by_address[address].store_s > STEADY_S for address in living
-    )
-    for address, peer in list(self._peer_by_address.items()):
-      heard_at = max(peer.heard_at, peer.added_at)
-      if now - heard_at > FORGET_S:
-        self.remove_host(address)
-
-
-def _set_options(socket: zmq.asyncio.Socket) -> None:
-  socket.setsockopt(zmq.LINGER, 0)
-  socket.setsockopt(zmq.SNDHWM, WAITING_MOST)
-  socket.setsockopt(zmq.RCVHWM, 1000)
-  socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
-  socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
-  socket.setsockopt(zmq.RECONNECT_IVL, 100)
-  socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
-  socket.setsockopt(zmq.CONNECT_TIMEOUT, 1000)
-
-
-class HostsTask:
-  """Enters this host in the store, and finds the others there."""
-
-  # Pause between two looks at the list (s): hosts that join tell the others
-  # themselves, so that the list only helps when all seeds are gone.
-  LOOK_S = 10.0
-  RETRY_S = 1.0
-
-  def __init__(
-      self,
-      state: gateway_state.GatewayState,
-      peers: PeerTask,
-      client: store.StoreClient,
-  ):
-    self._state = state
-    self._peers = peers
-    self._client = client
-    self._is_entered = False
-    self._is_unread = False
-
-  async def run(self) -> None:
-    """Enters once and looks at the list from time to time."""
-    host = self._state.host
-    while True:
-      try:
-        if not self._is_entered:
-          address = f'{host.ip}:{host.peer_port}'
-          await self._client.put(words.HOSTS_KIND, host.name, address)
-          self._is_entered = True
-        listed = await self._client.list_objects(words.HOSTS_KIND)
-      except errors.StoreError as error:
-        self._note_unread(error)
-        await asyncio.sleep(self.RETRY_S)
-        continue
-      self._is_unread = False
-      for item in listed.objects:
-        if isinstance(item.spec, str):
-          self._peers.add_host(item.spec)
-      await asyncio.sleep(self.LOOK_S)
-
-  def _note_unread(self, error: errors.StoreError) -> None:
-    if self._is_unread:
-      return
-    self._is_unread = True
-    logs.log_event(_log, logging.WARNING, 'hosts_unread', error=error.reason)
-
-  async def leave(self) -> None:
-    """Takes this host's entry out."""
-    if not self._is_entered:
+    if told.config_version <= version or now - self._asked_config_at < ASK_S:
       return
-    try:
-      await self._client.remove(words.HOSTS_KIND, self._state.host.name)
-    except errors.StoreError as error:
-      logs.log_event(
-          _log, logging.WARNING, 'host_entry_left', error=error.reason
-      )
+    self._asked_config_at = now
+    ask = self._sign()
+    ask.is_aside = True
+    ask.asks_config = True
+    self._send((told.address,), ask)
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -32,6 +32,11 @@
     was_store_steady: Whether another host was in contact all the while.
     is_leaving: Whether this process was asked to stop.
     load_news: Set when own work began or ended at an endpoint.
+    watches_store: Whether this host watches the store itself; if not, it hears
+      of changes from another one.
+    store_changed_at: Revision of the last change heard of, by kind of object.
+    store_news: Set once when those who follow the store have to look; then
+      another one takes its place.
   """
 
   def __init__(self, host: gateway_records.GatewayHost, draw: random.Random):
@@ -53,6 +58,9 @@
     self.was_store_steady = False
     self.is_leaving = False
     self.load_news = asyncio.Event()
+    self.watches_store = True
+    self.store_changed_at: dict[str, int] = {}
+    self.store_news = asyncio.Event()
 
   @property
   def is_ready(self) -> bool:
@@ -76,6 +84,24 @@
     self.config = config
     return True
 
+  def note_store_change(self, kind: str, revision: int) -> bool:
+    """Notes that objects of a kind changed; returns whether that is news."""
+    if revision <= self.store_changed_at.get(kind, 0):
+      return False
+    self.store_changed_at[kind] = revision
+    return True
+
+  def set_watching(self, watches: bool) -> None:
+    """Notes whether this host watches the store itself."""
+    if watches and not self.watches_store:
+      self.wake_store_tasks()
+    self.watches_store = watches
+
+  def wake_store_tasks(self) -> None:
+    """Has those who wait for news of the store look."""
+    news, self.store_news = self.store_news, asyncio.Event()
+    news.set()
+
   def note_silence(self, now: float) -> None:
     """Suspends endpoints that owe answers and say nothing."""
     names = set()
--- /dev/null
+++ b/mulberrypick/ops/hosts_task.py
@@ -0,0 +1,84 @@
+"""Enters this host in the store, and finds the others there."""
+
+import asyncio
+import logging
+
+from mulberrypick.adapters import logs
+from mulberrypick.core import errors
+from mulberrypick.core import host_circle
+from mulberrypick.ops import gateway_peers
+from mulberrypick.ops import gateway_state
+from mulberrypick.platform import objects
+from mulberrypick.platform import store
+from mulberrypick.platform import words
+
+_log = logging.getLogger(__name__)
+# Pause between two looks at the list (s): hosts that join tell the others
+# themselves, so that the list only helps when all seeds are gone.
+LOOK_S = 10.0
+RETRY_S = 1.0
+
+
+class HostsTask:
+  """Owns this host's entry."""
+
+  def __init__(
+      self,
+      state: gateway_state.GatewayState,
+      peers: gateway_peers.PeerTask,
+      client: store.StoreClient,
+  ):
+    self._state = state
+    self._peers = peers
+    self._client = client
+    self._is_entered = False
+    self._is_unread = False
+
+  async def run(self) -> None:
+    """Enters once and looks at the list from time to time."""
+    while True:
+      try:
+        await self._look()
+      except errors.StoreError as error:
+        self._note_unread(error)
+        await asyncio.sleep(RETRY_S)
+        continue
+      self._is_unread = False
+      await asyncio.sleep(LOOK_S)
+      while not self._state.watches_store:
+        # Its relay looks, and tells what it finds.
+        await asyncio.sleep(LOOK_S)
+
+  async def leave(self) -> None:
+    """Takes this host's entry out."""
+    if not self._is_entered:
+      return
+    try:
+      await self._client.remove(words.HOSTS_KIND, self._state.host.name)
+    except errors.StoreError as error:
+      logs.log_event(
+          _log, logging.WARNING, 'host_entry_left', error=error.reason
+      )
+
+  async def _look(self) -> None:
+    host = self._state.host
+    if not self._is_entered:
+      own = host_circle.KnownHost(
+          host.name, host.zone, f'{host.ip}:{host.peer_port}'
+      )
+      spec = objects.encode_host(own)
+      await self._client.put(words.HOSTS_KIND, host.name, spec)
+      self._is_entered = True
+    listed = await self._client.list_objects(words.HOSTS_KIND)
+    hosts = []
+    for item in listed.objects:
+      found = objects.decode_host(item.name, item.spec)
+      if found is not None:
+        hosts.append(found)
+    self._peers.see_list(hosts)
+
+  def _note_unread(self, error: errors.StoreError) -> None:
+    if self._is_unread:
+      return
+    self._is_unread = True
+    logs.log_event(_log, logging.WARNING, 'hosts_unread', error=error.reason)
--- /dev/null
+++ b/mulberrypick/ops/peer_message.py
@@ -0,0 +1,63 @@
+"""What hosts tell each other, and what is kept of each."""
+
+import msgspec
+
+from mulberrypick.core import host_circle
+from mulberrypick.core import load_sum
+
+
+class Told(msgspec.Struct, array_like=True, omit_defaults=True):
+  """One message to another host.
+
+  Attributes:
+    host: Name of the sender.
+    zone: Its availability zone.
+    address: Where it listens, `IP:PORT`.
+    role: A value of `host_circle.Role`.
+    relay: Address of its relay, for a member.
+    is_rest: Whether a relay tells a member of all other hosts, and not of its
+      group alone.
+    hosts: Hosts that the message speaks for; with `is_rest` all that live.
+    config_version: Version in force there, 0 for none.
+    load: Work by endpoint, of the hosts that the message speaks for.
+    parts: Endpoint, key and tokens of parts placed since the last message.
+    leaving: Name and start of endpoints that leave.
+    suspects: Requests that may crash endpoints.
+    refused: Requests that do.
+    store_s: Seconds of contact with the store without a gap.
+    changed_at: Revision of the last change that it saw, by kind of object.
+    digest: Equal for hosts that know the same hosts.
+    known: Name, zone and address of all hosts that it knows, if the receiver
+      knows others.
+    asks_config: Whether it asks for the configuration.
+    is_aside: Whether this asks or answers, and says nothing of work.
+    config: The configuration, if it was asked for.
+    is_leaving: Whether the sender stops.
+  """
+
+  host: str
+  zone: str
+  address: str
+  role: int = 0
+  relay: str = ''
+  is_rest: bool = False
+  hosts: int = 1
+  config_version: int = 0
+  load: load_sum.LoadByEndpoint = {}
+  parts: list[tuple[str, str, int]] = []
+  leaving: list[tuple[str, int]] = []
+  suspects: list[int] = []
+  refused: list[int] = []
+  store_s: float = 0.0
+  changed_at: dict[str, int] = {}
+  digest: int = 0
+  known: list[tuple[str, str, str]] = []
+  asks_config: bool = False
+  is_aside: bool = False
+  config: bytes = b''
+  is_leaving: bool = False
+
+
+def known_host(told: Told) -> host_circle.KnownHost:
+  """Returns the sender of a message."""
+  return host_circle.KnownHost(told.host, told.zone, told.address)
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -15,6 +15,9 @@
 # this and `store.WATCH_SLACK_S`, within the 3 s that a host has to settle and
 # the 2 s that a configuration has to be in force.
 WATCH_S = 2.0
+# A host that doesn't watch looks at least this often (s), well within the 20 s
+# of history that the store keeps, for what no other host told it.
+LOOK_S = 8.0
 # Pause after a failed call, doubled up to the most (s).
 PAUSE_S = 0.1
 PAUSE_MOST_S = 0.4
@@ -47,23 +50,45 @@
   async def _follow(self) -> None:
     listed = await self._client.list_objects(self.kind)
     self._note_back()
-    self.take_list(listed.objects)
-    revision = listed.revision
+    revision = self._take_whole(listed)
     while True:
+      wait_s = await self._wait_for_news(revision)
       try:
-        changed = await self._client.watch(self.kind, revision, WATCH_S)
+        changed = await self._client.watch(self.kind, revision, wait_s)
       except errors.StoreError as error:
         if error.status != HISTORY_GONE:
           raise
         listed = await self._client.list_objects(self.kind)
-        self.take_list(listed.objects)
-        revision = listed.revision
+        revision = self._take_whole(listed)
         continue
       self._note_back()
       for item in changed.objects:
         self.take_change(item)
+      if changed.objects:
+        self._state.note_store_change(self.kind, changed.revision)
       revision = max(revision, changed.revision)
 
+  def _take_whole(self, listed: store.StoredList) -> int:
+    """Takes a list in; returns the revision to watch from."""
+    self.take_list(listed.objects)
+    # It may hold changes that no watch told of: those who don't watch look.
+    self._state.note_store_change(self.kind, listed.revision)
+    return listed.revision
+
+  async def _wait_for_news(self, revision: int) -> float:
+    """Waits until a call is due; returns how long the store may wait (s)."""
+    state = self._state
+    try:
+      async with asyncio.timeout(LOOK_S):
+        while not state.watches_store:
+          if state.store_changed_at.get(self.kind, 0) > revision:
+            return 0.0
+          await state.store_news.wait()
+    except TimeoutError:
+      # Nothing was heard of; a look now and then makes sure.
+      return 0.0
+    return WATCH_S
+
   def take_list(self, items: list[store.StoredObject]) -> None:
     """Takes all objects in."""
     raise NotImplementedError
--- a/mulberrypick/platform/gateway_peers_test.py
+++ b/mulberrypick/platform/gateway_peers_test.py
@@ -4,7 +4,7 @@
 import unittest
 
 from mulberrypick.core import engine_load
-from mulberrypick.ops import gateway_peers
+from mulberrypick.ops import hosts_task
 from mulberrypick.platform import gateway_test
 from mulberrypick.scripts import gateway_app
 
@@ -49,7 +49,7 @@
 
   async def test_list_of_hosts_that_is_not_read_is_told_once(self):
     self.town.store.fail('busy')
-    with self.assertLogs(gateway_peers.__name__, 'WARNING') as lines:
+    with self.assertLogs(hosts_task.__name__, 'WARNING') as lines:
       other = await self.start_other()
       await self.until(lambda: other.state.config is not None)
     unread = [x for x in lines.output if 'hosts_unread' in x]
--- /dev/null
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -0,0 +1,149 @@
+"""Many gateways: relays hand on what their members tell."""
+
+import asyncio
+from unittest import mock
+
+from mulberrypick.core import host_circle
+from mulberrypick.platform import gateway_test
+from mulberrypick.scripts import gateway_app
+from standins import fleet_replica
+from standins import fleet_town
+
+HOSTS = 6
+
+
+class RelayTest(gateway_test.GatewayCase):
+  """Six gateways in one zone, in two groups."""
+
+  async def asyncSetUp(self):
+    for name, value in (('DIRECT_MOST', 3), ('GROUP_SIZE', 3)):
+      self.enterContext(mock.patch.object(host_circle, name, value))
+    await super().asyncSetUp()
+    self.running_by_name = {}
+    self.gateway_by_name = {'host-1': self.gateway}
+    for number in range(2, HOSTS + 1):
+      await self.start_gateway(f'host-{number}')
+    await self.until(self.are_all_counted)
+
+  async def start_gateway(self, name: str):
+    host = self.town.make_host(name)
+    seeds = (f'127.0.0.1:{self.host.peer_port}',)
+    gateway = gateway_app.Gateway(host._replace(seeds=seeds))
+    running = asyncio.create_task(gateway.run())
+    self.gateway_by_name[name] = gateway
+    self.running_by_name[name] = running
+    await self.until(lambda: gateway.state.is_ready)
+
+    async def stop():
+      running.cancel()
+      await asyncio.gather(running, return_exceptions=True)
+      gateway.close()
+
+    self.addAsyncCleanup(stop)
+
+  def are_all_counted(self) -> bool:
+    roles = [self.circle(name).role for name in self.gateway_by_name]
+    counts = {g.state.hosts for g in self.gateway_by_name.values()}
+    return host_circle.Role.DIRECT not in roles and counts == {
+        len(self.gateway_by_name)
+    }
+
+  def circle(self, name: str) -> host_circle.Circle:
+    return self.gateway_by_name[name]._peers._books.circle
+
+  def with_role(self, role: host_circle.Role) -> list[str]:
+    names = []
+    for name in self.gateway_by_name:
+      if self.circle(name).role is role:
+        names.append(name)
+    return names
+
+  def counts(self) -> set[int]:
+    """Returns what the hosts know to be under way at the desks."""
+    now = asyncio.get_running_loop().time()
+    counts = set()
+    for gateway in self.gateway_by_name.values():
+      count = 0
+      for endpoint in gateway.state.book.usable('desk', now):
+        count += gateway.state.load.total(endpoint, now).count
+      counts.add(count)
+    return counts
+
+  async def test_work_is_known_at_every_host_and_counted_once(self):
+    self.town.set_all('desk', work_s=30.0)
+    calls = []
+    for name, gateway in self.gateway_by_name.items():
+      port = gateway.state.host.listen_port
+      calls.append(
+          asyncio.create_task(
+              fleet_town.call(port, '/unsafe/x', name, leave_after_s=5.0)
+          )
+      )
+    await self.until(lambda: self.counts() == {HOSTS})
+    for call in calls:
+      call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+    await self.until(lambda: self.counts() == {0})
+
+  async def test_relay_that_ends_is_replaced(self):
+    relay = next(
+        name
+        for name in self.with_role(host_circle.Role.RELAY)
+        if name != 'host-1'
+    )
+    self.running_by_name[relay].cancel()
+    self.gateway_by_name.pop(relay).close()
+    await self.until(self.are_all_counted)
+    self.assertNotIn(relay, self.with_role(host_circle.Role.RELAY))
+
+  async def test_only_relays_watch_and_members_hear_of_changes(self):
+    members = self.with_role(host_circle.Role.MEMBER)
+    self.assertGreaterEqual(len(members), HOSTS // 2)
+    for name in self.gateway_by_name:
+      state = self.gateway_by_name[name].state
+      self.assertEqual(state.watches_store, name not in members)
+    replica = fleet_replica.FleetReplica('desk-3', 'desk')
+    self.town.store.put('servers', 'desk-3', replica.entry())
+    for gateway in self.gateway_by_name.values():
+      state = gateway.state
+      await self.until(lambda s=state: s.book.find('desk-3') is not None)
+    self.town.store.remove('servers', 'desk-3')
+    for gateway in self.gateway_by_name.values():
+      state = gateway.state
+      await self.until(lambda s=state: s.book.find('desk-3') is None)
+
+  async def test_configuration_is_in_force_at_members(self):
+    self.town.store.put('config', 'main', fleet_town.make_config(2))
+    for gateway in self.gateway_by_name.values():
+      state = gateway.state
+      await self.until(lambda s=state: s.config.version == 2)
+
+  async def test_members_keep_entries_that_lapsed_while_the_store_was_away(
+      self,
+  ):
+    members = self.with_role(host_circle.Role.MEMBER)
+    self.town.store.fail('busy')
+    for name in self.with_role(host_circle.Role.RELAY):
+      state = self.gateway_by_name[name].state
+      await self.until(lambda s=state: s.store_since is None)
+    # Members hear that the store is away before it is back.
+    await asyncio.sleep(0.5)
+    self.town.store.remove('servers', 'desk-2')
+    self.town.store.fail('ok')
+    await self.until(
+        lambda: all(
+            'desk-2' in self.gateway_by_name[name].state.book._missing_since
+            for name in members
+        )
+    )
+    entry = self.town.replica_by_name['desk-2'].entry()
+    self.town.store.put('servers', 'desk-2', entry)
+    await self.until(
+        lambda: not any(
+            'desk-2' in self.gateway_by_name[name].state.book._missing_since
+            for name in members
+        )
+    )
+    for name in members:
+      book = self.gateway_by_name[name].state.book
+      self.assertIsNotNone(book.find('desk-2'))
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -7,6 +7,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import gateway_records
+from mulberrypick.core import host_circle
 from mulberrypick.platform import settings
 from mulberrypick.platform import words
 
@@ -22,6 +23,30 @@
 }
 
 
+def encode_host(host: host_circle.KnownHost) -> dict[str, str]:
+  """Writes the entry of a host of ours."""
+  return {'zone': host.zone, 'address': host.address}
+
+
+def decode_host(name: str, spec: Any) -> host_circle.KnownHost | None:
+  """Reads the entry of a host of ours.
+
+  Returns:
+    The host; None, with a log line, if it can't be read.
+  """
+  try:
+    return host_circle.KnownHost(name, str(spec['zone']), str(spec['address']))
+  except (KeyError, TypeError) as error:
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'host_entry_malformed',
+        host=name,
+        error=repr(error),
+    )
+    return None
+
+
 def decode_config(spec: Any) -> gateway_records.GatewayConfig | None:
   """Translates a configuration.
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -21,6 +21,7 @@
 from mulberrypick.ops import gateway_peers
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import gateway_task
+from mulberrypick.ops import hosts_task
 from mulberrypick.ops import stage_task
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
@@ -65,7 +66,7 @@
         self._metrics.answer, self._task.note_refused
     )
     self._peers = gateway_peers.PeerTask(self.state)
-    self._hosts = gateway_peers.HostsTask(
+    self._hosts = hosts_task.HostsTask(
         self.state, self._peers, self._new_client()
     )
     self._stop = asyncio.Event()
