A fault soak: real gateways, faults drawn from a seed, promises checked

Change: make soak SEEDS=1-50 runs three gateways as processes against the stand-ins, links to endpoints and store through relays that delay, break, cut, hold both ways or the answers alone; hosts are killed, stopped, frozen and reloaded, endpoints crash, are reborn, leave and misbehave, the store fails, the configuration changes in series. Callers keep their connections. Checked: bookings at most once, 'not run' true, answers right, streams in whole events, an answer to everybody, no new work for who left, nobody ends by itself, all served again after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 
 .PHONY: bench bench-changes bench-outage bench-leaving bench-control
 .PHONY: bench-claims bench-config bench-decisions bench-peers bench-policy
-.PHONY: model-check fuzz
+.PHONY: model-check fuzz soak
 
 bench: setup
 	$(RUN) -m standins.bench_entry
@@ -68,6 +68,11 @@
 bench-policy: setup
 	$(RUN) -m standins.bench_policy
 
+# For example: make soak SEEDS=1-50
+SEEDS ?= 1-5
+soak: setup
+	$(RUN) -m standins.soak --seeds $(SEEDS)
+
 model-check: setup
 	$(RUN) -m spec.check
 
--- a/standins/bench_forwarding.py
+++ b/standins/bench_forwarding.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
 
 import urllib3
 import yaml
@@ -56,7 +57,13 @@
   return (int(fields[13]) + int(fields[14])) / CLOCK_TICKS
 
 
-def write_settings(host, folder: pathlib.Path, store_port: int) -> pathlib.Path:
+def write_settings(
+    host,
+    folder: pathlib.Path,
+    store_port: int,
+    seeds: Sequence[str] = (),
+    slack: float = 50.0,
+) -> pathlib.Path:
   """Writes the settings of a gateway; returns their path."""
   path = folder / 'settings.yaml'
   address = f'127.0.0.1:{host.peer_port}'
@@ -71,11 +78,11 @@
                   'ready': f'127.0.0.1:{host.ready_port}',
                   'controlPlane': address,
               },
-              'seeds': [],
+              'seeds': list(seeds),
               'bounds': {
                   'graceS': 8,
                   'retryBudgetRatio': 0.2,
-                  'retryBudgetSlack': 50,
+                  'retryBudgetSlack': slack,
                   'budgetWindowS': 10,
               },
               'platform': {'address': f'127.0.0.1:{store_port}'},
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -55,6 +55,7 @@
     seen: Headers of each request that arrived, by id.
     freed: Handles that were freed.
     arrivals: Requests that arrived, refused ones too.
+    arrived_at: When the last one did, on the loop's clock.
     orders: Orders that it accepted.
   """
 
@@ -69,6 +70,7 @@
     self.bodies: dict[str, bytes] = {}
     self.freed: list[str] = []
     self.arrivals = 0
+    self.arrived_at = float('-inf')
     self.orders: list[dict[str, object]] = []
     self.port = 0
     self.born = 1
@@ -121,6 +123,7 @@
       self._manage(received, caller)
       return
     self.arrivals += 1
+    self.arrived_at = asyncio.get_running_loop().time()
     request = headers.get('x-mulberrypick-request-id', '')
     self.seen[request] = headers
     self.bodies[request] = received.body
--- a/standins/gateway_process_test.py
+++ b/standins/gateway_process_test.py
@@ -10,6 +10,7 @@
 
 from standins import bench_forwarding
 from standins import fleet_town
+from standins import soak_town
 
 SOON_S = 20.0
 
@@ -61,6 +62,23 @@
     self.assertEqual(answer.status, 200)
     self.assertIsNone(self.program.returncode)
 
+  async def test_planned_stop_while_it_starts_is_no_failure(self):
+    # Found by the soak, seed 6: a stop after a restart ended it with -15.
+    self.program.kill()
+    await self.program.wait()
+    for _ in range(3):
+      program = await asyncio.create_subprocess_exec(
+          sys.executable,
+          '-m',
+          'mulberrypick.scripts.gateway',
+          env=os.environ | {'MULBERRYPICK_NODE_FILE': str(self.settings)},
+          stdout=asyncio.subprocess.DEVNULL,
+      )
+      await soak_town.until_signals_are_handled(program.pid)
+      program.send_signal(signal.SIGTERM)
+      async with asyncio.timeout(SOON_S):
+        self.assertEqual(await program.wait(), 0)
+
   async def test_planned_stop_cuts_nothing(self):
     self.town.set_all('engine', events=60, event_s=0.02)
     await self.until_ready(200)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -38,6 +38,7 @@
     self._listen_ip = listen_ip
     self._delay_s = 0.0
     self._is_held = False
+    self._is_back_held = False
     self._is_refusing = False
     self._is_closed = False
     self._lock = threading.Lock()
@@ -62,10 +63,16 @@
     """Forwards nothing more, without closing anything."""
     self._is_held = True
 
+  def hold_back(self) -> None:
+    """Forwards requests, and holds the answers to them back."""
+    self._is_back_held = True
+
   def heal(self) -> None:
     """Forwards again; bytes that were held back arrive late."""
     self._is_refusing = False
     self._is_held = False
+    self._is_back_held = False
+    self._delay_s = 0.0
 
   def delay(self, delay_s: float) -> None:
     """Delays every piece of data by so many seconds."""
@@ -110,21 +117,25 @@
     far.settimeout(None)
     with self._lock:
       self._sockets.update((near, far))
-    back = threading.Thread(target=self._pump, args=(far, near), daemon=True)
+    back = threading.Thread(
+        target=self._pump, args=(far, near, True), daemon=True
+    )
     back.start()
-    self._pump(near, far)
+    self._pump(near, far, False)
     back.join()
     with self._lock:
       self._sockets.difference_update((near, far))
     near.close()
     far.close()
 
-  def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+  def _pump(
+      self, source: socket.socket, sink: socket.socket, is_back: bool
+  ) -> None:
     """Forwards one way until either end closes."""
     while True:
       try:
         data = source.recv(READ_BYTES)
-        self._wait_while_held()
+        self._wait_while_held(is_back)
         if not data:
           break
         time.sleep(self._delay_s)
@@ -134,8 +145,10 @@
     _shut(source)
     _shut(sink)
 
-  def _wait_while_held(self) -> None:
-    while self._is_held and not self._is_closed:
+  def _wait_while_held(self, is_back: bool = False) -> None:
+    while not self._is_closed:
+      if not self._is_held and not (is_back and self._is_back_held):
+        return
       time.sleep(POLL_S)
 
 
--- /dev/null
+++ b/standins/soak_client.py
@@ -0,0 +1,137 @@
+"""Callers of a soak run: they keep connections until a gateway closes them."""
+
+import asyncio
+import time
+
+from mulberrypick.adapters import stream_client
+from mulberrypick.core import errors
+from standins import fleet_town
+from standins import soak_checks
+
+DEADLINE_S = 1.4
+# Long after the deadline a request without an answer counts as hung; far more
+# than a busy machine takes.
+HUNG_S = 8.0
+CONNECT_S = 2.0
+HEADERS_BY_ROUTE = {
+    'ask': (('Token-Usage', '220,70'), ('Prefix-Hash', 'aa:80,bb:140')),
+    'read': (('Token-Usage', '9000,300'), ('Prefix-Hash', 'cc:6000,dd:3000')),
+}
+
+
+class SoakClient:
+  """Sends requests and keeps what was seen.
+
+  Attributes:
+    seen: All requests that ended.
+  """
+
+  def __init__(self, started_at: float):
+    self.seen: list[soak_checks.Seen] = []
+    self._started_at = started_at
+    self._idle_by_port: dict[int, list[stream_client.ClientConnection]] = {}
+
+  async def send(
+      self, gateway: str, port: int, route: str, request: str
+  ) -> soak_checks.Seen:
+    """Sends one request; one that was not read goes out once more."""
+    began_at = time.monotonic() - self._started_at
+    seen = None
+    for is_fresh in (False, True):
+      idle = self._idle_by_port.setdefault(port, [])
+      connection = None
+      while idle and not is_fresh and connection is None:
+        kept = idle.pop()
+        connection = kept if kept.is_open else None
+      was_kept = connection is not None
+      try:
+        if connection is None:
+          connection = await stream_client.connect('127.0.0.1', port, CONNECT_S)
+      except errors.ConnectError:
+        seen = self._note(gateway, route, request, began_at)
+        break
+      seen = await self._exchange(
+          connection, idle, gateway, route, request, began_at
+      )
+      # A kept connection may end as the request is on its way.
+      if seen.status or seen.is_hung or not was_kept:
+        break
+    self.seen.append(seen)
+    return seen
+
+  def close(self) -> None:
+    """Closes the kept connections."""
+    for idle in self._idle_by_port.values():
+      for connection in idle:
+        connection.abort()
+
+  async def _exchange(
+      self,
+      connection: stream_client.ClientConnection,
+      idle: list[stream_client.ClientConnection],
+      gateway: str,
+      route: str,
+      request: str,
+      began_at: float,
+  ) -> soak_checks.Seen:
+    exchange = stream_client.Exchange(lambda _: True)
+    connection.send(_encode(route, request), exchange)
+    status, body = 0, b''
+    is_whole = is_hung = False
+    try:
+      async with asyncio.timeout(DEADLINE_S + HUNG_S):
+        head = await exchange.read_head()
+        status = head.status
+        while data := await exchange.read_some():
+          body += data
+        is_whole = True
+    except TimeoutError:
+      is_hung = True
+    except errors.ExchangeBrokenError:
+      # What arrived until then is what the caller has.
+      is_whole = False
+    if is_whole and connection.is_open:
+      idle.append(connection)
+    else:
+      connection.abort()
+    return self._note(
+        gateway, route, request, began_at, status, body, is_whole, is_hung
+    )
+
+  def _note(
+      self,
+      gateway: str,
+      route: str,
+      request: str,
+      began_at: float,
+      status: int = 0,
+      body: bytes = b'',
+      is_whole: bool = False,
+      is_hung: bool = False,
+  ) -> soak_checks.Seen:
+    ended_at = time.monotonic() - self._started_at
+    return soak_checks.Seen(
+        request,
+        route,
+        gateway,
+        began_at,
+        ended_at,
+        status,
+        body,
+        is_whole,
+        is_hung,
+    )
+
+
+def _encode(route: str, request: str) -> bytes:
+  lines = [
+      (b'Host', fleet_town.HOST.encode()),
+      (b'X-Mulberrypick-Request-Id', request.encode()),
+      (b'X-Mulberrypick-Deadline-Ms', b'%d' % (DEADLINE_S * 1000)),
+  ]
+  for name, value in HEADERS_BY_ROUTE.get(route, ()):
+    lines.append((f'X-Mulberrypick-{name}'.encode(), value.encode()))
+  method = b'GET' if route == 'safe' else b'POST'
+  return stream_client.encode_request(
+      method, f'/{route}/x'.encode(), lines, b'' if route == 'safe' else b'b'
+  )
--- /dev/null
+++ b/standins/soak_plan.py
@@ -0,0 +1,98 @@
+"""Which faults a soak run has, and when: pure, and the same for the same seed.
+
+Faults come in series and overlap. Each one lasts for a while and is healed
+before the run ends, so that recovery can be checked.
+"""
+
+import random
+from typing import NamedTuple
+
+DURATION_S = 6.0
+FAULTS_LEAST = 4
+FAULTS_MOST = 9
+LONGEST_S = 1.5
+GATEWAYS = ('host-1', 'host-2', 'host-3')
+DESKS = ('desk-1', 'desk-2', 'desk-3')
+ENGINES = ('reader', 'writer-1', 'writer-2')
+# One answer that is held back, torn or marked wrongly is a fault of one
+# endpoint; `full` and `held` are refusals that are true.
+MODES = ('reset', 'mute', 'stray', 'extra', 'unmarked', 'full', 'held')
+ENGINE_MODES = ('reset', 'torn', 'still', 'full')
+
+
+class Fault(NamedTuple):
+  """One fault.
+
+  Attributes:
+    at_s: When it begins, in seconds after the start.
+    kind: What happens.
+    target: To whom.
+    for_s: How long it lasts.
+    how: Its variant.
+  """
+
+  at_s: float
+  kind: str
+  target: str
+  for_s: float
+  how: str = ''
+
+
+def plan_faults(seed: int) -> list[Fault]:
+  """Draws the faults of a run, earliest first."""
+  draw = random.Random(seed)
+  faults = []
+  for _ in range(draw.randint(FAULTS_LEAST, FAULTS_MOST)):
+    kind = draw.choice(tuple(_TARGETS_BY_KIND))
+    targets, variants = _TARGETS_BY_KIND[kind]
+    target = draw.choice(targets)
+    if kind == 'mode' and target in ENGINES:
+      variants = ENGINE_MODES
+    faults.append(
+        Fault(
+            round(draw.uniform(0.3, DURATION_S - LONGEST_S - 0.5), 2),
+            kind,
+            target,
+            round(draw.uniform(0.3, LONGEST_S), 2),
+            draw.choice(variants),
+        )
+    )
+  faults.sort()
+  return _without_clashes(faults)
+
+
+def _without_clashes(faults: list[Fault]) -> list[Fault]:
+  """Drops what can't happen twice at once to one target."""
+  kept, free_at = [], {}
+  for fault in faults:
+    group = _GROUP_BY_KIND.get(fault.kind, fault.kind)
+    key = (group, fault.target)
+    if fault.at_s < free_at.get(key, 0.0):
+      continue
+    free_at[key] = fault.at_s + fault.for_s + 0.1
+    kept.append(fault)
+  return kept
+
+
+_ALL = DESKS + ENGINES
+_TARGETS_BY_KIND = {
+    'kill': (GATEWAYS, ('',)),
+    'stop': (GATEWAYS, ('',)),
+    'pause': (GATEWAYS, ('',)),
+    'reload': (GATEWAYS, ('signal', 'file')),
+    'crash': (_ALL, ('same_port', 'other_port')),
+    'leave': (_ALL, ('draining', 'removed')),
+    'mode': (_ALL, MODES),
+    'link': (_ALL, ('delay', 'break', 'cut', 'hold', 'hold_back')),
+    'store': (('store',), ('busy', 'silent', 'reset')),
+    'store_link': (GATEWAYS, ('cut', 'hold', 'hold_back')),
+    'history': (('store',), ('',)),
+    'config': (('store',), ('once', 'series')),
+}
+_GROUP_BY_KIND = {
+    'kill': 'process',
+    'stop': 'process',
+    'pause': 'process',
+    'crash': 'replica',
+    'leave': 'replica',
+}
--- /dev/null
+++ b/standins/soak_test.py
@@ -0,0 +1,111 @@
+"""The soak: its plans, its judgement, and a short run."""
+
+import collections
+import pathlib
+import unittest
+
+from standins import soak
+from standins import soak_checks
+from standins import soak_plan
+
+# Seed of a short plan in which two desks crash while they run bookings.
+CRASHING_SEED = 4
+KEPT = pathlib.Path(__file__).parent / 'soak_seeds.txt'
+
+
+def make_seen(**changes) -> soak_checks.Seen:
+  seen = soak_checks.Seen(
+      'r1', 'unsafe', 'host-1', 1.0, 1.1, 200, b'desk-1:r1', True, False
+  )
+  return seen._replace(**changes)
+
+
+def judge(seen, runs=1, away=()) -> list[str]:
+  counted = collections.Counter({seen.request: runs})
+  broken = soak_checks.judge([seen], counted, list(away), 2)
+  return [line.partition(':')[0] for line in broken]
+
+
+class PlanTest(unittest.TestCase):
+
+  def test_same_seed_same_plan_and_all_is_healed_in_time(self):
+    for seed in range(50):
+      faults = soak_plan.plan_faults(seed)
+      self.assertEqual(faults, soak_plan.plan_faults(seed))
+      for fault in faults:
+        self.assertLess(fault.at_s + fault.for_s, soak_plan.DURATION_S)
+
+  def test_fifty_seeds_cover_every_kind_of_fault(self):
+    kinds = set()
+    for seed in range(1, 51):
+      kinds.update(fault.kind for fault in soak_plan.plan_faults(seed))
+    self.assertEqual(kinds, set(soak_plan._TARGETS_BY_KIND))
+
+  def test_seeds_are_read_as_ranges_and_lists(self):
+    self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
+    with self.assertRaises(ValueError):
+      soak.read_seeds('a')
+
+
+class JudgeTest(unittest.TestCase):
+
+  def test_right_answer_breaks_nothing(self):
+    self.assertEqual(judge(make_seen()), [])
+
+  def test_booking_that_ran_twice(self):
+    self.assertEqual(judge(make_seen(), 2), ['TWICE'])
+    self.assertEqual(judge(make_seen(route='read', body=b''), 2)[0], 'TWICE')
+    safe = make_seen(route='safe')
+    self.assertEqual(judge(safe, 2), [])
+    self.assertEqual(judge(safe, 3), ['TWICE'])
+
+  def test_not_run_that_ran(self):
+    refused = make_seen(status=503, body=b'{}')
+    self.assertEqual(judge(refused, 0), [])
+    self.assertEqual(judge(refused, 1), ['UNTRUE'])
+    self.assertEqual(judge(make_seen(status=502, body=b'{}'), 1), [])
+
+  def test_answer_of_another_request(self):
+    self.assertEqual(judge(make_seen(body=b'desk-1:r2')), ['WRONG'])
+
+  def test_stream_that_looks_whole_and_is_not(self):
+    first = b'id: 1\ndata: piece 1\n\n'
+    second = b'id: 2\ndata: piece 2\n\n'
+    ask = make_seen(route='ask')
+    self.assertEqual(judge(ask._replace(body=first + second)), [])
+    self.assertEqual(judge(ask._replace(body=first)), ['WRONG'])
+    self.assertEqual(judge(ask._replace(body=second + first)), ['WRONG'])
+    cut = ask._replace(is_whole=False)
+    self.assertEqual(judge(cut._replace(body=first)), [])
+    self.assertEqual(judge(cut._replace(body=first + b'id: 2')), ['WRONG'])
+
+  def test_request_without_an_answer(self):
+    silent = make_seen(status=0, body=b'', is_whole=False)
+    self.assertEqual(judge(silent, 0), ['SILENT'])
+    self.assertEqual(judge(silent._replace(is_hung=True), 0), ['HUNG'])
+    killed = soak_checks.Span('host-1', 1.05, 2.0)
+    self.assertEqual(judge(silent, 0, [killed]), [])
+    other = soak_checks.Span('host-2', 1.05, 2.0)
+    self.assertEqual(judge(silent, 0, [other]), ['SILENT'])
+
+
+class SoakTest(unittest.TestCase):
+
+  def test_seeds_that_failed_once_hold(self):
+    for line in KEPT.read_text().splitlines():
+      if not line.strip() or line.startswith('#'):
+        continue
+      seed = int(line.partition('|')[0])
+      broken, summary = soak.run_seed(seed)
+      self.assertEqual(broken, [], f'seed {seed}: {summary}')
+
+  def test_known_fault_is_found(self):
+    broken, summary = soak.run_seed(
+        CRASHING_SEED, 'standins.soak_broken_gateway'
+    )
+    kinds = {line.partition(':')[0] for line in broken}
+    self.assertIn('TWICE', kinds, summary)
+
+
+if __name__ == '__main__':
+  unittest.main()
