Relays tell parts of prompts in few bytes; requests spread by their own order

Cause: at 77 hosts in a flood members knew the work of the others 0.3 to 0.5 s late (age at a refusal by an engine, printed in a trial): every part of every prompt was told at each use, 45 bytes each, 85 KB/s to every host, and relays keep to 200 KB/s. So hosts sent to the same engines; half of all arrivals at engines were refused for want of places. Change: a part is told once in 2 s, as a number of 32 bits, by endpoint, not at all by the engine that only fetches it. A refusal teaches how many requests an engine has places for. Where work is known late, each request has an order of engines of its own, made of its shared parts.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -27,6 +27,12 @@
 # silent: several times the pause between the answers of a full one (s).
 SILENT_S = 0.4
 SILENT_SERVICE_TIMES = 8
+# Weight of one refusal in the number of requests at which an endpoint is taken
+# for full: the count that is known here lags behind by some requests.
+FULL_WEIGHT = 0.3
+# How much that number grows again (requests a second): an endpoint that is
+# emptied tells nobody.
+FULL_GROWTH = 4.0
 # What another host said holds for this long (s).
 PEER_FRESH_S = 2.0
 # Ranks that are told apart: 0, and all others.
@@ -66,6 +72,8 @@
     self.rate = rate
     self.service_s = 0.05
     self.heard_at = float('-inf')
+    self.full_count = float('inf')
+    self.full_at = 0.0
     self.pending_since: dict[int, float] = {}
     self.cache = part_cache.PartCache()
 
@@ -152,6 +160,28 @@
         )
     return load_by_endpoint
 
+  def note_full(self, endpoint: gateway_records.Endpoint, now: float) -> None:
+    """Learns from a refusal how many requests an endpoint takes."""
+    own = self.own(endpoint)
+    # The one that was refused is counted still.
+    count = max(endpoint.slots, self.total(endpoint, now).count - 1)
+    if own.full_count == float('inf'):
+      own.full_count = count
+    else:
+      known = self._full_count(own, now)
+      own.full_count = known + FULL_WEIGHT * (count - known)
+    own.full_at = now
+
+  def is_full(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
+    """Tells whether an endpoint would refuse one more request."""
+    own = self._own.get(endpoint.incarnation)
+    if own is None or own.full_count == float('inf'):
+      return False
+    return self.total(endpoint, now).count >= self._full_count(own, now)
+
+  def _full_count(self, own: _Own, now: float) -> float:
+    return own.full_count + FULL_GROWTH * (now - own.full_at)
+
   def learn_rate(
       self,
       endpoint: gateway_records.Endpoint,
--- a/mulberrypick/core/engine_load_test.py
+++ b/mulberrypick/core/engine_load_test.py
@@ -35,6 +35,44 @@
         self.load.own(self.engine).rate, 200_000, delta=2_000
     )
 
+  def test_number_of_places_is_learnt_from_refusals(self):
+    # At 77 hosts half of all prompts were refused by readers with 24 places.
+    own = self.load.own(self.engine)
+    own.count = 500
+    self.assertFalse(self.load.is_full(self.engine, 1.0))
+    own.count = 25
+    self.load.note_full(self.engine, 1.0)
+    own.count = 24
+    self.assertTrue(self.load.is_full(self.engine, 1.0))
+    own.count = 23
+    self.assertFalse(self.load.is_full(self.engine, 1.0))
+
+  def test_one_refusal_does_not_undo_what_was_learnt(self):
+    own = self.load.own(self.engine)
+    own.count = 201
+    self.load.note_full(self.engine, 1.0)
+    own.count = 101
+    self.load.note_full(self.engine, 1.0)
+    own.count = 160
+    self.assertFalse(self.load.is_full(self.engine, 1.0))
+    own.count = 171
+    self.assertTrue(self.load.is_full(self.engine, 1.0))
+
+  def test_places_are_tried_again_after_a_while(self):
+    own = self.load.own(self.engine)
+    own.count = 201
+    self.load.note_full(self.engine, 1.0)
+    own.count = 210
+    self.assertTrue(self.load.is_full(self.engine, 1.0))
+    self.assertFalse(self.load.is_full(self.engine, 5.0))
+
+  def test_fewer_than_it_runs_at_a_time_never_fill_an_endpoint(self):
+    own = self.load.own(self.engine)
+    own.count = 3
+    self.load.note_full(self.engine, 1.0)
+    own.count = self.engine.slots - 1
+    self.assertFalse(self.load.is_full(self.engine, 1.0))
+
   def test_silence_counts_from_what_is_owed(self):
     own = self.load.own(self.engine)
     self.assertFalse(self.load.is_silent(self.engine, 100.0))
--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -149,11 +149,11 @@
   """A part of a prompt that other requests may share.
 
   Attributes:
-    key: Its id.
+    key: A hash of its id, short enough to be told to all hosts.
     tokens: Its size.
   """
 
-  key: str
+  key: int
   tokens: int
 
 
--- a/mulberrypick/core/part_cache.py
+++ b/mulberrypick/core/part_cache.py
@@ -15,6 +15,9 @@
 CACHE_SHARE = 0.75
 # Memory of an engine whose service is not known yet (tokens).
 TOKENS_UNKNOWN = 1_000_000
+# A part that is used again is told to other hosts once in this long (s): often
+# enough for them to know that it is not among the least recently used.
+RETELL_S = 2.0
 
 
 class PartCache:
@@ -22,10 +25,11 @@
 
   def __init__(self):
     self._tokens_most = int(CACHE_SHARE * TOKENS_UNKNOWN)
-    self._tokens_by_key: collections.OrderedDict[str, int] = (
+    self._tokens_by_key: collections.OrderedDict[int, int] = (
         collections.OrderedDict()
     )
     self._tokens = 0
+    self._told_at: dict[int, float] = {}
 
   def set_memory(self, tokens: int) -> None:
     """Puts the size of the engine's memory in force (tokens)."""
@@ -44,11 +48,18 @@
         missing += part.tokens
     return missing
 
-  def store(self, key: str, tokens: int) -> None:
-    """Notes that a part was read."""
+  def is_news(self, key: int, now: float) -> bool:
+    """Tells whether other hosts are due to be told that a part is kept."""
+    return now - self._told_at.get(key, float('-inf')) >= RETELL_S
+
+  def store(self, key: int, tokens: int, now: float) -> None:
+    """Notes that a part was read, as all hosts know or are about to hear."""
+    if self.is_news(key, now):
+      self._told_at[key] = now
     old = self._tokens_by_key.pop(key, 0)
     self._tokens_by_key[key] = tokens
     self._tokens += tokens - old
     while self._tokens > self._tokens_most and self._tokens_by_key:
-      _, dropped = self._tokens_by_key.popitem(last=False)
+      yielded, dropped = self._tokens_by_key.popitem(last=False)
+      self._told_at.pop(yielded, None)
       self._tokens -= dropped
--- a/mulberrypick/core/placing.py
+++ b/mulberrypick/core/placing.py
@@ -36,6 +36,8 @@
 # A prompt that is read within this time is sent even if it will be late: it
 # takes next to nothing from others, and late is better than never (s).
 CHEAP_S = 0.002
+# Time after which a place is likely at engines that are all full (s).
+FULL_RETRY_S = 0.1
 # Share of the time left after which a plain request is not worth a place.
 PLAIN_SHARE = 0.6
 # Shortest and longest time to come back (s).
@@ -95,7 +97,14 @@
 
 
 class Placer:
-  """Places requests by what is known of the endpoints."""
+  """Places requests by what is known of the endpoints.
+
+  Attributes:
+    spread_s: Difference between the first and the last engine in a request's
+      own order of them (s). Where work is known late, all hosts take the same
+      engine for the emptiest; each request then has an order of its own, made
+      of its shared parts, which keeps these together and spreads the rest.
+  """
 
   def __init__(
       self,
@@ -103,6 +112,7 @@
       load: engine_load.EngineLoad,
       draw: random.Random,
   ):
+    self.spread_s = 0.0
     self._book = book
     self._load = load
     self._draw = draw
@@ -165,7 +175,13 @@
       return Refusal('no_decode_endpoint', self._retry_after(call, 0.5, now))
     decoders, overflow = self._split_runners(runners, now)
     choice = self._runners_for(call, decoders, overflow, bool(readers))
-    key = call.parts[-2].key if len(call.parts) > 1 else call.id
+    if not is_urgent_stream(call):
+      choice = self._with_places(choice, now)
+      decoders = self._with_places(decoders, now)
+      readers = self._with_places(readers, now) if decoders else []
+      if not choice and not readers:
+        return Refusal('full', self._retry_after(call, FULL_RETRY_S, now))
+    key = str(call.parts[-2].key) if len(call.parts) > 1 else call.id
     homes = rendezvous.rank(key, [e.name for e in readers + choice])
     best: _Option | None = None
     for runner in choice:
@@ -174,13 +190,19 @@
       option = option._replace(cost_s=cost_s)
       if best is None or option.cost_s < best.cost_s:
         best = option
-    runner = self._least_busy(decoders, now)
+    runner = self._least_busy(decoders, now) if readers else None
     for reader in readers:
       option = self._weigh(call, service, runner, reader, homes, now)
       if best is None or option.cost_s < best.cost_s:
         best = option
     return self._admit(call, best.placement, now)
 
+  def _with_places(
+      self, endpoints: list[gateway_records.Endpoint], now: float
+  ) -> list[gateway_records.Endpoint]:
+    """Returns those that would take one more request."""
+    return [e for e in endpoints if not self._load.is_full(e, now)]
+
   def _split_runners(
       self, runners: list[gateway_records.Endpoint], now: float
   ) -> tuple[list[gateway_records.Endpoint], list[gateway_records.Endpoint]]:
@@ -256,8 +278,9 @@
     if reader is not None:
       predicted_s += MOVE_S
     cost_s = predicted_s + 0.2 * self._book.failure_share(where)
-    if where.name != homes[0]:
-      cost_s += HOME_GAIN_S
+    place = homes.index(where.name)
+    if place:
+      cost_s += HOME_GAIN_S + self.spread_s * place / (len(homes) - 1)
     is_late = (
         now - call.arrived_at + predicted_s > TARGET_SHARE * call.route.target_s
     )
--- a/mulberrypick/core/placing_test.py
+++ b/mulberrypick/core/placing_test.py
@@ -68,8 +68,8 @@
   def test_prompt_goes_where_its_parts_are(self):
     engines = self.list_engines(p1=PREFILL, p2=PREFILL, d1=DECODE)
     cache = self.load.own(engines['p2']).cache
-    cache.store('all', 2500)
-    cache.store('book1', 3800)
+    cache.store('all', 2500, 0.0)
+    cache.store('book1', 3800, 0.0)
     placed = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
     self.assertEqual(placed.reader.name, 'p2')
     self.assertEqual(placed.tokens, 2900)
@@ -77,12 +77,43 @@
   def test_home_is_left_when_it_is_behind(self):
     engines = self.list_engines(p1=PREFILL, p2=PREFILL, d1=DECODE)
     cache = self.load.own(engines['p2']).cache
-    cache.store('all', 2500)
-    cache.store('book1', 3800)
+    cache.store('all', 2500, 0.0)
+    cache.store('book1', 3800, 0.0)
     self.wait(engines['p2'], 100_000)
     placed = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
     self.assertEqual(placed.reader.name, 'p1')
 
+  def test_full_reader_is_left_for_another_and_all_full_refuse(self):
+    engines = self.list_engines(p1=PREFILL, p2=PREFILL, d1=DECODE)
+    for name in ('p1', 'p2'):
+      self.load.own(engines[name]).count = 101
+      self.load.note_full(engines[name], 0.0)
+    self.load.own(engines['p2']).count = 90
+    placed = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
+    self.assertEqual(placed.reader.name, 'p2')
+    self.load.own(engines['p2']).count = 100
+    refused = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
+    self.assertEqual(refused.reason, 'full')
+    self.assertGreater(refused.retry_after_s, 0)
+
+  def test_hosts_that_know_work_late_spread_their_requests(self):
+    # 77 hosts sent all prompts of 70 ms to the same reader.
+    names = [f'p{number}' for number in range(6)]
+    engines = self.list_engines(d1=DECODE, **{name: PREFILL for name in names})
+    for name in names[1:]:
+      self.wait(engines[name], 4_000)
+
+    def most() -> int:
+      count_by_name = dict.fromkeys(names, 0)
+      for number in range(60):
+        placed = self.placer.place(make_call(number, 0.0), ENGINE, set(), 0.0)
+        count_by_name[placed.reader.name] += 1
+      return max(count_by_name.values())
+
+    self.assertGreater(most(), 50)
+    self.placer.spread_s = 0.07
+    self.assertLess(most(), 25)
+
   def test_flood_overflows_to_engines_that_decode_but_not_to_all(self):
     engines = self.list_engines(p1=PREFILL, d1=DECODE, d2=DECODE)
     self.wait(engines['p1'], 60_000)
@@ -140,7 +171,7 @@
         refused += 1
         continue
       for part in make_call(number, now).parts:
-        own.cache.store(part.key, part.tokens)
+        own.cache.store(part.key, part.tokens, 0.0)
       free_at = max(now, free_at) + found.tokens / 400_000
       own.tokens[1] += found.tokens
       queue.append((free_at, found.tokens))
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -190,7 +190,7 @@
     send = endpoint_send.EndpointSend(
         self._state, reader, self._call, placement.tokens, False
     )
-    self._state.note_parts(reader, self._call.parts)
+    self._state.note_parts(reader, self._call.parts, True)
     extra = requests.prefill_headers()
     try:
       result = await send.start(
@@ -226,7 +226,7 @@
         self._state, endpoint, self._call, tokens, is_decoding
     )
     if self._service.is_engine:
-      self._state.note_parts(endpoint, self._call.parts)
+      self._state.note_parts(endpoint, self._call.parts, not extra)
     try:
       self._is_sending = True
       result = await send.start(
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -20,6 +20,9 @@
 # Time for the body of a refusal after its head (s): they come together, and a
 # caller must not wait for what is only read to keep a connection.
 REFUSAL_S = 0.1
+# Share of the time left within which a full endpoint refuses: at once, but a
+# body takes its time on a slow link.
+FULL_ANSWER_SHARE = 0.5
 # These promise that nothing ran; without the endpoint's own word they don't.
 PROMISING = (408, 421, 429, 503)
 
@@ -182,6 +185,17 @@
     self._books.tokens[self._rank] -= self._tokens
     self._tokens = 0
 
+  def _is_full_refusal(self, kind: requests.AnswerKind, now: float) -> bool:
+    """Tells whether a refusal says that the endpoint has no place.
+
+    One without a prompt to be read may say that a handle is gone; one that
+    comes late, that the deadline passed while the request waited there.
+    """
+    if kind.is_misdirected or not self._tokens:
+      return False
+    left_s = self._call.deadline_at - self.sent_at
+    return now - self.sent_at < FULL_ANSWER_SHARE * left_s
+
   async def _read_refusal(self) -> None:
     """Reads a refusal to its end, so that the connection can be kept."""
     try:
@@ -210,6 +224,8 @@
         state.book.see_leaving(self._endpoint.incarnation, now)
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
+      if self._is_full_refusal(kind, now):
+        state.load.note_full(self._endpoint, now)
       await self._read_refusal()
       return SendResult(Outcome.NOT_RUN, f'status_{head.status}')
     if head.status < 300 and not kind.is_trusted and needs_mark:
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -56,8 +56,8 @@
     self._asked_at = float('-inf')
     self._asked_config_at = float('-inf')
     # What a relay passes on: parts of its members, and of other relays.
-    self._group_parts: list[tuple[str, str, int]] = []
-    self._foreign_parts: list[tuple[str, str, int]] = []
+    self._group_parts: list[tuple[str, int, int]] = []
+    self._foreign_parts: list[tuple[str, int, int]] = []
     self._sent_bytes = 0
 
   def add_host(self, address: str) -> None:
@@ -144,7 +144,7 @@
       load[name] = tuple(item)
     told = self._sign()
     told.load = load
-    told.parts = parts
+    told.parts = peer_message.pack_parts(parts)
     told.leaving = state.book.leaving(now)
     told.suspects = list(state.quarantine.suspects(now))
     told.refused = list(state.quarantine.refused(now))
@@ -186,14 +186,15 @@
     group_load = load_sum.add_up([own.load, *(m.load for m in members)])
     suspects = set(own.suspects).union(*(m.suspects for m in members))
     own.load = group_load
-    own.parts = own.parts + self._group_parts
+    group_parts = peer_message.unpack_parts(own.parts) + self._group_parts
+    own.parts = peer_message.pack_parts(group_parts)
     own.suspects = list(suspects)
     own.hosts = 1 + len(members)
     self._send(self._books.circle.relays, own)
     total = load_sum.add_up([group_load, *(r.load for r in relays)])
     own.is_rest = True
     own.hosts = self._state.hosts
-    own.parts = own.parts + self._foreign_parts
+    own.parts = peer_message.pack_parts(group_parts + self._foreign_parts)
     own.suspects = list(suspects.union(*(r.suspects for r in relays)))
     self._group_parts, self._foreign_parts = [], []
     for member in members:
@@ -239,17 +240,17 @@
       parts = self._foreign_parts
       if told.role == role.MEMBER:
         parts = self._group_parts
-      parts += told.parts
+      parts += peer_message.unpack_parts(told.parts)
       del parts[:-PARTS_MOST]
       if told.load != old.load or told.parts:
         self._state.load_news.set()
 
   def _take_beliefs(self, told: peer_message.Told, now: float) -> None:
     state = self._state
-    for name, key, tokens in told.parts:
+    for name, key, tokens in peer_message.unpack_parts(told.parts):
       endpoint = state.book.find(name)
       if endpoint is not None:
-        state.load.own(endpoint).cache.store(key, tokens)
+        state.load.own(endpoint).cache.store(key, tokens, now)
     for name, born_ms in told.leaving:
       if state.book.see_leaving((name, born_ms), now):
         state.drop_endpoint(name)
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -53,7 +53,7 @@
     self.pool = endpoint_pool.EndpointPool()
     self.hosts = 1
     self.rank_among_hosts = 0
-    self.placed: list[tuple[str, str, int]] = []
+    self.placed: list[tuple[str, int, int]] = []
     self.store_since: float | None = None
     self.was_store_steady = False
     self.is_leaving = False
@@ -123,11 +123,21 @@
       self,
       endpoint: gateway_records.Endpoint,
       parts: tuple[gateway_records.PromptPart, ...],
+      is_read: bool,
   ) -> None:
-    """Notes that an engine reads parts, and has it told to other hosts."""
+    """Notes that an engine keeps parts.
+
+    Args:
+      endpoint: The engine.
+      parts: The parts.
+      is_read: Whether it reads them, which other hosts are told. One that
+        fetches them reads prompts last of all: not worth the bytes.
+    """
     cache = self.load.own(endpoint).cache
-    for part in parts:
-      cache.store(part.key, part.tokens)
-    # The last part belongs to the request alone; others don't ask for it.
-    for part in parts[:-1]:
-      self.placed.append((endpoint.name, part.key, part.tokens))
+    now = asyncio.get_running_loop().time()
+    for number, part in enumerate(parts, 1):
+      # The last part belongs to the request alone; others don't ask for it.
+      is_shared = number < len(parts)
+      if is_read and is_shared and cache.is_news(part.key, now):
+        self.placed.append((endpoint.name, part.key, part.tokens))
+      cache.store(part.key, part.tokens, now)
--- a/mulberrypick/ops/peer_books.py
+++ b/mulberrypick/ops/peer_books.py
@@ -23,6 +23,9 @@
 # ones, as one has seen a newer list, must not go on at it.
 INFORM_S = 0.25
 INFORM_MOST_S = 16.0
+# How late work is known by way of relays (s): the pauses of a member and of two
+# relays. Within it an engine is filled by as much as it empties.
+RELAYED_S = 0.07
 # Under this key a member keeps the work of all other hosts.
 REST = 'rest'
 
@@ -187,6 +190,8 @@
     state = self._state
     living = [self._peer_by_address[a].told for a in self.living(now)]
     role = self.circle.role
+    is_direct = role is host_circle.Role.DIRECT
+    state.placer.spread_s = 0.0 if is_direct else RELAYED_S
     state.was_store_steady = any(told.store_s > STEADY_S for told in living)
     if role is host_circle.Role.MEMBER:
       watches = True
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -20,7 +20,8 @@
     hosts: Hosts that the message speaks for; with `is_rest` all that live.
     config_version: Version in force there, 0 for none.
     load: Work by endpoint, of the hosts that the message speaks for.
-    parts: Endpoint, key and tokens of parts placed since the last message.
+    parts: Keys and tokens in turn of parts placed since the last message, by
+      endpoint.
     leaving: Name and start of endpoints that leave.
     suspects: Requests that may crash endpoints.
     refused: Requests that do.
@@ -44,7 +45,7 @@
   hosts: int = 1
   config_version: int = 0
   load: load_sum.LoadByEndpoint = {}
-  parts: list[tuple[str, str, int]] = []
+  parts: dict[str, list[int]] = {}
   leaving: list[tuple[str, int]] = []
   suspects: list[int] = []
   refused: list[int] = []
@@ -57,7 +58,35 @@
   config: bytes = b''
   is_leaving: bool = False
 
+  def __post_init__(self):
+    """Refuses what would fail later.
+
+    Raises:
+      ValueError: Keys and tokens of parts are no pairs; a decoder makes that
+        an error of its own.
+    """
+    for endpoint, pairs in self.parts.items():
+      if len(pairs) % 2:
+        raise ValueError(f'parts of endpoint "{endpoint}" are no pairs')
+
 
 def known_host(told: Told) -> host_circle.KnownHost:
   """Returns the sender of a message."""
   return host_circle.KnownHost(told.host, told.zone, told.address)
+
+
+def pack_parts(parts: list[tuple[str, int, int]]) -> dict[str, list[int]]:
+  """Groups endpoint, key and tokens of parts by endpoint, in few bytes."""
+  packed: dict[str, list[int]] = {}
+  for endpoint, key, tokens in parts:
+    packed.setdefault(endpoint, []).extend((key, tokens))
+  return packed
+
+
+def unpack_parts(packed: dict[str, list[int]]) -> list[tuple[str, int, int]]:
+  """Returns endpoint, key and tokens of each part."""
+  parts = []
+  for endpoint, pairs in packed.items():
+    for key, tokens in zip(pairs[::2], pairs[1::2], strict=True):
+      parts.append((endpoint, key, tokens))
+  return parts
--- /dev/null
+++ b/mulberrypick/ops/peer_message_test.py
@@ -0,0 +1,38 @@
+"""Tests of what hosts tell each other."""
+
+import unittest
+
+import msgspec
+
+from mulberrypick.ops import peer_message
+
+
+class PeerMessageTest(unittest.TestCase):
+
+  def test_parts_are_the_same_after_packing(self):
+    parts = [('a', 7, 2500), ('b', 9, 100), ('a', 8, 3800)]
+    packed = peer_message.pack_parts(parts)
+    found = peer_message.unpack_parts(packed)
+    self.assertEqual(sorted(found), sorted(parts))
+
+  def test_a_part_takes_few_bytes(self):
+    # At 77 hosts 1,900 parts a second at 45 bytes each were all that the link
+    # of a relay carries.
+    parts = []
+    for number in range(100):
+      parts.append(('engine-1', 4_000_000_000 + number, 3800))
+    packed = msgspec.msgpack.encode(peer_message.pack_parts(parts))
+    self.assertLess(len(packed), 10 * len(parts))
+
+  def test_message_with_half_a_part_is_refused(self):
+    whole = peer_message.Told('h', 'z', 'a:1', parts={'e': [1, 2]})
+    raw = msgspec.msgpack.encode(whole).replace(
+        msgspec.msgpack.encode([1, 2]), msgspec.msgpack.encode([1, 2, 3])
+    )
+    decoder = msgspec.msgpack.Decoder(peer_message.Told)
+    with self.assertRaises(msgspec.DecodeError):
+      decoder.decode(raw)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -213,7 +213,8 @@
     key, _, tokens = item.strip().partition(b':')
     if not key or not tokens.isdigit():
       continue
-    parts.append(gateway_records.PromptPart(key.decode('latin-1'), int(tokens)))
+    short = xxhash.xxh32_intdigest(key)
+    parts.append(gateway_records.PromptPart(short, int(tokens)))
   return tuple(parts)
 
 
