Places of engines are assumed at first, then learnt both ways

Cause: each host had to be refused by each engine before it knew its places; most had not in the 5 s of a flood. Change: four places for each request run at a time, learnt down from refusals and up from what is taken though the engine was thought full, which one request in fifty tries. Members look every 15 s, within the store's history of 20 s.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -27,12 +27,12 @@
 # silent: several times the pause between the answers of a full one (s).
 SILENT_S = 0.4
 SILENT_SERVICE_TIMES = 8
-# Weight of one refusal in the number of requests at which an endpoint is taken
-# for full: the count that is known here lags behind by some requests.
+# Requests that an endpoint is taken to have places for, running and waiting, for
+# each one that it runs at a time: what both deployments of the users give.
+PLACES_PER_SLOT = 4
+# Weight of one refusal, or of one request that was taken though the endpoint
+# was thought full: the count that is known here lags behind by some requests.
 FULL_WEIGHT = 0.3
-# How much that number grows again (requests a second): an endpoint that is
-# emptied tells nobody.
-FULL_GROWTH = 4.0
 # What another host said holds for this long (s).
 PEER_FRESH_S = 2.0
 # Ranks that are told apart: 0, and all others.
@@ -65,15 +65,14 @@
 class _Own:
   """Own work at one endpoint."""
 
-  def __init__(self, rate: float):
+  def __init__(self, rate: float, slots: int):
     self.count = 0
     self.decoding = 0
     self.tokens = [0] * RANKS
     self.rate = rate
     self.service_s = 0.05
     self.heard_at = float('-inf')
-    self.full_count = float('inf')
-    self.full_at = 0.0
+    self.places = float(PLACES_PER_SLOT * slots)
     self.pending_since: dict[int, float] = {}
     self.cache = part_cache.PartCache()
 
@@ -90,7 +89,7 @@
     own = self._own.get(endpoint.incarnation)
     if own is None:
       is_decode = endpoint.stage is gateway_records.Stage.DECODE
-      own = _Own(DECODE_RATE if is_decode else PREFILL_RATE)
+      own = _Own(DECODE_RATE if is_decode else PREFILL_RATE, endpoint.slots)
       self._own[endpoint.incarnation] = own
     return own
 
@@ -160,27 +159,29 @@
         )
     return load_by_endpoint
 
-  def note_full(self, endpoint: gateway_records.Endpoint, now: float) -> None:
-    """Learns from a refusal how many requests an endpoint takes."""
+  def note_refused(
+      self, endpoint: gateway_records.Endpoint, count: int
+  ) -> None:
+    """Learns from a refusal how many places an endpoint has.
+
+    Args:
+      endpoint: The endpoint.
+      count: Requests known there as this one was sent, itself left out.
+    """
     own = self.own(endpoint)
-    # The one that was refused is counted still.
-    count = max(endpoint.slots, self.total(endpoint, now).count - 1)
-    if own.full_count == float('inf'):
-      own.full_count = count
-    else:
-      known = self._full_count(own, now)
-      own.full_count = known + FULL_WEIGHT * (count - known)
-    own.full_at = now
+    count = max(endpoint.slots, count)
+    if count < own.places:
+      own.places += FULL_WEIGHT * (count - own.places)
 
-  def is_full(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
-    """Tells whether an endpoint would refuse one more request."""
-    own = self._own.get(endpoint.incarnation)
-    if own is None or own.full_count == float('inf'):
-      return False
-    return self.total(endpoint, now).count >= self._full_count(own, now)
+  def note_taken(self, endpoint: gateway_records.Endpoint, count: int) -> None:
+    """Learns from a request that an endpoint took; see `note_refused`."""
+    own = self.own(endpoint)
+    if count >= own.places:
+      own.places += FULL_WEIGHT * (count + 1 - own.places)
 
-  def _full_count(self, own: _Own, now: float) -> float:
-    return own.full_count + FULL_GROWTH * (now - own.full_at)
+  def is_full(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
+    """Tells whether an endpoint is likely to refuse one more request."""
+    return self.total(endpoint, now).count >= self.own(endpoint).places
 
   def learn_rate(
       self,
--- a/mulberrypick/core/placing.py
+++ b/mulberrypick/core/placing.py
@@ -36,6 +36,9 @@
 # A prompt that is read within this time is sent even if it will be late: it
 # takes next to nothing from others, and late is better than never (s).
 CHEAP_S = 0.002
+# Share of requests for which an engine thought full is taken as if it were not,
+# to learn whether it is.
+TRY_FULL_SHARE = 0.02
 # Time after which a place is likely at engines that are all full (s).
 FULL_RETRY_S = 0.1
 # Share of the time left after which a plain request is not worth a place.
@@ -200,8 +203,13 @@
   def _with_places(
       self, endpoints: list[gateway_records.Endpoint], now: float
   ) -> list[gateway_records.Endpoint]:
-    """Returns those that would take one more request."""
-    return [e for e in endpoints if not self._load.is_full(e, now)]
+    """Returns those that are likely to take one more request."""
+    open_ones = []
+    for endpoint in endpoints:
+      is_tried = self._draw.random() < TRY_FULL_SHARE
+      if is_tried or not self._load.is_full(endpoint, now):
+        open_ones.append(endpoint)
+    return open_ones
 
   def _split_runners(
       self, runners: list[gateway_records.Endpoint], now: float
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -85,6 +85,7 @@
         lambda head: requests.is_answer_to(call.id, head)
     )
     self.sent_at = 0.0
+    self._count_before = 0
 
   async def start(
       self,
@@ -110,6 +111,8 @@
       return SendResult(Outcome.NOT_SENT, 'connect')
     self.sent_at = loop.time()
     self._books.pending_since[id(self)] = self.sent_at
+    count = state.load.total(self._endpoint, self.sent_at).count
+    self._count_before = count - 1
     self._connection.send(encode(self.sent_at), self.exchange)
     try:
       async with asyncio.timeout(patience_s):
@@ -225,7 +228,7 @@
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
       if self._is_full_refusal(kind, now):
-        state.load.note_full(self._endpoint, now)
+        state.load.note_refused(self._endpoint, self._count_before)
       await self._read_refusal()
       return SendResult(Outcome.NOT_RUN, f'status_{head.status}')
     if head.status < 300 and not kind.is_trusted and needs_mark:
@@ -234,4 +237,6 @@
     if head.status in PROMISING or (head.status >= 300 and not kind.is_trusted):
       state.book.see_failure(self._endpoint, now)
       return SendResult(Outcome.BROKEN, f'status_{head.status}')
+    if self._tokens:
+      state.load.note_taken(self._endpoint, self._count_before)
     return SendResult(Outcome.ANSWERED, f'status_{head.status}', head)
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -15,9 +15,9 @@
 # this and `store.WATCH_SLACK_S`, within the 3 s that a host has to settle and
 # the 2 s that a configuration has to be in force.
 WATCH_S = 2.0
-# A host that doesn't watch looks at least this often (s), well within the 20 s
+# A host that doesn't watch looks at least this often (s), within the 20 s
 # of history that the store keeps, for what no other host told it.
-LOOK_S = 8.0
+LOOK_S = 15.0
 # Pause after a failed call, doubled up to the most (s).
 PAUSE_S = 0.1
 PAUSE_MOST_S = 0.4
