Short answers count as a quarter of a place in keeping engines for decoding

Cause: requests whose prompt was read elsewhere counted as a whole decoding stream each. In the flood at 77 hosts some 57 of them were under way, which kept all 13 decoding engines free of prompts, so that five readers had every prompt: 2 of 4.7 million tokens a second. Change: a long stream counts four quarters, a short answer one.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -27,8 +27,8 @@
 # silent: several times the pause between the answers of a full one (s).
 SILENT_S = 0.4
 SILENT_SERVICE_TIMES = 8
-# Requests that an endpoint is taken to have places for, running and waiting, for
-# each one that it runs at a time: what both deployments of the users give.
+# Requests that an endpoint is taken to have places for, running and waiting,
+# for each one that it runs at a time: what both deployments of the users give.
 PLACES_PER_SLOT = 4
 # Weight of one refusal, or of one request that was taken though the endpoint
 # was thought full: the count that is known here lags behind by some requests.
@@ -46,7 +46,8 @@
     count: Requests under way.
     urgent_tokens: Tokens of rank 0 still to be read.
     other_tokens: Tokens of other ranks still to be read.
-    decoding: Urgent streams, and requests whose prompt was read elsewhere.
+    decoding: Quarters of places that streams and requests whose prompt was
+      read elsewhere take; see `placing.decoding_quarters`.
   """
 
   count: int
--- a/mulberrypick/core/placing.py
+++ b/mulberrypick/core/placing.py
@@ -27,6 +27,8 @@
 # Share of an engine's places that are filled by what only decodes before
 # another one is kept for that: the rest is for swings.
 DECODER_FILL = 0.6
+# Parts of a place in which decoding is counted.
+QUARTERS = 4
 # What a full engine costs a long stream, as time to its first event (s).
 STREAM_COST_S = 0.02
 # What a prompt costs that is read beside streams while another one is (s).
@@ -94,6 +96,22 @@
   return is_long_output(call) and call.route.rank == 0
 
 
+def decoding_quarters(call: gateway_records.Call, is_read: bool) -> int:
+  """Returns how much of a place a request's decoding takes (quarters).
+
+  Answers a flood of prompts with short answers: if each of them, read elsewhere
+  and answered within a few steps, counted as much as a long stream, all engines
+  were kept for decoding just when prompts need them.
+
+  Args:
+    call: The request.
+    is_read: Whether its prompt is read elsewhere.
+  """
+  if is_urgent_stream(call) or (is_read and is_long_output(call)):
+    return QUARTERS
+  return 1 if is_read else 0
+
+
 class _Option(NamedTuple):
   cost_s: float
   placement: Placement
@@ -226,8 +244,8 @@
     for runner in ordered:
       decoding += self._load.total(runner, now).decoding
     count, places = 0, 0.0
-    while count < len(ordered) and places < decoding + 1:
-      places += DECODER_FILL * ordered[count].slots
+    while count < len(ordered) and places < decoding + QUARTERS:
+      places += QUARTERS * DECODER_FILL * ordered[count].slots
       count += 1
     return ordered[:count], ordered[count:]
 
--- a/mulberrypick/core/placing_test.py
+++ b/mulberrypick/core/placing_test.py
@@ -96,6 +96,28 @@
     self.assertEqual(refused.reason, 'full')
     self.assertGreater(refused.retry_after_s, 0)
 
+  def test_short_answers_do_not_keep_all_engines_for_decoding(self):
+    # In a flood at 77 hosts 57 such requests under way kept all 13 engines for
+    # decoding, and five readers had all the prompts.
+    stages = dict.fromkeys([f'd{number:02}' for number in range(13)], DECODE)
+    engines = self.list_engines(p1=PREFILL, **stages)
+    self.wait(engines['p1'], 60_000)
+    call = make_call(1, 0.0)
+    one = placing.decoding_quarters(call, True)
+    for name in stages:
+      # Slots are 64: places for 38 streams each.
+      self.load.own(engines[name]).decoding = 40 * one
+    placed = self.placer.place(call, ENGINE, set(), 0.0)
+    self.assertIsNone(placed.reader)
+    long_one = call._replace(output_tokens=placing.LONG_TOKENS)
+    self.assertEqual(
+        placing.decoding_quarters(long_one, True), placing.QUARTERS
+    )
+    for name in stages:
+      self.load.own(engines[name]).decoding = 40 * placing.QUARTERS
+    placed = self.placer.place(call, ENGINE, set(), 0.0)
+    self.assertIsNotNone(placed.reader)
+
   def test_hosts_that_know_work_late_spread_their_requests(self):
     # 77 hosts sent all prompts of 70 ms to the same reader.
     names = [f'p{number}' for number in range(6)]
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -188,7 +188,7 @@
   ) -> tuple[str | None, _Step]:
     reader = placement.reader
     send = endpoint_send.EndpointSend(
-        self._state, reader, self._call, placement.tokens, False
+        self._state, reader, self._call, placement.tokens, 0
     )
     self._state.note_parts(reader, self._call.parts, True)
     extra = requests.prefill_headers()
@@ -221,9 +221,9 @@
       tokens: int,
   ) -> _Step:
     endpoint = placement.endpoint
-    is_decoding = bool(extra) or placing.is_urgent_stream(self._call)
+    decoding = placing.decoding_quarters(self._call, bool(extra))
     send = endpoint_send.EndpointSend(
-        self._state, endpoint, self._call, tokens, is_decoding
+        self._state, endpoint, self._call, tokens, decoding
     )
     if self._service.is_engine:
       self._state.note_parts(endpoint, self._call.parts, not extra)
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -67,17 +67,17 @@
       endpoint: gateway_records.Endpoint,
       call: gateway_records.Call,
       tokens: int,
-      is_decoding: bool,
+      decoding: int,
   ):
     self._state = state
     self._endpoint = endpoint
     self._call = call
     self._tokens = tokens
-    self._is_decoding = is_decoding
+    self._decoding = decoding
     self._rank = min(call.route.rank, 1)
     self._books = state.load.own(endpoint)
     self._books.count += 1
-    self._books.decoding += is_decoding
+    self._books.decoding += decoding
     state.load_news.set()
     self._books.tokens[self._rank] += tokens
     self._connection: stream_client.ClientConnection | None = None
@@ -170,7 +170,7 @@
     self._books.pending_since.pop(id(self), None)
     self._books.count -= 1
     self._state.load_news.set()
-    self._books.decoding -= self._is_decoding
+    self._books.decoding -= self._decoding
     connection = self._connection
     if connection is None:
       return
