--- /dev/null
+++ b/standins/replay_plot.py
@@ -0,0 +1,55 @@
+"""Draws lines over time as SVG."""
+
+from xml.sax import saxutils
+
+WIDTH, HEIGHT = 720, 320
+MARGIN = 48
+COLORS = ('#1b6ca8', '#d1495b', '#66a182', '#8d6a9f', '#edae49')
+
+
+def draw(lines: dict[str, list[float]], step_s: float, title: str) -> str:
+  """Draws values between 0 and 1.
+
+  Args:
+    lines: The values of each line, one for each step of time.
+    step_s: Time between two values (s).
+    title: What the values are.
+
+  Returns:
+    The text of an SVG file.
+  """
+  count = max(len(values) for values in lines.values())
+  wide, high = WIDTH - 2 * MARGIN, HEIGHT - 2 * MARGIN
+  parts = [
+      f'<svg xmlns="http://www.w3.org/2000/svg" width="{WIDTH}"'
+      f' height="{HEIGHT}" font-family="sans-serif" font-size="12">',
+      f'<text x="{MARGIN}" y="20">{saxutils.escape(title)}</text>',
+  ]
+  for tenth in range(0, 11, 2):
+    y = MARGIN + high * (1 - tenth / 10)
+    parts.append(
+        f'<line x1="{MARGIN}" x2="{MARGIN + wide}" y1="{y}" y2="{y}"'
+        ' stroke="#ddd"/>'
+    )
+    parts.append(f'<text x="12" y="{y + 4}">{tenth / 10}</text>')
+  for number, (name, values) in enumerate(lines.items()):
+    color = COLORS[number % len(COLORS)]
+    points = []
+    for place, value in enumerate(values):
+      x = MARGIN + wide * place / max(1, count - 1)
+      points.append(f'{x:.1f},{MARGIN + high * (1 - value):.1f}')
+    parts.append(
+        f'<polyline fill="none" stroke="{color}" stroke-width="2"'
+        f' points="{" ".join(points)}"/>'
+    )
+    x = MARGIN + 150 * number
+    label = saxutils.escape(name)
+    parts.append(
+        f'<text x="{x}" y="{HEIGHT - 8}" fill="{color}">{label}</text>'
+    )
+  end_s = step_s * (count - 1)
+  parts.append(
+      f'<text x="{MARGIN + wide - 30}" y="{HEIGHT - 28}">{end_s:.1f} s</text>'
+  )
+  parts.append('</svg>')
+  return '\n'.join(parts)
--- /dev/null
+++ b/standins/replay_trial.py
@@ -0,0 +1,400 @@
+"""Plays policies over recorded load, in seconds, side by side.
+
+    python -m standins.replay_trial --plot out/flood.svg
+
+Prints what each policy earned of what all requests are worth, by rank, host,
+second and size of the prompt. Work at engines is known to other hosts after
+`--lag-ms`, as between gateways.
+"""
+
+import abc
+import pathlib
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import click
+
+from mulberrypick.core import endpoint_book
+from mulberrypick.core import engine_load
+from mulberrypick.core import gateway_records
+from mulberrypick.core import placing
+from standins import replay
+from standins import replay_plot
+
+FLOOD = pathlib.Path(__file__).parent / 'replays' / 'zagovina-flood.txt'
+LAG_S = 0.02
+SERVICE = gateway_records.Service('engine', 300, replay.MEMORY, 64)
+# Prompts are told apart by size in so many parts of equal number.
+SIZES = 5
+
+
+class Outcome(NamedTuple):
+  """What became of one request.
+
+  Attributes:
+    arrival: The request.
+    word: `in time`, `late`, `refused` or `lost`.
+    worth: What it earned.
+    most: What it could have earned.
+    first_s: Time to its first event, 0 without.
+  """
+
+  arrival: replay.Arrival
+  word: str
+  worth: float
+  most: float
+  first_s: float
+
+
+class Policy(abc.ABC):
+  """Decides on requests at one host."""
+
+  def __init__(self, found: replay.Replay, host: str):
+    self.book = endpoint_book.EndpointBook()
+    self.book.replace_all(found.endpoints, 0.0)
+    self.load = engine_load.EngineLoad()
+    self.placer = placing.Placer(self.book, self.load, random.Random(host))
+
+  @abc.abstractmethod
+  def place(
+      self, call: gateway_records.Call, now: float
+  ) -> placing.Placement | placing.Refusal:
+    """Decides on a request."""
+
+
+class Own(Policy):
+  """The gateway's own."""
+
+  def place(
+      self, call: gateway_records.Call, now: float
+  ) -> placing.Placement | placing.Refusal:
+    """Decides on a request."""
+    return self.placer.place(call, SERVICE, set(), now)
+
+
+class NoCaches(Own):
+  """The gateway's own, without knowing which parts engines keep."""
+
+  def place(
+      self, call: gateway_records.Call, now: float
+  ) -> placing.Placement | placing.Refusal:
+    """Decides on a request."""
+    # A number that is no part's: all parts of one request in one.
+    key = -call.fingerprint - 1
+    whole = gateway_records.PromptPart(key, call.prompt_tokens)
+    return super().place(call._replace(parts=(whole,)), now)
+
+
+class LeastInFlight(Policy):
+  """First come, first served: the reader and the decoder with least work."""
+
+  def place(
+      self, call: gateway_records.Call, now: float
+  ) -> placing.Placement | placing.Refusal:
+    """Decides on a request."""
+    readers, runners = [], []
+    for endpoint in self.book.usable(call.service, now):
+      is_reader = endpoint.stage is gateway_records.Stage.PREFILL
+      (readers if is_reader else runners).append(endpoint)
+
+    def count(endpoint: gateway_records.Endpoint) -> int:
+      return self.load.total(endpoint, now).count
+
+    reader, runner = min(readers, key=count), min(runners, key=count)
+    return placing.Placement(runner, reader, call.prompt_tokens, 0, 0.0, False)
+
+
+class AnyReader(LeastInFlight):
+  """First come, first served: a reader by turns."""
+
+  def place(
+      self, call: gateway_records.Call, now: float
+  ) -> placing.Placement | placing.Refusal:
+    """Decides on a request."""
+    found = super().place(call, now)
+    readers = []
+    for endpoint in self.book.usable(call.service, now):
+      if endpoint.stage is gateway_records.Stage.PREFILL:
+        readers.append(endpoint)
+    number = int(call.id.removeprefix('r'))
+    return found._replace(reader=readers[number % len(readers)])
+
+
+POLICY_BY_NAME: dict[str, type[Policy]] = {
+    'own': Own,
+    'no caches': NoCaches,
+    'least in flight': LeastInFlight,
+    'by turns': AnyReader,
+}
+
+
+class Trial:
+  """One policy over one replay."""
+
+  def __init__(
+      self, found: replay.Replay, policy: type[Policy], lag_s: float = LAG_S
+  ):
+    self._replay = found
+    self._clock = replay.Clock()
+    self._lag_s = lag_s
+    self._engine_by_name = {}
+    for endpoint in found.endpoints:
+      rate = found.rate_by_name[endpoint.name]
+      engine = replay.Engine(self._clock, endpoint, rate)
+      self._engine_by_name[endpoint.name] = engine
+    self._host_by_name: dict[str, Policy] = {}
+    for arrival in found.arrivals:
+      if arrival.host not in self._host_by_name:
+        self._host_by_name[arrival.host] = policy(found, arrival.host)
+    self._outcomes: list[Outcome] = []
+
+  def run(self) -> list[Outcome]:
+    """Plays all arrivals to their end."""
+    for number, arrival in enumerate(self._replay.arrivals):
+      self._clock.call_at(
+          arrival.at_s, lambda n=number, a=arrival: self._arrive(n, a)
+      )
+    last_at = self._replay.arrivals[-1].at_s
+    at_s = 0.0
+    while at_s < last_at:
+      self._clock.call_at(at_s, self._tell)
+      at_s += self._lag_s
+    self._clock.run()
+    return self._outcomes
+
+  def _tell(self) -> None:
+    now = self._clock.now
+    for name, host in self._host_by_name.items():
+      told = host.load.told()
+      for other_name, other in self._host_by_name.items():
+        if other_name != name:
+          other.load.see_peer(name, told, now)
+
+  def _arrive(self, number: int, arrival: replay.Arrival) -> None:
+    now = self._clock.now
+    work_class = self._replay.class_by_rank[arrival.rank]
+    call = _make_call(number, arrival, work_class)
+    host = self._host_by_name[arrival.host]
+    found = host.place(call, now)
+    if isinstance(found, placing.Refusal):
+      self._end(arrival, 'refused')
+      return
+    if found.reader is None:
+      self._read(call, arrival, host, found, found.endpoint, self._answer)
+      return
+    self._read(call, arrival, host, found, found.reader, self._move)
+
+  def _read(
+      self,
+      call: gateway_records.Call,
+      arrival: replay.Arrival,
+      host: Policy,
+      found: placing.Placement,
+      where: gateway_records.Endpoint,
+      go_on: Callable[..., None],
+  ) -> None:
+    engine = self._engine_by_name[where.name]
+    if not engine.take():
+      self._end(arrival, 'refused')
+      return
+    began_at = self._clock.now
+    books = host.load.own(where)
+    rank = min(arrival.rank, 1)
+    books.count += 1
+    books.tokens[rank] += found.tokens
+    for other in self._host_by_name.values():
+      cache = other.load.own(where).cache
+      for part in call.parts:
+        cache.store(part.key, part.tokens, began_at)
+
+    def done(is_read: bool) -> None:
+      engine.held -= 1
+      books.count -= 1
+      books.tokens[rank] -= found.tokens
+      if not is_read:
+        self._end(arrival, 'lost')
+        return
+      took_s = self._clock.now - began_at
+      host.load.learn_rate(where, found.tokens_ahead, took_s)
+      go_on(call, arrival, host, found)
+
+    engine.read(arrival, lambda: self._clock.now < call.deadline_at, done)
+
+  def _move(
+      self,
+      call: gateway_records.Call,
+      arrival: replay.Arrival,
+      host: Policy,
+      found: placing.Placement,
+  ) -> None:
+    engine = self._engine_by_name[found.endpoint.name]
+    if not engine.take():
+      self._end(arrival, 'refused')
+      return
+    books = host.load.own(found.endpoint)
+    quarters = placing.decoding_quarters(call, True)
+    books.count += 1
+    books.decoding += quarters
+
+    def answer() -> None:
+      books.count -= 1
+      books.decoding -= quarters
+      engine.held -= 1
+      self._answer(call, arrival, host, found)
+
+    work_class = self._replay.class_by_rank[arrival.rank]
+    took_s = replay.MOVE_S + work_class.output_tokens * replay.STEP_S
+    self._clock.call_at(self._clock.now + took_s, answer)
+
+  def _answer(
+      self,
+      call: gateway_records.Call,
+      arrival: replay.Arrival,
+      host: Policy,
+      found: placing.Placement,
+  ) -> None:
+    del call, host, found
+    first_s = self._clock.now - arrival.at_s
+    work_class = self._replay.class_by_rank[arrival.rank]
+    if first_s > arrival.deadline_s:
+      self._end(arrival, 'lost')
+    elif first_s > work_class.target_s:
+      self._end(arrival, 'late', work_class.late_worth, first_s)
+    else:
+      self._end(arrival, 'in time', work_class.worth, first_s)
+
+  def _end(
+      self,
+      arrival: replay.Arrival,
+      word: str,
+      worth: float = 0.0,
+      first_s: float = 0.0,
+  ) -> None:
+    most = self._replay.class_by_rank[arrival.rank].worth
+    self._outcomes.append(Outcome(arrival, word, worth, most, first_s))
+
+
+def _make_call(
+    number: int, arrival: replay.Arrival, work_class: replay.WorkClass
+) -> gateway_records.Call:
+  route = gateway_records.Route(
+      name=f'rank-{arrival.rank}',
+      hostname='h',
+      path_prefix='/',
+      kind=gateway_records.CallKind.STREAM,
+      timeout_s=arrival.deadline_s,
+      target_s=work_class.target_s,
+      rank=arrival.rank,
+      share_by_service={'engine': 1},
+      attempts=1,
+      is_resumable=False,
+  )
+  return gateway_records.Call(
+      id=f'r{number}',
+      route=route,
+      service='engine',
+      parts=arrival.parts,
+      prompt_tokens=arrival.prompt_tokens,
+      output_tokens=arrival.output_most,
+      fingerprint=number,
+      arrived_at=arrival.at_s,
+      deadline_at=arrival.at_s + arrival.deadline_s,
+  )
+
+
+def earned(outcomes: list[Outcome]) -> float:
+  """Returns what was earned of what all were worth."""
+  most = sum(item.most for item in outcomes)
+  return sum(item.worth for item in outcomes) / most if most else 0.0
+
+
+def group(
+    outcomes: list[Outcome], key: Callable[[Outcome], str]
+) -> dict[str, list[Outcome]]:
+  """Parts outcomes by what `key` says of them, in its order."""
+  by_key: dict[str, list[Outcome]] = {}
+  for item in outcomes:
+    by_key.setdefault(key(item), []).append(item)
+  return dict(sorted(by_key.items()))
+
+
+def size_key(outcomes: list[Outcome]) -> Callable[[Outcome], str]:
+  """Returns what tells prompts of one size from others."""
+  sizes = sorted(item.arrival.prompt_tokens for item in outcomes)
+  bounds = []
+  for number in range(1, SIZES):
+    bounds.append(sizes[number * len(sizes) // SIZES])
+
+  def key(item: Outcome) -> str:
+    part = sum(item.arrival.prompt_tokens >= bound for bound in bounds)
+    return f'size {part + 1} of {SIZES}'
+
+  return key
+
+
+def format_report(outcomes_by_policy: dict[str, list[Outcome]]) -> str:
+  """Formats what each policy earned as one table, a line a group."""
+  names = list(outcomes_by_policy)
+  keys: list[Callable[[Outcome], str]] = [
+      lambda item: 'all',
+      lambda item: f'rank {item.arrival.rank}',
+      lambda item: item.arrival.host,
+      lambda item: f'second {int(item.arrival.at_s)}',
+      size_key(outcomes_by_policy[names[0]]),
+  ]
+  lines = [f'{"earned of what it is worth":28}' + _cells(names)]
+  for key in keys:
+    groups = [group(outcomes, key) for outcomes in outcomes_by_policy.values()]
+    for name in groups[0]:
+      values = [f'{earned(found[name]):.3f}' for found in groups]
+      lines.append(f'{name:28}' + _cells(values))
+  for word in ('in time', 'late', 'refused', 'lost'):
+    counts = []
+    for outcomes in outcomes_by_policy.values():
+      counts.append(str(sum(item.word == word for item in outcomes)))
+    lines.append(f'{word:28}' + _cells(counts))
+  return '\n'.join(lines)
+
+
+def _cells(values: list[str]) -> str:
+  return ''.join(value.rjust(17) for value in values)
+
+
+def by_step(outcomes: list[Outcome], step_s: float) -> list[float]:
+  """Returns what was earned in each step of time."""
+  groups: dict[int, list[Outcome]] = {}
+  for item in outcomes:
+    groups.setdefault(int(item.arrival.at_s / step_s), []).append(item)
+  return [earned(groups.get(n, [])) for n in range(max(groups) + 1)]
+
+
+@click.command()
+@click.option('--replay', 'path', default=str(FLOOD), help='Recorded load.')
+@click.option('--lag-ms', default=LAG_S * 1000, help="Age of others' work.")
+@click.option('--plot', default='', help='Where to write a plot, as SVG.')
+def main(path: str, lag_ms: float, plot: str):
+  """Plays all policies over a replay, and prints what each earned."""
+  try:
+    found = replay.read_replay(pathlib.Path(path))
+  except (OSError, replay.ReplayError) as error:
+    raise click.ClickException(str(error)) from error
+  outcomes_by_policy = {}
+  for name, policy in POLICY_BY_NAME.items():
+    trial = Trial(found, policy, lag_ms / 1000)
+    outcomes_by_policy[name] = trial.run()
+  click.echo(format_report(outcomes_by_policy))
+  if not plot:
+    return
+  step_s = 0.1
+  lines = {}
+  for name, outcomes in outcomes_by_policy.items():
+    lines[name] = by_step(outcomes, step_s)
+  pathlib.Path(plot).parent.mkdir(parents=True, exist_ok=True)
+  pathlib.Path(plot).write_text(
+      replay_plot.draw(lines, step_s, 'earned of what it is worth')
+  )
+
+
+if __name__ == '__main__':
+  main()
