One load client for both wires

Cause: duplicates showed fleet_client and load_client writing the sending, the timing and the result of a request twice. Change: load_client.Client has them; each wire makes its own progress and exchange. Ruled out: a flag in one class (the wires share no line of parsing). No code of the product changed.

--- a/standins/fleet_client.py
+++ b/standins/fleet_client.py
@@ -5,15 +5,13 @@
 `read` stream, `safe` and `unsafe` are plain.
 """
 
-import time
 from http import HTTPStatus
-from typing import NamedTuple
 
 import urllib3
 import xxhash
-from urllib3 import exceptions
 
 from standins import fleet_town
+from standins import load_client
 from standins import load_plan
 from standins import load_summary
 
@@ -31,45 +29,25 @@
 )
 
 
-class _Ending(NamedTuple):
-  outcome: str
-  status: int = 0
-  kind: str = ''
-  retry_after_s: float = 0.0
-
-
-class _Progress:
+class _EventProgress(load_client.Progress):
   """What has come of one stream."""
 
   def __init__(self, planned_at: float):
-    self._planned_at = planned_at
-    self._last_at = 0.0
+    super().__init__(planned_at)
     self._rest = b''
-    self.first_event_s = 0.0
-    self.gaps_s: list[float] = []
-    self.events = 0
     self.is_right = True
 
   def take(self, data: bytes) -> None:
     """Takes bytes of the stream."""
     *events, self._rest = (self._rest + data).split(b'\n\n')
     for event in events:
-      self.events += 1
-      wanted = b'id: %d\ndata: piece %d' % (self.events, self.events)
+      self.note_piece()
+      wanted = b'id: %d\ndata: piece %d' % (self.tokens, self.tokens)
       self.is_right &= event == wanted
-      self._note_time()
-
-  def _note_time(self) -> None:
-    now = time.monotonic()
-    if self.events > 1:
-      self.gaps_s.append(now - self._last_at)
-    else:
-      self.first_event_s = now - self._planned_at
-    self._last_at = now
 
 
-class FleetClient:
-  """Sends requests to gateways in turn, as a balancer does. Safe for threads.
+class FleetClient(load_client.Client):
+  """Sends requests to gateways in turn, as a balancer does.
 
   Attributes:
     ports: Ports of the gateways that are ready, on loopback.
@@ -88,30 +66,15 @@
         maxsize=CONNECTIONS_PER_GATEWAY, retries=False, timeout=TIMEOUT_S
     )
 
-  def run(
+  def _make_progress(
       self, arrival: load_plan.Arrival, planned_at: float
-  ) -> load_summary.Result:
-    """Sends one request and waits for its end.
-
-    Args:
-      arrival: The request.
-      planned_at: Monotonic time at which it was to be sent.
-    """
-    late_s = max(0.0, time.monotonic() - planned_at)
-    progress = _Progress(planned_at)
-    try:
-      ending = self._exchange(arrival, progress)
-    except exceptions.HTTPError as error:
-      outcome = load_summary.OUTCOME_FAILED
-      if progress.events:
-        outcome = load_summary.OUTCOME_CUT
-      ending = _Ending(outcome, 0, type(error).__name__)
-    total_s = time.monotonic() - planned_at
-    return _make_result(arrival, late_s, ending, progress, total_s)
+  ) -> load_client.Progress:
+    del arrival
+    return _EventProgress(planned_at)
 
   def _exchange(
-      self, arrival: load_plan.Arrival, progress: _Progress
-  ) -> _Ending:
+      self, arrival: load_plan.Arrival, progress: _EventProgress
+  ) -> load_client.Ending:
     port = self.ports[arrival.number % len(self.ports)]
     work_class = arrival.work_class
     response = self._pool.request(
@@ -132,14 +95,14 @@
       response.release_conn()
 
   def _read_stream(
-      self, response: urllib3.BaseHTTPResponse, progress: _Progress
-  ) -> _Ending:
+      self, response: urllib3.BaseHTTPResponse, progress: _EventProgress
+  ) -> load_client.Ending:
     for data in response.stream():
       progress.take(data)
     outcome = load_summary.OUTCOME_WRONG
-    if progress.is_right and progress.events == self._events:
+    if progress.is_right and progress.tokens == self._events:
       outcome = load_summary.OUTCOME_WHOLE
-    return _Ending(outcome, response.status)
+    return load_client.Ending(outcome, response.status)
 
 
 def request_id(arrival: load_plan.Arrival) -> str:
@@ -174,51 +137,21 @@
 
 def _read_plain(
     response: urllib3.BaseHTTPResponse, arrival: load_plan.Arrival
-) -> _Ending:
+) -> load_client.Ending:
   outcome = load_summary.OUTCOME_WRONG
   if response.read().endswith(b':' + request_id(arrival).encode()):
     outcome = load_summary.OUTCOME_WHOLE
-  return _Ending(outcome, response.status)
+  return load_client.Ending(outcome, response.status)
 
 
-def _refusal(response: urllib3.BaseHTTPResponse) -> _Ending:
+def _refusal(response: urllib3.BaseHTTPResponse) -> load_client.Ending:
   outcome = load_summary.OUTCOME_FAILED
   if response.status in _NOT_RUN_STATUS:
     outcome = load_summary.OUTCOME_REFUSED
   retry_after_s = float(response.headers.get('Retry-After', '0'))
-  return _Ending(outcome, response.status, str(response.status), retry_after_s)
-
-
-def _make_result(
-    arrival: load_plan.Arrival,
-    late_s: float,
-    ending: _Ending,
-    progress: _Progress,
-    total_s: float,
-) -> load_summary.Result:
-  work_class = arrival.work_class
-  is_whole = ending.outcome == load_summary.OUTCOME_WHOLE
-  is_in_time = is_whole and total_s <= work_class.deadline_s
-  if work_class.first_token_s:
-    is_in_time &= progress.first_event_s <= work_class.first_token_s
   run = ''
-  if ending.outcome == load_summary.OUTCOME_REFUSED:
-    run = 'not_run'
-  return load_summary.Result(
-      number=arrival.number,
-      work_class=work_class.name,
-      tenant=work_class.tenant,
-      rank=work_class.rank,
-      at_s=arrival.at_s,
-      late_s=late_s,
-      outcome=ending.outcome,
-      status=ending.status,
-      kind=ending.kind,
-      run=run,
-      retry_after_s=ending.retry_after_s,
-      first_token_s=progress.first_event_s,
-      total_s=total_s,
-      gaps_s=tuple(progress.gaps_s),
-      tokens=progress.events,
-      is_in_time=is_in_time,
+  if outcome == load_summary.OUTCOME_REFUSED:
+    run = load_client.RUN_NOT_RUN
+  return load_client.Ending(
+      outcome, response.status, str(response.status), run, retry_after_s
   )
--- a/standins/load_client.py
+++ b/standins/load_client.py
@@ -1,5 +1,6 @@
 """One request of a load run: sends it, and checks its answer by token."""
 
+import abc
 import itertools
 import time
 from collections.abc import Iterator
@@ -43,7 +44,7 @@
 _event_decoder = msgspec.json.Decoder(_Event)
 
 
-class _Ending(NamedTuple):
+class Ending(NamedTuple):
   """How a request ended."""
 
   outcome: str
@@ -53,20 +54,43 @@
   retry_after_s: float = 0.0
 
 
-class _Progress:
-  """What has been received of one answer."""
+class Progress:
+  """What has been received of one answer.
+
+  Attributes:
+    first_token_s: Time from the planned arrival to the first piece, 0 before.
+    gaps_s: Times between pieces.
+    tokens: Pieces received.
+  """
+
+  def __init__(self, planned_at: float):
+    self._planned_at = planned_at
+    self._last_at = 0.0
+    self.first_token_s = 0.0
+    self.gaps_s: list[float] = []
+    self.tokens = 0
+
+  def note_piece(self) -> None:
+    """Notes that one more piece is here."""
+    now = time.monotonic()
+    if self.tokens:
+      self.gaps_s.append(now - self._last_at)
+    else:
+      self.first_token_s = now - self._planned_at
+    self._last_at = now
+    self.tokens += 1
+
+
+class _TokenProgress(Progress):
+  """What has been received of one answer, token by token."""
 
   def __init__(self, arrival: load_plan.Arrival, planned_at: float):
+    super().__init__(planned_at)
     work_class = arrival.work_class
-    self._planned_at = planned_at
     self._source = answers.TokenSource(
         work_class.model, work_class.adapter, arrival.prompt
     )
     self._end = answers.expected_end(arrival.prompt, work_class.max_tokens)
-    self._last_at = 0.0
-    self.first_token_s = 0.0
-    self.gaps_s: list[float] = []
-    self.tokens = 0
     self.finish_reason = ''
 
   def take(self, choice: _Choice) -> bool:
@@ -79,13 +103,7 @@
       return True
     if text != self._source.token(self.tokens):
       return False
-    now = time.monotonic()
-    if self.tokens:
-      self.gaps_s.append(now - self._last_at)
-    else:
-      self.first_token_s = now - self._planned_at
-    self._last_at = now
-    self.tokens += 1
+    self.note_piece()
     return True
 
   def is_whole(self) -> bool:
@@ -93,8 +111,48 @@
     return (self.tokens, self.finish_reason) == self._end
 
 
-class LoadClient:
-  """Sends requests to entries in turn, as a balancer does. Safe for threads."""
+class Client(abc.ABC):
+  """Sends requests of a plan. Safe for threads."""
+
+  def run(
+      self, arrival: load_plan.Arrival, planned_at: float
+  ) -> load_summary.Result:
+    """Sends one request and waits for its end.
+
+    Args:
+      arrival: The request.
+      planned_at: Monotonic time at which it was to be sent.
+    """
+    late_s = max(0.0, time.monotonic() - planned_at)
+    progress = self._make_progress(arrival, planned_at)
+    try:
+      ending = self._exchange(arrival, progress)
+    except exceptions.HTTPError as error:
+      # A stream that breaks after its first token was cut.
+      outcome = load_summary.OUTCOME_FAILED
+      if progress.tokens:
+        outcome = load_summary.OUTCOME_CUT
+      ending = Ending(outcome, 0, type(error).__name__)
+    total_s = time.monotonic() - planned_at
+    return _make_result(arrival, late_s, ending, progress, total_s)
+
+  @abc.abstractmethod
+  def _make_progress(
+      self, arrival: load_plan.Arrival, planned_at: float
+  ) -> Progress:
+    """Makes what keeps track of an answer."""
+
+  @abc.abstractmethod
+  def _exchange(self, arrival: load_plan.Arrival, progress: Progress) -> Ending:
+    """Sends a request and reads its answer.
+
+    Raises:
+      urllib3.exceptions.HTTPError: It broke off.
+    """
+
+
+class LoadClient(Client):
+  """Sends requests to entries in turn, as a balancer does."""
 
   def __init__(self, urls: list[str], source_ip: str = ''):
     """Makes the client.
@@ -112,32 +170,18 @@
         timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
     )
 
-  def run(
+  def _make_progress(
       self, arrival: load_plan.Arrival, planned_at: float
-  ) -> load_summary.Result:
-    """Sends one request and waits for its end.
+  ) -> Progress:
+    return _TokenProgress(arrival, planned_at)
 
-    Args:
-      arrival: The request.
-      planned_at: Monotonic time at which it was to be sent.
-    """
-    late_s = max(0.0, time.monotonic() - planned_at)
-    progress = _Progress(arrival, planned_at)
+  def _exchange(self, arrival: load_plan.Arrival, progress: Progress) -> Ending:
+    response = self._send(arrival)
     try:
-      response = self._send(arrival)
-      try:
-        ending = _read_answer(response, progress)
-      finally:
-        # One that was read to its end is back in the pool already.
-        response.close()
-    except exceptions.HTTPError as error:
-      # A stream that breaks after its first token was cut.
-      outcome = load_summary.OUTCOME_FAILED
-      if progress.tokens:
-        outcome = load_summary.OUTCOME_CUT
-      ending = _Ending(outcome, 0, type(error).__name__)
-    total_s = time.monotonic() - planned_at
-    return _make_result(arrival, late_s, ending, progress, total_s)
+      return _read_answer(response, progress)
+    finally:
+      # One that was read to its end is back in the pool already.
+      response.close()
 
   def _send(self, arrival: load_plan.Arrival) -> urllib3.BaseHTTPResponse:
     """Sends to the next entry that takes the connection."""
@@ -184,8 +228,8 @@
 
 
 def _read_answer(
-    response: urllib3.BaseHTTPResponse, progress: _Progress
-) -> _Ending:
+    response: urllib3.BaseHTTPResponse, progress: _TokenProgress
+) -> Ending:
   if response.status != HTTPStatus.OK:
     return _read_refusal(response)
   status = response.status
@@ -196,14 +240,14 @@
       outcome = load_summary.OUTCOME_CUT
       if run == RUN_NOT_RUN and not progress.tokens:
         outcome = load_summary.OUTCOME_REFUSED
-      return _Ending(outcome, status, kind, run)
+      return Ending(outcome, status, kind, run)
     for choice in event.get('choices', ()):
       if not progress.take(choice):
-        return _Ending(load_summary.OUTCOME_WRONG, status)
+        return Ending(load_summary.OUTCOME_WRONG, status)
   if progress.is_whole():
-    return _Ending(load_summary.OUTCOME_WHOLE, status)
+    return Ending(load_summary.OUTCOME_WHOLE, status)
   # It ended as if it were whole: worse than a cut that shows.
-  return _Ending(load_summary.OUTCOME_WRONG, status)
+  return Ending(load_summary.OUTCOME_WRONG, status)
 
 
 def _read_events(response: urllib3.BaseHTTPResponse) -> Iterator[_Event]:
@@ -229,12 +273,12 @@
     raise exceptions.ProtocolError('the stream ended without its marker')
 
 
-def _read_refusal(response: urllib3.BaseHTTPResponse) -> _Ending:
+def _read_refusal(response: urllib3.BaseHTTPResponse) -> Ending:
   try:
     error = _event_decoder.decode(response.read()).get('error', {})
   except msgspec.MsgspecError:
     error = {}
-  return _Ending(
+  return Ending(
       load_summary.OUTCOME_REFUSED,
       response.status,
       error.get('type', ''),
@@ -246,8 +290,8 @@
 def _make_result(
     arrival: load_plan.Arrival,
     late_s: float,
-    ending: _Ending,
-    progress: _Progress,
+    ending: Ending,
+    progress: Progress,
     total_s: float,
 ) -> load_summary.Result:
   work_class = arrival.work_class
