Changes in the store are told only by who is in contact with it

A relay that had not found the store again passed on another relay's word of a change; its members looked at once, did not know that the store had been away, and took what had lapsed for removed. The order of the two relays decides, hence once. Change: news of a change and the time in contact are told together or not at all. Before: the new test saw changes told by a host without the store.

--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -149,9 +149,11 @@
     told.suspects = list(state.quarantine.suspects(now))
     told.refused = list(state.quarantine.refused(now))
     told.is_leaving = state.is_leaving
-    told.changed_at = state.store_changed_at
     if state.watches_store and state.store_since:
       told.store_s = now - state.store_since
+      # Those who hear of a change look at once, and have to know by then that
+      # the store was away: both are told together or not at all.
+      told.changed_at = state.store_changed_at
     return told
 
   def _sign(self) -> peer_message.Told:
--- a/mulberrypick/platform/gateway_peers_test.py
+++ b/mulberrypick/platform/gateway_peers_test.py
@@ -85,6 +85,20 @@
     self.gateway.state.load_news.set()
     await self.until(lambda: other.state.book.find('desk-1') is None)
 
+  async def test_host_without_the_store_tells_of_no_changes_in_it(self):
+    # A member that heard of a change from a relay that had not found the store
+    # again took what had lapsed in the outage for removed.
+    state = self.gateway.state
+    now = asyncio.get_running_loop().time()
+    state.note_store_change('servers', 1_000_000)
+    state.store_since = None
+    told = self.gateway._peers._compose(now)
+    self.assertEqual((told.changed_at, told.store_s), ({}, 0.0))
+    state.store_since = now - 0.01
+    told = self.gateway._peers._compose(now)
+    self.assertIn('servers', told.changed_at)
+    self.assertGreater(told.store_s, 0.0)
+
   async def test_silent_host_is_not_counted(self):
     state = self.gateway.state
     now = asyncio.get_running_loop().time()
