The stand-in engine tells of the parts that it reads

Change: news by number, calls that wait, a gap that is told, too many waiting refused. The gateway does not ask for them: what hosts tell each other does the same without a call to an engine. Before: no answer of that kind. After: three tests of it pass. No code of the product changed.

--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import secrets
+import urllib.parse
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +16,10 @@
 
 _ID = b'X-Mulberrypick-Request-Id'
 _MARK = b'X-Mulberrypick-Server-Signature'
+_PART_EVENTS = b'/mulberrypick/kv-events'
+# Calls that wait for news of parts at most, and news that are kept.
+WAITING_MOST = 2
+EVENTS_KEPT = 500
 
 
 class Behaviour(NamedTuple):
@@ -77,6 +82,9 @@
     self._handles: set[str] = set()
     self._reading = asyncio.Lock()
     self._read_parts: set[str] = set()
+    self._part_events: list[list[object]] = []
+    self._part_news = asyncio.Event()
+    self._waiting = 0
     self._server = stream_server.StreamServer(self._handle, lambda *_: None)
 
   async def start(self, port: int) -> None:
@@ -119,6 +127,9 @@
       self.freed.append(received.target.decode().rpartition('/')[2])
       caller.write_answer(200, [], b'')
       return
+    if received.target.startswith(_PART_EVENTS):
+      await self._tell_parts(received, headers, caller)
+      return
     if received.target.startswith(b'/mulberrypick/'):
       self._manage(received, caller)
       return
@@ -216,6 +227,46 @@
       marks.append((b'Content-Encoding', b'gzip'))
     return marks
 
+  def _note_part(self, key: str, tokens: int) -> None:
+    last = self._part_events[-1][0] if self._part_events else 0
+    self._part_events.append([last + 1, '+', '', key, tokens, ''])
+    del self._part_events[:-EVENTS_KEPT]
+    self._part_news.set()
+
+  async def _tell_parts(
+      self,
+      received: stream_server.Received,
+      headers: dict[str, str],
+      caller: stream_server.ServerConnection,
+  ) -> None:
+    """Answers with the parts read since a number, or waits for the next."""
+    if self._waiting >= WAITING_MOST:
+      caller.write_answer(429, [(b'X-Mulberrypick-Not-Executed', b'1')], b'')
+      return
+    query = received.target.decode().partition('?')[2]
+    since = int(dict(urllib.parse.parse_qsl(query)).get('since', '0'))
+    wait_s = int(headers.get('wait-ms', '0')) / 1000
+    self._waiting += 1
+    try:
+      async with asyncio.timeout(wait_s):
+        while not self._part_events or self._part_events[-1][0] <= since:
+          self._part_news.clear()
+          await self._part_news.wait()
+    except TimeoutError:
+      # Nothing was read meanwhile; an empty list says so.
+      pass
+    finally:
+      self._waiting -= 1
+    events = [item for item in self._part_events if item[0] > since]
+    oldest = self._part_events[0][0] if self._part_events else 1
+    body = {
+        'epoch': self.born,
+        'nextPageToken': events[-1][0] if events else since,
+        'lost': since + 1 < oldest,
+        'events': events,
+    }
+    caller.write_answer(200, [], msgspec.json.encode(body))
+
   async def _read_prompt(self, headers: dict[str, str]) -> None:
     if not self.behaviour.rate:
       return
@@ -226,6 +277,7 @@
         if key in self._read_parts or not count:
           continue
         self._read_parts.add(key)
+        self._note_part(key, int(count))
         tokens += int(count)
       await asyncio.sleep(tokens / self.behaviour.rate)
 
--- /dev/null
+++ b/standins/fleet_replica_test.py
@@ -0,0 +1,67 @@
+"""The stand-in of a replica: what it tells of the parts that it reads."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from standins import fleet_replica
+from standins import fleet_town
+
+PROMPT = {'X-Mulberrypick-Prefix-Hash': 'aa:100,bb:50'}
+
+
+class PartEventsTest(unittest.IsolatedAsyncioTestCase):
+
+  async def asyncSetUp(self):
+    self.replica = fleet_replica.FleetReplica('e1', 'engine', 'decode')
+    self.replica.behaviour = fleet_replica.Behaviour(events=1, rate=1e6)
+    await self.replica.start(fleet_town.free_ports(1)[0])
+
+  async def asyncTearDown(self):
+    self.replica.stop()
+
+  async def ask(self, since: int, wait_ms: int = 0) -> dict:
+    answer = await fleet_town.call(
+        self.replica.port,
+        f'/mulberrypick/kv-events?since={since}',
+        '',
+        {'Wait-Ms': str(wait_ms)},
+        method='GET',
+    )
+    self.assertEqual(answer.status, 200)
+    return msgspec.json.decode(answer.body)
+
+  async def read(self) -> None:
+    await fleet_town.call(self.replica.port, '/ask/x', 'r1', PROMPT)
+
+  async def test_parts_are_told_once_and_in_order(self):
+    await self.read()
+    told = await self.ask(0)
+    self.assertEqual([item[3] for item in told['events']], ['aa', 'bb'])
+    self.assertFalse(told['lost'])
+    again = await self.ask(told['nextPageToken'])
+    self.assertEqual(again['events'], [])
+
+  async def test_a_call_waits_for_the_next_part(self):
+    waiting = asyncio.create_task(self.ask(0, 10_000))
+    async with asyncio.timeout(10):
+      while not self.replica._waiting:
+        await asyncio.sleep(0.005)
+    await self.read()
+    told = await waiting
+    self.assertGreaterEqual(len(told['events']), 1)
+
+  async def test_gap_is_told_and_too_many_waiting_are_refused(self):
+    for number in range(fleet_replica.EVENTS_KEPT + 1):
+      self.replica._note_part(f'p{number}', 1)
+    self.assertTrue((await self.ask(0))['lost'])
+    self.replica._waiting = fleet_replica.WAITING_MOST
+    answer = await fleet_town.call(
+        self.replica.port, '/mulberrypick/kv-events', '', method='GET'
+    )
+    self.assertEqual(answer.status, 429)
+
+
+if __name__ == '__main__':
+  unittest.main()
