Log breaks, the content hash of requests and told refusals

call_broke names incarnation, content hash and the verdict that follows; request_quarantined the host that told of a refusal; every line of a request that was not served has request_hash, and explain shows the lines of all hosts about the same content. The line of a caller that left now has the endpoint. No decision changes.

Tests of the gateway, its peers and the timeline pass; nothing else was run.

--- a/mulberrypick/core/request_timeline.py
+++ b/mulberrypick/core/request_timeline.py
@@ -45,10 +45,11 @@
     request_id: The request's id.
 
   Returns:
-    All lines of the request. Among them, each indented by two spaces, are other
-    lines that its hosts logged at about that time, see `CONTEXT_WINDOW_S`:
-    those about its endpoints, and those about no endpoint, for example about
-    the store or the configuration.
+    All lines of the request. Among them, each indented by two spaces, are the
+    lines of all hosts about requests with the same content, and other lines
+    that its hosts logged at about that time, see `CONTEXT_WINDOW_S`: those
+    about its endpoints, and those about no endpoint, for example about the
+    store or the configuration.
   """
   parsed = []
   for text in lines:
@@ -58,19 +59,26 @@
   own = [line for line in parsed if _mentions(line, request_id)]
   if not own:
     return []
-  endpoints, hosts = set(), set()
+  endpoints, hosts, hashes = set(), set(), set()
   for line in own:
+    hashes.add(line.value_by_field.get('request_hash', ''))
     hosts.add(line.value_by_field.get('host', ''))
     for field in ('endpoint', 'reader'):
       endpoints.add(line.value_by_field.get(field, ''))
   endpoints.discard('')
+  hashes.discard('')
   first, last = own[0].at_s, own[0].at_s
   for line in own:
     first, last = min(first, line.at_s), max(last, line.at_s)
   timeline = []
   for line in parsed:
     is_own = _mentions(line, request_id)
-    if not is_own and not _is_around(line, first, last, endpoints, hosts):
+    has_same_content = line.value_by_field.get('request_hash') in hashes
+    if not (
+        is_own
+        or has_same_content
+        or _is_around(line, first, last, endpoints, hosts)
+    ):
       continue
     timeline.append((line.at_s, '' if is_own else '  ', line))
   timeline.sort(key=lambda item: item[0])
--- a/mulberrypick/core/request_timeline_test.py
+++ b/mulberrypick/core/request_timeline_test.py
@@ -30,6 +30,19 @@
     self.assertIn('10:00:08.100 h1 call_retried reason=silent', timeline[1])
     self.assertIn('call_failed', timeline[2])
 
+  def test_lines_about_the_same_content_are_included_from_all_hosts(self):
+    same = (
+        'at="2026-01-01 10:00:01,000" level=INFO event=call_broke'
+        ' request=r3 request_hash=0a endpoint=e7 host=h3'
+    )
+    refused = (
+        'at="2026-01-01 10:00:30,000" level=INFO event=call_refused'
+        ' reason=crashes_endpoints request=r4 request_hash=0a host=h1'
+    )
+    timeline = request_timeline.build_timeline((*LINES, refused, same), 'r4')
+    self.assertEqual(len(timeline), 2)
+    self.assertIn('  10:00:01.000 h3 call_broke', timeline[0])
+
   def test_unknown_request(self):
     self.assertEqual(request_timeline.build_timeline(LINES, 'r7'), [])
 
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -42,7 +42,8 @@
     """Counts a decision, and logs it unless the rate limit is reached.
 
     Args:
-      outcome: `served`, `refused`, `failed`, `retried`, `left` or `cut`.
+      outcome: `served`, `refused`, `failed`, `retried`, `left`, `cut`, or
+        `broke` for an attempt whose connection to the endpoint broke off.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
@@ -77,3 +78,8 @@
     self._second = second
     self._lines = 0
     self._suppressed = 0
+
+
+def format_hash(fingerprint: int) -> str:
+  """Returns the fingerprint of a request as it is logged, 16 hex digits."""
+  return f'{fingerprint:016x}'
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -103,6 +103,9 @@
         self._fail(504, 'timeout')
         return
       self._refuse(request_placement.Refusal('timeout', None))
+    except asyncio.CancelledError:
+      self._log_decision('left', 'caller_left')
+      raise
 
   async def _run_attempts(self) -> None:
     reason = 'no_endpoint'
@@ -203,7 +206,7 @@
   ) -> tuple[str | None, _AttemptResult]:
     prefiller = placement.prefiller
     send = endpoint_send.EndpointSend(
-        self._state, prefiller, self._call, placement.tokens, 0
+        self._state, self._log, prefiller, self._call, placement.tokens, 0
     )
     self._state.record_parts(prefiller, self._call.parts, True)
     extra_headers = requests.prefill_headers()
@@ -228,7 +231,7 @@
       self._state.endpoints.record_success(prefiller)
       return handle, _AttemptResult(False, False, 'read')
     except errors.ExchangeBrokenError as error:
-      send.record_break(False)
+      send.record_break(error.reason, False)
       return None, _AttemptResult(False, False, f'read_{error.reason}', False)
     finally:
       send.close()
@@ -244,7 +247,7 @@
         self._call, bool(extra_headers)
     )
     send = endpoint_send.EndpointSend(
-        self._state, endpoint, self._call, tokens, decode_quarters
+        self._state, self._log, endpoint, self._call, tokens, decode_quarters
     )
     if self._service.is_engine:
       self._state.record_parts(endpoint, self._call.parts, not extra_headers)
@@ -263,7 +266,7 @@
       ran = result.outcome is endpoint_send.Outcome.BROKEN
       return _AttemptResult(False, ran, result.reason)
     except errors.ExchangeBrokenError as error:
-      send.record_break(self._stream.last_event is not None)
+      send.record_break(error.reason, self._stream.last_event is not None)
       return _AttemptResult(False, True, error.reason)
     finally:
       send.close()
@@ -418,6 +421,7 @@
         now,
         self._call.route.name,
         request=self._call.id,
+        request_hash=call_log.format_hash(self._call.fingerprint),
         after_s=round(now - self._call.arrived_at, 3),
         read_s=round(self._prefill_s, 3),
         first_s=round(self._first_event_s, 3),
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -10,6 +10,7 @@
 from mulberrypick.adapters import stream_client
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
+from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
@@ -67,12 +68,14 @@
   def __init__(
       self,
       state: gateway_state.GatewayState,
+      log: call_log.CallLog,
       endpoint: gateway_records.Endpoint,
       call: gateway_records.Call,
       tokens: int,
       decode_quarters: int,
   ):
     self._state = state
+    self._log = log
     self._endpoint = endpoint
     self._call = call
     self._tokens = tokens
@@ -125,7 +128,7 @@
       state.endpoints.record_failure(self._endpoint, loop.time())
       return SendResult(Outcome.BROKEN, 'silent')
     except errors.ExchangeBrokenError as error:
-      self.record_break(False)
+      self.record_break(error.reason, False)
       return SendResult(Outcome.BROKEN, error.reason)
     self.record_activity()
     return await self._evaluate_head(head, needs_signature)
@@ -148,14 +151,31 @@
     except TimeoutError as error:
       raise errors.ExchangeBrokenError('stalled') from error
 
-  def record_break(self, has_event: bool) -> None:
-    """Records that the response broke off."""
+  def record_break(self, reason: str, has_event: bool) -> None:
+    """Records that the response broke off.
+
+    Args:
+      reason: Identifier of the cause, for logs.
+      has_event: Whether an event of the response had arrived.
+    """
     now = asyncio.get_running_loop().time()
     name, started_ms = self._endpoint.incarnation
     self._state.endpoints.record_failure(self._endpoint, now)
     self._state.quarantine.record_broken_attempt(
         name, started_ms, self._call.fingerprint, has_event, now
     )
+    self._log.record(
+        'broke',
+        reason,
+        now,
+        self._call.route.name,
+        request=self._call.id,
+        request_hash=call_log.format_hash(self._call.fingerprint),
+        endpoint=name,
+        started_ms=started_ms,
+        has_event=has_event,
+        verdict=self._state.quarantine.verdict(self._call.fingerprint, now),
+    )
 
   def record_prefill(self, tokens_ahead: int) -> None:
     """Records that prefill finished; updates the endpoint's prefill rate."""
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -20,6 +20,8 @@
 from mulberrypick.core import engine_load
 from mulberrypick.core import load_sum
 from mulberrypick.core import peer_topology
+from mulberrypick.core import quarantine
+from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import peer_links
 from mulberrypick.ops import peer_message
@@ -285,6 +287,16 @@
             endpoint=name,
             reason='peer',
         )
+    for fingerprint in message.refused:
+      if state.quarantine.verdict(fingerprint, now) == quarantine.REFUSED:
+        continue
+      logs.log_event(
+          _log,
+          logging.INFO,
+          'request_quarantined',
+          request_hash=call_log.format_hash(fingerprint),
+          source=message.host,
+      )
     state.quarantine.update_peer(
         tuple(message.suspects), tuple(message.refused), now
     )
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -74,23 +74,20 @@
       return
     verdict = state.quarantine.verdict(call.fingerprint, now)
     if verdict == quarantine.REFUSED:
-      self._refuse(caller, 503, 'crashes_endpoints', headers.id, None)
+      request_hash = call_log.format_hash(call.fingerprint)
+      self._refuse(
+          caller,
+          503,
+          'crashes_endpoints',
+          headers.id,
+          None,
+          request_hash=request_hash,
+      )
       return
     run = call_run.CallRun(
         state, self._log, self._metrics, call, service, received, caller
     )
-    try:
-      await run.run()
-    except asyncio.CancelledError:
-      self._metrics.observe_call(
-          route,
-          'left',
-          asyncio.get_running_loop().time() - received.received_at,
-      )
-      self._log.record(
-          'left', 'caller_left', now, route.name, request=headers.id
-      )
-      raise
+    await run.run()
 
   async def answer_ready(
       self,
@@ -114,9 +111,10 @@
       reason: str,
       request_id: str,
       retry_after_s: float | None,
+      **fields: object,
   ) -> None:
     now = asyncio.get_running_loop().time()
-    self._log.record('refused', reason, now, '', request=request_id)
+    self._log.record('refused', reason, now, '', request=request_id, **fields)
     failure_response.write_failure(
         caller, status, reason, request_id, retry_after_s
     )
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -188,6 +188,7 @@
           logging.INFO,
           'endpoint_usable',
           endpoint=endpoint.name,
+          started_ms=endpoint.started_ms,
           service=endpoint.service,
       )
     if endpoint.is_leaving:
