--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -58,6 +58,37 @@
       )
     self.assertEqual(quarantine.REFUSED, found.verdict(CRASHING, 1.0))
 
+  def test_crashing_request_is_refused_although_another_shared_its_crashes(
+      self,
+  ):
+    for has_token in (False, True):
+      found = quarantine.Quarantine()
+      for second, endpoint in enumerate(('e1', 'e2', 'e3')):
+        for fingerprint in (CONCURRENT, CRASHING):
+          found.record_broken_attempt(
+              endpoint, 1, fingerprint, has_token, 5.0 * second
+          )
+      self.assertEqual(quarantine.REFUSED, found.verdict(CRASHING, 11.0))
+
+  def test_no_request_is_blamed_for_two_crashes_that_another_shared(self):
+    found = quarantine.Quarantine()
+    for second, endpoint in enumerate(('e1', 'e2')):
+      for fingerprint in (CONCURRENT, CRASHING):
+        found.record_broken_attempt(
+            endpoint, 1, fingerprint, False, 5.0 * second
+        )
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CONCURRENT, 5.1))
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CRASHING, 5.1))
+
+  def test_second_crash_beside_other_failures_counts(self):
+    # Three endpoints at once look like a failed network.
+    found = quarantine.Quarantine()
+    found.record_broken_attempt('e1', 1, CRASHING, False, 0.0)
+    found.record_broken_attempt('e2', 1, CRASHING, False, 10.0)
+    found.record_broken_attempt('e3', 1, CONCURRENT, False, 10.1)
+    found.record_broken_attempt('e4', 1, OTHER, False, 10.2)
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHING, 10.3))
+
   def test_an_endpoint_that_reports_afterwards_did_not_crash(self):
     found = quarantine.Quarantine()
     found.record_broken_attempt('e1', 1, CONCURRENT, False, 0.0)
--- /dev/null
+++ b/mulberrypick/platform/gateway_crash_test.py
@@ -0,0 +1,171 @@
+"""Tests of gateways that receive a request which crashes endpoints.
+
+The caller sends the request again and again, each time with a new id and to
+another gateway.
+"""
+
+import asyncio
+import unittest
+
+from mulberrypick.core import quarantine
+from mulberrypick.platform import gateway_test
+from standins import crash_point
+from standins import gateway_cluster
+
+# Time after the third crash in which gateways may still send the request.
+STABLE_S = 3.0
+# Requests that may reach endpoints later than that.
+MAX_LATE_RETRIES = 3
+INTERVAL_S = 0.9
+# Long enough for three crashes, `STABLE_S` and more than `MAX_LATE_RETRIES`.
+DURATION_S = 12.0
+HEADERS = {
+    'X-Mulberrypick-Deadline-Ms': '1400',
+    'X-Mulberrypick-Token-Usage': '9000,100',
+    'X-Mulberrypick-Prefix-Hash': 'aa:5000,bb:4000',
+}
+POINT = crash_point.CrashPoint
+
+
+class CrashTestCase(gateway_test.GatewayTestCase):
+  """Runs `hosts` gateways, and sends requests that crash endpoints."""
+
+  hosts = 1
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    self.sent = 0
+    for number in (3, 4):
+      await self.cluster.add(f'desk-{number}', 'desk')
+      await self.cluster.add(f'writer-{number}', 'engine', 'decode')
+    names = [f'host-{number}' for number in range(2, self.hosts + 1)]
+    await asyncio.gather(*(self.start_gateway(name) for name in names))
+    for gateway in self.gateway_by_name.values():
+      await self.wait_until(lambda g=gateway: self.knows_all(g))
+
+  def knows_all(self, gateway) -> bool:
+    state = gateway.state
+    return state.hosts == self.hosts and len(list(state.endpoints.all())) == 9
+
+  async def send_at(
+      self,
+      number: int,
+      path: str,
+      body: bytes,
+      disconnect_after_s: float | None = None,
+  ) -> gateway_cluster.Answer:
+    """Sends a request with a new id to the gateway of that number."""
+    gateways = list(self.gateway_by_name.values())
+    port = gateways[number % len(gateways)].state.host.listen_port
+    self.sent += 1
+    return await gateway_cluster.call(
+        port,
+        path,
+        f'r{self.sent}',
+        HEADERS,
+        body,
+        disconnect_after_s=disconnect_after_s,
+    )
+
+  async def send_to_all_in_turn(
+      self, path: str, body: bytes, disconnect_after_s: float | None
+  ) -> None:
+    """Sends a request every `INTERVAL_S`, each time to the next gateway."""
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    calls = []
+    while loop.time() - began_at < DURATION_S:
+      call = self.send_at(len(calls), path, body, disconnect_after_s)
+      calls.append(loop.create_task(call))
+      await asyncio.sleep(INTERVAL_S)
+    await asyncio.gather(*calls)
+
+  def count_late_retries(self) -> int:
+    """Returns how many requests reached endpoints too late."""
+    if len(self.cluster.crashed_at) < 3:
+      return 0
+    third_at = self.cluster.crashed_at[2]
+    late = set()
+    for at, request in self.cluster.crashing_arrivals():
+      if at > third_at + STABLE_S:
+        late.add(request)
+    return len(late)
+
+  async def check_point(
+      self,
+      path: str,
+      point: crash_point.CrashPoint,
+      disconnect_after_s: float | None = None,
+  ) -> None:
+    """Checks that a crashing request reaches few endpoints."""
+    body = crash_point.CRASH_MARKER + point.value.encode()
+    await self.send_to_all_in_turn(path, body, disconnect_after_s)
+    crashes = len(self.cluster.crashed_at)
+    self.assertGreaterEqual(crashes, 2)
+    self.assertLessEqual(
+        self.count_late_retries(), MAX_LATE_RETRIES, f'{crashes} crashes'
+    )
+    # Other requests of the same caller are served.
+    answer = await self.send_at(0, path, b'sound')
+    self.assertEqual(answer.status, 200)
+
+
+class OneHostTest(CrashTestCase):
+
+  async def test_request_that_crashes_before_its_answer(self):
+    await self.check_point('/unsafe/x', POINT.RUN)
+
+  async def test_request_that_crashes_after_some_events(self):
+    await self.check_point('/ask/x', POINT.STREAM)
+
+  async def test_request_that_crashes_during_prefill(self):
+    await self.check_point('/read/x', POINT.PREFILL)
+
+  async def test_refused_request_is_not_sent_after_a_broken_prefill(self):
+    for number in range(2, 5):
+      name = f'reader-{number}'
+      await self.cluster.add(name, 'engine', 'prefill')
+      await self.wait_until(
+          lambda n=name: self.gateway.state.endpoints.find(n) is not None
+      )
+    await self.send_at(0, '/read/x', b'crash=prefill')
+    self.assertLessEqual(
+        len(self.cluster.crashed_at), quarantine.CRASHES_TO_REFUSE
+    )
+
+
+class SilentCrashTest(CrashTestCase):
+  """The connections to a crashed endpoint stay open."""
+
+  async def test_request_that_crashes_before_its_answer(self):
+    await self.check_point('/safe/x', POINT.SILENT_RUN)
+
+  async def test_request_that_crashes_after_some_events(self):
+    await self.check_point('/read/x', POINT.SILENT_STREAM)
+
+  async def test_request_whose_caller_left(self):
+    await self.check_point('/unsafe/x', POINT.SILENT_RUN, 0.3)
+
+
+class NineHostsTest(CrashTestCase):
+
+  hosts = 9
+
+  async def test_request_that_crashes_before_its_answer(self):
+    await self.check_point('/unsafe/x', POINT.RUN)
+
+  async def test_request_that_crashes_after_some_events(self):
+    await self.check_point('/read/x', POINT.STREAM)
+
+
+class ThirtyHostsTest(CrashTestCase):
+  """Relays forward between groups what a gateway learned."""
+
+  hosts = 30
+
+  async def test_request_that_crashes_before_its_answer(self):
+    await self.check_point('/unsafe/x', POINT.RUN)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -39,28 +39,10 @@
         )
     )
     await super().asyncSetUp()
-    self.running_by_name = {}
-    self.gateway_by_name = {'host-1': self.gateway}
     for number in range(2, HOSTS + 1):
       await self.start_gateway(f'host-{number}')
     await self.wait_until(self.have_groups_formed)
 
-  async def start_gateway(self, name: str):
-    host = self.cluster.make_host(name)
-    seeds = (f'127.0.0.1:{self.host.peer_port}',)
-    gateway = gateway_app.Gateway(host._replace(seeds=seeds))
-    running = asyncio.create_task(gateway.run())
-    self.gateway_by_name[name] = gateway
-    self.running_by_name[name] = running
-    await self.wait_until(lambda: gateway.state.is_ready)
-
-    async def stop():
-      running.cancel()
-      await asyncio.gather(running, return_exceptions=True)
-      gateway.close()
-
-    self.addAsyncCleanup(stop)
-
   def have_groups_formed(self) -> bool:
     roles = [self.neighbors(name).role for name in self.gateway_by_name]
     counts = {g.state.hosts for g in self.gateway_by_name.values()}
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -19,6 +19,8 @@
     self.host = self.cluster.make_host()
     self.gateway = gateway_app.Gateway(self.host)
     self.running = asyncio.create_task(self.gateway.run())
+    self.gateway_by_name = {self.host.name: self.gateway}
+    self.running_by_name = {}
     await self.wait_until(lambda: self.gateway.state.is_ready)
     await self.wait_until(
         lambda: len(list(self.gateway.state.endpoints.all())) == 5
@@ -30,6 +32,25 @@
     self.gateway.close()
     self.cluster.stop()
 
+  async def start_gateway(self, name: str) -> gateway_app.Gateway:
+    """Starts another gateway and stops it after the test."""
+    seeds = (f'127.0.0.1:{self.host.peer_port}',)
+    gateway = gateway_app.Gateway(
+        self.cluster.make_host(name)._replace(seeds=seeds)
+    )
+    running = asyncio.create_task(gateway.run())
+    self.running_by_name[name] = running
+    self.gateway_by_name[name] = gateway
+    await self.wait_until(lambda: gateway.state.is_ready)
+
+    async def stop():
+      running.cancel()
+      await asyncio.gather(running, return_exceptions=True)
+      gateway.close()
+
+    self.addAsyncCleanup(stop)
+    return gateway
+
   async def wait_until(self, condition):
     async with asyncio.timeout(WAIT_TIMEOUT_S):
       while not condition():
--- a/mulberrypick/platform/platform_test.py
+++ b/mulberrypick/platform/platform_test.py
@@ -134,6 +134,11 @@
         requests.fingerprint(first), requests.fingerprint(other)
     )
 
+  def test_repeat_with_other_prompt_parts_has_the_same_fingerprint(self):
+    first = make_received((b'X-Mulberrypick-Prefix-Hash', b'aa:8,bb:4'))
+    again = make_received((b'X-Mulberrypick-Prefix-Hash', b'aa:8,cc:4'))
+    self.assertEqual(requests.fingerprint(first), requests.fingerprint(again))
+
   def test_responses_to_other_requests_are_detected(self):
     own = (b'X-Mulberrypick-Request-Id', b'r1')
     head = stream_client.Head(200, [own], False)
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -8,11 +8,13 @@
 import collections
 import secrets
 import urllib.parse
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
 
 from mulberrypick.adapters import stream_server
+from standins import crash_point
 
 _REQUEST_ID = b'X-Mulberrypick-Request-Id'
 _SIGNATURE = b'X-Mulberrypick-Server-Signature'
@@ -75,6 +77,9 @@
     port: Port that it listens on, 0 before the start.
     born: Epoch of its KV events and `born` of its entry. Increases with every
       start of the replica.
+    on_crash: Called after a request crashed the replica.
+    crashing_arrivals: Time, on the event loop's clock, and id of each received
+      request with `crash_point.CRASH_MARKER`.
   """
 
   def __init__(self, name: str, service: str, stage: str = ''):
@@ -92,6 +97,9 @@
     self.orders: list[dict[str, object]] = []
     self.port = 0
     self.born = 1
+    self.on_crash: Callable[[FleetReplica], None] = lambda replica: None
+    self.crashing_arrivals: list[tuple[float, str]] = []
+    self._is_down = False
     self._handles: set[str] = set()
     self._prefill_lock = asyncio.Lock()
     self._cached_parts: set[str] = set()
@@ -111,6 +119,24 @@
     for connection in list(self._server.connections):
       connection.abort()
 
+  async def _crash_at(
+      self, body: bytes, *points: crash_point.CrashPoint
+  ) -> None:
+    """Crashes if the body of a request names one of the points.
+
+    After a crash it does not return.
+    """
+    point = crash_point.parse_body(body)
+    if point in points and not self._is_down:
+      self._is_down = True
+      if point.is_silent:
+        self._server.stop_listening()
+      else:
+        self.stop()
+      self.on_crash(self)
+    if self._is_down:
+      await asyncio.Event().wait()
+
   def entry(self, state: str = 'ready') -> dict[str, object]:
     """Returns the entry of this replica in the store."""
     entry = {
@@ -133,6 +159,7 @@
       received: stream_server.ReceivedRequest,
       caller: stream_server.ServerConnection,
   ) -> None:
+    await self._crash_at(b'')
     headers = {}
     for name, value in received.headers:
       headers[name.decode().lower()] = value.decode()
@@ -149,6 +176,8 @@
     self.arrivals += 1
     self.arrived_at = asyncio.get_running_loop().time()
     request = headers.get('x-mulberrypick-request-id', '')
+    if crash_point.parse_body(received.body) is not None:
+      self.crashing_arrivals.append((self.arrived_at, request))
     self.headers_by_request[request] = headers
     self.body_by_request[request] = received.body
     expected = headers.get('x-mulberrypick-expect-instance')
@@ -165,7 +194,7 @@
       self._refuse(caller, request)
       return
     try:
-      await self._run(request, headers, caller)
+      await self._run(request, headers, received.body, caller)
     except asyncio.CancelledError:
       self.aborted_requests.append(request)
       raise
@@ -195,9 +224,11 @@
       self,
       request: str,
       headers: dict[str, str],
+      body: bytes,
       caller: stream_server.ServerConnection,
   ) -> None:
     if headers.get('x-mulberrypick-stage') == 'prefill':
+      await self._crash_at(body, crash_point.CrashPoint.PREFILL)
       await self._answer_prefill(request, headers, caller)
       return
     source = headers.get('x-mulberrypick-kv-source')
@@ -209,8 +240,12 @@
     if mode == 'mute':
       await asyncio.Event().wait()
     if not source:
+      await self._crash_at(body, crash_point.CrashPoint.PREFILL)
       await self._prefill_prompt(headers)
     await asyncio.sleep(self.behaviour.work_s)
+    await self._crash_at(
+        body, crash_point.CrashPoint.RUN, crash_point.CrashPoint.SILENT_RUN
+    )
     if mode == 'reset':
       caller.abort()
       return
@@ -220,14 +255,14 @@
       caller.write_response(200, stray, b'foreign body')
     if self.stage:
       start = int(headers.get('last-event-id', '0'))
-      await self._stream(answer_headers, start, caller)
+      await self._stream(answer_headers, start, body, caller)
       return
-    body = f'{self.name}:{request}'.encode()
+    answer = f'{self.name}:{request}'.encode()
     if mode == 'unframed':
       caller.write_head(200, answer_headers, True)
-      caller.write(body)
+      caller.write(answer)
       return
-    caller.write_response(self.behaviour.status, answer_headers, body)
+    caller.write_response(self.behaviour.status, answer_headers, answer)
     if mode == 'extra':
       caller.write_response(200, [(_REQUEST_ID, b'foreign')], b'foreign body')
 
@@ -321,6 +356,7 @@
       self,
       answer_headers: list[tuple[bytes, bytes]],
       start: int,
+      body: bytes,
       caller: stream_server.ServerConnection,
   ) -> None:
     answer_headers = [
@@ -336,6 +372,13 @@
         return
       if self.behaviour.mode == 'still' and number == start + 3:
         await asyncio.Event().wait()
+      if number == start + crash_point.EVENTS_BEFORE_CRASH + 1:
+        await self._crash_at(
+            body,
+            crash_point.CrashPoint.STREAM,
+            crash_point.CrashPoint.SILENT_STREAM,
+        )
+      await self._crash_at(b'')
       event = b'id: %d\ndata: piece %d\n\n' % (number, number)
       caller.write(b'%x\r\n%s\r\n' % (len(event), event))
       await asyncio.sleep(self.behaviour.event_interval_s)
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -10,6 +10,10 @@
 from standins import fleet_store
 
 HOST = 'town.example'
+# Time after a crash at which the entry of a replica expires.
+ENTRY_EXPIRY_S = 0.4
+# Time after a crash at which a replica restarts.
+RESTART_S = 0.8
 
 
 class Answer(NamedTuple):
@@ -97,11 +101,15 @@
 
   Attributes:
     store: The store.
-    replica_by_name: All replicas that were started.
+    replica_by_name: All replicas that were started, the last one of each name.
+    crashed_at: Times of crashes caused by requests, on the event loop's clock.
   """
 
   def __init__(self):
     self.store = fleet_store.FleetStore()
+    self.crashed_at: list[float] = []
+    self._restarts: list[asyncio.Task] = []
+    self._crashed: list[fleet_replica.FleetReplica] = []
     self.replica_by_name: dict[str, fleet_replica.FleetReplica] = {}
 
   async def start(self) -> None:
@@ -122,14 +130,41 @@
   ) -> fleet_replica.FleetReplica:
     """Starts a replica and lists it in the store."""
     replica = fleet_replica.FleetReplica(name, service, stage)
+    replica.on_crash = self._handle_crash
+    previous = self.replica_by_name.get(name)
+    if previous is not None:
+      replica.born = previous.born + 1
+      replica.behaviour = previous.behaviour
     await replica.start(free_ports(1)[0])
     self.replica_by_name[name] = replica
     self.store.put('servers', name, replica.entry())
     return replica
 
+  def crashing_arrivals(self) -> list[tuple[float, str]]:
+    """Returns when crashing requests arrived, and their ids, in order."""
+    arrivals = []
+    for replica in (*self._crashed, *self.replica_by_name.values()):
+      arrivals += replica.crashing_arrivals
+    return sorted(set(arrivals))
+
+  def _handle_crash(self, replica: fleet_replica.FleetReplica) -> None:
+    """Lets the entry of a crashed replica expire, and restarts the replica."""
+    loop = asyncio.get_running_loop()
+    self.crashed_at.append(loop.time())
+    self._crashed.append(replica)
+    self._restarts.append(loop.create_task(self._restart(replica)))
+
+  async def _restart(self, replica: fleet_replica.FleetReplica) -> None:
+    await asyncio.sleep(ENTRY_EXPIRY_S)
+    self.store.remove('servers', replica.name)
+    await asyncio.sleep(RESTART_S - ENTRY_EXPIRY_S)
+    await self.add(replica.name, replica.service, replica.stage)
+
   def stop(self) -> None:
     """Stops all replicas and the store."""
-    for replica in self.replica_by_name.values():
+    for restart in self._restarts:
+      restart.cancel()
+    for replica in (*self._crashed, *self.replica_by_name.values()):
       replica.stop()
     self.store.stop()
 
