Judge a request by all known crashes, not by the order of their records

Callers saw (BUDGET): a request that had crashed endpoints was sent on, while one that ran beside it was refused for ten minutes.

Cause: the quarantine decided at each record. Of two requests that broke off in the same two crashes the first one recorded was the only one with a second crash at that moment: it was refused, and the crashes that explained it were deleted from the other, whose count began anew.

Crashes are now records of incarnations and the requests involved, and the state of a request is a function of them, whatever the order. After two crashes a request is refused only if no other repeated request shares one; after three in any case, unless another one was part of all of them and of more.

One check was wrong and is replaced by a stricter one: a request with crashes of e2 and e3 was taken to be clear once e3 proved alive. Nothing disproved the crash of e2; it stays a suspect until e2 proves alive too.

--- /dev/null
+++ b/mulberrypick/core/crash_evidence.py
@@ -0,0 +1,141 @@
+"""Records which requests ran on which endpoints when these crashed."""
+
+import collections
+from typing import NamedTuple
+
+# Requests that are tracked. If there are more, those that were part of only one
+# crash are dropped first, the oldest first.
+MAX_TRACKED = 2000
+
+# Name of an endpoint, and its incarnation.
+IncarnationKey = tuple[str, int]
+
+
+class Involvement(NamedTuple):
+  """How a request was involved in a crash.
+
+  Attributes:
+    has_token: Whether it had generated a token before; most crashes happen
+      during prefill.
+    is_own: Whether this host saw its attempt break off.
+  """
+
+  has_token: bool
+  is_own: bool
+
+
+class Crash:
+  """The crash of one incarnation of an endpoint.
+
+  Attributes:
+    key: The incarnation. It can crash only once.
+    began_at: Time at which the first attempt broke off.
+    involved_by_hash: The requests that ran there, by fingerprint.
+    disproved_at: Latest time at which the incarnation is known to have been
+      alive, so that breaks before it were no crash.
+  """
+
+  def __init__(self, key: IncarnationKey, began_at: float):
+    self.key = key
+    self.began_at = began_at
+    self.involved_by_hash: dict[int, Involvement] = {}
+    self.disproved_at = float('-inf')
+
+
+class CrashEvidence:
+  """Crashes, and the requests that were involved in them."""
+
+  def __init__(self):
+    self._crash_by_key: dict[IncarnationKey, Crash] = {}
+    self._crashes_by_hash: collections.OrderedDict[int, list[Crash]] = (
+        collections.OrderedDict()
+    )
+
+  def add(
+      self,
+      key: IncarnationKey,
+      fingerprint: int,
+      involved: Involvement,
+      at: float,
+  ) -> bool:
+    """Adds a request that was involved in a crash; returns whether it is new.
+
+    Args:
+      key: The incarnation that crashed.
+      fingerprint: The request.
+      involved: How it was involved.
+      at: When its attempt broke off.
+    """
+    crash = self._crash_by_key.get(key)
+    if crash is None:
+      crash = self._crash_by_key[key] = Crash(key, at)
+    if at <= crash.disproved_at:
+      return False
+    if not crash.involved_by_hash:
+      crash.began_at = at
+    crash.began_at = min(crash.began_at, at)
+    old = crash.involved_by_hash.get(fingerprint)
+    if old is None:
+      self._crashes_by_hash.setdefault(fingerprint, []).append(crash)
+      self._drop_excess()
+    else:
+      involved = Involvement(
+          old.has_token or involved.has_token, old.is_own or involved.is_own
+      )
+    crash.involved_by_hash[fingerprint] = involved
+    return involved != old
+
+  def find(self, key: IncarnationKey) -> Crash | None:
+    """Returns the crash of an incarnation, None if none is known."""
+    crash = self._crash_by_key.get(key)
+    return crash if crash is not None and crash.involved_by_hash else None
+
+  def crashes(self, fingerprint: int) -> list[Crash]:
+    """Returns the crashes in which a request was involved."""
+    return self._crashes_by_hash.get(fingerprint, [])
+
+  def fingerprints(self) -> list[int]:
+    """Returns all requests that were involved in a crash, oldest first."""
+    return list(self._crashes_by_hash)
+
+  def disprove(self, key: IncarnationKey, alive_at: float) -> None:
+    """Drops a crash because its incarnation was alive later."""
+    crash = self._crash_by_key[key]
+    crash.disproved_at = max(crash.disproved_at, alive_at)
+    for fingerprint in list(crash.involved_by_hash):
+      self._remove(crash, fingerprint)
+
+  def withdraw_own(self, key: IncarnationKey) -> None:
+    """Removes from a crash the requests that only this host reported."""
+    crash = self._crash_by_key[key]
+    for fingerprint, involved in list(crash.involved_by_hash.items()):
+      if involved.is_own:
+        self._remove(crash, fingerprint)
+
+  def drop(self, fingerprint: int) -> None:
+    """Removes a request from all crashes."""
+    for crash in self._crashes_by_hash.pop(fingerprint, ()):
+      crash.involved_by_hash.pop(fingerprint, None)
+
+  def expire(self, before: float) -> None:
+    """Forgets crashes without requests that began before a time."""
+    for key, crash in list(self._crash_by_key.items()):
+      if not crash.involved_by_hash and crash.began_at < before:
+        del self._crash_by_key[key]
+
+  def _remove(self, crash: Crash, fingerprint: int) -> None:
+    del crash.involved_by_hash[fingerprint]
+    crashes = self._crashes_by_hash[fingerprint]
+    crashes.remove(crash)
+    if not crashes:
+      del self._crashes_by_hash[fingerprint]
+
+  def _drop_excess(self) -> None:
+    if len(self._crashes_by_hash) <= MAX_TRACKED:
+      return
+    oldest = next(iter(self._crashes_by_hash))
+    for fingerprint, crashes in self._crashes_by_hash.items():
+      if len(crashes) == 1:
+        oldest = fingerprint
+        break
+    self.drop(oldest)
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -3,14 +3,20 @@
 When attempts break off on an endpoint, every request that ran there becomes a
 suspect. A suspect is retried in isolation: on an endpoint that runs no other
 suspect. A second crash therefore identifies the request that caused both: it
-is refused from then on, and the requests that ran beside it are cleared. Hosts
-exchange their suspects and refused requests, so that a request that its caller
-sends again to another host is recognized there.
+is refused from then on, and the requests that ran beside it are cleared. If
+another request was part of several crashes too, the second crash does not tell
+which of them is the cause. Each of them is then refused after its third crash,
+unless one of the others was part of these crashes and of more.
 
 A request that had generated tokens before the crash is a weak suspect, because
 most crashes happen during prefill. Weak suspects are not isolated before their
 second crash, and are refused after the third.
 
+The state of a request is computed from the known crashes each time, so that it
+does not depend on the order in which the attempts of one crash are recorded.
+Hosts exchange their suspects and refused requests, so that a request that its
+caller sends again to another host is recognized there.
+
 Requests are identified by a hash of their content, as the caller makes a new
 id each time. If several endpoints break off at once and have no request in
 common, the network failed: nobody is suspected. An incarnation that sends a
@@ -19,7 +25,8 @@
 """
 
 import collections
-from typing import NamedTuple
+
+from mulberrypick.core import crash_evidence
 
 # A suspect is cleared this long after its last crash.
 SUSPECT_TTL_S = 60.0
@@ -34,9 +41,14 @@
 MIN_NETWORK_FAILURE_ENDPOINTS = 3
 # Uncertainty of the age of a load report.
 ALIVE_MARGIN_S = 0.1
+# Crashes after which a request is refused if it is the only suspect.
 CRASHES_TO_REFUSE = 2
-MAX_TRACKED = 2000
+# Crashes after which a request is refused in any case.
+MAX_CRASHES = 3
+MAX_TRACKED = crash_evidence.MAX_TRACKED
 MAX_ANNOUNCED = 100
+# Interval between two removals of expired suspects.
+EXPIRY_INTERVAL_S = 1.0
 
 CLEAR = 'clear'
 SUSPECT = 'suspect'
@@ -44,54 +56,20 @@
 REFUSED = 'refused'
 
 
-class Suspect(NamedTuple):
-  """A request that ran on an endpoint that crashed.
-
-  Attributes:
-    crashes: Numbers of the crashes during which it ran.
-    is_strong: Whether it had generated no token in any of them; most crashes
-      happen during prefill.
-    seen_at: Time of the last crash.
-  """
-
-  crashes: tuple[int, ...]
-  is_strong: bool
-  seen_at: float
-
-
-class Crash(NamedTuple):
-  """Attempts that broke off together on one endpoint.
-
-  Attributes:
-    number: Sequence number of the crash.
-    endpoint: The endpoint.
-    incarnation: The incarnation that ran the attempts.
-    began_at: Time at which the first attempt broke off.
-    hashes: Hashes of the requests that ran there; grows while attempts of this
-      crash end.
-  """
-
-  number: int
-  endpoint: str
-  incarnation: int
-  began_at: float
-  hashes: set[int]
-
-
 class Quarantine:
   """Tracks suspected and refused requests."""
 
   def __init__(self):
-    self._suspect_by_hash: collections.OrderedDict[int, Suspect] = (
-        collections.OrderedDict()
-    )
-    self._refused_until: collections.OrderedDict[int, float] = (
+    self._evidence = crash_evidence.CrashEvidence()
+    # When the first attempt of this host broke off in each recent crash.
+    self._own_break_at: collections.OrderedDict[
+        crash_evidence.IncarnationKey, float
+    ] = collections.OrderedDict()
+    self._refused_by_peer_until: collections.OrderedDict[int, float] = (
         collections.OrderedDict()
     )
-    self._crashes_by_refused: dict[int, tuple[int, ...]] = {}
     self._peer_suspect_until: dict[int, float] = {}
-    self._crashes: collections.deque[Crash] = collections.deque(maxlen=64)
-    self._count = 0
+    self._expired_at = float('-inf')
 
   def record_broken_attempt(
       self,
@@ -110,46 +88,33 @@
       has_token: Whether the attempt had generated a token.
       now: Monotonic time.
     """
-    crash = self._find_crash(endpoint, incarnation, now)
-    crash.hashes.add(fingerprint)
+    self._expire(now)
+    key = (endpoint, incarnation)
+    involved = crash_evidence.Involvement(has_token, True)
+    self._evidence.add(key, fingerprint, involved, now)
+    self._own_break_at.setdefault(key, now)
     if self._is_network(now):
-      self._withdraw_crashes({crash.number for crash in self._recent(now)})
-      return
-    old = self._suspect_by_hash.get(fingerprint)
-    if old is None or now - old.seen_at > SUSPECT_TTL_S:
-      old = Suspect((), True, now)
-    if crash.number in old.crashes:
-      return
-    crashes = (*old.crashes, crash.number)
-    suspect = Suspect(crashes, old.is_strong and not has_token, now)
-    self._suspect_by_hash[fingerprint] = suspect
-    if len(self._suspect_by_hash) > MAX_TRACKED:
-      self._suspect_by_hash.popitem(last=False)
-    if len(crashes) >= CRASHES_TO_REFUSE:
-      self._refuse_repeated(crash.number, now)
+      for recent in self._recent(now):
+        self._evidence.withdraw_own(recent)
 
   def record_alive(
       self, endpoint: str, incarnation: int, alive_at: float
   ) -> None:
-    """Withdraws the crashes after which an incarnation was still alive.
+    """Withdraws the crash of an incarnation that was alive after it.
 
     Args:
       endpoint: The endpoint.
       incarnation: Its incarnation.
       alive_at: Time at which it was known to be alive.
     """
-    numbers = set()
-    for crash in self._crashes:
-      if crash.endpoint != endpoint or crash.incarnation != incarnation:
-        continue
-      if alive_at > crash.began_at + ALIVE_MARGIN_S:
-        numbers.add(crash.number)
-    if numbers:
-      self._withdraw_crashes(numbers)
+    key = (endpoint, incarnation)
+    crash = self._evidence.find(key)
+    if crash is not None and alive_at > crash.began_at + ALIVE_MARGIN_S:
+      self._evidence.disprove(key, alive_at)
 
   def record_completion(self, fingerprint: int) -> None:
     """Clears a request that ran to its end without a crash."""
-    self._suspect_by_hash.pop(fingerprint, None)
+    self._evidence.drop(fingerprint)
 
   def update_peer(
       self, suspects: tuple[int, ...], refused: tuple[int, ...], now: float
@@ -158,8 +123,10 @@
     for fingerprint in suspects:
       self._peer_suspect_until[fingerprint] = now + PEER_TTL_S
     for fingerprint in refused:
-      if fingerprint not in self._refused_until:
-        self._refuse(fingerprint, now)
+      if self._refused_by_peer_until.get(fingerprint, 0.0) <= now:
+        self._refused_by_peer_until[fingerprint] = now + QUARANTINE_S
+    while len(self._refused_by_peer_until) > MAX_TRACKED:
+      self._refused_by_peer_until.popitem(last=False)
     if len(self._peer_suspect_until) > MAX_TRACKED:
       self._expire_peer_suspects(now)
 
@@ -171,111 +138,131 @@
       `TRIED_BY_PEER` for one that a peer is retrying in isolation; `REFUSED`
       for one that must not run.
     """
-    until = self._refused_until.get(fingerprint)
-    if until is not None and now < until:
+    if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
       return REFUSED
-    suspect = self._suspect_by_hash.get(fingerprint)
-    if suspect is not None and now - suspect.seen_at < SUSPECT_TTL_S:
-      return SUSPECT
+    crashes = self._evidence.crashes(fingerprint)
+    if crashes:
+      if self._is_cause(fingerprint) and now < self._expires_at(fingerprint):
+        return REFUSED
+      if self._is_suspect(fingerprint, now):
+        return SUSPECT
     if self._peer_suspect_until.get(fingerprint, 0.0) > now:
       return TRIED_BY_PEER
     return CLEAR
 
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
-    suspect = self._suspect_by_hash.get(fingerprint)
-    if suspect is None:
+    crashes = self._evidence.crashes(fingerprint)
+    if not crashes:
       return False
-    return suspect.is_strong or len(suspect.crashes) >= CRASHES_TO_REFUSE
+    return len(crashes) >= CRASHES_TO_REFUSE or _is_strong(fingerprint, crashes)
 
   def suspects(self, now: float) -> tuple[int, ...]:
     """Returns the suspects of this host, to be sent to peers."""
     suspects = []
-    for fingerprint, suspect in self._suspect_by_hash.items():
-      if now - suspect.seen_at < SUSPECT_TTL_S:
+    for fingerprint in self._evidence.fingerprints():
+      if self._is_suspect(fingerprint, now) and not self._is_cause(fingerprint):
         suspects.append(fingerprint)
     return tuple(suspects[-MAX_ANNOUNCED:])
 
   def refused(self, now: float) -> tuple[int, ...]:
     """Returns the refused requests, to be sent to peers."""
     refused = []
-    for fingerprint, until in self._refused_until.items():
+    for fingerprint, until in self._refused_by_peer_until.items():
       if now < until:
         refused.append(fingerprint)
+    for fingerprint in self._evidence.fingerprints():
+      if self._is_cause(fingerprint) and now < self._expires_at(fingerprint):
+        refused.append(fingerprint)
     return tuple(refused[-MAX_ANNOUNCED:])
 
-  def _find_crash(self, endpoint: str, incarnation: int, now: float) -> Crash:
-    for crash in reversed(self._crashes):
-      if now - crash.began_at > CRASH_WINDOW_S:
-        break
-      if crash.endpoint == endpoint:
-        return crash
-    self._count += 1
-    crash = Crash(self._count, endpoint, incarnation, now, set())
-    self._crashes.append(crash)
-    return crash
+  def _is_cause(self, fingerprint: int) -> bool:
+    """Returns whether a request is taken to be the cause of its crashes."""
+    crashes = self._evidence.crashes(fingerprint)
+    if len(crashes) < CRASHES_TO_REFUSE:
+      return False
+    common = set(crashes[0].involved_by_hash)
+    for crash in crashes[1:]:
+      common.intersection_update(crash.involved_by_hash)
+    for other in common:
+      if len(self._evidence.crashes(other)) > len(crashes):
+        return False
+    if len(crashes) >= MAX_CRASHES:
+      return True
+    if not self._is_repeated(fingerprint):
+      return False
+    for crash in crashes:
+      for other in crash.involved_by_hash:
+        if other != fingerprint and self._is_repeated(other):
+          return False
+    return True
+
+  def _is_repeated(self, fingerprint: int) -> bool:
+    """Returns whether a request may be the only cause of several crashes.
+
+    A weak suspect did not run in isolation before its second crash.
+    """
+    crashes = self._evidence.crashes(fingerprint)
+    if len(crashes) < CRASHES_TO_REFUSE:
+      return False
+    return len(crashes) >= MAX_CRASHES or _is_strong(fingerprint, crashes)
+
+  def _is_suspect(self, fingerprint: int, now: float) -> bool:
+    """Returns whether a crash of a request has no other known cause."""
+    crashes = self._evidence.crashes(fingerprint)
+    if now - max(crash.began_at for crash in crashes) >= SUSPECT_TTL_S:
+      return False
+    for crash in crashes:
+      others = (h for h in crash.involved_by_hash if h != fingerprint)
+      if not any(self._is_cause(other) for other in others):
+        return True
+    return False
+
+  def _expires_at(self, fingerprint: int) -> float:
+    """Returns when a request that was involved in crashes is forgotten."""
+    crashes = self._evidence.crashes(fingerprint)
+    ttl_s = QUARANTINE_S if self._is_cause(fingerprint) else SUSPECT_TTL_S
+    return max(crash.began_at for crash in crashes) + ttl_s
+
+  def _expire(self, now: float) -> None:
+    if now - self._expired_at < EXPIRY_INTERVAL_S:
+      return
+    self._expired_at = now
+    for fingerprint in self._evidence.fingerprints():
+      if now >= self._expires_at(fingerprint):
+        self._evidence.drop(fingerprint)
+    self._evidence.expire(now - QUARANTINE_S)
 
   def _is_network(self, now: float) -> bool:
     recent = self._recent(now)
     if len(recent) < MIN_NETWORK_FAILURE_ENDPOINTS:
       return False
-    count = sum(len(crash.hashes) for crash in recent)
-    return count == len(set().union(*(crash.hashes for crash in recent)))
-
-  def _recent(self, now: float) -> list[Crash]:
-    recent = []
-    for crash in self._crashes:
-      if now - crash.began_at <= CRASH_WINDOW_S:
-        recent.append(crash)
-    return recent
-
-  def _withdraw_crashes(self, numbers: set[int]) -> None:
-    """Clears the requests that are suspected or refused for these crashes."""
-    for fingerprint, suspect in list(self._suspect_by_hash.items()):
-      left = tuple(n for n in suspect.crashes if n not in numbers)
-      if left:
-        kept = suspect._replace(crashes=left)
-        self._suspect_by_hash[fingerprint] = kept
-      else:
-        del self._suspect_by_hash[fingerprint]
-    for fingerprint, crashes in list(self._crashes_by_refused.items()):
-      if numbers.intersection(crashes):
-        del self._crashes_by_refused[fingerprint]
-        self._refused_until.pop(fingerprint, None)
-
-  def _refuse_repeated(self, number: int, now: float) -> None:
-    """Refuses the request behind repeated crashes, if there is only one."""
-    repeated = []
-    for fingerprint, suspect in self._suspect_by_hash.items():
-      is_part = number in suspect.crashes
-      if is_part and len(suspect.crashes) >= CRASHES_TO_REFUSE:
-        repeated.append(fingerprint)
-    strong = []
-    for fingerprint in repeated:
-      suspect = self._suspect_by_hash[fingerprint]
-      # A weak suspect, one that had generated tokens before a crash, did not
-      # run in isolation before its second crash.
-      if suspect.is_strong or len(suspect.crashes) > CRASHES_TO_REFUSE:
-        strong.append(fingerprint)
-    repeated = strong
-    if len(repeated) != 1:
-      return
-    (found,) = repeated
-    explained = set(self._suspect_by_hash[found].crashes)
-    del self._suspect_by_hash[found]
-    self._crashes_by_refused[found] = tuple(explained)
-    self._refuse(found, now)
-    for fingerprint, suspect in list(self._suspect_by_hash.items()):
-      if explained.issuperset(suspect.crashes):
-        del self._suspect_by_hash[fingerprint]
-
-  def _refuse(self, fingerprint: int, now: float) -> None:
-    self._refused_until[fingerprint] = now + QUARANTINE_S
-    if len(self._refused_until) > MAX_TRACKED:
-      old, _ = self._refused_until.popitem(last=False)
-      self._crashes_by_refused.pop(old, None)
+    seen: set[int] = set()
+    for key in recent:
+      crash = self._evidence.find(key)
+      hashes = crash.involved_by_hash if crash is not None else ()
+      if not seen.isdisjoint(hashes):
+        return False
+      seen.update(hashes)
+    return True
+
+  def _recent(self, now: float) -> list[crash_evidence.IncarnationKey]:
+    """Returns the endpoints on which attempts of this host broke off lately."""
+    while self._own_break_at:
+      key, began_at = next(iter(self._own_break_at.items()))
+      if now - began_at <= CRASH_WINDOW_S:
+        break
+      del self._own_break_at[key]
+    return list(self._own_break_at)
 
   def _expire_peer_suspects(self, now: float) -> None:
     for fingerprint, until in list(self._peer_suspect_until.items()):
       if until <= now:
         del self._peer_suspect_until[fingerprint]
+
+
+def _is_strong(fingerprint: int, crashes: list[crash_evidence.Crash]) -> bool:
+  for crash in crashes:
+    if crash.involved_by_hash[fingerprint].has_token:
+      return False
+  return True
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -98,6 +98,8 @@
     found.record_broken_attempt('e3', 1, CONCURRENT, False, 15.0)
     self.assertEqual(quarantine.REFUSED, found.verdict(CONCURRENT, 15.1))
     found.record_alive('e3', 1, 15.5)
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CONCURRENT, 16.0))
+    found.record_alive('e2', 1, 15.5)
     self.assertEqual(quarantine.CLEAR, found.verdict(CONCURRENT, 16.0))
 
   def test_a_new_incarnation_or_an_old_report_clears_no_suspect(self):
