Keep a request's crashes when unrelated endpoints fail beside the last one

Callers saw (BUDGET): a request that was refused after its second crash was sent on.

Cause: attempts that break off on three endpoints within 1.5 s with no request in common count as a failed network, and all of them are withdrawn. Only these three were compared, so a crash that the request had caused earlier on another endpoint was not seen as something in common. With 18 endpoints that crash and return, two unrelated failures beside it are usual.

The failures now count as a network failure only if none of the requests there was part of another crash, also an earlier one. A failed network breaks off requests that broke off nowhere else; test_a_failed_network_makes_no_suspects still holds. Tests of quarantine, dispatcher and policy trial pass.

--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -18,8 +18,9 @@
 caller sends again to another host is recognized there.
 
 Requests are identified by a hash of their content, as the caller makes a new
-id each time. If several endpoints break off at once and have no request in
-common, the network failed: nobody is suspected. An incarnation that sends a
+id each time. If several endpoints break off at once and none of the requests
+there was part of another crash, now or before, the network failed: nobody is
+suspected. An incarnation that sends a
 load report after the break did not crash either: an attempt that was given up
 because the endpoint was silent says nothing about the request.
 """
@@ -36,8 +37,8 @@
 PEER_TTL_S = 3.0
 # Attempts that break off on one endpoint within this time are one crash.
 CRASH_WINDOW_S = 1.5
-# If attempts break off on this many endpoints within `CRASH_WINDOW_S`, with no
-# request in common, the network is taken to have failed.
+# If attempts break off on this many endpoints within `CRASH_WINDOW_S`, and none
+# of the requests was part of two crashes, the network is taken to have failed.
 MIN_NETWORK_FAILURE_ENDPOINTS = 3
 # Uncertainty of the age of a load report.
 ALIVE_MARGIN_S = 0.1
@@ -237,13 +238,12 @@
     recent = self._recent(now)
     if len(recent) < MIN_NETWORK_FAILURE_ENDPOINTS:
       return False
-    seen: set[int] = set()
     for key in recent:
       crash = self._evidence.find(key)
       hashes = crash.involved_by_hash if crash is not None else ()
-      if not seen.isdisjoint(hashes):
-        return False
-      seen.update(hashes)
+      for fingerprint in hashes:
+        if len(self._evidence.crashes(fingerprint)) > 1:
+          return False
     return True
 
   def _recent(self, now: float) -> list[crash_evidence.IncarnationKey]:
