Ask the quarantine before every further send of a request

Callers saw (BUDGET): one request whose prefill crashed engines was sent to four of them within milliseconds, although it was refused after the second.

Cause: the verdict of the quarantine was asked only after an attempt that may have run. A prefill that breaks off is no run, so the request was retried until MAX_SENDS.

The verdict is now asked first, whatever the attempt was. Tests of the gateway (28) and of crashes at one host (4) pass.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -145,13 +145,13 @@
 
   def _may_retry(self, attempt: _AttemptResult) -> bool:
     now = asyncio.get_running_loop().time()
+    verdict = self._state.quarantine.verdict(self._call.fingerprint, now)
+    if verdict == quarantine.REFUSED:
+      return False
     if attempt.may_have_run:
       route = self._call.route
       if not route.is_idempotent or self._runs >= route.attempts:
         return False
-      verdict = self._state.quarantine.verdict(self._call.fingerprint, now)
-      if verdict == quarantine.REFUSED:
-        return False
     # A failed connection sent nothing, so that a retry adds no load unless the
     # prompt was prefilled before.
     if attempt.reason == 'connect' and not self._has_prefilled:
