Recognize a repeat whose prompt parts differ

Suspected, not seen by callers: a crashing request that returns with the same path, caller and body, but other prompt parts, counts as a new one, so no count of crashes adds up (BUDGET).

Cause: the fingerprint hashed the header with the prompt parts, besides method, path, caller and body. The platform promises that a repeat keeps path, caller and body; it says nothing of headers.

Evidence: test_repeat_with_other_prompt_parts_has_the_same_fingerprint failed before (two hashes) and passes.

The fingerprint now covers method, path, caller and body.

--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -77,14 +77,14 @@
 
 
 def fingerprint(received: stream_server.ReceivedRequest) -> int:
-  """Hashes content and caller, to recognize a repeated crashing request."""
+  """Hashes content and caller, to recognize a repeated crashing request.
+
+  A repeat has the same path, caller and body; its headers may differ.
+  """
   digest = xxhash.xxh3_64(received.method)
   digest.update(received.target)
   digest.update(received.peer.encode())
   digest.update(received.body)
-  for name, value in received.headers:
-    if name.lower() == protocol.PROMPT_PARTS:
-      digest.update(value)
   return digest.intdigest()
 
 
