Count the crashes that a request caused over all hosts

Cause: a bound over all hosts, kept by a count on each. A host refused a request after two crashes (three after tokens) that it had seen itself. Peers told each other whom they suspect, which no count used, and a refusal only once one of them had counted enough. With one crash on each host nobody did.

Why it works: hosts send each other the crashes that they saw, as a set of (incarnation, request), and merge by union, so that a report that comes twice or by two relays counts once. The verdict is a function of the merged set.

The messages of different versions of the gateway cannot be read by each other any more: two lists of hashes gave way to one list of reports.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -6,6 +6,9 @@
 # Requests that are tracked. If there are more, those that were part of only one
 # crash are dropped first, the oldest first.
 MAX_TRACKED = 2000
+# Longest delay of a report between two hosts, by which the time of a crash may
+# be taken for a later one.
+REPORT_DELAY_S = 1.0
 
 # Name of an endpoint, and its incarnation.
 IncarnationKey = tuple[str, int]
@@ -18,10 +21,12 @@
     has_token: Whether it had generated a token before; most crashes happen
       during prefill.
     is_own: Whether this host saw its attempt break off.
+    source: Name of the other host that reported it first, empty without one.
   """
 
   has_token: bool
   is_own: bool
+  source: str = ''
 
 
 class Crash:
@@ -50,6 +55,9 @@
     self._crashes_by_hash: collections.OrderedDict[int, list[Crash]] = (
         collections.OrderedDict()
     )
+    self._cleared_at: collections.OrderedDict[int, float] = (
+        collections.OrderedDict()
+    )
 
   def add(
       self,
@@ -71,6 +79,8 @@
       crash = self._crash_by_key[key] = Crash(key, at)
     if at <= crash.disproved_at:
       return False
+    if at <= self._cleared_at.get(fingerprint, float('-inf')):
+      return False
     if not crash.involved_by_hash:
       crash.began_at = at
     crash.began_at = min(crash.began_at, at)
@@ -80,10 +90,12 @@
       self._drop_excess()
     else:
       involved = Involvement(
-          old.has_token or involved.has_token, old.is_own or involved.is_own
+          old.has_token or involved.has_token,
+          old.is_own or involved.is_own,
+          old.source or involved.source,
       )
     crash.involved_by_hash[fingerprint] = involved
-    return involved != old
+    return old is None or involved.has_token != old.has_token
 
   def find(self, key: IncarnationKey) -> Crash | None:
     """Returns the crash of an incarnation, None if none is known."""
@@ -109,9 +121,20 @@
     """Removes from a crash the requests that only this host reported."""
     crash = self._crash_by_key[key]
     for fingerprint, involved in list(crash.involved_by_hash.items()):
-      if involved.is_own:
+      if not involved.source:
         self._remove(crash, fingerprint)
 
+  def clear(self, fingerprint: int) -> None:
+    """Drops a request from its crashes for good: it was not their cause."""
+    crashes = self._crashes_by_hash.get(fingerprint)
+    if not crashes:
+      return
+    last = max(crash.began_at for crash in crashes)
+    self._cleared_at[fingerprint] = last + REPORT_DELAY_S
+    if len(self._cleared_at) > MAX_TRACKED:
+      self._cleared_at.popitem(last=False)
+    self.drop(fingerprint)
+
   def drop(self, fingerprint: int) -> None:
     """Removes a request from all crashes."""
     for crash in self._crashes_by_hash.pop(fingerprint, ()):
--- /dev/null
+++ b/mulberrypick/core/crash_exchange_test.py
@@ -0,0 +1,183 @@
+"""Tests of the exchange of crashes between many hosts."""
+
+import unittest
+
+from mulberrypick.core import crash_exchange
+from mulberrypick.core import quarantine
+
+CRASHING, OTHER_CRASHING, CONCURRENT = 1, 2, 3
+INTERVAL_S = 4.0
+REPEATS = 40
+
+
+class Fleet:
+  """Hosts that receive requests which crash endpoints, and report crashes.
+
+  With `relays`, host 0 and a few others forward the reports of their groups.
+
+  Attributes:
+    now: The time.
+    crashed_by_hash: Number of endpoints that each request crashed.
+  """
+
+  def __init__(self, hosts: int, group_size: int = 0):
+    self.now = 0.0
+    self.crashed_by_hash: dict[int, int] = {}
+    self.hosts = [quarantine.Quarantine() for _ in range(hosts)]
+    self._group_size = group_size
+    self._endpoints = 0
+
+  def crash(self, host: int, has_token: bool, *fingerprints: int) -> None:
+    """Runs requests together on a new endpoint; the first one crashes it.
+
+    Those that the host refuses do not run.
+    """
+    found = self.hosts[host]
+    running = []
+    for fingerprint in fingerprints:
+      if found.verdict(fingerprint, self.now) != quarantine.REFUSED:
+        running.append(fingerprint)
+    if not running or running[0] != fingerprints[0]:
+      return
+    self._endpoints += 1
+    crashed = self.crashed_by_hash.get(fingerprints[0], 0)
+    self.crashed_by_hash[fingerprints[0]] = crashed + 1
+    for fingerprint in running:
+      found.record_broken_attempt(
+          f'e{self._endpoints}', 1, fingerprint, has_token, self.now
+      )
+
+  def exchange(self, excluded: tuple[int, ...] = ()) -> None:
+    """Delivers what all hosts have to send, but not to or from `excluded`."""
+    self.now += 0.05
+    for sender, host in enumerate(self.hosts):
+      reports = host.exchange.take_reports(self.now)
+      for receiver in self._receivers(sender):
+        if sender not in excluded and receiver not in excluded:
+          self.hosts[receiver].exchange.merge(
+              reports, f'h{sender}', self._is_relay(receiver), self.now
+          )
+
+  def _is_relay(self, host: int) -> bool:
+    return bool(self._group_size) and host % self._group_size == 0
+
+  def _receivers(self, sender: int) -> list[int]:
+    others = [h for h in range(len(self.hosts)) if h != sender]
+    if not self._group_size:
+      return others
+    own_relay = sender - sender % self._group_size
+    if not self._is_relay(sender):
+      return [own_relay]
+    return [
+        h
+        for h in others
+        if self._is_relay(h) or h - h % self._group_size == sender
+    ]
+
+  def settle(self) -> None:
+    """Exchanges until reports passed two relays."""
+    for _ in range(4):
+      self.exchange()
+
+
+class CrashExchangeTest(unittest.TestCase):
+
+  def test_crashes_do_not_grow_with_the_number_of_hosts(self):
+    for hosts, group_size in ((1, 0), (6, 0), (9, 0), (30, 10), (91, 10)):
+      for has_token, allowed in ((False, 2), (True, 3)):
+        with self.subTest(hosts=hosts, has_token=has_token):
+          fleet = Fleet(hosts, group_size)
+          for number in range(REPEATS):
+            fleet.crash(number % hosts, has_token, CRASHING)
+            fleet.settle()
+            fleet.now += INTERVAL_S
+          self.assertEqual(fleet.crashed_by_hash[CRASHING], allowed)
+
+  def test_crashes_at_several_hosts_before_any_report_arrives(self):
+    fleet = Fleet(9)
+    for host in range(9):
+      fleet.crash(host, False, CRASHING)
+    fleet.settle()
+    for host in range(9):
+      fleet.crash(host, False, CRASHING)
+    self.assertEqual(fleet.crashed_by_hash[CRASHING], 9)
+
+  def test_two_crashing_requests_at_once(self):
+    fleet = Fleet(9)
+    for number in range(REPEATS):
+      fleet.crash(number % 9, True, CRASHING)
+      fleet.crash((number + 4) % 9, True, OTHER_CRASHING)
+      fleet.settle()
+      fleet.now += INTERVAL_S
+    self.assertEqual(fleet.crashed_by_hash, {CRASHING: 3, OTHER_CRASHING: 3})
+
+  def test_hosts_that_restart_learn_of_the_refusal(self):
+    fleet = Fleet(9)
+    for number in range(REPEATS):
+      fleet.crash(number % 9, True, CRASHING)
+      fleet.settle()
+      fleet.hosts[(number + 1) % 9] = quarantine.Quarantine()
+      for _ in range(25):
+        fleet.exchange()
+      fleet.now += INTERVAL_S
+    self.assertEqual(fleet.crashed_by_hash[CRASHING], 3)
+
+  def test_hosts_that_were_cut_off_learn_of_the_refusal(self):
+    fleet = Fleet(9)
+    for number in range(3):
+      fleet.crash(number, True, CRASHING)
+      for _ in range(4):
+        fleet.exchange(excluded=(7, 8))
+    fleet.now += 60.0
+    for _ in range(25):
+      fleet.exchange()
+    for host in range(9):
+      fleet.crash(host, True, CRASHING)
+    self.assertEqual(fleet.crashed_by_hash[CRASHING], 3)
+
+  def test_concurrent_requests_on_all_hosts_are_not_refused(self):
+    fleet = Fleet(9)
+    concurrent = [100 + number for number in range(20)]
+    for number in range(REPEATS):
+      fleet.crash(number % 9, True, CRASHING, *concurrent[number::REPEATS])
+      fleet.settle()
+      fleet.now += INTERVAL_S
+    self.assertEqual(fleet.crashed_by_hash[CRASHING], 3)
+    for host in fleet.hosts:
+      for fingerprint in concurrent:
+        self.assertNotEqual(
+            host.verdict(fingerprint, fleet.now), quarantine.REFUSED
+        )
+
+  def test_reports_of_a_crash_that_is_known_add_nothing(self):
+    fleet = Fleet(3)
+    fleet.crash(0, False, CRASHING)
+    reports = fleet.hosts[0].exchange.take_reports(0.0)
+    for source in ('h0', 'h2', 'h0'):
+      fleet.hosts[1].exchange.merge(reports, source, False, 0.1)
+    self.assertEqual(fleet.hosts[1].verdict(CRASHING, 0.2), quarantine.SUSPECT)
+    self.assertEqual(len(fleet.hosts[1].crashes(CRASHING)), 1)
+
+  def test_messages_are_empty_without_crashes_and_bounded_with_many(self):
+    fleet = Fleet(1)
+    host = fleet.hosts[0]
+    self.assertEqual(host.exchange.take_reports(0.0), [])
+    for number in range(4):
+      for fingerprint in range(500):
+        host.record_broken_attempt(f'e{number}', 1, fingerprint, False, 1.0)
+    host.exchange.take_reports(2.0)
+    repeated = set()
+    for report in host.exchange.take_reports(4.0):
+      repeated.update(report.fingerprints)
+    self.assertEqual(len(repeated), crash_exchange.MAX_REPEATED)
+
+  def test_reports_of_old_crashes_are_ignored(self):
+    host = quarantine.Quarantine()
+    report = crash_exchange.CrashReport(
+        'e1', 1, crash_exchange.MAX_AGE_S + 1.0, False, (CRASHING,)
+    )
+    self.assertEqual(host.exchange.merge([report], 'h2', False, 0.0), [])
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -14,8 +14,8 @@
 
 The state of a request is computed from the known crashes each time, so that it
 does not depend on the order in which the attempts of one crash are recorded.
-Hosts exchange their suspects and refused requests, so that a request that its
-caller sends again to another host is recognized there.
+Hosts exchange the crashes that they see, see `crash_exchange`, so that a
+request that its caller sends again to other hosts is judged by all of them.
 
 Requests are identified by a hash of their content, as the caller makes a new
 id each time. If several endpoints break off at once and none of the requests
@@ -28,6 +28,7 @@
 import collections
 
 from mulberrypick.core import crash_evidence
+from mulberrypick.core import crash_exchange
 
 # A suspect is cleared this long after its last crash.
 SUSPECT_TTL_S = 60.0
@@ -58,10 +59,15 @@
 
 
 class Quarantine:
-  """Tracks suspected and refused requests."""
+  """Tracks suspected and refused requests.
+
+  Attributes:
+    exchange: Exchanges the evidence with other hosts.
+  """
 
   def __init__(self):
     self._evidence = crash_evidence.CrashEvidence()
+    self.exchange = crash_exchange.CrashExchange(self._evidence)
     # When the first attempt of this host broke off in each recent crash.
     self._own_break_at: collections.OrderedDict[
         crash_evidence.IncarnationKey, float
@@ -79,7 +85,7 @@
       fingerprint: int,
       has_token: bool,
       now: float,
-  ) -> None:
+  ) -> list[crash_exchange.NewInvolvement]:
     """Records that an attempt broke off after it was sent.
 
     Args:
@@ -88,15 +94,27 @@
       fingerprint: Hash of the request's content.
       has_token: Whether the attempt had generated a token.
       now: Monotonic time.
+
+    Returns:
+      What is new about the request, without a second break in the same crash.
     """
     self._expire(now)
     key = (endpoint, incarnation)
     involved = crash_evidence.Involvement(has_token, True)
-    self._evidence.add(key, fingerprint, involved, now)
+    is_new = self._evidence.add(key, fingerprint, involved, now)
     self._own_break_at.setdefault(key, now)
     if self._is_network(now):
       for recent in self._recent(now):
         self._evidence.withdraw_own(recent)
+    crash = self._evidence.find(key)
+    if not is_new or crash is None:
+      return []
+    self.exchange.add_unsent(key, fingerprint)
+    return [crash_exchange.NewInvolvement(fingerprint, crash)]
+
+  def crashes(self, fingerprint: int) -> list[crash_evidence.Crash]:
+    """Returns the known crashes in which a request was involved."""
+    return self._evidence.crashes(fingerprint)
 
   def record_alive(
       self, endpoint: str, incarnation: int, alive_at: float
@@ -115,7 +133,7 @@
 
   def record_completion(self, fingerprint: int) -> None:
     """Clears a request that ran to its end without a crash."""
-    self._evidence.drop(fingerprint)
+    self._evidence.clear(fingerprint)
 
   def update_peer(
       self, suspects: tuple[int, ...], refused: tuple[int, ...], now: float
@@ -137,7 +155,7 @@
     Returns:
       `CLEAR`; `SUSPECT` for one that is suspected by this host;
       `TRIED_BY_PEER` for one that a peer is retrying in isolation; `REFUSED`
-      for one that must not run.
+      for one that must not run. The crashes that other hosts saw count too.
     """
     if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
       return REFUSED
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -161,9 +161,10 @@
     now = asyncio.get_running_loop().time()
     name, started_ms = self._endpoint.incarnation
     self._state.endpoints.record_failure(self._endpoint, now)
-    self._state.quarantine.record_broken_attempt(
+    added = self._state.quarantine.record_broken_attempt(
         name, started_ms, self._call.fingerprint, has_event, now
     )
+    self._state.crash_log.record(added, now)
     self._log.record(
         'broke',
         reason,
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -20,8 +20,6 @@
 from mulberrypick.core import engine_load
 from mulberrypick.core import load_sum
 from mulberrypick.core import peer_topology
-from mulberrypick.core import quarantine
-from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import peer_links
 from mulberrypick.ops import peer_message
@@ -154,8 +152,7 @@
     message.load = load
     message.parts = peer_message.pack_parts(parts)
     message.leaving = state.endpoints.leaving(now)
-    message.suspects = list(state.quarantine.suspects(now))
-    message.refused = list(state.quarantine.refused(now))
+    message.crashes = state.quarantine.exchange.take_reports(now)
     message.is_leaving = state.is_leaving
     if state.watches_store and state.store_contact_since:
       message.store_contact_s = now - state.store_contact_since
@@ -202,18 +199,15 @@
     """
     members, relays = self._table.members(now), self._table.relays(now)
     group_load = load_sum.sum_loads([own.load, *(m.load for m in members)])
-    suspects = set(own.suspects).union(*(m.suspects for m in members))
     own.load = group_load
     group_parts = peer_message.unpack_parts(own.parts) + self._group_parts
     own.parts = peer_message.pack_parts(group_parts)
-    own.suspects = list(suspects)
     own.hosts = 1 + len(members)
     self._send(self._table.neighbors.relays, own)
     total = load_sum.sum_loads([group_load, *(r.load for r in relays)])
     own.covers_all_others = True
     own.hosts = self._state.hosts
     own.parts = peer_message.pack_parts(group_parts + self._other_group_parts)
-    own.suspects = list(suspects.union(*(r.suspects for r in relays)))
     self._group_parts, self._other_group_parts = [], []
     for member in members:
       own.load = load_sum.subtract_load(total, member.load)
@@ -287,19 +281,20 @@
             endpoint=name,
             reason='peer',
         )
-    for fingerprint in message.refused:
-      if state.quarantine.verdict(fingerprint, now) == quarantine.REFUSED:
-        continue
-      logs.log_event(
-          _log,
-          logging.INFO,
-          'request_quarantined',
-          request_hash=call_log.format_hash(fingerprint),
-          source=message.host,
-      )
-    state.quarantine.update_peer(
-        tuple(message.suspects), tuple(message.refused), now
+    self._merge_crashes(message, now)
+
+  def _merge_crashes(
+      self, message: peer_message.PeerMessage, now: float
+  ) -> None:
+    """Merges the crashes that another host reports; relays forward them."""
+    state = self._state
+    is_relay = self._table.neighbors.role is peer_topology.Role.RELAY
+    added = state.quarantine.exchange.merge(
+        message.crashes, message.host, is_relay, now
     )
+    state.crash_log.record(added, now)
+    if added and is_relay:
+      state.load_changed.set()
 
   def _handle_store_changes(
       self,
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import load_sum
 from mulberrypick.core import peer_topology
 
@@ -24,8 +25,7 @@
     parts: Prompt parts placed since the last message, by endpoint: keys and
       token counts in alternation.
     leaving: Name and start time of endpoints that are leaving.
-    suspects: Fingerprints of requests that may crash endpoints.
-    refused: Fingerprints of requests that crash endpoints.
+    crashes: Crashes of endpoints, with the requests that ran there.
     store_contact_s: Duration of the current contact with the store.
     store_revision_by_kind: Revision of the last known change in the store by
       kind of object.
@@ -49,8 +49,7 @@
   load: load_sum.LoadByEndpoint = {}
   parts: dict[str, list[int]] = {}
   leaving: list[tuple[str, int]] = []
-  suspects: list[int] = []
-  refused: list[int] = []
+  crashes: list[crash_exchange.CrashReport] = []
   store_contact_s: float = 0.0
   store_revision_by_kind: dict[str, int] = {}
   digest: int = 0
