Count attempts that got no answer from an endpoint that ended

Cause: only attempts whose connection broke off were recorded. An attempt that ended by the time limit for its head, by the deadline, or because its caller left was given up by this host, and no sign of a crash.

Evidence: SilentCrashTest logged no call_broke at all, only silent and timeout.

Why it works: silence alone says nothing of the request, as the endpoint may be slow or cut off. So such attempts are remembered for 15 s, dropped when the endpoint responds on a connection that is older than the attempt, and counted when the store drops or replaces the entry of an endpoint that was not leaving, which it does after three missed heartbeats (3.6 s). Between the third crash and that the request may still be sent; the rule leaves 3 s and three retries.

Not covered: an endpoint whose address another one took before its entry expired (it is marked as leaving), and outages of the store, in which nothing can be confirmed.

Tests of the gateway, its peers, the registry, the quarantine and crashes at one host pass.

--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -159,6 +159,7 @@
   """A connection that this process opened.
 
   Attributes:
+    opened_at: When it was opened, on the clock of the event loop.
     idle_since: When the last exchange ended, on the clock of the event loop.
     keep_alive_s: How long the server keeps the idle connection open, None if
       the server did not announce it.
@@ -166,6 +167,7 @@
   """
 
   def __init__(self):
+    self.opened_at = 0.0
     self.idle_since = 0.0
     self.keep_alive_s: float | None = None
     self.is_reusable = True
@@ -181,6 +183,7 @@
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
     """Stores the transport; called by the event loop."""
     self._transport = transport
+    self.opened_at = asyncio.get_running_loop().time()
     set_tcp_options(transport.get_extra_info('socket'))
 
   @property
--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -64,6 +64,7 @@
     self._health: dict[tuple[str, int], _Health] = {}
     self._leaving_since: dict[tuple[str, int], float] = {}
     self._missing_since: dict[str, float] = {}
+    self._ended: list[tuple[str, int]] = []
     self._store_recovered_at = float('-inf')
     self.is_loaded = False
 
@@ -155,10 +156,18 @@
       if is_recovering and not was_store_steady:
         continue
       del self._missing_since[name]
-      self._remove(name)
+      self._end(name)
       gone.append(name)
     return gone
 
+  def take_ended(self) -> list[tuple[str, int]]:
+    """Returns the incarnations that ended without leaving, since last called.
+
+    The store dropped or replaced their entries.
+    """
+    ended, self._ended = self._ended, []
+    return ended
+
   def mark_leaving(self, incarnation: tuple[str, int], now: float) -> bool:
     """Marks an incarnation as leaving; returns whether this is new."""
     if incarnation in self._leaving_since:
@@ -243,7 +252,9 @@
     old = self._by_name.get(endpoint.name)
     if old == endpoint:
       return False
-    if old is not None:
+    if old is not None and old.incarnation != endpoint.incarnation:
+      self._end(endpoint.name)
+    elif old is not None:
       self._remove(endpoint.name)
     self._by_name[endpoint.name] = endpoint
     self._by_service.setdefault(endpoint.service, []).append(endpoint)
@@ -256,9 +267,16 @@
       self._missing_since.setdefault(name, now)
       return False
     self._missing_since.pop(name, None)
-    self._remove(name)
+    self._end(name)
     return True
 
+  def _end(self, name: str) -> None:
+    """Removes an endpoint that the store dropped while it was not leaving."""
+    endpoint = self._by_name.get(name)
+    if endpoint is not None:
+      self._ended.append(endpoint.incarnation)
+    self._remove(name)
+
   def _remove(self, name: str) -> None:
     endpoint = self._by_name.pop(name, None)
     if endpoint is None:
--- a/mulberrypick/core/endpoint_registry_test.py
+++ b/mulberrypick/core/endpoint_registry_test.py
@@ -102,6 +102,23 @@
     )
     self.assertEqual(self.names(0.1), ['a', 'b'])
 
+  def test_only_endpoints_that_were_not_leaving_count_as_ended(self):
+    self.registry.replace_all(
+        [make_endpoint(name) for name in ('a', 'b', 'c', 'd')], 1.0
+    )
+    self.registry.update_entry(make_endpoint('a', is_leaving=True), 2.0)
+    self.registry.remove_entry('a', 3.0)
+    self.registry.update_entry(make_endpoint('b', slots=9), 3.0)
+    self.assertEqual(self.registry.take_ended(), [])
+    self.registry.update_entry(make_endpoint('b', started_ms=2), 4.0)
+    self.registry.remove_entry('c', 4.0)
+    self.registry.record_store_recovery(5.0)
+    self.registry.remove_entry('d', 5.1)
+    self.assertEqual(self.registry.take_ended(), [('b', 1), ('c', 1)])
+    self.registry.expire(8.0, False)
+    self.assertEqual(self.registry.take_ended(), [('d', 1)])
+    self.assertEqual(self.registry.take_ended(), [])
+
 
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -112,6 +112,34 @@
     self.exchange.add_unsent(key, fingerprint)
     return [crash_exchange.NewInvolvement(fingerprint, crash)]
 
+  def record_crash(
+      self,
+      endpoint: str,
+      incarnation: int,
+      fingerprint: int,
+      has_token: bool,
+      at: float,
+  ) -> list[crash_exchange.NewInvolvement]:
+    """Records a request that ran on an endpoint that is known to have ended.
+
+    Args:
+      endpoint: The endpoint.
+      incarnation: The endpoint's incarnation.
+      fingerprint: Hash of the request's content.
+      has_token: Whether the attempt had generated a token.
+      at: When the attempt ended, monotonic time.
+
+    Returns:
+      What is new about the request.
+    """
+    key = (endpoint, incarnation)
+    involved = crash_evidence.Involvement(has_token, True)
+    if not self._evidence.add(key, fingerprint, involved, at):
+      return []
+    self.exchange.add_unsent(key, fingerprint)
+    crash = self._evidence.find(key)
+    return [crash_exchange.NewInvolvement(fingerprint, crash)]
+
   def crashes(self, fingerprint: int) -> list[crash_evidence.Crash]:
     """Returns the known crashes in which a request was involved."""
     return self._evidence.crashes(fingerprint)
--- /dev/null
+++ b/mulberrypick/ops/crash_watch.py
@@ -0,0 +1,156 @@
+"""Collects signs of crashed endpoints for the quarantine, and logs them."""
+
+import collections
+import logging
+
+from mulberrypick.adapters import logs
+from mulberrypick.core import crash_evidence
+from mulberrypick.core import crash_exchange
+from mulberrypick.core import quarantine
+from mulberrypick.core import unanswered_attempts
+from mulberrypick.ops import call_log
+
+_log = logging.getLogger(__name__)
+# Crashes and refused requests of which it is known that they were logged.
+MAX_LOGGED = 1000
+
+
+class CrashWatch:
+  """Collects the signs of crashes; logs each crash and each refusal once."""
+
+  def __init__(self, known: quarantine.Quarantine):
+    self._quarantine = known
+    self._unanswered = unanswered_attempts.UnansweredAttempts()
+    self._logged: collections.OrderedDict[object, None] = (
+        collections.OrderedDict()
+    )
+
+  def record_break(
+      self,
+      key: crash_evidence.IncarnationKey,
+      fingerprint: int,
+      has_token: bool,
+      now: float,
+  ) -> None:
+    """Records an attempt whose connection broke off.
+
+    Args:
+      key: Name and start of the endpoint.
+      fingerprint: Hash of the request's content.
+      has_token: Whether the attempt had generated a token.
+      now: Time on the event loop's clock.
+    """
+    added = self._quarantine.record_broken_attempt(
+        *key, fingerprint, has_token, now
+    )
+    self._log_added(added, now)
+
+  def record_unanswered(
+      self,
+      key: crash_evidence.IncarnationKey,
+      fingerprint: int,
+      has_token: bool,
+      now: float,
+  ) -> None:
+    """Records an attempt that was given up on an open connection.
+
+    Args:
+      key: Name and start of the endpoint.
+      fingerprint: Hash of the request's content.
+      has_token: Whether a part of the answer had arrived.
+      now: Time on the event loop's clock.
+    """
+    attempt = unanswered_attempts.UnansweredAttempt(fingerprint, has_token, now)
+    if not self._unanswered.add(key, attempt):
+      self._add_crash(key, [attempt], now)
+
+  def record_response(
+      self, key: crash_evidence.IncarnationKey, connected_at: float
+  ) -> None:
+    """Records that an endpoint responded on a connection."""
+    self._unanswered.record_response(key, connected_at)
+
+  def record_end(self, key: crash_evidence.IncarnationKey, now: float) -> None:
+    """Records that the store dropped an endpoint that was not leaving."""
+    self._add_crash(key, self._unanswered.record_end(key, now), now)
+
+  def merge_reports(
+      self,
+      reports: list[crash_exchange.CrashReport],
+      source: str,
+      is_forwarded: bool,
+      now: float,
+  ) -> bool:
+    """Merges the crashes that another host reports.
+
+    Args:
+      reports: The reports.
+      source: Name of the host.
+      is_forwarded: Whether this host forwards them, as a relay does.
+      now: Time on the event loop's clock.
+
+    Returns:
+      Whether anything was new.
+    """
+    added = self._quarantine.exchange.merge(reports, source, is_forwarded, now)
+    self._log_added(added, now)
+    return bool(added)
+
+  def _add_crash(
+      self,
+      key: crash_evidence.IncarnationKey,
+      attempts: list[unanswered_attempts.UnansweredAttempt],
+      now: float,
+  ) -> None:
+    for attempt in attempts:
+      added = self._quarantine.record_crash(
+          *key, attempt.fingerprint, attempt.has_token, attempt.ended_at
+      )
+      self._log_added(added, now)
+
+  def _log_added(
+      self, added: list[crash_exchange.NewInvolvement], now: float
+  ) -> None:
+    """Logs crashes that were not known, and requests that are now refused."""
+    for fingerprint, crash in added:
+      if self._is_first((crash.key, crash.disproved_at)):
+        endpoint, started_ms = crash.key
+        logs.log_event(
+            _log,
+            logging.INFO,
+            'endpoint_crashed',
+            endpoint=endpoint,
+            started_ms=started_ms,
+            age_s=round(now - crash.began_at, 3),
+            source=_source(crash, fingerprint),
+        )
+      verdict = self._quarantine.verdict(fingerprint, now)
+      if verdict == quarantine.REFUSED and self._is_first(fingerprint):
+        self._log_refusal(fingerprint)
+
+  def _log_refusal(self, fingerprint: int) -> None:
+    crashes = []
+    for crash in self._quarantine.crashes(fingerprint):
+      endpoint, started_ms = crash.key
+      source = _source(crash, fingerprint)
+      crashes.append(f'{endpoint}/{started_ms}:{source}')
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'request_quarantined',
+        request_hash=call_log.format_hash(fingerprint),
+        crashes=','.join(crashes),
+    )
+
+  def _is_first(self, item: object) -> bool:
+    if item in self._logged:
+      return False
+    self._logged[item] = None
+    if len(self._logged) > MAX_LOGGED:
+      self._logged.popitem(last=False)
+    return True
+
+
+def _source(crash: crash_evidence.Crash, fingerprint: int) -> str:
+  involved = crash.involved_by_hash[fingerprint]
+  return 'own' if involved.is_own else involved.source
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -92,6 +92,7 @@
     )
     self.sent_at = 0.0
     self._other_count = 0
+    self._has_broken = False
 
   async def start(
       self,
@@ -160,11 +161,11 @@
     """
     now = asyncio.get_running_loop().time()
     name, started_ms = self._endpoint.incarnation
+    self._has_broken = True
     self._state.endpoints.record_failure(self._endpoint, now)
-    added = self._state.quarantine.record_broken_attempt(
-        name, started_ms, self._call.fingerprint, has_event, now
+    self._state.crash_watch.record_break(
+        self._endpoint.incarnation, self._call.fingerprint, has_event, now
     )
-    self._state.crash_log.record(added, now)
     self._log.record(
         'broke',
         reason,
@@ -186,6 +187,9 @@
 
   def record_activity(self) -> None:
     """Records that the endpoint sent data for this request."""
+    self._state.crash_watch.record_response(
+        self._endpoint.incarnation, self._connection.opened_at
+    )
     self._own_load.last_response_at = asyncio.get_running_loop().time()
     self._own_load.pending_since.pop(id(self), None)
 
@@ -205,6 +209,13 @@
     if self.exchange.is_done:
       connection.close()
       return
+    if not self._has_broken:
+      self._state.crash_watch.record_unanswered(
+          self._endpoint.incarnation,
+          self._call.fingerprint,
+          self.exchange.head is not None,
+          asyncio.get_running_loop().time(),
+      )
     connection.abort()
 
   def _release_tokens(self) -> None:
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -289,11 +289,10 @@
     """Merges the crashes that another host reports; relays forward them."""
     state = self._state
     is_relay = self._table.neighbors.role is peer_topology.Role.RELAY
-    added = state.quarantine.exchange.merge(
+    is_new = state.crash_watch.merge_reports(
         message.crashes, message.host, is_relay, now
     )
-    state.crash_log.record(added, now)
-    if added and is_relay:
+    if is_new and is_relay:
       state.load_changed.set()
 
   def _handle_store_changes(
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -9,7 +9,7 @@
 from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
 from mulberrypick.core import shared_retry_budget
-from mulberrypick.ops import crash_log
+from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 
 
@@ -24,7 +24,7 @@
     placer: Selects endpoints for requests.
     budget: Retry budget.
     quarantine: Requests that crash endpoints.
-    crash_log: Logs crashes and the requests that are refused because of them.
+    crash_watch: Collects the signs of crashes for the quarantine.
     pool: Connections to endpoints.
     hosts: Number of live hosts, including this one.
     rank_among_hosts: Position of this host, by name, among the hosts that are
@@ -54,7 +54,7 @@
         bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
     )
     self.quarantine = quarantine.Quarantine()
-    self.crash_log = crash_log.CrashLog(self.quarantine)
+    self.crash_watch = crash_watch.CrashWatch(self.quarantine)
     self.pool = endpoint_pool.EndpointPool()
     self.hosts = 1
     self.rank_among_hosts = 0
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -165,6 +165,8 @@
             endpoint=name,
             reason='not_back',
         )
+      for incarnation in self.state.endpoints.take_ended():
+        self.state.crash_watch.record_end(incarnation, now)
       self.state.suspend_silent_endpoints(now)
       self.state.pool.close_expired()
       if time.monotonic() - self._settings_read_at > SETTINGS_RELOAD_INTERVAL_S:
