Withdraw crashes of endpoints that prove to be alive

Callers would see: a sound request whose connections were reset twice, at endpoints that went on serving, refused by all hosts for ten minutes.

Cause: record_alive was never called by the gateway, as it polls no reports. A break by a cut, a reset or a stale kept connection was never taken back.

Evidence: SoundRequestTest, two hosts, all endpoints reset one request and then serve. Before: 503 crashes_endpoints at both hosts for longer than the 5 s of the test (failed; the QUARANTINE_S of 600 s would have to pass). After: served at both hosts within 5 s, with other load and without.

Why it works: a connection belongs to one process. A response to a request that was sent after the break, on a connection opened before it, shows that the process lives. On a newer connection it may come from a restart under the same name, so that counts only after 3 s of contact with the store, which lists a restart earlier. Endpoints without load are judged by the store: an incarnation that is still listed 20 s after the break did not crash, as entries expire after 3.6 s. Each host disproves by itself; reports of the same break that arrive later are ignored.

Failed on the way: the test with 8 requests in turn, which all went to the endpoints that had not failed, so that the others could not prove alive; hence the rule by the store, and 40 requests at a time in the test.

Tests of the gateway, quarantine, crash watch and crashes pass.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -102,6 +102,10 @@
     crash = self._crash_by_key.get(key)
     return crash if crash is not None and crash.involved_by_hash else None
 
+  def all_crashes(self) -> list[Crash]:
+    """Returns all crashes in which a request was involved."""
+    return [c for c in self._crash_by_key.values() if c.involved_by_hash]
+
   def crashes(self, fingerprint: int) -> list[Crash]:
     """Returns the crashes in which a request was involved."""
     return self._crashes_by_hash.get(fingerprint, [])
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -140,24 +140,42 @@
     crash = self._evidence.find(key)
     return [crash_exchange.NewInvolvement(fingerprint, crash)]
 
+  def all_crashes(self) -> list[crash_evidence.Crash]:
+    """Returns all known crashes."""
+    return self._evidence.all_crashes()
+
   def crashes(self, fingerprint: int) -> list[crash_evidence.Crash]:
     """Returns the known crashes in which a request was involved."""
     return self._evidence.crashes(fingerprint)
 
   def record_alive(
-      self, endpoint: str, incarnation: int, alive_at: float
-  ) -> None:
+      self,
+      endpoint: str,
+      incarnation: int,
+      alive_at: float,
+      known_since: float = float('-inf'),
+  ) -> list[int]:
     """Withdraws the crash of an incarnation that was alive after it.
 
     Args:
       endpoint: The endpoint.
       incarnation: Its incarnation.
       alive_at: Time at which it was known to be alive.
+      known_since: Time since when it is known to be the same process. It may
+        have restarted earlier under the same name.
+
+    Returns:
+      The requests that were involved in the crash.
     """
     key = (endpoint, incarnation)
     crash = self._evidence.find(key)
-    if crash is not None and alive_at > crash.began_at + ALIVE_MARGIN_S:
-      self._evidence.disprove(key, alive_at)
+    if crash is None or alive_at <= crash.began_at + ALIVE_MARGIN_S:
+      return []
+    if known_since > crash.began_at - crash_evidence.REPORT_DELAY_S:
+      return []
+    involved = list(crash.involved_by_hash)
+    self._evidence.disprove(key, alive_at)
+    return involved
 
   def record_completion(self, fingerprint: int) -> None:
     """Clears a request that ran to its end without a crash."""
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -6,6 +6,7 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_evidence
 from mulberrypick.core import crash_exchange
+from mulberrypick.core import endpoint_registry
 from mulberrypick.core import quarantine
 from mulberrypick.core import unanswered_attempts
 from mulberrypick.ops import call_log
@@ -13,6 +14,10 @@
 _log = logging.getLogger(__name__)
 # Crashes and refused requests of which it is known that they were logged.
 MAX_LOGGED = 1000
+# An incarnation that the store still lists this long after a crash has not
+# crashed: entries expire after three missed heartbeats of 1.2 s, and a host
+# that does not watch the store reads it every 15 s.
+MAX_LISTED_AFTER_CRASH_S = 20.0
 
 
 class CrashWatch:
@@ -65,10 +70,68 @@
       self._add_crash(key, [attempt], now)
 
   def record_response(
-      self, key: crash_evidence.IncarnationKey, connected_at: float
+      self,
+      key: crash_evidence.IncarnationKey,
+      connected_at: float,
+      sent_at: float,
+      is_listed: bool,
   ) -> None:
-    """Records that an endpoint responded on a connection."""
+    """Records that an endpoint responded to a request.
+
+    Args:
+      key: Name and start of the endpoint.
+      connected_at: When the connection was opened.
+      sent_at: When the request was sent.
+      is_listed: Whether the store would have listed a later start of the
+        endpoint if there had been one before the connection was opened.
+    """
     self._unanswered.record_response(key, connected_at)
+    known_since = float('-inf') if is_listed else connected_at
+    self._disprove(key, 'response', sent_at, known_since)
+
+  def record_listed(
+      self,
+      endpoints: endpoint_registry.EndpointRegistry,
+      contact_since: float,
+      now: float,
+  ) -> None:
+    """Withdraws crashes of incarnations that the store has listed for long.
+
+    Args:
+      endpoints: The endpoints that the store lists.
+      contact_since: Start of the current contact with the store.
+      now: Time on the event loop's clock.
+    """
+    for crash in self._quarantine.all_crashes():
+      listed = endpoints.find(crash.key[0])
+      if listed is None or listed.incarnation != crash.key:
+        continue
+      since = max(crash.began_at, contact_since)
+      if now - since > MAX_LISTED_AFTER_CRASH_S:
+        self._disprove(crash.key, 'listed', now, float('-inf'))
+
+  def _disprove(
+      self,
+      key: crash_evidence.IncarnationKey,
+      reason: str,
+      alive_at: float,
+      known_since: float,
+  ) -> None:
+    involved = self._quarantine.record_alive(*key, alive_at, known_since)
+    if not involved:
+      return
+    endpoint, started_ms = key
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'crash_disproved',
+        endpoint=endpoint,
+        started_ms=started_ms,
+        reason=reason,
+        requests=len(involved),
+    )
+    for fingerprint in involved:
+      self._logged.pop(fingerprint, None)
 
   def record_end(self, key: crash_evidence.IncarnationKey, now: float) -> None:
     """Records that the store dropped an endpoint that was not leaving."""
--- /dev/null
+++ b/mulberrypick/ops/crash_watch_test.py
@@ -0,0 +1,77 @@
+"""Tests of the collection of signs of crashes."""
+
+import unittest
+
+from mulberrypick.core import endpoint_registry
+from mulberrypick.core import endpoint_registry_test
+from mulberrypick.core import quarantine
+from mulberrypick.ops import crash_watch
+
+FIRST, SECOND = ('a', 1), ('b', 1)
+CRASHING = 7
+
+
+class CrashWatchTest(unittest.TestCase):
+
+  def setUp(self):
+    self.quarantine = quarantine.Quarantine()
+    self.watch = crash_watch.CrashWatch(self.quarantine)
+    for at, key in ((10.0, FIRST), (11.0, SECOND)):
+      self.watch.record_break(key, CRASHING, False, at)
+
+  def verdict(self, now: float = 12.0) -> str:
+    return self.quarantine.verdict(CRASHING, now)
+
+  def test_refusal_is_logged_with_its_crashes_once(self):
+    with self.assertLogs(crash_watch.__name__, 'INFO') as lines:
+      self.watch.record_break(('c', 1), CRASHING, False, 12.0)
+      self.watch.record_break(('d', 1), CRASHING, False, 13.0)
+    self.assertEqual(
+        sum('request_quarantined' in line for line in lines.output), 0
+    )
+    watch = crash_watch.CrashWatch(self.quarantine)
+    with self.assertLogs(crash_watch.__name__, 'INFO') as lines:
+      watch.record_break(('e', 1), CRASHING, False, 14.0)
+    self.assertIn("'crashes': 'a/1:own,b/1:own", lines.output[-1])
+
+  def test_response_on_a_connection_from_before_disproves_a_crash(self):
+    self.watch.record_response(FIRST, 5.0, 11.5, False)
+    self.assertEqual(self.verdict(), quarantine.SUSPECT)
+
+  def test_response_on_a_newer_connection_may_be_of_a_restarted_endpoint(self):
+    self.watch.record_response(FIRST, 11.0, 11.5, False)
+    self.assertEqual(self.verdict(), quarantine.REFUSED)
+    self.watch.record_response(FIRST, 11.0, 11.5, True)
+    self.assertEqual(self.verdict(), quarantine.SUSPECT)
+
+  def test_response_to_a_request_from_before_disproves_nothing(self):
+    self.watch.record_response(FIRST, 5.0, 9.9, True)
+    self.assertEqual(self.verdict(), quarantine.REFUSED)
+
+  def test_endpoint_that_is_still_listed_did_not_crash(self):
+    endpoints = endpoint_registry.EndpointRegistry()
+    restarted = endpoint_registry_test.make_endpoint('b', started_ms=2)
+    endpoints.replace_all(
+        [endpoint_registry_test.make_endpoint('a'), restarted], 0.0
+    )
+    later = 11.0 + crash_watch.MAX_LISTED_AFTER_CRASH_S + 0.1
+    self.watch.record_listed(endpoints, 12.0, later)
+    self.assertEqual(self.verdict(later), quarantine.REFUSED)
+    self.watch.record_listed(endpoints, 1.0, later)
+    self.assertEqual(self.verdict(later), quarantine.SUSPECT)
+    remaining = [crash.key for crash in self.quarantine.crashes(CRASHING)]
+    self.assertEqual(remaining, [SECOND])
+
+  def test_unanswered_attempt_counts_once_its_endpoint_ended(self):
+    self.watch.record_unanswered(('c', 1), 8, False, 12.0)
+    self.assertEqual(self.quarantine.verdict(8, 12.0), quarantine.CLEAR)
+    self.watch.record_end(('c', 1), 15.0)
+    self.watch.record_unanswered(('c', 1), 9, False, 16.0)
+    for fingerprint in (8, 9):
+      self.assertEqual(
+          self.quarantine.verdict(fingerprint, 16.0), quarantine.SUSPECT
+      )
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -187,10 +187,15 @@
 
   def record_activity(self) -> None:
     """Records that the endpoint sent data for this request."""
+    now = asyncio.get_running_loop().time()
+    connected_at = self._connection.opened_at
     self._state.crash_watch.record_response(
-        self._endpoint.incarnation, self._connection.opened_at
+        self._endpoint.incarnation,
+        connected_at,
+        self.sent_at,
+        self._state.has_store_contact_since(connected_at, now),
     )
-    self._own_load.last_response_at = asyncio.get_running_loop().time()
+    self._own_load.last_response_at = now
     self._own_load.pending_since.pop(id(self), None)
 
   def close(self) -> None:
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -12,6 +12,9 @@
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 
+# Longest time after which a host in contact with the store knows of a change.
+MAX_LIST_DELAY_S = 3.0
+
 
 class GatewayState:
   """All shared state of one gateway process, used on its event loop only.
@@ -102,6 +105,13 @@
     self.store_revision_by_kind[kind] = revision
     return True
 
+  def has_store_contact_since(self, at: float, now: float) -> bool:
+    """Returns whether this host knows what the store listed at a time."""
+    contact_since = self.store_contact_since
+    if contact_since is None:
+      return False
+    return max(at, contact_since) + MAX_LIST_DELAY_S < now
+
   def set_watching(self, watches: bool) -> None:
     """Sets whether this host watches the store itself."""
     if watches and not self.watches_store:
--- a/mulberrypick/platform/gateway_crash_test.py
+++ b/mulberrypick/platform/gateway_crash_test.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from mulberrypick.core import quarantine
+from mulberrypick.ops import crash_watch
 from mulberrypick.platform import gateway_test
 from standins import crash_point
 from standins import gateway_cluster
@@ -16,6 +18,8 @@
 STABLE_S = 3.0
 # Requests that may reach endpoints later than that.
 MAX_LATE_RETRIES = 3
+# Time within which a request is served again that was refused wrongly.
+MAX_WRONG_REFUSAL_S = 5.0
 INTERVAL_S = 0.9
 # Long enough for three crashes, `STABLE_S` and more than `MAX_LATE_RETRIES`.
 DURATION_S = 12.0
@@ -147,6 +151,50 @@
     await self.check_point('/unsafe/x', POINT.SILENT_RUN, 0.3)
 
 
+class SoundRequestTest(CrashTestCase):
+  """Connections break off, but the endpoints are alive."""
+
+  hosts = 2
+
+  async def test_request_is_served_again_after_connections_were_reset(self):
+    self.cluster.update_behaviour('desk', mode='reset')
+    answer = await self.send_at(0, '/safe/x', b'sound')
+    self.assertEqual(answer.status, 502)
+    self.cluster.update_behaviour('desk', mode='ok')
+    for host in (0, 1):
+      async with asyncio.timeout(MAX_WRONG_REFUSAL_S):
+        while answer.status != 200:
+          # Enough at a time to keep all endpoints busy.
+          await asyncio.gather(
+              *(self.send_at(host, '/unsafe/x', b'other') for _ in range(40))
+          )
+          answer = await self.send_at(host, '/safe/x', b'sound')
+          await asyncio.sleep(0.1)
+      answer = answer._replace(status=0)
+
+  async def test_request_is_served_again_at_hosts_without_other_requests(self):
+    self.enterContext(
+        mock.patch.object(crash_watch, 'MAX_LISTED_AFTER_CRASH_S', 1.0)
+    )
+    self.cluster.update_behaviour('desk', mode='reset')
+    await self.send_at(0, '/safe/x', b'sound')
+    self.cluster.update_behaviour('desk', mode='ok')
+    await self.wait_until(
+        lambda: all(
+            gateway.state.quarantine.refused(asyncio.get_running_loop().time())
+            for gateway in self.gateway_by_name.values()
+        )
+    )
+    answer = await self.send_at(1, '/safe/x', b'sound')
+    self.assertEqual(answer.status, 503)
+    for host in (0, 1):
+      async with asyncio.timeout(MAX_WRONG_REFUSAL_S):
+        while answer.status != 200:
+          await asyncio.sleep(0.1)
+          answer = await self.send_at(host, '/safe/x', b'sound')
+      answer = answer._replace(status=0)
+
+
 class NineHostsTest(CrashTestCase):
 
   hosts = 9
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -167,6 +167,10 @@
         )
       for incarnation in self.state.endpoints.take_ended():
         self.state.crash_watch.record_end(incarnation, now)
+      if self.state.store_contact_since is not None:
+        self.state.crash_watch.record_listed(
+            self.state.endpoints, self.state.store_contact_since, now
+        )
       self.state.suspend_silent_endpoints(now)
       self.state.pool.close_expired()
       if time.monotonic() - self._settings_read_at > SETTINGS_RELOAD_INTERVAL_S:
