Count the crashes that a request caused over all entries

Suspected, not reported: on the product's own interface a request that comes to several entries within their exchange interval of a second crashes an endpoint for each, and after that each entry retries it alone, so that 6 entries lose 12 endpoints.

Cause: the same as on the gateway, a bound over all hosts kept by a count on each. Entries exchange suspects and refusals. A suspicion of a peer holds a request back, but not one of which the entry has seen a crash itself, and the evidence of an entry that stops is lost.

Evidence: test_crashes_at_several_hosts_count_together, 6 dispatchers with one crash each, failed before (Start instead of Refuse) and passes.

Tests of quarantine, exchange, dispatcher, policy trial and fleet task pass.

--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -7,6 +7,7 @@
 repeated, for hosts that missed it or started later.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from mulberrypick.core import crash_evidence
@@ -62,7 +63,7 @@
 
   def merge(
       self,
-      reports: list[CrashReport],
+      reports: Sequence[CrashReport],
       source: str,
       is_forwarded: bool,
       now: float,
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -265,6 +265,28 @@
     innocent = submit(dispatcher, make_request('r2'), 5.0)
     self.assertIsInstance(innocent, messages.Start)
 
+  def test_crashes_at_several_hosts_count_together(self):
+    crash = make_request('r1', prompt='crash')
+    dispatchers = []
+    for number in range(6):
+      dispatcher = make_dispatcher([f'e{number}', f'f{number}'])
+      start = submit(dispatcher, crash)
+      end(dispatcher, start, messages.OUTCOME_FAILED)
+      dispatchers.append(dispatcher)
+    for number, sender in enumerate(dispatchers):
+      message = sender.make_peer_message(1.1)._replace(peer=f'entry-{number}')
+      for receiver in dispatchers:
+        if receiver is not sender:
+          receiver.handle(message, 1.2)
+    again = messages.Submit(crash._replace(request_id='r2'), 0, ())
+    for dispatcher in dispatchers:
+      effects = dispatcher.handle(again, 2.0)
+      dispatcher.make_peer_message(2.1)
+      effects += dispatcher.handle(messages.Tick(), 2.2)
+      (refuse,) = effects
+      self.assertIsInstance(refuse, messages.Refuse)
+      self.assertIsInstance(refuse.error, errors.RepeatedCrashError)
+
   def test_a_suspect_of_a_peer_waits_for_its_verdict(self):
     dispatcher = make_dispatcher()
     request = make_request('r1')
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -7,6 +7,7 @@
 
 from typing import NamedTuple
 
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import errors
 from mulberrypick.core import records
 
@@ -101,6 +102,7 @@
     suspects: Fingerprints of requests that ran on an endpoint when it crashed.
     retry_delay_by_key: For requests that the peer has just refused, seconds
       until they may retry, by `retry_slots.retry_slot_key`.
+    crashes: Crashes of endpoints, with the requests that ran there.
   """
 
   peer: str
@@ -112,6 +114,7 @@
   waiting_by_rank: dict[str, float] = {}
   suspects: tuple[int, ...] = ()
   retry_delay_by_key: dict[int, float] = {}
+  crashes: tuple[crash_exchange.CrashReport, ...] = ()
 
 
 class CacheSeen(NamedTuple):
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -188,7 +188,8 @@
     for fingerprint in suspects:
       self._peer_suspect_until[fingerprint] = now + PEER_TTL_S
     for fingerprint in refused:
-      if self._refused_by_peer_until.get(fingerprint, 0.0) <= now:
+      # Expired entries are kept, as hosts repeat what they heard from others.
+      if fingerprint not in self._refused_by_peer_until:
         self._refused_by_peer_until[fingerprint] = now + QUARANTINE_S
     while len(self._refused_by_peer_until) > MAX_TRACKED:
       self._refused_by_peer_until.popitem(last=False)
@@ -205,15 +206,14 @@
     """
     if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
       return REFUSED
-    crashes = self._evidence.crashes(fingerprint)
-    if crashes:
+    is_tried_by_peer = self._peer_suspect_until.get(fingerprint, 0.0) > now
+    if self._evidence.crashes(fingerprint):
       if self._is_cause(fingerprint) and now < self._expires_at(fingerprint):
         return REFUSED
-      if self._is_suspect(fingerprint, now):
+      is_tried_here = self._is_own(fingerprint) or not is_tried_by_peer
+      if is_tried_here and self._is_suspect(fingerprint, now):
         return SUSPECT
-    if self._peer_suspect_until.get(fingerprint, 0.0) > now:
-      return TRIED_BY_PEER
-    return CLEAR
+    return TRIED_BY_PEER if is_tried_by_peer else CLEAR
 
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
@@ -226,7 +226,9 @@
     """Returns the suspects of this host, to be sent to peers."""
     suspects = []
     for fingerprint in self._evidence.fingerprints():
-      if self._is_suspect(fingerprint, now) and not self._is_cause(fingerprint):
+      if not self._is_own(fingerprint) or self._is_cause(fingerprint):
+        continue
+      if self._is_suspect(fingerprint, now):
         suspects.append(fingerprint)
     return tuple(suspects[-MAX_ANNOUNCED:])
 
@@ -283,6 +285,13 @@
         return True
     return False
 
+  def _is_own(self, fingerprint: int) -> bool:
+    """Returns whether this host saw a crash of a request itself."""
+    for crash in self._evidence.crashes(fingerprint):
+      if crash.involved_by_hash[fingerprint].is_own:
+        return True
+    return False
+
   def _expires_at(self, fingerprint: int) -> float:
     """Returns when a request that was involved in crashes is forgotten."""
     crashes = self._evidence.crashes(fingerprint)
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -127,6 +127,15 @@
     silent = quarantine.PEER_TTL_S + 1.0
     self.assertEqual(quarantine.CLEAR, found.verdict(CONCURRENT, silent))
 
+  def test_hosts_that_repeat_a_refusal_to_each_other_do_not_prolong_it(self):
+    found, other = quarantine.Quarantine(), quarantine.Quarantine()
+    found.update_peer((), (CRASHING,), 0.0)
+    for step in range(1, 13):
+      now = step * quarantine.QUARANTINE_S / 10
+      other.update_peer((), found.refused(now), now)
+      found.update_peer((), other.refused(now), now)
+    self.assertEqual(quarantine.CLEAR, found.verdict(CRASHING, now))
+
   def test_memory_is_bounded(self):
     found = quarantine.Quarantine()
     for number in range(3 * quarantine.MAX_TRACKED):
