Keep the crashes behind a refusal in the store

Cause: the evidence was held in the memory of hosts that keep nothing; peers repeat it, but there is none left.

One host removes expired objects each minute. Cost: one read for each start and minute, one to three writes for each refusal.

Not covered: a start while the store is away; a refusal in an outage of the store that ends after the host.

Gauges show the known crashes and the refused requests.

--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -108,6 +108,13 @@
         reports += _make_reports(crash, fingerprints, now)
     return reports
 
+  def reports_of(self, fingerprint: int, now: float) -> list[CrashReport]:
+    """Returns reports of the crashes in which a request was involved."""
+    reports = []
+    for crash in self._evidence.crashes(fingerprint):
+      reports += _make_reports(crash, {fingerprint}, now)
+    return reports
+
   def _select_repeated(self, now: float) -> list[int]:
     ranked = []
     for fingerprint in self._evidence.fingerprints():
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -1,5 +1,6 @@
 """Collects signs of crashed endpoints for the quarantine, and logs them."""
 
+import asyncio
 import collections
 import logging
 
@@ -14,6 +15,8 @@
 _log = logging.getLogger(__name__)
 # Crashes and refused requests of which it is known that they were logged.
 MAX_LOGGED = 1000
+# Refusals that wait to be written to the store.
+MAX_NEW_REFUSALS = 100
 # An incarnation that the store still lists this long after a crash has not
 # crashed: entries expire after three missed heartbeats of 1.2 s, and a host
 # that does not watch the store reads it every 15 s.
@@ -21,7 +24,12 @@
 
 
 class CrashWatch:
-  """Collects the signs of crashes; logs each crash and each refusal once."""
+  """Collects the signs of crashes; logs each crash and each refusal once.
+
+  Attributes:
+    new_refusals: Requests that are refused because of crashes of which this
+      host saw one, to be written to the store.
+  """
 
   def __init__(self, known: quarantine.Quarantine):
     self._quarantine = known
@@ -29,6 +37,7 @@
     self._logged: collections.OrderedDict[object, None] = (
         collections.OrderedDict()
     )
+    self.new_refusals: asyncio.Queue[int] = asyncio.Queue(MAX_NEW_REFUSALS)
 
   def record_break(
       self,
@@ -159,6 +168,18 @@
     self._log_added(added, now)
     return bool(added)
 
+  def add_refusal(self, fingerprint: int) -> None:
+    """Adds a refusal that is to be written to the store."""
+    try:
+      self.new_refusals.put_nowait(fingerprint)
+    except asyncio.QueueFull:
+      logs.log_event(
+          _log,
+          logging.WARNING,
+          'refusal_not_stored',
+          request_hash=call_log.format_hash(fingerprint),
+      )
+
   def _add_crash(
       self,
       key: crash_evidence.IncarnationKey,
@@ -190,6 +211,11 @@
       verdict = self._quarantine.verdict(fingerprint, now)
       if verdict == quarantine.REFUSED and self._is_first(fingerprint):
         self._log_refusal(fingerprint)
+        if any(
+            crash.involved_by_hash[fingerprint].is_own
+            for crash in self._quarantine.crashes(fingerprint)
+        ):
+          self.add_refusal(fingerprint)
 
   def _log_refusal(self, fingerprint: int) -> None:
     crashes = []
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -4,6 +4,8 @@
 therefore uses `prometheus_client` and not the statsd client.
 """
 
+import asyncio
+
 import prometheus_client
 
 from mulberrypick.adapters import stream_server
@@ -52,6 +54,8 @@
     self._gauge('endpoints', lambda: len(list(state.endpoints.all())))
     self._gauge('hosts', lambda: state.hosts)
     self._gauge('connections_opened', lambda: state.pool.opened_count)
+    self._gauge('crashes', lambda: len(state.quarantine.all_crashes()))
+    self._gauge('refused_requests', self._refused_requests)
 
   def observe_call(
       self,
@@ -86,6 +90,10 @@
     )
     gauge.set_function(read)
 
+  def _refused_requests(self) -> int:
+    now = asyncio.get_running_loop().time()
+    return len(self._state.quarantine.refused(now))
+
   def _config_version(self) -> int:
     config = self._state.config
     return config.version if config else 0
--- /dev/null
+++ b/mulberrypick/ops/refusals_task.py
@@ -0,0 +1,96 @@
+"""Keeps in the store why requests are refused, for hosts that restart.
+
+Hosts keep the evidence of crashes in memory and repeat it to each other. If all
+of them restart at once, it is read from the store.
+"""
+
+import asyncio
+import logging
+import time
+
+from mulberrypick.adapters import logs
+from mulberrypick.core import crash_exchange
+from mulberrypick.core import errors
+from mulberrypick.ops import gateway_state
+from mulberrypick.platform import objects
+from mulberrypick.platform import protocol
+from mulberrypick.platform import store
+
+_log = logging.getLogger(__name__)
+RETRY_INTERVAL_S = 1.0
+# Interval at which one host removes entries that have expired.
+CLEANUP_INTERVAL_S = 60.0
+
+
+class RefusalsTask:
+  """Reads the refusals at start, then writes new ones."""
+
+  def __init__(
+      self, state: gateway_state.GatewayState, client: store.StoreClient
+  ):
+    self._state = state
+    self._client = client
+    self._is_lost = False
+
+  async def run(self) -> None:
+    """Reads, writes and cleans up until cancelled."""
+    is_loaded = False
+    while True:
+      try:
+        if not is_loaded:
+          await self._load()
+          is_loaded = True
+        await self._write_new()
+        if self._state.rank_among_hosts == 0:
+          await self._remove_expired()
+      except errors.StoreError as error:
+        self._log_lost(error)
+        await asyncio.sleep(RETRY_INTERVAL_S)
+        continue
+      self._is_lost = False
+
+  async def _load(self) -> None:
+    listed = await self._client.list_objects(protocol.REFUSALS_KIND)
+    now = asyncio.get_running_loop().time()
+    for item in listed.objects:
+      reports = objects.decode_refusal(item.name, item.spec, time.time())
+      self._state.crash_watch.merge_reports(reports, 'store', False, now)
+
+  async def _write_new(self) -> None:
+    """Writes new refusals as they occur, for `CLEANUP_INTERVAL_S`."""
+    refused = self._state.crash_watch.new_refusals
+    end_at = asyncio.get_running_loop().time() + CLEANUP_INTERVAL_S
+    while True:
+      try:
+        async with asyncio.timeout_at(end_at):
+          fingerprint = await refused.get()
+      except TimeoutError:
+        return
+      await self._write(fingerprint)
+
+  async def _write(self, fingerprint: int) -> None:
+    now = asyncio.get_running_loop().time()
+    reports = self._state.quarantine.exchange.reports_of(fingerprint, now)
+    name, spec = objects.encode_refusal(fingerprint, reports, time.time())
+    try:
+      # Several hosts may have seen crashes; the first one writes.
+      await self._client.put_if_revision(protocol.REFUSALS_KIND, name, spec, 0)
+    except errors.StoreError:
+      self._state.crash_watch.add_refusal(fingerprint)
+      raise
+
+  async def _remove_expired(self) -> None:
+    listed = await self._client.list_objects(protocol.REFUSALS_KIND)
+    for item in listed.objects:
+      reports = objects.decode_refusal(item.name, item.spec, time.time())
+      ages = [report.age_s for report in reports]
+      if min(ages, default=0.0) > crash_exchange.MAX_AGE_S:
+        await self._client.remove(protocol.REFUSALS_KIND, item.name)
+
+  def _log_lost(self, error: errors.StoreError) -> None:
+    if self._is_lost:
+      return
+    self._is_lost = True
+    logs.log_event(
+        _log, logging.WARNING, 'refusals_not_stored', error=error.reason
+    )
--- a/mulberrypick/platform/gateway_crash_test.py
+++ b/mulberrypick/platform/gateway_crash_test.py
@@ -5,12 +5,17 @@
 """
 
 import asyncio
+import time
 import unittest
 from unittest import mock
 
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import quarantine
 from mulberrypick.ops import crash_watch
+from mulberrypick.ops import refusals_task
 from mulberrypick.platform import gateway_test
+from mulberrypick.platform import objects
+from mulberrypick.platform import protocol
 from standins import crash_point
 from standins import gateway_cluster
 
@@ -195,6 +200,51 @@
       answer = answer._replace(status=0)
 
 
+class RestartTest(CrashTestCase):
+
+  hosts = 3
+
+  async def test_refused_request_is_refused_after_all_hosts_restarted(self):
+    for number in range(3):
+      await self.send_at(number, '/unsafe/x', b'crash=run')
+      await asyncio.sleep(0.2)
+    crashes = len(self.cluster.crashed_at)
+    self.assertEqual(crashes, quarantine.CRASHES_TO_REFUSE)
+    await self.wait_until(
+        lambda: self.cluster.store.names(protocol.REFUSALS_KIND)
+    )
+    await self.restart_all()
+    for number in range(3):
+      answer = await self.send_at(number, '/unsafe/x', b'crash=run')
+      self.assertEqual(answer.status, 503)
+      answer = await self.send_at(number, '/unsafe/x', b'sound')
+      self.assertEqual(answer.status, 200)
+    self.assertEqual(len(self.cluster.crashed_at), crashes)
+
+  async def test_expired_refusals_are_removed_from_the_store(self):
+    for name, age_s in (('0a', 700.0), ('0b', 10.0)):
+      report = crash_exchange.CrashReport('desk-1', 1, age_s, False, ())
+      _, spec = objects.encode_refusal(0, [report], time.time())
+      self.cluster.store.put(protocol.REFUSALS_KIND, name, spec)
+    self.enterContext(
+        mock.patch.object(refusals_task, 'CLEANUP_INTERVAL_S', 0.1)
+    )
+    await self.restart_all()
+    await self.wait_until(
+        lambda: self.cluster.store.names(protocol.REFUSALS_KIND) == ['0b']
+    )
+
+  async def restart_all(self) -> None:
+    """Kills all gateways and starts new ones without memory."""
+    for running in (self.running, *self.running_by_name.values()):
+      running.cancel()
+    for gateway in self.gateway_by_name.values():
+      gateway.close()
+    self.gateway_by_name.clear()
+    for number in range(1, self.hosts + 1):
+      await self.start_gateway(f'host-{number}')
+
+
 class NineHostsTest(CrashTestCase):
 
   hosts = 9
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -54,7 +54,7 @@
   async def wait_until(self, condition):
     async with asyncio.timeout(WAIT_TIMEOUT_S):
       while not condition():
-        if self.running.done():
+        if self.running.done() and not self.running.cancelled():
           self.running.result()
         await asyncio.sleep(0.005)
 
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mulberrypick.adapters import logs
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import gateway_records
 from mulberrypick.core import peer_topology
 from mulberrypick.platform import protocol
@@ -47,6 +48,68 @@
     return None
 
 
+def encode_refusal(
+    fingerprint: int, reports: list[crash_exchange.CrashReport], wall_s: float
+) -> tuple[str, dict[str, Any]]:
+  """Encodes the crashes for which a request is refused.
+
+  Args:
+    fingerprint: Hash of the request's content.
+    reports: The crashes.
+    wall_s: Unix time.
+
+  Returns:
+    Name and content of the object.
+  """
+  crashes = []
+  for report in reports:
+    crashes.append(
+        {
+            'endpoint': report.endpoint,
+            'incarnation': report.incarnation,
+            'crashedAt': round(wall_s - report.age_s, 3),
+            'hasToken': report.has_token,
+        }
+    )
+  return f'{fingerprint:016x}', {'crashes': crashes}
+
+
+def decode_refusal(
+    name: str, spec: Any, wall_s: float
+) -> list[crash_exchange.CrashReport]:
+  """Decodes the crashes for which a request is refused.
+
+  Args:
+    name: Name of the object.
+    spec: Its content.
+    wall_s: Unix time.
+
+  Returns:
+    The crashes, empty if the object is malformed.
+  """
+  try:
+    fingerprint = int(name, 16)
+    return [
+        crash_exchange.CrashReport(
+            str(crash['endpoint']),
+            int(crash['incarnation']),
+            max(0.0, wall_s - float(crash['crashedAt'])),
+            bool(crash['hasToken']),
+            (fingerprint,),
+        )
+        for crash in spec['crashes']
+    ]
+  except (KeyError, TypeError, ValueError) as error:
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'refusal_malformed',
+        name=name,
+        error=repr(error),
+    )
+    return []
+
+
 def decode_config(spec: Any) -> gateway_records.GatewayConfig | None:
   """Decodes a configuration.
 
--- a/mulberrypick/platform/platform_test.py
+++ b/mulberrypick/platform/platform_test.py
@@ -6,6 +6,7 @@
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 from mulberrypick.platform import objects
@@ -97,6 +98,26 @@
       self.assertIsNone(objects.decode_config(spec))
     self.assertIsNone(objects.decode_config_json(b'\xff'))
 
+  def test_refusal_is_decoded_as_it_was_encoded(self):
+    reports = [
+        crash_exchange.CrashReport('e1', 5, 2.0, False, (7,)),
+        crash_exchange.CrashReport('e2', 6, 1.0, True, (7,)),
+    ]
+    name, spec = objects.encode_refusal(7, reports, 100.0)
+    self.assertEqual(name, '0000000000000007')
+    aged = [r._replace(age_s=r.age_s + 3.0) for r in reports]
+    self.assertEqual(objects.decode_refusal(name, spec, 103.0), aged)
+
+  def test_malformed_refusal_gives_no_crashes(self):
+    crash = {'endpoint': 'e1', 'incarnation': 1, 'crashedAt': 1}
+    for name, spec in (
+        ('x', {'crashes': []}),
+        ('07', None),
+        ('07', {'crashes': [crash]}),
+    ):
+      with self.assertLogs(objects.__name__, 'WARNING'):
+        self.assertEqual(objects.decode_refusal(name, spec, 1.0), [])
+
 
 class RequestsTest(unittest.TestCase):
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -22,6 +22,7 @@
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import gateway_task
 from mulberrypick.ops import hosts_task
+from mulberrypick.ops import refusals_task
 from mulberrypick.ops import stage_task
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
@@ -90,6 +91,7 @@
         self._peers.run(),
         self._hosts.run(),
         stage_task.StageTask(self.state, self._make_store_client()).run(),
+        refusals_task.RefusalsTask(self.state, self._make_store_client()).run(),
         self._sweep(),
     ]
     running = [loop.create_task(task) for task in tasks]
