Bound the time of a verdict by the requests with several crashes

A crash of an endpoint with 1,900 requests made a verdict take 0.22 ms and the list of suspects 0.42 s (measured on the quarantine alone): each request of a crash was compared with all others there.

Only requests that were part of several crashes can be a cause, so these alone are compared: 3 us and 7 ms. With 300 of them a verdict takes 0.22 ms, and the removal of expired suspects 69 ms once a second. The gateway asks only whether a request is refused; call_broke logs that as is_refused.

Tests of quarantine, dispatcher, exchange, crash watch, policy trial and crashes at one and nine hosts pass.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -55,6 +55,7 @@
     self._crashes_by_hash: collections.OrderedDict[int, list[Crash]] = (
         collections.OrderedDict()
     )
+    self._repeated: set[int] = set()
     self._cleared_at: collections.OrderedDict[int, float] = (
         collections.OrderedDict()
     )
@@ -86,7 +87,10 @@
     crash.began_at = min(crash.began_at, at)
     old = crash.involved_by_hash.get(fingerprint)
     if old is None:
-      self._crashes_by_hash.setdefault(fingerprint, []).append(crash)
+      crashes = self._crashes_by_hash.setdefault(fingerprint, [])
+      crashes.append(crash)
+      if len(crashes) > 1:
+        self._repeated.add(fingerprint)
       self._drop_excess()
     else:
       involved = Involvement(
@@ -114,6 +118,10 @@
     """Returns all requests that were involved in a crash, oldest first."""
     return list(self._crashes_by_hash)
 
+  def repeated(self) -> set[int]:
+    """Returns the requests that were involved in more than one crash."""
+    return self._repeated
+
   def disprove(self, key: IncarnationKey, alive_at: float) -> None:
     """Drops a crash because its incarnation was alive later."""
     crash = self._crash_by_key[key]
@@ -141,6 +149,7 @@
 
   def drop(self, fingerprint: int) -> None:
     """Removes a request from all crashes."""
+    self._repeated.discard(fingerprint)
     for crash in self._crashes_by_hash.pop(fingerprint, ()):
       crash.involved_by_hash.pop(fingerprint, None)
 
@@ -154,6 +163,8 @@
     del crash.involved_by_hash[fingerprint]
     crashes = self._crashes_by_hash[fingerprint]
     crashes.remove(crash)
+    if len(crashes) < 2:
+      self._repeated.discard(fingerprint)
     if not crashes:
       del self._crashes_by_hash[fingerprint]
 
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -204,17 +204,23 @@
       `TRIED_BY_PEER` for one that a peer is retrying in isolation; `REFUSED`
       for one that must not run. The crashes that other hosts saw count too.
     """
-    if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
+    if self.is_refused(fingerprint, now):
       return REFUSED
     is_tried_by_peer = self._peer_suspect_until.get(fingerprint, 0.0) > now
     if self._evidence.crashes(fingerprint):
-      if self._is_cause(fingerprint) and now < self._expires_at(fingerprint):
-        return REFUSED
       is_tried_here = self._is_own(fingerprint) or not is_tried_by_peer
       if is_tried_here and self._is_suspect(fingerprint, now):
         return SUSPECT
     return TRIED_BY_PEER if is_tried_by_peer else CLEAR
 
+  def is_refused(self, fingerprint: int, now: float) -> bool:
+    """Returns whether a request must not run."""
+    if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
+      return True
+    if not self._is_cause(fingerprint):
+      return False
+    return now < self._last_crash_at(fingerprint) + QUARANTINE_S
+
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
     crashes = self._evidence.crashes(fingerprint)
@@ -239,7 +245,8 @@
       if now < until:
         refused.append(fingerprint)
     for fingerprint in self._evidence.fingerprints():
-      if self._is_cause(fingerprint) and now < self._expires_at(fingerprint):
+      is_heard = fingerprint in self._refused_by_peer_until
+      if not is_heard and self.is_refused(fingerprint, now):
         refused.append(fingerprint)
     return tuple(refused[-MAX_ANNOUNCED:])
 
@@ -248,23 +255,19 @@
     crashes = self._evidence.crashes(fingerprint)
     if len(crashes) < CRASHES_TO_REFUSE:
       return False
-    common = set(crashes[0].involved_by_hash)
-    for crash in crashes[1:]:
-      common.intersection_update(crash.involved_by_hash)
-    for other in common:
-      if len(self._evidence.crashes(other)) > len(crashes):
+    is_only_suspect = self._may_be_only_cause(fingerprint)
+    for other in self._evidence.repeated():
+      shared = sum(other in crash.involved_by_hash for crash in crashes)
+      if other == fingerprint or not shared:
+        continue
+      is_longer = len(self._evidence.crashes(other)) > len(crashes)
+      if shared == len(crashes) and is_longer:
         return False
-    if len(crashes) >= MAX_CRASHES:
-      return True
-    if not self._is_repeated(fingerprint):
-      return False
-    for crash in crashes:
-      for other in crash.involved_by_hash:
-        if other != fingerprint and self._is_repeated(other):
-          return False
-    return True
+      if self._may_be_only_cause(other):
+        is_only_suspect = False
+    return is_only_suspect or len(crashes) >= MAX_CRASHES
 
-  def _is_repeated(self, fingerprint: int) -> bool:
+  def _may_be_only_cause(self, fingerprint: int) -> bool:
     """Returns whether a request may be the only cause of several crashes.
 
     A weak suspect did not run in isolation before its second crash.
@@ -277,11 +280,15 @@
   def _is_suspect(self, fingerprint: int, now: float) -> bool:
     """Returns whether a crash of a request has no other known cause."""
     crashes = self._evidence.crashes(fingerprint)
-    if now - max(crash.began_at for crash in crashes) >= SUSPECT_TTL_S:
+    if now >= self._last_crash_at(fingerprint) + SUSPECT_TTL_S:
       return False
+    causes = [
+        other
+        for other in self._evidence.repeated()
+        if other != fingerprint and self._is_cause(other)
+    ]
     for crash in crashes:
-      others = (h for h in crash.involved_by_hash if h != fingerprint)
-      if not any(self._is_cause(other) for other in others):
+      if not any(cause in crash.involved_by_hash for cause in causes):
         return True
     return False
 
@@ -292,18 +299,17 @@
         return True
     return False
 
-  def _expires_at(self, fingerprint: int) -> float:
-    """Returns when a request that was involved in crashes is forgotten."""
+  def _last_crash_at(self, fingerprint: int) -> float:
     crashes = self._evidence.crashes(fingerprint)
-    ttl_s = QUARANTINE_S if self._is_cause(fingerprint) else SUSPECT_TTL_S
-    return max(crash.began_at for crash in crashes) + ttl_s
+    return max(crash.began_at for crash in crashes)
 
   def _expire(self, now: float) -> None:
     if now - self._expired_at < EXPIRY_INTERVAL_S:
       return
     self._expired_at = now
     for fingerprint in self._evidence.fingerprints():
-      if now >= self._expires_at(fingerprint):
+      is_old = now >= self._last_crash_at(fingerprint) + SUSPECT_TTL_S
+      if is_old and not self.is_refused(fingerprint, now):
         self._evidence.drop(fingerprint)
     self._evidence.expire(now - QUARANTINE_S)
 
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -13,7 +13,6 @@
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
-from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
 from mulberrypick.ops import call_log
 from mulberrypick.ops import caller_stream
@@ -145,8 +144,7 @@
 
   def _may_retry(self, attempt: _AttemptResult) -> bool:
     now = asyncio.get_running_loop().time()
-    verdict = self._state.quarantine.verdict(self._call.fingerprint, now)
-    if verdict == quarantine.REFUSED:
+    if self._state.quarantine.is_refused(self._call.fingerprint, now):
       return False
     if attempt.may_have_run:
       route = self._call.route
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -208,8 +208,8 @@
             age_s=round(now - crash.began_at, 3),
             source=_source(crash, fingerprint),
         )
-      verdict = self._quarantine.verdict(fingerprint, now)
-      if verdict == quarantine.REFUSED and self._is_first(fingerprint):
+      is_refused = self._quarantine.is_refused(fingerprint, now)
+      if is_refused and self._is_first(fingerprint):
         self._log_refusal(fingerprint)
         if any(
             crash.involved_by_hash[fingerprint].is_own
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -176,7 +176,9 @@
         endpoint=name,
         started_ms=started_ms,
         has_event=has_event,
-        verdict=self._state.quarantine.verdict(self._call.fingerprint, now),
+        is_refused=self._state.quarantine.is_refused(
+            self._call.fingerprint, now
+        ),
     )
 
   def record_prefill(self, tokens_ahead: int) -> None:
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -5,7 +5,6 @@
 
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import gateway_records
-from mulberrypick.core import quarantine
 from mulberrypick.core import route_table
 from mulberrypick.ops import call_log
 from mulberrypick.ops import call_run
@@ -72,8 +71,7 @@
     if service is None:
       self._refuse(caller, 503, 'no_service', headers.id, NOT_READY_RETRY_S)
       return
-    verdict = state.quarantine.verdict(call.fingerprint, now)
-    if verdict == quarantine.REFUSED:
+    if state.quarantine.is_refused(call.fingerprint, now):
       request_hash = call_log.format_hash(call.fingerprint)
       self._refuse(
           caller,
