Tell all hosts that a request ran to its end after crashes

Callers would see: content that is requested often (the same path, caller and body) refused at some hosts for ten minutes, after three endpoints crashed while it ran there among others. Found while a crashing request was added to the soak, whose clients send the same content each time.

Cause: a request that runs to its end is cleared, but only at the host where it did. With crashes counted over all hosts the others keep counting, and a host that refuses it can't see it complete any more.

Evidence: test_request_that_ran_to_its_end_elsewhere_is_not_refused failed before ('refused' != 'clear') and passes, with and without relays.

Why it works: a crashing request never completes, so one completion anywhere disproves the crashes before it. The host tells the fingerprint and the time up to which it is cleared; hosts keep the latest time and ignore older crashes, in whatever order the news arrives. Only requests with known crashes are told.

Tests of quarantine, exchange, dispatcher, peers, gateway and crashes pass.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -136,16 +136,31 @@
       if not involved.source:
         self._remove(crash, fingerprint)
 
-  def clear(self, fingerprint: int) -> None:
-    """Drops a request from its crashes for good: it was not their cause."""
+  def clear(self, fingerprint: int) -> float | None:
+    """Drops a request from its known crashes: it was not their cause.
+
+    Returns:
+      The time up to which it caused no crash; None if no crash was known.
+    """
     crashes = self._crashes_by_hash.get(fingerprint)
     if not crashes:
-      return
+      return None
     last = max(crash.began_at for crash in crashes)
-    self._cleared_at[fingerprint] = last + REPORT_DELAY_S
+    self.clear_until(fingerprint, last + REPORT_DELAY_S)
+    return last + REPORT_DELAY_S
+
+  def clear_until(self, fingerprint: int, until: float) -> bool:
+    """Drops a request from its crashes up to a time; returns if this is new."""
+    if until <= self._cleared_at.get(fingerprint, float('-inf')):
+      return False
+    self._cleared_at[fingerprint] = until
+    self._cleared_at.move_to_end(fingerprint)
     if len(self._cleared_at) > MAX_TRACKED:
       self._cleared_at.popitem(last=False)
-    self.drop(fingerprint)
+    for crash in list(self._crashes_by_hash.get(fingerprint, ())):
+      if crash.began_at <= until:
+        self._remove(crash, fingerprint)
+    return True
 
   def drop(self, fingerprint: int) -> None:
     """Removes a request from all crashes."""
--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -7,7 +7,7 @@
 repeated, for hosts that missed it or started later.
 """
 
-from collections.abc import Sequence
+import collections
 from typing import NamedTuple
 
 from mulberrypick.core import crash_evidence
@@ -18,6 +18,8 @@
 RECENT_S = 3.0
 # Maximum number of requests whose crashes are repeated in one message.
 MAX_REPEATED = 100
+# Maximum number of cleared requests in one message.
+MAX_CLEARED = 200
 # Reports of older crashes are ignored.
 MAX_AGE_S = 600.0
 
@@ -40,6 +42,30 @@
   fingerprints: tuple[int, ...]
 
 
+class ClearedRequest(NamedTuple):
+  """A request that ran to its end after it was involved in crashes.
+
+  Attributes:
+    fingerprint: The request.
+    age_s: Time since when it may be the cause of a crash again.
+  """
+
+  fingerprint: int
+  age_s: float
+
+
+class CrashNews(NamedTuple):
+  """What a host reports to others.
+
+  Attributes:
+    crashes: Crashes of endpoints.
+    cleared: Requests that were not the cause of earlier crashes.
+  """
+
+  crashes: tuple[CrashReport, ...] = ()
+  cleared: tuple[ClearedRequest, ...] = ()
+
+
 class NewInvolvement(NamedTuple):
   """A request and a crash that a report added to the evidence."""
 
@@ -54,6 +80,12 @@
     self._evidence = evidence
     self._unsent: dict[crash_evidence.IncarnationKey, set[int]] = {}
     self._repeated_at = float('-inf')
+    # Requests that were cleared: until when they caused no crash. Those in
+    # `_unsent_cleared` were not sent yet.
+    self._cleared_until: collections.OrderedDict[int, float] = (
+        collections.OrderedDict()
+    )
+    self._unsent_cleared: set[int] = set()
 
   def add_unsent(
       self, key: crash_evidence.IncarnationKey, fingerprint: int
@@ -61,23 +93,29 @@
     """Includes new evidence in the next message."""
     self._unsent.setdefault(key, set()).add(fingerprint)
 
+  def add_cleared(self, fingerprint: int, until: float) -> None:
+    """Includes a request that was cleared in the next message."""
+    self._cleared_until[fingerprint] = until
+    self._unsent_cleared.add(fingerprint)
+
   def merge(
-      self,
-      reports: Sequence[CrashReport],
-      source: str,
-      is_forwarded: bool,
-      now: float,
+      self, news: CrashNews, source: str, is_forwarded: bool, now: float
   ) -> list[NewInvolvement]:
-    """Merges the reports of another host; returns what was new.
+    """Merges what another host reports; returns new evidence.
 
     Args:
-      reports: The reports.
-      source: Name of the host that sent them.
-      is_forwarded: Whether this host forwards them, as a relay does.
+      news: What the host reports.
+      source: Name of the host.
+      is_forwarded: Whether this host forwards it, as a relay does.
       now: Monotonic time.
     """
+    for cleared in news.cleared:
+      until = now - cleared.age_s
+      is_new = self._evidence.clear_until(cleared.fingerprint, until)
+      if is_new and is_forwarded:
+        self.add_cleared(cleared.fingerprint, until)
     added = []
-    for report in reports:
+    for report in news.crashes:
       if report.age_s > MAX_AGE_S:
         continue
       key = (report.endpoint, report.incarnation)
@@ -92,12 +130,34 @@
           self.add_unsent(key, fingerprint)
     return added
 
-  def take_reports(self, now: float) -> list[CrashReport]:
-    """Returns the reports for the next message to other hosts."""
+  def has_unsent(self) -> bool:
+    """Returns whether there is anything new for the next message."""
+    return bool(self._unsent or self._unsent_cleared)
+
+  def take_news(self, now: float) -> CrashNews:
+    """Returns the news for the next message to other hosts."""
+    is_repeat = now - self._repeated_at >= REPEAT_INTERVAL_S
+    if is_repeat:
+      self._repeated_at = now
+    return CrashNews(
+        tuple(self._take_crashes(is_repeat, now)),
+        tuple(self._take_cleared(is_repeat, now)),
+    )
+
+  def _take_cleared(self, is_repeat: bool, now: float) -> list[ClearedRequest]:
+    cleared = []
+    for fingerprint, until in list(self._cleared_until.items()):
+      if until < now - RECENT_S:
+        del self._cleared_until[fingerprint]
+      if is_repeat or fingerprint in self._unsent_cleared:
+        cleared.append(ClearedRequest(fingerprint, round(now - until, 3)))
+    self._unsent_cleared.clear()
+    return cleared[-MAX_CLEARED:]
+
+  def _take_crashes(self, is_repeat: bool, now: float) -> list[CrashReport]:
     selected = self._unsent
     self._unsent = {}
-    if now - self._repeated_at >= REPEAT_INTERVAL_S:
-      self._repeated_at = now
+    if is_repeat:
       for fingerprint in self._select_repeated(now):
         for crash in self._evidence.crashes(fingerprint):
           selected.setdefault(crash.key, set()).add(fingerprint)
--- a/mulberrypick/core/crash_exchange_test.py
+++ b/mulberrypick/core/crash_exchange_test.py
@@ -51,11 +51,11 @@
     """Delivers what all hosts have to send, but not to or from `excluded`."""
     self.now += 0.05
     for sender, host in enumerate(self.hosts):
-      reports = host.exchange.take_reports(self.now)
+      news = host.exchange.take_news(self.now)
       for receiver in self._receivers(sender):
         if sender not in excluded and receiver not in excluded:
           self.hosts[receiver].exchange.merge(
-              reports, f'h{sender}', self._is_relay(receiver), self.now
+              news, f'h{sender}', self._is_relay(receiver), self.now
           )
 
   def _is_relay(self, host: int) -> bool:
@@ -149,25 +149,38 @@
             host.verdict(fingerprint, fleet.now), quarantine.REFUSED
         )
 
+  def test_request_that_ran_to_its_end_elsewhere_is_not_refused(self):
+    for group_size in (0, 3):
+      fleet = Fleet(9, group_size)
+      for number in range(3):
+        fleet.crash(number, False, CRASHING, CONCURRENT)
+        fleet.settle()
+        fleet.hosts[8].record_completion(CONCURRENT)
+        fleet.settle()
+        fleet.now += INTERVAL_S
+      for host in fleet.hosts:
+        self.assertEqual(host.verdict(CRASHING, fleet.now), quarantine.REFUSED)
+        self.assertEqual(host.verdict(CONCURRENT, fleet.now), quarantine.CLEAR)
+
   def test_reports_of_a_crash_that_is_known_add_nothing(self):
     fleet = Fleet(3)
     fleet.crash(0, False, CRASHING)
-    reports = fleet.hosts[0].exchange.take_reports(0.0)
+    news = fleet.hosts[0].exchange.take_news(0.0)
     for source in ('h0', 'h2', 'h0'):
-      fleet.hosts[1].exchange.merge(reports, source, False, 0.1)
+      fleet.hosts[1].exchange.merge(news, source, False, 0.1)
     self.assertEqual(fleet.hosts[1].verdict(CRASHING, 0.2), quarantine.SUSPECT)
     self.assertEqual(len(fleet.hosts[1].crashes(CRASHING)), 1)
 
   def test_messages_are_empty_without_crashes_and_bounded_with_many(self):
     fleet = Fleet(1)
     host = fleet.hosts[0]
-    self.assertEqual(host.exchange.take_reports(0.0), [])
+    self.assertEqual(host.exchange.take_news(0.0), crash_exchange.CrashNews())
     for number in range(4):
       for fingerprint in range(500):
         host.record_broken_attempt(f'e{number}', 1, fingerprint, False, 1.0)
-    host.exchange.take_reports(2.0)
+    host.exchange.take_news(2.0)
     repeated = set()
-    for report in host.exchange.take_reports(4.0):
+    for report in host.exchange.take_news(4.0).crashes:
       repeated.update(report.fingerprints)
     self.assertEqual(len(repeated), crash_exchange.MAX_REPEATED)
 
@@ -176,7 +189,8 @@
     report = crash_exchange.CrashReport(
         'e1', 1, crash_exchange.MAX_AGE_S + 1.0, False, (CRASHING,)
     )
-    self.assertEqual(host.exchange.merge([report], 'h2', False, 0.0), [])
+    news = crash_exchange.CrashNews((report,))
+    self.assertEqual(host.exchange.merge(news, 'h2', False, 0.0), [])
 
 
 if __name__ == '__main__':
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -134,7 +134,7 @@
         digest.waiting_by_rank,
         suspects,
         digest.retry_delay_by_key,
-        tuple(self._isolation.quarantine.exchange.take_reports(now)),
+        self._isolation.quarantine.exchange.take_news(now),
     )
 
   def demand_by_model(self, now: float) -> dict[str, tuple[float, float]]:
@@ -284,7 +284,7 @@
     self._admission.update_peer(message.peer, digest, now)
     self._isolation.update_peer(message.suspects, message.quarantined, now)
     self._isolation.quarantine.exchange.merge(
-        message.crashes, message.peer, False, now
+        message.crash_news, message.peer, False, now
     )
     return self._start_all_waiting(now)
 
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -102,7 +102,7 @@
     suspects: Fingerprints of requests that ran on an endpoint when it crashed.
     retry_delay_by_key: For requests that the peer has just refused, seconds
       until they may retry, by `retry_slots.retry_slot_key`.
-    crashes: Crashes of endpoints, with the requests that ran there.
+    crash_news: Crashes of endpoints, with the requests that ran there.
   """
 
   peer: str
@@ -114,7 +114,7 @@
   waiting_by_rank: dict[str, float] = {}
   suspects: tuple[int, ...] = ()
   retry_delay_by_key: dict[int, float] = {}
-  crashes: tuple[crash_exchange.CrashReport, ...] = ()
+  crash_news: crash_exchange.CrashNews = crash_exchange.CrashNews()
 
 
 class CacheSeen(NamedTuple):
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -179,7 +179,9 @@
 
   def record_completion(self, fingerprint: int) -> None:
     """Clears a request that ran to its end without a crash."""
-    self._evidence.clear(fingerprint)
+    until = self._evidence.clear(fingerprint)
+    if until is not None:
+      self.exchange.add_cleared(fingerprint, until)
 
   def update_peer(
       self, suspects: tuple[int, ...], refused: tuple[int, ...], now: float
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -146,27 +146,23 @@
     """Records that the store dropped an endpoint that was not leaving."""
     self._add_crash(key, self._unanswered.record_end(key, now), now)
 
-  def merge_reports(
+  def merge_news(
       self,
-      reports: list[crash_exchange.CrashReport],
+      news: crash_exchange.CrashNews,
       source: str,
       is_forwarded: bool,
       now: float,
-  ) -> bool:
-    """Merges the crashes that another host reports.
+  ) -> None:
+    """Merges what another host reports.
 
     Args:
-      reports: The reports.
+      news: What the host reports.
       source: Name of the host.
-      is_forwarded: Whether this host forwards them, as a relay does.
+      is_forwarded: Whether this host forwards it, as a relay does.
       now: Time on the event loop's clock.
-
-    Returns:
-      Whether anything was new.
     """
-    added = self._quarantine.exchange.merge(reports, source, is_forwarded, now)
+    added = self._quarantine.exchange.merge(news, source, is_forwarded, now)
     self._log_added(added, now)
-    return bool(added)
 
   def add_refusal(self, fingerprint: int) -> None:
     """Adds a refusal that is to be written to the store."""
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -152,7 +152,7 @@
     message.load = load
     message.parts = peer_message.pack_parts(parts)
     message.leaving = state.endpoints.leaving(now)
-    message.crashes = state.quarantine.exchange.take_reports(now)
+    message.crash_news = state.quarantine.exchange.take_news(now)
     message.is_leaving = state.is_leaving
     if state.watches_store and state.store_contact_since:
       message.store_contact_s = now - state.store_contact_since
@@ -289,10 +289,10 @@
     """Merges the crashes that another host reports; relays forward them."""
     state = self._state
     is_relay = self._table.neighbors.role is peer_topology.Role.RELAY
-    is_new = state.crash_watch.merge_reports(
-        message.crashes, message.host, is_relay, now
+    state.crash_watch.merge_news(
+        message.crash_news, message.host, is_relay, now
     )
-    if is_new and is_relay:
+    if state.quarantine.exchange.has_unsent():
       state.load_changed.set()
 
   def _handle_store_changes(
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -25,7 +25,7 @@
     parts: Prompt parts placed since the last message, by endpoint: keys and
       token counts in alternation.
     leaving: Name and start time of endpoints that are leaving.
-    crashes: Crashes of endpoints, with the requests that ran there.
+    crash_news: Crashes of endpoints, with the requests that ran there.
     store_contact_s: Duration of the current contact with the store.
     store_revision_by_kind: Revision of the last known change in the store by
       kind of object.
@@ -49,7 +49,7 @@
   load: load_sum.LoadByEndpoint = {}
   parts: dict[str, list[int]] = {}
   leaving: list[tuple[str, int]] = []
-  crashes: list[crash_exchange.CrashReport] = []
+  crash_news: crash_exchange.CrashNews = crash_exchange.CrashNews()
   store_contact_s: float = 0.0
   store_revision_by_kind: dict[str, int] = {}
   digest: int = 0
--- a/mulberrypick/ops/refusals_task.py
+++ b/mulberrypick/ops/refusals_task.py
@@ -54,7 +54,8 @@
     now = asyncio.get_running_loop().time()
     for item in listed.objects:
       reports = objects.decode_refusal(item.name, item.spec, time.time())
-      self._state.crash_watch.merge_reports(reports, 'store', False, now)
+      news = crash_exchange.CrashNews(tuple(reports))
+      self._state.crash_watch.merge_news(news, 'store', False, now)
 
   async def _write_new(self) -> None:
     """Writes new refusals as they occur, for `CLEANUP_INTERVAL_S`."""
