Choose the ports of gateway tests outside the range of outgoing connections

Two runs of gateway_crash_test failed once each with "address already in use" (ports 60091 and 41011) while other test processes ran: a port that was free when it was chosen was taken by an outgoing connection before the gateway bound it. A test with 30 gateways chooses 90 ports. Both lie in the range that the kernel assigns (32768 to 60999). Ports are now chosen below it, 10,000 to 31,999, and checked by binding as before.

After: NineHostsTest, ThirtyHostsTest, relay and peer tests side by side; only the known red relay test fails.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -1,6 +1,7 @@
 """A cluster on loopback for gateways: the store and replicas of services."""
 
 import asyncio
+import random
 import socket
 from typing import NamedTuple
 
@@ -10,6 +11,8 @@
 from standins import fleet_store
 
 HOST = 'town.example'
+# Ports below the range that the kernel uses for outgoing connections.
+PORT_RANGE = (10_000, 32_000)
 # Time after a crash at which the entry of a replica expires.
 ENTRY_EXPIRY_S = 0.4
 # Time after a crash at which a replica restarts.
@@ -33,15 +36,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-  """Returns loopback ports that are currently free."""
-  sockets = []
-  for _ in range(count):
-    sock = socket.socket()
-    sock.bind(('127.0.0.1', 0))
-    sockets.append(sock)
-  ports = [sock.getsockname()[1] for sock in sockets]
-  for sock in sockets:
-    sock.close()
+  """Returns loopback ports that are currently free.
+
+  The kernel does not assign them to outgoing connections, which other processes
+  may open before a port is used.
+  """
+  ports = []
+  while len(ports) < count:
+    port = random.randrange(*PORT_RANGE)
+    with socket.socket() as sock:
+      try:
+        sock.bind(('127.0.0.1', port))
+      except OSError:
+        # Another process uses it.
+        continue
+    if port not in ports:
+      ports.append(port)
   return ports
 
 
