Limit the log lines about crashes to twenty a second

An endpoint that resets a share of its requests crashes and proves alive by turns, in the view of each host, with two lines each time; nothing bounded them. Lines beyond 20 a second are counted in crash_lines_left_out. Tests of the crash watch and the gateway pass.

--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -15,6 +15,8 @@
 _log = logging.getLogger(__name__)
 # Crashes and refused requests of which it is known that they were logged.
 MAX_LOGGED = 1000
+# Limits the time spent on logging: at 0.1 ms per line, 0.2% of a core.
+MAX_LINES_PER_S = 20
 # Refusals that wait to be written to the store.
 MAX_NEW_REFUSALS = 100
 # An incarnation that the store still lists this long after a crash has not
@@ -37,6 +39,9 @@
     self._logged: collections.OrderedDict[object, None] = (
         collections.OrderedDict()
     )
+    self._log_second = 0
+    self._lines = 0
+    self._suppressed = 0
     self.new_refusals: asyncio.Queue[int] = asyncio.Queue(MAX_NEW_REFUSALS)
 
   def record_break(
@@ -84,6 +89,7 @@
       connected_at: float,
       sent_at: float,
       is_listed: bool,
+      now: float,
   ) -> None:
     """Records that an endpoint responded to a request.
 
@@ -93,10 +99,11 @@
       sent_at: When the request was sent.
       is_listed: Whether the store would have listed a later start of the
         endpoint if there had been one before the connection was opened.
+      now: Time on the event loop's clock.
     """
     self._unanswered.record_response(key, connected_at)
     known_since = float('-inf') if is_listed else connected_at
-    self._disprove(key, 'response', sent_at, known_since)
+    self._disprove(key, 'response', sent_at, known_since, now)
 
   def record_listed(
       self,
@@ -117,7 +124,7 @@
         continue
       since = max(crash.began_at, contact_since)
       if now - since > MAX_LISTED_AFTER_CRASH_S:
-        self._disprove(crash.key, 'listed', now, float('-inf'))
+        self._disprove(crash.key, 'listed', now, float('-inf'), now)
 
   def _disprove(
       self,
@@ -125,14 +132,14 @@
       reason: str,
       alive_at: float,
       known_since: float,
+      now: float,
   ) -> None:
     involved = self._quarantine.record_alive(*key, alive_at, known_since)
     if not involved:
       return
     endpoint, started_ms = key
-    logs.log_event(
-        _log,
-        logging.INFO,
+    self._log_event(
+        now,
         'crash_disproved',
         endpoint=endpoint,
         started_ms=started_ms,
@@ -195,9 +202,8 @@
     for fingerprint, crash in added:
       if self._is_first((crash.key, crash.disproved_at)):
         endpoint, started_ms = crash.key
-        logs.log_event(
-            _log,
-            logging.INFO,
+        self._log_event(
+            now,
             'endpoint_crashed',
             endpoint=endpoint,
             started_ms=started_ms,
@@ -206,27 +212,40 @@
         )
       is_refused = self._quarantine.is_refused(fingerprint, now)
       if is_refused and self._is_first(fingerprint):
-        self._log_refusal(fingerprint)
+        self._log_refusal(fingerprint, now)
         if any(
             crash.involved_by_hash[fingerprint].is_own
             for crash in self._quarantine.crashes(fingerprint)
         ):
           self.add_refusal(fingerprint)
 
-  def _log_refusal(self, fingerprint: int) -> None:
+  def _log_refusal(self, fingerprint: int, now: float) -> None:
     crashes = []
     for crash in self._quarantine.crashes(fingerprint):
       endpoint, started_ms = crash.key
       source = _source(crash, fingerprint)
       crashes.append(f'{endpoint}/{started_ms}:{source}')
-    logs.log_event(
-        _log,
-        logging.INFO,
+    self._log_event(
+        now,
         'request_quarantined',
         request_hash=call_log.format_hash(fingerprint),
         crashes=','.join(crashes),
     )
 
+  def _log_event(self, now: float, event: str, **fields: object) -> None:
+    """Logs an event unless the rate limit is reached."""
+    if int(now) != self._log_second:
+      if self._suppressed:
+        logs.log_event(
+            _log, logging.INFO, 'crash_lines_left_out', count=self._suppressed
+        )
+      self._log_second, self._lines, self._suppressed = int(now), 0, 0
+    if self._lines >= MAX_LINES_PER_S:
+      self._suppressed += 1
+      return
+    self._lines += 1
+    logs.log_event(_log, logging.INFO, event, **fields)
+
   def _is_first(self, item: object) -> bool:
     if item in self._logged:
       return False
--- a/mulberrypick/ops/crash_watch_test.py
+++ b/mulberrypick/ops/crash_watch_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import endpoint_registry_test
 from mulberrypick.core import quarantine
@@ -34,18 +35,32 @@
       watch.record_break(('e', 1), CRASHING, False, 14.0)
     self.assertIn("'crashes': 'a/1:own,b/1:own", lines.output[-1])
 
+  def test_lines_are_limited_and_those_left_out_are_counted(self):
+    excess = 5
+    reports = []
+    for number in range(crash_watch.MAX_LINES_PER_S + excess):
+      reports.append(
+          crash_exchange.CrashReport(f'x{number}', 1, 0.1, False, (number,))
+      )
+    news = crash_exchange.CrashNews(tuple(reports))
+    with self.assertLogs(crash_watch.__name__, 'INFO') as lines:
+      self.watch.merge_news(news, 'host-2', False, 20.5)
+      self.watch.record_break(('y', 1), 99, False, 30.0)
+    self.assertEqual(len(lines.output), crash_watch.MAX_LINES_PER_S + 2)
+    self.assertIn(f"'count': {excess}", lines.output[-2])
+
   def test_response_on_a_connection_from_before_disproves_a_crash(self):
-    self.watch.record_response(FIRST, 5.0, 11.5, False)
+    self.watch.record_response(FIRST, 5.0, 11.5, False, 12.0)
     self.assertEqual(self.verdict(), quarantine.SUSPECT)
 
   def test_response_on_a_newer_connection_may_be_of_a_restarted_endpoint(self):
-    self.watch.record_response(FIRST, 11.0, 11.5, False)
+    self.watch.record_response(FIRST, 11.0, 11.5, False, 12.0)
     self.assertEqual(self.verdict(), quarantine.REFUSED)
-    self.watch.record_response(FIRST, 11.0, 11.5, True)
+    self.watch.record_response(FIRST, 11.0, 11.5, True, 12.0)
     self.assertEqual(self.verdict(), quarantine.SUSPECT)
 
   def test_response_to_a_request_from_before_disproves_nothing(self):
-    self.watch.record_response(FIRST, 5.0, 9.9, True)
+    self.watch.record_response(FIRST, 5.0, 9.9, True, 12.0)
     self.assertEqual(self.verdict(), quarantine.REFUSED)
 
   def test_endpoint_that_is_still_listed_did_not_crash(self):
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -196,6 +196,7 @@
         connected_at,
         self.sent_at,
         self._state.has_store_contact_since(connected_at, now),
+        now,
     )
     self._own_load.last_response_at = now
     self._own_load.pending_since.pop(id(self), None)
