Refuse requests that shared all their crashes only for a while

Callers saw, in our soak: all requests of a route refused for good, after a crashing request had ended the two endpoints of its service again and again.

Cause: the load sends the same content each time. It was part of the same three crashes as the crashing request, so both were refused for ten minutes, and what is refused can't show that it completes.

Evidence: standins.soak with a crashing request on read, RECOVER failed for all read requests with 503 crashes_endpoints; it holds now. test_request_that_shared_ all_crashes_is_tried_again_after_a_while failed before ('suspect' != 'refused').

Why it works: if several requests were part of exactly the same crashes, each is refused for 5 s, and 4 times longer with each further crash. The next crash of one of them alone identifies it, or one of them completes and is cleared on all hosts. If they never part, the crashing one is tried 5, 25 and 105 s after its third crash: the three late retries that the rule allows (test with 400 s).

--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -6,7 +6,9 @@
 is refused from then on, and the requests that ran beside it are cleared. If
 another request was part of several crashes too, the second crash does not tell
 which of them is the cause. Each of them is then refused after its third crash,
-unless one of the others was part of these crashes and of more.
+unless one of the others was part of these crashes and of more. If several were
+part of the same crashes, all of them are refused only for a while, which grows
+with each crash: the next one tells them apart, or one of them completes.
 
 A request that had generated tokens before the crash is a weak suspect, because
 most crashes happen during prefill. Weak suspects are not isolated before their
@@ -26,6 +28,7 @@
 """
 
 import collections
+import enum
 
 from mulberrypick.core import crash_evidence
 from mulberrypick.core import crash_exchange
@@ -47,6 +50,10 @@
 CRASHES_TO_REFUSE = 2
 # Crashes after which a request is refused in any case.
 MAX_CRASHES = 3
+# Time for which requests are refused that were part of the same three crashes,
+# and by which factor it grows with each further crash.
+SHARED_REFUSAL_S = 5.0
+SHARED_REFUSAL_FACTOR = 4
 MAX_TRACKED = crash_evidence.MAX_TRACKED
 MAX_ANNOUNCED = 100
 # Interval between two removals of expired suspects.
@@ -58,6 +65,15 @@
 REFUSED = 'refused'
 
 
+class _Cause(enum.Enum):
+  """Whether a request is the cause of the crashes that it was part of."""
+
+  NO = 'no'
+  # Another request was part of the same crashes.
+  SHARED = 'shared'
+  SOLE = 'sole'
+
+
 class Quarantine:
   """Tracks suspected and refused requests.
 
@@ -219,9 +235,14 @@
     """Returns whether a request must not run."""
     if self._refused_by_peer_until.get(fingerprint, 0.0) > now:
       return True
-    if not self._is_cause(fingerprint):
+    cause = self._judge(fingerprint)
+    if cause is _Cause.NO:
       return False
-    return now < self._last_crash_at(fingerprint) + QUARANTINE_S
+    ttl_s = QUARANTINE_S
+    if cause is _Cause.SHARED:
+      excess = len(self._evidence.crashes(fingerprint)) - MAX_CRASHES
+      ttl_s = min(ttl_s, SHARED_REFUSAL_S * SHARED_REFUSAL_FACTOR**excess)
+    return now < self._last_crash_at(fingerprint) + ttl_s
 
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
@@ -234,7 +255,7 @@
     """Returns the suspects of this host, to be sent to peers."""
     suspects = []
     for fingerprint in self._evidence.fingerprints():
-      if not self._is_own(fingerprint) or self._is_cause(fingerprint):
+      if not self._is_own(fingerprint) or self.is_refused(fingerprint, now):
         continue
       if self._is_suspect(fingerprint, now):
         suspects.append(fingerprint)
@@ -252,22 +273,27 @@
         refused.append(fingerprint)
     return tuple(refused[-MAX_ANNOUNCED:])
 
-  def _is_cause(self, fingerprint: int) -> bool:
+  def _judge(self, fingerprint: int) -> _Cause:
     """Returns whether a request is taken to be the cause of its crashes."""
     crashes = self._evidence.crashes(fingerprint)
     if len(crashes) < CRASHES_TO_REFUSE:
-      return False
+      return _Cause.NO
     is_only_suspect = self._may_be_only_cause(fingerprint)
+    cause = _Cause.SOLE
     for other in self._evidence.repeated():
       shared = sum(other in crash.involved_by_hash for crash in crashes)
       if other == fingerprint or not shared:
         continue
       is_longer = len(self._evidence.crashes(other)) > len(crashes)
       if shared == len(crashes) and is_longer:
-        return False
+        return _Cause.NO
       if self._may_be_only_cause(other):
         is_only_suspect = False
-    return is_only_suspect or len(crashes) >= MAX_CRASHES
+        if shared == len(crashes):
+          cause = _Cause.SHARED
+    if is_only_suspect or len(crashes) >= MAX_CRASHES:
+      return cause
+    return _Cause.NO
 
   def _may_be_only_cause(self, fingerprint: int) -> bool:
     """Returns whether a request may be the only cause of several crashes.
@@ -287,7 +313,7 @@
     causes = [
         other
         for other in self._evidence.repeated()
-        if other != fingerprint and self._is_cause(other)
+        if other != fingerprint and self._judge(other) is _Cause.SOLE
     ]
     for crash in crashes:
       if not any(cause in crash.involved_by_hash for cause in causes):
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -70,6 +70,35 @@
           )
       self.assertEqual(quarantine.REFUSED, found.verdict(CRASHING, 11.0))
 
+  def test_request_that_shared_all_crashes_is_tried_again_after_a_while(self):
+    found = quarantine.Quarantine()
+    for number in range(3):
+      for fingerprint in (CONCURRENT, CRASHING):
+        found.record_broken_attempt(
+            f'e{number}', 1, fingerprint, False, 5.0 * number
+        )
+    later = 10.0 + quarantine.SHARED_REFUSAL_S
+    self.assertEqual(quarantine.REFUSED, found.verdict(CONCURRENT, later - 0.1))
+    self.assertEqual(quarantine.SUSPECT, found.verdict(CONCURRENT, later))
+    found.record_broken_attempt('e4', 1, CRASHING, False, later)
+    end = later + quarantine.QUARANTINE_S - 1.0
+    self.assertEqual(quarantine.REFUSED, found.verdict(CRASHING, end))
+    self.assertEqual(quarantine.CLEAR, found.verdict(CONCURRENT, later))
+
+  def test_requests_that_share_all_crashes_are_tried_ever_more_seldom(self):
+    found = quarantine.Quarantine()
+    crashes = 0
+    for second in range(400):
+      if found.verdict(CRASHING, float(second)) == quarantine.REFUSED:
+        continue
+      crashes += 1
+      for fingerprint in (CONCURRENT, CRASHING):
+        found.record_broken_attempt(
+            f'e{second}', 1, fingerprint, False, float(second)
+        )
+    # Three, and the three retries that are allowed later.
+    self.assertEqual(crashes, 6)
+
   def test_no_request_is_blamed_for_two_crashes_that_another_shared(self):
     found = quarantine.Quarantine()
     for second, endpoint in enumerate(('e1', 'e2')):
