Draw requests that crash endpoints in the soak

The check counts retries that reach endpoints later than 3 s after the third crash, without those sent by a gateway that was disturbed within 3 s.

--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -78,6 +78,7 @@
     born: Epoch of its KV events and `born` of its entry. Increases with every
       start of the replica.
     on_crash: Called after a request crashed the replica.
+    crashed_by: Body of the request that crashed the replica, empty if none did.
     crashing_arrivals: Time, on the event loop's clock, and id of each received
       request with `crash_point.CRASH_MARKER`.
   """
@@ -98,6 +99,7 @@
     self.port = 0
     self.born = 1
     self.on_crash: Callable[[FleetReplica], None] = lambda replica: None
+    self.crashed_by = b''
     self.crashing_arrivals: list[tuple[float, str]] = []
     self._is_down = False
     self._handles: set[str] = set()
@@ -129,6 +131,7 @@
     point = crash_point.parse_body(body)
     if point in points and not self._is_down:
       self._is_down = True
+      self.crashed_by = body
       if point.is_silent:
         self._server.stop_listening()
       else:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -20,6 +20,7 @@
 
 import click
 
+from standins import crash_point
 from standins import gateway_cluster
 from standins import soak_checks
 from standins import soak_client
@@ -30,6 +31,8 @@
 RATE_PER_S = 80.0
 ROUTES = ('unsafe', 'ask', 'safe', 'read', 'unsafe')
 POLL_INTERVAL_S = 0.2
+# Interval at which the caller of a crashing request sends it again.
+CRASHER_INTERVAL_S = 0.25
 # An endpoint that left may receive new requests for this long, until all
 # gateways know of the change.
 MAX_WORK_AFTER_LEAVING_S = 2.0
@@ -60,6 +63,8 @@
     self._client = soak_client.SoakClient(self._cluster.started_at)
     self._violations: list[str] = []
     self._request_count = 0
+    self._body_by_crasher: dict[str, bytes] = {}
+    self._disturbances: list[soak_checks.Outage] = []
 
   async def run(self) -> list[str]:
     """Runs the schedule; returns the violations found, one line each."""
@@ -107,7 +112,14 @@
     finally:
       await asyncio.gather(*running)
 
-  async def _send_one(self) -> soak_checks.Observation | None:
+  async def _send_one(
+      self, crasher: tuple[str, str, bytes] | None = None
+  ) -> soak_checks.Observation | None:
+    """Sends the next request of the load, or another one to the next gateway.
+
+    Args:
+      crasher: Route, id and body of the other request.
+    """
     self._request_count += 1
     number = self._request_count
     ready = []
@@ -117,16 +129,40 @@
     if not ready:
       return None
     gateway = ready[number % len(ready)]
-    route = ROUTES[number % len(ROUTES)]
+    if crasher is not None:
+      route, request, body = crasher
+    else:
+      route, request, body = ROUTES[number % len(ROUTES)], f'r{number}', None
     return await self._client.send(
-        gateway.host.name, gateway.host.listen_port, route, f'r{number}'
+        gateway.host.name, gateway.host.listen_port, route, request, body
     )
 
   async def _inject(
       self, fault: soak_plan.Fault, schedule_start_at: float
   ) -> None:
     await asyncio.sleep(max(0.0, schedule_start_at + fault.at_s - self._now()))
+    began_at = self._now()
     await getattr(self, f'_inject_{fault.kind}')(fault)
+    if fault.kind in ('store', 'store_link'):
+      gateway = fault.target if fault.kind == 'store_link' else ''
+      self._disturbances.append(
+          soak_checks.Outage(gateway, began_at, self._now())
+      )
+
+  async def _inject_crasher(self, fault: soak_plan.Fault) -> None:
+    """Sends a crashing request again and again, each time with a new id."""
+    prefix = f'crasher-{fault.target}-{fault.variant}-'
+    # The prefix in the body distinguishes the crashes of two such requests.
+    body = crash_point.CRASH_MARKER + f'{fault.variant} {prefix}'.encode()
+    self._body_by_crasher[prefix] = body
+    end_at = self._now() + fault.duration_s
+    async with asyncio.TaskGroup() as group:
+      number = 0
+      while self._now() < end_at:
+        number += 1
+        crasher = (fault.target, f'{prefix}{number}', body)
+        group.create_task(self._send_one(crasher))
+        await asyncio.sleep(CRASHER_INTERVAL_S)
 
   async def _inject_kill(self, fault: soak_plan.Fault) -> None:
     await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
@@ -252,6 +288,14 @@
         outages,
         soak_cluster.EVENTS,
     )
+    for prefix, body in self._body_by_crasher.items():
+      self._violations += soak_checks.find_late_retries(
+          self._client.observations,
+          [at for at, by in self._cluster.crashes if by == body],
+          self._cluster.crashing_arrivals(),
+          outages + self._disturbances,
+          prefix,
+      )
     if any(fault.kind in FAULTS_DELAYING_UPDATES for fault in self._faults):
       return
     for replica, left_at in self._cluster.departures:
@@ -270,7 +314,8 @@
           count_by_status.get(observation.status, 0) + 1
       )
     faults = ' '.join(f'{f.kind}:{f.target}:{f.variant}' for f in self._faults)
-    return f'{count_by_status} after {faults}'
+    crashes = f'{len(self._cluster.crashes)} crashes by requests'
+    return f'{count_by_status}, {crashes}, after {faults}'
 
 
 def run_faults(
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -9,6 +9,12 @@
 # Maximum number of executions of one request, by route.
 MAX_RUNS_BY_ROUTE = {'unsafe': 1, 'read': 1, 'safe': 2, 'ask': 2}
 STREAM_ROUTES = ('ask', 'read')
+# A request that crashed this many endpoints may reach others in at most
+# `MAX_LATE_RETRIES` requests sent later than `STABLE_S` after the last of these
+# crashes, by gateways that were undisturbed for `STABLE_S`.
+CRASHES_BEFORE_REFUSAL = 3
+MAX_LATE_RETRIES = 3
+STABLE_S = 3.0
 
 
 class Observation(NamedTuple):
@@ -80,6 +86,56 @@
   return violations
 
 
+def find_late_retries(
+    observations: Iterable[Observation],
+    crashes: list[float],
+    arrivals: list[tuple[float, str]],
+    disturbances: list[Outage],
+    prefix: str,
+) -> list[str]:
+  """Returns a violation if a crashing request was sent too often, too late.
+
+  Args:
+    observations: Observations of all requests.
+    crashes: When this request crashed endpoints, in order.
+    arrivals: When endpoints received crashing requests, and the ids.
+    disturbances: Periods in which a gateway, its path to the store, or the
+      store was disturbed.
+    prefix: Prefix of the ids of this request.
+  """
+  if len(crashes) < CRASHES_BEFORE_REFUSAL:
+    return []
+  late_from = crashes[CRASHES_BEFORE_REFUSAL - 1] + STABLE_S
+  late_requests = set()
+  for at, request in arrivals:
+    if request.startswith(prefix) and at > late_from:
+      late_requests.add(request)
+  late = []
+  for observation in observations:
+    if observation.request not in late_requests:
+      continue
+    if not _is_disturbed(observation, disturbances):
+      late.append(observation.request)
+  if len(late) <= MAX_LATE_RETRIES:
+    return []
+  return [
+      f'BUDGET: {prefix} reached endpoints in {len(late)} retries after'
+      f' {late_from:.2f} s, {len(crashes)} endpoints crashed'
+  ]
+
+
+def _is_disturbed(observation: Observation, disturbances: list[Outage]) -> bool:
+  for outage in disturbances:
+    if outage.gateway not in ('', observation.gateway):
+      continue
+    if (
+        outage.began_at < observation.ended_at
+        and outage.ended_at + STABLE_S > observation.began_at
+    ):
+      return True
+  return False
+
+
 def _describe(observation: Observation) -> str:
   return (
       f'{observation.route} {observation.request} at {observation.gateway},'
--- a/standins/soak_client.py
+++ b/standins/soak_client.py
@@ -32,9 +32,15 @@
     self._idle_by_port: dict[int, list[stream_client.ClientConnection]] = {}
 
   async def send(
-      self, gateway: str, port: int, route: str, request: str
+      self,
+      gateway: str,
+      port: int,
+      route: str,
+      request: str,
+      body: bytes | None = None,
   ) -> soak_checks.Observation:
     """Sends a request; repeats it if a reused connection closed unanswered."""
+    encoded = _encode(route, request, body)
     began_at = time.monotonic() - self._started_at
     observation = None
     for is_fresh in (False, True):
@@ -53,7 +59,7 @@
         observation = self._make_observation(gateway, route, request, began_at)
         break
       observation = await self._exchange(
-          connection, idle, gateway, route, request, began_at
+          connection, idle, gateway, route, request, encoded, began_at
       )
       # A reused connection may close while the request is in flight.
       if observation.status or observation.is_hung or not was_reused:
@@ -74,10 +80,11 @@
       gateway: str,
       route: str,
       request: str,
+      encoded: bytes,
       began_at: float,
   ) -> soak_checks.Observation:
     exchange = stream_client.Exchange(lambda _: True)
-    connection.send(_encode(route, request), exchange)
+    connection.send(encoded, exchange)
     status, body = 0, b''
     is_whole = is_hung = False
     try:
@@ -125,7 +132,7 @@
     )
 
 
-def _encode(route: str, request: str) -> bytes:
+def _encode(route: str, request: str, body: bytes | None) -> bytes:
   lines = [
       (b'Host', gateway_cluster.HOST.encode()),
       (b'X-Mulberrypick-Request-Id', request.encode()),
@@ -134,6 +141,8 @@
   for name, value in HEADERS_BY_ROUTE.get(route, ()):
     lines.append((f'X-Mulberrypick-{name}'.encode(), value.encode()))
   method = b'GET' if route == 'safe' else b'POST'
+  if body is None:
+    body = b'' if route == 'safe' else b'b'
   return stream_client.encode_request(
-      method, f'/{route}/x'.encode(), lines, b'' if route == 'safe' else b'b'
+      method, f'/{route}/x'.encode(), lines, body
   )
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -207,6 +207,8 @@
     replica_by_name: The current endpoint of each name.
     link_by_name: The relay to each current endpoint.
     departures: Endpoints that left, and when, in seconds after the start.
+    crashes: Times, in seconds after the start, at which requests crashed
+      endpoints, and the bodies of the requests.
   """
 
   def __init__(self, folder: pathlib.Path, module: str):
@@ -216,6 +218,8 @@
     self.replica_by_name: dict[str, fleet_replica.FleetReplica] = {}
     self.link_by_name: dict[str, relay.Relay] = {}
     self.departures: list[tuple[fleet_replica.FleetReplica, float]] = []
+    self.crashes: list[tuple[float, bytes]] = []
+    self._restarts: list[asyncio.Task] = []
     self._all_replicas: list[fleet_replica.FleetReplica] = []
     self._all_links: list[relay.Relay] = []
     self._folder = folder
@@ -255,6 +259,7 @@
         events=EVENTS,
         event_interval_s=EVENT_INTERVAL_S,
     )
+    replica.on_crash = self._handle_crash
     old = self.replica_by_name.get(name)
     replica.born = old.born + 1 if old else 1
     await replica.start(port or gateway_cluster.free_ports(1)[0])
@@ -265,6 +270,34 @@
     self._all_links.append(link)
     self.list_replica(name)
 
+  def crashing_arrivals(self) -> list[tuple[float, str]]:
+    """Returns when endpoints received crashing requests, and the ids.
+
+    Times are in seconds after the start.
+    """
+    arrivals = []
+    for replica in self._all_replicas:
+      for at, request in replica.crashing_arrivals:
+        arrivals.append((at - self.started_at, request))
+    return sorted(arrivals)
+
+  def _handle_crash(self, replica: fleet_replica.FleetReplica) -> None:
+    crashed_at = time.monotonic() - self.started_at
+    self.crashes.append((crashed_at, replica.crashed_by))
+    restart = asyncio.get_running_loop().create_task(self._restart(replica))
+    self._restarts.append(restart)
+
+  async def _restart(self, replica: fleet_replica.FleetReplica) -> None:
+    """Restarts a crashed endpoint unless another fault has replaced it."""
+    await asyncio.sleep(gateway_cluster.ENTRY_EXPIRY_S)
+    if self.replica_by_name[replica.name] is replica:
+      self.base.store.remove('servers', replica.name)
+    await asyncio.sleep(
+        gateway_cluster.RESTART_S - gateway_cluster.ENTRY_EXPIRY_S
+    )
+    if self.replica_by_name[replica.name] is replica:
+      await self.start_replica(replica.name)
+
   def list_replica(self, name: str, state: str = 'ready') -> None:
     """Writes the entry of an endpoint to the store."""
     entry = self.replica_by_name[name].entry(state)
@@ -299,6 +332,8 @@
 
   async def stop(self) -> None:
     """Stops all gateways, relays and endpoints, and the store."""
+    for restart in self._restarts:
+      restart.cancel()
     for gateway in self.gateway_by_name.values():
       await gateway.close()
     for link in self._all_links:
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -18,6 +18,23 @@
 # or wrongly marked. `full` and `held` are legitimate refusals.
 MODES = ('reset', 'mute', 'stray', 'extra', 'unmarked', 'full', 'held')
 ENGINE_MODES = ('reset', 'torn', 'still', 'full')
+# Requests that crash the endpoints that run them: route, and a value of
+# `crash_point.CrashPoint`.
+CRASHERS = (
+    ('unsafe', 'run'),
+    ('safe', 'run'),
+    ('safe', 'silent_run'),
+    ('read', 'prefill'),
+    ('read', 'stream'),
+    ('read', 'silent_stream'),
+    ('ask', 'stream'),
+)
+# Fraction of the schedules with such a request.
+CRASHER_FRACTION = 0.5
+CRASHER_KIND = 'crasher'
+# Time between the last repeat of such a request and the end of a run, in which
+# crashed endpoints restart.
+CRASHER_END_MARGIN_S = 0.3
 
 
 class Fault(NamedTuple):
@@ -26,7 +43,8 @@
   Attributes:
     at_s: When it begins, in seconds after the start.
     kind: Kind of fault, a key of `_TARGETS_BY_KIND`.
-    target: Name of the gateway, endpoint or store that it affects.
+    target: Name of the gateway, endpoint or store that it affects; the route
+      of a crashing request.
     duration_s: Duration of the fault.
     variant: Variant of the kind, empty if there is only one.
   """
@@ -58,7 +76,24 @@
         )
     )
   faults.sort()
-  return _drop_overlapping(faults)
+  return sorted(_drop_overlapping(faults) + _plan_crashers(seed))
+
+
+def _plan_crashers(seed: int) -> list[Fault]:
+  """Draws the crashing requests of a run.
+
+  They have a random number generator of their own, so that the other faults of
+  a seed are the same as before there were such requests.
+  """
+  rng = random.Random(f'crashers of {seed}')
+  if rng.random() >= CRASHER_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.3, 0.8), 2)
+  faults = []
+  for route, point in rng.sample(CRASHERS, rng.randint(1, 2)):
+    duration_s = round(DURATION_S - CRASHER_END_MARGIN_S - at_s, 2)
+    faults.append(Fault(at_s, CRASHER_KIND, route, duration_s, point))
+  return faults
 
 
 def _drop_overlapping(faults: list[Fault]) -> list[Fault]:
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -10,6 +10,10 @@
 
 # An endpoint that runs each booking and resets the connection instead of
 # answering. With a gateway that repeats bookings, about ten run twice.
+CRASHERS = [
+    soak_plan.Fault(0.4, soak_plan.CRASHER_KIND, route, 5.2, point)
+    for route, point in (('unsafe', 'run'), ('read', 'stream'))
+]
 RESET_FAULT = soak_plan.Fault(0.5, 'mode', 'desk-1', 1.5, 'reset')
 SEEDS_FILE = pathlib.Path(__file__).parent / 'soak_seeds.txt'
 
@@ -42,7 +46,8 @@
     kinds = set()
     for seed in range(1, 51):
       kinds.update(fault.kind for fault in soak_plan.plan_faults(seed))
-    self.assertEqual(kinds, set(soak_plan._TARGETS_BY_KIND))
+    expected = {*soak_plan._TARGETS_BY_KIND, soak_plan.CRASHER_KIND}
+    self.assertEqual(kinds, expected)
 
   def test_seeds_are_read_as_ranges_and_lists(self):
     self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
@@ -92,6 +97,32 @@
         violation_kinds(cut._replace(body=first + b'id: 2')), ['WRONG']
     )
 
+  def test_late_retries_of_a_crashing_request(self):
+    arrivals = [(number / 2, f'k-{number}') for number in range(20)]
+    observations = []
+    for at, request in arrivals:
+      observations.append(
+          make_observation(request=request, began_at=at, ended_at=at + 0.1)
+      )
+
+    def count(crashes, disturbances=()) -> int:
+      return len(
+          soak_checks.find_late_retries(
+              observations, crashes, arrivals, list(disturbances), 'k-'
+          )
+      )
+
+    self.assertEqual(count([1.0, 2.0]), 0)
+    self.assertEqual(count([1.0, 2.0, 3.0]), 1)
+    # Three requests arrived later than 3 s after the third crash.
+    self.assertEqual(count([1.0, 2.0, 5.0]), 0)
+    self.assertEqual(count([1.0, 2.0, 5.4]), 0)
+    self.assertEqual(count([1.0, 2.0, 4.4]), 1)
+    store_outage = soak_checks.Outage('', 4.0, 8.5)
+    self.assertEqual(count([1.0, 2.0, 4.4], [store_outage]), 0)
+    other = soak_checks.Outage('host-2', 4.0, 8.5)
+    self.assertEqual(count([1.0, 2.0, 4.4], [other]), 1)
+
   def test_request_without_an_answer(self):
     silent = make_observation(status=0, body=b'', is_whole=False)
     self.assertEqual(violation_kinds(silent, 0), ['SILENT'])
@@ -121,6 +152,17 @@
     kinds = {line.partition(':')[0] for line in violations}
     self.assertIn('TWICE', kinds, summary)
 
+  def test_requests_that_crash_endpoints_are_refused(self):
+    violations, summary = soak.run_faults(CRASHERS, 'crashers')
+    self.assertEqual(violations, [], summary)
+
+  def test_gateway_that_forgets_crashes_is_detected(self):
+    violations, summary = soak.run_faults(
+        CRASHERS[:1], 'crashers', 'standins.soak_forgetful_gateway'
+    )
+    kinds = {line.partition(':')[0] for line in violations}
+    self.assertIn('BUDGET', kinds, summary)
+
   def test_same_fault_without_the_bug_passes(self):
     violations, summary = soak.run_faults([RESET_FAULT], 'known')
     self.assertEqual(violations, [], summary)
