Remember which requests completed, as evidence against their guilt

Cause: a completion cleared a request only if its crashes were known by then. A request that had completed a hundred times before took part in three crashes within a second, each with other requests, and was the only one in all three.

Why it works: a request that crashes each endpoint that runs it never completes, so a completion clears it of crashes before it and for 60 s after it. A host that knows of a completion tells those that report a crash of the request. 10,000 completions are remembered on a host. Only a status under 400 counts as one; an error of the endpoint may come before it ran the request.

--- a/mulberrypick/core/attempt_tracker.py
+++ b/mulberrypick/core/attempt_tracker.py
@@ -172,7 +172,7 @@
     if message.outcome == messages.OUTCOME_WHOLE:
       tokens = waiting.next_index + message.tokens
       self._cost.record_output(waiting.request, tokens)
-      self._isolation.quarantine.record_completion(waiting.fingerprint)
+      self._isolation.quarantine.record_completion(waiting.fingerprint, now)
       self._choice.handle_answer(
           message.endpoint,
           waiting,
--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -6,6 +6,8 @@
 # Requests that are tracked. If there are more, those that were part of only one
 # crash are dropped first, the oldest first.
 MAX_TRACKED = 2000
+# Requests that completed lately, of which this is remembered.
+MAX_CLEARED = 10_000
 # Longest delay of a report between two hosts, by which the time of a crash may
 # be taken for a later one.
 REPORT_DELAY_S = 1.0
@@ -56,7 +58,7 @@
         collections.OrderedDict()
     )
     self._repeated: set[int] = set()
-    self._cleared_at: collections.OrderedDict[int, float] = (
+    self._cleared_until: collections.OrderedDict[int, float] = (
         collections.OrderedDict()
     )
 
@@ -80,7 +82,7 @@
       crash = self._crash_by_key[key] = Crash(key, at)
     if at <= crash.disproved_at:
       return False
-    if at <= self._cleared_at.get(fingerprint, float('-inf')):
+    if at <= self.cleared_until(fingerprint):
       return False
     if not crash.involved_by_hash:
       crash.began_at = at
@@ -136,27 +138,18 @@
       if not involved.source:
         self._remove(crash, fingerprint)
 
-  def clear(self, fingerprint: int) -> float | None:
-    """Drops a request from its known crashes: it was not their cause.
-
-    Returns:
-      The time up to which it caused no crash; None if no crash was known.
-    """
-    crashes = self._crashes_by_hash.get(fingerprint)
-    if not crashes:
-      return None
-    last = max(crash.began_at for crash in crashes)
-    self.clear_until(fingerprint, last + REPORT_DELAY_S)
-    return last + REPORT_DELAY_S
+  def cleared_until(self, fingerprint: int) -> float:
+    """Returns the time up to which a request is known to cause no crash."""
+    return self._cleared_until.get(fingerprint, float('-inf'))
 
   def clear_until(self, fingerprint: int, until: float) -> bool:
     """Drops a request from its crashes up to a time; returns if this is new."""
-    if until <= self._cleared_at.get(fingerprint, float('-inf')):
+    if until <= self.cleared_until(fingerprint):
       return False
-    self._cleared_at[fingerprint] = until
-    self._cleared_at.move_to_end(fingerprint)
-    if len(self._cleared_at) > MAX_TRACKED:
-      self._cleared_at.popitem(last=False)
+    self._cleared_until[fingerprint] = until
+    self._cleared_until.move_to_end(fingerprint)
+    if len(self._cleared_until) > MAX_CLEARED:
+      self._cleared_until.popitem(last=False)
     for crash in list(self._crashes_by_hash.get(fingerprint, ())):
       if crash.began_at <= until:
         self._remove(crash, fingerprint)
--- a/mulberrypick/core/crash_evidence_test.py
+++ b/mulberrypick/core/crash_evidence_test.py
@@ -43,10 +43,11 @@
 
   def test_a_cleared_request_is_not_involved_by_a_late_report(self):
     self.evidence.add(FIRST, 7, BEFORE_TOKEN, 1.0)
-    self.evidence.clear(7)
-    late = 1.0 + crash_evidence.REPORT_DELAY_S
-    self.assertFalse(self.evidence.add(FIRST, 7, BEFORE_TOKEN, late))
-    self.assertTrue(self.evidence.add(SECOND, 7, BEFORE_TOKEN, late + 0.1))
+    self.assertTrue(self.evidence.clear_until(7, 3.0))
+    self.assertFalse(self.evidence.clear_until(7, 2.0))
+    self.assertEqual(self.keys(7), [])
+    self.assertFalse(self.evidence.add(FIRST, 7, BEFORE_TOKEN, 3.0))
+    self.assertTrue(self.evidence.add(SECOND, 7, BEFORE_TOKEN, 3.1))
 
   def test_requests_of_one_crash_are_dropped_first(self):
     self.evidence.add(FIRST, 7, BEFORE_TOKEN, 0.0)
--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -66,6 +66,13 @@
   cleared: tuple[ClearedRequest, ...] = ()
 
 
+class _Cleared(NamedTuple):
+  """A cleared request: until when, and when it was added to the messages."""
+
+  until: float
+  added_at: float
+
+
 class NewInvolvement(NamedTuple):
   """A request and a crash that a report added to the evidence."""
 
@@ -80,9 +87,9 @@
     self._evidence = evidence
     self._unsent: dict[crash_evidence.IncarnationKey, set[int]] = {}
     self._repeated_at = float('-inf')
-    # Requests that were cleared: until when they caused no crash. Those in
-    # `_unsent_cleared` were not sent yet.
-    self._cleared_until: collections.OrderedDict[int, float] = (
+    # Cleared requests that are sent. Those in `_unsent_cleared` were not sent
+    # yet.
+    self._cleared: collections.OrderedDict[int, _Cleared] = (
         collections.OrderedDict()
     )
     self._unsent_cleared: set[int] = set()
@@ -93,9 +100,15 @@
     """Includes new evidence in the next message."""
     self._unsent.setdefault(key, set()).add(fingerprint)
 
-  def add_cleared(self, fingerprint: int, until: float) -> None:
-    """Includes a request that was cleared in the next message."""
-    self._cleared_until[fingerprint] = until
+  def add_cleared(self, fingerprint: int, until: float, now: float) -> None:
+    """Includes a request that was cleared in the next message.
+
+    Args:
+      fingerprint: The request.
+      until: Time up to which it is known to cause no crash.
+      now: Monotonic time.
+    """
+    self._cleared[fingerprint] = _Cleared(until, now)
     self._unsent_cleared.add(fingerprint)
 
   def merge(
@@ -113,7 +126,7 @@
       until = now - cleared.age_s
       is_new = self._evidence.clear_until(cleared.fingerprint, until)
       if is_new and is_forwarded:
-        self.add_cleared(cleared.fingerprint, until)
+        self.add_cleared(cleared.fingerprint, until, now)
     added = []
     for report in news.crashes:
       if report.age_s > MAX_AGE_S:
@@ -121,15 +134,21 @@
       key = (report.endpoint, report.incarnation)
       involved = crash_evidence.Involvement(report.has_token, False, source)
       for fingerprint in report.fingerprints:
-        if not self._evidence.add(
-            key, fingerprint, involved, now - report.age_s
-        ):
+        at = now - report.age_s
+        if not self._evidence.add(key, fingerprint, involved, at):
+          self._tell_if_cleared(fingerprint, at, now)
           continue
         added.append(NewInvolvement(fingerprint, self._evidence.find(key)))
         if is_forwarded:
           self.add_unsent(key, fingerprint)
     return added
 
+  def _tell_if_cleared(self, fingerprint: int, at: float, now: float) -> None:
+    """Tells others that a request whose crash they report was not the cause."""
+    until = self._evidence.cleared_until(fingerprint)
+    if at <= until and fingerprint not in self._cleared:
+      self.add_cleared(fingerprint, until, now)
+
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return bool(self._unsent or self._unsent_cleared)
@@ -146,11 +165,11 @@
 
   def _take_cleared(self, is_repeat: bool, now: float) -> list[ClearedRequest]:
     cleared = []
-    for fingerprint, until in list(self._cleared_until.items()):
-      if until < now - RECENT_S:
-        del self._cleared_until[fingerprint]
+    for fingerprint, told in list(self._cleared.items()):
+      if told.added_at < now - RECENT_S:
+        del self._cleared[fingerprint]
       if is_repeat or fingerprint in self._unsent_cleared:
-        cleared.append(ClearedRequest(fingerprint, round(now - until, 3)))
+        cleared.append(ClearedRequest(fingerprint, round(now - told.until, 3)))
     self._unsent_cleared.clear()
     return cleared[-MAX_CLEARED:]
 
--- a/mulberrypick/core/crash_exchange_test.py
+++ b/mulberrypick/core/crash_exchange_test.py
@@ -13,10 +13,11 @@
 class Fleet:
   """Hosts that receive requests which crash endpoints, and report crashes.
 
-  With `relays`, host 0 and a few others forward the reports of their groups.
+  With groups, one host of each, its relay, forwards the reports.
 
   Attributes:
     now: The time.
+    relay_position: Position of the relay in its group.
     crashed_by_hash: Number of endpoints that each request crashed.
   """
 
@@ -24,6 +25,7 @@
     self.now = 0.0
     self.crashed_by_hash: dict[int, int] = {}
     self.hosts = [quarantine.Quarantine() for _ in range(hosts)]
+    self.relay_position = 0
     self._group_size = group_size
     self._endpoints = 0
 
@@ -47,37 +49,37 @@
           f'e{self._endpoints}', 1, fingerprint, has_token, self.now
       )
 
-  def exchange(self, excluded: tuple[int, ...] = ()) -> None:
-    """Delivers what all hosts have to send, but not to or from `excluded`."""
+  def exchange(self, cut: tuple[int, ...] = ()) -> None:
+    """Delivers what hosts have to send, but not between `cut` and others."""
     self.now += 0.05
     for sender, host in enumerate(self.hosts):
       news = host.exchange.take_news(self.now)
       for receiver in self._receivers(sender):
-        if sender not in excluded and receiver not in excluded:
+        if (sender in cut) == (receiver in cut):
           self.hosts[receiver].exchange.merge(
               news, f'h{sender}', self._is_relay(receiver), self.now
           )
 
   def _is_relay(self, host: int) -> bool:
-    return bool(self._group_size) and host % self._group_size == 0
+    if not self._group_size:
+      return False
+    return host % self._group_size == self.relay_position
 
   def _receivers(self, sender: int) -> list[int]:
     others = [h for h in range(len(self.hosts)) if h != sender]
     if not self._group_size:
       return others
-    own_relay = sender - sender % self._group_size
+    group = sender // self._group_size
     if not self._is_relay(sender):
-      return [own_relay]
+      return [group * self._group_size + self.relay_position]
     return [
-        h
-        for h in others
-        if self._is_relay(h) or h - h % self._group_size == sender
+        h for h in others if self._is_relay(h) or h // self._group_size == group
     ]
 
-  def settle(self) -> None:
+  def settle(self, cut: tuple[int, ...] = ()) -> None:
     """Exchanges until reports passed two relays."""
     for _ in range(4):
-      self.exchange()
+      self.exchange(cut)
 
 
 class CrashExchangeTest(unittest.TestCase):
@@ -122,12 +124,33 @@
       fleet.now += INTERVAL_S
     self.assertEqual(fleet.crashed_by_hash[CRASHING], 3)
 
+  def test_crashes_are_counted_while_relays_change(self):
+    for has_token, allowed in ((False, 2), (True, 3)):
+      fleet = Fleet(30, 10)
+      for number in range(REPEATS):
+        fleet.crash(number * 7 % 30, has_token, CRASHING)
+        fleet.exchange()
+        fleet.relay_position = number % 10
+        for _ in range(25):
+          fleet.exchange()
+        fleet.now += INTERVAL_S
+      self.assertEqual(fleet.crashed_by_hash[CRASHING], allowed)
+
+  def test_each_side_of_a_cut_counts_for_itself_until_it_heals(self):
+    for has_token, allowed in ((False, 2), (True, 3)):
+      fleet = Fleet(9)
+      for number in range(REPEATS):
+        fleet.crash(number % 9, has_token, CRASHING)
+        fleet.settle(cut=(7, 8) if number < REPEATS / 2 else ())
+        fleet.now += INTERVAL_S
+      # The sides together stay within the three crashes and three retries.
+      self.assertLessEqual(fleet.crashed_by_hash[CRASHING], 2 * allowed)
+
   def test_hosts_that_were_cut_off_learn_of_the_refusal(self):
     fleet = Fleet(9)
     for number in range(3):
       fleet.crash(number, True, CRASHING)
-      for _ in range(4):
-        fleet.exchange(excluded=(7, 8))
+      fleet.settle(cut=(7, 8))
     fleet.now += 60.0
     for _ in range(25):
       fleet.exchange()
@@ -155,13 +178,23 @@
       for number in range(3):
         fleet.crash(number, False, CRASHING, CONCURRENT)
         fleet.settle()
-        fleet.hosts[8].record_completion(CONCURRENT)
+        fleet.hosts[8].record_completion(CONCURRENT, fleet.now)
         fleet.settle()
         fleet.now += INTERVAL_S
       for host in fleet.hosts:
         self.assertEqual(host.verdict(CRASHING, fleet.now), quarantine.REFUSED)
         self.assertEqual(host.verdict(CONCURRENT, fleet.now), quarantine.CLEAR)
 
+  def test_request_that_ran_to_its_end_shortly_before_is_not_refused(self):
+    fleet = Fleet(9, 3)
+    fleet.hosts[8].record_completion(CONCURRENT, 0.0)
+    for number in range(3):
+      fleet.crash(number, False, CRASHING, CONCURRENT)
+      fleet.settle()
+    for host in fleet.hosts:
+      self.assertEqual(host.verdict(CRASHING, fleet.now), quarantine.REFUSED)
+      self.assertEqual(host.verdict(CONCURRENT, fleet.now), quarantine.CLEAR)
+
   def test_reports_of_a_crash_that_is_known_add_nothing(self):
     fleet = Fleet(3)
     fleet.crash(0, False, CRASHING)
--- a/mulberrypick/core/dispatch_test.py
+++ b/mulberrypick/core/dispatch_test.py
@@ -311,7 +311,7 @@
       # Enough time passes for each failure to count separately.
       end(dispatcher, start, messages.OUTCOME_FAILED, now + 1.0)
       dispatcher._isolation.quarantine.record_completion(
-          waiting_base.fingerprint(request)
+          waiting_base.fingerprint(request), now + 1.0
       )
     refuse = submit(dispatcher, request, 90.0, 3, failed)
     self.assertIsInstance(refuse.error, errors.UnavailableError)
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -8,7 +8,8 @@
 which of them is the cause. Each of them is then refused after its third crash,
 unless one of the others was part of these crashes and of more. If several were
 part of the same crashes, all of them are refused only for a while, which grows
-with each crash: the next one tells them apart, or one of them completes.
+with each crash: the next one tells them apart, or one of them completes. A
+request that completed anywhere, before or after a crash, was not its cause.
 
 A request that had generated tokens before the crash is a weak suspect, because
 most crashes happen during prefill. Weak suspects are not isolated before their
@@ -50,6 +51,9 @@
 CRASHES_TO_REFUSE = 2
 # Crashes after which a request is refused in any case.
 MAX_CRASHES = 3
+# A request that completed does not become a suspect for this long: one that
+# crashes endpoints never completes.
+COMPLETED_TTL_S = 60.0
 # Time for which requests are refused that were part of the same three crashes,
 # and by which factor it grows with each further crash.
 SHARED_REFUSAL_S = 5.0
@@ -193,11 +197,13 @@
     self._evidence.disprove(key, alive_at)
     return involved
 
-  def record_completion(self, fingerprint: int) -> None:
+  def record_completion(self, fingerprint: int, now: float) -> None:
     """Clears a request that ran to its end without a crash."""
-    until = self._evidence.clear(fingerprint)
-    if until is not None:
-      self.exchange.add_cleared(fingerprint, until)
+    is_suspect = bool(self._evidence.crashes(fingerprint))
+    until = now + COMPLETED_TTL_S
+    self._evidence.clear_until(fingerprint, until)
+    if is_suspect:
+      self.exchange.add_cleared(fingerprint, until, now)
 
   def update_peer(
       self, suspects: tuple[int, ...], refused: tuple[int, ...], now: float
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -25,7 +25,7 @@
   def test_one_that_ran_to_its_end_is_cleared(self):
     found = quarantine.Quarantine()
     found.record_broken_attempt('e1', 1, CONCURRENT, False, 0.0)
-    found.record_completion(CONCURRENT)
+    found.record_completion(CONCURRENT, 0.05)
     self.assertEqual(quarantine.CLEAR, found.verdict(CONCURRENT, 0.1))
 
   def test_two_broken_attempts_of_one_crash_count_once(self):
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -295,7 +295,8 @@
     )
     if head.status < 500:
       self._state.endpoints.record_success(placement.endpoint)
-      self._state.quarantine.record_completion(self._call.fingerprint)
+    if head.status < 400:
+      self._record_completion()
     self._log_decision('served', f'status_{head.status}')
     return _AttemptResult(True, True, 'served')
 
@@ -328,10 +329,14 @@
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
     self._stream.finish(head)
-    self._state.quarantine.record_completion(self._call.fingerprint)
+    self._record_completion()
     self._log_decision('served', 'stream')
     return _AttemptResult(True, True, 'served')
 
+  def _record_completion(self) -> None:
+    now = asyncio.get_running_loop().time()
+    self._state.quarantine.record_completion(self._call.fingerprint, now)
+
   def _can_run_elsewhere(self) -> bool:
     route = self._call.route
     if not route.is_idempotent or self._runs + 1 >= route.attempts:
