Mend four faults of the shared evidence that a read-through found

Callers would see, in the worst case, all connections of a gateway end: three of these raise in the task that receives messages or in a request. None was seen.

- A withdrawn attempt was logged as part of a crash in which other hosts' requests remained: KeyError. record_broken_attempt now returns nothing for it.
- A message with more requests than are tracked dropped some of its own: KeyError when they were logged.
They are passed over.
- With 2,000 requests tracked, all in several crashes, a new one was dropped from one index only: KeyError when its crash was disproved.
The oldest is dropped.
- Reports expired only at a host that saw breaks itself, and were repeated to all until they were 600 s old.

Besides: a refusal without crashes is not stored, as its object would never be removed; an attempt that the endpoint did not run is not remembered as unanswered.

Evidence: four tests, seen failing before (KeyError 100; [] != [('e1', 1)]; a report returned for a withdrawn attempt; no expiry). Tests of quarantine, evidence, exchange, crash watch, dispatcher, peers and gateway pass.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -93,7 +93,7 @@
       crashes.append(crash)
       if len(crashes) > 1:
         self._repeated.add(fingerprint)
-      self._drop_excess()
+      self._drop_excess(fingerprint)
     else:
       involved = Involvement(
           old.has_token or involved.has_token,
@@ -176,12 +176,12 @@
     if not crashes:
       del self._crashes_by_hash[fingerprint]
 
-  def _drop_excess(self) -> None:
+  def _drop_excess(self, newest: int) -> None:
     if len(self._crashes_by_hash) <= MAX_TRACKED:
       return
     oldest = next(iter(self._crashes_by_hash))
     for fingerprint, crashes in self._crashes_by_hash.items():
-      if len(crashes) == 1:
+      if len(crashes) == 1 and fingerprint != newest:
         oldest = fingerprint
         break
     self.drop(oldest)
--- a/mulberrypick/core/crash_evidence_test.py
+++ b/mulberrypick/core/crash_evidence_test.py
@@ -59,6 +59,16 @@
     )
     self.assertEqual(self.keys(7), [FIRST, SECOND])
 
+  def test_a_new_request_is_tracked_although_all_others_are_repeated(self):
+    for number in range(crash_evidence.MAX_TRACKED):
+      for key in (FIRST, SECOND):
+        self.evidence.add(key, 100 + number, BEFORE_TOKEN, 1.0)
+    self.assertTrue(self.evidence.add(FIRST, 7, BEFORE_TOKEN, 2.0))
+    self.assertEqual(self.keys(7), [FIRST])
+    self.assertEqual(self.keys(100), [])
+    self.evidence.disprove(FIRST, 3.0)
+    self.assertEqual(self.keys(7), [])
+
   def test_old_crashes_without_requests_are_forgotten(self):
     self.evidence.add(FIRST, 7, BEFORE_TOKEN, 1.0)
     self.evidence.add(SECOND, 8, BEFORE_TOKEN, 1.0)
--- a/mulberrypick/core/isolation.py
+++ b/mulberrypick/core/isolation.py
@@ -112,6 +112,7 @@
 
     The refused ones count as known to the peers from now on.
     """
+    self.quarantine.expire(now)
     refused = self.quarantine.refused(now)
     self._mark_announced(refused)
     return self.quarantine.suspects(now), refused
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -23,9 +23,9 @@
 Requests are identified by a hash of their content, as the caller makes a new
 id each time. If several endpoints break off at once and none of the requests
 there was part of another crash, now or before, the network failed: nobody is
-suspected. An incarnation that sends a
-load report after the break did not crash either: an attempt that was given up
-because the endpoint was silent says nothing about the request.
+suspected. An incarnation that is alive after the break did not crash either: an
+attempt that was given up because the endpoint was silent says nothing about the
+request.
 """
 
 import collections
@@ -118,7 +118,7 @@
     Returns:
       What is new about the request, without a second break in the same crash.
     """
-    self._expire(now)
+    self.expire(now)
     key = (endpoint, incarnation)
     involved = crash_evidence.Involvement(has_token, True)
     is_new = self._evidence.add(key, fingerprint, involved, now)
@@ -127,7 +127,7 @@
       for recent in self._recent(now):
         self._evidence.withdraw_own(recent)
     crash = self._evidence.find(key)
-    if not is_new or crash is None:
+    if not is_new or crash is None or fingerprint not in crash.involved_by_hash:
       return []
     self.exchange.add_unsent(key, fingerprint)
     return [crash_exchange.NewInvolvement(fingerprint, crash)]
@@ -337,7 +337,8 @@
     crashes = self._evidence.crashes(fingerprint)
     return max(crash.began_at for crash in crashes)
 
-  def _expire(self, now: float) -> None:
+  def expire(self, now: float) -> None:
+    """Forgets expired suspects and refusals."""
     if now - self._expired_at < EXPIRY_INTERVAL_S:
       return
     self._expired_at = now
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import isolation
 from mulberrypick.core import quarantine
 from mulberrypick.core import retry_budget
@@ -50,6 +51,35 @@
     for number in range(5):
       self.assertEqual(quarantine.CLEAR, found.verdict(number, 1.0))
 
+  def test_a_failed_network_withdraws_only_what_this_host_saw(self):
+    found = quarantine.Quarantine()
+    report = crash_exchange.CrashReport('e2', 1, 0.0, False, (OTHER,))
+    found.exchange.merge(
+        crash_exchange.CrashNews((report,)), 'host-2', False, 0.0
+    )
+    added = []
+    for number in range(3):
+      added = found.record_broken_attempt(
+          f'e{number}', 1, 10 + number, False, 0.1 * number
+      )
+    self.assertEqual(added, [])
+    self.assertEqual(quarantine.CLEAR, found.verdict(12, 1.0))
+    self.assertEqual(quarantine.SUSPECT, found.verdict(OTHER, 1.0))
+
+  def test_reports_of_others_expire_without_own_breaks(self):
+    found = quarantine.Quarantine()
+    for number in range(2):
+      report = crash_exchange.CrashReport(f'e{number}', 1, 0.0, True, (OTHER,))
+      found.exchange.merge(
+          crash_exchange.CrashNews((report,)), 'host-2', False, 0.0
+      )
+    found.expire(quarantine.SUSPECT_TTL_S + 1.0)
+    self.assertEqual(found.all_crashes(), [])
+    self.assertEqual(
+        found.exchange.take_news(quarantine.SUSPECT_TTL_S + 1.0),
+        crash_exchange.CrashNews(),
+    )
+
   def test_fast_crashes_by_one_request_are_no_network_failure(self):
     found = quarantine.Quarantine()
     for number in range(3):
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -105,6 +105,10 @@
     known_since = float('-inf') if is_listed else connected_at
     self._disprove(key, 'response', sent_at, known_since, now)
 
+  def expire(self, now: float) -> None:
+    """Forgets expired suspects and refusals."""
+    self._quarantine.expire(now)
+
   def record_listed(
       self,
       endpoints: endpoint_registry.EndpointRegistry,
@@ -200,6 +204,9 @@
   ) -> None:
     """Logs crashes that were not known, and requests that are now refused."""
     for fingerprint, crash in added:
+      if fingerprint not in crash.involved_by_hash:
+        # It was dropped for others that were added with it.
+        continue
       if self._is_first((crash.key, crash.disproved_at)):
         endpoint, started_ms = crash.key
         self._log_event(
--- a/mulberrypick/ops/crash_watch_test.py
+++ b/mulberrypick/ops/crash_watch_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberrypick.core import crash_evidence
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import endpoint_registry_test
@@ -35,6 +36,14 @@
       watch.record_break(('e', 1), CRASHING, False, 14.0)
     self.assertIn("'crashes': 'a/1:own,b/1:own", lines.output[-1])
 
+  def test_more_requests_in_one_message_than_are_tracked(self):
+    fingerprints = tuple(range(100, 100 + crash_evidence.MAX_TRACKED + 50))
+    report = crash_exchange.CrashReport('c', 1, 0.1, False, fingerprints)
+    news = crash_exchange.CrashNews((report,))
+    self.watch.merge_news(news, 'host-2', True, 12.0)
+    self.assertEqual(self.quarantine.verdict(101, 12.0), quarantine.CLEAR)
+    self.assertEqual(self.verdict(), quarantine.REFUSED)
+
   def test_lines_are_limited_and_those_left_out_are_counted(self):
     excess = 5
     reports = []
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -92,7 +92,8 @@
     )
     self.sent_at = 0.0
     self._other_count = 0
-    self._has_broken = False
+    # Whether it is known if the request may have crashed the endpoint.
+    self._is_judged = False
 
   async def start(
       self,
@@ -161,7 +162,7 @@
     """
     now = asyncio.get_running_loop().time()
     name, started_ms = self._endpoint.incarnation
-    self._has_broken = True
+    self._is_judged = True
     self._state.endpoints.record_failure(self._endpoint, now)
     self._state.crash_watch.record_break(
         self._endpoint.incarnation, self._call.fingerprint, has_event, now
@@ -217,7 +218,7 @@
     if self.exchange.is_done:
       connection.close()
       return
-    if not self._has_broken:
+    if not self._is_judged:
       self._state.crash_watch.record_unanswered(
           self._endpoint.incarnation,
           self._call.fingerprint,
@@ -273,6 +274,7 @@
         state.endpoints.mark_leaving(self._endpoint.incarnation, now)
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
+      self._is_judged = True
       if self._is_full_refusal(kind, now):
         state.load.record_refused(self._endpoint, self._other_count)
       await self._read_refusal()
--- a/mulberrypick/ops/refusals_task.py
+++ b/mulberrypick/ops/refusals_task.py
@@ -72,6 +72,9 @@
   async def _write(self, fingerprint: int) -> None:
     now = asyncio.get_running_loop().time()
     reports = self._state.quarantine.exchange.reports_of(fingerprint, now)
+    if not reports:
+      # Its crashes were withdrawn.
+      return
     name, spec = objects.encode_refusal(fingerprint, reports, time.time())
     try:
       # Several hosts may have seen crashes; the first one writes.
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -169,6 +169,7 @@
         )
       for incarnation in self.state.endpoints.take_ended():
         self.state.crash_watch.record_end(incarnation, now)
+      self.state.crash_watch.expire(now)
       if self.state.store_contact_since is not None:
         self.state.crash_watch.record_listed(
             self.state.endpoints, self.state.store_contact_since, now
