Read cache events again that arrived after the poll's time limit

Cause: the thread that read the events advanced the number from which the next poll reads, also when the poll had given up waiting for it. The events were dropped and never asked for again.

Evidence: test_events_read_after_the_time_limit_are_returned_by_the_next_poll failed ('() != (CacheSeen,)') and passes; its entry leaves KNOWN-RED.

Why it works: the number advances only when the poll takes the events. Events of a late reply are read twice; storing or evicting a block twice changes nothing. Tests of the poller and the fleet task pass.

--- a/mulberrypick/ops/engine_poller.py
+++ b/mulberrypick/ops/engine_poller.py
@@ -8,6 +8,7 @@
 import concurrent.futures
 import time
 from typing import Any
+from typing import NamedTuple
 
 from mulberrypick.adapters import engine as engine_adapter
 from mulberrypick.core import messages
@@ -20,6 +21,20 @@
 MAX_CACHE_BLOCKS = 128
 
 
+class _CacheRead(NamedTuple):
+  """Events read from one engine.
+
+  Attributes:
+    key: Key of the engine process.
+    last_number: Number of the last event.
+    seen: The events.
+  """
+
+  key: str
+  last_number: int
+  seen: messages.CacheSeen
+
+
 class EnginePoller:
   """Polls engines for one task; its threads only run the calls to engines."""
 
@@ -102,7 +117,8 @@
     """Reads new cache events of the engines assigned to this entry.
 
     Args:
-      timeout_s: Time limit for the replies; later ones are dropped.
+      timeout_s: Time limit for the replies. The events of later ones are read
+        again by the next poll.
 
     Returns:
       The events of engines that had any.
@@ -110,28 +126,33 @@
     polls = [
         self._pool.submit(self._read_cache, host) for host in self._own_engines
     ]
-    results = _collect_results(polls, timeout_s)
-    return tuple(seen for seen in results if seen is not None)
+    all_seen = []
+    for read in _collect_results(polls, timeout_s):
+      if read is None:
+        continue
+      self._event_number_by_endpoint[read.key] = read.last_number
+      all_seen.append(read.seen)
+    return tuple(all_seen)
 
   @property
   def own_engine_count(self) -> int:
     """Number of engines assigned to this entry."""
     return len(self._own_engines)
 
-  def _read_cache(self, host: records.Host) -> messages.CacheSeen | None:
+  def _read_cache(self, host: records.Host) -> _CacheRead | None:
     key = _incarnation_key(host)
     after = self._event_number_by_endpoint.get(key, 0)
     events = self._engine.read_cache_events(host.name, host.address, after)
     if not events:
       return None
-    self._event_number_by_endpoint[key] = events[-1].number
     stored = [event.block for event in events if event.is_stored]
     evicted = [event.block for event in events if not event.is_stored]
-    return messages.CacheSeen(
+    seen = messages.CacheSeen(
         host.name,
         tuple(stored[-MAX_CACHE_BLOCKS:]),
         tuple(evicted[-MAX_CACHE_BLOCKS:]),
     )
+    return _CacheRead(key, events[-1].number, seen)
 
 
 def _incarnation_key(host: records.Host) -> str:
