--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -1,8 +1,10 @@
 """A cluster on loopback for gateways: the store and replicas of services."""
 
 import asyncio
-import random
+import itertools
+import os
 import socket
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from mulberrypick.adapters import stream_client
@@ -12,13 +14,24 @@
 
 HOST = 'town.example'
 # Ports below the range that the kernel uses for outgoing connections.
-PORT_RANGE = (10_000, 32_000)
+PORTS = range(10_000, 32_000)
+# Distance of the first ports of processes with consecutive ids.
+PORTS_PER_PROCESS = 457
 # Time after a crash at which the entry of a replica expires.
 ENTRY_EXPIRY_S = 0.4
 # Time after a crash at which a replica restarts.
 RESTART_S = 0.8
 
 
+def _iterate_ports() -> Iterator[int]:
+  first = os.getpid() * PORTS_PER_PROCESS
+  for number in itertools.count(first):
+    yield PORTS[number % len(PORTS)]
+
+
+_ports = _iterate_ports()
+
+
 class Answer(NamedTuple):
   """The response that a caller received.
 
@@ -39,19 +52,18 @@
   """Returns loopback ports that are currently free.
 
   The kernel does not assign them to outgoing connections, which other processes
-  may open before a port is used.
+  may open before a port is used. This process gets each port only once.
   """
   ports = []
   while len(ports) < count:
-    port = random.randrange(*PORT_RANGE)
+    port = next(_ports)
     with socket.socket() as sock:
       try:
         sock.bind(('127.0.0.1', port))
       except OSError:
         # Another process uses it.
         continue
-    if port not in ports:
-      ports.append(port)
+    ports.append(port)
   return ports
 
 
