Log and count the limits that endpoints name

Now each host logs limit_in_force and limit_ended with the endpoint, the rate, who observed it and how many requests this host had sent to limited endpoints; metrics limited_endpoints and limited_sends. Nothing is decided by it yet.

--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -8,6 +8,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
+from mulberrypick.core import endpoint_limits
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 from mulberrypick.ops import call_log
@@ -122,6 +123,8 @@
     self._own_load.pending_since[id(self)] = self.sent_at
     count = state.load.total(self._endpoint, self.sent_at).count
     self._other_count = count - 1
+    if state.limits.rate(self._endpoint.incarnation) is not None:
+      state.limited_sends += 1
     self._connection.send(encode(self.sent_at), self.exchange)
     try:
       async with asyncio.timeout(head_timeout_s):
@@ -133,7 +136,37 @@
       self.record_break(error.reason, False)
       return SendResult(Outcome.BROKEN, error.reason)
     self.record_activity()
-    return await self._evaluate_head(head, needs_signature)
+    kind = requests.classify_response(head)
+    self._observe_limit(head, kind, needs_signature)
+    return await self._evaluate_head(head, kind, needs_signature)
+
+  def _observe_limit(
+      self,
+      head: stream_client.Head,
+      kind: requests.ResponseTraits,
+      needs_signature: bool,
+  ) -> None:
+    """Records the limit in a response, or that there is none."""
+    if kind.is_misdirected:
+      # It may come from another endpoint.
+      return
+    if kind.has_invalid_limit:
+      logs.log_event(
+          _log,
+          logging.WARNING,
+          'limit_unreadable',
+          endpoint=self._endpoint.name,
+          value=repr(head.get(protocol.LIMIT)),
+      )
+      return
+    at = asyncio.get_running_loop().time()
+    if kind.limit is None:
+      # Only a response that the endpoint made itself shows that it has none.
+      if head.status >= 300 or (needs_signature and not kind.is_trusted):
+        return
+      at = self.sent_at
+    limit = endpoint_limits.Limit(kind.limit, at, '')
+    self._state.observe_limit(self._endpoint.incarnation, limit)
 
   async def read_some(self, stall_s: float | None) -> bytes:
     """Waits for more data of the response.
@@ -263,11 +296,13 @@
       )
 
   async def _evaluate_head(
-      self, head: stream_client.Head, needs_signature: bool
+      self,
+      head: stream_client.Head,
+      kind: requests.ResponseTraits,
+      needs_signature: bool,
   ) -> SendResult:
     state = self._state
     now = asyncio.get_running_loop().time()
-    kind = requests.classify_response(head)
     if kind.is_misdirected:
       instance = head.get(protocol.INSTANCE)
       if instance is not None and instance != self._endpoint.name.encode():
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -55,6 +55,8 @@
     self._gauge('hosts', lambda: state.hosts)
     self._gauge('connections_opened', lambda: state.pool.opened_count)
     self._gauge('crashes', lambda: len(state.quarantine.all_crashes()))
+    self._gauge('limited_endpoints', lambda: len(state.limits.limited()))
+    self._gauge('limited_sends', lambda: state.limited_sends)
     self._gauge('refused_requests', self._refused_requests)
 
   def observe_call(
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -1,8 +1,11 @@
 """State shared by the tasks of a gateway."""
 
 import asyncio
+import logging
 import random
 
+from mulberrypick.adapters import logs
+from mulberrypick.core import endpoint_limits
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
@@ -12,6 +15,7 @@
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 
+_log = logging.getLogger(__name__)
 # Longest time after which a host in contact with the store knows of a change.
 MAX_LIST_DELAY_S = 3.0
 
@@ -23,6 +27,8 @@
     host: Settings of this host.
     config: The configuration in force, None if none is known yet.
     endpoints: Known endpoints and their health.
+    limits: Limits that endpoints name.
+    limited_sends: Number of requests sent to endpoints that had a limit.
     load: Load of the endpoints.
     placer: Selects endpoints for requests.
     budget: Retry budget.
@@ -51,6 +57,8 @@
     self.host = host
     self.config: gateway_records.GatewayConfig | None = None
     self.endpoints = endpoint_registry.EndpointRegistry()
+    self.limits = endpoint_limits.EndpointLimits()
+    self.limited_sends = 0
     self.load = engine_load.EngineLoad()
     self.placer = request_placement.Placer(self.endpoints, self.load, rng)
     self.budget = shared_retry_budget.SharedRetryBudget(
@@ -98,6 +106,27 @@
     self.config = config
     return True
 
+  def observe_limit(
+      self, incarnation: tuple[str, int], limit: endpoint_limits.Limit
+  ) -> None:
+    """Records what this host observed of the limit of an endpoint."""
+    if self.limits.observe(incarnation, limit):
+      self.log_limit(incarnation, self.host.name)
+
+  def log_limit(self, incarnation: tuple[str, int], source: str) -> None:
+    """Logs the limit of an endpoint after a change."""
+    rate = self.limits.rate(incarnation)
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'limit_ended' if rate is None else 'limit_in_force',
+        endpoint=incarnation[0],
+        started_ms=incarnation[1],
+        per_s=rate,
+        source=source,
+        sent=self.limited_sends,
+    )
+
   def record_store_change(self, kind: str, revision: int) -> bool:
     """Records a change of a kind of objects; returns whether it is new."""
     if revision <= self.store_revision_by_kind.get(kind, 0):
@@ -126,14 +155,17 @@
   def suspend_silent_endpoints(self, now: float) -> None:
     """Suspends endpoints that have pending requests but send no data."""
     names = set()
+    incarnations = set()
     for endpoint in self.endpoints.all():
       names.add(endpoint.name)
+      incarnations.add(endpoint.incarnation)
       if self.load.is_silent(endpoint, now):
         self.endpoints.suspend_silent(endpoint, now)
         # The network path may be down. The next attempt must then open a new
         # connection, which fails without risk to a request.
         self.pool.drop(endpoint.name)
     self.load.prune(names)
+    self.limits.prune(incarnations)
 
   def drop_endpoint(self, name: str) -> None:
     """Drops the connections and the load of an endpoint no longer in use."""
--- a/mulberrypick/platform/protocol.py
+++ b/mulberrypick/platform/protocol.py
@@ -12,6 +12,8 @@
 # Signature of an endpoint on a response that it created itself.
 SIGNATURE = b'x-mulberrypick-server-signature'
 EXPECTED_ENDPOINT = b'x-mulberrypick-expect-instance'
+# Requests per second that an endpoint takes from all hosts together.
+LIMIT = b'server-limit'
 NOT_RUN = b'x-mulberrypick-not-executed'
 PRIORITY = b'x-mulberrypick-request-priority'
 STAGE = b'x-mulberrypick-stage'
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -1,6 +1,7 @@
 """Translates headers of requests from callers and responses of endpoints."""
 
 import contextlib
+import re
 from typing import NamedTuple
 
 import msgspec
@@ -17,6 +18,7 @@
 # apart, so that requests whose prefill is done fit in between.
 PRIORITY_STEP = 2
 LOWEST_PRIORITY = 7
+_DECIMAL = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 
 class CallHeaders(NamedTuple):
@@ -48,12 +50,17 @@
     is_trusted: Whether the response has the endpoint's signature header and no
       content encoding.
     is_leaving: Whether the endpoint closes the connection after the response.
+    limit: Requests per second that the endpoint takes from all hosts together;
+      None if the response names no limit.
+    has_invalid_limit: Whether the limit in the response can't be read.
   """
 
   is_not_run: bool
   is_misdirected: bool
   is_trusted: bool
   is_leaving: bool
+  limit: float | None
+  has_invalid_limit: bool
 
 
 def decode_call(received: stream_server.ReceivedRequest) -> CallHeaders:
@@ -180,6 +187,10 @@
   The result tells, for example, whether the endpoint ran the request.
   """
   is_misdirected = head.status == 421
+  value = head.get(protocol.LIMIT)
+  limit = None
+  if value is not None and _DECIMAL.fullmatch(value.strip()):
+    limit = float(value)
   return ResponseTraits(
       is_not_run=is_misdirected or head.get(protocol.NOT_RUN) is not None,
       is_misdirected=is_misdirected,
@@ -188,6 +199,8 @@
           and head.get(b'content-encoding') is None
       ),
       is_leaving=(head.get(b'connection') or b'').lower() == b'close',
+      limit=limit,
+      has_invalid_limit=value is not None and limit is None,
   )
 
 
