--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -35,6 +35,7 @@
     event_interval_s: Time between events.
     rate: Prefill speed in tokens per second. Prompts are prefilled one at a
       time, without their cached parts. 0 takes no time.
+    limit: Requests per second that its answers ask for; 0 for no limit.
     mode: The failure to simulate:
       `ok`: none;
       `mute`: never answers;
@@ -55,6 +56,7 @@
   events: int = 5
   event_interval_s: float = 0.005
   rate: float = 0.0
+  limit: float = 0.0
   mode: str = 'ok'
 
 
@@ -73,6 +75,9 @@
     freed_handles: KV handles that were freed.
     arrivals: Number of received requests, including refused ones.
     arrived_at: Time of the last received request on the event loop's clock.
+    limited_arrivals: Time, on the event loop's clock, and id of each request
+      that was received while it named a limit. The id is empty for calls that
+      belong to no request.
     orders: Accepted orders.
     port: Port that it listens on, 0 before the start.
     born: Epoch of its KV events and `born` of its entry. Increases with every
@@ -95,6 +100,7 @@
     self.freed_handles: list[str] = []
     self.arrivals = 0
     self.arrived_at = float('-inf')
+    self.limited_arrivals: list[tuple[float, str]] = []
     self.orders: list[dict[str, object]] = []
     self.port = 0
     self.born = 1
@@ -166,6 +172,7 @@
     headers = {}
     for name, value in received.headers:
       headers[name.decode().lower()] = value.decode()
+    self._record_limited_arrival(headers)
     if received.method == b'DELETE':
       self.freed_handles.append(received.target.decode().rpartition('/')[2])
       caller.write_response(200, [], b'')
@@ -202,6 +209,13 @@
       self.aborted_requests.append(request)
       raise
 
+  def _record_limited_arrival(self, headers: dict[str, str]) -> None:
+    if not self.behaviour.limit:
+      return
+    request = headers.get('x-mulberrypick-request-id', '')
+    now = asyncio.get_running_loop().time()
+    self.limited_arrivals.append((now, request))
+
   def _handle_orders(
       self,
       received: stream_server.ReceivedRequest,
@@ -221,7 +235,12 @@
   def _refuse(
       self, caller: stream_server.ServerConnection, request: str
   ) -> None:
-    caller.write_response(503, _refusal(request), b'')
+    headers = self._limit_headers() + _refusal(request)
+    caller.write_response(503, headers, b'')
+
+  def _limit_headers(self) -> list[tuple[bytes, bytes]]:
+    limit = self.behaviour.limit
+    return [(b'Server-Limit', b'%.2f' % limit)] if limit else []
 
   async def _run(
       self,
@@ -271,7 +290,7 @@
 
   def _answer_headers(self, request: str) -> list[tuple[bytes, bytes]]:
     mode = self.behaviour.mode
-    answer_headers = [(_REQUEST_ID, request.encode())]
+    answer_headers = [*self._limit_headers(), (_REQUEST_ID, request.encode())]
     if mode != 'unmarked':
       answer_headers.append(
           (_SIGNATURE, f'{self.name}.{secrets.token_hex(4)}'.encode())
@@ -351,9 +370,8 @@
       return
     handle = secrets.token_hex(4) + '-ok'
     body = {'kvHandle': handle, 'tokenCount': 1, 'version': 1}
-    caller.write_response(
-        200, [(_REQUEST_ID, request.encode())], msgspec.json.encode(body)
-    )
+    headers = [*self._limit_headers(), (_REQUEST_ID, request.encode())]
+    caller.write_response(200, headers, msgspec.json.encode(body))
 
   async def _stream(
       self,
