Draw endpoints that limit the requests per second in the soak

In two of five schedules one to three endpoints name a limit of 0.5, 1.5 or 4 requests a second to the end of the run; the check counts the worst 4 s of all gateways that were told, from 3 s on of all. A gateway that ignores limits is found (soak_unlimited_gateway). The limit of a stand-in endpoint is no longer part of its behaviour, which other faults replace.

--- a/mulberrypick/platform/gateway_limit_test.py
+++ b/mulberrypick/platform/gateway_limit_test.py
@@ -43,8 +43,7 @@
   def limit(self, *names: str) -> None:
     """Lets endpoints name the limit from now on."""
     for name in names:
-      replica = self.cluster.replica_by_name[name]
-      replica.behaviour = replica.behaviour._replace(limit=LIMIT)
+      self.cluster.replica_by_name[name].limit = LIMIT
 
   async def send(self, number: int, path: str) -> None:
     names = list(self.gateway_by_name)
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -35,7 +35,6 @@
     event_interval_s: Time between events.
     rate: Prefill speed in tokens per second. Prompts are prefilled one at a
       time, without their cached parts. 0 takes no time.
-    limit: Requests per second that its answers ask for; 0 for no limit.
     mode: The failure to simulate:
       `ok`: none;
       `mute`: never answers;
@@ -56,7 +55,6 @@
   events: int = 5
   event_interval_s: float = 0.005
   rate: float = 0.0
-  limit: float = 0.0
   mode: str = 'ok'
 
 
@@ -68,6 +66,7 @@
     service: Name of the service.
     stage: `prefill`, `decode`, or empty for a plain service.
     behaviour: How it handles requests.
+    limit: Requests per second that its answers ask for; 0 for no limit.
     runs: Number of executions by request id.
     aborted_requests: Ids of requests whose caller disconnected before the end.
     headers_by_request: Headers of each received request, by request id.
@@ -93,6 +92,7 @@
     self.service = service
     self.stage = stage
     self.behaviour = Behaviour()
+    self.limit = 0.0
     self.runs: collections.Counter[str] = collections.Counter()
     self.aborted_requests: list[str] = []
     self.headers_by_request: dict[str, dict[str, str]] = {}
@@ -210,7 +210,7 @@
       raise
 
   def _record_limited_arrival(self, headers: dict[str, str]) -> None:
-    if not self.behaviour.limit:
+    if not self.limit:
       return
     request = headers.get('x-mulberrypick-request-id', '')
     now = asyncio.get_running_loop().time()
@@ -239,8 +239,9 @@
     caller.write_response(503, headers, b'')
 
   def _limit_headers(self) -> list[tuple[bytes, bytes]]:
-    limit = self.behaviour.limit
-    return [(b'Server-Limit', b'%.2f' % limit)] if limit else []
+    if not self.limit:
+      return []
+    return [(b'Server-Limit', b'%.2f' % self.limit)]
 
   async def _run(
       self,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,6 +21,7 @@
 import click
 
 from standins import crash_point
+from standins import fleet_replica
 from standins import gateway_cluster
 from standins import soak_checks
 from standins import soak_client
@@ -65,6 +66,8 @@
     self._request_count = 0
     self._body_by_crasher: dict[str, bytes] = {}
     self._disturbances: list[soak_checks.Outage] = []
+    # Endpoints that named a limit, with the limit and the time since when.
+    self._limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
 
   async def run(self) -> list[str]:
     """Runs the schedule; returns the violations found, one line each."""
@@ -164,6 +167,13 @@
         group.create_task(self._send_one(crasher))
         await asyncio.sleep(CRASHER_INTERVAL_S)
 
+  async def _inject_limit(self, fault: soak_plan.Fault) -> None:
+    replica = self._cluster.replica_by_name[fault.target]
+    replica.limit = float(fault.variant)
+    self._limited.append((replica, replica.limit, self._now()))
+    await asyncio.sleep(fault.duration_s)
+    replica.limit = 0.0
+
   async def _inject_kill(self, fault: soak_plan.Fault) -> None:
     await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
 
@@ -288,6 +298,17 @@
         outages,
         soak_cluster.EVENTS,
     )
+    limited = []
+    for replica, limit, named_at in self._limited:
+      arrivals = []
+      for at, request in replica.limited_arrivals:
+        arrivals.append((at - self._cluster.started_at, request))
+      limited.append(
+          soak_checks.LimitedEndpoint(replica.name, limit, named_at, arrivals)
+      )
+    self._violations += soak_checks.find_limit_violations(
+        self._client.observations, limited, outages
+    )
     for prefix, body in self._body_by_crasher.items():
       self._violations += soak_checks.find_late_retries(
           self._client.observations,
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -1,9 +1,12 @@
 """Checks of a soak run, based on what callers and endpoints observed."""
 
 import collections
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from standins import limit_check
+
 # Statuses that guarantee that the request did not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Maximum number of executions of one request, by route.
@@ -15,6 +18,8 @@
 CRASHES_BEFORE_REFUSAL = 3
 MAX_LATE_RETRIES = 3
 STABLE_S = 3.0
+# Time after the end of an outage in which a gateway learns what others know.
+RESTART_MARGIN_S = 1.0
 
 
 class Observation(NamedTuple):
@@ -30,6 +35,9 @@
     body: The part of the body that arrived.
     is_whole: Whether the body arrived completely.
     is_hung: Whether the answer was incomplete long after the deadline.
+    head_at: When the head of its answer arrived, in seconds after the start.
+    limited_by: Name of the endpoint that named a limit in its answer, empty if
+      none did.
   """
 
   request: str
@@ -41,6 +49,24 @@
   body: bytes
   is_whole: bool
   is_hung: bool
+  head_at: float = 0.0
+  limited_by: str = ''
+
+
+class LimitedEndpoint(NamedTuple):
+  """An endpoint that limited the requests per second.
+
+  Attributes:
+    name: Its name.
+    limit: The limit.
+    named_at: When it began to name the limit, in seconds after the start.
+    arrivals: When requests arrived from then on, and their ids.
+  """
+
+  name: str
+  limit: float
+  named_at: float
+  arrivals: list[tuple[float, str]]
 
 
 class Outage(NamedTuple):
@@ -124,6 +150,62 @@
   ]
 
 
+def find_limit_violations(
+    observations: Iterable[Observation],
+    endpoints: Iterable[LimitedEndpoint],
+    outages: list[Outage],
+) -> list[str]:
+  """Returns the endpoints that got more requests than they asked for.
+
+  `STABLE_S` after an endpoint named its limit, all gateways count as told.
+  Gateways that were killed or paused are excused for a second more.
+
+  Args:
+    observations: Observations of all requests.
+    endpoints: The endpoints.
+    outages: Periods in which gateways were killed, paused or starting.
+  """
+  gateway_by_request = {}
+  told_by_endpoint: dict[str, dict[str, float]] = {}
+  for observation in observations:
+    gateway = observation.gateway
+    gateway_by_request[observation.request] = gateway
+    if observation.limited_by:
+      told = told_by_endpoint.setdefault(observation.limited_by, {})
+      told[gateway] = min(told.get(gateway, math.inf), observation.head_at)
+  violations = []
+  for endpoint in endpoints:
+    binding_at = endpoint.named_at + STABLE_S
+    told = told_by_endpoint.get(endpoint.name, {})
+    told_at_by_host = {}
+    for gateway in {'', *gateway_by_request.values()}:
+      told_at = max(told.get(gateway, math.inf), endpoint.named_at)
+      told_at_by_host[gateway] = min(told_at, binding_at)
+    arrivals = []
+    for at, request in endpoint.arrivals:
+      gateway = gateway_by_request.get(request, '')
+      if not _is_out(gateway, at, outages):
+        arrivals.append(limit_check.Arrival(at, gateway))
+    worst = limit_check.count_worst_window(
+        arrivals, told_at_by_host, binding_at
+    )
+    if worst > limit_check.allowed_requests(endpoint.limit):
+      violations.append(
+          f'LIMIT: {endpoint.name} with {endpoint.limit} requests per second'
+          f' got {worst} in {limit_check.WINDOW_S} s'
+      )
+  return violations
+
+
+def _is_out(gateway: str, at: float, outages: list[Outage]) -> bool:
+  for outage in outages:
+    if outage.gateway == gateway and (
+        outage.began_at <= at <= outage.ended_at + RESTART_MARGIN_S
+    ):
+      return True
+  return False
+
+
 def _is_disturbed(observation: Observation, disturbances: list[Outage]) -> bool:
   for outage in disturbances:
     if outage.gateway not in ('', observation.gateway):
--- a/standins/soak_client.py
+++ b/standins/soak_client.py
@@ -85,12 +85,16 @@
   ) -> soak_checks.Observation:
     exchange = stream_client.Exchange(lambda _: True)
     connection.send(encoded, exchange)
-    status, body = 0, b''
+    status, body, head_at, limited_by = 0, b'', 0.0, ''
     is_whole = is_hung = False
     try:
       async with asyncio.timeout(DEADLINE_S + HANG_TIMEOUT_S):
         head = await exchange.read_head()
         status = head.status
+        head_at = time.monotonic() - self._started_at
+        if head.get(b'server-limit') is not None:
+          signature = head.get(b'x-mulberrypick-server-signature') or b''
+          limited_by = signature.decode().rpartition('.')[0]
         while data := await exchange.read_some():
           body += data
         is_whole = True
@@ -103,9 +107,10 @@
       idle.append(connection)
     else:
       connection.abort()
-    return self._make_observation(
+    observation = self._make_observation(
         gateway, route, request, began_at, status, body, is_whole, is_hung
     )
+    return observation._replace(head_at=head_at, limited_by=limited_by)
 
   def _make_observation(
       self,
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -32,6 +32,11 @@
 # Fraction of the schedules with such a request.
 CRASHER_FRACTION = 0.5
 CRASHER_KIND = 'crasher'
+# Fraction of the schedules in which endpoints limit the requests per second,
+# and the limits.
+LIMIT_FRACTION = 0.4
+LIMIT_KIND = 'limit'
+LIMITS = ('0.5', '1.5', '4.0')
 # Time between the last repeat of such a request and the end of a run, in which
 # crashed endpoints restart.
 CRASHER_END_MARGIN_S = 0.3
@@ -76,7 +81,8 @@
         )
     )
   faults.sort()
-  return sorted(_drop_overlapping(faults) + _plan_crashers(seed))
+  faults = _drop_overlapping(faults)
+  return sorted(faults + _plan_crashers(seed) + _plan_limits(seed))
 
 
 def _plan_crashers(seed: int) -> list[Fault]:
@@ -96,6 +102,19 @@
   return faults
 
 
+def _plan_limits(seed: int) -> list[Fault]:
+  """Draws the endpoints that limit the requests per second in a run."""
+  rng = random.Random(f'limits of {seed}')
+  if rng.random() >= LIMIT_FRACTION:
+    return []
+  faults = []
+  for name in rng.sample(DESKS + ENGINES, rng.randint(1, 3)):
+    at_s = round(rng.uniform(0.2, 0.8), 2)
+    duration_s = round(DURATION_S - at_s - 0.1, 2)
+    faults.append(Fault(at_s, LIMIT_KIND, name, duration_s, rng.choice(LIMITS)))
+  return faults
+
+
 def _drop_overlapping(faults: list[Fault]) -> list[Fault]:
   """Drops faults that overlap a fault of the same group and target."""
   kept, free_at = [], {}
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -14,6 +14,7 @@
     soak_plan.Fault(0.4, soak_plan.CRASHER_KIND, route, 5.2, point)
     for route, point in (('unsafe', 'run'), ('read', 'stream'))
 ]
+LIMIT_FAULT = soak_plan.Fault(0.3, soak_plan.LIMIT_KIND, 'desk-1', 5.5, '0.5')
 RESET_FAULT = soak_plan.Fault(0.5, 'mode', 'desk-1', 1.5, 'reset')
 SEEDS_FILE = pathlib.Path(__file__).parent / 'soak_seeds.txt'
 
@@ -47,7 +48,7 @@
     for seed in range(1, 51):
       kinds.update(fault.kind for fault in soak_plan.plan_faults(seed))
     expected = {*soak_plan._TARGETS_BY_KIND, soak_plan.CRASHER_KIND}
-    self.assertEqual(kinds, expected)
+    self.assertEqual(kinds, expected | {soak_plan.LIMIT_KIND})
 
   def test_seeds_are_read_as_ranges_and_lists(self):
     self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
@@ -55,6 +56,33 @@
       soak.read_seeds('a')
 
 
+class FindLimitViolationsTest(unittest.TestCase):
+
+  def _find(self, count, outages=()):
+    observations, arrivals = [], []
+    for number in range(count):
+      request = f'r{number}'
+      at = 2.0 + number * 0.1
+      observations.append(
+          make_observation(request=request, head_at=1.0, limited_by='desk-1')
+      )
+      arrivals.append((at, request))
+    endpoint = soak_checks.LimitedEndpoint('desk-1', 1.5, 0.0, arrivals)
+    return soak_checks.find_limit_violations(
+        observations, [endpoint], list(outages)
+    )
+
+  def test_requests_within_the_limit_are_no_violation(self):
+    self.assertEqual(self._find(14), [])
+
+  def test_too_many_requests_are_a_violation(self):
+    self.assertEqual(len(self._find(15)), 1)
+
+  def test_requests_of_a_killed_gateway_are_excused(self):
+    outage = soak_checks.Outage('host-1', 2.0, 2.4)
+    self.assertEqual(self._find(15, [outage]), [])
+
+
 class FindViolationsTest(unittest.TestCase):
 
   def test_correct_answer_is_no_violation(self):
@@ -163,6 +191,13 @@
     kinds = {line.partition(':')[0] for line in violations}
     self.assertIn('BUDGET', kinds, summary)
 
+  def test_gateway_that_ignores_limits_is_detected(self):
+    violations, summary = soak.run_faults(
+        [LIMIT_FAULT], 'limits', 'standins.soak_unlimited_gateway'
+    )
+    kinds = {line.partition(':')[0] for line in violations}
+    self.assertEqual(kinds, {'LIMIT'}, summary)
+
   def test_same_fault_without_the_bug_passes(self):
     violations, summary = soak.run_faults([RESET_FAULT], 'known')
     self.assertEqual(violations, [], summary)
