--- a/mulberrypick/platform/gateway_limit_test.py
+++ b/mulberrypick/platform/gateway_limit_test.py
@@ -141,6 +141,54 @@
     await self.check_limited('/unsafe/x', 'desk-1', 'desk-2')
 
 
+class ChangeTest(LimitTestCase):
+  """The limit ends, or the host that issues permits is gone."""
+
+  hosts = 5
+
+  def issuer(self, name: str) -> str:
+    """Returns the name of the host that issues permits for an endpoint."""
+    gateway = self.gateway_by_name['host-1']
+    address = gateway._peers._permits.issuer.issuer_of(name)
+    for host, other in self.gateway_by_name.items():
+      if other._peers._address == address:
+        return host
+    raise AssertionError(f'no host has address "{address}"')
+
+  async def test_endpoint_whose_limit_ended_serves_as_before(self):
+    self.limit('desk-1', 'desk-2')
+    await self.send_load(('/unsafe/x',), 3.0)
+    self.assertIn(503, self.statuses)
+    for name in ('desk-1', 'desk-2'):
+      self.cluster.replica_by_name[name].limit = 0.0
+    await self.send_load(('/unsafe/x',), 3.0)
+    self.statuses.clear()
+    await self.send_load(('/unsafe/x',), 1.0)
+    self.assertEqual(set(self.statuses), {200})
+    for gateway in self.gateway_by_name.values():
+      self.assertEqual(gateway.state.limits.limited(), [])
+
+  async def test_limit_is_kept_while_its_issuer_is_killed(self):
+    named_at = asyncio.get_running_loop().time()
+    self.limit('desk-1', 'desk-2')
+    await self.send_load(('/unsafe/x',), 4.0)
+    killed = self.issuer('desk-1')
+    if killed == 'host-1':
+      self.running.cancel()
+    else:
+      self.running_by_name[killed].cancel()
+    self.gateway_by_name.pop(killed).close()
+    self.statuses.clear()
+    await self.send_load(('/unsafe/x',), 9.0)
+    for name in ('desk-1', 'desk-2'):
+      worst = self.worst_window(name, named_at + STABLE_S)
+      self.assertLessEqual(worst, limit_check.allowed_requests(LIMIT), name)
+    # The successor issues permits once all hosts know it.
+    arrivals = self.cluster.replica_by_name['desk-1'].limited_arrivals
+    now = asyncio.get_running_loop().time()
+    self.assertTrue([at for at, _ in arrivals if at > now - 3.0])
+
+
 class ThirtyHostsTest(LimitTestCase):
   """Relays forward between groups what a gateway learned."""
 
