Log the software version of endpoints and the streams that callers take up

Now endpoint_usable and each decision name the software of the endpoint, and call_resumed names the attempt whose stream the caller takes up. Nothing is decided by it yet.

--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -131,6 +131,8 @@
     slots: Requests that it runs at a time.
     is_leaving: Whether it accepts no new requests.
     stage: Phase of inference that it runs.
+    software: Version of its software, not of its weights; empty if unknown.
+      Versions have no order.
   """
 
   name: str
@@ -142,6 +144,7 @@
   slots: int
   is_leaving: bool
   stage: Stage
+  software: str = ''
 
   @property
   def incarnation(self) -> tuple[str, int]:
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -42,8 +42,9 @@
     """Counts a decision, and logs it unless the rate limit is reached.
 
     Args:
-      outcome: `served`, `refused`, `failed`, `retried`, `left`, `cut`, or
-        `broke` for an attempt whose connection to the endpoint broke off.
+      outcome: `served`, `refused`, `failed`, `retried`, `left`, `cut`,
+        `broke` for an attempt whose connection to the endpoint broke off, or
+        `resumed` for a stream that its caller takes up.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -447,6 +447,7 @@
     placement = self._placement
     if placement is not None:
       fields['endpoint'] = placement.endpoint.name
+      fields['software'] = placement.endpoint.software
       fields['reader'] = placement.prefiller.name if placement.prefiller else ''
       fields['tokens_ahead'] = placement.tokens_ahead
       fields['tokens'] = placement.tokens
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -82,6 +82,15 @@
           request_hash=request_hash,
       )
       return
+    if headers.is_resumed and route.kind is gateway_records.CallKind.STREAM:
+      self._log.record(
+          'resumed',
+          'by_caller',
+          now,
+          route.name,
+          request=headers.id,
+          resumes=headers.resumes,
+      )
     run = call_run.CallRun(
         state, self._log, self._metrics, call, service, received, caller
     )
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -190,6 +190,7 @@
           endpoint=endpoint.name,
           started_ms=endpoint.started_ms,
           service=endpoint.service,
+          software=endpoint.software,
       )
     if endpoint.is_leaving:
       self._drop(endpoint.name, 'leaving')
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -178,6 +178,7 @@
     stage = spec.get('stage')
     if stage is not None and not isinstance(stage, str):
       raise ValueError(f'invalid stage {stage!r}')
+    software = spec.get('version')
     return gateway_records.Endpoint(
         name=name,
         started_ms=born,
@@ -188,6 +189,7 @@
         slots=max(1, slots),
         is_leaving=state == protocol.STATE_LEAVING,
         stage=_STAGE_BY_NAME.get(stage, gateway_records.Stage.NONE),
+        software=software if isinstance(software, str) else '',
     )
   except (KeyError, TypeError, ValueError, AttributeError) as error:
     logs.log_event(
--- a/mulberrypick/platform/protocol.py
+++ b/mulberrypick/platform/protocol.py
@@ -9,6 +9,8 @@
 TOKENS = b'x-mulberrypick-token-usage'
 MODEL = b'x-mulberrypick-model'
 LAST_EVENT = b'last-event-id'
+# Id of the attempt that received the first event of the stream to be resumed.
+RESUMES = b'resumes'
 # Signature of an endpoint on a response that it created itself.
 SIGNATURE = b'x-mulberrypick-server-signature'
 EXPECTED_ENDPOINT = b'x-mulberrypick-expect-instance'
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -31,6 +31,9 @@
     parts: Parts of the prompt.
     prompt_tokens: Number of prompt tokens.
     output_tokens: Maximum number of output tokens.
+    is_resumed: Whether the caller already has events of the stream.
+    resumes: Id of the attempt that received the first event of the stream;
+      empty if the caller names none.
   """
 
   id: str
@@ -39,6 +42,8 @@
   parts: tuple[gateway_records.PromptPart, ...]
   prompt_tokens: int
   output_tokens: int
+  is_resumed: bool
+  resumes: str
 
 
 class ResponseTraits(NamedTuple):
@@ -73,6 +78,7 @@
   deadline_ms = _parse_int(
       by_name.get(protocol.DEADLINE_MS, b''), DEFAULT_DEADLINE_MS
   )
+  resumes = by_name.get(protocol.RESUMES, b'').decode('latin-1')
   return CallHeaders(
       id=by_name.get(protocol.REQUEST_ID, b'').decode('latin-1'),
       hostname=host.partition(':')[0],
@@ -80,6 +86,8 @@
       parts=parts,
       prompt_tokens=prompt_tokens,
       output_tokens=_parse_int(tokens[1], 0) if len(tokens) > 1 else 0,
+      is_resumed=bool(resumes) or protocol.LAST_EVENT in by_name,
+      resumes=resumes,
   )
 
 
