--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -22,6 +22,7 @@
 # Limits of the calls that wait for KV events, and of the events kept for them.
 MAX_WAITING_CALLS = 2
 MAX_RETAINED_EVENTS = 500
+DEFAULT_SOFTWARE = 'v1'
 
 
 class Behaviour(NamedTuple):
@@ -67,6 +68,8 @@
     stage: `prefill`, `decode`, or empty for a plain service.
     behaviour: How it handles requests.
     limit: Requests per second that its answers ask for; 0 for no limit.
+    software: Version of its software. Events of versions other than the default
+      end with a comment that names it.
     runs: Number of executions by request id.
     aborted_requests: Ids of requests whose caller disconnected before the end.
     headers_by_request: Headers of each received request, by request id.
@@ -93,6 +96,7 @@
     self.stage = stage
     self.behaviour = Behaviour()
     self.limit = 0.0
+    self.software = DEFAULT_SOFTWARE
     self.runs: collections.Counter[str] = collections.Counter()
     self.aborted_requests: list[str] = []
     self.headers_by_request: dict[str, dict[str, str]] = {}
@@ -152,7 +156,7 @@
         'service': self.service,
         'address': f'127.0.0.1:{self.port}',
         'zone': 'zone-a',
-        'version': 'v1',
+        'version': self.software,
         'slots': 8,
         'state': state,
         'coldRemainingMs': 0,
@@ -401,7 +405,10 @@
             crash_point.CrashPoint.SILENT_STREAM,
         )
       await self._crash_at(b'')
-      event = b'id: %d\ndata: piece %d\n\n' % (number, number)
+      event = b'id: %d\ndata: piece %d\n' % (number, number)
+      if self.software != DEFAULT_SOFTWARE:
+        event += b': %s\n' % self.software.encode()
+      event += b'\n'
       caller.write(b'%x\r\n%s\r\n' % (len(event), event))
       await asyncio.sleep(self.behaviour.event_interval_s)
     caller.write(b'0\r\n\r\n')
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -148,10 +148,15 @@
       await self.add(name, service, stage)
 
   async def add(
-      self, name: str, service: str, stage: str = ''
+      self,
+      name: str,
+      service: str,
+      stage: str = '',
+      software: str = fleet_replica.DEFAULT_SOFTWARE,
   ) -> fleet_replica.FleetReplica:
     """Starts a replica and lists it in the store."""
     replica = fleet_replica.FleetReplica(name, service, stage)
+    replica.software = software
     replica.on_crash = self._handle_crash
     previous = self.replica_by_name.get(name)
     if previous is not None:
@@ -180,7 +185,9 @@
     await asyncio.sleep(ENTRY_EXPIRY_S)
     self.store.remove('servers', replica.name)
     await asyncio.sleep(RESTART_S - ENTRY_EXPIRY_S)
-    await self.add(replica.name, replica.service, replica.stage)
+    await self.add(
+        replica.name, replica.service, replica.stage, replica.software
+    )
 
   def stop(self) -> None:
     """Stops all replicas and the store."""
