Bind streams to the software version that wrote their first event

Callers saw one stream with events of two versions of an endpoint, which don't fit together (ORDER).

Cause: no record had a place for the software of an endpoint. A stream that broke off or stalled went on at any endpoint of the service, and so did one that its caller took up. The first is the kind of all streams in the record; the second was seen with our own stand-ins only. Its class: a fact that outlives a host was known to the host alone, as with the crashes behind a refusal.

Fix: a stream is bound when its first event is forwarded. Placement, another engine for a prompt that was read, and the question whether others could go on leave out endpoints of other versions; if none is left, the stream ends. While a service has, or had within 30 s, several versions, a host tells two registrars, one in its zone and one in another, before it forwards the first event. A host that gets the rest asks at most four by the attempt's id, hashed with caller and content, so that an id binds no other caller's stream. Without a record it goes on only if it has known a single version for 30 s; else it answers 503, not run.

--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -177,6 +177,10 @@
     fingerprint: Hash of the content, by which crashing requests are recognized.
     arrived_at: When it was received, on the event loop's clock.
     deadline_at: When the caller stops waiting, on the same clock.
+    stream_id: Id of the attempt that received the first event of the stream;
+      its own id if it begins one.
+    software: Software version that the stream is bound to, None if to none.
+      Empty if it can go on at no version.
   """
 
   id: str
@@ -188,6 +192,14 @@
   fingerprint: int
   arrived_at: float
   deadline_at: float
+  stream_id: str = ''
+  software: str | None = None
+
+  def may_run_at(self, endpoint: Endpoint) -> bool:
+    """Returns whether an endpoint has the version that the stream needs."""
+    if self.software is None:
+      return True
+    return bool(self.software) and endpoint.software == self.software
 
 
 class PlatformLimits(NamedTuple):
--- a/mulberrypick/core/peer_topology.py
+++ b/mulberrypick/core/peer_topology.py
@@ -167,6 +167,16 @@
     )
     return Neighbors(Role.RELAY, '', frozenset(relays), own_members)
 
+  def registrars(self) -> list[PeerHost]:
+    """Returns the hosts that keep the versions of streams for all others.
+
+    These are few in a large fleet, so that no host needs links to all others.
+    All hosts choose them in the same way, whether they are live or not.
+    """
+    if len(self._by_name) <= MAX_DIRECT_HOSTS:
+      return self.hosts()
+    return [group[0] for group in self._make_groups().values()]
+
   def _choose_relay(self, group: list[PeerHost], now: float) -> str | None:
     for host in group:
       if host == self._own or self._skip_until.get(host.address, 0.0) <= now:
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -180,7 +180,7 @@
     endpoints, limited = [], []
     is_urgent = call.route.rank == 0
     for endpoint in self._registry.usable(call.service, now):
-      if endpoint.incarnation in excluded:
+      if endpoint.incarnation in excluded or not call.may_run_at(endpoint):
         continue
       if self._permits.may_send(endpoint.incarnation, is_urgent, now):
         endpoints.append(endpoint)
@@ -243,7 +243,7 @@
     for endpoint in self._registry.usable(call.service, now):
       if endpoint.stage is gateway_records.Stage.PREFILL:
         continue
-      if endpoint.incarnation in excluded:
+      if endpoint.incarnation in excluded or not call.may_run_at(endpoint):
         continue
       if self._permits.may_send(endpoint.incarnation, is_urgent, now):
         runners.append(endpoint)
--- /dev/null
+++ b/mulberrypick/core/stream_versions.py
@@ -0,0 +1,172 @@
+"""Software versions that streams are bound to.
+
+What two software versions write doesn't fit together, so a stream goes on only
+at the version that wrote its first event. A caller may take up a stream at any
+host, often because the host that began it is gone. While a service has several
+versions, a host therefore tells a few other hosts, the registrars of the
+stream, before it forwards the first event. A host that gets the rest of a
+stream asks them.
+
+If no registrar knows the stream, it can have begun only at a version that its
+host held to be the only one. A host concludes which one that was only if it has
+known a single version for as long as a stream can last.
+"""
+
+import collections
+from collections.abc import Iterable
+
+import xxhash
+
+from mulberrypick.core import gateway_records
+from mulberrypick.core import peer_topology
+from mulberrypick.core import rendezvous
+
+# Longest time between the first event of a stream and the return of its caller.
+STREAM_LIFETIME_S = 30.0
+# Maximum number of bindings that are kept; the oldest is dropped first.
+MAX_BINDINGS = 50_000
+# Registrars of a stream in the zone of its host, and those asked for it: the
+# host that began it is none of them.
+ZONE_REGISTRARS = 1
+ASKED_ZONE_REGISTRARS = 2
+
+
+def stream_key(request_id: str, fingerprint: int) -> int:
+  """Returns the key of a stream.
+
+  Callers choose the ids of requests. The hash of caller and content keeps
+  streams of different callers apart.
+
+  Args:
+    request_id: Id of the attempt that received the first event.
+    fingerprint: Hash of the caller and of the content of the request.
+  """
+  return xxhash.xxh3_64_intdigest(f'{fingerprint:x}/{request_id}'.encode())
+
+
+class StreamBindings:
+  """Versions of streams by their key."""
+
+  def __init__(self):
+    self._bound_by_key: collections.OrderedDict[int, tuple[str, float]] = (
+        collections.OrderedDict()
+    )
+
+  def bind(self, key: int, software: str, now: float) -> None:
+    """Binds a stream; one that began at two versions is bound to none."""
+    old = self._bound_by_key.pop(key, None)
+    if old is not None and old[0] != software:
+      software = ''
+    self._bound_by_key[key] = (software, now)
+    self._drop_expired(now)
+
+  def find(self, key: int) -> str | None:
+    """Returns the version of a stream.
+
+    Returns:
+      The version, empty if the stream began at several; None if unknown.
+    """
+    bound = self._bound_by_key.get(key)
+    return None if bound is None else bound[0]
+
+  def _drop_expired(self, now: float) -> None:
+    while self._bound_by_key:
+      _, bound_at = next(iter(self._bound_by_key.values()))
+      is_expired = now - bound_at > STREAM_LIFETIME_S
+      if not is_expired and len(self._bound_by_key) <= MAX_BINDINGS:
+        return
+      self._bound_by_key.popitem(last=False)
+
+
+class VersionHistory:
+  """Versions that the endpoints of each service had recently."""
+
+  def __init__(self):
+    self._seen_at_by_service: dict[str, dict[str, float]] = {}
+    self._known_since: float | None = None
+
+  def observe(
+      self, endpoints: Iterable[gateway_records.Endpoint], now: float
+  ) -> None:
+    """Records the endpoints that are known now."""
+    if self._known_since is None:
+      self._known_since = now
+    for endpoint in endpoints:
+      seen = self._seen_at_by_service.setdefault(endpoint.service, {})
+      seen[endpoint.software] = now
+    for seen in self._seen_at_by_service.values():
+      for software, at in list(seen.items()):
+        if now - at > STREAM_LIFETIME_S:
+          del seen[software]
+
+  def has_several(self, service: str) -> bool:
+    """Returns whether a service had several versions recently."""
+    return len(self._seen_at_by_service.get(service, ())) > 1
+
+  def only_version(self, service: str, now: float) -> str | None:
+    """Returns the version that alone can have begun a stream, if any."""
+    seen = self._seen_at_by_service.get(service, {})
+    if self._known_since is None or len(seen) != 1:
+      return None
+    if now - self._known_since < STREAM_LIFETIME_S:
+      return None
+    return next(iter(seen)) or None
+
+
+def choose_registrars(
+    key: int,
+    hosts: list[peer_topology.PeerHost],
+    own: peer_topology.PeerHost,
+) -> list[str]:
+  """Returns the addresses of the hosts to tell which version began a stream.
+
+  One is in the zone of this host, for callers in a zone that is cut off; one in
+  another zone, in case the whole zone is lost.
+
+  Args:
+    key: Key of the stream.
+    hosts: The hosts that may be registrars.
+    own: This host.
+  """
+  near, first_by_zone = _rank(key, hosts, own)
+  far = [host for host in first_by_zone if host.zone != own.zone][:1]
+  count = ZONE_REGISTRARS if far else ZONE_REGISTRARS + 1
+  return [host.address for host in near[:count] + far]
+
+
+def choose_asked(
+    key: int,
+    hosts: list[peer_topology.PeerHost],
+    own: peer_topology.PeerHost,
+) -> list[str]:
+  """Returns the addresses of the hosts that may know the version of a stream.
+
+  They include one registrar at least of each host that may have begun it.
+
+  Args:
+    key: Key of the stream.
+    hosts: The hosts that may be registrars.
+    own: This host.
+  """
+  near, first_by_zone = _rank(key, hosts, own)
+  asked = near[:ASKED_ZONE_REGISTRARS]
+  for host in first_by_zone[:2]:
+    if host not in asked and host.address != own.address:
+      asked.append(host)
+  return [host.address for host in asked]
+
+
+def _rank(
+    key: int,
+    hosts: list[peer_topology.PeerHost],
+    own: peer_topology.PeerHost,
+) -> tuple[list[peer_topology.PeerHost], list[peer_topology.PeerHost]]:
+  """Returns the other hosts of the own zone, and the first of each zone."""
+  host_by_name = {host.name: host for host in hosts}
+  near, first_by_zone = [], {}
+  for name in rendezvous.rank(f'{key:x}', host_by_name):
+    host = host_by_name[name]
+    first_by_zone.setdefault(host.zone, host)
+    if host.zone == own.zone and host.address != own.address:
+      near.append(host)
+  return near, list(first_by_zone.values())
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -21,6 +21,7 @@
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import prompt_handles
+from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
 
@@ -70,6 +71,7 @@
       state: gateway_state.GatewayState,
       log: call_log.CallLog,
       metrics: gateway_metrics.GatewayMetrics,
+      versions: version_exchange.VersionExchange,
       call: gateway_records.Call,
       service: gateway_records.Service,
       received: stream_server.ReceivedRequest,
@@ -78,6 +80,7 @@
     self._state = state
     self._log = log
     self._metrics = metrics
+    self._versions = versions
     self._call = call
     self._service = service
     self._received = received
@@ -358,6 +361,8 @@
         if tokens:
           send.record_prefill(placement.tokens_ahead)
         self._state.endpoints.record_success(placement.endpoint)
+        self._bind(placement.endpoint)
+        stall_s = STALL_TIMEOUT_S if self._can_run_elsewhere() else None
       send.record_activity()
       await self._stream.write(head, events)
     if cutter.has_partial_event:
@@ -367,6 +372,13 @@
     self._log_decision('served', 'stream')
     return _AttemptResult(True, True, 'served')
 
+  def _bind(self, endpoint: gateway_records.Endpoint) -> None:
+    """Binds the stream to the version that writes its first event."""
+    if self._call.route.is_resumable and not self._stream.has_head:
+      self._versions.bind(self._call, endpoint.software)
+    if self._call.software is None:
+      self._call = self._call._replace(software=endpoint.software)
+
   def _record_completion(self) -> None:
     now = asyncio.get_running_loop().time()
     self._state.quarantine.record_completion(self._call.fingerprint, now)
@@ -380,6 +392,8 @@
     for endpoint in self._state.endpoints.usable(self._call.service, now):
       if endpoint.incarnation in self._excluded:
         continue
+      if not self._call.may_run_at(endpoint):
+        continue
       is_urgent = route.rank == 0
       if self._state.permits.may_send(endpoint.incarnation, is_urgent, now):
         others += 1
@@ -467,6 +481,7 @@
         read_s=round(self._prefill_s, 3),
         first_s=round(self._first_event_s, 3),
         runs=self._runs,
+        bound_to=self._call.software,
         config=config.version if config else 0,
         **fields,
     )
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -25,6 +25,7 @@
 from mulberrypick.ops import peer_message
 from mulberrypick.ops import peer_table
 from mulberrypick.ops import permit_exchange
+from mulberrypick.ops import version_exchange
 from mulberrypick.platform import objects
 
 _log = logging.getLogger(__name__)
@@ -48,7 +49,11 @@
 
 
 class PeerTask:
-  """Sends the state of this host to its peers and applies theirs."""
+  """Sends the state of this host to its peers and applies theirs.
+
+  Attributes:
+    versions: Software versions of streams.
+  """
 
   def __init__(self, state: gateway_state.GatewayState):
     host = state.host
@@ -69,6 +74,9 @@
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
     )
+    self.versions = version_exchange.VersionExchange(
+        state, self._table.topology, own, self._new_message, self._send
+    )
 
   def add_host(self, address: str) -> None:
     """Adds a host that is known only by its address."""
@@ -238,6 +246,7 @@
       self._reply(message, needs_host_list)
     self._handle_config(message, now)
     self._permits.handle_message(message, now)
+    self.versions.handle_message(message, now)
     if message.is_control_only:
       return
     previous = self._table.handle_message(message, now)
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -13,6 +13,7 @@
 from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
 from mulberrypick.core import shared_retry_budget
+from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 
@@ -48,6 +49,7 @@
       without contact.
     peer_kept_store_contact: Whether another host has had contact with the store
       for long enough to rule out that entries expired in an outage.
+    versions: Software versions of the endpoints of each service.
     is_leaving: Whether this process is shutting down.
     load_changed: Set when a request of this host starts or ends at an endpoint.
     watches_store: Whether this host watches the store itself; if not, its relay
@@ -82,6 +84,7 @@
     self.unsent_parts: list[tuple[str, int, int]] = []
     self.store_contact_since: float | None = None
     self.peer_kept_store_contact = False
+    self.versions = stream_versions.VersionHistory()
     self.is_leaving = False
     self.load_changed = asyncio.Event()
     self.watches_store = True
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -11,6 +11,7 @@
 from mulberrypick.ops import failure_response
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
 
@@ -27,10 +28,12 @@
       state: gateway_state.GatewayState,
       log: call_log.CallLog,
       metrics: gateway_metrics.GatewayMetrics,
+      versions: version_exchange.VersionExchange,
   ):
     self._state = state
     self._log = log
     self._metrics = metrics
+    self._versions = versions
 
   async def handle(
       self,
@@ -82,20 +85,46 @@
           request_hash=request_hash,
       )
       return
-    if headers.is_resumed and route.kind is gateway_records.CallKind.STREAM:
-      self._log.record(
-          'resumed',
-          'by_caller',
-          now,
-          route.name,
-          request=headers.id,
-          resumes=headers.resumes,
-      )
+    if headers.is_resumed and route.is_resumable:
+      call = await self._bind_taken_up(call)
+      if not call.software:
+        self._refuse(caller, 503, 'version_unknown', headers.id, None)
+        return
     run = call_run.CallRun(
-        state, self._log, self._metrics, call, service, received, caller
+        state,
+        self._log,
+        self._metrics,
+        self._versions,
+        call,
+        service,
+        received,
+        caller,
     )
     await run.run()
 
+  async def _bind_taken_up(
+      self, call: gateway_records.Call
+  ) -> gateway_records.Call:
+    """Binds a stream that its caller takes up to the version that began it.
+
+    Returns:
+      The request; its `software` is empty if the version is unknown.
+    """
+    found = await self._versions.find(call)
+    now = asyncio.get_running_loop().time()
+    self._log.record(
+        'resumed',
+        'by_caller',
+        now,
+        call.route.name,
+        request=call.id,
+        resumes=call.stream_id,
+        bound_to=found.software,
+        source=found.source,
+        took_s=round(now - call.arrived_at, 3),
+    )
+    return call._replace(software=found.software or '')
+
   async def answer_ready(
       self,
       received: stream_server.ReceivedRequest,
@@ -143,4 +172,5 @@
       fingerprint=requests.fingerprint(received),
       arrived_at=received.received_at,
       deadline_at=received.received_at + headers.deadline_s,
+      stream_id=headers.resumes or headers.id,
   )
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -1,5 +1,7 @@
 """Messages between the gateways of all hosts."""
 
+from typing import NamedTuple
+
 import msgspec
 
 from mulberrypick.core import crash_exchange
@@ -9,6 +11,43 @@
 from mulberrypick.core import permits
 
 
+class StreamBinding(NamedTuple):
+  """The software version that began a stream.
+
+  Attributes:
+    key: Key of the stream, see `stream_versions.stream_key`.
+    software: The version.
+  """
+
+  key: int
+  software: str
+
+
+class VersionQuery(NamedTuple):
+  """A question for the version of a stream.
+
+  Attributes:
+    number: Number of the question at the host that asks.
+    key: Key of the stream.
+  """
+
+  number: int
+  key: int
+
+
+class VersionReply(NamedTuple):
+  """The reply to a question for the version of a stream.
+
+  Attributes:
+    number: Number of the question.
+    software: The version, empty if the stream began at several; None if it is
+      unknown.
+  """
+
+  number: int
+  software: str | None
+
+
 class PeerMessage(msgspec.Struct, array_like=True, omit_defaults=True):
   """One message to another host; encoded as an array without field names.
 
@@ -42,6 +81,9 @@
     issuers: Addresses of the hosts that issue permits, for a relay's members.
     permit_request: Request for a permit to send to a limited endpoint.
     permit_reply: Reply to such a request.
+    binding: Version of a stream that began at the sender.
+    version_query: Question for the version of a stream.
+    version_reply: Reply to such a question.
   """
 
   host: str
@@ -68,6 +110,9 @@
   issuers: list[str] = []
   permit_request: permits.PermitRequest | None = None
   permit_reply: permits.PermitReply | None = None
+  binding: StreamBinding | None = None
+  version_query: VersionQuery | None = None
+  version_reply: VersionReply | None = None
 
   def __post_init__(self):
     """Validates the prompt parts.
--- a/mulberrypick/platform/gateway_version_test.py
+++ b/mulberrypick/platform/gateway_version_test.py
@@ -1,7 +1,10 @@
 """Tests of gateways whose endpoints run several software versions."""
 
+import asyncio
 import unittest
+from unittest import mock
 
+from mulberrypick.core import stream_versions
 from mulberrypick.platform import gateway_test
 from standins import event_versions
 from standins import gateway_cluster
@@ -239,6 +242,16 @@
 
 class OneVersionTest(gateway_test.GatewayTestCase):
 
+  async def test_unknown_stream_goes_on_if_one_version_served_for_long(self):
+    self.enterContext(
+        mock.patch.object(stream_versions, 'STREAM_LIFETIME_S', 0.2)
+    )
+    await asyncio.sleep(0.3)
+    headers = HEADERS | {'Resumes': 'unknown', 'Last-Event-Id': '3'}
+    answer = await self.call('/ask/x', 'r1', headers=headers)
+    self.assertEqual(answer.status, 200)
+    self.assertTrue(answer.is_whole)
+
   async def test_unknown_stream_is_refused_by_a_host_that_just_started(self):
     headers = HEADERS | {'Resumes': 'unknown', 'Last-Event-Id': '3'}
     answer = await self.call('/ask/x', 'r1', headers=headers)
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -56,8 +56,9 @@
     self.state = gateway_state.GatewayState(host, random.Random())
     self._call_log = call_log.CallLog()
     self._metrics = gateway_metrics.GatewayMetrics(self.state)
+    self._peers = gateway_peers.PeerTask(self.state)
     self._task = gateway_task.GatewayTask(
-        self.state, self._call_log, self._metrics
+        self.state, self._call_log, self._metrics, self._peers.versions
     )
     self._caller_server = stream_server.StreamServer(
         self._task.handle, self._task.log_refused
@@ -68,7 +69,6 @@
     self._metrics_server = stream_server.StreamServer(
         self._metrics.answer, self._task.log_refused
     )
-    self._peers = gateway_peers.PeerTask(self.state)
     self._hosts = hosts_task.HostsTask(
         self.state, self._peers, self._make_store_client()
     )
@@ -174,6 +174,8 @@
         self.state.crash_watch.record_listed(
             self.state.endpoints, self.state.store_contact_since, now
         )
+      if self.state.endpoints.is_loaded:
+        self.state.versions.observe(self.state.endpoints.all(), now)
       self.state.suspend_silent_endpoints(now)
       self.state.pool.close_expired()
       if time.monotonic() - self._settings_read_at > SETTINGS_RELOAD_INTERVAL_S:
