Draw engines of a second software version in the soak, and streams taken up

In two of five schedules engines of another version come beside the others or replace them, while a caller breaks off streams and takes them up at the next gateway. Checked: no stream has events of two versions, within an answer or over both attempts; of 12 or more at undisturbed gateways half go on. A gateway that ignores versions is found (soak_versionless_gateway).

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -27,6 +27,7 @@
 from standins import soak_client
 from standins import soak_cluster
 from standins import soak_plan
+from standins import soak_streams
 
 GATEWAY = 'mulberrypick.scripts.gateway'
 RATE_PER_S = 80.0
@@ -62,6 +63,7 @@
     self._faults = faults
     self._cluster = soak_cluster.SoakCluster(folder, module)
     self._client = soak_client.SoakClient(self._cluster.started_at)
+    self._stream_caller = soak_streams.StreamCaller(self._cluster)
     self._violations: list[str] = []
     self._request_count = 0
     self._body_by_crasher: dict[str, bytes] = {}
@@ -174,6 +176,19 @@
     await asyncio.sleep(fault.duration_s)
     replica.limit = 0.0
 
+  async def _inject_version(self, fault: soak_plan.Fault) -> None:
+    """Adds engines of another version; with `replace`, the others leave."""
+    cluster = self._cluster
+    for name in soak_plan.NEW_ENGINES:
+      await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
+    calling = asyncio.create_task(self._stream_caller.run(fault.duration_s))
+    if fault.variant == 'replace':
+      for name in ('writer-1', 'writer-2'):
+        await asyncio.sleep(fault.duration_s / 3)
+        cluster.base.store.remove('servers', name)
+        await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
+    await calling
+
   async def _inject_kill(self, fault: soak_plan.Fault) -> None:
     await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
 
@@ -298,6 +313,7 @@
         outages,
         soak_cluster.EVENTS,
     )
+    self._violations += self._stream_caller.find_violations(outages)
     limited = []
     for replica, limit, named_at in self._limited:
       arrivals = []
@@ -336,7 +352,10 @@
       )
     faults = ' '.join(f'{f.kind}:{f.target}:{f.variant}' for f in self._faults)
     crashes = f'{len(self._cluster.crashes)} crashes by requests'
-    return f'{count_by_status}, {crashes}, after {faults}'
+    taken_up = self._stream_caller.taken_up
+    gone_on = sum(stream.has_gone_on for stream in taken_up)
+    streams = f'{gone_on} of {len(taken_up)} streams went on'
+    return f'{count_by_status}, {crashes}, {streams}, after {faults}'
 
 
 def run_faults(
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from standins import event_versions
 from standins import limit_check
 
 # Statuses that guarantee that the request did not run and never will.
@@ -104,6 +105,11 @@
       violations.append(
           f'WRONG: {_describe(observation)} got {observation.body[-80:]!r}'
       )
+    versions = event_versions.versions(observation.body)
+    if observation.route in STREAM_ROUTES and len(versions) > 1:
+      violations.append(
+          f'ORDER: {_describe(observation)} has events of {sorted(versions)}'
+      )
     if (observation.status == 0 or observation.is_hung) and not _is_excused(
         observation, outages
     ):
@@ -233,7 +239,11 @@
   pieces = observation.body.split(b'\n\n')
   complete_events, remainder = pieces[:-1], pieces[-1]
   for number, piece in enumerate(complete_events, 1):
-    if piece != b'id: %d\ndata: piece %d' % (number, number):
+    lines = piece.split(b'\n')
+    if lines[:2] != [b'id: %d' % number, b'data: piece %d' % number]:
+      return False
+    # A comment may name the software version.
+    if any(not line.startswith(b': ') for line in lines[2:]):
       return False
   if observation.is_whole:
     return len(complete_events) == events and not remainder
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -31,6 +31,8 @@
     'reader': 'prefill',
     'writer-1': 'decode',
     'writer-2': 'decode',
+    'writer-3': 'decode',
+    'writer-4': 'decode',
 }
 
 
@@ -245,11 +247,18 @@
     for gateway in self.gateway_by_name.values():
       await gateway.wait_until_ready()
 
-  async def start_replica(self, name: str, port: int = 0) -> None:
+  async def start_replica(
+      self, name: str, port: int = 0, software: str = ''
+  ) -> None:
     """Starts an endpoint and writes its entry to the store.
 
     If an endpoint of that name was started before, the new one succeeds it: it
     has the next `born` number, and its entry replaces the old one.
+
+    Args:
+      name: Its name.
+      port: Its port; 0 for a free one.
+      software: Its software version, by default that of its predecessor.
     """
     stage = STAGE_BY_NAME.get(name, '')
     service = 'engine' if stage else 'desk'
@@ -262,6 +271,8 @@
     replica.on_crash = self._handle_crash
     old = self.replica_by_name.get(name)
     replica.born = old.born + 1 if old else 1
+    if software or old:
+      replica.software = software or old.software
     await replica.start(port or gateway_cluster.free_ports(1)[0])
     link = relay.Relay(f'127.0.0.1:{replica.port}')
     self.replica_by_name[name] = replica
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -37,6 +37,12 @@
 LIMIT_FRACTION = 0.4
 LIMIT_KIND = 'limit'
 LIMITS = ('0.5', '1.5', '4.0')
+# Fraction of the schedules with engines of a second software version, which
+# come beside the others or replace them.
+VERSION_FRACTION = 0.4
+VERSION_KIND = 'version'
+NEW_ENGINES = ('writer-3', 'writer-4')
+NEW_SOFTWARE = 'v2'
 # Time between the last repeat of such a request and the end of a run, in which
 # crashed endpoints restart.
 CRASHER_END_MARGIN_S = 0.3
@@ -82,7 +88,8 @@
     )
   faults.sort()
   faults = _drop_overlapping(faults)
-  return sorted(faults + _plan_crashers(seed) + _plan_limits(seed))
+  faults += _plan_crashers(seed) + _plan_limits(seed) + _plan_versions(seed)
+  return sorted(faults)
 
 
 def _plan_crashers(seed: int) -> list[Fault]:
@@ -115,6 +122,17 @@
   return faults
 
 
+def _plan_versions(seed: int) -> list[Fault]:
+  """Draws whether engines of a second version come, and how."""
+  rng = random.Random(f'versions of {seed}')
+  if rng.random() >= VERSION_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 0.8), 2)
+  duration_s = round(DURATION_S - at_s - CRASHER_END_MARGIN_S, 2)
+  variant = rng.choice(('beside', 'replace'))
+  return [Fault(at_s, VERSION_KIND, NEW_ENGINES[0], duration_s, variant)]
+
+
 def _drop_overlapping(faults: list[Fault]) -> list[Fault]:
   """Drops faults that overlap a fault of the same group and target."""
   kept, free_at = [], {}
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -15,6 +15,9 @@
     for route, point in (('unsafe', 'run'), ('read', 'stream'))
 ]
 LIMIT_FAULT = soak_plan.Fault(0.3, soak_plan.LIMIT_KIND, 'desk-1', 5.5, '0.5')
+VERSION_FAULT = soak_plan.Fault(
+    0.3, soak_plan.VERSION_KIND, 'writer-3', 5.3, 'beside'
+)
 RESET_FAULT = soak_plan.Fault(0.5, 'mode', 'desk-1', 1.5, 'reset')
 SEEDS_FILE = pathlib.Path(__file__).parent / 'soak_seeds.txt'
 
@@ -48,7 +51,9 @@
     for seed in range(1, 51):
       kinds.update(fault.kind for fault in soak_plan.plan_faults(seed))
     expected = {*soak_plan._TARGETS_BY_KIND, soak_plan.CRASHER_KIND}
-    self.assertEqual(kinds, expected | {soak_plan.LIMIT_KIND})
+    self.assertEqual(
+        kinds, expected | {soak_plan.LIMIT_KIND, soak_plan.VERSION_KIND}
+    )
 
   def test_seeds_are_read_as_ranges_and_lists(self):
     self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
@@ -198,6 +203,13 @@
     kinds = {line.partition(':')[0] for line in violations}
     self.assertEqual(kinds, {'LIMIT'}, summary)
 
+  def test_gateway_that_joins_versions_is_detected(self):
+    violations, summary = soak.run_faults(
+        [VERSION_FAULT], 'versions', 'standins.soak_versionless_gateway'
+    )
+    kinds = {line.partition(':')[0] for line in violations}
+    self.assertEqual(kinds, {'ORDER'}, summary)
+
   def test_same_fault_without_the_bug_passes(self):
     violations, summary = soak.run_faults([RESET_FAULT], 'known')
     self.assertEqual(violations, [], summary)
--- /dev/null
+++ b/standins/soak_versionless_gateway.py
@@ -0,0 +1,19 @@
+"""A gateway with a deliberate bug, which the soak test must detect.
+
+It continues streams at any software version.
+"""
+
+from mulberrypick.core import gateway_records
+from mulberrypick.core import stream_versions
+from mulberrypick.scripts import gateway
+
+
+def main() -> None:
+  """Runs the gateway with the bug."""
+  gateway_records.Call.may_run_at = lambda *_: True
+  stream_versions.VersionHistory.only_version = lambda *_: 'any'
+  gateway.main()
+
+
+if __name__ == '__main__':
+  main()
