Send a stream that its caller takes up to the service that began it

On a route whose traffic is split the service follows from the id of the attempt, and a caller that takes up a stream has a new id: the rest of the stream could come from another service. The service now follows from the id of the attempt that brought the first event.

--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -162,15 +162,16 @@
     route: gateway_records.Route,
 ) -> gateway_records.Call:
   """Returns the record of a request by which it is placed and admitted."""
+  stream_id = headers.resumes or headers.id
   return gateway_records.Call(
       id=headers.id,
       route=route,
-      service=route_table.pick_service(route, headers.id),
+      service=route_table.pick_service(route, stream_id),
       parts=headers.parts,
       prompt_tokens=headers.prompt_tokens,
       output_tokens=headers.output_tokens,
       fingerprint=requests.fingerprint(received),
       arrived_at=received.received_at,
       deadline_at=received.received_at + headers.deadline_s,
-      stream_id=headers.resumes or headers.id,
+      stream_id=stream_id,
   )
