Log and tell at once only changes of a limit by a tenth or more

An endpoint may name a slightly different limit in each response; each would have been a log line and a message at every host. The exact limit still holds where it was observed and arrives elsewhere with the repeats. The test failed before.

--- a/mulberrypick/core/endpoint_limits.py
+++ b/mulberrypick/core/endpoint_limits.py
@@ -16,8 +16,9 @@
 # Observations without a limit are kept for this long, so that hosts which still
 # hold the limit are corrected.
 KEEP_ENDED_S = 10.0
-# Smallest relative change of a limit that is told to other hosts at once.
-MIN_TOLD_CHANGE = 0.1
+# Smallest relative change of a limit that is logged, and told to other hosts at
+# once. An endpoint may name a slightly different limit in each response.
+MIN_NOTABLE_CHANGE = 0.1
 
 
 class Limit(NamedTuple):
@@ -72,22 +73,22 @@
     return limited
 
   def observe(self, incarnation: tuple[str, int], limit: Limit) -> bool:
-    """Records an observation; returns whether the limit changed."""
+    """Records an observation; returns whether the limit changed notably."""
     old = self._limit_by_incarnation.get(incarnation)
     if old is None and limit.rate is None:
       return False
     if old is not None and limit.at <= old.at:
       return False
     self._limit_by_incarnation[incarnation] = limit
-    old_rate = None if old is None else old.rate
-    if _is_told_at_once(old_rate, limit.rate):
+    is_changed = _is_notable(None if old is None else old.rate, limit.rate)
+    if is_changed:
       self._unsent.add(incarnation)
-    return limit.rate != old_rate
+    return is_changed
 
   def merge(
       self, report: LimitReport, source: str, is_forwarded: bool, now: float
   ) -> bool:
-    """Merges what another host reports; returns whether the limit changed.
+    """Merges what another host reports; returns whether it changed notably.
 
     Args:
       report: What the host reports.
@@ -148,7 +149,7 @@
         del self._limit_by_incarnation[incarnation]
 
 
-def _is_told_at_once(old: float | None, new: float | None) -> bool:
+def _is_notable(old: float | None, new: float | None) -> bool:
   if old is None or new is None:
     return old != new
-  return abs(new - old) > MIN_TOLD_CHANGE * old
+  return abs(new - old) > MIN_NOTABLE_CHANGE * old
--- a/mulberrypick/core/endpoint_limits_test.py
+++ b/mulberrypick/core/endpoint_limits_test.py
@@ -56,6 +56,14 @@
       self.assertEqual(limits.rate(_ENDPOINT), 2.5)
       self.assertFalse(limits.has_unsent())
 
+  def test_small_change_is_neither_told_at_once_nor_logged(self):
+    self.limits.observe(_ENDPOINT, _named(1.5, 10.0))
+    self.limits.take_reports(10.0)
+    self.assertFalse(self.limits.observe(_ENDPOINT, _named(1.6, 10.1)))
+    self.assertFalse(self.limits.has_unsent())
+    self.assertEqual(self.limits.rate(_ENDPOINT), 1.6)
+    self.assertTrue(self.limits.observe(_ENDPOINT, _named(1.9, 10.2)))
+
   def test_relay_forwards_new_limits(self):
     report = endpoint_limits.LimitReport('engine-1', 7, 1.5, 3.0)
     self.limits.merge(report, 'host-2', True, 10.0)
