--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -51,7 +51,7 @@
     other_tokens: Tokens of other ranks that are still to be prefilled.
     decoding: Quarters of slots used by long streams and by requests whose
       prompt was prefilled on another engine; see
-      `request_placement.decode_slot_quarters`.
+      `placements.decode_slot_quarters`.
   """
 
   count: int
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -15,6 +15,7 @@
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
+from mulberrypick.core import placements
 from mulberrypick.core import rendezvous
 from mulberrypick.core import size_fairness
 
@@ -24,14 +25,9 @@
 # if that gains at least this time: prompt parts cached on one engine have to be
 # prefilled again on another.
 MIN_AFFINITY_GAIN_S = 0.004
-# A request that may generate this many tokens is a long stream, which other
-# work must not slow down: at 0.5 ms per token it takes at least one second.
-LONG_OUTPUT_TOKENS = 2_000
 # Fraction of an engine's slots that decode-only work fills before another
 # engine is reserved for decoding. The rest absorbs fluctuations.
 MAX_DECODER_FILL = 0.6
-# Decode load is counted in quarters of a slot, the capacity for one request.
-QUARTERS_PER_SLOT = 4
 # Cost of a full engine for a long stream, in proportion less on an engine with
 # fewer requests. It is added to the predicted time when engines are compared.
 FULL_ENGINE_COST_S = 0.02
@@ -60,78 +56,9 @@
 RETRY_AFTER_FRACTION = 0.33
 
 
-class Placement(NamedTuple):
-  """The endpoints chosen for a request.
-
-  Attributes:
-    endpoint: The endpoint that runs the request.
-    prefiller: The engine that prefills the prompt first; None if `endpoint`
-      does so.
-    tokens: Tokens of the prompt that have to be prefilled.
-    tokens_ahead: `tokens` and the tokens that are prefilled before them.
-    predicted_s: Predicted time to the first event.
-    is_late: Whether the first event is predicted to miss its target.
-  """
-
-  endpoint: gateway_records.Endpoint
-  prefiller: gateway_records.Endpoint | None
-  tokens: int
-  tokens_ahead: int
-  predicted_s: float
-  is_late: bool
-
-
-class Refusal(NamedTuple):
-  """The reason why a request is not sent.
-
-  Attributes:
-    reason: Reason code for logs and callers.
-    retry_after_s: Time after which the caller should retry; None if too little
-      time is left for a retry.
-    predicted_s: Predicted time to the first event, 0 if unknown.
-    awaits_permit: Whether this host has asked for a permit to send to an
-      endpoint that could run the request.
-  """
-
-  reason: str
-  retry_after_s: float | None
-  predicted_s: float = 0.0
-  awaits_permit: bool = False
-
-
-def is_long_output(call: gateway_records.Call) -> bool:
-  """Returns whether a request may generate a long stream."""
-  return call.output_tokens >= LONG_OUTPUT_TOKENS
-
-
-def is_urgent_stream(call: gateway_records.Call) -> bool:
-  """Returns whether a request is a long stream of rank 0.
-
-  Other work must not slow such a stream down.
-  """
-  return is_long_output(call) and call.route.rank == 0
-
-
-def decode_slot_quarters(call: gateway_records.Call, is_prefilled: bool) -> int:
-  """Returns the decode load of a request, in quarters of a slot.
-
-  A request whose prompt is prefilled on another engine and whose answer is
-  short needs only a few decode steps, so it counts less than a long stream. If
-  both counted the same, many prompts with short answers would reserve all
-  engines for decoding while the prompts need them for prefill.
-
-  Args:
-    call: The request.
-    is_prefilled: Whether its prompt is prefilled on another engine.
-  """
-  if is_urgent_stream(call) or (is_prefilled and is_long_output(call)):
-    return QUARTERS_PER_SLOT
-  return 1 if is_prefilled else 0
-
-
 class _Option(NamedTuple):
   cost_s: float
-  placement: Placement
+  placement: placements.Placement
 
 
 class Placer:
@@ -168,7 +95,7 @@
       service: gateway_records.Service,
       excluded: set[tuple[str, int]],
       now: float,
-  ) -> Placement | Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Chooses the endpoint of a request, or refuses the request.
 
     Args:
@@ -189,7 +116,7 @@
     placement = self._place_at(call, service, endpoints, now)
     if not limited:
       return placement
-    if isinstance(placement, Refusal):
+    if isinstance(placement, placements.Refusal):
       return self._refuse_limited(call, placement, limited, now)
     self._permits.probe([e.incarnation for e in limited], self.hosts, now)
     return placement
@@ -200,9 +127,11 @@
       service: gateway_records.Service,
       endpoints: list[gateway_records.Endpoint],
       now: float,
-  ) -> Placement | Refusal:
+  ) -> placements.Placement | placements.Refusal:
     if not endpoints:
-      return Refusal('no_endpoint', self._retry_after(call, 0.5, now))
+      return placements.Refusal(
+          'no_endpoint', self._retry_after(call, 0.5, now)
+      )
     if service.is_engine:
       return self._place_engine(call, service, endpoints, now)
     return self._place_plain(call, endpoints, now)
@@ -210,10 +139,10 @@
   def _refuse_limited(
       self,
       call: gateway_records.Call,
-      refusal: Refusal,
+      refusal: placements.Refusal,
       limited: list[gateway_records.Endpoint],
       now: float,
-  ) -> Refusal:
+  ) -> placements.Refusal:
     """Asks for permits to send a request that no other endpoint may run."""
     runners = []
     for endpoint in limited:
@@ -255,7 +184,7 @@
       service: gateway_records.Service,
       endpoints: list[gateway_records.Endpoint],
       now: float,
-  ) -> Placement | Refusal:
+  ) -> placements.Placement | placements.Refusal:
     prefillers, runners = [], []
     for endpoint in endpoints:
       if endpoint.stage is gateway_records.Stage.PREFILL:
@@ -263,15 +192,19 @@
         continue
       runners.append(endpoint)
     if not runners:
-      return Refusal('no_decode_endpoint', self._retry_after(call, 0.5, now))
+      return placements.Refusal(
+          'no_decode_endpoint', self._retry_after(call, 0.5, now)
+      )
     decoders, overflow = self._split_runners(runners, now)
     candidates = self._runners_for(call, decoders, overflow, bool(prefillers))
-    if not is_urgent_stream(call):
+    if not placements.is_urgent_stream(call):
       candidates = self._filter_accepting(candidates, now)
       decoders = self._filter_accepting(decoders, now)
       prefillers = self._filter_accepting(prefillers, now) if decoders else []
       if not candidates and not prefillers:
-        return Refusal('full', self._retry_after(call, FULL_RETRY_AFTER_S, now))
+        return placements.Refusal(
+            'full', self._retry_after(call, FULL_RETRY_AFTER_S, now)
+        )
     key = str(call.parts[-2].key) if len(call.parts) > 1 else call.id
     preference = rendezvous.rank(key, [e.name for e in prefillers + candidates])
     best: _Option | None = None
@@ -314,8 +247,13 @@
     for runner in ordered:
       decoding += self._load.total(runner, now).decoding
     count, reserved = 0, 0.0
-    while count < len(ordered) and reserved < decoding + QUARTERS_PER_SLOT:
-      reserved += QUARTERS_PER_SLOT * MAX_DECODER_FILL * ordered[count].slots
+    while (
+        count < len(ordered)
+        and reserved < decoding + placements.QUARTERS_PER_SLOT
+    ):
+      reserved += (
+          placements.QUARTERS_PER_SLOT * MAX_DECODER_FILL * ordered[count].slots
+      )
       count += 1
     return ordered[:count], ordered[count:]
 
@@ -327,13 +265,13 @@
       has_prefillers: bool,
   ) -> list[gateway_records.Endpoint]:
     """Returns the engines that may both prefill and decode a request."""
-    if is_urgent_stream(call):
+    if placements.is_urgent_stream(call):
       return decoders
     if not overflow:
       # All decode engines are needed for decoding. If there are prefill
       # engines, the others prefill only prompts of rank 0, the most urgent.
       return [] if has_prefillers and call.route.rank > 0 else decoders
-    if is_long_output(call):
+    if placements.is_long_output(call):
       return decoders + overflow
     return overflow
 
@@ -346,7 +284,7 @@
     """Returns the seconds added for sharing an engine with other requests."""
     load = self._load.total(runner, now)
     is_prefilling = load.urgent_tokens + load.other_tokens > 0
-    if is_long_output(call):
+    if placements.is_long_output(call):
       # Streams share decode steps: the fewer on an engine, the faster.
       cost_s = FULL_ENGINE_COST_S * load.count / runner.slots
       return cost_s + (STREAM_INTERFERENCE_COST_S if is_prefilling else 0.0)
@@ -386,14 +324,17 @@
     )
     return _Option(
         cost_s,
-        Placement(
+        placements.Placement(
             runner, prefiller, tokens, ahead + tokens, predicted_s, is_late
         ),
     )
 
   def _admit(
-      self, call: gateway_records.Call, placement: Placement, now: float
-  ) -> Placement | Refusal:
+      self,
+      call: gateway_records.Call,
+      placement: placements.Placement,
+      now: float,
+  ) -> placements.Placement | placements.Refusal:
     if self._is_worth_sending(call, placement):
       return placement
     prefill_engine = placement.prefiller or placement.endpoint
@@ -403,16 +344,16 @@
     ):
       return placement
     excess_s = placement.predicted_s - MAX_TARGET_FRACTION * call.route.target_s
-    return Refusal(
+    return placements.Refusal(
         'too_late',
         self._retry_after(call, excess_s, now),
         placement.predicted_s,
     )
 
   def _is_worth_sending(
-      self, call: gateway_records.Call, placement: Placement
+      self, call: gateway_records.Call, placement: placements.Placement
   ) -> bool:
-    if is_urgent_stream(call):
+    if placements.is_urgent_stream(call):
       return not placement.is_late
     fairness = self._fairness_by_route.get(call.route.name)
     if fairness is None:
@@ -430,7 +371,7 @@
       call: gateway_records.Call,
       endpoints: list[gateway_records.Endpoint],
       now: float,
-  ) -> Placement | Refusal:
+  ) -> placements.Placement | placements.Refusal:
     best, best_wait_s = None, 0.0
     self._rng.shuffle(endpoints)
     for endpoint in endpoints:
@@ -445,12 +386,12 @@
         best, best_wait_s = endpoint, wait_s
     left_s = call.deadline_at - now
     if best_wait_s > MAX_PLAIN_WAIT_FRACTION * left_s:
-      return Refusal(
+      return placements.Refusal(
           'too_late',
           self._retry_after(call, best_wait_s, now),
           best_wait_s,
       )
-    return Placement(best, None, 0, 0, best_wait_s, False)
+    return placements.Placement(best, None, 0, 0, best_wait_s, False)
 
   def _least_busy(
       self, runners: list[gateway_records.Endpoint], now: float
--- a/mulberrypick/core/request_placement_test.py
+++ b/mulberrypick/core/request_placement_test.py
@@ -9,6 +9,7 @@
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
+from mulberrypick.core import placements
 from mulberrypick.core import request_placement
 from mulberrypick.core import route_table_test
 
@@ -110,23 +111,19 @@
     engines = self.list_engines(p1=PREFILL, **stages)
     self.add_waiting_tokens(engines['p1'], 60_000)
     call = make_call(1, 0.0)
-    quarters = request_placement.decode_slot_quarters(call, True)
+    quarters = placements.decode_slot_quarters(call, True)
     for name in stages:
       # With 64 slots an engine counts as filled by 38 long streams.
       self.load.own(engines[name]).decoding = 40 * quarters
     placement = self.placer.place(call, ENGINE, set(), 0.0)
     self.assertIsNone(placement.prefiller)
-    long_call = call._replace(
-        output_tokens=request_placement.LONG_OUTPUT_TOKENS
-    )
+    long_call = call._replace(output_tokens=placements.LONG_OUTPUT_TOKENS)
     self.assertEqual(
-        request_placement.decode_slot_quarters(long_call, True),
-        request_placement.QUARTERS_PER_SLOT,
+        placements.decode_slot_quarters(long_call, True),
+        placements.QUARTERS_PER_SLOT,
     )
     for name in stages:
-      self.load.own(engines[name]).decoding = (
-          40 * request_placement.QUARTERS_PER_SLOT
-      )
+      self.load.own(engines[name]).decoding = 40 * placements.QUARTERS_PER_SLOT
     placement = self.placer.place(call, ENGINE, set(), 0.0)
     self.assertIsNotNone(placement.prefiller)
 
@@ -182,7 +179,7 @@
         1, 0.0, own=140, route=route, output_tokens=12000
     )._replace(parts=(Part('q', 140),), prompt_tokens=140)
     placement = self.placer.place(call, ENGINE, set(), 0.0)
-    self.assertIsInstance(placement, request_placement.Placement)
+    self.assertIsInstance(placement, placements.Placement)
     self.assertEqual(placement.endpoint.name, 'd1')
 
   def test_without_decode_engine_all_is_refused(self):
@@ -205,7 +202,7 @@
       while queue and queue[0][0] <= now:
         own.tokens[1] -= queue.pop(0)[1]
       found = self.placer.place(make_call(number, now), ENGINE, set(), now)
-      if isinstance(found, request_placement.Refusal):
+      if isinstance(found, placements.Refusal):
         refused += 1
         continue
       for part in make_call(number, now).parts:
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -13,7 +13,7 @@
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
-from mulberrypick.core import request_placement
+from mulberrypick.core import placements
 from mulberrypick.ops import call_log
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import endpoint_send
@@ -91,7 +91,7 @@
     self._stream = caller_stream.CallerStream(caller)
     self._is_sending = False
     self._has_prefilled = False
-    self._placement: request_placement.Placement | None = None
+    self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
     # When the permit expires that is reserved for the placement's endpoint.
@@ -111,7 +111,7 @@
       if self._runs or self._is_sending:
         self._fail(504, 'timeout')
         return
-      self._refuse(request_placement.Refusal('timeout', None))
+      self._refuse(placements.Refusal('timeout', None))
     except asyncio.CancelledError:
       self._log_decision('left', 'caller_left')
       raise
@@ -121,7 +121,7 @@
     for number in range(MAX_SENDS):
       placement = await self._place()
       now = asyncio.get_running_loop().time()
-      if isinstance(placement, request_placement.Refusal):
+      if isinstance(placement, placements.Refusal):
         if number:
           break
         self._refuse(placement)
@@ -151,11 +151,11 @@
     if self._runs:
       self._fail(502, reason)
       return
-    self._refuse(request_placement.Refusal(reason, BUSY_RETRY_AFTER_S))
+    self._refuse(placements.Refusal(reason, BUSY_RETRY_AFTER_S))
 
   async def _place(
       self,
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places the request; waits shortly for a permit if it needs one."""
     loop = asyncio.get_running_loop()
     end_at = loop.time() + MAX_PERMIT_WAIT_S
@@ -167,7 +167,7 @@
       if self._state.permits.has_wanted():
         self._state.permits_wanted.set()
       if (
-          isinstance(placement, request_placement.Placement)
+          isinstance(placement, placements.Placement)
           or not placement.awaits_permit
       ):
         return placement
@@ -192,7 +192,7 @@
     return self._state.budget.take(self._call.service, self._state.hosts, now)
 
   async def _run_attempt(
-      self, placement: request_placement.Placement
+      self, placement: placements.Placement
   ) -> _AttemptResult:
     if placement.prefiller is None:
       return await self._send_to(placement, [], placement.tokens)
@@ -210,7 +210,7 @@
     return attempt
 
   async def _run_decode(
-      self, placement: request_placement.Placement, handle: str
+      self, placement: placements.Placement, handle: str
   ) -> _AttemptResult:
     """Decodes a prefilled request; tries another engine if one can't run it.
 
@@ -235,7 +235,7 @@
       self._placement = placement
 
   async def _prefill(
-      self, placement: request_placement.Placement
+      self, placement: placements.Placement
   ) -> tuple[str | None, _AttemptResult]:
     prefiller = placement.prefiller
     send = endpoint_send.EndpointSend(
@@ -271,12 +271,12 @@
 
   async def _send_to(
       self,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
       extra_headers: list[tuple[bytes, bytes]],
       tokens: int,
   ) -> _AttemptResult:
     endpoint = placement.endpoint
-    decode_quarters = request_placement.decode_slot_quarters(
+    decode_quarters = placements.decode_slot_quarters(
         self._call, bool(extra_headers)
     )
     send = endpoint_send.EndpointSend(
@@ -310,7 +310,7 @@
       self,
       send: endpoint_send.EndpointSend,
       head: stream_client.Head,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
       tokens: int,
   ) -> _AttemptResult:
     is_stream = self._call.route.kind is gateway_records.CallKind.STREAM
@@ -341,7 +341,7 @@
       self,
       send: endpoint_send.EndpointSend,
       head: stream_client.Head,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
       tokens: int,
   ) -> _AttemptResult:
     cutter = event_stream.EventSplitter()
@@ -399,9 +399,7 @@
         others += 1
     return others > 1
 
-  def _head_timeout_s(
-      self, placement: request_placement.Placement
-  ) -> float | None:
+  def _head_timeout_s(self, placement: placements.Placement) -> float | None:
     if not self._can_run_elsewhere():
       return None
     return max(
@@ -433,7 +431,7 @@
         self._received.body,
     )
 
-  def _refuse(self, refusal: request_placement.Refusal) -> None:
+  def _refuse(self, refusal: placements.Refusal) -> None:
     self._log_decision(
         'refused',
         refusal.reason,
--- a/standins/replay_trial.py
+++ b/standins/replay_trial.py
@@ -20,6 +20,7 @@
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
+from mulberrypick.core import placements
 from mulberrypick.core import request_placement
 from standins import replay
 from standins import replay_plot
@@ -67,7 +68,7 @@
   @abc.abstractmethod
   def place(
       self, call: gateway_records.Call, now: float
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places or refuses a request."""
 
 
@@ -76,7 +77,7 @@
 
   def place(
       self, call: gateway_records.Call, now: float
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places or refuses a request."""
     return self.placer.place(call, SERVICE, set(), now)
 
@@ -86,7 +87,7 @@
 
   def place(
       self, call: gateway_records.Call, now: float
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places or refuses a request."""
     # One part for the whole prompt. Its key is negative, so that it differs
     # from the keys of all other parts.
@@ -100,7 +101,7 @@
 
   def place(
       self, call: gateway_records.Call, now: float
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places or refuses a request."""
     prefillers, decoders = [], []
     for endpoint in self.registry.usable(call.service, now):
@@ -111,7 +112,7 @@
       return self.load.total(endpoint, now).count
 
     prefiller, decoder = min(prefillers, key=count), min(decoders, key=count)
-    return request_placement.Placement(
+    return placements.Placement(
         decoder, prefiller, call.prompt_tokens, 0, 0.0, False
     )
 
@@ -121,7 +122,7 @@
 
   def place(
       self, call: gateway_records.Call, now: float
-  ) -> request_placement.Placement | request_placement.Refusal:
+  ) -> placements.Placement | placements.Refusal:
     """Places or refuses a request."""
     placement = super().place(call, now)
     prefillers = []
@@ -191,7 +192,7 @@
     call = _make_call(number, arrival, work_class)
     host = self._host_by_name[arrival.host]
     placement = host.place(call, now)
-    if isinstance(placement, request_placement.Refusal):
+    if isinstance(placement, placements.Refusal):
       self._add_outcome(arrival, 'refused')
       return
     if placement.prefiller is None:
@@ -213,7 +214,7 @@
       call: gateway_records.Call,
       arrival: replay.Arrival,
       host: Policy,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
       engine_endpoint: gateway_records.Endpoint,
       on_prefilled: Callable[..., None],
   ) -> None:
@@ -249,14 +250,14 @@
       call: gateway_records.Call,
       arrival: replay.Arrival,
       host: Policy,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
   ) -> None:
     engine = self._engine_by_name[placement.endpoint.name]
     if not engine.try_reserve():
       self._add_outcome(arrival, 'refused')
       return
     own_load = host.load.own(placement.endpoint)
-    slot_quarters = request_placement.decode_slot_quarters(call, True)
+    slot_quarters = placements.decode_slot_quarters(call, True)
     own_load.count += 1
     own_load.decoding += slot_quarters
 
@@ -277,7 +278,7 @@
       call: gateway_records.Call,
       arrival: replay.Arrival,
       host: Policy,
-      placement: request_placement.Placement,
+      placement: placements.Placement,
   ) -> None:
     del call, host, placement
     first_s = self._clock.now - arrival.at_s
