Let a request of rank 0 ask for a permit although another rank was refused

A host that was refused a permit asks again after the time in the refusal, up to 2 s. The time held for all ranks, so that a request of rank 0 could not use the permit that the issuer keeps for it. Found by reading; the time is now kept for rank 0 and for the others. The test failed before.

--- a/mulberrypick/core/permits.py
+++ b/mulberrypick/core/permits.py
@@ -94,7 +94,22 @@
     self.open_number = 0
     self.is_open_urgent = False
     self.asked_at = float('-inf')
-    self.wait_until = float('-inf')
+    # Until when this host does not ask, for requests of rank 0 and of others.
+    self.urgent_wait_until = float('-inf')
+    self.other_wait_until = float('-inf')
+
+  def wait_until(self, is_urgent: bool) -> float:
+    """Returns until when this host does not ask for a permit."""
+    until = self.urgent_wait_until if is_urgent else self.other_wait_until
+    if self.open_number:
+      until = max(until, self.asked_at + UNANSWERED_WAIT_S)
+    return until
+
+  def wait(self, is_urgent: bool, until: float) -> None:
+    """Stops asking until a time; what rank 0 can't get, others can't either."""
+    self.other_wait_until = max(self.other_wait_until, until)
+    if is_urgent:
+      self.urgent_wait_until = until
 
 
 class Permits:
@@ -158,7 +173,7 @@
     for incarnation in incarnations:
       if self._is_awaiting(incarnation, now):
         is_awaiting = True
-      elif self._purse(incarnation).wait_until <= now:
+      elif self._purse(incarnation).wait_until(is_urgent) <= now:
         ready.append(incarnation)
     if not ready:
       return is_awaiting
@@ -171,17 +186,25 @@
     """Asks now and then for a permit of an endpoint that is not needed."""
     incarnation = self._rng.choice(incarnations)
     purse = self._purse(incarnation)
-    if purse.permits or now < purse.wait_until:
+    if purse.permits or now < purse.wait_until(False):
       return
     interval_s = PROBE_INTERVAL_PER_HOST_S * hosts
     if now - purse.asked_at > interval_s:
       self._wanted.setdefault(incarnation, False)
 
-  def wait_s(self, incarnations: Iterable[Incarnation], now: float) -> float:
-    """Returns the time until a permit of one of the endpoints may be issued."""
+  def wait_s(
+      self, incarnations: Iterable[Incarnation], is_urgent: bool, now: float
+  ) -> float:
+    """Returns the time until a permit of one of the endpoints may be issued.
+
+    Args:
+      incarnations: The endpoints.
+      is_urgent: Whether it is for a request of rank 0.
+      now: Monotonic time.
+    """
     waits = []
     for incarnation in incarnations:
-      waits.append(self._purse(incarnation).wait_until - now)
+      waits.append(self._purse(incarnation).wait_until(is_urgent) - now)
     return max(MIN_WAIT_S, min(waits, default=MIN_WAIT_S))
 
   def has_wanted(self) -> bool:
@@ -197,7 +220,6 @@
       purse.open_number = self._last_number
       purse.is_open_urgent = is_urgent
       purse.asked_at = now
-      purse.wait_until = now + UNANSWERED_WAIT_S
       requests.append(PermitRequest(*incarnation, self._last_number, is_urgent))
     self._wanted.clear()
     return requests
@@ -210,9 +232,9 @@
       return
     purse.open_number = 0
     if not reply.is_granted:
-      purse.wait_until = now + min(MAX_WAIT_S, max(MIN_WAIT_S, reply.wait_s))
+      wait_s = min(MAX_WAIT_S, max(MIN_WAIT_S, reply.wait_s))
+      purse.wait(purse.is_open_urgent, now + wait_s)
       return
-    purse.wait_until = now
     # The permit is at least as young as the request for it.
     expires_at = purse.asked_at + PERMIT_TTL_S
     purse.permits.append(_Permit(expires_at, purse.is_open_urgent))
--- a/mulberrypick/core/permits_test.py
+++ b/mulberrypick/core/permits_test.py
@@ -65,9 +65,17 @@
     self._reply(self._ask(False, 0.0), False, 0.01, 0.5)
     self.assertFalse(self.permits.want([_ENDPOINT], False, 0.3))
     self.assertFalse(self.permits.has_wanted())
-    self.assertAlmostEqual(self.permits.wait_s([_ENDPOINT], 0.3), 0.21)
+    self.assertAlmostEqual(self.permits.wait_s([_ENDPOINT], False, 0.3), 0.21)
     self.assertTrue(self.permits.want([_ENDPOINT], False, 0.52))
 
+  def test_refusal_of_another_rank_does_not_delay_an_urgent_request(self):
+    self._reply(self._ask(False, 0.0), False, 0.01, 2.0)
+    self.assertFalse(self.permits.want([_ENDPOINT], False, 0.02))
+    self._reply(self._ask(True, 0.02), False, 0.03, 0.5)
+    self.assertFalse(self.permits.want([_ENDPOINT], True, 0.04))
+    self.assertAlmostEqual(self.permits.wait_s([_ENDPOINT], True, 0.03), 0.5)
+    self.assertAlmostEqual(self.permits.wait_s([_ENDPOINT], False, 0.01), 2.0)
+
   def test_asks_again_if_no_reply_arrives(self):
     self._ask(False, 0.0)
     self.assertTrue(self.permits.want([_ENDPOINT], False, 0.05))
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -154,7 +154,7 @@
         awaits_permit=self._permits.want(wanted, is_urgent, now)
     )
     if refusal.reason in ('no_endpoint', 'no_decode_endpoint'):
-      wait_s = self._permits.wait_s(wanted, now)
+      wait_s = self._permits.wait_s(wanted, is_urgent, now)
       refusal = refusal._replace(
           reason='limited', retry_after_s=self._retry_after(call, wait_s, now)
       )
