Break off streams by events, not by time, in the tests of versions

The callers now leave after three events, and time limits that depend on the processor are 20 s (2 s for replies between the gateways). What is checked is unchanged.

--- a/mulberrypick/platform/gateway_version_test.py
+++ b/mulberrypick/platform/gateway_version_test.py
@@ -5,19 +5,23 @@
 from unittest import mock
 
 from mulberrypick.core import stream_versions
+from mulberrypick.ops import version_exchange
 from mulberrypick.platform import gateway_test
 from standins import event_versions
 from standins import gateway_cluster
 
 HEADERS = {
-    'X-Mulberrypick-Deadline-Ms': '1400',
+    'X-Mulberrypick-Deadline-Ms': '20000',
     'X-Mulberrypick-Token-Usage': '220,70',
     'X-Mulberrypick-Prefix-Hash': 'aa:80,bb:140',
 }
 EVENTS = 60
+REPLY_TIMEOUT_S = 2.0
 INTERVAL_S = 0.01
-# Time after which callers disconnect in the middle of a stream.
-BEGIN_S = 0.3
+# Events after which callers disconnect in the middle of a stream.
+BEGIN_EVENTS = 3
+# Time limits that do not end a stream while many gateways share one process.
+TIMEOUT_MS = 20_000
 # Streams that are taken up in one test.
 STREAMS = 12
 
@@ -32,6 +36,13 @@
     await super().asyncSetUp()
     await self.cluster.add('writer-3', 'engine', 'decode', 'v2')
     await self.cluster.add('writer-4', 'engine', 'decode', 'v2')
+    self.enterContext(
+        mock.patch.object(version_exchange, 'REPLY_TIMEOUT_S', REPLY_TIMEOUT_S)
+    )
+    config = gateway_cluster.make_config(2)
+    for route in config['routes']:
+      route |= {'timeoutMs': TIMEOUT_MS, 'targetLatencyMs': TIMEOUT_MS}
+    self.cluster.store.put('config', 'main', config)
     for number in range(2, self.hosts + 1):
       await self.start_gateway(f'host-{number}')
     for gateway in self.gateway_by_name.values():
@@ -43,14 +54,18 @@
 
   def knows_all(self, gateway) -> bool:
     state = gateway.state
-    return state.hosts == self.hosts and len(list(state.endpoints.all())) == 7
+    return (
+        state.hosts == self.hosts
+        and state.config.version == 2
+        and len(list(state.endpoints.all())) == 7
+    )
 
   async def ask(
       self,
       host: str,
       request: str,
       headers: dict[str, str] | None = None,
-      disconnect_after_s: float | None = None,
+      disconnect_after_events: int | None = None,
       body: bytes = b'question',
   ) -> gateway_cluster.Answer:
     port = self.gateway_by_name[host].state.host.listen_port
@@ -60,7 +75,7 @@
         request,
         HEADERS | (headers or {}),
         body,
-        disconnect_after_s=disconnect_after_s,
+        disconnect_after_events=disconnect_after_events,
     )
 
   async def begin(
@@ -78,7 +93,7 @@
         host,
         request,
         parts,
-        disconnect_after_s=BEGIN_S,
+        disconnect_after_events=BEGIN_EVENTS,
         body=request.encode(),
     )
     self.assertFalse(answer.is_whole)
@@ -219,7 +234,7 @@
   async def test_id_of_another_caller_does_not_bind_a_stream(self):
     begun = await self.begin('host-1', 'same')
     other = await self.ask(
-        'host-2', 'same', disconnect_after_s=BEGIN_S, body=b'other'
+        'host-2', 'same', disconnect_after_events=BEGIN_EVENTS, body=b'other'
     )
     self.assertGreater(event_versions.last_event_id(other.body), 1)
     rest = await self.take_up('host-3', 'same', begun)
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -234,6 +234,7 @@
     body: bytes = b'',
     method: str = 'POST',
     disconnect_after_s: float | None = None,
+    disconnect_after_events: int | None = None,
 ) -> Answer:
   """Sends one request on a new connection; returns the response."""
   connection = await stream_client.connect('127.0.0.1', port, 2.0)
@@ -249,13 +250,15 @@
       exchange,
   )
   try:
-    return await _collect(exchange, disconnect_after_s)
+    return await _collect(exchange, disconnect_after_s, disconnect_after_events)
   finally:
     connection.abort()
 
 
 async def _collect(
-    exchange: stream_client.Exchange, disconnect_after_s: float | None
+    exchange: stream_client.Exchange,
+    disconnect_after_s: float | None,
+    disconnect_after_events: int | None,
 ) -> Answer:
   body = b''
   status, headers = 0, {}
@@ -267,6 +270,10 @@
       headers = {k.decode().lower(): v.decode() for k, v in head.headers}
       while data := await exchange.read_some():
         body += data
+        if disconnect_after_events and (
+            body.count(b'\n\n') >= disconnect_after_events
+        ):
+          return Answer(status, headers, body, False)
       is_whole = True
   except (TimeoutError, stream_client.errors.ExchangeBrokenError):
     # The answer is the part that arrived before the connection broke.
