Mend a vacuous test of LIMIT, a wrong example, and a wait of the soak

All hosts now count as told once the limit binds; on the code before the fix it fails with 175 requests in 4 s, on this one it passes. test_graceful_stop_during_startup_exits_with_status_0: the run was started by nohup, under which SIGHUP is ignored from the start, so that the wait for the handlers ended before they were installed. It now waits for that of SIGTERM too.

--- a/mulberrypick/platform/gateway_limit_test.py
+++ b/mulberrypick/platform/gateway_limit_test.py
@@ -87,9 +87,12 @@
       # that were told count as one.
       host = self.host_by_request.get(request, '')
       arrivals.append(limit_check.Arrival(at, host))
-    told = self.told_at_by_host.get(name, {})
-    if told:
-      told = told | {'': min(told.values())}
+    told = self.told_at_by_host.get(name)
+    if told is None:
+      # An engine that only reads prompts sends nothing to callers: all hosts
+      # count as told when the limit has been binding for a while.
+      told = dict.fromkeys(self.gateway_by_name, checked_from)
+    told = told | {'': min(told.values())}
     return limit_check.count_worst_window(arrivals, told, checked_from)
 
   async def check_limited(self, path: str, *names: str) -> None:
--- a/standins/limit_check_test.py
+++ b/standins/limit_check_test.py
@@ -12,7 +12,7 @@
 class LimitCheckTest(unittest.TestCase):
 
   def test_counts_requests_of_all_hosts_in_a_sliding_window(self):
-    arrivals = _arrivals('a', 3.5, 5.0, 8.9) + _arrivals('b', 5.5, 7.0, 9.2)
+    arrivals = _arrivals('a', 3.5, 5.0, 8.9) + _arrivals('b', 5.5, 7.0, 9.0)
     told = {'a': 0.0, 'b': 0.0}
     self.assertEqual(limit_check.count_worst_window(arrivals, told, 0.0), 5)
 
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -37,16 +37,25 @@
 
 
 async def wait_until_signals_are_handled(pid: int) -> None:
-  """Waits until a gateway ignores SIGHUP.
+  """Waits until a gateway handles SIGTERM and ignores SIGHUP.
 
-  Until the first lines of the program have run, SIGHUP and SIGTERM kill it.
+  Until the first lines of the program have run, SIGTERM kills it. SIGHUP may be
+  ignored from the start, as under nohup.
   """
   status = pathlib.Path(f'/proc/{pid}/status')
   async with asyncio.timeout(READY_TIMEOUT_S):
     while True:
+      mask_by_field = {}
       for line in status.read_text().splitlines():
-        if line.startswith('SigIgn:') and int(line.split()[1], 16) & 1:
-          return
+        if line.startswith(('SigIgn:', 'SigCgt:')):
+          field, mask = line.split()
+          mask_by_field[field] = int(mask, 16)
+      # Signal n is bit n - 1 of a mask.
+      if (
+          mask_by_field['SigIgn:'] >> (signal.SIGHUP - 1) & 1
+          and mask_by_field['SigCgt:'] >> (signal.SIGTERM - 1) & 1
+      ):
+        return
       await asyncio.sleep(0.002)
 
 
