Let a relay without the store pass on the changes that other relays report

Callers of the members of a relay that had lost the store were sent to an endpoint for up to 15 s after the store had removed it (DRAIN). The relay reported no revisions while it lacked contact itself, and members read the store only when their relay reports a change.

A relay without contact now reports the revisions that it hears from other relays, with the contact of the one that has kept it longest, so that members can still tell a removal from an entry that expired in an outage. A contact that is shorter than the one reported before counts as new, as a contact after an interval without one does.

Ruled out: members that watch the store themselves while their relay lacks it; an earlier trial of it dropped entries that had expired in an outage.

--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -221,12 +221,30 @@
     total = load_sum.sum_loads([group_load, *(r.load for r in relays)])
     own.covers_all_others = True
     own.hosts = self._state.hosts
+    if not own.store_contact_s:
+      self._add_relayed_changes(own, relays)
     own.parts = peer_message.pack_parts(group_parts + self._other_group_parts)
     self._group_parts, self._other_group_parts = [], []
     for member in members:
       own.load = load_sum.subtract_load(total, member.load)
       self._send((member.address,), own)
 
+  def _add_relayed_changes(
+      self,
+      message: peer_message.PeerMessage,
+      relays: list[peer_message.PeerMessage],
+  ) -> None:
+    """Adds the store changes of other relays if one is in contact with it.
+
+    Without them the members of a relay that is cut off from the store would not
+    learn of its changes, though they can reach it themselves.
+    """
+    contact_s = max((relay.store_contact_s for relay in relays), default=0.0)
+    if not contact_s:
+      return
+    message.relayed_contact_s = contact_s
+    message.store_revision_by_kind = self._state.store_revision_by_kind
+
   def _send(
       self, addresses: Iterable[str], message: peer_message.PeerMessage
   ) -> None:
@@ -319,11 +337,10 @@
   ) -> None:
     """Applies store changes reported by a peer."""
     state = self._state
-    if (
-        message.address == self._table.neighbors.relay
-        and message.store_contact_s
-        and not previous.store_contact_s
-    ):
+    contact_s, previous_s = message.known_contact_s, previous.known_contact_s
+    # A shorter contact than before began after the earlier one had ended.
+    is_new_contact = contact_s and (not previous_s or contact_s < previous_s)
+    if message.address == self._table.neighbors.relay and is_new_contact:
       state.endpoints.record_store_recovery(now)
     for kind, revision in message.store_revision_by_kind.items():
       if state.record_store_change(kind, revision):
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -84,6 +84,8 @@
     binding: Version of a stream that began at the sender.
     version_query: Question for the version of a stream.
     version_reply: Reply to such a question.
+    relayed_contact_s: Longest current contact of another relay with the store,
+      if a relay without contact reports its changes to the members.
   """
 
   host: str
@@ -113,6 +115,12 @@
   binding: StreamBinding | None = None
   version_query: VersionQuery | None = None
   version_reply: VersionReply | None = None
+  relayed_contact_s: float = 0.0
+
+  @property
+  def known_contact_s(self) -> float:
+    """Contact with the store of the host that the changes come from."""
+    return self.store_contact_s or self.relayed_contact_s
 
   def __post_init__(self):
     """Validates the prompt parts.
--- a/mulberrypick/ops/peer_table.py
+++ b/mulberrypick/ops/peer_table.py
@@ -244,7 +244,7 @@
     state.placer.hosts = state.hosts
     state.placer.affinity_spread_s = 0.0 if is_direct else RELAY_DELAY_S
     state.peer_kept_store_contact = any(
-        message.store_contact_s > MIN_STORE_CONTACT_S
+        message.known_contact_s > MIN_STORE_CONTACT_S
         for message in live_messages
     )
     if role is peer_topology.Role.MEMBER:
