Log why an answer was given up, also beside many refusals

A cut or failed answer now names what a retry lacked (attempts, place, budget, or that the request crashes endpoints), and a broken attempt how long its endpoint had been silent. Nothing is decided otherwise.

--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -1,8 +1,9 @@
 """Logs decisions on requests at a limited rate.
 
-Refused and failed requests have precedence over served ones: they are all
-logged up to the rate limit, while served requests are sampled. The number of
-suppressed lines is logged.
+Requests that are not served have precedence over served ones: they are all
+logged up to the rate limit, while served requests are sampled. Refusals can use
+up the limit, so answers that were given up have a limit of their own. The
+number of suppressed lines is logged.
 """
 
 import logging
@@ -13,6 +14,9 @@
 _log = logging.getLogger(__name__)
 # Limits the time spent on logging: at 0.1 ms per line, 0.4% of a core.
 MAX_LINES_PER_S = 40
+# Outcomes of requests that endpoints had received, and their own limit.
+GIVEN_UP_OUTCOMES = ('cut', 'failed', 'broke', 'waited', 'moved')
+MAX_GIVEN_UP_LINES_PER_S = 40
 # One in this many served requests is logged.
 SERVED_PER_LOG_LINE = 50
 
@@ -28,6 +32,7 @@
     self.count_by_outcome: dict[tuple[str, str, str], int] = {}
     self._second = 0
     self._lines = 0
+    self._given_up_lines = 0
     self._suppressed = 0
     self._served = 0
 
@@ -43,8 +48,9 @@
 
     Args:
       outcome: `served`, `refused`, `failed`, `retried`, `left`, `cut`,
-        `broke` for an attempt whose connection to the endpoint broke off, or
-        `resumed` for a stream that its caller takes up.
+        `broke` for an attempt whose connection to the endpoint broke off,
+        `waited` or `moved` for one whose endpoint is silent, or `resumed` for a
+        stream that its caller takes up.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
@@ -58,10 +64,9 @@
         return
     if int(now) != self._second:
       self._start_second(int(now))
-    if self._lines >= MAX_LINES_PER_S:
+    if not self._may_log(outcome):
       self._suppressed += 1
       return
-    self._lines += 1
     logs.log_event(
         _log,
         logging.INFO,
@@ -71,6 +76,13 @@
         **fields,
     )
 
+  def _may_log(self, outcome: str) -> bool:
+    if outcome in GIVEN_UP_OUTCOMES:
+      self._given_up_lines += 1
+      return self._given_up_lines <= MAX_GIVEN_UP_LINES_PER_S
+    self._lines += 1
+    return self._lines <= MAX_LINES_PER_S
+
   def _start_second(self, second: int) -> None:
     if self._suppressed:
       logs.log_event(
@@ -78,6 +90,7 @@
       )
     self._second = second
     self._lines = 0
+    self._given_up_lines = 0
     self._suppressed = 0
 
 
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -96,6 +96,8 @@
     self._prefill_s = 0.0
     # When the permit expires that is reserved for the placement's endpoint.
     self._permit_until = float('-inf')
+    # What a retry lacked, for logs; empty if none was considered.
+    self._lacked = ''
 
   async def run(self) -> None:
     """Responds to the request; cancelled if the caller disconnects."""
@@ -123,6 +125,7 @@
       now = asyncio.get_running_loop().time()
       if isinstance(placement, placements.Refusal):
         if number:
+          self._lacked = placement.reason
           break
         self._refuse(placement)
         return
@@ -180,16 +183,21 @@
   def _may_retry(self, attempt: _AttemptResult) -> bool:
     now = asyncio.get_running_loop().time()
     if self._state.quarantine.is_refused(self._call.fingerprint, now):
+      self._lacked = 'crashes_endpoints'
       return False
     if attempt.may_have_run:
       route = self._call.route
       if not route.is_idempotent or self._runs >= route.attempts:
+        self._lacked = 'attempts'
         return False
     # Nothing was sent, so that a retry adds no load unless the prompt was
     # prefilled before.
     if attempt.reason in UNSENT_REASONS and not self._has_prefilled:
       return True
-    return self._state.budget.take(self._call.service, self._state.hosts, now)
+    if self._state.budget.take(self._call.service, self._state.hosts, now):
+      return True
+    self._lacked = 'budget'
+    return False
 
   async def _run_attempt(
       self, placement: placements.Placement
@@ -446,7 +454,12 @@
     )
 
   def _fail(self, status: int, reason: str) -> None:
-    self._log_decision('cut' if self._stream.has_head else 'failed', reason)
+    self._log_decision(
+        'cut' if self._stream.has_head else 'failed',
+        reason,
+        lacked=self._lacked,
+        last_event=self._stream.last_event,
+    )
     if self._stream.has_head:
       self._caller.abort()
       return
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -95,6 +95,7 @@
         lambda head: requests.is_response_to(call.id, head)
     )
     self.sent_at = 0.0
+    self._heard_at = 0.0
     self._other_count = 0
     # Whether it is known if the request may have crashed the endpoint.
     self._is_judged = False
@@ -221,6 +222,7 @@
         endpoint=name,
         started_ms=started_ms,
         has_event=has_event,
+        silent_s=round(now - max(self.sent_at, self._heard_at), 3),
         is_refused=self._state.quarantine.is_refused(
             self._call.fingerprint, now
         ),
@@ -243,6 +245,7 @@
         self._state.has_store_contact_since(connected_at, now),
         now,
     )
+    self._heard_at = now
     self._own_load.last_response_at = now
     self._own_load.pending_since.pop(id(self), None)
 
