--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -15,6 +15,8 @@
 
 from mulberrypick.adapters import stream_server
 from standins import crash_point
+from standins import silence
+from standins import unframed_stream
 
 _REQUEST_ID = b'X-Mulberrypick-Request-Id'
 _SIGNATURE = b'X-Mulberrypick-Server-Signature'
@@ -48,7 +50,8 @@
       `torn`: closes the connection within the third event of a stream;
       `still`: sends nothing after the second event of a stream;
       `unframed`: sends a body whose end is the end of the connection;
-      `encoded`: adds a Content-Encoding header.
+      `encoded`: adds a Content-Encoding header;
+      one of `unframed_stream.MODES`: sends such streams.
   """
 
   work_s: float = 0.0
@@ -88,6 +91,9 @@
     crashed_by: Body of the request that crashed the replica, empty if none did.
     crashing_arrivals: Time, on the event loop's clock, and id of each received
       request with `crash_point.CRASH_MARKER`.
+    silence: When it is silent.
+    run_spans: Time, on the event loop's clock, at which the last execution of
+      each request began, and at which it ended if it has, by request id.
   """
 
   def __init__(self, name: str, service: str, stage: str = ''):
@@ -111,6 +117,8 @@
     self.on_crash: Callable[[FleetReplica], None] = lambda replica: None
     self.crashed_by = b''
     self.crashing_arrivals: list[tuple[float, str]] = []
+    self.silence = silence.Silence()
+    self.run_spans: dict[str, list[float]] = {}
     self._is_down = False
     self._handles: set[str] = set()
     self._prefill_lock = asyncio.Lock()
@@ -212,6 +220,8 @@
     except asyncio.CancelledError:
       self.aborted_requests.append(request)
       raise
+    finally:
+      self.run_spans.get(request, []).append(asyncio.get_running_loop().time())
 
   def _record_limited_arrival(self, headers: dict[str, str]) -> None:
     if not self.limit:
@@ -263,6 +273,7 @@
       self._refuse(caller, request)
       return
     self.runs[request] += 1
+    self.run_spans[request] = [asyncio.get_running_loop().time()]
     mode = self.behaviour.mode
     if mode == 'mute':
       await asyncio.Event().wait()
@@ -273,6 +284,7 @@
     await self._crash_at(
         body, crash_point.CrashPoint.RUN, crash_point.CrashPoint.SILENT_RUN
     )
+    await self.silence.wait_at(silence.SilencePoint.HEAD)
     if mode == 'reset':
       caller.abort()
       return
@@ -370,6 +382,7 @@
   ) -> None:
     await self._prefill_prompt(headers)
     await asyncio.sleep(self.behaviour.work_s)
+    await self.silence.wait_at(silence.SilencePoint.PREFILL)
     if self.behaviour.mode == 'reset':
       caller.abort()
       return
@@ -385,13 +398,15 @@
       body: bytes,
       caller: stream_server.ServerConnection,
   ) -> None:
-    answer_headers = [
-        *answer_headers,
-        (b'Content-Type', b'text/event-stream'),
-        (b'Transfer-Encoding', b'chunked'),
-    ]
-    caller.write_head(200, answer_headers, False)
+    mode = self.behaviour.mode
+    is_open = mode in unframed_stream.MODES
+    answer_headers = [*answer_headers, (b'Content-Type', b'text/event-stream')]
+    if not is_open:
+      answer_headers.append((b'Transfer-Encoding', b'chunked'))
+    caller.write_head(200, answer_headers, is_open)
     for number in range(start + 1, self.behaviour.events + 1):
+      if unframed_stream.end_early(mode, number - start - 1, caller):
+        return
       if self.behaviour.mode == 'torn' and number == start + 3:
         caller.write(b'8\r\nid: 3\nda\r\n')
         caller.abort()
@@ -405,13 +420,19 @@
             crash_point.CrashPoint.SILENT_STREAM,
         )
       await self._crash_at(b'')
+      await self.silence.wait_at(
+          silence.SilencePoint.STREAM if number > start + 2 else None
+      )
       event = b'id: %d\ndata: piece %d\n' % (number, number)
       if self.software != DEFAULT_SOFTWARE:
         event += b': %s\n' % self.software.encode()
       event += b'\n'
-      caller.write(b'%x\r\n%s\r\n' % (len(event), event))
+      if not is_open:
+        event = b'%x\r\n%s\r\n' % (len(event), event)
+      caller.write(event)
       await asyncio.sleep(self.behaviour.event_interval_s)
-    caller.write(b'0\r\n\r\n')
+    if not is_open:
+      caller.write(b'0\r\n\r\n')
 
 
 def _refusal(request: str) -> list[tuple[bytes, bytes]]:
