Give up a run on a silent endpoint only once another one is secured

An endpoint that is sound may send nothing for a second or so and go on.

Cause: a stream without data for 0.6 s, or a request whose head was late, was broken off first; only then did the host ask for a place, a permit and the retry budget. Where one was missing, the caller's connection was closed or it got 502, although the endpoint would have answered. Class: something is given up before its replacement is there.

Now a place at an endpoint that responds, a connection to it, a permit and a retry are secured first, and only then is the old run ended. If something is missing, the host waits on and asks again every 0.2 s, until the time limit, the end of the connection, or the caller leaves. A retry that was taken and not used goes back to the budget. If the run for which another one was given up is refused, the request is not failed but placed again. The 500 of an endpoint is dropped under the same condition only.

--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -73,6 +73,11 @@
     self._unread_bytes = 0
     self._changed = asyncio.Event()
 
+  @property
+  def is_silent(self) -> bool:
+    """Whether the response is incomplete and nothing of it is unread."""
+    return not (self._chunks or self.is_done or self.failure)
+
   def add_head(self, head: Head) -> None:
     """Stores the head."""
     self.head = head
@@ -184,6 +189,7 @@
     """Stores the transport; called by the event loop."""
     self._transport = transport
     self.opened_at = asyncio.get_running_loop().time()
+    self.idle_since = self.opened_at
     set_tcp_options(transport.get_extra_info('socket'))
 
   @property
--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -98,6 +98,13 @@
         healthy.append(endpoint)
     return healthy
 
+  def is_suspended(
+      self, endpoint: gateway_records.Endpoint, now: float
+  ) -> bool:
+    """Returns whether an endpoint is suspended."""
+    health = self._health.get(endpoint.incarnation)
+    return health is not None and health.suspended_until > now
+
   def failure_fraction(self, endpoint: gateway_records.Endpoint) -> float:
     """Returns the recent share of failed requests of an endpoint."""
     health = self._health.get(endpoint.incarnation)
--- a/mulberrypick/core/endpoint_registry_test.py
+++ b/mulberrypick/core/endpoint_registry_test.py
@@ -93,6 +93,10 @@
     self.registry.replace_all([p, d], 0.0)
     self.registry.suspend_silent(d, 0.0)
     self.assertEqual(self.names(0.1), ['d', 'p'])
+    self.assertTrue(self.registry.is_suspended(d, 0.1))
+    self.assertFalse(self.registry.is_suspended(p, 0.1))
+    self.registry.record_success(d)
+    self.assertFalse(self.registry.is_suspended(d, 0.1))
 
   def test_restart_under_the_same_name_is_another_incarnation(self):
     a = make_endpoint('a')
--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -94,6 +94,13 @@
     self.reason = reason
 
 
+class RunGivenUpError(MulberrypickError):
+  """A run on a silent endpoint was given up because another one is secured."""
+
+  def __init__(self, endpoint: str):
+    super().__init__(f'the run on the silent endpoint {endpoint} was given up')
+
+
 class StoreError(MulberrypickError):
   """The platform's store gave no usable answer.
 
--- a/mulberrypick/core/shared_retry_budget.py
+++ b/mulberrypick/core/shared_retry_budget.py
@@ -57,6 +57,12 @@
     retries.append(now)
     return True
 
+  def give_back(self, service: str) -> None:
+    """Returns a retry that was taken and not used."""
+    retries = self._retries_by_service.get(service)
+    if retries:
+      retries.pop()
+
   def _drop_expired(self, times: collections.deque[float], now: float) -> None:
     while times and times[0] < now - self._window_s:
       times.popleft()
--- a/mulberrypick/core/shared_retry_budget_test.py
+++ b/mulberrypick/core/shared_retry_budget_test.py
@@ -40,6 +40,14 @@
       pass
     self.assertTrue(budget.take('t', 1, 0.0))
 
+  def test_retry_that_was_not_used_can_be_taken_again(self):
+    budget = shared_retry_budget.SharedRetryBudget(0.0, 10, 10.0)
+    while budget.take('s', 1, 0.0):
+      pass
+    budget.give_back('s')
+    self.assertTrue(budget.take('s', 1, 0.0))
+    self.assertFalse(budget.take('s', 1, 0.0))
+
 
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from mulberrypick.adapters import stream_client
@@ -21,6 +22,7 @@
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import prompt_handles
+from mulberrypick.ops import run_securer
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
@@ -31,19 +33,26 @@
 # Retry-After of the response if no endpoint ran a request. The queues of
 # endpoints hold a few requests of some tens of milliseconds each.
 BUSY_RETRY_AFTER_S = 0.1
-# A request that may be retried is sent to another endpoint if the response head
-# takes longer than both of these: a multiple of the route's latency target, and
-# a multiple of the predicted latency.
+# A request that may be retried is sent to another endpoint, if that is secured,
+# when the response head takes longer than both of these: a multiple of the
+# route's latency target, and a multiple of the predicted latency.
 HEAD_TIMEOUT_TARGET_FACTOR = 1.5
 HEAD_TIMEOUT_PREDICTION_FACTOR = 3.0
 # A stream that sends no data for this long is resumed at another endpoint, if
-# there is one. Callers tolerate pauses of 0.15 s and disconnect after 2 s.
+# that is secured. Callers tolerate pauses of 0.15 s and disconnect after 2 s.
 STALL_TIMEOUT_S = 0.6
 # Longest time for which a request waits for a permit from another host, which
 # takes a few milliseconds. Without a permit it is then refused.
 MAX_PERMIT_WAIT_S = 0.05
 # Reasons of attempts, also of prefills, after which nothing was sent.
 UNSENT_REASONS = ('connect', 'limited', 'read_limited')
+# Reasons of attempts that this host ended, and that might have gone on.
+GIVEN_UP_REASONS = ('silent', 'stalled')
+# After a run was given up for one that failed, the endpoint of the latter is
+# left out in so many attempts to secure another run.
+ROUNDS_WITHOUT_LAST = 5
+# Outcomes of attempts after which the request goes on.
+INTERIM_OUTCOMES = ('retried', 'waited', 'moved')
 
 
 class _AttemptResult(NamedTuple):
@@ -87,6 +96,7 @@
     self._caller = caller
     self._headers = requests.forwarded_headers(received)
     self._excluded: set[tuple[str, int]] = set()
+    self._last_failed = ('', 0)
     self._runs = 0
     self._stream = caller_stream.CallerStream(caller)
     self._is_sending = False
@@ -96,6 +106,12 @@
     self._prefill_s = 0.0
     # When the permit expires that is reserved for the placement's endpoint.
     self._permit_until = float('-inf')
+    self._securer = run_securer.RunSecurer(state, service)
+    self._secured: run_securer.SecuredRun | None = None
+    # Whether this host ended the last run, which might have gone on.
+    self._has_given_up = False
+    # Whether it was logged that the silent run is not given up.
+    self._is_waiting = False
     # What a retry lacked, for logs; empty if none was considered.
     self._lacked = ''
 
@@ -117,38 +133,34 @@
     except asyncio.CancelledError:
       self._log_decision('left', 'caller_left')
       raise
+    finally:
+      if self._secured is not None:
+        self._securer.release(self._call, self._secured)
+      self._securer.give_back_retry(self._call)
 
   async def _run_attempts(self) -> None:
     reason = 'no_endpoint'
-    for number in range(MAX_SENDS):
-      placement = await self._place()
-      now = asyncio.get_running_loop().time()
+    sends = 0
+    while sends < MAX_SENDS or self._has_given_up:
+      placement = await self._next_placement()
       if isinstance(placement, placements.Refusal):
-        if number:
-          self._lacked = placement.reason
+        if not sends:
+          self._refuse(placement)
+          return
+        self._lacked = placement.reason
+        if not await self._secure_again():
           break
-        self._refuse(placement)
-        return
+        continue
+      sends += 1
       self._placement = placement
-      self._permit_until = self._state.permits.reserve(
-          placement.endpoint.incarnation, self._call.route.rank == 0, now
-      )
-      self._state.endpoints.record_probe(placement.endpoint, now)
-      if placement.prefiller is not None:
-        self._state.endpoints.record_probe(placement.prefiller, now)
       attempt = await self._run_attempt(placement)
       if attempt.is_final:
         return
       reason = attempt.reason
-      failed = (
-          self._placement.endpoint
-          if attempt.is_prompt_read
-          else placement.prefiller
-      )
-      self._excluded.add(failed.incarnation)
-      if attempt.may_have_run:
-        self._runs += 1
-      if not self._may_retry(attempt):
+      self._record_attempt(attempt, placement)
+      if self._secured is not None:
+        continue
+      if not self._may_retry(attempt) and not await self._secure_again():
         break
       self._log_decision('retried', reason)
     if self._runs:
@@ -156,6 +168,97 @@
       return
     self._refuse(placements.Refusal(reason, BUSY_RETRY_AFTER_S))
 
+  async def _next_placement(
+      self,
+  ) -> placements.Placement | placements.Refusal:
+    """Returns the secured placement, or places the request."""
+    now = asyncio.get_running_loop().time()
+    if self._secured is not None:
+      placement = self._secured.placement
+      self._permit_until = self._secured.permit_until
+    else:
+      placement = await self._place()
+      if isinstance(placement, placements.Refusal):
+        return placement
+      now = asyncio.get_running_loop().time()
+      self._permit_until = self._state.permits.reserve(
+          placement.endpoint.incarnation, self._call.route.rank == 0, now
+      )
+    self._state.endpoints.record_probe(placement.endpoint, now)
+    if placement.prefiller is not None:
+      self._state.endpoints.record_probe(placement.prefiller, now)
+    return placement
+
+  def _record_attempt(
+      self, attempt: _AttemptResult, placement: placements.Placement
+  ) -> None:
+    failed = (
+        self._placement.endpoint
+        if attempt.is_prompt_read
+        else placement.prefiller
+    )
+    self._excluded.add(failed.incarnation)
+    self._last_failed = failed.incarnation
+    if attempt.may_have_run:
+      self._runs += 1
+      self._has_given_up = attempt.reason in GIVEN_UP_REASONS
+
+  async def _secure_again(self) -> bool:
+    """Secures another run if the one for which a run was given up failed.
+
+    It waits until there is one: the caller does not lose an answer because this
+    host gave a run up.
+    """
+    if not self._has_given_up:
+      return False
+    # Endpoints that were silent may respond again.
+    self._excluded = {self._last_failed}
+    rounds = 0
+    while not await self._secure(self._excluded, lambda: True):
+      if self._lacked == run_securer.CRASHES_ENDPOINTS:
+        return False
+      await asyncio.sleep(endpoint_send.SECURE_INTERVAL_S)
+      rounds += 1
+      if rounds == ROUNDS_WITHOUT_LAST:
+        self._excluded = set()
+    return True
+
+  async def _secure_elsewhere(self, is_needed: Callable[[], bool]) -> bool:
+    """Secures a run at another endpoint than that of the present one."""
+    excluded = self._excluded | {self._placement.endpoint.incarnation}
+    return await self._secure(excluded, is_needed)
+
+  async def _secure(
+      self, excluded: set[tuple[str, int]], is_needed: Callable[[], bool]
+  ) -> bool:
+    """Secures another run; returns whether there is one."""
+    self._secured = await self._securer.secure(self._call, excluded, is_needed)
+    self._lacked = self._securer.lacked
+    return self._secured is not None
+
+  async def _give_up_for(self, is_silent: Callable[[], bool]) -> bool:
+    """Secures another run while an endpoint is silent, and logs the result."""
+    if await self._secure_elsewhere(is_silent):
+      other = self._secured.placement
+      self._log_decision(
+          'moved',
+          'silent',
+          to=other.endpoint.name,
+          to_reader=other.prefiller.name if other.prefiller else '',
+          last_event=self._stream.last_event,
+      )
+      self._is_waiting = False
+      return True
+    if not self._is_waiting:
+      self._is_waiting = True
+      self._log_decision(
+          'waited',
+          'silent',
+          lacked=self._lacked,
+          last_event=self._stream.last_event,
+      )
+    return False
+
   async def _place(
       self,
   ) -> placements.Placement | placements.Refusal:
@@ -194,7 +297,7 @@
     # prefilled before.
     if attempt.reason in UNSENT_REASONS and not self._has_prefilled:
       return True
-    if self._state.budget.take(self._call.service, self._state.hosts, now):
+    if self._securer.take_retry(self._call):
       return True
     self._lacked = 'budget'
     return False
@@ -253,7 +356,10 @@
     extra_headers = requests.prefill_headers()
     try:
       result = await send.start(
-          lambda now: self._encode(prefiller, extra_headers, now), None, False
+          lambda now: self._encode(prefiller, extra_headers, now),
+          None,
+          False,
+          connection=self._take_connection(),
       )
       if result.outcome is not endpoint_send.Outcome.ANSWERED:
         return None, _AttemptResult(
@@ -297,9 +403,10 @@
       self._is_sending = True
       result = await send.start(
           lambda now: self._encode(endpoint, extra_headers, now),
-          self._head_timeout_s(placement),
+          self._head_limit(placement),
           True,
           permit_until,
+          self._take_connection(),
       )
       if result.outcome is endpoint_send.Outcome.ANSWERED:
         return await self._forward_response(
@@ -308,6 +415,8 @@
       self._is_sending = False
       ran = result.outcome is endpoint_send.Outcome.BROKEN
       return _AttemptResult(False, ran, result.reason)
+    except errors.RunGivenUpError:
+      return _AttemptResult(False, True, 'stalled')
     except errors.ExchangeBrokenError as error:
       send.record_break(error.reason, self._stream.last_event is not None)
       return _AttemptResult(False, True, error.reason)
@@ -329,7 +438,7 @@
       self._state.endpoints.record_failure(
           placement.endpoint, asyncio.get_running_loop().time()
       )
-      if self._can_run_elsewhere():
+      if self._may_run_again() and await self._secure_elsewhere(lambda: True):
         return _AttemptResult(False, True, f'status_{head.status}')
     if self._stream.has_head:
       return _AttemptResult(False, True, f'status_{head.status}')
@@ -354,8 +463,8 @@
   ) -> _AttemptResult:
     cutter = event_stream.EventSplitter()
     is_first = True
-    stall_s = STALL_TIMEOUT_S if self._can_run_elsewhere() else None
-    while data := await send.read_some(stall_s):
+    limit = self._silence_limit(STALL_TIMEOUT_S)
+    while data := await send.read_some(limit):
       try:
         events = cutter.feed(data)
       except ValueError as error:
@@ -370,7 +479,6 @@
           send.record_prefill(placement.tokens_ahead)
         self._state.endpoints.record_success(placement.endpoint)
         self._bind(placement.endpoint)
-        stall_s = STALL_TIMEOUT_S if self._can_run_elsewhere() else None
       send.record_activity()
       await self._stream.write(head, events)
     if cutter.has_partial_event:
@@ -391,36 +499,38 @@
     now = asyncio.get_running_loop().time()
     self._state.quarantine.record_completion(self._call.fingerprint, now)
 
-  def _can_run_elsewhere(self) -> bool:
+  def _may_run_again(self) -> bool:
     route = self._call.route
-    if not route.is_idempotent or self._runs + 1 >= route.attempts:
-      return False
-    others = 0
-    now = asyncio.get_running_loop().time()
-    for endpoint in self._state.endpoints.usable(self._call.service, now):
-      if endpoint.incarnation in self._excluded:
-        continue
-      if not self._call.may_run_at(endpoint):
-        continue
-      is_urgent = route.rank == 0
-      if self._state.permits.may_send(endpoint.incarnation, is_urgent, now):
-        others += 1
-    return others > 1
+    return route.is_idempotent and self._runs + 1 < route.attempts
 
-  def _head_timeout_s(self, placement: placements.Placement) -> float | None:
-    if not self._can_run_elsewhere():
+  def _silence_limit(self, after_s: float) -> endpoint_send.SilenceLimit | None:
+    if not self._may_run_again():
       return None
-    return max(
-        HEAD_TIMEOUT_TARGET_FACTOR * self._call.route.target_s,
-        HEAD_TIMEOUT_PREDICTION_FACTOR * placement.predicted_s,
+    return endpoint_send.SilenceLimit(after_s, self._give_up_for)
+
+  def _head_limit(
+      self, placement: placements.Placement
+  ) -> endpoint_send.SilenceLimit | None:
+    return self._silence_limit(
+        max(
+            HEAD_TIMEOUT_TARGET_FACTOR * self._call.route.target_s,
+            HEAD_TIMEOUT_PREDICTION_FACTOR * placement.predicted_s,
+        )
     )
 
+  def _take_connection(self) -> stream_client.ClientConnection | None:
+    """Returns the connection of the secured run, which is now used."""
+    secured, self._secured = self._secured, None
+    return secured.connection if secured is not None else None
+
   def _encode(
       self,
       endpoint: gateway_records.Endpoint,
       extra_headers: list[tuple[bytes, bytes]],
       now: float,
   ) -> bytes:
+    # It is sent right after it is encoded.
+    self._securer.has_unused_retry = False
     headers = list(self._headers)
     if self._stream.last_event is not None:
       headers = [h for h in headers if h[0].lower() != protocol.LAST_EVENT]
@@ -477,7 +587,7 @@
       fields['tokens_ahead'] = placement.tokens_ahead
       fields['tokens'] = placement.tokens
       fields['expected_s'] = round(placement.predicted_s, 3)
-    if outcome != 'retried':
+    if outcome not in INTERIM_OUTCOMES:
       after_s = self._first_event_s or now - self._call.arrived_at
       self._metrics.observe_call(self._call.route, outcome, after_s)
     config = self._state.config
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -3,8 +3,10 @@
 import asyncio
 import enum
 import logging
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
+from typing import TypeVar
 
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
@@ -16,6 +18,7 @@
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
 
+_T = TypeVar('_T')
 _log = logging.getLogger(__name__)
 # Maximum size of a non-streaming response, which is read completely before it
 # is forwarded.
@@ -27,6 +30,8 @@
 # endpoint is full. A full endpoint refuses at once, but the request body takes
 # some time on a slow link.
 FULL_REFUSAL_TIME_FRACTION = 0.5
+# Time between two attempts to secure another run while the endpoint is silent.
+SECURE_INTERVAL_S = 0.2
 # Reason of a send for which there is no permit.
 LIMITED = 'limited'
 # Statuses that say that the request did not run. Without the endpoint's own
@@ -62,6 +67,19 @@
   head: stream_client.Head | None = None
 
 
+class SilenceLimit(NamedTuple):
+  """When a run on a silent endpoint may be given up.
+
+  Attributes:
+    after_s: Time without data.
+    secure: Secures another run, and returns whether there is one. Its argument
+      returns whether the endpoint is still silent.
+  """
+
+  after_s: float
+  secure: Callable[[Callable[[], bool]], Awaitable[bool]]
+
+
 class EndpointSend:
   """One request to an endpoint and its response.
 
@@ -103,23 +121,26 @@
   async def start(
       self,
       encode: Callable[[float], bytes],
-      head_timeout_s: float | None,
+      limit: SilenceLimit | None,
       needs_signature: bool,
       permit_until: float = float('-inf'),
+      connection: stream_client.ClientConnection | None = None,
   ) -> SendResult:
     """Sends the request and waits for the head of its response.
 
     Args:
       encode: Encodes the request, given the time on the event loop's clock.
-      head_timeout_s: Time limit for the head; None to wait without limit.
+      limit: When the request may be given up before the head has arrived; None
+        for never.
       needs_signature: Whether a successful response needs the endpoint's
         signature header.
       permit_until: When the permit expires that is reserved for this send.
+      connection: Connection to use; None for one of the pool.
     """
     loop = asyncio.get_running_loop()
     state = self._state
     try:
-      self._connection = await state.pool.acquire(
+      self._connection = connection or await state.pool.acquire(
           self._endpoint, not self._call.route.is_idempotent
       )
     except errors.ConnectError:
@@ -139,10 +160,8 @@
       state.limited_sends += 1
     self._connection.send(encode(self.sent_at), self.exchange)
     try:
-      async with asyncio.timeout(head_timeout_s):
-        head = await self.exchange.read_head()
-    except TimeoutError:
-      state.endpoints.record_failure(self._endpoint, loop.time())
+      head = await self._read(self.exchange.read_head, self._lacks_head, limit)
+    except errors.RunGivenUpError:
       return SendResult(Outcome.BROKEN, 'silent')
     except errors.ExchangeBrokenError as error:
       self.record_break(error.reason, False)
@@ -180,23 +199,58 @@
     limit = endpoint_limits.Limit(kind.limit, at, '')
     self._state.observe_limit(self._endpoint.incarnation, limit)
 
-  async def read_some(self, stall_s: float | None) -> bytes:
+  async def read_some(self, limit: SilenceLimit | None) -> bytes:
     """Waits for more data of the response.
 
     Args:
-      stall_s: Maximum time without data; None for no limit.
+      limit: When the run may be given up; None for never.
 
     Returns:
       The data received; empty at the end of a complete response.
 
     Raises:
-      ExchangeBrokenError: The response broke off or stalled for too long.
+      ExchangeBrokenError: The response broke off.
+      RunGivenUpError: The endpoint is silent and another run is secured.
     """
-    try:
-      async with asyncio.timeout(stall_s):
-        return await self.exchange.read_some()
-    except TimeoutError as error:
-      raise errors.ExchangeBrokenError('stalled') from error
+    return await self._read(self.exchange.read_some, self._lacks_data, limit)
+
+  async def _read(
+      self,
+      read: Callable[[], Awaitable[_T]],
+      is_silent: Callable[[], bool],
+      limit: SilenceLimit | None,
+  ) -> _T:
+    """Reads; gives up only if another run is secured."""
+    endpoints = self._state.endpoints
+    wait_s = limit.after_s if limit is not None else None
+    is_late = False
+    while True:
+      try:
+        async with asyncio.timeout(wait_s):
+          found = await read()
+        if is_late:
+          endpoints.record_success(self._endpoint)
+        return found
+      except TimeoutError:
+        self._record_silence(limit.after_s, is_late)
+        is_late = True
+      if await limit.secure(is_silent):
+        raise errors.RunGivenUpError(self._endpoint.name)
+      wait_s = SECURE_INTERVAL_S
+
+  def _record_silence(self, after_s: float, is_known: bool) -> None:
+    """Keeps other requests off an endpoint that does not respond to any."""
+    now = asyncio.get_running_loop().time()
+    if now - self._own_load.last_response_at >= after_s:
+      self._state.endpoints.suspend_silent(self._endpoint, now)
+    elif not is_known:
+      self._state.endpoints.record_failure(self._endpoint, now)
+
+  def _lacks_head(self) -> bool:
+    return self.exchange.head is None and self.exchange.is_silent
+
+  def _lacks_data(self) -> bool:
+    return self.exchange.is_silent
 
   def record_break(self, reason: str, has_event: bool) -> None:
     """Records that the response broke off.
--- /dev/null
+++ b/mulberrypick/ops/run_securer.py
@@ -0,0 +1,167 @@
+"""Secures another run of a request before its present run is given up.
+
+A sound endpoint may be silent for a second or so. A run there may be given up
+only if everything is there that another run needs: an endpoint that responds, a
+connection to it, a permit, and a retry of the budget.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import NamedTuple
+
+from mulberrypick.adapters import stream_client
+from mulberrypick.core import errors
+from mulberrypick.core import gateway_records
+from mulberrypick.core import placements
+from mulberrypick.ops import gateway_state
+
+# What can't be secured because the request crashes endpoints.
+CRASHES_ENDPOINTS = 'crashes_endpoints'
+
+
+class SecuredRun(NamedTuple):
+  """What another run needs.
+
+  Attributes:
+    placement: Where it runs.
+    connection: Connection to the endpoint that gets the request first.
+    permit_until: When the permit expires that is reserved for the endpoint that
+      decodes; negative infinity if there is none.
+  """
+
+  placement: placements.Placement
+  connection: stream_client.ClientConnection
+  permit_until: float
+
+  @property
+  def first_endpoint(self) -> gateway_records.Endpoint:
+    """The endpoint that gets the request first."""
+    return self.placement.prefiller or self.placement.endpoint
+
+
+class RunSecurer:
+  """Secures other runs of one request.
+
+  Attributes:
+    has_unused_retry: Whether a retry was taken from the budget and not used.
+    lacked: What the last attempt to secure a run lacked, for logs; empty if it
+      lacked nothing.
+  """
+
+  def __init__(
+      self, state: gateway_state.GatewayState, service: gateway_records.Service
+  ):
+    self._state = state
+    self._service = service
+    self.has_unused_retry = False
+    self.lacked = ''
+
+  def take_retry(self, call: gateway_records.Call) -> bool:
+    """Takes a retry from the budget unless an unused one is left."""
+    if not self.has_unused_retry:
+      now = asyncio.get_running_loop().time()
+      self.has_unused_retry = self._state.budget.take(
+          call.service, self._state.hosts, now
+      )
+    return self.has_unused_retry
+
+  def give_back_retry(self, call: gateway_records.Call) -> None:
+    """Returns an unused retry to the budget."""
+    if self.has_unused_retry:
+      self.has_unused_retry = False
+      self._state.budget.give_back(call.service)
+
+  async def secure(
+      self,
+      call: gateway_records.Call,
+      excluded: set[tuple[str, int]],
+      is_needed: Callable[[], bool],
+  ) -> SecuredRun | None:
+    """Secures another run.
+
+    Args:
+      call: The request.
+      excluded: Incarnations that must not run it.
+      is_needed: Returns whether the present run is still silent. It is asked
+        last, and nothing happens afterwards that would let it go on.
+
+    Returns:
+      The other run; None if there is none, or if it is not needed any more.
+    """
+    now = asyncio.get_running_loop().time()
+    if self._state.quarantine.is_refused(call.fingerprint, now):
+      self.lacked = CRASHES_ENDPOINTS
+      return None
+    if not self.take_retry(call):
+      self.lacked = 'budget'
+      return None
+    secured = None
+    try:
+      secured = await self._secure_place(call, excluded, is_needed)
+    finally:
+      if secured is None:
+        self.give_back_retry(call)
+    return secured
+
+  def release(self, call: gateway_records.Call, secured: SecuredRun) -> None:
+    """Releases what was secured for a run that is not needed."""
+    self._state.pool.release(secured.first_endpoint, secured.connection)
+    self.give_back_retry(call)
+
+  async def _secure_place(
+      self,
+      call: gateway_records.Call,
+      excluded: set[tuple[str, int]],
+      is_needed: Callable[[], bool],
+  ) -> SecuredRun | None:
+    placement, self.lacked = self._place(call, excluded)
+    if placement is None:
+      return None
+    first = placement.prefiller or placement.endpoint
+    try:
+      connection = await self._state.pool.acquire(
+          first, not call.route.is_idempotent
+      )
+    except errors.ConnectError:
+      now = asyncio.get_running_loop().time()
+      self._state.endpoints.record_failure(first, now, True)
+      self.lacked = 'connection'
+      return None
+    permit_until = self._reserve_permit(call, placement.endpoint)
+    if permit_until is None:
+      self.lacked = 'permit'
+    elif is_needed():
+      return SecuredRun(placement, connection, permit_until)
+    self._state.pool.release(first, connection)
+    return None
+
+  def _reserve_permit(
+      self, call: gateway_records.Call, endpoint: gateway_records.Endpoint
+  ) -> float | None:
+    """Returns when the reserved permit expires; None if one is missing."""
+    known = self._state.permits
+    now = asyncio.get_running_loop().time()
+    is_urgent = call.route.rank == 0
+    if not known.may_send(endpoint.incarnation, is_urgent, now):
+      return None
+    return known.reserve(endpoint.incarnation, is_urgent, now)
+
+  def _place(
+      self, call: gateway_records.Call, excluded: set[tuple[str, int]]
+  ) -> tuple[placements.Placement | None, str]:
+    """Returns a place whose endpoints respond, or what there is not."""
+    state = self._state
+    now = asyncio.get_running_loop().time()
+    placement = state.placer.place(call, self._service, excluded, now)
+    if state.permits.has_wanted():
+      state.permits_wanted.set()
+    if isinstance(placement, placements.Refusal):
+      return None, placement.reason
+    for endpoint in (placement.endpoint, placement.prefiller):
+      if endpoint is None:
+        continue
+      if state.endpoints.is_suspended(endpoint, now) or state.load.is_silent(
+          endpoint, now
+      ):
+        return None, 'responsive_endpoint'
+    return placement, ''
