Pass on streams without framing in chunks, so that a cut shows

It was passed on in the same form, and the connection to the caller was ended by a close, which is how such a stream ends regularly. In chunks the missing last one shows it.

gateway_silence_test.UnframedStreamTest failed on the stream that is reset and passes now, on the loops of asyncio and uvloop; a stream that ends inside an event was broken off before too. Plain answers of this kind are read whole and sent with a length: a new control, passed before and after.

--- a/mulberrypick/ops/caller_stream.py
+++ b/mulberrypick/ops/caller_stream.py
@@ -19,7 +19,6 @@
 
   def __init__(self, caller: stream_server.ServerConnection):
     self._caller = caller
-    self._is_chunked = True
     self.last_event: int | None = None
     self.has_head = False
 
@@ -38,25 +37,20 @@
       return
     self._write_head(head)
     data = b''.join(new_events)
-    if self._is_chunked:
-      data = b'%x\r\n%s\r\n' % (len(data), data)
-    self._caller.write(data)
+    self._caller.write(b'%x\r\n%s\r\n' % (len(data), data))
     await self._caller.drain()
 
   def finish(self, head: stream_client.Head) -> None:
     """Writes the end of a complete response."""
     self._write_head(head)
-    if self._is_chunked:
-      self._caller.write(_LAST_CHUNK)
+    self._caller.write(_LAST_CHUNK)
 
   def _write_head(self, head: stream_client.Head) -> None:
     if self.has_head:
       return
     self.has_head = True
     headers = requests.response_headers(head)
-    # A response that ends with the connection is forwarded in the same form, so
-    # that the caller sees a reset if the endpoint's connection was reset.
-    self._is_chunked = not head.is_open_ended
-    if self._is_chunked:
-      headers.append((b'Transfer-Encoding', b'chunked'))
-    self._caller.write_head(head.status, headers, not self._is_chunked)
+    # Chunks show the caller whether the response is complete, also if that of
+    # the endpoint ends with its connection.
+    headers.append((b'Transfer-Encoding', b'chunked'))
+    self._caller.write_head(head.status, headers, False)
--- a/mulberrypick/platform/gateway_silence_test.py
+++ b/mulberrypick/platform/gateway_silence_test.py
@@ -319,6 +319,17 @@
         self.assertEqual(answer.status, 200)
 
 
+class UnframedAnswerTest(SilenceTestCase):
+  """Plain answers with neither a length nor chunks."""
+
+  async def test_answer_that_is_reset_is_not_passed_on(self):
+    self.cluster.update_behaviour('desk', mode=unframed_stream.RESET)
+    for path, runs in (('/unsafe/x', 1), ('/safe/x', 2)):
+      answer = await self.call(path, path, headers=HEADERS)
+      self.assertEqual(answer.status, 502)
+      self.assertEqual(self.cluster.runs(path), runs)
+
+
 class UnframedStreamTest(SilenceTestCase):
   """Streams with neither a length nor chunks."""
 
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -296,10 +296,22 @@
       start = int(headers.get('last-event-id', '0'))
       await self._stream(answer_headers, start, body, caller)
       return
+    await self._answer_plain(request, answer_headers, caller)
+
+  async def _answer_plain(
+      self,
+      request: str,
+      answer_headers: list[tuple[bytes, bytes]],
+      caller: stream_server.ServerConnection,
+  ) -> None:
+    mode = self.behaviour.mode
     answer = f'{self.name}:{request}'.encode()
-    if mode == 'unframed':
+    if mode in ('unframed', unframed_stream.RESET):
       caller.write_head(200, answer_headers, True)
       caller.write(answer)
+      if mode == unframed_stream.RESET:
+        await asyncio.sleep(self.behaviour.event_interval_s)
+        unframed_stream.reset(caller)
       return
     caller.write_response(self.behaviour.status, answer_headers, answer)
     if mode == 'extra':
