Close idle connections of callers by the limit in force

What callers may have seen: beside a change of the configuration that raises idleTimeoutMs, a kept connection was closed at the old limit, while callers reuse it for up to four fifths of the newest; a request that crosses the close gets no answer. The timer was set once, when the connection became idle. It now asks for the limit again when it fires.

Found by reading on the search for requests without an answer beside changes of the configuration; that the users' request was lost so is not shown. stream_server_test: both new tests failed before (closed after 0.501 s at a limit of 1 s, and no answer to the second request) and pass now.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -81,6 +81,7 @@
     self._is_last_request = False
     self._task: asyncio.Task | None = None
     self._timer: asyncio.TimerHandle | None = None
+    self._idle_since = 0.0
     self._can_write = asyncio.Event()
     self._can_write.set()
     self._is_reading = False
@@ -95,7 +96,7 @@
     stream_client.set_tcp_options(transport.get_extra_info('socket'))
     self._peer = (transport.get_extra_info('peername') or ('',))[0]
     self._server.connections.add(self)
-    self._set_timer(self._server.limits.idle_timeout_s, self.close)
+    self._start_idle_timer()
 
   def connection_lost(self, exc: Exception | None) -> None:
     """Cancels the requests of the connection; called by the event loop."""
@@ -293,7 +294,20 @@
           self._server.limits.header_timeout_s, self._refuse_timeout
       )
       return
-    self._set_timer(self._server.limits.idle_timeout_s, self.close)
+    self._start_idle_timer()
+
+  def _start_idle_timer(self) -> None:
+    self._idle_since = self._loop.time()
+    self._set_timer(self._server.limits.idle_timeout_s, self._close_idle)
+
+  def _close_idle(self) -> None:
+    # The limit may have been raised since the timer was set.
+    limit_s = self._server.limits.idle_timeout_s
+    left_s = self._idle_since + limit_s - self._loop.time()
+    if left_s > 0:
+      self._set_timer(left_s, self._close_idle)
+      return
+    self.close()
 
   def _refuse_timeout(self) -> None:
     self._refuse(408)
--- a/mulberrypick/adapters/stream_server_test.py
+++ b/mulberrypick/adapters/stream_server_test.py
@@ -101,6 +101,28 @@
     )
     self.assertEqual(await self.read_rest(), b'')
 
+  async def test_idle_connection_stays_open_if_the_limit_is_raised(self):
+    # Guards against closing by an old limit: callers reuse a connection for as
+    # long as the newest one allows, and a request may cross the close.
+    self.writer.write(b'GET /a HTTP/1.1\r\nHost: h\r\n\r\n')
+    self.assertEqual(await self.read_status(), 200)
+    await asyncio.sleep(LIMITS.idle_timeout_s / 2)
+    self.server.limits = LIMITS._replace(
+        idle_timeout_s=4 * LIMITS.idle_timeout_s
+    )
+    await asyncio.sleep(LIMITS.idle_timeout_s)
+    self.writer.write(b'GET /b HTTP/1.1\r\nConnection: close\r\n\r\n')
+    self.assertIn(b'to /b', await self.read_rest())
+
+  async def test_idle_connection_is_closed_at_the_raised_limit(self):
+    self.server.limits = LIMITS._replace(
+        idle_timeout_s=2 * LIMITS.idle_timeout_s
+    )
+    began_at = asyncio.get_running_loop().time()
+    self.assertEqual(await self.read_rest(), b'')
+    took_s = asyncio.get_running_loop().time() - began_at
+    self.assertGreater(took_s, 1.5 * LIMITS.idle_timeout_s)
+
   async def test_expect_100_continue(self):
     self.writer.write(
         b'POST /a HTTP/1.1\r\nExpect: 100-continue\r\n'
