Test silences at random moments and beside a shutdown

Two more cases of endpoints that fall silent: 120 requests of all kinds beside silences of 0.2 to 1.3 s and changes of the configuration, with and without retry budget, and streams in silence when the host gets SIGTERM.

--- a/mulberrypick/platform/gateway_silence_test.py
+++ b/mulberrypick/platform/gateway_silence_test.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import itertools
+import os
+import random
 import re
+import signal
 import unittest
 
 from mulberrypick.platform import gateway_test
@@ -190,6 +193,20 @@
     self.assert_streams_whole(await streams)
     self.assert_silent('decode')
 
+  async def test_silence_in_stream_beside_a_shutdown(self):
+    self.spend_budget()
+    self.plan(POINT.STREAM, 'decode')
+    streams = asyncio.gather(
+        *(self.call('/ask/x', f'r{n}', headers=HEADERS) for n in range(CALLS))
+    )
+    await self.wait_until(
+        lambda: any(w.silence.count for w in self.replicas('decode'))
+    )
+    os.kill(os.getpid(), signal.SIGTERM)
+    self.assert_streams_whole(await streams)
+    async with asyncio.timeout(gateway_test.WAIT_TIMEOUT_S):
+      await self.running
+
   async def test_silence_in_stream_that_can_not_be_resumed(self):
     self.plan(POINT.STREAM, 'decode')
     self.assert_streams_whole(await self.call_many('/read/x'))
@@ -251,6 +268,39 @@
     self.assertEqual(taken, int(0.6 * (0.2 * CALLS + 50.0)))
 
 
+class RandomSilenceTest(SilenceTestCase):
+  """Silences at random moments, the configuration changing beside."""
+
+  async def check_seed(self, seed: int) -> None:
+    rng = random.Random(seed)
+    for number in (3, 4):
+      await self.cluster.add(f'writer-{number}', 'engine', 'decode')
+    self.cluster.update_behaviour('engine', events=EVENTS)
+    calls = []
+    for number in range(120):
+      path = rng.choice(('/ask/x', '/ask/x', '/read/x', '/safe/x', '/unsafe/x'))
+      calls.append(
+          asyncio.create_task(self.call(path, f'r{number}', headers=HEADERS))
+      )
+      if number % 10 == 0:
+        self.cluster.store.put('config', 'main', make_config(4 + number))
+        for replica in self.cluster.replica_by_name.values():
+          if not replica.silence.is_silent and rng.random() < 0.3:
+            replica.silence.begin(rng.uniform(0.2, 1.3))
+      await asyncio.sleep(0.03)
+    for number, answer in enumerate(await asyncio.gather(*calls)):
+      self.assertEqual((answer.status, answer.is_whole), (200, True), number)
+      self.assertIn(event_ids(answer), ([], list(range(1, EVENTS + 1))))
+    self.assert_no_overlap(len(calls))
+
+  async def test_with_retry_budget(self):
+    await self.check_seed(1)
+
+  async def test_without_retry_budget(self):
+    self.spend_budget()
+    await self.check_seed(2)
+
+
 class DeadEngineTest(SilenceTestCase):
   """Engines that send nothing any more, which a host can't know."""
 
--- a/standins/silence.py
+++ b/standins/silence.py
@@ -29,6 +29,11 @@
     self._planned: SilencePoint | None = None
     self._duration_s = 0.0
 
+  @property
+  def is_silent(self) -> bool:
+    """Whether the replica is silent now."""
+    return asyncio.get_running_loop().time() < self._until
+
   def plan(self, point: SilencePoint, duration_s: float) -> None:
     """Lets the next request that reaches the point begin a silence."""
     self._planned = point
