Refuse a settings file that is no UTF-8 instead of ending the process

The settings are read again every two seconds and at SIGHUP. The new test of SettingsTest ended with the UnicodeDecodeError before and passes now.

--- a/mulberrypick/platform/platform_test.py
+++ b/mulberrypick/platform/platform_test.py
@@ -67,6 +67,15 @@
       with self.assertRaises(errors.SettingsError):
         self.load(text)
 
+  def test_file_that_is_cut_within_a_character_is_refused(self):
+    # Guards against an end of the process when the file is read again while it
+    # is being written.
+    with tempfile.TemporaryDirectory() as directory:
+      path = pathlib.Path(directory, 'settings.yaml')
+      path.write_bytes('node: ž'.encode()[:-1])
+      with self.assertRaises(errors.SettingsError):
+        settings.load_settings(path)
+
 
 class ObjectsTest(unittest.TestCase):
 
--- a/mulberrypick/platform/settings.py
+++ b/mulberrypick/platform/settings.py
@@ -33,7 +33,7 @@
   """
   try:
     return decode_settings(yaml.safe_load(path.read_text()))
-  except (OSError, yaml.YAMLError) as error:
+  except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
     fault = errors.Fault(str(path), str(error))
     raise errors.SettingsError([fault]) from error
 
