Log the prompt parts of attempts that broke off

Without them nobody can see that the requests of several crashes, all with another request_hash, share a part of their prompts. Nothing is decided by them.

--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -10,6 +10,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
+from mulberrypick.core import crashing_parts
 from mulberrypick.core import endpoint_limits
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -273,6 +274,9 @@
         self._call.route.name,
         request=self._call.id,
         request_hash=call_log.format_hash(self._call.fingerprint),
+        parts=crashing_parts.format_keys(
+            crashing_parts.candidate_keys(self._call.parts)
+        ),
         endpoint=name,
         started_ms=started_ms,
         has_event=has_event,
