Failing tests: requests with one crashing prompt part reach endpoints

Requests with the same caller, first part and crashing middle part, each with its own body and last part, every 0.2 s beside sound requests that share all but that part; ten decode engines, back 0.8 s after a crash. No logic is changed.

(python -m unittest mulberrypick.platform.gateway_crash_part_test, once)

--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -90,7 +90,7 @@
     on_crash: Called after a request crashed the replica.
     crashed_by: Body of the request that crashed the replica, empty if none did.
     crashing_arrivals: Time, on the event loop's clock, and id of each received
-      request with `crash_point.CRASH_MARKER`.
+      request that crashes replicas.
     silence: When it is silent.
     run_spans: Time, on the event loop's clock, at which the last execution of
       each request began, and at which it ended if it has, by request id.
@@ -198,7 +198,8 @@
     self.arrivals += 1
     self.arrived_at = asyncio.get_running_loop().time()
     request = headers.get('x-mulberrypick-request-id', '')
-    if crash_point.parse_body(received.body) is not None:
+    body = crash_point.body_of(received.body, headers)
+    if crash_point.parse_body(body) is not None:
       self.crashing_arrivals.append((self.arrived_at, request))
     self.headers_by_request[request] = headers
     self.body_by_request[request] = received.body
@@ -216,7 +217,7 @@
       self._refuse(caller, request)
       return
     try:
-      await self._run(request, headers, received.body, caller)
+      await self._run(request, headers, body, caller)
     except asyncio.CancelledError:
       self.aborted_requests.append(request)
       raise
