Refuse requests with prompt parts that crash endpoints

What callers saw: requests with the same caller, first part and crashing middle part, each with its own body and last part, crashed decode engines one after the other; sound requests of the service got no engine.

Cause: evidence was kept by whole request (method, path, caller, body). No two of these requests are alike, so that no crash was ever the second of one request, on one host as on nine. Ruled out: late evidence (one host alone breaks the bound; refusals of whole requests reach all hosts within 3 ms) and withdrawn evidence (no crash_disproved line in the incident).

Class: identity by the whole of a thing, where a part of it is the cause.

The fix: hosts exchange for each crash the parts, without the last, of each request that ran there (part_evidence, part_exchange). The verdict is a pure function of it (crashing_parts): a part under which three endpoints crashed by three requests, and on which no answer was written to its end since or in the 10 s before; refused are requests with all the parts that its requests have in common. A complete answer clears its parts of crashes before it began, at all hosts. The verdict stands before each send, of prefill calls and decodes too, and, new, so does that on whole requests. If nothing was sent for a while, hosts take turns to let one request through, first 30 s after the last crash, then after four times as long. Why parts are refused is kept in the store and taken out of it when that ends.

--- a/mulberrypick/core/unanswered_attempts.py
+++ b/mulberrypick/core/unanswered_attempts.py
@@ -25,11 +25,13 @@
     fingerprint: Hash of the request's content.
     has_token: Whether a part of the answer had arrived.
     ended_at: When it was given up.
+    parts: Parts of its prompt that may crash endpoints.
   """
 
   fingerprint: int
   has_token: bool
   ended_at: float
+  parts: frozenset[int] = frozenset()
 
 
 class UnansweredAttempts:
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -11,6 +11,7 @@
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
+from mulberrypick.core import crashing_parts
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
@@ -285,7 +286,7 @@
 
   def _may_retry(self, attempt: _AttemptResult) -> bool:
     now = asyncio.get_running_loop().time()
-    if self._state.quarantine.is_refused(self._call.fingerprint, now):
+    if self._state.is_refused(self._call, now):
       self._lacked = 'crashes_endpoints'
       return False
     if attempt.may_have_run:
@@ -450,7 +451,7 @@
     if head.status < 500:
       self._state.endpoints.record_success(placement.endpoint)
     if head.status < 400:
-      self._record_completion()
+      self._record_completion(send)
     self._log_decision('served', f'status_{head.status}')
     return _AttemptResult(True, True, 'served')
 
@@ -484,7 +485,7 @@
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
     self._stream.finish(head)
-    self._record_completion()
+    self._record_completion(send)
     self._log_decision('served', 'stream')
     return _AttemptResult(True, True, 'served')
 
@@ -495,9 +496,12 @@
     if self._call.software is None:
       self._call = self._call._replace(software=endpoint.software)
 
-  def _record_completion(self) -> None:
+  def _record_completion(self, send: endpoint_send.EndpointSend) -> None:
     now = asyncio.get_running_loop().time()
     self._state.quarantine.record_completion(self._call.fingerprint, now)
+    self._state.part_watch.record_completion(
+        crashing_parts.candidate_keys(self._call.parts), send.answered_at, now
+    )
 
   def _may_run_again(self) -> bool:
     route = self._call.route
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -7,10 +7,12 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_evidence
 from mulberrypick.core import crash_exchange
+from mulberrypick.core import crashing_parts
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import quarantine
 from mulberrypick.core import unanswered_attempts
 from mulberrypick.ops import call_log
+from mulberrypick.ops import part_watch
 
 _log = logging.getLogger(__name__)
 # Crashes and refused requests of which it is known that they were logged.
@@ -29,12 +31,15 @@
   """Collects the signs of crashes; logs each crash and each refusal once.
 
   Attributes:
+    parts: Judges the parts of prompts by the same crashes.
     new_refusals: Requests that are refused because of crashes of which this
-      host saw one, to be written to the store.
+      host saw one, and changes of such refusals by parts, to be written to the
+      store.
   """
 
   def __init__(self, known: quarantine.Quarantine):
     self._quarantine = known
+    self.parts = part_watch.PartWatch(self.add_refusal)
     self._unanswered = unanswered_attempts.UnansweredAttempts()
     self._logged: collections.OrderedDict[object, None] = (
         collections.OrderedDict()
@@ -42,7 +47,9 @@
     self._log_second = 0
     self._lines = 0
     self._suppressed = 0
-    self.new_refusals: asyncio.Queue[int] = asyncio.Queue(MAX_NEW_REFUSALS)
+    self.new_refusals: asyncio.Queue[int | part_watch.RefusalChange] = (
+        asyncio.Queue(MAX_NEW_REFUSALS)
+    )
 
   def record_break(
       self,
@@ -50,6 +57,7 @@
       fingerprint: int,
       has_token: bool,
       now: float,
+      parts: frozenset[int] = frozenset(),
   ) -> None:
     """Records an attempt whose connection broke off.
 
@@ -58,7 +66,9 @@
       fingerprint: Hash of the request's content.
       has_token: Whether the attempt had generated a token.
       now: Time on the event loop's clock.
+      parts: Parts of its prompt that may crash endpoints.
     """
+    self.parts.record_crash(key, fingerprint, parts, now, now)
     added = self._quarantine.record_broken_attempt(
         *key, fingerprint, has_token, now
     )
@@ -70,6 +80,7 @@
       fingerprint: int,
       has_token: bool,
       now: float,
+      parts: frozenset[int] = frozenset(),
   ) -> None:
     """Records an attempt that was given up on an open connection.
 
@@ -78,8 +89,11 @@
       fingerprint: Hash of the request's content.
       has_token: Whether a part of the answer had arrived.
       now: Time on the event loop's clock.
+      parts: Parts of its prompt that may crash endpoints.
     """
-    attempt = unanswered_attempts.UnansweredAttempt(fingerprint, has_token, now)
+    attempt = unanswered_attempts.UnansweredAttempt(
+        fingerprint, has_token, now, parts
+    )
     if not self._unanswered.add(key, attempt):
       self._add_crash(key, [attempt], now)
 
@@ -108,6 +122,7 @@
   def expire(self, now: float) -> None:
     """Forgets expired suspects and refusals."""
     self._quarantine.expire(now)
+    self.parts.expire(now)
 
   def record_listed(
       self,
@@ -122,13 +137,15 @@
       contact_since: Start of the current contact with the store.
       now: Time on the event loop's clock.
     """
-    for crash in self._quarantine.all_crashes():
-      listed = endpoints.find(crash.key[0])
-      if listed is None or listed.incarnation != crash.key:
+    began_at_by_key = {}
+    for crash in (*self._quarantine.all_crashes(), *self.parts.all_crashes()):
+      began_at_by_key[crash.key] = crash.began_at
+    for key, began_at in began_at_by_key.items():
+      listed = endpoints.find(key[0])
+      if listed is None or listed.incarnation != key:
         continue
-      since = max(crash.began_at, contact_since)
-      if now - since > MAX_LISTED_AFTER_CRASH_S:
-        self._disprove(crash.key, 'listed', now, float('-inf'), now)
+      if now - max(began_at, contact_since) > MAX_LISTED_AFTER_CRASH_S:
+        self._disprove(key, 'listed', now, float('-inf'), now)
 
   def _disprove(
       self,
@@ -138,6 +155,7 @@
       known_since: float,
       now: float,
   ) -> None:
+    self.parts.record_alive(key, alive_at, known_since, now)
     involved = self._quarantine.record_alive(*key, alive_at, known_since)
     if not involved:
       return
@@ -175,17 +193,16 @@
     added = self._quarantine.exchange.merge(news, source, is_forwarded, now)
     self._log_added(added, now)
 
-  def add_refusal(self, fingerprint: int) -> None:
+  def add_refusal(self, refused: int | part_watch.RefusalChange) -> None:
     """Adds a refusal that is to be written to the store."""
     try:
-      self.new_refusals.put_nowait(fingerprint)
+      self.new_refusals.put_nowait(refused)
     except asyncio.QueueFull:
-      logs.log_event(
-          _log,
-          logging.WARNING,
-          'refusal_not_stored',
-          request_hash=call_log.format_hash(fingerprint),
-      )
+      if isinstance(refused, part_watch.RefusalChange):
+        fields = {'parts': crashing_parts.format_keys(refused.keys)}
+      else:
+        fields = {'request_hash': call_log.format_hash(refused)}
+      logs.log_event(_log, logging.WARNING, 'refusal_not_stored', **fields)
 
   def _add_crash(
       self,
@@ -194,6 +211,9 @@
       now: float,
   ) -> None:
     for attempt in attempts:
+      self.parts.record_crash(
+          key, attempt.fingerprint, attempt.parts, attempt.ended_at, now
+      )
       added = self._quarantine.record_crash(
           *key, attempt.fingerprint, attempt.has_token, attempt.ended_at
       )
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -35,6 +35,8 @@
 SECURE_INTERVAL_S = 0.2
 # Reason of a send for which there is no permit.
 LIMITED = 'limited'
+# Reason of a send that was given up because requests like it crash endpoints.
+CRASHES_ENDPOINTS = 'crashes_endpoints'
 # Statuses that say that the request did not run. Without the endpoint's own
 # header to confirm it, the request may have run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -115,6 +117,8 @@
     )
     self.sent_at = 0.0
     self._heard_at = 0.0
+    # When the first data of the response arrived.
+    self.answered_at = 0.0
     self._other_count = 0
     # Whether it is known if the request may have crashed the endpoint.
     self._is_judged = False
@@ -148,6 +152,10 @@
       state.endpoints.record_failure(self._endpoint, loop.time(), True)
       return SendResult(Outcome.NOT_SENT, 'connect')
     self.sent_at = loop.time()
+    if state.is_refused(self._call, self.sent_at):
+      state.pool.release(self._endpoint, self._connection)
+      self._connection = None
+      return SendResult(Outcome.NOT_SENT, CRASHES_ENDPOINTS)
     if permit_until <= self.sent_at and not state.permits.take(
         self._endpoint.incarnation, self._call.route.rank == 0, self.sent_at
     ):
@@ -261,11 +269,16 @@
       has_event: Whether an event of the response had arrived.
     """
     now = asyncio.get_running_loop().time()
+    parts = crashing_parts.candidate_keys(self._call.parts)
     name, started_ms = self._endpoint.incarnation
     self._is_judged = True
     self._state.endpoints.record_failure(self._endpoint, now)
     self._state.crash_watch.record_break(
-        self._endpoint.incarnation, self._call.fingerprint, has_event, now
+        self._endpoint.incarnation,
+        self._call.fingerprint,
+        has_event,
+        now,
+        parts,
     )
     self._log.record(
         'broke',
@@ -274,16 +287,12 @@
         self._call.route.name,
         request=self._call.id,
         request_hash=call_log.format_hash(self._call.fingerprint),
-        parts=crashing_parts.format_keys(
-            crashing_parts.candidate_keys(self._call.parts)
-        ),
+        parts=crashing_parts.format_keys(parts),
         endpoint=name,
         started_ms=started_ms,
         has_event=has_event,
         silent_s=round(now - max(self.sent_at, self._heard_at), 3),
-        is_refused=self._state.quarantine.is_refused(
-            self._call.fingerprint, now
-        ),
+        is_refused=self._state.is_refused(self._call, now),
     )
 
   def record_prefill(self, tokens_ahead: int) -> None:
@@ -295,6 +304,7 @@
   def record_activity(self) -> None:
     """Records that the endpoint sent data for this request."""
     now = asyncio.get_running_loop().time()
+    self.answered_at = self.answered_at or now
     connected_at = self._connection.opened_at
     self._state.crash_watch.record_response(
         self._endpoint.incarnation,
@@ -329,6 +339,7 @@
           self._call.fingerprint,
           self.exchange.head is not None,
           asyncio.get_running_loop().time(),
+          crashing_parts.candidate_keys(self._call.parts),
       )
     connection.abort()
 
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -58,6 +58,7 @@
     self._gauge('limited_endpoints', lambda: len(state.limits.limited()))
     self._gauge('limited_sends', lambda: state.limited_sends)
     self._gauge('refused_requests', self._refused_requests)
+    self._gauge('refused_parts', lambda: len(state.part_watch.refusals()))
 
   def observe_call(
       self,
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -166,6 +166,7 @@
     message.parts = peer_message.pack_parts(parts)
     message.leaving = state.endpoints.leaving(now)
     message.crash_news = state.quarantine.exchange.take_news(now)
+    message.part_news = state.part_watch.take_news(now)
     message.is_leaving = state.is_leaving
     self._permits.fill_message(message, now)
     if state.watches_store and state.store_contact_since:
@@ -326,7 +327,8 @@
     state.crash_watch.merge_news(
         message.crash_news, message.host, is_relay, now
     )
-    if state.quarantine.exchange.has_unsent():
+    state.part_watch.merge_news(message.part_news, message.host, is_relay, now)
+    if state.quarantine.exchange.has_unsent() or state.part_watch.has_unsent():
       state.load_changed.set()
 
   def _handle_store_changes(
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -40,6 +40,7 @@
     budget: Retry budget.
     quarantine: Requests that crash endpoints.
     crash_watch: Collects the signs of crashes for the quarantine.
+    part_watch: Prompt parts that crash endpoints.
     pool: Connections to endpoints.
     hosts: Number of live hosts, including this one.
     rank_among_hosts: Position of this host, by name, among the hosts that are
@@ -78,6 +79,7 @@
     )
     self.quarantine = quarantine.Quarantine()
     self.crash_watch = crash_watch.CrashWatch(self.quarantine)
+    self.part_watch = self.crash_watch.parts
     self.pool = endpoint_pool.EndpointPool()
     self.hosts = 1
     self.rank_among_hosts = 0
@@ -100,6 +102,18 @@
         and self.endpoints.is_loaded
     )
 
+  @property
+  def turn_among_hosts(self) -> int | None:
+    """Position among the hosts that take turns; None if it takes no part."""
+    rank = self.rank_among_hosts
+    return rank if rank < self.hosts else None
+
+  def is_refused(self, call: gateway_records.Call, now: float) -> bool:
+    """Returns whether a request must not be sent because of crashes."""
+    if self.quarantine.is_refused(call.fingerprint, now):
+      return True
+    return self.part_watch.find_refusal(call) is not None
+
   def apply_settings(self, host: gateway_records.GatewayHost) -> None:
     """Applies changed settings."""
     self.host = host
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -4,6 +4,7 @@
 import logging
 
 from mulberrypick.adapters import stream_server
+from mulberrypick.core import crashing_parts
 from mulberrypick.core import gateway_records
 from mulberrypick.core import route_table
 from mulberrypick.ops import call_log
@@ -85,6 +86,13 @@
           request_hash=request_hash,
       )
       return
+    refusal = state.part_watch.admit(call, state.turn_among_hosts, now)
+    if refusal is not None:
+      parts = crashing_parts.format_keys(refusal.keys)
+      self._refuse(
+          caller, 503, 'part_crashes_endpoints', headers.id, None, parts=parts
+      )
+      return
     if headers.is_resumed and route.is_resumable:
       call = await self._bind_taken_up(call)
       if not call.software:
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -7,6 +7,7 @@
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_limits
 from mulberrypick.core import load_sum
+from mulberrypick.core import part_exchange
 from mulberrypick.core import peer_topology
 from mulberrypick.core import permits
 
@@ -86,6 +87,7 @@
     version_reply: Reply to such a question.
     relayed_contact_s: Longest current contact of another relay with the store,
       if a relay without contact reports its changes to the members.
+    part_news: Crashes of endpoints, with the prompt parts that were there.
   """
 
   host: str
@@ -116,6 +118,7 @@
   version_query: VersionQuery | None = None
   version_reply: VersionReply | None = None
   relayed_contact_s: float = 0.0
+  part_news: part_exchange.PartNews = part_exchange.PartNews()
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/refusals_task.py
+++ b/mulberrypick/ops/refusals_task.py
@@ -11,13 +11,17 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import errors
+from mulberrypick.core import part_exchange
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import part_watch
 from mulberrypick.platform import objects
+from mulberrypick.platform import part_refusal
 from mulberrypick.platform import protocol
 from mulberrypick.platform import store
 
 _log = logging.getLogger(__name__)
 RETRY_INTERVAL_S = 1.0
+HTTP_NOT_FOUND = 404
 # Interval at which one host removes entries that have expired.
 CLEANUP_INTERVAL_S = 60.0
 
@@ -53,7 +57,13 @@
     listed = await self._client.list_objects(protocol.REFUSALS_KIND)
     now = asyncio.get_running_loop().time()
     for item in listed.objects:
-      reports = objects.decode_refusal(item.name, item.spec, time.time())
+      wall_s = time.time()
+      if part_refusal.is_part_refusal(item.spec):
+        reports = part_refusal.decode(item.name, item.spec, wall_s)
+        news = part_exchange.PartNews(tuple(reports))
+        self._state.part_watch.merge_news(news, 'store', False, now)
+        continue
+      reports = objects.decode_refusal(item.name, item.spec, wall_s)
       news = crash_exchange.CrashNews(tuple(reports))
       self._state.crash_watch.merge_news(news, 'store', False, now)
 
@@ -64,10 +74,33 @@
     while True:
       try:
         async with asyncio.timeout_at(end_at):
-          fingerprint = await refused.get()
+          changed = await refused.get()
       except TimeoutError:
         return
-      await self._write(fingerprint)
+      try:
+        if isinstance(changed, part_watch.RefusalChange):
+          await self._write_parts(changed)
+        else:
+          await self._write(changed)
+      except errors.StoreError:
+        self._state.crash_watch.add_refusal(changed)
+        raise
+
+  async def _write_parts(self, change: part_watch.RefusalChange) -> None:
+    """Writes that requests with some parts are refused, or not any more."""
+    now = asyncio.get_running_loop().time()
+    reports = self._state.part_watch.reports_of(change.keys, now)
+    kind = protocol.REFUSALS_KIND
+    name, spec = part_refusal.encode(change.keys, reports, time.time())
+    if reports:
+      await self._client.put_if_revision(kind, name, spec, 0)
+      return
+    try:
+      await self._client.remove(kind, name)
+    except errors.StoreError as error:
+      # Another host that saw the same has removed it.
+      if error.status != HTTP_NOT_FOUND:
+        raise
 
   async def _write(self, fingerprint: int) -> None:
     now = asyncio.get_running_loop().time()
@@ -76,17 +109,16 @@
       # Its crashes were withdrawn.
       return
     name, spec = objects.encode_refusal(fingerprint, reports, time.time())
-    try:
-      # Several hosts may have seen crashes; the first one writes.
-      await self._client.put_if_revision(protocol.REFUSALS_KIND, name, spec, 0)
-    except errors.StoreError:
-      self._state.crash_watch.add_refusal(fingerprint)
-      raise
+    # Several hosts may have seen crashes; the first one writes.
+    await self._client.put_if_revision(protocol.REFUSALS_KIND, name, spec, 0)
 
   async def _remove_expired(self) -> None:
     listed = await self._client.list_objects(protocol.REFUSALS_KIND)
     for item in listed.objects:
-      reports = objects.decode_refusal(item.name, item.spec, time.time())
+      if part_refusal.is_part_refusal(item.spec):
+        reports = part_refusal.decode(item.name, item.spec, time.time())
+      else:
+        reports = objects.decode_refusal(item.name, item.spec, time.time())
       ages = [report.age_s for report in reports]
       if min(ages, default=0.0) > crash_exchange.MAX_AGE_S:
         await self._client.remove(protocol.REFUSALS_KIND, item.name)
