Failing tests: a crash that ends a stream without framing goes unnoticed

A stream with neither a length nor chunks ends with its connection. If its endpoint crashes between two events, the end of the connection looks like the end of the stream: no crash is recorded, and the completion clears the parts of the request. (python -m unittest mulberrypick.platform.gateway_crash_part_test, once)

--- a/mulberrypick/platform/gateway_crash_part_test.py
+++ b/mulberrypick/platform/gateway_crash_part_test.py
@@ -16,7 +16,9 @@
 from mulberrypick.platform import gateway_test
 from mulberrypick.platform import protocol
 from standins import crash_point
+from standins import fleet_replica
 from standins import gateway_cluster
+from standins import open_ended_replica
 
 _log = logging.getLogger(__name__)
 # Time after the fifth crash in which gateways may still send such requests.
@@ -229,6 +231,26 @@
     await self.check('/ask/x', POINT.STREAM)
 
 
+class OpenEndedStreamTest(CrashingPartTestCase):
+  """Streams end with their connections, also if their endpoint crashes."""
+
+  async def asyncSetUp(self):
+    self.enterContext(
+        mock.patch.object(
+            fleet_replica, 'FleetReplica', open_ended_replica.OpenEndedReplica
+        )
+    )
+    await super().asyncSetUp()
+
+  async def test_part_that_crashes_after_some_events(self):
+    await self.check('/read/x', POINT.STREAM)
+
+
+class OpenEndedStreamNineHostsTest(OpenEndedStreamTest):
+
+  hosts = 9
+
+
 class VerdictTest(CrashingPartTestCase):
   """What follows after a part is known to crash endpoints."""
 
