Blame parts that explain crashes equally well alike, and common ones later

Two tests seen failing on the code before. A part of requests that ran beside each crash explained as many crashes as the cause: one of the two was refused, by the order of their keys, perhaps the wrong one, and a crash of another kind could end the refusal of the cause. Now both are refused, and one request is let through 5 s after the last crash, so that the next crash or answer tells them apart.

A part that many requests of each endpoint held was refused after three crashes, the first part included, if no answer on it was known. A part that crashes endpoints when they begin to write is seldom in more than two requests of one endpoint; with more it takes six crashes. Seen at nine hosts with streams without framing: the first part alone was refused for a moment at nine hosts.

test_part_of_requests_that_always_ran_beside now asks that both are refused, where it accepted either.

--- a/mulberrypick/core/crashing_parts.py
+++ b/mulberrypick/core/crashing_parts.py
@@ -11,6 +11,8 @@
     have in common. As long as nothing tells these parts apart, a request with
     only some of them may be sound. If it is not, its crash makes the set
     smaller.
+*   If several parts explain equally many crashes, all of them are refused, and
+    one of their requests is let through after a short time.
 *   A part whose crashes are explained by larger sets with it is not blamed for
     them. Otherwise the part that explains most crashes is blamed first, so that
     requests that ran beside are not.
@@ -34,6 +36,10 @@
 # blamed.
 MIN_CRASHES = 3
 MIN_REQUESTS = 3
+# A part that crashes endpoints when they begin to write on it is seldom in more
+# requests of one endpoint. With more, other parts are likelier causes.
+MAX_REQUESTS_PER_CRASH = 2
+MIN_CRASHES_IF_COMMON = 6
 # Crashes that no other blamed part explains.
 MIN_UNEXPLAINED = 2
 # Time after an answer was written on a part in which crashes are not blamed on
@@ -48,6 +54,7 @@
 # find out whether it still crashes endpoints. The time grows with each crash
 # after such a pause.
 PROBE_S = 30.0
+AMBIGUOUS_PROBE_S = 5.0
 PROBE_FACTOR = 4
 MIN_PAUSE_S = 15.0
 
@@ -159,6 +166,9 @@
         keys = run.keys if keys is None else keys & run.keys
   if len(requests) < MIN_REQUESTS:
     return None
+  is_common = len(requests) > MAX_REQUESTS_PER_CRASH * len(crashes)
+  if is_common and len(crashes) < MIN_CRASHES_IF_COMMON:
+    return None
   return PartRefusal(
       keys, tuple(crashes), len(requests), _probe_interval_s(crashes)
   )
@@ -200,11 +210,28 @@
     crashed = {crash.key for crash in candidate.crashes}
     if len(crashed - explained) < MIN_UNEXPLAINED:
       continue
-    explained |= crashed
-    chosen.append(candidate)
+    rivals = [c for c in general if _are_rivals(c, candidate)]
+    for rival in rivals:
+      explained.update(crash.key for crash in rival.crashes)
+      if len(rivals) > 1:
+        rival = rival._replace(
+            probe_interval_s=rival.probe_interval_s
+            * (AMBIGUOUS_PROBE_S / PROBE_S)
+        )
+      if all(rival.keys != other.keys for other in chosen):
+        chosen.append(rival)
   return chosen
 
 
+def _are_rivals(one: PartRefusal, other: PartRefusal) -> bool:
+  """Returns whether two sets of parts explain crashes equally well."""
+  if len(one.crashes) != len(other.crashes):
+    return False
+  crashed = {crash.key for crash in other.crashes}
+  shared = sum(crash.key in crashed for crash in one.crashes)
+  return shared > len(crashed) - MIN_UNEXPLAINED
+
+
 def _is_covered(candidate: PartRefusal, candidates: list[PartRefusal]) -> bool:
   """Returns whether larger sets of parts explain most of its crashes."""
   uncovered = {crash.key for crash in candidate.crashes}
--- a/mulberrypick/core/crashing_parts_test.py
+++ b/mulberrypick/core/crashing_parts_test.py
@@ -67,10 +67,22 @@
 
   def test_part_of_requests_that_always_ran_beside(self):
     runs = ((FIRST, CRASHING), (FIRST, BYSTANDER))
-    refused = find(make_crashes(runs, runs, runs))
     # Either may be the cause, but not what they share.
-    self.assertNotIn({FIRST}, refused)
-    self.assertEqual(len(refused), 1)
+    crashes = make_crashes(runs, runs, runs)
+    both = [{FIRST, CRASHING}, {FIRST, BYSTANDER}]
+    self.assertCountEqual(find(crashes), both)
+    for refusal in crashing_parts.find_refused(crashes, {}):
+      self.assertEqual(
+          refusal.probe_interval_s, crashing_parts.AMBIGUOUS_PROBE_S
+      )
+    crashes = make_crashes(runs, runs, runs, ((FIRST, CRASHING),))
+    self.assertEqual(find(crashes), [{FIRST, CRASHING}])
+
+  def test_part_that_also_ran_on_an_endpoint_that_crashed_by_itself(self):
+    runs = ((FIRST, CRASHING), (FIRST, BYSTANDER))
+    alone = ((FIRST, BYSTANDER),)
+    crashes = make_crashes(runs, runs, runs, alone, ((FIRST, CRASHING),))
+    self.assertIn({FIRST, CRASHING}, find(crashes))
 
   def test_two_crashing_parts_at_once(self):
     one, two = ((FIRST, CRASHING),), ((FIRST, OTHER_CRASHING),)
@@ -129,6 +141,15 @@
     crashes = make_crashes(*runs, interval_s=0.01)
     self.assertEqual(find(crashes, completed_at), [])
 
+  def test_part_of_many_requests_on_each_endpoint_needs_more_crashes(self):
+    runs = ((FIRST,),) * 4
+    self.assertEqual(find(make_crashes(*[runs] * 5)), [])
+    self.assertEqual(find(make_crashes(*[runs] * 6)), [{FIRST}])
+    crashing = ((FIRST, CRASHING), *runs)
+    self.assertEqual(find(make_crashes(crashing, crashing, runs)), [])
+    refused = find(make_crashes(crashing, crashing, runs, crashing))
+    self.assertEqual(refused, [{FIRST, CRASHING}])
+
   def test_unrelated_crashes_do_not_widen_a_refusal(self):
     runs = ((FIRST, CRASHING),)
     crashes = make_crashes(runs, runs, runs, ((FIRST, 9),), ((FIRST, 8),))
