Do not take the end of an unframed answer for its completion at once

Cause: the end of the connection counted as the end of the answer, for whole requests as for parts. If a crash closes it between two events, the completion cleared the very part that caused it, and no crash was known.

Such an answer is now held back until its endpoint is known to be alive half a second later, which confirms it, or to have crashed, by another attempt that broke off there or by the store: then it is evidence of the crash, doubtful if other answers ended there later. Parts that are known of a crash are computed when it is judged, so that the verdict does not depend on the order of reports (property test, with doubtful ones).

--- a/mulberrypick/core/part_exchange.py
+++ b/mulberrypick/core/part_exchange.py
@@ -34,14 +34,16 @@
   Attributes:
     endpoint: Name of the endpoint.
     incarnation: The incarnation that crashed.
-    age_s: Time since it crashed. Hosts share no clock.
+    age_s: Time since the attempts ended. Hosts share no clock.
     runs: Hash and parts of each request.
+    is_doubtful: Whether the answers may have been complete by then.
   """
 
   endpoint: str
   incarnation: int
   age_s: float
   runs: tuple[tuple[int, tuple[int, ...]], ...]
+  is_doubtful: bool = False
 
 
 class ClearedPart(NamedTuple):
@@ -123,10 +125,10 @@
       key = (report.endpoint, report.incarnation)
       for request, parts in report.runs:
         keys = frozenset(parts[: crashing_parts.MAX_PARTS])
-        run = crashing_parts.PartRun(request, keys)
         at = now - report.age_s
         self._tell_cleared(keys, at, now)
-        if not self._evidence.add(key, run, at, source):
+        run = part_evidence.EndedRun(request, keys, at, report.is_doubtful)
+        if not self._evidence.add(key, run, source):
           continue
         is_new = True
         if is_forwarded:
@@ -168,7 +170,7 @@
         crash = self._evidence.find(key)
         if crash is not None:
           sent = selected.get(key, set())
-          repeated[key] = crash.keys_by_request.keys() - sent
+          repeated[key] = crash.run_by_request.keys() - sent
       reports += self._make_reports(repeated, now)[0]
     return PartNews(tuple(reports), tuple(self._take_cleared(is_repeat, now)))
 
@@ -215,19 +217,16 @@
       crash = self._evidence.find(key)
       if crash is None:
         continue
-      runs = []
-      for request in sorted(requests):
-        keys = crash.keys_by_request.get(request)
-        if keys is None:
+      chosen = []
+      for run in self._evidence.suspected(crash):
+        if run.request not in requests:
           continue
         if count >= MAX_KEYS:
-          left_out.setdefault(key, set()).add(request)
+          left_out.setdefault(key, set()).add(run.request)
           continue
-        count += len(keys)
-        runs.append((request, tuple(sorted(keys))))
-      if runs:
-        age_s = round(now - crash.began_at, 3)
-        reports.append(PartCrashReport(*key, age_s, tuple(runs)))
+        count += len(run.keys)
+        chosen.append(run)
+      reports += _make_reports(crash, chosen, now)
     return reports, left_out
 
   def _take_cleared(self, is_repeat: bool, now: float) -> list[ClearedPart]:
@@ -246,3 +245,24 @@
         age_s = round(now - completion.began_at, 3)
         cleared.append(ClearedPart(part, age_s))
     return cleared
+
+
+def _make_reports(
+    crash: part_evidence.EndpointCrash,
+    runs: list[part_evidence.EndedRun],
+    now: float,
+) -> list[PartCrashReport]:
+  """Returns one report of the certain runs, and one of each doubtful run."""
+  reports = []
+  certain = []
+  for run in runs:
+    packed = (run.request, tuple(sorted(run.keys)))
+    if not run.is_doubtful:
+      certain.append(packed)
+      continue
+    age_s = round(now - run.at, 3)
+    reports.append(PartCrashReport(*crash.key, age_s, (packed,), True))
+  if certain:
+    age_s = round(now - crash.began_at, 3)
+    reports.append(PartCrashReport(*crash.key, age_s, tuple(certain)))
+  return reports
--- a/mulberrypick/core/part_exchange_test.py
+++ b/mulberrypick/core/part_exchange_test.py
@@ -32,8 +32,8 @@
 
   def crash(self, key, request: int, keys: set[int], now: float) -> None:
     """Records that an attempt of this host broke off."""
-    run = crashing_parts.PartRun(request, frozenset(keys))
-    if self.evidence.add(key, run, now, 'own'):
+    run = part_evidence.EndedRun(request, frozenset(keys), now)
+    if self.evidence.add(key, run, 'own'):
       self.exchange.add_unsent(key, request, now)
 
   def complete(self, keys: set[int], began_at: float, now: float) -> None:
@@ -212,6 +212,7 @@
         strategies.integers(0, 4),
         strategies.frozensets(strategies.integers(0, 5), max_size=4),
         strategies.integers(0, 20),
+        strategies.booleans(),
     ),
     strategies.tuples(
         strategies.just('complete'),
@@ -237,9 +238,9 @@
     evidence = part_evidence.PartEvidence()
     for kind, *fields in events:
       if kind == 'crash':
-        endpoint, request, keys, at = fields
-        run = crashing_parts.PartRun(request, keys)
-        evidence.add((f'e{endpoint}', 1), run, float(at), 'h')
+        endpoint, request, keys, at, is_doubtful = fields
+        run = part_evidence.EndedRun(request, keys, float(at), is_doubtful)
+        evidence.add((f'e{endpoint}', 1), run, 'h')
       else:
         part, at = fields
         evidence.record_completion(
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -11,7 +11,6 @@
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
-from mulberrypick.core import crashing_parts
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
@@ -451,7 +450,7 @@
     if head.status < 500:
       self._state.endpoints.record_success(placement.endpoint)
     if head.status < 400:
-      self._record_completion(send)
+      send.record_completion()
     self._log_decision('served', f'status_{head.status}')
     return _AttemptResult(True, True, 'served')
 
@@ -485,7 +484,7 @@
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
     self._stream.finish(head)
-    self._record_completion(send)
+    send.record_completion()
     self._log_decision('served', 'stream')
     return _AttemptResult(True, True, 'served')
 
@@ -496,13 +495,6 @@
     if self._call.software is None:
       self._call = self._call._replace(software=endpoint.software)
 
-  def _record_completion(self, send: endpoint_send.EndpointSend) -> None:
-    now = asyncio.get_running_loop().time()
-    self._state.quarantine.record_completion(self._call.fingerprint, now)
-    self._state.part_watch.record_completion(
-        crashing_parts.candidate_keys(self._call.parts), send.answered_at, now
-    )
-
   def _may_run_again(self) -> bool:
     route = self._call.route
     return route.is_idempotent and self._runs + 1 < route.attempts
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -9,6 +9,7 @@
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import crashing_parts
 from mulberrypick.core import endpoint_registry
+from mulberrypick.core import open_ended_answers
 from mulberrypick.core import quarantine
 from mulberrypick.core import unanswered_attempts
 from mulberrypick.ops import call_log
@@ -41,6 +42,7 @@
     self._quarantine = known
     self.parts = part_watch.PartWatch(self.add_refusal)
     self._unanswered = unanswered_attempts.UnansweredAttempts()
+    self._open_ended = open_ended_answers.OpenEndedAnswers()
     self._logged: collections.OrderedDict[object, None] = (
         collections.OrderedDict()
     )
@@ -68,6 +70,7 @@
       now: Time on the event loop's clock.
       parts: Parts of its prompt that may crash endpoints.
     """
+    self._add_ended(key, self._open_ended.record_crash(key, now), now)
     self.parts.record_crash(key, fingerprint, parts, now, now)
     added = self._quarantine.record_broken_attempt(
         *key, fingerprint, has_token, now
@@ -117,11 +120,34 @@
     """
     self._unanswered.record_response(key, connected_at)
     known_since = float('-inf') if is_listed else connected_at
+    for answer in self._open_ended.record_alive(key, now, known_since):
+      self._clear(answer, now)
     self._disprove(key, 'response', sent_at, known_since, now)
 
+  def record_completion(
+      self,
+      key: crash_evidence.IncarnationKey,
+      answer: open_ended_answers.CompleteAnswer,
+      is_open_ended: bool,
+      now: float,
+  ) -> None:
+    """Records an answer that seems to be complete.
+
+    Args:
+      key: Name and start of the endpoint.
+      answer: The answer.
+      is_open_ended: Whether its end was the end of its connection.
+      now: Time on the event loop's clock.
+    """
+    if not is_open_ended:
+      self._clear(answer, now)
+    elif not self._open_ended.add(key, answer):
+      self._add_ended(key, [answer], now)
+
   def expire(self, now: float) -> None:
     """Forgets expired suspects and refusals."""
     self._quarantine.expire(now)
+    self._open_ended.expire(now)
     self.parts.expire(now)
 
   def record_listed(
@@ -174,6 +200,7 @@
   def record_end(self, key: crash_evidence.IncarnationKey, now: float) -> None:
     """Records that the store dropped an endpoint that was not leaving."""
     self._add_crash(key, self._unanswered.record_end(key, now), now)
+    self._add_ended(key, self._open_ended.record_end(key, now), now)
 
   def merge_news(
       self,
@@ -219,6 +246,29 @@
       )
       self._log_added(added, now)
 
+  def _add_ended(
+      self,
+      key: crash_evidence.IncarnationKey,
+      answers: list[open_ended_answers.CompleteAnswer],
+      now: float,
+  ) -> None:
+    """Adds answers that a crash may have ended."""
+    for answer in answers:
+      self.parts.record_crash(
+          key, answer.fingerprint, answer.parts, answer.ended_at, now, True
+      )
+      added = self._quarantine.record_crash(
+          *key, answer.fingerprint, True, answer.ended_at
+      )
+      self._log_added(added, now)
+
+  def _clear(
+      self, answer: open_ended_answers.CompleteAnswer, now: float
+  ) -> None:
+    """Clears a request and its parts of earlier crashes."""
+    self._quarantine.record_completion(answer.fingerprint, answer.ended_at)
+    self.parts.record_completion(answer.parts, answer.began_at, now)
+
   def _log_added(
       self, added: list[crash_exchange.NewInvolvement], now: float
   ) -> None:
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -14,6 +14,7 @@
 from mulberrypick.core import endpoint_limits
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
+from mulberrypick.core import open_ended_answers
 from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import protocol
@@ -118,7 +119,7 @@
     self.sent_at = 0.0
     self._heard_at = 0.0
     # When the first data of the response arrived.
-    self.answered_at = 0.0
+    self._answered_at = 0.0
     self._other_count = 0
     # Whether it is known if the request may have crashed the endpoint.
     self._is_judged = False
@@ -295,6 +296,21 @@
         is_refused=self._state.is_refused(self._call, now),
     )
 
+  def record_completion(self) -> None:
+    """Records that the answer was received to its end."""
+    now = asyncio.get_running_loop().time()
+    self._state.crash_watch.record_completion(
+        self._endpoint.incarnation,
+        open_ended_answers.CompleteAnswer(
+            self._call.fingerprint,
+            crashing_parts.candidate_keys(self._call.parts),
+            self._answered_at,
+            now,
+        ),
+        self.exchange.head.is_open_ended,
+        now,
+    )
+
   def record_prefill(self, tokens_ahead: int) -> None:
     """Records that prefill finished; updates the endpoint's prefill rate."""
     took_s = asyncio.get_running_loop().time() - self.sent_at
@@ -304,7 +320,7 @@
   def record_activity(self) -> None:
     """Records that the endpoint sent data for this request."""
     now = asyncio.get_running_loop().time()
-    self.answered_at = self.answered_at or now
+    self._answered_at = self._answered_at or now
     connected_at = self._connection.opened_at
     self._state.crash_watch.record_response(
         self._endpoint.incarnation,
--- a/mulberrypick/ops/part_watch.py
+++ b/mulberrypick/ops/part_watch.py
@@ -79,6 +79,7 @@
       parts: frozenset[int],
       at: float,
       now: float,
+      is_doubtful: bool = False,
   ) -> None:
     """Records a request of this host that ran on a crashed endpoint.
 
@@ -86,12 +87,13 @@
       key: Name and start of the endpoint.
       request: Hash of the request's content.
       parts: Its parts without the last one.
-      at: When its attempt broke off, on the event loop's clock.
+      at: When its attempt ended, on the event loop's clock.
       now: Time on the event loop's clock.
+      is_doubtful: Whether its answer may have been complete by then.
     """
     # Reports identify requests by 32 bits.
-    run = crashing_parts.PartRun(request & 0xFFFFFFFF, parts)
-    if self._evidence.add(key, run, at, 'own'):
+    run = part_evidence.EndedRun(request & 0xFFFFFFFF, parts, at, is_doubtful)
+    if self._evidence.add(key, run, 'own'):
       self._exchange.add_unsent(key, run.request, now)
       self._update('crash', now)
 
