Repeat the evidence of crashes at once to a host that starts

Cause: hosts repeat what they know once a second, and a host that starts knows nothing until then, unless all its refusals are in the store. The bound of three late requests did not hold while hosts restart often.

A host says in its messages of the first second that it has just started; the others repeat their evidence in their next message, at most every 0.2 s.

--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -13,6 +13,8 @@
 from mulberrypick.core import crash_evidence
 
 REPEAT_INTERVAL_S = 1.0
+# Shortest interval if hosts start.
+MIN_REPEAT_INTERVAL_S = 0.2
 # Time for which a crash is repeated although none of its requests was part of
 # another one.
 RECENT_S = 3.0
@@ -149,6 +151,17 @@
     if at <= until and fingerprint not in self._cleared:
       self.add_cleared(fingerprint, until, now)
 
+  def repeat_soon(self, now: float) -> bool:
+    """Repeats the evidence in the next message, for a host that starts.
+
+    Returns:
+      Whether it was not repeated a moment ago.
+    """
+    if now - self._repeated_at < MIN_REPEAT_INTERVAL_S:
+      return False
+    self._repeated_at = float('-inf')
+    return True
+
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return bool(self._unsent or self._unsent_cleared)
--- a/mulberrypick/core/crash_exchange_test.py
+++ b/mulberrypick/core/crash_exchange_test.py
@@ -1,5 +1,7 @@
 """Tests of the exchange of crashes between many hosts."""
 
+import math
+import random
 import unittest
 
 from mulberrypick.core import crash_exchange
@@ -8,6 +10,13 @@
 CRASHING, OTHER_CRASHING, CONCURRENT = 1, 2, 3
 INTERVAL_S = 4.0
 REPEATS = 40
+# Time after the third crash in which a request may still be sent, and how many
+# may be sent later.
+STABLE_S = 3.0
+MAX_LATE = 3
+RESTARTS_PER_STEP = 0.05
+# Time for which a host that started asks others to repeat what they know.
+START_S = 1.0
 
 
 class Fleet:
@@ -28,6 +37,7 @@
     self.relay_position = 0
     self._group_size = group_size
     self._endpoints = 0
+    self._asks_until = float('-inf')
 
   def crash(self, host: int, has_token: bool, *fingerprints: int) -> None:
     """Runs requests together on a new endpoint; the first one crashes it.
@@ -52,6 +62,9 @@
   def exchange(self, cut: tuple[int, ...] = ()) -> None:
     """Delivers what hosts have to send, but not between `cut` and others."""
     self.now += 0.05
+    if self.now < self._asks_until:
+      for host in self.hosts:
+        host.exchange.repeat_soon(self.now)
     for sender, host in enumerate(self.hosts):
       news = host.exchange.take_news(self.now)
       for receiver in self._receivers(sender):
@@ -76,6 +89,11 @@
         h for h in others if self._is_relay(h) or h // self._group_size == group
     ]
 
+  def restart(self, host: int) -> None:
+    """Replaces a host by one that knows nothing, and asks the others."""
+    self.hosts[host] = quarantine.Quarantine()
+    self._asks_until = self.now + START_S
+
   def settle(self, cut: tuple[int, ...] = ()) -> None:
     """Exchanges until reports passed two relays."""
     for _ in range(4):
@@ -124,6 +142,28 @@
       fleet.now += INTERVAL_S
     self.assertEqual(fleet.crashed_by_hash[CRASHING], 3)
 
+  def test_few_late_retries_while_hosts_restart(self):
+    for seed in range(80):
+      rng = random.Random(seed)
+      fleet = Fleet(6)
+      crashes = late = 0
+      third_at = math.inf
+      for step in range(800):
+        if rng.random() < RESTARTS_PER_STEP:
+          fleet.restart(rng.randrange(6))
+        if step % 18 == 0:
+          host = rng.randrange(6)
+          # A request is sent to two endpoints.
+          for _ in range(2):
+            fleet.crash(host, seed % 2 == 0, CRASHING)
+          sent = fleet.crashed_by_hash[CRASHING] - crashes
+          crashes += sent
+          if crashes >= 3:
+            third_at = min(third_at, fleet.now)
+          late += sent > 0 and fleet.now > third_at + STABLE_S
+        fleet.exchange()
+      self.assertLessEqual(late, MAX_LATE, f'seed {seed}')
+
   def test_crashes_are_counted_while_relays_change(self):
     for has_token, allowed in ((False, 2), (True, 3)):
       fleet = Fleet(30, 10)
--- a/mulberrypick/core/part_exchange.py
+++ b/mulberrypick/core/part_exchange.py
@@ -15,6 +15,8 @@
 from mulberrypick.core import part_evidence
 
 REPEAT_INTERVAL_S = 1.0
+# Shortest interval if hosts start.
+MIN_REPEAT_INTERVAL_S = 0.2
 # Time for which new evidence is repeated.
 RECENT_S = 5.0
 # Crashes repeated in one message, and of them those of one refusal.
@@ -147,6 +149,17 @@
       if told_at < now - REPEAT_INTERVAL_S or told_at < completion.began_at:
         self.add_cleared(part, now)
 
+  def repeat_soon(self, now: float) -> bool:
+    """Repeats the evidence in the next message, for a host that starts.
+
+    Returns:
+      Whether it was not repeated a moment ago.
+    """
+    if now - self._repeated_at < MIN_REPEAT_INTERVAL_S:
+      return False
+    self._repeated_at = float('-inf')
+    return True
+
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return bool(self._unsent or self._unsent_cleared)
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -202,6 +202,11 @@
     self._add_crash(key, self._unanswered.record_end(key, now), now)
     self._add_ended(key, self._open_ended.record_end(key, now), now)
 
+  def repeat_soon(self, now: float) -> bool:
+    """Repeats the evidence in the next message, for a host that starts."""
+    of_requests = self._quarantine.exchange.repeat_soon(now)
+    return self.parts.repeat_soon(now) or of_requests
+
   def merge_news(
       self,
       news: crash_exchange.CrashNews,
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -46,6 +46,8 @@
 # Interval at which a request for a host's identity or for the configuration is
 # repeated until the reply arrives.
 REQUEST_INTERVAL_S = 0.5
+# Time after the start in which others are asked to repeat what they know.
+START_S = 1.0
 
 
 class PeerTask:
@@ -71,6 +73,7 @@
     self._group_parts: list[tuple[str, int, int]] = []
     self._other_group_parts: list[tuple[str, int, int]] = []
     self._sent_bytes = 0
+    self._started_at: float | None = None
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
     )
@@ -167,6 +170,9 @@
     message.leaving = state.endpoints.leaving(now)
     message.crash_news = state.quarantine.exchange.take_news(now)
     message.part_news = state.part_watch.take_news(now)
+    if self._started_at is None:
+      self._started_at = now
+    message.is_starting = now - self._started_at < START_S
     message.is_leaving = state.is_leaving
     self._permits.fill_message(message, now)
     if state.watches_store and state.store_contact_since:
@@ -323,6 +329,8 @@
   ) -> None:
     """Merges the crashes that another host reports; relays forward them."""
     state = self._state
+    if message.is_starting and state.crash_watch.repeat_soon(now):
+      state.load_changed.set()
     is_relay = self._table.neighbors.role is peer_topology.Role.RELAY
     state.crash_watch.merge_news(
         message.crash_news, message.host, is_relay, now
--- a/mulberrypick/ops/part_watch.py
+++ b/mulberrypick/ops/part_watch.py
@@ -149,6 +149,10 @@
     if self._exchange.merge(news, source, is_forwarded, now):
       self._update('reported', now)
 
+  def repeat_soon(self, now: float) -> bool:
+    """Repeats the evidence in the next message, for a host that starts."""
+    return self._exchange.repeat_soon(now)
+
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return self._exchange.has_unsent()
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -88,6 +88,7 @@
     relayed_contact_s: Longest current contact of another relay with the store,
       if a relay without contact reports its changes to the members.
     part_news: Crashes of endpoints, with the prompt parts that were there.
+    is_starting: Whether the sender has just started and knows of no crashes.
   """
 
   host: str
@@ -119,6 +120,7 @@
   version_reply: VersionReply | None = None
   relayed_contact_s: float = 0.0
   part_news: part_exchange.PartNews = part_exchange.PartNews()
+  is_starting: bool = False
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/platform/gateway_part_verdict_test.py
+++ b/mulberrypick/platform/gateway_part_verdict_test.py
@@ -13,6 +13,8 @@
 from standins import crash_point
 from standins import gateway_cluster
 
+FIRST_PART = gateway_crash_part_test.FIRST_PART
+
 
 class VerdictTest(gateway_crash_part_test.CrashingPartTestCase):
   """Some gateways, and a part that three endpoints crashed on."""
@@ -66,9 +68,7 @@
         self.host.listen_port,
         '/read/x',
         f'r{own}',
-        {
-            'X-Mulberrypick-Prefix-Hash': f'{gateway_crash_part_test.FIRST_PART},{self.part}:700'
-        },
+        {'X-Mulberrypick-Prefix-Hash': f'{FIRST_PART},{self.part}:700'},
         b'body %d' % own,
     )
     self.assertEqual(answer.status, 200)
