Let the tests of crashing parts wait for sound requests; add thirty hosts

Seen on a busy machine: test_part_that_crashes_before_the_answer with nine hosts failed as 16 of the 20 sound requests that it needs were sent in a fixed 2.5 s. The crashing requests now begin after 20 answers, and the run ends after 12 s of them and 20 sound requests in the second period, at the latest after 60 s. All bounds are the same.

--- a/mulberrypick/platform/gateway_crash_part_test.py
+++ b/mulberrypick/platform/gateway_crash_part_test.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import logging
+import math
 import unittest
 from typing import NamedTuple
 from unittest import mock
@@ -28,8 +29,9 @@
 MIN_SOUND_SHARE = 0.5
 # Number of sound requests in each of the two periods.
 MIN_SOUND = 20
-SOUND_S = 2.5
-DURATION_S = 14.0
+# Time for which crashing requests are sent, and the longest for both periods.
+DURATION_S = 12.0
+MAX_DURATION_S = 60.0
 CRASHING_INTERVAL_S = 0.2
 SOUND_INTERVAL_S = 0.1
 READERS = 3
@@ -141,14 +143,18 @@
       *points: Where the requests with each part crash endpoints.
     """
     loop = asyncio.get_running_loop()
-    began_at = loop.time()
+    end_at = loop.time() + MAX_DURATION_S
     calls = []
     sent = itertools.count()
-    crashing_at = began_at + SOUND_S
+    began_at = crashing_at = math.inf
     parts = []
     for number, point in enumerate(points):
       parts.append(crash_point.make_part(point, number))
-    while loop.time() - began_at < SOUND_S + DURATION_S:
+    while loop.time() < end_at:
+      if began_at == math.inf and len(self.sound) >= MIN_SOUND:
+        began_at = crashing_at = loop.time()
+      if loop.time() > began_at + DURATION_S and self.has_enough_sound():
+        break
       call = self.send_sound(len(calls), path)
       calls.append(loop.create_task(call))
       if loop.time() >= crashing_at:
@@ -159,6 +165,13 @@
       await asyncio.sleep(SOUND_INTERVAL_S)
     await asyncio.gather(*calls)
 
+  def has_enough_sound(self) -> bool:
+    """Returns whether enough sound requests ended in the second period."""
+    if not self.cluster.crashed_at:
+      return True
+    after = self.stable_since() + 2 * STABLE_S
+    return sum(call.sent_at > after for call in self.sound) >= MIN_SOUND
+
   def stable_since(self) -> float:
     """Returns the time of the fifth crash, or of the last of fewer."""
     crashes = self.cluster.crashed_at
@@ -267,5 +280,16 @@
     await self.check('/read/x', POINT.RUN, POINT.STREAM)
 
 
+class ThirtyHostsTest(CrashingPartTestCase):
+  """Relays forward the evidence between groups."""
+
+  hosts = 30
+  # All of them start in one process.
+  wait_timeout_s = 60.0
+
+  async def test_part_that_crashes_before_the_answer(self):
+    await self.check('/read/x', POINT.RUN)
+
+
 if __name__ == '__main__':
   unittest.main()
