--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -7,10 +7,13 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_evidence
 from mulberrypick.core import crash_exchange
+from mulberrypick.core import crashing_parts
 from mulberrypick.core import endpoint_registry
+from mulberrypick.core import open_ended_answers
 from mulberrypick.core import quarantine
 from mulberrypick.core import unanswered_attempts
 from mulberrypick.ops import call_log
+from mulberrypick.ops import part_watch
 
 _log = logging.getLogger(__name__)
 # Crashes and refused requests of which it is known that they were logged.
@@ -29,20 +32,26 @@
   """Collects the signs of crashes; logs each crash and each refusal once.
 
   Attributes:
+    parts: Judges the parts of prompts by the same crashes.
     new_refusals: Requests that are refused because of crashes of which this
-      host saw one, to be written to the store.
+      host saw one, and changes of such refusals by parts, to be written to the
+      store.
   """
 
   def __init__(self, known: quarantine.Quarantine):
     self._quarantine = known
+    self.parts = part_watch.PartWatch(self.add_refusal)
     self._unanswered = unanswered_attempts.UnansweredAttempts()
+    self._open_ended = open_ended_answers.OpenEndedAnswers()
     self._logged: collections.OrderedDict[object, None] = (
         collections.OrderedDict()
     )
     self._log_second = 0
     self._lines = 0
     self._suppressed = 0
-    self.new_refusals: asyncio.Queue[int] = asyncio.Queue(MAX_NEW_REFUSALS)
+    self.new_refusals: asyncio.Queue[int | part_watch.RefusalChange] = (
+        asyncio.Queue(MAX_NEW_REFUSALS)
+    )
 
   def record_break(
       self,
@@ -50,6 +59,7 @@
       fingerprint: int,
       has_token: bool,
       now: float,
+      parts: frozenset[int] = frozenset(),
   ) -> None:
     """Records an attempt whose connection broke off.
 
@@ -58,7 +68,10 @@
       fingerprint: Hash of the request's content.
       has_token: Whether the attempt had generated a token.
       now: Time on the event loop's clock.
+      parts: Parts of its prompt that may crash endpoints.
     """
+    self._add_ended(key, self._open_ended.record_crash(key, now), now)
+    self.parts.record_crash(key, fingerprint, parts, now, now)
     added = self._quarantine.record_broken_attempt(
         *key, fingerprint, has_token, now
     )
@@ -70,6 +83,7 @@
       fingerprint: int,
       has_token: bool,
       now: float,
+      parts: frozenset[int] = frozenset(),
   ) -> None:
     """Records an attempt that was given up on an open connection.
 
@@ -78,8 +92,11 @@
       fingerprint: Hash of the request's content.
       has_token: Whether a part of the answer had arrived.
       now: Time on the event loop's clock.
+      parts: Parts of its prompt that may crash endpoints.
     """
-    attempt = unanswered_attempts.UnansweredAttempt(fingerprint, has_token, now)
+    attempt = unanswered_attempts.UnansweredAttempt(
+        fingerprint, has_token, now, parts
+    )
     if not self._unanswered.add(key, attempt):
       self._add_crash(key, [attempt], now)
 
@@ -103,11 +120,35 @@
     """
     self._unanswered.record_response(key, connected_at)
     known_since = float('-inf') if is_listed else connected_at
+    for answer in self._open_ended.record_alive(key, now, known_since):
+      self._clear(answer, now)
     self._disprove(key, 'response', sent_at, known_since, now)
 
+  def record_completion(
+      self,
+      key: crash_evidence.IncarnationKey,
+      answer: open_ended_answers.CompleteAnswer,
+      is_open_ended: bool,
+      now: float,
+  ) -> None:
+    """Records an answer that seems to be complete.
+
+    Args:
+      key: Name and start of the endpoint.
+      answer: The answer.
+      is_open_ended: Whether its end was the end of its connection.
+      now: Time on the event loop's clock.
+    """
+    if not is_open_ended:
+      self._clear(answer, now)
+    elif not self._open_ended.add(key, answer):
+      self._add_ended(key, [answer], now)
+
   def expire(self, now: float) -> None:
     """Forgets expired suspects and refusals."""
     self._quarantine.expire(now)
+    self._open_ended.expire(now)
+    self.parts.expire(now)
 
   def record_listed(
       self,
@@ -122,13 +163,15 @@
       contact_since: Start of the current contact with the store.
       now: Time on the event loop's clock.
     """
-    for crash in self._quarantine.all_crashes():
-      listed = endpoints.find(crash.key[0])
-      if listed is None or listed.incarnation != crash.key:
+    began_at_by_key = {}
+    for crash in (*self._quarantine.all_crashes(), *self.parts.all_crashes()):
+      began_at_by_key[crash.key] = crash.began_at
+    for key, began_at in began_at_by_key.items():
+      listed = endpoints.find(key[0])
+      if listed is None or listed.incarnation != key:
         continue
-      since = max(crash.began_at, contact_since)
-      if now - since > MAX_LISTED_AFTER_CRASH_S:
-        self._disprove(crash.key, 'listed', now, float('-inf'), now)
+      if now - max(began_at, contact_since) > MAX_LISTED_AFTER_CRASH_S:
+        self._disprove(key, 'listed', now, float('-inf'), now)
 
   def _disprove(
       self,
@@ -138,6 +181,7 @@
       known_since: float,
       now: float,
   ) -> None:
+    self.parts.record_alive(key, alive_at, known_since, now)
     involved = self._quarantine.record_alive(*key, alive_at, known_since)
     if not involved:
       return
@@ -156,6 +200,12 @@
   def record_end(self, key: crash_evidence.IncarnationKey, now: float) -> None:
     """Records that the store dropped an endpoint that was not leaving."""
     self._add_crash(key, self._unanswered.record_end(key, now), now)
+    self._add_ended(key, self._open_ended.record_end(key, now), now)
+
+  def repeat_soon(self, now: float) -> bool:
+    """Repeats the evidence in the next message, for a host that starts."""
+    of_requests = self._quarantine.exchange.repeat_soon(now)
+    return self.parts.repeat_soon(now) or of_requests
 
   def merge_news(
       self,
@@ -175,17 +225,16 @@
     added = self._quarantine.exchange.merge(news, source, is_forwarded, now)
     self._log_added(added, now)
 
-  def add_refusal(self, fingerprint: int) -> None:
+  def add_refusal(self, refused: int | part_watch.RefusalChange) -> None:
     """Adds a refusal that is to be written to the store."""
     try:
-      self.new_refusals.put_nowait(fingerprint)
+      self.new_refusals.put_nowait(refused)
     except asyncio.QueueFull:
-      logs.log_event(
-          _log,
-          logging.WARNING,
-          'refusal_not_stored',
-          request_hash=call_log.format_hash(fingerprint),
-      )
+      if isinstance(refused, part_watch.RefusalChange):
+        fields = {'parts': crashing_parts.format_keys(refused.keys)}
+      else:
+        fields = {'request_hash': call_log.format_hash(refused)}
+      logs.log_event(_log, logging.WARNING, 'refusal_not_stored', **fields)
 
   def _add_crash(
       self,
@@ -194,11 +243,37 @@
       now: float,
   ) -> None:
     for attempt in attempts:
+      self.parts.record_crash(
+          key, attempt.fingerprint, attempt.parts, attempt.ended_at, now
+      )
       added = self._quarantine.record_crash(
           *key, attempt.fingerprint, attempt.has_token, attempt.ended_at
       )
       self._log_added(added, now)
 
+  def _add_ended(
+      self,
+      key: crash_evidence.IncarnationKey,
+      answers: list[open_ended_answers.CompleteAnswer],
+      now: float,
+  ) -> None:
+    """Adds answers that a crash may have ended."""
+    for answer in answers:
+      self.parts.record_crash(
+          key, answer.fingerprint, answer.parts, answer.ended_at, now, True
+      )
+      added = self._quarantine.record_crash(
+          *key, answer.fingerprint, True, answer.ended_at
+      )
+      self._log_added(added, now)
+
+  def _clear(
+      self, answer: open_ended_answers.CompleteAnswer, now: float
+  ) -> None:
+    """Clears a request and its parts of earlier crashes."""
+    self._quarantine.record_completion(answer.fingerprint, answer.ended_at)
+    self.parts.record_completion(answer.parts, answer.began_at, now)
+
   def _log_added(
       self, added: list[crash_exchange.NewInvolvement], now: float
   ) -> None:
