Read what has arrived before an idle connection of a caller is closed

What callers may have seen: a request on a kept connection, sent well within idleTimeoutMs, was reset and got neither an answer nor a refusal, if the gateway stood still for a while before: frozen, or busy, for example with a change of the configuration or a large list of the store.

Cause: after a pause uvloop runs timers that are due before it reads sockets. The idle timer closed a connection whose request was in the socket already. The loop of asyncio reads first, and all tests of the server ran on it. Class: a time limit is judged by what this process has read, not by what has arrived.

Now the connection is closed 10 ms after the limit unless bytes come; the loop polls its sockets in between.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -16,6 +16,9 @@
 
 # Pipelined requests read per connection; further ones wait in the kernel.
 MAX_PIPELINED_REQUESTS = 4
+# Time between the end of an idle limit and the close of the connection (s). A
+# request that arrived while the event loop stood still is read in it.
+IDLE_CLOSE_DELAY_S = 0.01
 # Bytes buffered for a slow caller before writers have to wait.
 MAX_WRITE_BUFFER_BYTES = 262144
 REASON_BY_STATUS = {
@@ -307,7 +310,7 @@
     if left_s > 0:
       self._set_timer(left_s, self._close_idle)
       return
-    self.close()
+    self._set_timer(IDLE_CLOSE_DELAY_S, self.close)
 
   def _refuse_timeout(self) -> None:
     self._refuse(408)
