Read what has arrived before an endpoint is taken for silent

What callers may have seen: after a pause of the gateway itself (frozen or busy for more than 0.6 s) sound streams were broken off and run again elsewhere, which costs a retry each, and their endpoints were suspended.

Cause: after a pause uvloop runs timers before it reads sockets, so the limit of silence ended the wait although data was in the socket. Whether the endpoint is still silent was asked once more after another run was secured, but with a kept connection in the pool nothing is read in between. Same class as the close of idle connections.

--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -371,6 +371,13 @@
   return connection
 
 
+async def read_arrived() -> None:
+  """Lets the event loop read the data that has arrived at its sockets."""
+  # The loop of asyncio reads sockets after the callbacks that are due.
+  for _ in range(2):
+    await asyncio.sleep(0)
+
+
 def _is_open_ended(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
   if status in _STATUSES_WITHOUT_BODY:
     return False
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -242,6 +242,10 @@
           endpoints.record_success(self._endpoint)
         return found
       except TimeoutError:
+        # Timers may run before sockets are read if this process stood still.
+        await stream_client.read_arrived()
+        if not is_silent():
+          continue
         self._record_silence(limit.after_s, is_late)
         is_late = True
       if await limit.secure(is_silent):
