--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -242,6 +242,10 @@
           endpoints.record_success(self._endpoint)
         return found
       except TimeoutError:
+        # Timers may run before sockets are read if this process stood still.
+        await stream_client.read_arrived()
+        if not is_silent():
+          continue
         self._record_silence(limit.after_s, is_late)
         is_late = True
       if await limit.secure(is_silent):
@@ -409,6 +413,7 @@
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
       self._is_judged = True
+      self._own_load.refused_at = now
       if self._is_full_refusal(kind, now):
         state.load.record_refused(self._endpoint, self._other_count)
       await self._read_refusal()
