--- a/mulberrypick/core/shared_retry_budget.py
+++ b/mulberrypick/core/shared_retry_budget.py
@@ -9,12 +9,27 @@
 """
 
 import collections
+from typing import NamedTuple
 
 # Fraction of the allowance that is used; the rest covers unknown hosts and
 # retries that arrive in a later window.
 MAX_USED_FRACTION = 0.6
 
 
+class Usage(NamedTuple):
+  """Use of a host's part of the budget of a service.
+
+  Attributes:
+    requests: Number of requests in the window.
+    retries: Number of retries in the window.
+    allowed: Number of retries allowed in the window.
+  """
+
+  requests: int
+  retries: int
+  allowed: float
+
+
 class SharedRetryBudget:
   """Retries of one host, by service, in a sliding window."""
 
@@ -48,14 +63,19 @@
     Returns:
       Whether the request may be retried.
     """
+    usage = self.usage(service, hosts, now)
+    if usage.retries + 1 > usage.allowed:
+      return False
+    self._retries_by_service[service].append(now)
+    return True
+
+  def usage(self, service: str, hosts: int, now: float) -> Usage:
+    """Returns how much of the budget of a service is used."""
     retries = self._retries_by_service.setdefault(service, collections.deque())
     self._drop_expired(retries, now)
     requests = self._requests_by_service.get(service, ())
     allowed = self._ratio * len(requests) + self._slack / max(1, hosts)
-    if len(retries) + 1 > MAX_USED_FRACTION * allowed:
-      return False
-    retries.append(now)
-    return True
+    return Usage(len(requests), len(retries), MAX_USED_FRACTION * allowed)
 
   def give_back(self, service: str) -> None:
     """Returns a retry that was taken and not used."""
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -59,6 +59,8 @@
     self._gauge('limited_sends', lambda: state.limited_sends)
     self._gauge('refused_requests', self._refused_requests)
     self._gauge('refused_parts', lambda: len(state.part_watch.refusals()))
+    self._gauge('retries_taken', lambda: state.retry_log.taken)
+    self._gauge('retries_denied', lambda: state.retry_log.denied)
 
   def observe_call(
       self,
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -16,6 +16,7 @@
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
+from mulberrypick.ops import retry_log
 
 _log = logging.getLogger(__name__)
 # Longest time after which a host in contact with the store knows of a change.
@@ -38,6 +39,7 @@
     load: Load of the endpoints.
     placer: Selects endpoints for requests.
     budget: Retry budget.
+    retry_log: Counts and logs the use of the retry budget.
     quarantine: Requests that crash endpoints.
     crash_watch: Collects the signs of crashes for the quarantine.
     part_watch: Prompt parts that crash endpoints.
@@ -77,6 +79,7 @@
     self.budget = shared_retry_budget.SharedRetryBudget(
         bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
     )
+    self.retry_log = retry_log.RetryLog(self.budget)
     self.quarantine = quarantine.Quarantine()
     self.crash_watch = crash_watch.CrashWatch(self.quarantine)
     self.part_watch = self.crash_watch.parts
@@ -133,6 +136,17 @@
     self.config = config
     return True
 
+  def take_retry(self, service: str, now: float) -> bool:
+    """Takes a retry from the budget if one is left; counts it for the log."""
+    is_taken = self.budget.take(service, self.hosts, now)
+    self.retry_log.record(service, is_taken)
+    return is_taken
+
+  def give_back_retry(self, service: str) -> None:
+    """Returns a retry that was taken and not used to the budget."""
+    self.budget.give_back(service)
+    self.retry_log.record_returned(service)
+
   def observe_limit(
       self, incarnation: tuple[str, int], limit: endpoint_limits.Limit
   ) -> None:
--- a/mulberrypick/ops/run_securer.py
+++ b/mulberrypick/ops/run_securer.py
@@ -63,16 +63,14 @@
     """Takes a retry from the budget unless an unused one is left."""
     if not self.has_unused_retry:
       now = asyncio.get_running_loop().time()
-      self.has_unused_retry = self._state.budget.take(
-          call.service, self._state.hosts, now
-      )
+      self.has_unused_retry = self._state.take_retry(call.service, now)
     return self.has_unused_retry
 
   def give_back_retry(self, call: gateway_records.Call) -> None:
     """Returns an unused retry to the budget."""
     if self.has_unused_retry:
       self.has_unused_retry = False
-      self._state.budget.give_back(call.service)
+      self._state.give_back_retry(call.service)
 
   async def secure(
       self,
