--- a/standins/retry_check.py
+++ b/standins/retry_check.py
@@ -121,6 +121,16 @@
   return found
 
 
+def all_windows(
+    arrivals: Iterable[Arrival], requests: Iterable[Request], bound: Bound
+) -> list[Window]:
+  """Returns one window for each set of arrivals and requests that one holds."""
+  windows = []
+  for of_service in _windows_of_services(arrivals, requests, bound):
+    windows += of_service
+  return windows
+
+
 def _worst(windows: list[Window]) -> Window:
   return max(windows, key=lambda window: window.extra - window.allowed)
 
