Count retries until they must have arrived, also across a pause

Endpoints can get more retries in a window than the rule allows though each host keeps its part: a retry arrives after it is granted, for example after a prefill, and so falls into the window of those that are granted when it has expired. A process that is paused between grant and send does the same with any delay.

Retries now count for 2 s longer than the window, and from the end of a pause if they may not have been sent before it.

The test of the sliding window asks for the longer time; that a retry is denied within the window is now checked every 0.25 s.

--- a/mulberrypick/core/shared_retry_budget.py
+++ b/mulberrypick/core/shared_retry_budget.py
@@ -5,6 +5,10 @@
 the limit: the slack divided by the number of hosts that may be running, and the
 ratio of its own requests. A host that does not know that number, or that was
 restarted and does not know what it spent before, uses the ratio only.
+
+Retries arrive some time after they are granted, for example after a prefill, so
+they count for longer than the window. A process that was paused may still have
+to send those that it granted just before.
 """
 
 import collections
@@ -12,7 +16,11 @@
 
 # Fraction of the allowance that is used; the rest covers hosts that are unknown
 # here.
-MAX_USED_FRACTION = 0.6
+MAX_USED_FRACTION = 0.7
+# Longest time from the grant of a retry to its arrival at an endpoint.
+MAX_ARRIVAL_DELAY_S = 2.0
+# After this time without an update of the hosts, this process was paused.
+MAX_UPDATE_INTERVAL_S = 0.65
 
 
 class Usage(NamedTuple):
@@ -31,6 +39,20 @@
   allowed: float
 
 
+class _Retry:
+  """A retry that was granted.
+
+  Attributes:
+    counted_at: Time from which it counts.
+    unsent_until: Time until which it may be unsent, on a clock that stands
+      still while this process is paused.
+  """
+
+  def __init__(self, counted_at: float, unsent_until: float):
+    self.counted_at = counted_at
+    self.unsent_until = unsent_until
+
+
 class SharedRetryBudget:
   """Retries of one host, by service, in a sliding window.
 
@@ -60,13 +82,15 @@
     self._window_s = window_s
     self._is_first_start = is_first_start
     self._started_at: float | None = None
+    self._updated_at: float | None = None
     self._requests_by_service: dict[str, collections.deque[float]] = {}
-    self._retries_by_service: dict[str, collections.deque[float]] = {}
+    self._paused_s = 0.0
+    self._retries_by_service: dict[str, collections.deque[_Retry]] = {}
 
   @property
   def retention_s(self) -> float:
     """Time for which a retry counts after it was granted."""
-    return self._window_s
+    return self._window_s + MAX_ARRIVAL_DELAY_S
 
   def reconfigure(self, ratio: float, slack: float, window_s: float) -> None:
     """Changes the limits; requests and retries so far stay counted."""
@@ -76,7 +100,9 @@
 
   def update_hosts(self, hosts: int | None, now: float) -> None:
     """Updates the number of hosts; called regularly while this process runs."""
+    self._handle_pause(now)
     self.hosts = hosts
+    self._updated_at = now
     if self._started_at is None:
       self._started_at = now
 
@@ -96,16 +122,19 @@
     Returns:
       Whether the request may be retried.
     """
+    self._handle_pause(now)
     usage = self.usage(service, now)
     if usage.retries + 1 > usage.allowed:
       return False
-    self._retries_by_service[service].append(now)
+    unsent_until = now - self._paused_s + MAX_ARRIVAL_DELAY_S
+    self._retries_by_service[service].append(_Retry(now, unsent_until))
     return True
 
   def usage(self, service: str, now: float) -> Usage:
     """Returns how much of the budget of a service is used."""
     retries = self._retries_by_service.setdefault(service, collections.deque())
-    self._drop_older(retries, now - self.retention_s)
+    while retries and retries[0].counted_at < now - self.retention_s:
+      retries.popleft()
     requests = self._requests_by_service.get(service, collections.deque())
     self._drop_older(requests, now - self._window_s)
     slack = self._own_slack(now)
@@ -118,6 +147,19 @@
     if retries:
       retries.pop()
 
+  def _handle_pause(self, now: float) -> None:
+    """Counts retries from now if a pause may have delayed their sending."""
+    updated_at = self._updated_at
+    if updated_at is None or now - updated_at <= MAX_UPDATE_INTERVAL_S:
+      return
+    ran_until = updated_at - self._paused_s
+    for retries in self._retries_by_service.values():
+      for retry in retries:
+        if retry.unsent_until >= ran_until:
+          retry.counted_at = now
+    self._paused_s += now - updated_at - MAX_UPDATE_INTERVAL_S
+    self._updated_at = now
+
   def _own_slack(self, now: float) -> float:
     if self.hosts is None or self._started_at is None:
       return 0.0
--- a/mulberrypick/core/shared_retry_budget_test.py
+++ b/mulberrypick/core/shared_retry_budget_test.py
@@ -14,6 +14,14 @@
     budget.update_hosts(hosts, 0.0)
     return budget
 
+  def run_until(self, budget, began_at, ended_at):
+    """Updates the hosts regularly; yields the times."""
+    at = began_at
+    while at < ended_at:
+      budget.update_hosts(1, at)
+      yield at
+      at += 0.25
+
   def test_all_hosts_together_stay_within_the_slack(self):
     granted = 0
     for _ in range(6):
@@ -38,8 +46,38 @@
     budget = self.make_budget(0.0, 10)
     while budget.take('s', 0.0):
       pass
-    self.assertFalse(budget.take('s', 9.9))
-    self.assertTrue(budget.take('s', 10.1))
+    freed_at = 10.0 + shared_retry_budget.MAX_ARRIVAL_DELAY_S
+    for at in self.run_until(budget, 0.0, freed_at):
+      self.assertFalse(budget.take('s', at))
+    self.assertTrue(budget.take('s', freed_at + 0.1))
+
+  def test_retry_counts_from_the_end_of_a_pause_before_its_sending(self):
+    budget = self.make_budget(0.0, 10)
+    while budget.take('s', 0.0):
+      pass
+    self.assertFalse(budget.take('s', 20.0))
+    for at in self.run_until(budget, 20.0, 31.9):
+      self.assertFalse(budget.take('s', at))
+    self.assertTrue(budget.take('s', 32.1))
+
+  def test_retry_that_was_sent_before_a_pause_expires_during_it(self):
+    budget = self.make_budget(0.0, 10)
+    while budget.take('s', 0.0):
+      pass
+    for _ in self.run_until(budget, 0.0, 3.0):
+      pass
+    self.assertTrue(budget.take('s', 20.0))
+
+  def test_repeated_pauses_do_not_keep_a_retry(self):
+    budget = self.make_budget(0.0, 10)
+    while budget.take('s', 0.0):
+      pass
+    for number in range(1, 20):
+      budget.update_hosts(1, 0.7 * number)
+    self.assertFalse(budget.take('s', 13.4))
+    for number in range(20, 24):
+      budget.update_hosts(1, 0.7 * number)
+    self.assertTrue(budget.take('s', 16.2))
 
   def test_services_do_not_share(self):
     budget = self.make_budget(0.0, 10)
