--- a/mulberrypick/platform/gateway_peers_test.py
+++ b/mulberrypick/platform/gateway_peers_test.py
@@ -102,6 +102,13 @@
     self.assertIn('servers', message.store_revision_by_kind)
     self.assertGreater(message.store_contact_s, 0.0)
 
+  async def test_silent_host_still_counts_for_the_retry_budget(self):
+    other = await self.start_other()
+    await self.wait_until(lambda: other.state.budget.hosts == 2)
+    other.close()
+    await self.wait_until(lambda: self.gateway.state.hosts == 1)
+    self.assertEqual(self.gateway.state.budget.hosts, 2)
+
   async def test_load_of_silent_host_expires(self):
     state = self.gateway.state
     now = asyncio.get_running_loop().time()
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -117,6 +117,12 @@
     await asyncio.gather(*calls, return_exceptions=True)
     await self.wait_until(lambda: self.counts() == {0})
 
+  async def test_all_hosts_divide_the_retry_budget_alike(self):
+    def counts():
+      return {g.state.budget.hosts for g in self.gateway_by_name.values()}
+
+    await self.wait_until(lambda: counts() == {HOSTS})
+
   async def test_stopped_relay_is_replaced(self):
     relay = next(
         name
