Wait in tests of whole gateways until the retry budget is divided

A gateway has no slack before it has read the list of hosts, some milliseconds after it is ready. A test that uses the budget up before would do so with nothing and get the slack later, so that it tests nothing. Seen when a test of a prefill engine that can't be reached passed on code without its fix.

--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -27,6 +27,7 @@
     await self.wait_until(
         lambda: len(list(self.gateway.state.endpoints.all())) == 5
     )
+    await self.wait_until(lambda: self.gateway.state.budget.hosts is not None)
 
   async def asyncTearDown(self):
     self.running.cancel()
@@ -44,6 +45,7 @@
     self.running_by_name[name] = running
     self.gateway_by_name[name] = gateway
     await self.wait_until(lambda: gateway.state.is_ready)
+    await self.wait_until(lambda: gateway.state.budget.hosts is not None)
 
     async def stop():
       running.cancel()
