Take no retry for a prefill engine that can't be reached

Callers were refused though nothing had been sent: a prefill for which no connection could be opened was taken from the retry budget, unlike such a decode. Without budget the request then got 503. The test failed before (503 for 200).

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -45,7 +45,7 @@
 # takes a few milliseconds. Without a permit it is then refused.
 MAX_PERMIT_WAIT_S = 0.05
 # Reasons of attempts, also of prefills, after which nothing was sent.
-UNSENT_REASONS = ('connect', 'limited', 'read_limited')
+UNSENT_REASONS = ('connect', 'limited', 'read_connect', 'read_limited')
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
 # After a run was given up for one that failed, the endpoint of the latter is
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -294,6 +294,22 @@
     prefiller = self.cluster.replica_by_name['reader']
     self.assertLessEqual(prefiller.arrivals, 5)
 
+  async def test_unreachable_prefill_engine_takes_no_retry(self):
+    # Guards against a failure although nothing was sent to an endpoint.
+    state, placer = self.gateway.state, self.gateway.state.placer
+    while state.take_retry('engine', asyncio.get_running_loop().time()):
+      pass
+    reader = state.endpoints.find('reader')
+    self.cluster.replica_by_name['reader'].stop()
+
+    def place(call, service, excluded, now):
+      found = type(placer).place(placer, call, service, excluded, now)
+      return found if excluded else found._replace(prefiller=reader)
+
+    placer.place = place
+    response = await self.call('/read/x', 'r1', headers=self.tokens)
+    self.assertEqual(response.status, 200)
+
   async def test_call_after_prefill_runs_at_another_engine(self):
     names = sorted(('writer-1', 'writer-2'))
     self.cluster.replica_by_name[names[0]].stop()
