--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import NamedTuple
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
@@ -21,8 +20,8 @@
 from mulberrypick.ops import failure_response
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import next_run
 from mulberrypick.ops import prompt_handles
-from mulberrypick.ops import run_securer
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
@@ -41,37 +40,10 @@
 # A stream that sends no data for this long is resumed at another endpoint, if
 # that is secured. Callers tolerate pauses of 0.15 s and disconnect after 2 s.
 STALL_TIMEOUT_S = 0.6
-# Longest time for which a request waits for a permit from another host, which
-# takes a few milliseconds. Without a permit it is then refused.
-MAX_PERMIT_WAIT_S = 0.05
-# Reasons of attempts, also of prefills, after which nothing was sent.
-UNSENT_REASONS = ('connect', 'limited', 'read_connect', 'read_limited')
-# Reasons of attempts that this host ended, and that might have gone on.
-GIVEN_UP_REASONS = ('silent', 'stalled')
-# After a run was given up for one that failed, the endpoint of the latter is
-# left out in so many attempts to secure another run.
-ROUNDS_WITHOUT_LAST = 5
 # Outcomes of attempts after which the request goes on.
 INTERIM_OUTCOMES = ('retried', 'waited', 'moved')
 
 
-class _AttemptResult(NamedTuple):
-  """Result of one attempt to serve the request.
-
-  Attributes:
-    is_final: Whether the caller got its whole response.
-    may_have_run: Whether the endpoint may have run the request.
-    reason: Identifier of the result, for logs and error responses.
-    is_prompt_read: False if prefill failed; True if it succeeded or there
-      was none.
-  """
-
-  is_final: bool
-  may_have_run: bool
-  reason: str
-  is_prompt_read: bool = True
-
-
 class CallRun:
   """Processes one request of a caller."""
 
@@ -90,29 +62,22 @@
     self._log = log
     self._metrics = metrics
     self._versions = versions
-    self._call = call
     self._service = service
     self._received = received
     self._caller = caller
     self._headers = requests.forwarded_headers(received)
-    self._excluded: set[tuple[str, int]] = set()
-    self._last_failed = ('', 0)
-    self._runs = 0
+    self._next = next_run.NextRun(state, call, service)
     self._stream = caller_stream.CallerStream(caller)
     self._is_sending = False
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
-    # When the permit expires that is reserved for the placement's endpoint.
-    self._permit_until = float('-inf')
-    self._securer = run_securer.RunSecurer(state, service)
-    self._secured: run_securer.SecuredRun | None = None
-    # Whether this host ended the last run, which might have gone on.
-    self._has_given_up = False
     # Whether it was logged that the silent run is not given up.
     self._is_waiting = False
-    # What a retry lacked, for logs; empty if none was considered.
-    self._lacked = ''
+
+  @property
+  def _call(self) -> gateway_records.Call:
+    return self._next.call
 
   async def run(self) -> None:
     """Responds to the request; cancelled if the caller disconnects."""
@@ -125,7 +90,7 @@
       async with asyncio.timeout_at(end_at):
         await self._run_attempts()
     except TimeoutError:
-      if self._runs or self._is_sending:
+      if self._next.runs or self._is_sending:
         self._fail(504, 'timeout')
         return
       self._refuse(placements.Refusal('timeout', None))
@@ -133,21 +98,19 @@
       self._log_decision('left', 'caller_left')
       raise
     finally:
-      if self._secured is not None:
-        self._securer.release(self._call, self._secured)
-      self._securer.give_back_retry(self._call)
+      self._next.close()
 
   async def _run_attempts(self) -> None:
     reason = 'no_endpoint'
     sends = 0
-    while sends < MAX_SENDS or self._has_given_up:
-      placement = await self._next_placement()
+    while sends < MAX_SENDS or self._next.has_given_up:
+      placement = await self._next.place()
       if isinstance(placement, placements.Refusal):
         if not sends:
           self._refuse(placement)
           return
-        self._lacked = placement.reason
-        if not await self._secure_again():
+        self._next.lacked = placement.reason
+        if not await self._next.secure_again():
           break
         continue
       sends += 1
@@ -156,90 +119,30 @@
       if attempt.is_final:
         return
       reason = attempt.reason
-      self._record_attempt(attempt, placement)
-      if self._secured is not None:
+      failed = (
+          self._placement.endpoint
+          if attempt.is_prompt_read
+          else placement.prefiller
+      )
+      self._next.record_attempt(attempt, failed)
+      if self._next.secured is not None:
         continue
-      if not self._may_retry(attempt) and not await self._secure_again():
+      if (
+          not self._next.may_retry(attempt)
+          and not await self._next.secure_again()
+      ):
         break
       self._log_decision('retried', reason)
-    if self._runs:
+    if self._next.runs:
       self._fail(502, reason)
       return
     self._refuse(placements.Refusal(reason, BUSY_RETRY_AFTER_S))
 
-  async def _next_placement(
-      self,
-  ) -> placements.Placement | placements.Refusal:
-    """Returns the secured placement, or places the request."""
-    now = asyncio.get_running_loop().time()
-    if self._secured is not None:
-      placement = self._secured.placement
-      self._permit_until = self._secured.permit_until
-    else:
-      placement = await self._place()
-      if isinstance(placement, placements.Refusal):
-        return placement
-      placement = self._securer.take_prefill(self._call, placement)
-      now = asyncio.get_running_loop().time()
-      self._permit_until = self._state.permits.reserve(
-          placement.endpoint.incarnation, self._call.route.rank == 0, now
-      )
-    self._state.endpoints.record_probe(placement.endpoint, now)
-    if placement.prefiller is not None:
-      self._state.endpoints.record_probe(placement.prefiller, now)
-    return placement
-
-  def _record_attempt(
-      self, attempt: _AttemptResult, placement: placements.Placement
-  ) -> None:
-    failed = (
-        self._placement.endpoint
-        if attempt.is_prompt_read
-        else placement.prefiller
-    )
-    self._excluded.add(failed.incarnation)
-    self._last_failed = failed.incarnation
-    if attempt.may_have_run:
-      self._runs += 1
-      self._has_given_up = attempt.reason in GIVEN_UP_REASONS
-
-  async def _secure_again(self) -> bool:
-    """Secures another run if the one for which a run was given up failed.
-
-    It waits until there is one: the caller does not lose an answer because this
-    host gave a run up.
-    """
-    if not self._has_given_up:
-      return False
-    # Endpoints that were silent may respond again.
-    self._excluded = {self._last_failed}
-    rounds = 0
-    while not await self._secure(self._excluded, lambda: True):
-      if self._lacked == run_securer.CRASHES_ENDPOINTS:
-        return False
-      await asyncio.sleep(endpoint_send.SECURE_INTERVAL_S)
-      rounds += 1
-      if rounds == ROUNDS_WITHOUT_LAST:
-        self._excluded = set()
-    return True
-
-  async def _secure_elsewhere(self, is_needed: Callable[[], bool]) -> bool:
-    """Secures a run at another endpoint than that of the present one."""
-    excluded = self._excluded | {self._placement.endpoint.incarnation}
-    return await self._secure(excluded, is_needed)
-
-  async def _secure(
-      self, excluded: set[tuple[str, int]], is_needed: Callable[[], bool]
-  ) -> bool:
-    """Secures another run; returns whether there is one."""
-    self._secured = await self._securer.secure(self._call, excluded, is_needed)
-    self._lacked = self._securer.lacked
-    return self._secured is not None
-
   async def _give_up_for(self, is_silent: Callable[[], bool]) -> bool:
     """Secures another run while an endpoint is silent, and logs the result."""
-    if await self._secure_elsewhere(is_silent):
-      other = self._secured.placement
+    present = self._placement.endpoint
+    if await self._next.secure_elsewhere(present, is_silent):
+      other = self._next.secured.placement
       self._log_decision(
           'moved',
           'silent',
@@ -254,63 +157,20 @@
       self._log_decision(
           'waited',
           'silent',
-          lacked=self._lacked,
+          lacked=self._next.lacked,
           last_event=self._stream.last_event,
       )
     return False
 
-  async def _place(
-      self,
-  ) -> placements.Placement | placements.Refusal:
-    """Places the request; waits shortly for a permit if it needs one."""
-    loop = asyncio.get_running_loop()
-    end_at = loop.time() + MAX_PERMIT_WAIT_S
-    while True:
-      changed = self._state.permits_changed
-      placement = self._state.placer.place(
-          self._call, self._service, self._excluded, loop.time()
-      )
-      if self._state.permits.has_wanted():
-        self._state.permits_wanted.set()
-      if (
-          isinstance(placement, placements.Placement)
-          or not placement.awaits_permit
-      ):
-        return placement
-      try:
-        async with asyncio.timeout_at(end_at):
-          await changed.wait()
-      except TimeoutError:
-        return placement
-
-  def _may_retry(self, attempt: _AttemptResult) -> bool:
-    now = asyncio.get_running_loop().time()
-    if self._state.is_refused(self._call, now):
-      self._lacked = 'crashes_endpoints'
-      return False
-    if attempt.may_have_run:
-      route = self._call.route
-      if not route.is_idempotent or self._runs >= route.attempts:
-        self._lacked = 'attempts'
-        return False
-    # Nothing was sent, so that a retry adds no load except a second prefill,
-    # which is taken from the budget when it is placed.
-    if attempt.reason in UNSENT_REASONS:
-      return True
-    if self._securer.take_retry(self._call):
-      return True
-    self._lacked = 'budget'
-    return False
-
   async def _run_attempt(
       self, placement: placements.Placement
-  ) -> _AttemptResult:
+  ) -> next_run.AttemptResult:
     if placement.prefiller is None:
       return await self._send_to(placement, [], placement.tokens)
     handle, attempt = await self._prefill(placement)
     if handle is None:
       return attempt
-    attempt = _AttemptResult(False, False, 'cancelled')
+    attempt = next_run.AttemptResult(False, False, 'cancelled')
     try:
       attempt = await self._run_decode(placement, handle)
     finally:
@@ -322,14 +182,14 @@
 
   async def _run_decode(
       self, placement: placements.Placement, handle: str
-  ) -> _AttemptResult:
+  ) -> next_run.AttemptResult:
     """Decodes a prefilled request; tries another engine if one can't run it.
 
     Repeating the prefill instead would count as one more request to the service
     and would waste the finished prefill.
     """
     source = requests.kv_source_headers(placement.prefiller, handle)
-    tried = set(self._excluded)
+    tried = set(self._next.excluded)
     while True:
       attempt = await self._send_to(placement, source, 0)
       if attempt.is_final or attempt.may_have_run:
@@ -339,7 +199,10 @@
       other = self._state.placer.place_decode(self._call, tried, now)
       if other is None:
         return attempt
-      if attempt.reason not in UNSENT_REASONS and not self._may_retry(attempt):
+      if (
+          attempt.reason not in next_run.UNSENT_REASONS
+          and not self._next.may_retry(attempt)
+      ):
         return attempt
       self._log_decision('retried', attempt.reason)
       placement = placement._replace(endpoint=other)
@@ -347,7 +210,7 @@
 
   async def _prefill(
       self, placement: placements.Placement
-  ) -> tuple[str | None, _AttemptResult]:
+  ) -> tuple[str | None, next_run.AttemptResult]:
     prefiller = placement.prefiller
     send = endpoint_send.EndpointSend(
         self._state, self._log, prefiller, self._call, placement.tokens, 0
@@ -359,27 +222,29 @@
           lambda now: self._encode(prefiller, extra_headers, now),
           None,
           False,
-          connection=self._take_connection(),
+          connection=self._next.take_connection(),
       )
       if result.outcome is not endpoint_send.Outcome.ANSWERED:
-        return None, _AttemptResult(
+        return None, next_run.AttemptResult(
             False, False, f'read_{result.reason}', False
         )
       body = await send.exchange.read_all(endpoint_send.MAX_RESPONSE_BYTES)
       handle = requests.decode_kv_handle(body)
       if result.head.status != 200 or handle is None:
-        return None, _AttemptResult(
+        return None, next_run.AttemptResult(
             False, False, f'read_{result.reason}', False
         )
       send.record_prefill(placement.tokens_ahead)
       now = asyncio.get_running_loop().time()
       self._prefill_s = now - self._call.arrived_at
-      self._securer.has_prefilled = True
+      self._next.record_prefill()
       self._state.endpoints.record_success(prefiller)
-      return handle, _AttemptResult(False, False, 'read')
+      return handle, next_run.AttemptResult(False, False, 'read')
     except errors.ExchangeBrokenError as error:
       send.record_break(error.reason, False)
-      return None, _AttemptResult(False, False, f'read_{error.reason}', False)
+      return None, next_run.AttemptResult(
+          False, False, f'read_{error.reason}', False
+      )
     finally:
       send.close()
 
@@ -388,7 +253,7 @@
       placement: placements.Placement,
       extra_headers: list[tuple[bytes, bytes]],
       tokens: int,
-  ) -> _AttemptResult:
+  ) -> next_run.AttemptResult:
     endpoint = placement.endpoint
     decode_quarters = placements.decode_slot_quarters(
         self._call, bool(extra_headers)
@@ -398,7 +263,7 @@
     )
     if self._service.is_engine:
       self._state.record_parts(endpoint, self._call.parts, not extra_headers)
-    permit_until, self._permit_until = self._permit_until, float('-inf')
+    permit_until = self._next.take_permit()
     try:
       self._is_sending = True
       result = await send.start(
@@ -406,7 +271,7 @@
           self._head_limit(placement),
           True,
           permit_until,
-          self._take_connection(),
+          self._next.take_connection(),
       )
       if result.outcome is endpoint_send.Outcome.ANSWERED:
         return await self._forward_response(
@@ -414,12 +279,12 @@
         )
       self._is_sending = False
       ran = result.outcome is endpoint_send.Outcome.BROKEN
-      return _AttemptResult(False, ran, result.reason)
+      return next_run.AttemptResult(False, ran, result.reason)
     except errors.RunGivenUpError:
-      return _AttemptResult(False, True, 'stalled')
+      return next_run.AttemptResult(False, True, 'stalled')
     except errors.ExchangeBrokenError as error:
       send.record_break(error.reason, self._stream.last_event is not None)
-      return _AttemptResult(False, True, error.reason)
+      return next_run.AttemptResult(False, True, error.reason)
     finally:
       send.close()
 
@@ -429,7 +294,7 @@
       head: stream_client.Head,
       placement: placements.Placement,
       tokens: int,
-  ) -> _AttemptResult:
+  ) -> next_run.AttemptResult:
     is_stream = self._call.route.kind is gateway_records.CallKind.STREAM
     if is_stream and head.status < 300:
       return await self._forward_stream(send, head, placement, tokens)
@@ -438,10 +303,12 @@
       self._state.endpoints.record_failure(
           placement.endpoint, asyncio.get_running_loop().time()
       )
-      if self._may_run_again() and await self._secure_elsewhere(lambda: True):
-        return _AttemptResult(False, True, f'status_{head.status}')
+      if self._next.may_run_again() and await self._next.secure_elsewhere(
+          placement.endpoint, lambda: True
+      ):
+        return next_run.AttemptResult(False, True, f'status_{head.status}')
     if self._stream.has_head:
-      return _AttemptResult(False, True, f'status_{head.status}')
+      return next_run.AttemptResult(False, True, f'status_{head.status}')
     took_s = asyncio.get_running_loop().time() - send.sent_at
     self._state.load.observe_service_time(placement.endpoint, took_s)
     self._caller.write_response(
@@ -452,7 +319,7 @@
     if head.status < 400:
       send.record_completion()
     self._log_decision('served', f'status_{head.status}')
-    return _AttemptResult(True, True, 'served')
+    return next_run.AttemptResult(True, True, 'served')
 
   async def _forward_stream(
       self,
@@ -460,7 +327,7 @@
       head: stream_client.Head,
       placement: placements.Placement,
       tokens: int,
-  ) -> _AttemptResult:
+  ) -> next_run.AttemptResult:
     cutter = event_stream.EventSplitter()
     is_first = True
     limit = self._silence_limit(STALL_TIMEOUT_S)
@@ -486,21 +353,17 @@
     self._stream.finish(head)
     send.record_completion()
     self._log_decision('served', 'stream')
-    return _AttemptResult(True, True, 'served')
+    return next_run.AttemptResult(True, True, 'served')
 
   def _bind(self, endpoint: gateway_records.Endpoint) -> None:
     """Binds the stream to the version that writes its first event."""
     if self._call.route.is_resumable and not self._stream.has_head:
       self._versions.bind(self._call, endpoint.software)
     if self._call.software is None:
-      self._call = self._call._replace(software=endpoint.software)
-
-  def _may_run_again(self) -> bool:
-    route = self._call.route
-    return route.is_idempotent and self._runs + 1 < route.attempts
+      self._next.call = self._call._replace(software=endpoint.software)
 
   def _silence_limit(self, after_s: float) -> endpoint_send.SilenceLimit | None:
-    if not self._may_run_again():
+    if not self._next.may_run_again():
       return None
     return endpoint_send.SilenceLimit(after_s, self._give_up_for)
 
@@ -514,11 +377,6 @@
         )
     )
 
-  def _take_connection(self) -> stream_client.ClientConnection | None:
-    """Returns the connection of the secured run, which is now used."""
-    secured, self._secured = self._secured, None
-    return secured.connection if secured is not None else None
-
   def _encode(
       self,
       endpoint: gateway_records.Endpoint,
@@ -526,9 +384,7 @@
       now: float,
   ) -> bytes:
     # It is sent right after it is encoded.
-    if endpoint is self._placement.prefiller:
-      self._securer.has_unused_prefill = False
-    self._securer.has_unused_retry = False
+    self._next.record_send(endpoint is self._placement.prefiller)
     headers = list(self._headers)
     if self._stream.last_event is not None:
       headers = [h for h in headers if h[0].lower() != protocol.LAST_EVENT]
@@ -565,7 +421,7 @@
     self._log_decision(
         'cut' if self._stream.has_head else 'failed',
         reason,
-        lacked=self._lacked,
+        lacked=self._next.lacked,
         last_event=self._stream.last_event,
     )
     if self._stream.has_head:
@@ -599,7 +455,7 @@
         after_s=round(now - self._call.arrived_at, 3),
         read_s=round(self._prefill_s, 3),
         first_s=round(self._first_event_s, 3),
-        runs=self._runs,
+        runs=self._next.runs,
         bound_to=self._call.software,
         config=config.version if config else 0,
         **fields,
--- a/standins/soak_broken_gateway.py
+++ b/standins/soak_broken_gateway.py
@@ -4,13 +4,13 @@
 so that the booking may run twice.
 """
 
-from mulberrypick.ops import call_run
+from mulberrypick.ops import next_run
 from mulberrypick.scripts import gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
-  call_run.CallRun._may_retry = lambda self, step: True
+  next_run.NextRun.may_retry = lambda self, step: True
   gateway.main()
 
 
