Secure no run for a request whose prompt parts are refused

A run on a silent endpoint could be given up for another one although its request holds parts that crash endpoints; the other one is then not sent, and the caller gets no answer. Only refusals of whole requests were asked.

--- a/mulberrypick/ops/run_securer.py
+++ b/mulberrypick/ops/run_securer.py
@@ -116,7 +116,7 @@
       The other run; None if there is none, or if it is not needed any more.
     """
     now = asyncio.get_running_loop().time()
-    if self._state.quarantine.is_refused(call.fingerprint, now):
+    if self._state.is_refused(call, now):
       self.lacked = CRASHES_ENDPOINTS
       return None
     if not self.take_retry(call):
--- a/mulberrypick/ops/run_securer_test.py
+++ b/mulberrypick/ops/run_securer_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import endpoint_limits
@@ -103,6 +104,16 @@
     self.assertFalse(self.securer.has_unused_retry)
     self.assertEqual(self.count_retries_left(), self.retries)
 
+  async def test_no_run_is_secured_for_a_request_with_refused_parts(self):
+    # Guards against giving up a silent run for one that is not sent.
+    with mock.patch.object(
+        self.state.part_watch, 'find_refusal', return_value=object()
+    ):
+      self.assertIsNone(
+          await self.securer.secure(self.call, set(), lambda: True)
+      )
+    self.assertEqual(self.securer.lacked, run_securer.CRASHES_ENDPOINTS)
+
   async def test_run_is_secured_with_connection_and_retry(self):
     secured = await self.secure()
     self.assertIs(secured.placement.endpoint, self.there)
