--- a/mulberrypick/core/event_stream_test.py
+++ b/mulberrypick/core/event_stream_test.py
@@ -1,9 +1,13 @@
 """Tests of splitting a stream into events."""
 
+import time
 import unittest
 
 from mulberrypick.core import event_stream
 
+# Processor time for 1 MiB; a cost that grows with its square takes 10 s.
+MAX_CPU_S = 2.0
+
 
 class EventSplitterTest(unittest.TestCase):
 
@@ -28,6 +32,22 @@
     with self.assertRaises(ValueError):
       splitter.feed(b'x' * (event_stream.MAX_EVENT_BYTES + 1))
 
+  def test_cost_of_an_event_is_linear_in_its_size(self):
+    splitter = event_stream.EventSplitter()
+    piece = b'x' * 64
+    began = time.process_time()
+    for _ in range(event_stream.MAX_EVENT_BYTES // len(piece)):
+      splitter.feed(piece)
+    self.assertLess(time.process_time() - began, MAX_CPU_S)
+
+  def test_cost_of_many_events_at_once_is_linear_in_their_size(self):
+    piece = b'id: 1\ndata: a\n\n'
+    count = event_stream.MAX_EVENT_BYTES // len(piece)
+    began = time.process_time()
+    events = event_stream.EventSplitter().feed(piece * count)
+    self.assertLess(time.process_time() - began, MAX_CPU_S)
+    self.assertEqual(len(events), count)
+
 
 if __name__ == '__main__':
   unittest.main()
