Limit the head that a client connection reads

Callers of a request whose endpoint sent a head without end (a header line, header lines, the status line, blank lines, 100 Continue) waited for the time limit of the call, because nothing reached the exchange. The bytes of a header were kept as well: 39 MB for 19 MB of one line in 2 s, 83 MB for 27 MB of lines (a play with tracemalloc, which slows the reader down).

More than 64 KiB in a row that belong to no body, before the response's own head, now end the connection with the reason head_too_long. The limit is checked once per read, so that up to one read (256 KiB) more arrives.

The five tests of stream_client_limits_test.EndlessHeadTest failed before and pass now; a head of 32 KiB and a response after 100 interim ones still arrive. The stand-in server no longer ends a connection when it is stopped, because it could then miss that the client had closed it first (seen once).

--- /dev/null
+++ b/mulberrypick/adapters/response_limits.py
@@ -0,0 +1,40 @@
+"""Limits on what a client connection reads besides the body of its response."""
+
+# Bytes in a row that belong to no body: status line and headers, blank lines
+# and interim responses before them.
+MAX_HEAD_BYTES = 65536
+HEAD_TOO_LONG = 'head_too_long'
+
+
+class ResponseMeter:
+  """Counts what arrived since a request was sent."""
+
+  def __init__(self):
+    self._bytes_since_body = 0
+    self._has_body_in_read = False
+
+  def start(self) -> None:
+    """Starts anew for another request."""
+    self.__init__()
+
+  def add_body(self, size: int) -> None:
+    """Counts bytes of a body, also of one that is skipped."""
+    self._has_body_in_read = self._has_body_in_read or size > 0
+
+  def finish_read(self, size: int, has_head: bool) -> str:
+    """Counts the bytes of one read, after they were parsed.
+
+    Args:
+      size: Number of the bytes.
+      has_head: Whether the head of the request's own response has arrived.
+
+    Returns:
+      Why the response must be given up, empty if it is within the limits.
+    """
+    self._bytes_since_body += size
+    if self._has_body_in_read:
+      self._bytes_since_body = 0
+      self._has_body_in_read = False
+    if not has_head and self._bytes_since_body > MAX_HEAD_BYTES:
+      return HEAD_TOO_LONG
+    return ''
--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from mulberrypick.adapters import response_limits
 from mulberrypick.core import errors
 
 # TCP keepalive: idle time before the first probe (s), time between probes (s)
@@ -183,7 +184,7 @@
     self._headers: list[tuple[bytes, bytes]] = []
     self._is_skipping = False
     self._is_open_ended = False
-    self._has_ended = False
+    self._meter = response_limits.ResponseMeter()
 
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
     """Stores the transport; called by the event loop."""
@@ -206,6 +207,7 @@
   def send(self, request: bytes, exchange: Exchange) -> None:
     """Sends a request; the exchange receives the response."""
     self._exchange = exchange
+    self._meter.start()
     exchange.pause = self._pause
     self._transport.write(request)
 
@@ -223,13 +225,17 @@
 
   def data_received(self, data: bytes) -> None:
     """Parses received bytes; called by the event loop."""
-    if self._exchange is None:
+    exchange = self._exchange
+    if exchange is None:
       self.abort()
       return
     try:
       self._parser.feed_data(data)
+      excess = self._meter.finish_read(len(data), exchange.head is not None)
     except httptools.HttpParserError:
-      self._fail_exchange('not_http')
+      excess = 'not_http'
+    if excess:
+      self._fail_exchange(excess)
       self.abort()
 
   def eof_received(self) -> bool:
@@ -279,6 +285,7 @@
 
   def on_body(self, data: bytes) -> None:
     """Passes a part of the body to the exchange; called by the parser."""
+    self._meter.add_body(len(data))
     if self._exchange is not None and not self._is_skipping:
       self._exchange.add_body(data)
 
--- a/standins/endless_server.py
+++ b/standins/endless_server.py
@@ -150,7 +150,7 @@
     self._threads[0].start()
 
   def stop(self) -> None:
-    """Stops listening and sending; waits for the threads."""
+    """Stops listening; waits until all connections have ended."""
     self._is_stopped.set()
     self._listener.shutdown(socket.SHUT_RDWR)
     self._listener.close()
@@ -195,7 +195,7 @@
     sent = 0
     try:
       sent += connection.send(start)
-      while sent < MAX_SENT_BYTES and not self._is_stopped.is_set():
+      while sent < MAX_SENT_BYTES:
         if time.monotonic() - began > MAX_SEND_S:
           break
         connection.sendall(piece)
