Limit responses to other requests that are skipped

Callers of a request whose endpoint sent responses to other requests without end waited for the time limit of the call: these responses are skipped, and nothing counted them.

More than 1 MiB before the head of the request's own response now ends the connection with the reason foreign_too_long. That is the size of the largest event of a stream; extra responses are copies of single responses. A larger limit would delay other requests: 1 MiB takes 8 ms of a link of 1,000 Mbit/s. A plain response above 1 MiB that arrives again before the next one now costs that next one its connection; callers get a retry elsewhere or 502.

--- a/mulberrypick/adapters/response_limits.py
+++ b/mulberrypick/adapters/response_limits.py
@@ -3,13 +3,18 @@
 # Bytes in a row that belong to no body: status line and headers, blank lines
 # and interim responses before them.
 MAX_HEAD_BYTES = 65536
+# All bytes before the head of the request's own response, among them responses
+# to other requests.
+MAX_BYTES_BEFORE_RESPONSE = 1 << 20
 HEAD_TOO_LONG = 'head_too_long'
+FOREIGN_TOO_LONG = 'foreign_too_long'
 
 
 class ResponseMeter:
   """Counts what arrived since a request was sent."""
 
   def __init__(self):
+    self._received_bytes = 0
     self._bytes_since_body = 0
     self._has_body_in_read = False
 
@@ -31,10 +36,15 @@
     Returns:
       Why the response must be given up, empty if it is within the limits.
     """
+    self._received_bytes += size
     self._bytes_since_body += size
     if self._has_body_in_read:
       self._bytes_since_body = 0
       self._has_body_in_read = False
-    if not has_head and self._bytes_since_body > MAX_HEAD_BYTES:
+    if has_head:
+      return ''
+    if self._bytes_since_body > MAX_HEAD_BYTES:
       return HEAD_TOO_LONG
+    if self._received_bytes > MAX_BYTES_BEFORE_RESPONSE:
+      return FOREIGN_TOO_LONG
     return ''
