Limit chunk extensions and trailers of a response

Callers whose endpoint sent a chunk extension or trailers without end, after its own head, waited for the time limit of the call: these bytes reach no exchange.

The bytes outside of the bodies may now be 64 KiB in a row, and 64 KiB plus 16 per byte of the bodies altogether, so that short chunks with long extensions count as well. Beyond, the connection ends with the reason frame_too_long.

--- a/mulberrypick/adapters/response_limits.py
+++ b/mulberrypick/adapters/response_limits.py
@@ -6,8 +6,12 @@
 # All bytes before the head of the request's own response, among them responses
 # to other requests.
 MAX_BYTES_BEFORE_RESPONSE = 1 << 20
+# Chunk lines, extensions and trailers per byte of the bodies; a chunk of one
+# byte has a frame of 5 bytes or more.
+MAX_FRAME_BYTES_PER_BODY_BYTE = 16
 HEAD_TOO_LONG = 'head_too_long'
 FOREIGN_TOO_LONG = 'foreign_too_long'
+FRAME_TOO_LONG = 'frame_too_long'
 
 
 class ResponseMeter:
@@ -15,16 +19,14 @@
 
   def __init__(self):
     self._received_bytes = 0
+    self._body_bytes = 0
     self._bytes_since_body = 0
     self._has_body_in_read = False
 
-  def start(self) -> None:
-    """Starts anew for another request."""
-    self.__init__()
-
   def add_body(self, size: int) -> None:
     """Counts bytes of a body, also of one that is skipped."""
-    self._has_body_in_read = self._has_body_in_read or size > 0
+    self._body_bytes += size
+    self._has_body_in_read = True
 
   def finish_read(self, size: int, has_head: bool) -> str:
     """Counts the bytes of one read, after they were parsed.
@@ -41,10 +43,11 @@
     if self._has_body_in_read:
       self._bytes_since_body = 0
       self._has_body_in_read = False
-    if has_head:
-      return ''
-    if self._bytes_since_body > MAX_HEAD_BYTES:
-      return HEAD_TOO_LONG
-    if self._received_bytes > MAX_BYTES_BEFORE_RESPONSE:
+    frame_bytes = self._received_bytes - self._body_bytes
+    if self._bytes_since_body > MAX_HEAD_BYTES or frame_bytes > (
+        MAX_HEAD_BYTES + MAX_FRAME_BYTES_PER_BODY_BYTE * self._body_bytes
+    ):
+      return FRAME_TOO_LONG if has_head else HEAD_TOO_LONG
+    if not has_head and self._received_bytes > MAX_BYTES_BEFORE_RESPONSE:
       return FOREIGN_TOO_LONG
     return ''
--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -207,7 +207,7 @@
   def send(self, request: bytes, exchange: Exchange) -> None:
     """Sends a request; the exchange receives the response."""
     self._exchange = exchange
-    self._meter.start()
+    self._meter = response_limits.ResponseMeter()
     exchange.pause = self._pause
     self._transport.write(request)
 
