Limit the body of a refusal that is read

The body of a refusal is read only so that the connection can be reused. An endpoint that sent it without end delivered up to 16 MiB for each refused request within the 0.1 s that were allowed, all of it kept in memory.

--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -25,6 +25,8 @@
 # Maximum size of a non-streaming response, which is read completely before it
 # is forwarded.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Maximum size of the body of a refusal, which is not forwarded.
+MAX_REFUSAL_BYTES = 65536
 # Time limit for the body of a refusal, which normally arrives with its head.
 # The caller must not wait for a body that is only read to keep the connection.
 REFUSAL_BODY_TIMEOUT_S = 0.1
@@ -412,7 +414,7 @@
     """Reads a refusal completely, so that the connection can be reused."""
     try:
       async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_S):
-        await self.exchange.read_all(MAX_RESPONSE_BYTES)
+        await self.exchange.read_all(MAX_REFUSAL_BYTES)
     except (errors.ExchangeBrokenError, TimeoutError) as error:
       # The head alone confirms that the request did not run. The connection
       # can't be reused and will be closed.
