Close the connection of a call that failed to free a handle

A call that frees a prompt's handle and fails (time limit, response broken off or too long) neither released nor closed its connection. The endpoint kept its channel open for as long as it had something to send, and this host kept the descriptor and up to 1 MiB of unread bytes; with an endless response that is forever. Of 4,100 descriptors each such call took one.

The connection is now aborted on any failure, also if the task is cancelled. 64 KiB of the response are read, which holds no data.

Ruled out elsewhere: orders and the store's client close theirs.

--- a/mulberrypick/ops/prompt_handles.py
+++ b/mulberrypick/ops/prompt_handles.py
@@ -19,6 +19,8 @@
 # Time limit of a call that frees a handle. If the call fails, the handle
 # expires by itself.
 FREE_TIMEOUT_S = 0.5
+# Maximum size of the response to such a call, which holds no data.
+MAX_RESPONSE_BYTES = 65536
 # References to running tasks, because the event loop holds only weak ones.
 _background_tasks: set[asyncio.Task] = set()
 
@@ -42,29 +44,12 @@
   try:
     async with asyncio.timeout(FREE_TIMEOUT_S):
       connection = await state.pool.acquire(prefiller, False)
-      now = asyncio.get_running_loop().time()
-      if not state.permits.take(prefiller.incarnation, False, now):
-        state.pool.release(prefiller, connection)
-        logs.log_event(
-            _log,
-            logging.INFO,
-            'handle_not_freed',
-            endpoint=prefiller.name,
-            error=endpoint_send.LIMITED,
-        )
-        return
-      exchange = stream_client.Exchange(lambda _: True)
-      host = f'{prefiller.ip}:{prefiller.port}'.encode()
-      connection.send(
-          stream_client.encode_request(
-              b'DELETE',
-              protocol.HANDLE_PATH + handle.encode(),
-              [(b'Host', host)],
-              b'',
-          ),
-          exchange,
-      )
-      await exchange.read_all(endpoint_send.MAX_RESPONSE_BYTES)
+      try:
+        await _send_free(state, prefiller, handle, connection)
+      except BaseException:
+        # The response is incomplete, and nobody reads the rest.
+        connection.abort()
+        raise
       state.pool.release(prefiller, connection)
   except (
       errors.ConnectError,
@@ -79,3 +64,33 @@
         endpoint=prefiller.name,
         error=repr(error),
     )
+
+
+async def _send_free(
+    state: gateway_state.GatewayState,
+    prefiller: gateway_records.Endpoint,
+    handle: str,
+    connection: stream_client.ClientConnection,
+) -> None:
+  now = asyncio.get_running_loop().time()
+  if not state.permits.take(prefiller.incarnation, False, now):
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'handle_not_freed',
+        endpoint=prefiller.name,
+        error=endpoint_send.LIMITED,
+    )
+    return
+  exchange = stream_client.Exchange(lambda _: True)
+  host = f'{prefiller.ip}:{prefiller.port}'.encode()
+  connection.send(
+      stream_client.encode_request(
+          b'DELETE',
+          protocol.HANDLE_PATH + handle.encode(),
+          [(b'Host', host)],
+          b'',
+      ),
+      exchange,
+  )
+  await exchange.read_all(MAX_RESPONSE_BYTES)
