Limit responses that the entries read with urllib3

The library bounds lines and each single read. A peer that kept sending was read on: bodies, short chunks, trailers and 100 Continue without end held a thread past its timeout (3.0 s of 1 s, where the stand-in gave up) and up to the 268 MB that it sent, most of it kept in memory. A Content-Length of 1 TB raised a MemoryError.

Responses are now read through a file that ends them after 16 MiB (64 MiB for lists of the platform) or once the time of one read is over altogether. In a stream both start anew with each complete frame, and one frame may have 1 MiB. A Content-Length above the limit is refused with the head.

A plain response of 12 MiB and a stream of more than 16 MiB still arrive whole.

--- a/mulberrypick/adapters/http_common.py
+++ b/mulberrypick/adapters/http_common.py
@@ -14,6 +14,7 @@
 from urllib3 import connection
 from urllib3 import exceptions
 
+from mulberrypick.adapters import http_limits
 from mulberrypick.core import errors
 
 CUT_ERROR = 'cut'
@@ -92,7 +93,7 @@
   host, _, port = address.rpartition(':')
   if socket_options is None:
     socket_options = connection.HTTPConnection.default_socket_options
-  conn = connection.HTTPConnection(
+  conn = http_limits.LimitedConnection(
       host,
       int(port),
       timeout=timeout_s,
@@ -109,12 +110,14 @@
 
 def make_pool(source_ip: str, connections_per_host: int) -> urllib3.PoolManager:
   """Creates a connection pool that never retries and never redirects."""
-  return urllib3.PoolManager(
+  pool = urllib3.PoolManager(
       num_pools=2048,
       maxsize=connections_per_host,
       retries=False,
       source_address=source_address(source_ip),
   )
+  http_limits.limit_pool(pool)
+  return pool
 
 
 def response_socket(response: urllib3.BaseHTTPResponse) -> socket.socket | None:
--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -19,6 +19,7 @@
 
 from mulberrypick.adapters import engine
 from mulberrypick.adapters import http_common
+from mulberrypick.adapters import http_limits
 from mulberrypick.core import errors
 from mulberrypick.core import records
 
@@ -30,6 +31,7 @@
 MAX_CONNECTIONS_PER_ENGINE = 64
 STREAM_END_TIMEOUT_S = 0.1
 EVENT_END = b'\n\n'
+MAX_EVENT_BYTES = 1 << 20
 EVENT_PREFIX_LENGTH = len(b'data: ')
 REFUSAL_STATUSES = (
     HTTPStatus.NOT_FOUND,
@@ -106,10 +108,12 @@
     try:
       _check_status(attempt.endpoint, response, HTTPStatus.OK)
       http_common.use_kernel_read_timeout(response, self._stall_timeout_s)
+      http_limits.restart(response, self._stall_timeout_s)
       for frame in _read_frames(attempt.endpoint, chunks):
         if frame.is_last and frame.attempt_id == attempt.attempt_id:
           has_last_frame = True
         yield frame
+        http_limits.restart(response, self._stall_timeout_s)
       if not has_last_frame:
         raise errors.EndpointFailedError(
             attempt.endpoint, 'the stream ended before its last frame'
@@ -291,6 +295,8 @@
   try:
     for data in chunks:
       *events, rest = (rest + data).split(EVENT_END)
+      if len(rest) > MAX_EVENT_BYTES:
+        raise errors.EndpointFailedError(endpoint, 'a frame is too long')
       for event in events:
         yield _decode_frame(endpoint, event)
   except (exceptions.HTTPError, OSError) as error:
--- a/mulberrypick/adapters/http_operator.py
+++ b/mulberrypick/adapters/http_operator.py
@@ -7,6 +7,7 @@
 import urllib3
 from urllib3 import exceptions
 
+from mulberrypick.adapters import http_limits
 from mulberrypick.core import errors
 
 EXPLAIN_PATH = '/explain/'
@@ -26,6 +27,7 @@
     self._pool = urllib3.PoolManager(
         retries=False, timeout=urllib3.Timeout(total=timeout_s)
     )
+    http_limits.limit_pool(self._pool)
     self._headers = {'Authorization': f'Bearer {token}'} if token else {}
 
   def read_status(self, address: str) -> dict[str, Any]:
--- a/mulberrypick/adapters/http_platform.py
+++ b/mulberrypick/adapters/http_platform.py
@@ -10,6 +10,7 @@
 from urllib3 import exceptions
 
 from mulberrypick.adapters import http_common
+from mulberrypick.adapters import http_limits
 from mulberrypick.adapters import platform
 from mulberrypick.core import errors
 from mulberrypick.core import records
@@ -64,6 +65,7 @@
     self._timeout_s = timeout_s
     self._headers = {'User-Agent': caller}
     self._pool = http_common.make_pool(source_ip, MAX_CONNECTIONS)
+    http_limits.limit_pool(self._pool, has_lists=True)
 
   def get(self, key: str) -> platform.VersionedValue | None:
     """Reads an object; returns None if it does not exist."""
