Map http.client errors of plain calls and orders to EndpointFailedError

A plain call or an order to an endpoint that sent no valid head (a line of more than 64 KiB, more than 100 headers, blank lines, no HTTP) raised LineTooLong, HTTPException or BadStatusLine, where the interface promises EndpointFailedError and its callers catch only EndpointError. urllib3's pools convert these errors; the single connections of http_common.connect do not. The check of an order's response now reads the body within the same guard and before the connection is closed.

ServiceTest.test_call and EngineTest.test_order of http_endless_test failed before in 6 cases each and pass now.

--- a/mulberrypick/adapters/http_common.py
+++ b/mulberrypick/adapters/http_common.py
@@ -5,6 +5,7 @@
 that was used before, the two cases can't be told apart.
 """
 
+import http.client
 import socket
 import struct
 from collections.abc import Iterable
@@ -19,6 +20,9 @@
 
 CUT_ERROR = 'cut'
 DRAINING_ERROR = 'draining'
+# Errors of an exchange on a connection of `connect`. A response without a valid
+# head raises errors of `http.client`.
+EXCHANGE_ERRORS = (exceptions.HTTPError, http.client.HTTPException, OSError)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 SocketOptions = Iterable[tuple[int, int, int | bytes]]
--- a/mulberrypick/adapters/http_engine.py
+++ b/mulberrypick/adapters/http_engine.py
@@ -192,11 +192,11 @@
     )
     try:
       response = self._exchange_order(conn, order)
-    except (exceptions.HTTPError, OSError) as error:
+      _check_order_response(order.endpoint, response)
+    except http_common.EXCHANGE_ERRORS as error:
       raise errors.EndpointFailedError(order.endpoint, repr(error)) from error
     finally:
       conn.close()
-    _check_order_response(order.endpoint, response)
 
   def _exchange_order(
       self, conn: connection.HTTPConnection, order: records.Order
--- a/mulberrypick/adapters/http_service.py
+++ b/mulberrypick/adapters/http_service.py
@@ -51,7 +51,7 @@
     conn = http_common.connect(endpoint, address, self._source_ip, connect_s)
     try:
       answer = _exchange(conn, call, deadline)
-    except (exceptions.HTTPError, OSError) as error:
+    except http_common.EXCHANGE_ERRORS as error:
       raise errors.EndpointFailedError(endpoint, repr(error)) from error
     finally:
       conn.close()
