Wait for the cache events of an engine in the test that reads them

The stand-in engine delivers the output of a step before it publishes the events of that step; the test read them once, right after the output. What is compared is unchanged.

--- a/mulberrypick/adapters/http_engine_test.py
+++ b/mulberrypick/adapters/http_engine_test.py
@@ -265,19 +265,21 @@
         'events', '--event-lag-s', '0', '--event-gap-share', '0'
     )
     list(self.adapter.generate(make_attempt(program), make_request(PROMPT, 1)))
-    events = self.adapter.read_cache_events(program.name, program.address, 1)
     blocks = answers.block_hashes('reader', '', PROMPT.split(), 16)
-    self.assertEqual(
-        events,
-        [
-            engine.CacheEvent(number + 1, True, block)
-            for number, block in enumerate(blocks)
-            if number >= 1
-        ],
-    )
+    expected = [
+        engine.CacheEvent(number + 1, True, block)
+        for number, block in enumerate(blocks)
+        if number >= 1
+    ]
+    # The engine publishes events after the output of the same step.
+    self.wait_for(lambda: len(self.read_events(program)) >= len(expected))
+    self.assertEqual(self.read_events(program), expected)
     report = self.adapter.read_load(program.name, program.address)
     self.assertEqual(report.models, ('reader', 'reader+jp'))
 
+  def read_events(self, program) -> list[engine.CacheEvent]:
+    return self.adapter.read_cache_events(program.name, program.address, 1)
+
   def test_stopped_engine_is_unreachable(self):
     address = launcher.free_address('127.0.1.1')
     with self.assertRaises(errors.EndpointUnreachableError):
