Failing tests of the bound on logged decisions

The gateway logs 40 decisions a second and drops the rest in their order of arrival, so a flood of refusals or served requests hides a cut stream: of 400 refusals and one decision of each other kind in a second, none of the others is logged. The three tests fail on this code; two more hold.

--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -1,16 +1,82 @@
-"""Tests of the log of decisions on requests."""
+"""Tests of the bound on the volume of logged decisions."""
 
 import unittest
 
 from mulberrypick.ops import call_log
 
+# More decisions of a kind than are logged in a second.
+FLOOD = 10 * call_log.MAX_LINES_PER_S
+NOW = 5.0
+
 
 class CallLogTest(unittest.TestCase):
 
   def setUp(self):
     self.log = call_log.CallLog()
 
-  def count_lines(self, event: str, outcome: str, count: int) -> int:
+  def record(self, outcome: str, count: int = 1, now: float = NOW) -> None:
+    for _ in range(count):
+      self.log.record(outcome, 'r', now, 'ask', request=outcome)
+
+  def count_lines(self, lines, event: str) -> int:
+    return sum(f"'event': '{event}'" in line for line in lines.output)
+
+  def test_flood_of_refusals_hides_no_cut_or_failed_answer(self):
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      self.record('refused', FLOOD)
+      for outcome in ('cut', 'failed', 'broke', 'left', 'retried', 'resumed'):
+        self.record(outcome)
+    for outcome in ('cut', 'failed', 'broke', 'left', 'retried', 'resumed'):
+      self.assertEqual(self.count_lines(lines, f'call_{outcome}'), 1, outcome)
+
+  def test_flood_of_any_kind_hides_no_cut_stream(self):
+    for outcome in ('served', 'refused', 'failed', 'broke', 'left', 'retried'):
+      self.log = call_log.CallLog()
+      with self.assertLogs(call_log.__name__, 'INFO') as lines:
+        self.record(outcome, call_log.SERVED_PER_LOG_LINE * FLOOD)
+        self.record('cut')
+      self.assertEqual(self.count_lines(lines, 'call_cut'), 1, outcome)
+
+  def test_flood_of_all_kinds_stays_within_the_bound(self):
+    outcomes = (
+        'served',
+        'refused',
+        'cut',
+        'failed',
+        'broke',
+        'left',
+        'retried',
+        'resumed',
+    )
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      for _ in range(call_log.SERVED_PER_LOG_LINE * FLOOD):
+        for outcome in outcomes:
+          self.record(outcome)
+    self.assertEqual(len(lines.output), call_log.MAX_LINES_PER_S)
+
+  def test_left_out_lines_are_counted_by_kind(self):
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      self.record('refused', FLOOD)
+      self.record('cut', FLOOD)
+      self.record('refused', now=NOW + 1)
+    refused = FLOOD + 1 - self.count_lines(lines, 'call_refused')
+    cut = FLOOD - self.count_lines(lines, 'call_cut')
+    self.assertEqual(self.count_lines(lines, 'lines_left_out'), 1)
+    line = next(line for line in lines.output if 'lines_left_out' in line)
+    self.assertIn(f"'count': {refused + cut}", line)
+    self.assertIn(f"'refused': {refused}", line)
+    self.assertIn(f"'cut': {cut}", line)
+
+  def test_all_decisions_are_counted(self):
+    with self.assertLogs(call_log.__name__, 'INFO'):
+      self.record('refused', FLOOD)
+      self.record('cut', FLOOD)
+    self.assertEqual(
+        self.log.count_by_outcome,
+        {('refused', 'r', 'ask'): FLOOD, ('cut', 'r', 'ask'): FLOOD},
+    )
+
+  def record_and_count(self, event: str, outcome: str, count: int) -> int:
     """Records decisions within one second; returns the lines that name them."""
     with self.assertLogs('mulberrypick.ops.call_log', 'INFO') as logs:
       for number in range(count):
@@ -19,14 +85,14 @@
 
   def test_many_refusals_do_not_suppress_lines_of_cut_answers(self):
     self.assertEqual(
-        self.count_lines('call_refused', 'refused', 100),
+        self.record_and_count('call_refused', 'refused', 100),
         call_log.MAX_LINES_PER_S,
     )
-    self.assertEqual(self.count_lines('call_cut', 'cut', 10), 10)
+    self.assertEqual(self.record_and_count('call_cut', 'cut', 10), 10)
 
   def test_lines_of_cut_answers_are_limited(self):
     self.assertEqual(
-        self.count_lines('call_cut', 'cut', 100),
+        self.record_and_count('call_cut', 'cut', 100),
         call_log.MAX_GIVEN_UP_LINES_PER_S,
     )
 
