Keep the gateways' output in the demo, and print it for violations

The demo discarded it, so a red run could not be traced. The check is the same: meets_guarantees becomes find_violations, which returns the requests instead of stopping at the first; its tests are unchanged but for the call.

--- a/standins/fleet_demo.py
+++ b/standins/fleet_demo.py
@@ -31,6 +31,8 @@
 READER_TOKENS_PER_S = 400_000.0
 WRITER_TOKENS_PER_S = 200_000.0
 CRASHED_ENGINE = 'writer-1'
+# File with the output of a gateway, in the folder of its host.
+LOG_NAME = 'log.txt'
 CLASSES = [
     load_plan.WorkClass(
         'question',
@@ -80,7 +82,7 @@
 
   Args:
     cluster: The store and replicas.
-    folder: Folder for the settings.
+    folder: Folder for the settings and the output of each gateway.
     program_by_port: Receives each process, by the port it listens on.
   """
   for number in (1, 2):
@@ -90,13 +92,14 @@
     path = bench_forwarding.write_settings(
         host, host_folder, cluster.store.port
     )
-    program_by_port[host.listen_port] = await asyncio.create_subprocess_exec(
-        sys.executable,
-        '-m',
-        'mulberrypick.scripts.gateway',
-        env=os.environ | {'MULBERRYPICK_NODE_FILE': str(path)},
-        stdout=asyncio.subprocess.DEVNULL,
-    )
+    with (host_folder / LOG_NAME).open('wb') as log:
+      program_by_port[host.listen_port] = await asyncio.create_subprocess_exec(
+          sys.executable,
+          '-m',
+          'mulberrypick.scripts.gateway',
+          env=os.environ | {'MULBERRYPICK_NODE_FILE': str(path)},
+          stdout=log,
+      )
     async with asyncio.timeout(READY_TIMEOUT_S):
       while not await _is_ready(host.ready_port):
         await asyncio.sleep(0.05)
@@ -158,22 +161,26 @@
     replica = cluster.replica_by_name[name]
     replica.behaviour = replica.behaviour._replace(rate=rate)
   program_by_port: dict[int, asyncio.subprocess.Process] = {}
-  try:
-    with tempfile.TemporaryDirectory() as folder:
-      await start_gateways(cluster, pathlib.Path(folder), program_by_port)
+  log_lines = []
+  with tempfile.TemporaryDirectory() as name:
+    folder = pathlib.Path(name)
+    try:
+      await start_gateways(cluster, folder, program_by_port)
       stopped = next(iter(program_by_port.values()))
       client = fleet_client.FleetClient(list(program_by_port), EVENTS)
       injecting = asyncio.create_task(inject_faults(cluster, client, stopped))
       results = await asyncio.to_thread(load.run_load, client, arrivals)
       await injecting
       status = await stopped.wait()
-  finally:
-    # No gateway process may outlive the demo, even if the demo itself fails.
-    for program in program_by_port.values():
-      if program.returncode is None:
-        program.kill()
-        await program.wait()
-    cluster.stop()
+    finally:
+      # No gateway process may outlive the demo, even if the demo itself fails.
+      for program in program_by_port.values():
+        if program.returncode is None:
+          program.kill()
+          await program.wait()
+      cluster.stop()
+    for path in sorted(folder.glob(f'*/{LOG_NAME}')):
+      log_lines += path.read_text().splitlines()
   duration_s = sum(phase.duration_s for phase in PHASES)
   by_class = load_summary.summarize_by('work_class', results, duration_s)
   print(load_summary.format_table(by_class))
@@ -181,36 +188,64 @@
   print(
       f'bookings that ran twice: {repeated}; graceful stop exited with {status}'
   )
-  return (
-      meets_guarantees(cluster, arrivals, results)
-      and not repeated
-      and status == 0
-  )
+  violations = find_violations(cluster, arrivals, results)
+  for arrival, result in violations:
+    print(describe_violation(cluster, arrival, result, log_lines))
+  if violations:
+    print('\n'.join(line for line in log_lines if 'lines_left_out' in line))
+  return not violations and not repeated and status == 0
 
 
-def meets_guarantees(
+def find_violations(
     cluster: gateway_cluster.GatewayCluster,
     arrivals: list[load_plan.Arrival],
     results: list[load_summary.Result],
-) -> bool:
-  """Returns whether each answer is whole or has another permitted outcome.
+) -> list[tuple[load_plan.Arrival, load_summary.Result]]:
+  """Returns the requests that have neither a whole nor a permitted answer.
 
   A long prompt may be refused, since the burst exceeds the prefill capacity of
   the engines, and may be cut if it ran on the engine that crashed.
   """
   crashed = cluster.replica_by_name[CRASHED_ENGINE]
+  violations = []
   for arrival, result in zip(arrivals, results, strict=True):
     if result.outcome == load_summary.OUTCOME_WHOLE:
       continue
-    if arrival.work_class.service != 'read':
-      return False
-    if result.outcome == load_summary.OUTCOME_REFUSED:
-      continue
-    if result.outcome != load_summary.OUTCOME_CUT:
-      return False
-    if not crashed.runs[fleet_client.request_id(arrival)]:
-      return False
-  return True
+    if arrival.work_class.service == 'read':
+      if result.outcome == load_summary.OUTCOME_REFUSED:
+        continue
+      if result.outcome == load_summary.OUTCOME_CUT and (
+          crashed.runs[fleet_client.request_id(arrival)]
+      ):
+        continue
+    violations.append((arrival, result))
+  return violations
+
+
+def describe_violation(
+    cluster: gateway_cluster.GatewayCluster,
+    arrival: load_plan.Arrival,
+    result: load_summary.Result,
+    log_lines: list[str],
+) -> str:
+  """Returns what the caller, the replicas and the gateways saw of a request."""
+  request = fleet_client.request_id(arrival)
+  ran_at = []
+  for replica in cluster.replica_by_name.values():
+    if replica.runs[request]:
+      ran_at.append(replica.name)
+  lines = [
+      f'{request}: {result.work_class} {result.outcome}, status'
+      f' {result.status}, {result.kind}, sent at {result.at_s:.2f} s,'
+      f' {result.late_s:.3f} s late, first event after'
+      f' {result.first_token_s:.3f} s, ended after {result.total_s:.3f} s,'
+      f' {result.tokens} events, longest gap'
+      f' {max(result.gaps_s, default=0.0):.3f} s, ran at {ran_at}'
+  ]
+  for line in log_lines:
+    if f'request={request} ' in f'{line} ':
+      lines.append(f'  {line}')
+  return '\n'.join(lines)
 
 
 def main() -> None:
--- a/standins/fleet_demo_test.py
+++ b/standins/fleet_demo_test.py
@@ -16,7 +16,7 @@
     self.assertTrue(asyncio.run(fleet_demo.run()))
 
 
-class MeetsGuaranteesTest(unittest.TestCase):
+class FindViolationsTest(unittest.TestCase):
 
   def setUp(self):
     self.cluster = gateway_cluster.GatewayCluster()
@@ -54,7 +54,10 @@
           replica.runs[fleet_client.request_id(arrival)] += 1
       results.append(self.make_result(arrival, result))
     self.assertTrue(changed)
-    return fleet_demo.meets_guarantees(self.cluster, self.arrivals, results)
+    violations = fleet_demo.find_violations(
+        self.cluster, self.arrivals, results
+    )
+    return not violations
 
   def make_result(self, arrival, outcome: str) -> load_summary.Result:
     empty = ('', '', '', 0.0, 0.0, '', 0, '', '', 0.0, 0.0, 0.0, (), 0, False)
