Test that a question waits for the only engine that can run it

What was seen: in the demo on a busy machine questions got 502, call_retried and call_failed reason=silent in the same millisecond, also 3 s after the crashed engine had left. CallRun._can_run_elsewhere counted the engine that only prefills, so the limit on the head held with one decoding engine left.

--- a/mulberrypick/platform/gateway_timeout_test.py
+++ b/mulberrypick/platform/gateway_timeout_test.py
@@ -1,4 +1,4 @@
-"""Tests of the time limit of routes, on loopback."""
+"""Tests of time limits of routes and of response heads, on loopback."""
 
 import unittest
 
@@ -10,6 +10,9 @@
 CALLER_HEADERS = {'X-Mulberrypick-Deadline-Ms': '30000'}
 EVENTS = 400
 EVENT_INTERVAL_S = 0.05
+# Time to the first event, above the limit for a head if another engine can run
+# the request.
+SLOW_HEAD_S = 0.9
 
 
 class RouteTimeoutTest(gateway_test.GatewayTestCase):
@@ -42,5 +45,19 @@
       self.assertEqual(self.cluster.runs(route), 1)
 
 
+class OnlyEngineTest(gateway_test.GatewayTestCase):
+
+  async def test_slow_head_of_the_only_decoding_engine_is_waited_for(self):
+    # The engine that only prefills can't run the request.
+    endpoints = self.gateway.state.endpoints
+    self.cluster.store.remove('servers', 'writer-2')
+    await self.wait_until(lambda: len(list(endpoints.all())) == 4)
+    self.cluster.update_behaviour('engine', work_s=SLOW_HEAD_S)
+    response = await self.call('/ask/x', 'r1')
+    self.assertEqual(response.status, 200)
+    self.assertTrue(response.is_whole)
+    self.assertEqual(self.cluster.runs('r1'), 1)
+
+
 if __name__ == '__main__':
   unittest.main()
