--- a/standins/soak.py
+++ b/standins/soak.py
@@ -16,25 +16,20 @@
 import pathlib
 import sys
 import tempfile
-import time
 
 import click
 
-from standins import crash_point
-from standins import fleet_replica
 from standins import gateway_cluster
 from standins import soak_checks
 from standins import soak_client
 from standins import soak_cluster
+from standins import soak_faults
 from standins import soak_plan
-from standins import soak_streams
 
 GATEWAY = 'mulberrypick.scripts.gateway'
 RATE_PER_S = 80.0
 ROUTES = ('unsafe', 'ask', 'safe', 'read', 'unsafe')
 POLL_INTERVAL_S = 0.2
-# Interval at which the caller of a crashing request sends it again.
-CRASHER_INTERVAL_S = 0.25
 # An endpoint that left may receive new requests for this long, until all
 # gateways know of the change.
 MAX_WORK_AFTER_LEAVING_S = 2.0
@@ -63,26 +58,22 @@
     self._faults = faults
     self._cluster = soak_cluster.SoakCluster(folder, module)
     self._client = soak_client.SoakClient(self._cluster.started_at)
-    self._stream_caller = soak_streams.StreamCaller(self._cluster)
+    self._injector = soak_faults.FaultInjector(self._cluster, self._send_one)
     self._violations: list[str] = []
     self._request_count = 0
-    self._body_by_crasher: dict[str, bytes] = {}
-    self._disturbances: list[soak_checks.Outage] = []
-    # Endpoints that named a limit, with the limit and the time since when.
-    self._limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
 
   async def run(self) -> list[str]:
     """Runs the schedule; returns the violations found, one line each."""
     cluster = self._cluster
     try:
       await cluster.start()
-      schedule_start_at = self._now()
+      schedule_start_at = self._cluster.now()
       polling = asyncio.create_task(self._poll_readiness())
       sending = asyncio.create_task(self._send())
       async with asyncio.TaskGroup() as group:
         for fault in self._faults:
-          group.create_task(self._inject(fault, schedule_start_at))
-      left_s = schedule_start_at + soak_plan.DURATION_S - self._now()
+          group.create_task(self._injector.inject(fault, schedule_start_at))
+      left_s = schedule_start_at + soak_plan.DURATION_S - self._cluster.now()
       await asyncio.sleep(max(0.0, left_s))
       sending.cancel()
       await self._check_recovery()
@@ -94,9 +85,6 @@
       await cluster.stop()
     return self._violations
 
-  def _now(self) -> float:
-    return time.monotonic() - self._cluster.started_at
-
   async def _poll_readiness(self) -> None:
     """Polls the readiness of the gateways, as a load balancer does."""
     while True:
@@ -142,132 +130,6 @@
         gateway.host.name, gateway.host.listen_port, route, request, body
     )
 
-  async def _inject(
-      self, fault: soak_plan.Fault, schedule_start_at: float
-  ) -> None:
-    await asyncio.sleep(max(0.0, schedule_start_at + fault.at_s - self._now()))
-    began_at = self._now()
-    await getattr(self, f'_inject_{fault.kind}')(fault)
-    if fault.kind in ('store', 'store_link'):
-      gateway = fault.target if fault.kind == 'store_link' else ''
-      self._disturbances.append(
-          soak_checks.Outage(gateway, began_at, self._now())
-      )
-
-  async def _inject_crasher(self, fault: soak_plan.Fault) -> None:
-    """Sends a crashing request again and again, each time with a new id."""
-    prefix = f'crasher-{fault.target}-{fault.variant}-'
-    # The prefix in the body distinguishes the crashes of two such requests.
-    body = crash_point.CRASH_MARKER + f'{fault.variant} {prefix}'.encode()
-    self._body_by_crasher[prefix] = body
-    end_at = self._now() + fault.duration_s
-    async with asyncio.TaskGroup() as group:
-      number = 0
-      while self._now() < end_at:
-        number += 1
-        crasher = (fault.target, f'{prefix}{number}', body)
-        group.create_task(self._send_one(crasher))
-        await asyncio.sleep(CRASHER_INTERVAL_S)
-
-  async def _inject_limit(self, fault: soak_plan.Fault) -> None:
-    replica = self._cluster.replica_by_name[fault.target]
-    replica.limit = float(fault.variant)
-    self._limited.append((replica, replica.limit, self._now()))
-    await asyncio.sleep(fault.duration_s)
-    replica.limit = 0.0
-
-  async def _inject_version(self, fault: soak_plan.Fault) -> None:
-    """Adds engines of another version; with `replace`, the others leave."""
-    cluster = self._cluster
-    for name in soak_plan.NEW_ENGINES:
-      await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
-    calling = asyncio.create_task(self._stream_caller.run(fault.duration_s))
-    if fault.variant == 'replace':
-      for name in ('writer-1', 'writer-2'):
-        await asyncio.sleep(fault.duration_s / 3)
-        cluster.base.store.remove('servers', name)
-        await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
-    await calling
-
-  async def _inject_kill(self, fault: soak_plan.Fault) -> None:
-    await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
-
-  async def _inject_stop(self, fault: soak_plan.Fault) -> None:
-    await self._cluster.gateway_by_name[fault.target].stop(fault.duration_s)
-
-  async def _inject_pause(self, fault: soak_plan.Fault) -> None:
-    await self._cluster.gateway_by_name[fault.target].pause(fault.duration_s)
-
-  async def _inject_reload(self, fault: soak_plan.Fault) -> None:
-    gateway = self._cluster.gateway_by_name[fault.target]
-    if fault.variant == 'file':
-      gateway.write([], 60.0)
-      return
-    for _ in range(5):
-      gateway.reload()
-      await asyncio.sleep(fault.duration_s / 5)
-
-  async def _inject_crash(self, fault: soak_plan.Fault) -> None:
-    cluster, name = self._cluster, fault.target
-    replica = cluster.replica_by_name[name]
-    replica.stop()
-    await asyncio.sleep(fault.duration_s / 2)
-    cluster.base.store.remove('servers', name)
-    await asyncio.sleep(fault.duration_s / 2)
-    same = fault.variant == 'same_port'
-    await cluster.start_replica(name, replica.port if same else 0)
-
-  async def _inject_leave(self, fault: soak_plan.Fault) -> None:
-    cluster, name = self._cluster, fault.target
-    if fault.variant == 'draining':
-      cluster.list_replica(name, 'draining')
-    else:
-      cluster.base.store.remove('servers', name)
-    cluster.departures.append((cluster.replica_by_name[name], self._now()))
-    await asyncio.sleep(fault.duration_s)
-    cluster.base.store.remove('servers', name)
-    await cluster.start_replica(name)
-
-  async def _inject_mode(self, fault: soak_plan.Fault) -> None:
-    replica = self._cluster.replica_by_name[fault.target]
-    usual = replica.behaviour
-    replica.behaviour = usual._replace(mode=fault.variant)
-    await asyncio.sleep(fault.duration_s)
-    replica.behaviour = usual
-
-  async def _inject_link(self, fault: soak_plan.Fault) -> None:
-    link = self._cluster.link_by_name[fault.target]
-    await self._inject_link_fault(link, fault)
-
-  async def _inject_store_link(self, fault: soak_plan.Fault) -> None:
-    link = self._cluster.gateway_by_name[fault.target].store_link
-    await self._inject_link_fault(link, fault)
-
-  async def _inject_link_fault(self, link, fault: soak_plan.Fault) -> None:
-    if fault.variant == 'delay':
-      link.delay(0.03)
-    elif fault.variant == 'break':
-      link.break_connections()
-    else:
-      getattr(link, fault.variant)()
-    await asyncio.sleep(fault.duration_s)
-    link.heal()
-
-  async def _inject_store(self, fault: soak_plan.Fault) -> None:
-    store = self._cluster.base.store
-    store.fail(fault.variant)
-    await asyncio.sleep(fault.duration_s)
-    store.fail('ok')
-
-  async def _inject_history(self, fault: soak_plan.Fault) -> None:
-    del fault
-    self._cluster.base.store.forget_history()
-
-  async def _inject_config(self, fault: soak_plan.Fault) -> None:
-    for _ in range(6 if fault.variant == 'series' else 1):
-      self._cluster.change_config()
-      await asyncio.sleep(fault.duration_s / 6)
-
   async def _check_recovery(self) -> None:
     """Checks that all requests are served again after the last fault."""
     for gateway in self._cluster.gateway_by_name.values():
@@ -313,9 +175,9 @@
         outages,
         soak_cluster.EVENTS,
     )
-    self._violations += self._stream_caller.find_violations(outages)
+    self._violations += self._injector.stream_caller.find_violations(outages)
     limited = []
-    for replica, limit, named_at in self._limited:
+    for replica, limit, named_at in self._injector.limited:
       arrivals = []
       for at, request in replica.limited_arrivals:
         arrivals.append((at - self._cluster.started_at, request))
@@ -325,12 +187,12 @@
     self._violations += soak_checks.find_limit_violations(
         self._client.observations, limited, outages
     )
-    for prefix, body in self._body_by_crasher.items():
+    for prefix, body in self._injector.body_by_crasher.items():
       self._violations += soak_checks.find_late_retries(
           self._client.observations,
           [at for at, by in self._cluster.crashes if by == body],
           self._cluster.crashing_arrivals(),
-          outages + self._disturbances,
+          outages + self._injector.disturbances,
           prefix,
       )
     if any(fault.kind in FAULTS_DELAYING_UPDATES for fault in self._faults):
@@ -352,7 +214,7 @@
       )
     faults = ' '.join(f'{f.kind}:{f.target}:{f.variant}' for f in self._faults)
     crashes = f'{len(self._cluster.crashes)} crashes by requests'
-    taken_up = self._stream_caller.taken_up
+    taken_up = self._injector.stream_caller.taken_up
     gone_on = sum(stream.has_gone_on for stream in taken_up)
     streams = f'{gone_on} of {len(taken_up)} streams went on'
     return f'{count_by_status}, {crashes}, {streams}, after {faults}'
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -244,6 +244,10 @@
     self._module = module
     self._version = 1
 
+  def now(self) -> float:
+    """Returns the time in seconds after the start."""
+    return time.monotonic() - self.started_at
+
   async def start(self) -> None:
     """Starts all parts, and waits until the gateways are ready."""
     store = self.base.store
--- /dev/null
+++ b/standins/soak_faults.py
@@ -0,0 +1,172 @@
+"""Carries out the faults of a soak run."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from standins import crash_point
+from standins import fleet_replica
+from standins import soak_checks
+from standins import soak_cluster
+from standins import soak_plan
+from standins import soak_streams
+
+# Interval at which the caller of a crashing request sends it again.
+CRASHER_INTERVAL_S = 0.25
+
+
+class FaultInjector:
+  """Carries out the faults of a soak run.
+
+  Attributes:
+    disturbances: Periods in which the store, or a path to it, was disturbed.
+    limited: Endpoints that named a limit, with the limit and the time since
+      when.
+    body_by_crasher: Body of each crashing request, by the prefix of its ids.
+    stream_caller: Caller that takes up streams.
+  """
+
+  def __init__(
+      self,
+      cluster: soak_cluster.SoakCluster,
+      send: Callable[[tuple[str, str, bytes]], Awaitable[object]],
+  ):
+    """Makes the injector.
+
+    Args:
+      cluster: The cluster.
+      send: Sends a request, given its route, id and body.
+    """
+    self._cluster = cluster
+    self._send = send
+    self.disturbances: list[soak_checks.Outage] = []
+    self.limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
+    self.body_by_crasher: dict[str, bytes] = {}
+    self.stream_caller = soak_streams.StreamCaller(cluster)
+
+  async def inject(
+      self, fault: soak_plan.Fault, schedule_start_at: float
+  ) -> None:
+    """Waits until a fault is due, and carries it out."""
+    await asyncio.sleep(max(0.0, schedule_start_at + fault.at_s - self._cluster.now()))
+    began_at = self._cluster.now()
+    await getattr(self, f'_inject_{fault.kind}')(fault)
+    if fault.kind in ('store', 'store_link'):
+      gateway = fault.target if fault.kind == 'store_link' else ''
+      self.disturbances.append(
+          soak_checks.Outage(gateway, began_at, self._cluster.now())
+      )
+
+  async def _inject_crasher(self, fault: soak_plan.Fault) -> None:
+    """Sends a crashing request again and again, each time with a new id."""
+    prefix = f'crasher-{fault.target}-{fault.variant}-'
+    # The prefix in the body distinguishes the crashes of two such requests.
+    body = crash_point.CRASH_MARKER + f'{fault.variant} {prefix}'.encode()
+    self.body_by_crasher[prefix] = body
+    end_at = self._cluster.now() + fault.duration_s
+    async with asyncio.TaskGroup() as group:
+      number = 0
+      while self._cluster.now() < end_at:
+        number += 1
+        crasher = (fault.target, f'{prefix}{number}', body)
+        group.create_task(self._send(crasher))
+        await asyncio.sleep(CRASHER_INTERVAL_S)
+
+  async def _inject_limit(self, fault: soak_plan.Fault) -> None:
+    replica = self._cluster.replica_by_name[fault.target]
+    replica.limit = float(fault.variant)
+    self.limited.append((replica, replica.limit, self._cluster.now()))
+    await asyncio.sleep(fault.duration_s)
+    replica.limit = 0.0
+
+  async def _inject_version(self, fault: soak_plan.Fault) -> None:
+    """Adds engines of another version; with `replace`, the others leave."""
+    cluster = self._cluster
+    for name in soak_plan.NEW_ENGINES:
+      await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
+    calling = asyncio.create_task(self.stream_caller.run(fault.duration_s))
+    if fault.variant == 'replace':
+      for name in ('writer-1', 'writer-2'):
+        await asyncio.sleep(fault.duration_s / 3)
+        cluster.base.store.remove('servers', name)
+        await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
+    await calling
+
+  async def _inject_kill(self, fault: soak_plan.Fault) -> None:
+    await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
+
+  async def _inject_stop(self, fault: soak_plan.Fault) -> None:
+    await self._cluster.gateway_by_name[fault.target].stop(fault.duration_s)
+
+  async def _inject_pause(self, fault: soak_plan.Fault) -> None:
+    await self._cluster.gateway_by_name[fault.target].pause(fault.duration_s)
+
+  async def _inject_reload(self, fault: soak_plan.Fault) -> None:
+    gateway = self._cluster.gateway_by_name[fault.target]
+    if fault.variant == 'file':
+      gateway.write([], 60.0)
+      return
+    for _ in range(5):
+      gateway.reload()
+      await asyncio.sleep(fault.duration_s / 5)
+
+  async def _inject_crash(self, fault: soak_plan.Fault) -> None:
+    cluster, name = self._cluster, fault.target
+    replica = cluster.replica_by_name[name]
+    replica.stop()
+    await asyncio.sleep(fault.duration_s / 2)
+    cluster.base.store.remove('servers', name)
+    await asyncio.sleep(fault.duration_s / 2)
+    same = fault.variant == 'same_port'
+    await cluster.start_replica(name, replica.port if same else 0)
+
+  async def _inject_leave(self, fault: soak_plan.Fault) -> None:
+    cluster, name = self._cluster, fault.target
+    if fault.variant == 'draining':
+      cluster.list_replica(name, 'draining')
+    else:
+      cluster.base.store.remove('servers', name)
+    cluster.departures.append((cluster.replica_by_name[name], self._cluster.now()))
+    await asyncio.sleep(fault.duration_s)
+    cluster.base.store.remove('servers', name)
+    await cluster.start_replica(name)
+
+  async def _inject_mode(self, fault: soak_plan.Fault) -> None:
+    replica = self._cluster.replica_by_name[fault.target]
+    usual = replica.behaviour
+    replica.behaviour = usual._replace(mode=fault.variant)
+    await asyncio.sleep(fault.duration_s)
+    replica.behaviour = usual
+
+  async def _inject_link(self, fault: soak_plan.Fault) -> None:
+    link = self._cluster.link_by_name[fault.target]
+    await self._inject_link_fault(link, fault)
+
+  async def _inject_store_link(self, fault: soak_plan.Fault) -> None:
+    link = self._cluster.gateway_by_name[fault.target].store_link
+    await self._inject_link_fault(link, fault)
+
+  async def _inject_link_fault(self, link, fault: soak_plan.Fault) -> None:
+    if fault.variant == 'delay':
+      link.delay(0.03)
+    elif fault.variant == 'break':
+      link.break_connections()
+    else:
+      getattr(link, fault.variant)()
+    await asyncio.sleep(fault.duration_s)
+    link.heal()
+
+  async def _inject_store(self, fault: soak_plan.Fault) -> None:
+    store = self._cluster.base.store
+    store.fail(fault.variant)
+    await asyncio.sleep(fault.duration_s)
+    store.fail('ok')
+
+  async def _inject_history(self, fault: soak_plan.Fault) -> None:
+    del fault
+    self._cluster.base.store.forget_history()
+
+  async def _inject_config(self, fault: soak_plan.Fault) -> None:
+    for _ in range(6 if fault.variant == 'series' else 1):
+      self._cluster.change_config()
+      await asyncio.sleep(fault.duration_s / 6)
