--- a/standins/gateway_process_test.py
+++ b/standins/gateway_process_test.py
@@ -10,7 +10,7 @@
 
 from standins import bench_forwarding
 from standins import gateway_cluster
-from standins import soak_cluster
+from standins import soak_gateway
 
 TIMEOUT_S = 20.0
 
@@ -75,7 +75,7 @@
     await self.program.wait()
     for _ in range(3):
       program = await self.spawn()
-      await soak_cluster.wait_until_signals_are_handled(program.pid)
+      await soak_gateway.wait_until_signals_are_handled(program.pid)
       program.send_signal(signal.SIGTERM)
       async with asyncio.timeout(TIMEOUT_S):
         self.assertEqual(await program.wait(), 0)
--- a/standins/retry_cluster.py
+++ b/standins/retry_cluster.py
@@ -15,14 +15,14 @@
 from standins import relay
 from standins import relayed_gateway
 from standins import retry_check
-from standins import soak_cluster
+from standins import soak_gateway
 
 _log = logging.getLogger(__name__)
 # A caller gives up after this time (s).
 CALL_TIMEOUT_S = 6.0
 
 
-class RetryGateway(soak_cluster.SoakGateway):
+class RetryGateway(soak_gateway.SoakGateway):
   """A gateway process whose peers reach it through a relay.
 
   Attributes:
@@ -118,7 +118,7 @@
       await self._wait_until_hosts_are_known(gateway)
 
   async def _wait_until_hosts_are_known(self, gateway: RetryGateway) -> None:
-    async with asyncio.timeout(soak_cluster.READY_TIMEOUT_S):
+    async with asyncio.timeout(soak_gateway.READY_TIMEOUT_S):
       while True:
         text = gateway.log_text()
         heard = set(re.findall(r'event=peer_heard.* peer=(\S+)', text))
--- /dev/null
+++ b/standins/soak_gateway.py
@@ -0,0 +1,196 @@
+"""A gateway process of a soak run."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import time
+
+from standins import bench_forwarding
+from standins import gateway_cluster
+from standins import relay
+from standins import soak_checks
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+async def wait_until_signals_are_handled(pid: int) -> None:
+  """Waits until a gateway handles SIGTERM and ignores SIGHUP.
+
+  Until the first lines of the program have run, SIGTERM kills it. SIGHUP may be
+  ignored from the start, as under nohup.
+  """
+  status = pathlib.Path(f'/proc/{pid}/status')
+  async with asyncio.timeout(READY_TIMEOUT_S):
+    while True:
+      mask_by_field = {}
+      for line in status.read_text().splitlines():
+        if line.startswith(('SigIgn:', 'SigCgt:')):
+          field, mask = line.split()
+          mask_by_field[field] = int(mask, 16)
+      # Signal n is bit n - 1 of a mask.
+      if (
+          mask_by_field['SigIgn:'] >> (signal.SIGHUP - 1) & 1
+          and mask_by_field['SigCgt:'] >> (signal.SIGTERM - 1) & 1
+      ):
+        return
+      await asyncio.sleep(0.002)
+
+
+class SoakGateway:
+  """A gateway process, its state and its observed failures.
+
+  Attributes:
+    host: The host as its settings describe it.
+    store_link: The relay to the store.
+    is_ready: Whether it was ready at the last poll.
+    unexpected_exits: Descriptions of unrequested exits and failed shutdowns.
+    outages: Periods in which it could not answer.
+  """
+
+  def __init__(
+      self,
+      cluster: gateway_cluster.GatewayCluster,
+      folder: pathlib.Path,
+      name: str,
+      module: str,
+      started_at: float,
+  ):
+    self.store_link = relay.Relay(f'127.0.0.1:{cluster.store.port}')
+    self.host = cluster.make_host(name)
+    self.is_ready = False
+    self.unexpected_exits: list[str] = []
+    self.outages: list[soak_checks.Outage] = []
+    self._folder = folder / name
+    self._folder.mkdir()
+    self._module = module
+    self._started_at = started_at
+    self._program: asyncio.subprocess.Process | None = None
+    self._is_ending = False
+    # Serializes kills, stops and pauses of the process.
+    self._lock = asyncio.Lock()
+
+  def write(self, seeds: list[str], slack: float = 50.0) -> None:
+    """Writes the settings file of the gateway."""
+    port = int(self.store_link.address.rpartition(':')[2])
+    bench_forwarding.write_settings(self.host, self._folder, port, seeds, slack)
+
+  async def start(self) -> None:
+    """Starts the process and waits until it handles signals."""
+    with open(self._folder / 'log.txt', 'ab') as log:
+      self._program = await asyncio.create_subprocess_exec(
+          sys.executable,
+          '-m',
+          self._module,
+          env=os.environ
+          | {'MULBERRYPICK_NODE_FILE': str(self._folder / 'settings.yaml')},
+          stdout=log,
+          stderr=log,
+      )
+    self._is_ending = False
+    await wait_until_signals_are_handled(self._program.pid)
+
+  async def _start_again(self) -> None:
+    """Starts the process; the whole system has started before."""
+    path = self._folder / 'settings.yaml'
+    text = path.read_text()
+    path.write_text(text.replace('bootstrap: true', 'bootstrap: false'))
+    await self.start()
+
+  async def poll(self) -> None:
+    """Polls whether the gateway is ready; records an unexpected exit."""
+    program = self._program
+    if program.returncode is not None and not self._is_ending:
+      self.unexpected_exits.append(
+          f'{self.host.name} exited with status {program.returncode}'
+      )
+      self._is_ending = True
+    try:
+      async with asyncio.timeout(1.0):
+        answer = await gateway_cluster.call(
+            self.host.ready_port, '/mulberrypick/readyz', '', method='GET'
+        )
+      self.is_ready = answer.status == 200
+    except (gateway_cluster.stream_client.errors.ConnectError, TimeoutError):
+      # A load balancer treats a gateway that does not answer as not ready.
+      self.is_ready = False
+
+  async def wait_until_ready(self) -> None:
+    """Waits until the gateway is ready.
+
+    Raises:
+      TimeoutError: It did not become ready in time.
+    """
+    async with asyncio.timeout(READY_TIMEOUT_S):
+      while not self.is_ready:
+        await self.poll()
+        await asyncio.sleep(0.05)
+
+  async def kill(self, duration_s: float) -> None:
+    """Kills the gateway, and restarts it after `duration_s`."""
+    async with self._lock:
+      began_at = self._now()
+      self._is_ending = True
+      self._program.kill()
+      await self._program.wait()
+      await asyncio.sleep(duration_s)
+      await self._start_again()
+    self.outages.append(
+        soak_checks.Outage(self.host.name, began_at, self._now() + 1.0)
+    )
+
+  async def stop(self, duration_s: float) -> None:
+    """Stops the gateway with SIGTERM, and restarts it after `duration_s`."""
+    async with self._lock:
+      self._is_ending = True
+      self._program.send_signal(signal.SIGTERM)
+      try:
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+          status = await self._program.wait()
+      except TimeoutError:
+        self.unexpected_exits.append(
+            f'{self.host.name} did not stop after SIGTERM'
+        )
+        self._program.kill()
+        status = await self._program.wait()
+      if status:
+        self.unexpected_exits.append(
+            f'{self.host.name} stopped with status {status}'
+        )
+      began_at = self._now()
+      await asyncio.sleep(duration_s)
+      await self._start_again()
+    # A load balancer that polls twice a second may still send requests to the
+    # closed port.
+    self.outages.append(
+        soak_checks.Outage(self.host.name, began_at - 0.1, self._now() + 1.0)
+    )
+
+  async def pause(self, duration_s: float) -> None:
+    """Suspends the gateway with SIGSTOP for `duration_s`."""
+    async with self._lock:
+      began_at = self._now()
+      self._program.send_signal(signal.SIGSTOP)
+      await asyncio.sleep(duration_s)
+      self._program.send_signal(signal.SIGCONT)
+    self.outages.append(
+        soak_checks.Outage(self.host.name, began_at, self._now() + 0.5)
+    )
+
+  def reload(self) -> None:
+    """Sends SIGHUP, on which the gateway reloads its settings."""
+    if not self._is_ending:
+      self._program.send_signal(signal.SIGHUP)
+
+  async def close(self) -> None:
+    """Kills the process if it is running, and closes its relay."""
+    self._is_ending = True
+    if self._program is not None and self._program.returncode is None:
+      self._program.kill()
+      await self._program.wait()
+    self.store_link.close()
+
+  def _now(self) -> float:
+    return time.monotonic() - self._started_at
