Draw silent endpoints and unframed answers in the soak, and check cut streams

No stand-in of the soak fell silent and went on, nor sent answers with neither a length nor chunks, and no check counted cut streams, so LOST went unseen.

In two of five schedules engines fall silent for 1.1 s in turn: alone, beside changes of the configuration, without budget for retries, or with one decoding engine. A caller that waits 6 s sends streams meanwhile. LOST: a stream without an answer, or cut, unless its gateway was down or an endpoint that ran it crashed, failed or was cut off. In two of five, but not beside what breaks connections, an engine and a plain endpoint answer unframed; streams may end inside an event.

The streaming routes of the soak have 8 s in place of 1.5 s; its other callers keep their 1.4 s.

--- a/standins/bench_forwarding.py
+++ b/standins/bench_forwarding.py
@@ -63,6 +63,7 @@
     store_port: int,
     seeds: Sequence[str] = (),
     slack: float = 50.0,
+    ratio: float = 0.2,
 ) -> pathlib.Path:
   """Writes the settings file of a gateway; returns its path."""
   path = folder / 'settings.yaml'
@@ -82,7 +83,7 @@
               'bootstrap': host.is_first_start,
               'bounds': {
                   'graceS': 8,
-                  'retryBudgetRatio': 0.2,
+                  'retryBudgetRatio': ratio,
                   'retryBudgetSlack': slack,
                   'budgetWindowS': 10,
               },
--- a/standins/retry_cluster.py
+++ b/standins/retry_cluster.py
@@ -14,6 +14,7 @@
 from standins import gateway_cluster
 from standins import relay
 from standins import relayed_gateway
+from standins import retry_bound
 from standins import retry_check
 from standins import soak_gateway
 
@@ -36,7 +37,9 @@
       name: str,
   ):
     now = asyncio.get_running_loop().time()
-    super().__init__(cluster, folder, name, 'standins.relayed_gateway', now)
+    module = 'standins.relayed_gateway'
+    bound = retry_bound.RetryBound(0.0, 0.0)
+    super().__init__(cluster, folder, name, module, now, bound)
     listen = f'127.0.0.1:{self.host.peer_port}'
     self.peer_link = relay.Relay(listen)
     port = int(self.peer_link.address.rpartition(':')[2])
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -56,7 +56,9 @@
       module: str = GATEWAY,
   ):
     self._faults = faults
-    self._cluster = soak_cluster.SoakCluster(folder, module)
+    self._cluster = soak_cluster.SoakCluster(
+        folder, module, soak_plan.plan_retries(faults)
+    )
     self._client = soak_client.SoakClient(self._cluster.started_at)
     self._injector = soak_faults.FaultInjector(self._cluster, self._send_one)
     self._violations: list[str] = []
@@ -176,6 +178,9 @@
         soak_cluster.EVENTS,
     )
     self._violations += self._injector.stream_caller.find_violations(outages)
+    self._violations += self._injector.patient_caller.find_violations(
+        outages, self._cluster.endpoint_outages
+    )
     limited = []
     for replica, limit, named_at in self._injector.limited:
       arrivals = []
@@ -216,7 +221,8 @@
     crashes = f'{len(self._cluster.crashes)} crashes by requests'
     taken_up = self._injector.stream_caller.taken_up
     gone_on = sum(stream.has_gone_on for stream in taken_up)
-    streams = f'{gone_on} of {len(taken_up)} streams went on'
+    patient = len(self._injector.patient_caller.calls)
+    streams = f'{patient} patient streams, {gone_on} of {len(taken_up)} streams went on'
     return f'{count_by_status}, {crashes}, {streams}, after {faults}'
 
 
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -8,6 +8,8 @@
 from standins import fleet_replica
 from standins import gateway_cluster
 from standins import relay
+from standins import retry_bound
+from standins import soak_checks
 from standins import soak_gateway
 from standins import soak_plan
 
@@ -17,6 +19,8 @@
 # when an endpoint crashes.
 DESK_WORK_S = 0.12
 ENGINE_WORK_S = 0.02
+# Time limit of the streaming routes.
+STREAM_LIMIT_MS = 8000
 # Time for all hosts to settle after a change or the end of a fault. A
 # configuration must be in force within 2 to 3 s, and gateways notice within 3 s
 # that the store is back.
@@ -34,6 +38,7 @@
   """Store, endpoints behind relays, and gateways.
 
   Attributes:
+    bound: The retries that the settings of the gateways allow.
     base: Runs the store, and makes the settings of the gateways.
     gateway_by_name: The gateways.
     replica_by_name: The current endpoint of each name.
@@ -41,9 +46,14 @@
     departures: Endpoints that left, and when, in seconds after the start.
     crashes: Times, in seconds after the start, at which requests crashed
       endpoints, and the bodies of the requests.
+    endpoint_outages: Periods in which endpoints crashed, failed or were cut
+      off; `gateway` is the name of the endpoint.
   """
 
-  def __init__(self, folder: pathlib.Path, module: str):
+  def __init__(
+      self, folder: pathlib.Path, module: str, bound: retry_bound.RetryBound
+  ):
+    self.bound = bound
     self.started_at = time.monotonic()
     self.base = gateway_cluster.GatewayCluster()
     self.gateway_by_name: dict[str, soak_gateway.SoakGateway] = {}
@@ -52,6 +62,7 @@
     self.departures: list[tuple[fleet_replica.FleetReplica, float]] = []
     self.crashes: list[tuple[float, bytes]] = []
     self._restarts: list[asyncio.Task] = []
+    self.endpoint_outages: list[soak_checks.Outage] = []
     self._all_replicas: list[fleet_replica.FleetReplica] = []
     self._all_links: list[relay.Relay] = []
     self._folder = folder
@@ -66,13 +77,18 @@
     """Starts all parts, and waits until the gateways are ready."""
     store = self.base.store
     await store.start(gateway_cluster.free_ports(1)[0])
-    store.put('config', 'main', gateway_cluster.make_config(1))
+    store.put('config', 'main', _make_config(1))
     for name in soak_plan.DESKS + soak_plan.ENGINES:
       await self.start_replica(name)
     seeds: list[str] = []
     for name in soak_plan.GATEWAYS:
       gateway = soak_gateway.SoakGateway(
-          self.base, self._folder, name, self._module, self.started_at
+          self.base,
+          self._folder,
+          name,
+          self._module,
+          self.started_at,
+          self.bound,
       )
       self.gateway_by_name[name] = gateway
       gateway.write(seeds)
@@ -129,6 +145,11 @@
   def _handle_crash(self, replica: fleet_replica.FleetReplica) -> None:
     crashed_at = time.monotonic() - self.started_at
     self.crashes.append((crashed_at, replica.crashed_by))
+    self.endpoint_outages.append(
+        soak_checks.Outage(
+            replica.name, crashed_at, crashed_at + gateway_cluster.RESTART_S
+        )
+    )
     restart = asyncio.get_running_loop().create_task(self._restart(replica))
     self._restarts.append(restart)
 
@@ -152,7 +173,7 @@
   def change_config(self) -> int:
     """Writes a configuration with a higher version; returns the version."""
     self._version += 1
-    config = gateway_cluster.make_config(self._version)
+    config = _make_config(self._version)
     config['routes'].append(
         config['routes'][0]
         | {
@@ -175,6 +196,14 @@
       total.update(replica.runs)
     return total
 
+  def ran_at(self, request: str) -> set[str]:
+    """Returns the names of the endpoints that ran a request."""
+    names = set()
+    for replica in self._all_replicas:
+      if replica.runs[request]:
+        names.add(replica.name)
+    return names
+
   async def stop(self) -> None:
     """Stops all gateways, relays and endpoints, and the store."""
     for restart in self._restarts:
@@ -186,3 +215,12 @@
     for replica in self._all_replicas:
       replica.stop()
     self.base.store.stop()
+
+
+def _make_config(version: int) -> dict[str, object]:
+  """Returns a configuration whose streams may outlast silent endpoints."""
+  config = gateway_cluster.make_config(version)
+  for route in config['routes']:
+    if route['routeType'] == 'streaming':
+      route['timeoutMs'] = STREAM_LIMIT_MS
+  return config
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -1,6 +1,7 @@
 """Carries out the faults of a soak run."""
 
 import asyncio
+import random
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -8,11 +9,18 @@
 from standins import fleet_replica
 from standins import soak_checks
 from standins import soak_cluster
+from standins import soak_patient
 from standins import soak_plan
 from standins import soak_streams
+from standins import unframed_stream
 
 # Interval at which the caller of a crashing request sends it again.
 CRASHER_INTERVAL_S = 0.25
+# How long an endpoint is silent, and the time between the begins of silences.
+SILENCE_S = 1.1
+SILENCE_INTERVAL_S = 1.3
+# Kinds of faults whose target is an endpoint that then breaks requests.
+ENDPOINT_FAULTS = ('crash', 'mode', 'link')
 
 
 class FaultInjector:
@@ -24,6 +32,7 @@
       when.
     body_by_crasher: Body of each crashing request, by the prefix of its ids.
     stream_caller: Caller that takes up streams.
+    patient_caller: Caller that waits for silent endpoints.
   """
 
   def __init__(
@@ -43,6 +52,7 @@
     self.limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
     self.body_by_crasher: dict[str, bytes] = {}
     self.stream_caller = soak_streams.StreamCaller(cluster)
+    self.patient_caller = soak_patient.PatientCaller(cluster)
 
   async def inject(
       self, fault: soak_plan.Fault, schedule_start_at: float
@@ -56,6 +66,10 @@
       self.disturbances.append(
           soak_checks.Outage(gateway, began_at, self._cluster.now())
       )
+    if fault.kind in ENDPOINT_FAULTS:
+      self._cluster.endpoint_outages.append(
+          soak_checks.Outage(fault.target, began_at, self._cluster.now())
+      )
 
   async def _inject_crasher(self, fault: soak_plan.Fault) -> None:
     """Sends a crashing request again and again, each time with a new id."""
@@ -92,6 +106,40 @@
         await cluster.start_replica(name, software=soak_plan.NEW_SOFTWARE)
     await calling
 
+  async def _inject_silence(self, fault: soak_plan.Fault) -> None:
+    """Lets one engine after the other fall silent for about a second."""
+    cluster = self._cluster
+    names = list(soak_plan.ENGINES)
+    if fault.variant == 'few':
+      names.remove('writer-2')
+      cluster.base.store.remove('servers', 'writer-2')
+    end_at = cluster.now() + fault.duration_s
+    calling = asyncio.create_task(self.patient_caller.run(fault.duration_s))
+    rng = random.Random(repr(fault))
+    while cluster.now() < end_at - SILENCE_S:
+      await asyncio.sleep(SILENCE_INTERVAL_S - SILENCE_S)
+      cluster.replica_by_name[rng.choice(names)].silence.begin(SILENCE_S)
+      if fault.variant == 'config':
+        cluster.change_config()
+      await asyncio.sleep(SILENCE_S)
+    await calling
+    if fault.variant == 'few':
+      cluster.list_replica('writer-2')
+
+  async def _inject_unframed(self, fault: soak_plan.Fault) -> None:
+    """Lets an endpoint answer with neither a length nor chunks."""
+    replica = self._cluster.replica_by_name[fault.target]
+    usual = replica.behaviour
+    mode = fault.variant if replica.stage else 'unframed'
+    replica.behaviour = usual._replace(mode=mode)
+    began_at = self._cluster.now()
+    await asyncio.sleep(fault.duration_s)
+    replica.behaviour = usual
+    if mode == unframed_stream.CUT:
+      self._cluster.endpoint_outages.append(
+          soak_checks.Outage(fault.target, began_at, self._cluster.now())
+      )
+
   async def _inject_kill(self, fault: soak_plan.Fault) -> None:
     await self._cluster.gateway_by_name[fault.target].kill(fault.duration_s)
 
@@ -104,7 +152,7 @@
   async def _inject_reload(self, fault: soak_plan.Fault) -> None:
     gateway = self._cluster.gateway_by_name[fault.target]
     if fault.variant == 'file':
-      gateway.write([], 60.0)
+      gateway.write([], soak_plan.MORE_SLACK)
       return
     for _ in range(5):
       gateway.reload()
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -10,6 +10,7 @@
 from standins import bench_forwarding
 from standins import gateway_cluster
 from standins import relay
+from standins import retry_bound
 from standins import soak_checks
 
 READY_TIMEOUT_S = 20.0
@@ -57,6 +58,7 @@
       name: str,
       module: str,
       started_at: float,
+      bound: retry_bound.RetryBound,
   ):
     self.store_link = relay.Relay(f'127.0.0.1:{cluster.store.port}')
     self.host = cluster.make_host(name)
@@ -67,15 +69,28 @@
     self._folder.mkdir()
     self._module = module
     self._started_at = started_at
+    self._bound = bound
     self._program: asyncio.subprocess.Process | None = None
     self._is_ending = False
     # Serializes kills, stops and pauses of the process.
     self._lock = asyncio.Lock()
 
-  def write(self, seeds: list[str], slack: float = 50.0) -> None:
-    """Writes the settings file of the gateway."""
+  def write(self, seeds: list[str], more_slack: float = 0.0) -> None:
+    """Writes the settings file of the gateway.
+
+    Args:
+      seeds: Peer addresses of other gateways.
+      more_slack: Added to the retries that are allowed.
+    """
     port = int(self.store_link.address.rpartition(':')[2])
-    bench_forwarding.write_settings(self.host, self._folder, port, seeds, slack)
+    bench_forwarding.write_settings(
+        self.host,
+        self._folder,
+        port,
+        seeds,
+        self._bound.slack + more_slack,
+        self._bound.ratio,
+    )
 
   async def start(self) -> None:
     """Starts the process and waits until it handles signals."""
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -7,6 +7,8 @@
 import random
 from typing import NamedTuple
 
+from standins import retry_bound
+
 DURATION_S = 6.0
 MIN_FAULTS = 4
 MAX_FAULTS = 9
@@ -43,9 +45,26 @@
 VERSION_KIND = 'version'
 NEW_ENGINES = ('writer-3', 'writer-4')
 NEW_SOFTWARE = 'v2'
+# Fraction of the schedules in which engines fall silent for about a second and
+# go on: as they are, beside changes of the configuration, without budget for
+# retries, or with a single decoding engine.
+SILENCE_FRACTION = 0.4
+SILENCE_KIND = 'silence'
+SILENCE_VARIANTS = ('alone', 'config', 'no_budget', 'few')
+# Fraction of the schedules in which an engine and a plain endpoint send answers
+# with neither a length nor chunks, and how such a stream ends.
+UNFRAMED_FRACTION = 0.4
+UNFRAMED_KIND = 'unframed'
+UNFRAMED_VARIANTS = ('open', 'open_cut')
+# A connection that breaks ends such an answer like a complete one.
+KINDS_BREAKING_CONNECTIONS = ('crash', 'mode', 'link')
+USUAL_RETRIES = retry_bound.RetryBound(0.2, 50.0)
+NO_RETRIES = retry_bound.RetryBound(0.0, 0.0)
+# Retries by which a changed settings file raises the bound.
+MORE_SLACK = 10.0
 # Time between the last repeat of such a request and the end of a run, in which
 # crashed endpoints restart.
-CRASHER_END_MARGIN_S = 0.3
+END_MARGIN_S = 0.3
 
 
 class Fault(NamedTuple):
@@ -67,6 +86,14 @@
   variant: str = ''
 
 
+def plan_retries(faults: list[Fault]) -> retry_bound.RetryBound:
+  """Returns the retries that the settings of gateways allow in a run."""
+  for fault in faults:
+    if fault.kind == SILENCE_KIND and fault.variant == 'no_budget':
+      return NO_RETRIES
+  return USUAL_RETRIES
+
+
 def plan_faults(seed: int) -> list[Fault]:
   """Draws the faults of a run from a seed; returns them earliest first."""
   rng = random.Random(seed)
@@ -89,6 +116,8 @@
   faults.sort()
   faults = _drop_overlapping(faults)
   faults += _plan_crashers(seed) + _plan_limits(seed) + _plan_versions(seed)
+  faults += _plan_silences(seed)
+  faults += _plan_unframed(seed, faults)
   return sorted(faults)
 
 
@@ -104,7 +133,7 @@
   at_s = round(rng.uniform(0.3, 0.8), 2)
   faults = []
   for route, point in rng.sample(CRASHERS, rng.randint(1, 2)):
-    duration_s = round(DURATION_S - CRASHER_END_MARGIN_S - at_s, 2)
+    duration_s = round(DURATION_S - END_MARGIN_S - at_s, 2)
     faults.append(Fault(at_s, CRASHER_KIND, route, duration_s, point))
   return faults
 
@@ -128,11 +157,49 @@
   if rng.random() >= VERSION_FRACTION:
     return []
   at_s = round(rng.uniform(0.2, 0.8), 2)
-  duration_s = round(DURATION_S - at_s - CRASHER_END_MARGIN_S, 2)
+  duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
   variant = rng.choice(('beside', 'replace'))
   return [Fault(at_s, VERSION_KIND, NEW_ENGINES[0], duration_s, variant)]
 
 
+def _plan_silences(seed: int) -> list[Fault]:
+  """Draws whether engines fall silent, and beside what."""
+  rng = random.Random(f'silences of {seed}')
+  if rng.random() >= SILENCE_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 0.6), 2)
+  duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
+  variant = rng.choice(SILENCE_VARIANTS)
+  return [Fault(at_s, SILENCE_KIND, 'engines', duration_s, variant)]
+
+
+def _plan_unframed(seed: int, faults: list[Fault]) -> list[Fault]:
+  """Draws whether endpoints send unframed answers, and which ones.
+
+  Args:
+    seed: The seed.
+    faults: The other faults.
+  """
+  rng = random.Random(f'unframed of {seed}')
+  if rng.random() >= UNFRAMED_FRACTION:
+    return []
+  broken = set()
+  for fault in faults:
+    if fault.kind in (CRASHER_KIND, 'kill'):
+      return []
+    if fault.kind in KINDS_BREAKING_CONNECTIONS:
+      broken.add(fault.target)
+  unframed = []
+  for names in (DESKS, ENGINES[1:]):
+    name = rng.choice(names)
+    at_s = round(rng.uniform(0.2, 0.6), 2)
+    duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
+    variant = rng.choice(UNFRAMED_VARIANTS)
+    if name not in broken:
+      unframed.append(Fault(at_s, UNFRAMED_KIND, name, duration_s, variant))
+  return unframed
+
+
 def _drop_overlapping(faults: list[Fault]) -> list[Fault]:
   """Drops faults that overlap a fault of the same group and target."""
   kept, free_at = [], {}
--- /dev/null
+++ b/standins/soak_series_test.py
@@ -0,0 +1,133 @@
+"""Tests of the soak's series of faults: their checks, and short runs."""
+
+import collections
+import pathlib
+import tempfile
+import unittest
+
+from standins import gateway_cluster
+from standins import soak
+from standins import soak_checks
+from standins import soak_cluster
+from standins import soak_patient
+from standins import soak_plan
+from standins import soak_streams
+
+SILENCE = soak_plan.Fault(
+    0.4, soak_plan.SILENCE_KIND, 'engines', 5.2, 'no_budget'
+)
+UNFRAMED = soak_plan.Fault(
+    0.4, soak_plan.UNFRAMED_KIND, 'writer-1', 5.0, 'open_cut'
+)
+
+
+class CheckTestCase(unittest.TestCase):
+  """Makes a cluster that is not started."""
+
+  def setUp(self):
+    folder = self.enterContext(tempfile.TemporaryDirectory())
+    self.cluster = soak_cluster.SoakCluster(
+        pathlib.Path(folder), soak.GATEWAY, soak_plan.USUAL_RETRIES
+    )
+
+
+class PatientCallerTest(CheckTestCase):
+
+  def find(self, outages=(), endpoint_outages=(), ran_at=('writer-1',), **changes):
+    """Returns the violations of one call that ends after two events."""
+    self.cluster.ran_at = lambda request: set(ran_at)
+    caller = soak_patient.PatientCaller(self.cluster)
+    body = b'id: 1\ndata: piece 1\n\n'
+    call = soak_patient.PatientCall(
+        'patient-1',
+        'ask',
+        'host-1',
+        1.0,
+        2.0,
+        gateway_cluster.Answer(200, {}, body, False),
+    )
+    caller.calls.append(call._replace(**changes))
+    return caller.find_violations(list(outages), list(endpoint_outages))
+
+  def test_cut_stream_is_a_violation(self):
+    self.assertEqual(len(self.find()), 1)
+
+  def test_request_without_answer_is_a_violation(self):
+    silent = gateway_cluster.Answer(0, {}, b'', False)
+    self.assertEqual(len(self.find(answer=silent)), 1)
+    self.assertEqual(len(self.find(answer=silent, ran_at=())), 1)
+    # It may have crossed the close of an idle connection.
+    self.assertEqual(self.find(answer=silent, ran_at=(), ended_at=1.1), [])
+    self.assertEqual(len(self.find(answer=silent, ended_at=1.1)), 1)
+
+  def test_whole_stream_and_failure_are_no_violations(self):
+    whole = gateway_cluster.Answer(200, {}, b'', True)
+    failed = gateway_cluster.Answer(502, {}, b'', True)
+    self.assertEqual(self.find(answer=whole), [])
+    self.assertEqual(self.find(answer=failed), [])
+
+  def test_stream_that_does_not_end_in_time_is_a_violation(self):
+    ended_at = 1.0 + soak_patient.DEADLINE_S
+    self.assertEqual(len(self.find(ended_at=ended_at)), 1)
+
+  def test_outages_of_its_gateway_and_its_endpoint_excuse_a_stream(self):
+    def outage(name, began_at=1.5):
+      return soak_checks.Outage(name, began_at, began_at + 1.0)
+
+    self.assertEqual(self.find(outages=[outage('host-1')]), [])
+    self.assertEqual(len(self.find(outages=[outage('host-2')])), 1)
+    self.assertEqual(len(self.find(outages=[outage('host-1', 2.1)])), 1)
+    self.assertEqual(self.find(endpoint_outages=[outage('writer-1')]), [])
+    self.assertEqual(len(self.find(endpoint_outages=[outage('writer-2')])), 1)
+
+
+class StreamCallerTest(CheckTestCase):
+
+  def find(self, gone_on: int, begun: int) -> list[str]:
+    """Returns the violations of 12 streams taken up, of 20 new ones."""
+    caller = soak_streams.StreamCaller(self.cluster)
+    for number in range(soak_streams.MIN_STREAMS):
+      caller.taken_up.append(
+          soak_streams.TakenUp(
+              'stream-1',
+              ('host-1', 'host-2'),
+              1.0,
+              2.0,
+              frozenset(['v1']),
+              number < gone_on,
+          )
+      )
+    caller.begun = [number < begun for number in range(20)]
+    return caller.find_violations([])
+
+  def test_streams_must_go_on_half_as_often_as_new_ones_begin(self):
+    self.assertEqual(self.find(6, 20), [])
+    self.assertEqual(len(self.find(5, 20)), 1)
+    self.assertEqual(self.find(3, 10), [])
+    self.assertEqual(len(self.find(2, 10)), 1)
+
+
+class SoakTest(unittest.TestCase):
+
+  def check_found(self, fault, module: str, *words: str) -> None:
+    """Checks which violations of a gateway are found."""
+    violations, summary = soak.run_faults([fault], fault.kind, module)
+    counts = collections.Counter(line.partition(':')[0] for line in violations)
+    self.assertEqual(set(counts), set(words), summary)
+
+  def check_held(self, *faults: soak_plan.Fault) -> None:
+    violations, summary = soak.run_faults(list(faults), faults[0].kind)
+    self.assertEqual(violations, [], summary)
+
+  def test_gateway_that_does_not_wait_is_detected(self):
+    self.check_found(SILENCE, 'standins.soak_impatient_gateway', 'LOST')
+
+  def test_gateway_that_completes_torn_streams_is_detected(self):
+    self.check_found(UNFRAMED, 'standins.soak_credulous_gateway', 'WRONG')
+
+  def test_silence_and_unframed_answers_are_borne(self):
+    self.check_held(SILENCE, UNFRAMED)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -50,10 +50,14 @@
     kinds = set()
     for seed in range(1, 51):
       kinds.update(fault.kind for fault in soak_plan.plan_faults(seed))
-    expected = {*soak_plan._TARGETS_BY_KIND, soak_plan.CRASHER_KIND}
-    self.assertEqual(
-        kinds, expected | {soak_plan.LIMIT_KIND, soak_plan.VERSION_KIND}
-    )
+    series = {
+        soak_plan.CRASHER_KIND,
+        soak_plan.LIMIT_KIND,
+        soak_plan.VERSION_KIND,
+        soak_plan.SILENCE_KIND,
+        soak_plan.UNFRAMED_KIND,
+    }
+    self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
   def test_seeds_are_read_as_ranges_and_lists(self):
     self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
