Report a gateway of the soak that ended by itself before it is killed

Such an end is now a violation (ENDED), also for stops and pauses, and the logs of a run that breaks off are kept.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -242,9 +242,12 @@
   with tempfile.TemporaryDirectory() as name:
     folder = pathlib.Path(name)
     soak = Soak(faults, folder, module)
-    violations = asyncio.run(soak.run())
-    if violations:
-      save_logs(run_name, folder)
+    violations = ['RUN: the run did not end']
+    try:
+      violations = asyncio.run(soak.run())
+    finally:
+      if violations:
+        save_logs(run_name, folder)
   return violations, soak.summary()
 
 
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -116,12 +116,7 @@
 
   async def poll(self) -> None:
     """Polls whether the gateway is ready; records an unexpected exit."""
-    program = self._program
-    if program.returncode is not None and not self._is_ending:
-      self.unexpected_exits.append(
-          f'{self.host.name} exited with status {program.returncode}'
-      )
-      self._is_ending = True
+    self._record_exit()
     try:
       async with asyncio.timeout(1.0):
         answer = await gateway_cluster.call(
@@ -132,6 +127,20 @@
       # A load balancer treats a gateway that does not answer as not ready.
       self.is_ready = False
 
+  def _record_exit(self) -> None:
+    """Records if the process has ended by itself."""
+    status = self._program.returncode
+    if status is not None and not self._is_ending:
+      self.unexpected_exits.append(
+          f'{self.host.name} exited with status {status}'
+      )
+      self._is_ending = True
+
+  def _send_signal(self, number: signal.Signals) -> None:
+    self._record_exit()
+    if self._program.returncode is None:
+      self._program.send_signal(number)
+
   async def wait_until_ready(self) -> None:
     """Waits until the gateway is ready.
 
@@ -147,8 +156,8 @@
     """Kills the gateway, and restarts it after `duration_s`."""
     async with self._lock:
       began_at = self._now()
+      self._send_signal(signal.SIGKILL)
       self._is_ending = True
-      self._program.kill()
       await self._program.wait()
       await asyncio.sleep(duration_s)
       await self._start_again()
@@ -159,8 +168,8 @@
   async def stop(self, duration_s: float) -> None:
     """Stops the gateway with SIGTERM, and restarts it after `duration_s`."""
     async with self._lock:
+      self._send_signal(signal.SIGTERM)
       self._is_ending = True
-      self._program.send_signal(signal.SIGTERM)
       try:
         async with asyncio.timeout(STOP_TIMEOUT_S):
           status = await self._program.wait()
@@ -187,9 +196,9 @@
     """Suspends the gateway with SIGSTOP for `duration_s`."""
     async with self._lock:
       began_at = self._now()
-      self._program.send_signal(signal.SIGSTOP)
+      self._send_signal(signal.SIGSTOP)
       await asyncio.sleep(duration_s)
-      self._program.send_signal(signal.SIGCONT)
+      self._send_signal(signal.SIGCONT)
     self.outages.append(
         soak_checks.Outage(self.host.name, began_at, self._now() + 0.5)
     )
--- a/standins/soak_series_test.py
+++ b/standins/soak_series_test.py
@@ -115,6 +115,13 @@
     counts = collections.Counter(line.partition(':')[0] for line in violations)
     self.assertEqual(set(counts), set(words), summary)
 
+  def test_gateway_that_ends_before_it_is_killed_is_reported(self):
+    kill = soak_plan.Fault(2.0, 'kill', 'host-2', 0.5)
+    violations, summary = soak.run_faults(
+        [kill], 'ended', 'standins.soak_ending_gateway'
+    )
+    self.assertIn('ENDED: host-2 exited with status 7', violations, summary)
+
   def check_held(self, *faults: soak_plan.Fault) -> None:
     violations, summary = soak.run_faults(list(faults), faults[0].kind)
     self.assertEqual(violations, [], summary)
