Draw prompt parts that crash endpoints in the soak, and check what they cost

BUDGET: more than three of them reach endpoints later than 3 s after the fifth crash, from gateways that are undisturbed. LOST: from 6 s after it on, less than half as many sound ones begin as before, with 20 of each.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -75,7 +75,7 @@
       async with asyncio.TaskGroup() as group:
         for fault in self._faults:
           group.create_task(self._injector.inject(fault, schedule_start_at))
-      left_s = schedule_start_at + soak_plan.DURATION_S - self._cluster.now()
+      left_s = schedule_start_at + soak_plan.duration_s(self._faults) - self._cluster.now()
       await asyncio.sleep(max(0.0, left_s))
       sending.cancel()
       await self._check_recovery()
@@ -181,6 +181,9 @@
     self._violations += self._injector.patient_caller.find_violations(
         outages, self._cluster.endpoint_outages
     )
+    self._violations += self._injector.part_caller.find_violations(
+        outages + self._injector.disturbances
+    )
     limited = []
     for replica, limit, named_at in self._injector.limited:
       arrivals = []
--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -124,6 +124,7 @@
     arrivals: list[tuple[float, str]],
     disturbances: list[Outage],
     prefix: str,
+    crashes_before: int = CRASHES_BEFORE_REFUSAL,
 ) -> list[str]:
   """Returns a violation if a crashing request was sent too often, too late.
 
@@ -134,10 +135,11 @@
     disturbances: Periods in which a gateway, its path to the store, or the
       store was disturbed.
     prefix: Prefix of the ids of this request.
+    crashes_before: Number of crashes after which the bound holds.
   """
-  if len(crashes) < CRASHES_BEFORE_REFUSAL:
+  if len(crashes) < crashes_before:
     return []
-  late_from = crashes[CRASHES_BEFORE_REFUSAL - 1] + STABLE_S
+  late_from = crashes[crashes_before - 1] + STABLE_S
   late_requests = set()
   for at, request in arrivals:
     if request.startswith(prefix) and at > late_from:
@@ -146,7 +148,7 @@
   for observation in observations:
     if observation.request not in late_requests:
       continue
-    if not _is_disturbed(observation, disturbances):
+    if not is_disturbed(observation, disturbances):
       late.append(observation.request)
   if len(late) <= MAX_LATE_RETRIES:
     return []
@@ -212,7 +214,8 @@
   return False
 
 
-def _is_disturbed(observation: Observation, disturbances: list[Outage]) -> bool:
+def is_disturbed(observation: Observation, disturbances: list[Outage]) -> bool:
+  """Returns whether a disturbance, or its aftermath, concerns a request."""
   for outage in disturbances:
     if outage.gateway not in ('', observation.gateway):
       continue
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -9,6 +9,7 @@
 from standins import fleet_replica
 from standins import soak_checks
 from standins import soak_cluster
+from standins import soak_parts
 from standins import soak_patient
 from standins import soak_plan
 from standins import soak_streams
@@ -32,6 +33,7 @@
       when.
     body_by_crasher: Body of each crashing request, by the prefix of its ids.
     stream_caller: Caller that takes up streams.
+    part_caller: Caller whose requests crash endpoints by a prompt part.
     patient_caller: Caller that waits for silent endpoints.
   """
 
@@ -52,6 +54,7 @@
     self.limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
     self.body_by_crasher: dict[str, bytes] = {}
     self.stream_caller = soak_streams.StreamCaller(cluster)
+    self.part_caller = soak_parts.PartCaller(cluster)
     self.patient_caller = soak_patient.PatientCaller(cluster)
 
   async def inject(
@@ -126,6 +129,10 @@
     if fault.variant == 'few':
       cluster.list_replica('writer-2')
 
+  async def _inject_part(self, fault: soak_plan.Fault) -> None:
+    point = crash_point.CrashPoint(fault.variant)
+    await self.part_caller.run(point, fault.duration_s)
+
   async def _inject_unframed(self, fault: soak_plan.Fault) -> None:
     """Lets an endpoint answer with neither a length nor chunks."""
     replica = self._cluster.replica_by_name[fault.target]
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -51,6 +51,12 @@
 SILENCE_FRACTION = 0.4
 SILENCE_KIND = 'silence'
 SILENCE_VARIANTS = ('alone', 'config', 'no_budget', 'few')
+# Fraction of the schedules with requests that have a prompt part that crashes
+# endpoints, where they crash, and how long they are sent.
+PART_FRACTION = 0.25
+PART_KIND = 'part'
+PART_POINTS = ('run', 'stream', 'silent_run', 'silent_stream')
+PART_DURATION_S = 12.0
 # Fraction of the schedules in which an engine and a plain endpoint send answers
 # with neither a length nor chunks, and how such a stream ends.
 UNFRAMED_FRACTION = 0.4
@@ -86,6 +92,15 @@
   variant: str = ''
 
 
+def duration_s(faults: list[Fault]) -> float:
+  """Returns how long the load and the faults of a run last."""
+  longest_s = DURATION_S
+  for fault in faults:
+    if fault.kind == PART_KIND:
+      longest_s = max(longest_s, fault.at_s + fault.duration_s + END_MARGIN_S)
+  return longest_s
+
+
 def plan_retries(faults: list[Fault]) -> retry_bound.RetryBound:
   """Returns the retries that the settings of gateways allow in a run."""
   for fault in faults:
@@ -117,6 +132,7 @@
   faults = _drop_overlapping(faults)
   faults += _plan_crashers(seed) + _plan_limits(seed) + _plan_versions(seed)
   faults += _plan_silences(seed)
+  faults += _plan_parts(seed)
   faults += _plan_unframed(seed, faults)
   return sorted(faults)
 
@@ -173,6 +189,16 @@
   return [Fault(at_s, SILENCE_KIND, 'engines', duration_s, variant)]
 
 
+def _plan_parts(seed: int) -> list[Fault]:
+  """Draws whether a prompt part crashes endpoints, and where."""
+  rng = random.Random(f'parts of {seed}')
+  if rng.random() >= PART_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 0.6), 2)
+  point = rng.choice(PART_POINTS)
+  return [Fault(at_s, PART_KIND, 'read', PART_DURATION_S, point)]
+
+
 def _plan_unframed(seed: int, faults: list[Fault]) -> list[Fault]:
   """Draws whether endpoints send unframed answers, and which ones.
 
@@ -185,7 +211,7 @@
     return []
   broken = set()
   for fault in faults:
-    if fault.kind in (CRASHER_KIND, 'kill'):
+    if fault.kind in (CRASHER_KIND, PART_KIND, 'kill'):
       return []
     if fault.kind in KINDS_BREAKING_CONNECTIONS:
       broken.add(fault.target)
--- a/standins/soak_series_test.py
+++ b/standins/soak_series_test.py
@@ -9,6 +9,7 @@
 from standins import soak
 from standins import soak_checks
 from standins import soak_cluster
+from standins import soak_parts
 from standins import soak_patient
 from standins import soak_plan
 from standins import soak_streams
@@ -16,6 +17,9 @@
 SILENCE = soak_plan.Fault(
     0.4, soak_plan.SILENCE_KIND, 'engines', 5.2, 'no_budget'
 )
+PART = soak_plan.Fault(
+    0.3, soak_plan.PART_KIND, 'read', soak_plan.PART_DURATION_S, 'run'
+)
 UNFRAMED = soak_plan.Fault(
     0.4, soak_plan.UNFRAMED_KIND, 'writer-1', 5.0, 'open_cut'
 )
@@ -81,6 +85,43 @@
     self.assertEqual(len(self.find(endpoint_outages=[outage('writer-2')])), 1)
 
 
+class PartCallerTest(CheckTestCase):
+
+  def find(self, served: int, crashing=(), disturbances=()):
+    """Returns the violations with so many of 20 sound requests served late."""
+    caller = soak_parts.PartCaller(self.cluster)
+    caller._body = b'crash=run'
+    self.cluster.crashes = [(2.0 + n / 10, b'crash=run') for n in range(6)]
+    arrivals = [(at, f'killer-{at}') for at in crashing]
+    self.cluster.crashing_arrivals = lambda: arrivals
+    for number in range(soak_parts.MIN_SOUND):
+      caller.sound.append(self.observe('sound', 1.0, 200))
+      status = 200 if number < served else 503
+      caller.sound.append(self.observe('sound', 9.0, status))
+    for at, request in arrivals:
+      caller.crashing.append(self.observe(request, at, 502))
+    violations = caller.find_violations(list(disturbances))
+    return [line.partition(':')[0] for line in violations]
+
+  def observe(self, request, at, status) -> soak_checks.Observation:
+    return soak_checks.Observation(
+        request, 'read', 'host-1', at, at + 0.1, status, b'data', True, False
+    )
+
+  def test_half_of_the_sound_requests_must_begin(self):
+    self.assertEqual(self.find(soak_parts.MIN_SOUND), [])
+    self.assertEqual(self.find(soak_parts.MIN_SOUND // 2), [])
+    self.assertEqual(self.find(soak_parts.MIN_SOUND // 2 - 1), ['LOST'])
+
+  def test_few_late_requests_may_reach_endpoints(self):
+    # The fifth crash is at 2.4 s, so that requests from 5.4 s on are late.
+    late = [5.5, 5.6, 5.7]
+    self.assertEqual(self.find(20, [5.3, *late]), [])
+    self.assertEqual(self.find(20, [*late, 5.8]), ['BUDGET'])
+    outage = soak_checks.Outage('host-1', 5.0, 6.0)
+    self.assertEqual(self.find(20, [*late, 5.8], [outage]), [])
+
+
 class StreamCallerTest(CheckTestCase):
 
   def find(self, gone_on: int, begun: int) -> list[str]:
@@ -135,6 +176,14 @@
   def test_silence_and_unframed_answers_are_borne(self):
     self.check_held(SILENCE, UNFRAMED)
 
+  def test_gateway_that_refuses_no_part_is_detected(self):
+    self.check_found(
+        PART, 'standins.soak_partless_gateway', 'BUDGET', 'LOST'
+    )
+
+  def test_few_requests_with_a_crashing_part_reach_endpoints(self):
+    self.check_held(PART)
+
 
 if __name__ == '__main__':
   unittest.main()
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -44,7 +44,9 @@
       faults = soak_plan.plan_faults(seed)
       self.assertEqual(faults, soak_plan.plan_faults(seed))
       for fault in faults:
-        self.assertLess(fault.at_s + fault.duration_s, soak_plan.DURATION_S)
+        self.assertLess(
+            fault.at_s + fault.duration_s, soak_plan.duration_s(faults)
+        )
 
   def test_fifty_seeds_cover_every_kind_of_fault(self):
     kinds = set()
@@ -55,10 +57,17 @@
         soak_plan.LIMIT_KIND,
         soak_plan.VERSION_KIND,
         soak_plan.SILENCE_KIND,
+        soak_plan.PART_KIND,
         soak_plan.UNFRAMED_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
+  def test_only_runs_with_a_crashing_part_last_longer(self):
+    for seed in range(50):
+      faults = soak_plan.plan_faults(seed)
+      if all(fault.kind != soak_plan.PART_KIND for fault in faults):
+        self.assertEqual(soak_plan.duration_s(faults), soak_plan.DURATION_S)
+
   def test_seeds_are_read_as_ranges_and_lists(self):
     self.assertEqual(soak.read_seeds('1-3,7'), [1, 2, 3, 7])
     with self.assertRaises(ValueError):
