Draw failing endpoints and gateways that are apart in the soak, and check retries

The soak had no check of the retries that arrive beyond what the settings allow. In three of ten schedules endpoints break off 60% of their runs, with 12 retries allowed in 10 s, in half of them while the gateways can't reach each other.

RetryGateway becomes the gateway of the soak with a bound of its own, since both had the relay. The gateway that ends by itself in soak_series_test does so only at its first start: the test failed once beside load, when a restarted process ended before its signals were looked up.

--- a/standins/bench_forwarding.py
+++ b/standins/bench_forwarding.py
@@ -64,6 +64,7 @@
     seeds: Sequence[str] = (),
     slack: float = 50.0,
     ratio: float = 0.2,
+    window_s: float = 10.0,
 ) -> pathlib.Path:
   """Writes the settings file of a gateway; returns its path."""
   path = folder / 'settings.yaml'
@@ -85,7 +86,7 @@
                   'graceS': 8,
                   'retryBudgetRatio': ratio,
                   'retryBudgetSlack': slack,
-                  'budgetWindowS': 10,
+                  'budgetWindowS': window_s,
               },
               'platform': {'address': f'127.0.0.1:{store_port}'},
           }
--- a/standins/retry_cluster.py
+++ b/standins/retry_cluster.py
@@ -7,14 +7,9 @@
 import re
 from collections.abc import Iterable
 
-import yaml
-
 from mulberrypick.core import errors
 from standins import failing_replica
 from standins import gateway_cluster
-from standins import relay
-from standins import relayed_gateway
-from standins import retry_bound
 from standins import retry_check
 from standins import soak_gateway
 
@@ -24,46 +19,23 @@
 
 
 class RetryGateway(soak_gateway.SoakGateway):
-  """A gateway process whose peers reach it through a relay.
-
-  Attributes:
-    peer_link: The relay.
-  """
+  """A gateway process with its own bound of retries."""
 
   def __init__(
       self,
       cluster: gateway_cluster.GatewayCluster,
       folder: pathlib.Path,
       name: str,
+      bound: retry_check.Bound,
   ):
     now = asyncio.get_running_loop().time()
     module = 'standins.relayed_gateway'
-    bound = retry_bound.RetryBound(0.0, 0.0)
     super().__init__(cluster, folder, name, module, now, bound)
-    listen = f'127.0.0.1:{self.host.peer_port}'
-    self.peer_link = relay.Relay(listen)
-    port = int(self.peer_link.address.rpartition(':')[2])
-    self.host = self.host._replace(peer_port=port)
-    (self._folder / relayed_gateway.LISTEN_FILE).write_text(listen)
-
-  def write_settings(self, seeds: list[str], bound: retry_check.Bound) -> None:
-    """Writes the settings file."""
-    self.write(seeds, bound.slack)
-    path = self._folder / 'settings.yaml'
-    settings = yaml.safe_load(path.read_text())
-    settings['bounds']['retryBudgetRatio'] = bound.ratio
-    settings['bounds']['budgetWindowS'] = bound.window_s
-    path.write_text(yaml.safe_dump(settings))
 
   def log_text(self) -> str:
     """Returns the output of all its processes so far."""
     return (self._folder / 'log.txt').read_text()
 
-  async def close(self) -> None:
-    """Kills the process, and closes its relays."""
-    await super().close()
-    self.peer_link.close()
-
 
 class RetryCluster:
   """Gateway processes, the store, and endpoints that fail.
@@ -109,11 +81,13 @@
       self.replicas.append(replica)
       store.put('servers', name, replica.entry())
     for number in range(self._hosts):
-      gateway = RetryGateway(self._cluster, self._folder, f'host-{number + 1}')
+      gateway = RetryGateway(
+          self._cluster, self._folder, f'host-{number + 1}', self.bound
+      )
       self.gateways.append(gateway)
       self._seeds = [g.peer_link.address for g in self.gateways[:3]]
     for gateway in self.gateways:
-      gateway.write_settings(self._seeds, self.bound)
+      gateway.write(self._seeds)
       await gateway.start()
     for gateway in self.gateways:
       await gateway.wait_until_ready()
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -25,8 +25,9 @@
 from standins import soak_cluster
 from standins import soak_faults
 from standins import soak_plan
+from standins import soak_retries
 
-GATEWAY = 'mulberrypick.scripts.gateway'
+GATEWAY = 'standins.relayed_gateway'
 RATE_PER_S = 80.0
 ROUTES = ('unsafe', 'ask', 'safe', 'read', 'unsafe')
 POLL_INTERVAL_S = 0.2
@@ -184,6 +185,12 @@
     self._violations += self._injector.part_caller.find_violations(
         outages + self._injector.disturbances
     )
+    self._violations += soak_retries.find_violations(
+        self._cluster.calls(),
+        self._client.observations,
+        self._client.repeated_at,
+        soak_plan.allowed_retries(self._faults),
+    )
     limited = []
     for replica, limit, named_at in self._injector.limited:
       arrivals = []
--- a/standins/soak_broken_gateway.py
+++ b/standins/soak_broken_gateway.py
@@ -5,13 +5,13 @@
 """
 
 from mulberrypick.ops import call_run
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
   call_run.CallRun._may_retry = lambda self, step: True
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_client.py
+++ b/standins/soak_client.py
@@ -24,10 +24,12 @@
 
   Attributes:
     observations: One observation for each request that ended.
+    repeated_at: When requests were sent again under the same id.
   """
 
   def __init__(self, started_at: float):
     self.observations: list[soak_checks.Observation] = []
+    self.repeated_at: dict[str, float] = {}
     self._started_at = started_at
     self._idle_by_port: dict[int, list[stream_client.ClientConnection]] = {}
 
@@ -44,6 +46,8 @@
     began_at = time.monotonic() - self._started_at
     observation = None
     for is_fresh in (False, True):
+      if is_fresh:
+        self.repeated_at[request] = time.monotonic() - self._started_at
       idle = self._idle_by_port.setdefault(port, [])
       connection = None
       while idle and not is_fresh and connection is None:
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -3,12 +3,14 @@
 import asyncio
 import collections
 import pathlib
+import random
 import time
 
+from standins import failing_replica
 from standins import fleet_replica
 from standins import gateway_cluster
 from standins import relay
-from standins import retry_bound
+from standins import retry_check
 from standins import soak_checks
 from standins import soak_gateway
 from standins import soak_plan
@@ -25,6 +27,7 @@
 # configuration must be in force within 2 to 3 s, and gateways notice within 3 s
 # that the store is back.
 SETTLE_S = 4.0
+RESET_SEED = 1
 STAGE_BY_NAME = {
     'reader': 'prefill',
     'writer-1': 'decode',
@@ -48,22 +51,25 @@
       endpoints, and the bodies of the requests.
     endpoint_outages: Periods in which endpoints crashed, failed or were cut
       off; `gateway` is the name of the endpoint.
+    reset_share: Share of the runs that endpoints break off.
   """
 
   def __init__(
-      self, folder: pathlib.Path, module: str, bound: retry_bound.RetryBound
+      self, folder: pathlib.Path, module: str, bound: retry_check.Bound
   ):
     self.bound = bound
     self.started_at = time.monotonic()
     self.base = gateway_cluster.GatewayCluster()
     self.gateway_by_name: dict[str, soak_gateway.SoakGateway] = {}
-    self.replica_by_name: dict[str, fleet_replica.FleetReplica] = {}
+    self.replica_by_name: dict[str, failing_replica.FailingReplica] = {}
     self.link_by_name: dict[str, relay.Relay] = {}
     self.departures: list[tuple[fleet_replica.FleetReplica, float]] = []
     self.crashes: list[tuple[float, bytes]] = []
+    self.reset_share = 0.0
+    self._rng = random.Random(RESET_SEED)
     self._restarts: list[asyncio.Task] = []
     self.endpoint_outages: list[soak_checks.Outage] = []
-    self._all_replicas: list[fleet_replica.FleetReplica] = []
+    self._all_replicas: list[failing_replica.FailingReplica] = []
     self._all_links: list[relay.Relay] = []
     self._folder = folder
     self._module = module
@@ -112,7 +118,10 @@
     """
     stage = STAGE_BY_NAME.get(name, '')
     service = 'engine' if stage else 'desk'
-    replica = fleet_replica.FleetReplica(name, service, stage)
+    replica = failing_replica.FailingReplica(
+        name, service, stage, self._rng
+    )
+    replica.reset_share = self.reset_share
     replica.behaviour = fleet_replica.Behaviour(
         work_s=ENGINE_WORK_S if stage else DESK_WORK_S,
         events=EVENTS,
@@ -196,6 +205,20 @@
       total.update(replica.runs)
     return total
 
+  def calls(self) -> list[retry_check.Arrival]:
+    """Returns the calls that arrived at endpoints, in seconds after the start."""
+    calls = []
+    for replica in self._all_replicas:
+      for call in replica.calls:
+        calls.append(call._replace(at=call.at - self.started_at))
+    return calls
+
+  def fail(self, reset_share: float) -> None:
+    """Lets all endpoints break off a share of their runs."""
+    self.reset_share = reset_share
+    for replica in self.replica_by_name.values():
+      replica.reset_share = reset_share
+
   def ran_at(self, request: str) -> set[str]:
     """Returns the names of the endpoints that ran a request."""
     names = set()
--- a/standins/soak_credulous_gateway.py
+++ b/standins/soak_credulous_gateway.py
@@ -4,13 +4,13 @@
 """
 
 from mulberrypick.core import event_stream
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
   event_stream.EventSplitter.has_partial_event = False
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_ending_gateway.py
+++ b/standins/soak_ending_gateway.py
@@ -1,13 +1,13 @@
 """A gateway with a deliberate bug, which the soak test must detect.
 
-`host-2` ends by itself soon after its start.
+`host-2` ends by itself soon after its first start.
 """
 
 import asyncio
 import sys
 
 from mulberrypick.platform import settings
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 from mulberrypick.scripts import gateway_app
 
 LIFE_S = 3.0
@@ -21,9 +21,10 @@
 
 def main() -> None:
   """Runs the gateway with the bug."""
-  if settings.load_settings(settings.settings_path()).name == 'host-2':
+  host = settings.load_settings(settings.settings_path())
+  if host.name == 'host-2' and host.is_first_start:
     gateway_app.Gateway._sweep = _end
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -20,6 +20,8 @@
 # How long an endpoint is silent, and the time between the begins of silences.
 SILENCE_S = 1.1
 SILENCE_INTERVAL_S = 1.3
+# Share of the runs that failing endpoints break off.
+RESET_SHARE = 0.6
 # Kinds of faults whose target is an endpoint that then breaks requests.
 ENDPOINT_FAULTS = ('crash', 'mode', 'link')
 
@@ -133,6 +135,24 @@
     point = crash_point.CrashPoint(fault.variant)
     await self.part_caller.run(point, fault.duration_s)
 
+  async def _inject_failing(self, fault: soak_plan.Fault) -> None:
+    """Lets endpoints fail, while gateways can't reach each other if `cut`."""
+    cluster = self._cluster
+    cluster.fail(RESET_SHARE)
+    links = [g.peer_link for g in cluster.gateway_by_name.values()]
+    if fault.variant == 'cut':
+      for link in links:
+        link.cut()
+    began_at = cluster.now()
+    await asyncio.sleep(fault.duration_s)
+    for link in links:
+      link.heal()
+    cluster.fail(0.0)
+    for name in cluster.replica_by_name:
+      cluster.endpoint_outages.append(
+          soak_checks.Outage(name, began_at, cluster.now())
+      )
+
   async def _inject_unframed(self, fault: soak_plan.Fault) -> None:
     """Lets an endpoint answer with neither a length nor chunks."""
     replica = self._cluster.replica_by_name[fault.target]
--- a/standins/soak_forgetful_gateway.py
+++ b/standins/soak_forgetful_gateway.py
@@ -4,13 +4,13 @@
 """
 
 from mulberrypick.core import quarantine
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
   quarantine.Quarantine.is_refused = lambda self, fingerprint, now: False
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -10,7 +10,8 @@
 from standins import bench_forwarding
 from standins import gateway_cluster
 from standins import relay
-from standins import retry_bound
+from standins import relayed_gateway
+from standins import retry_check
 from standins import soak_checks
 
 READY_TIMEOUT_S = 20.0
@@ -46,6 +47,7 @@
   Attributes:
     host: The host as its settings describe it.
     store_link: The relay to the store.
+    peer_link: The relay through which the other gateways reach it.
     is_ready: Whether it was ready at the last poll.
     unexpected_exits: Descriptions of unrequested exits and failed shutdowns.
     outages: Periods in which it could not answer.
@@ -58,15 +60,20 @@
       name: str,
       module: str,
       started_at: float,
-      bound: retry_bound.RetryBound,
+      bound: retry_check.Bound,
   ):
     self.store_link = relay.Relay(f'127.0.0.1:{cluster.store.port}')
-    self.host = cluster.make_host(name)
+    host = cluster.make_host(name)
+    listen = f'127.0.0.1:{host.peer_port}'
+    self.peer_link = relay.Relay(listen)
+    peer_port = int(self.peer_link.address.rpartition(':')[2])
+    self.host = host._replace(peer_port=peer_port)
     self.is_ready = False
     self.unexpected_exits: list[str] = []
     self.outages: list[soak_checks.Outage] = []
     self._folder = folder / name
     self._folder.mkdir()
+    (self._folder / relayed_gateway.LISTEN_FILE).write_text(listen)
     self._module = module
     self._started_at = started_at
     self._bound = bound
@@ -90,6 +97,7 @@
         seeds,
         self._bound.slack + more_slack,
         self._bound.ratio,
+        self._bound.window_s,
     )
 
   async def start(self) -> None:
@@ -215,6 +223,7 @@
       self._program.kill()
       await self._program.wait()
     self.store_link.close()
+    self.peer_link.close()
 
   def _now(self) -> float:
     return time.monotonic() - self._started_at
--- a/standins/soak_impatient_gateway.py
+++ b/standins/soak_impatient_gateway.py
@@ -7,7 +7,7 @@
 
 from mulberrypick.core import errors
 from mulberrypick.ops import endpoint_send
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 async def _read_some(
@@ -24,7 +24,7 @@
 def main() -> None:
   """Runs the gateway with the bug."""
   endpoint_send.EndpointSend.read_some = _read_some
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_partless_gateway.py
+++ b/standins/soak_partless_gateway.py
@@ -4,13 +4,13 @@
 """
 
 from mulberrypick.core import crashing_parts
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
   crashing_parts.find_refused = lambda *_: []
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -7,7 +7,7 @@
 import random
 from typing import NamedTuple
 
-from standins import retry_bound
+from standins import retry_check
 
 DURATION_S = 6.0
 MIN_FAULTS = 4
@@ -64,8 +64,14 @@
 UNFRAMED_VARIANTS = ('open', 'open_cut')
 # A connection that breaks ends such an answer like a complete one.
 KINDS_BREAKING_CONNECTIONS = ('crash', 'mode', 'link')
-USUAL_RETRIES = retry_bound.RetryBound(0.2, 50.0)
-NO_RETRIES = retry_bound.RetryBound(0.0, 0.0)
+# Fraction of the schedules in which endpoints break off many runs, while the
+# gateways reach each other or don't.
+FAILING_FRACTION = 0.3
+FAILING_KIND = 'failing'
+FAILING_VARIANTS = ('linked', 'cut')
+USUAL_RETRIES = retry_check.Bound(0.2, 50.0, 10.0)
+FEW_RETRIES = retry_check.Bound(0.0, 12.0, 10.0)
+NO_RETRIES = retry_check.Bound(0.0, 0.0, 10.0)
 # Retries by which a changed settings file raises the bound.
 MORE_SLACK = 10.0
 # Time between the last repeat of such a request and the end of a run, in which
@@ -101,14 +107,25 @@
   return longest_s
 
 
-def plan_retries(faults: list[Fault]) -> retry_bound.RetryBound:
+def plan_retries(faults: list[Fault]) -> retry_check.Bound:
   """Returns the retries that the settings of gateways allow in a run."""
   for fault in faults:
     if fault.kind == SILENCE_KIND and fault.variant == 'no_budget':
       return NO_RETRIES
+  if any(fault.kind == FAILING_KIND for fault in faults):
+    return FEW_RETRIES
   return USUAL_RETRIES
 
 
+def allowed_retries(faults: list[Fault]) -> retry_check.Bound:
+  """Returns the highest bound that was in force in a run."""
+  bound = plan_retries(faults)
+  for fault in faults:
+    if fault.kind == 'reload' and fault.variant == 'file':
+      return bound._replace(slack=bound.slack + MORE_SLACK)
+  return bound
+
+
 def plan_faults(seed: int) -> list[Fault]:
   """Draws the faults of a run from a seed; returns them earliest first."""
   rng = random.Random(seed)
@@ -131,7 +148,7 @@
   faults.sort()
   faults = _drop_overlapping(faults)
   faults += _plan_crashers(seed) + _plan_limits(seed) + _plan_versions(seed)
-  faults += _plan_silences(seed)
+  faults += _plan_silences(seed) + _plan_failing(seed)
   faults += _plan_parts(seed)
   faults += _plan_unframed(seed, faults)
   return sorted(faults)
@@ -199,6 +216,17 @@
   return [Fault(at_s, PART_KIND, 'read', PART_DURATION_S, point)]
 
 
+def _plan_failing(seed: int) -> list[Fault]:
+  """Draws whether endpoints fail, and whether gateways are apart then."""
+  rng = random.Random(f'failing of {seed}')
+  if rng.random() >= FAILING_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 0.6), 2)
+  duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
+  variant = rng.choice(FAILING_VARIANTS)
+  return [Fault(at_s, FAILING_KIND, 'endpoints', duration_s, variant)]
+
+
 def _plan_unframed(seed: int, faults: list[Fault]) -> list[Fault]:
   """Draws whether endpoints send unframed answers, and which ones.
 
--- a/standins/soak_series_test.py
+++ b/standins/soak_series_test.py
@@ -6,12 +6,14 @@
 import unittest
 
 from standins import gateway_cluster
+from standins import retry_check
 from standins import soak
 from standins import soak_checks
 from standins import soak_cluster
 from standins import soak_parts
 from standins import soak_patient
 from standins import soak_plan
+from standins import soak_retries
 from standins import soak_streams
 
 SILENCE = soak_plan.Fault(
@@ -20,6 +22,7 @@
 PART = soak_plan.Fault(
     0.3, soak_plan.PART_KIND, 'read', soak_plan.PART_DURATION_S, 'run'
 )
+FAILING = soak_plan.Fault(0.3, soak_plan.FAILING_KIND, 'endpoints', 5.3, 'cut')
 UNFRAMED = soak_plan.Fault(
     0.4, soak_plan.UNFRAMED_KIND, 'writer-1', 5.0, 'open_cut'
 )
@@ -122,6 +125,46 @@
     self.assertEqual(self.find(20, [*late, 5.8], [outage]), [])
 
 
+class FindExcessTest(unittest.TestCase):
+
+  def find(self, calls, observed=(), repeated_at=None, slack=2.0):
+    observations = []
+    for request in observed:
+      observations.append(
+          soak_checks.Observation(
+              request, 'safe', 'host-1', 1.0, 1.1, 200, b'', True, False
+          )
+      )
+    arrivals = []
+    for at, request in calls:
+      arrivals.append(
+          retry_check.Arrival(at, request, 'desk', retry_check.CallKind.CALL)
+      )
+    return soak_retries.find_violations(
+        arrivals,
+        observations,
+        repeated_at or {},
+        retry_check.Bound(0.5, slack, 10.0),
+    )
+
+  def test_repeated_arrivals_over_the_bound_are_a_violation(self):
+    # Three extra arrivals; two and one half of a request are allowed.
+    calls = [(1.0 + n / 10, 'r1') for n in range(4)]
+    self.assertEqual(len(self.find(calls, ['r1'])), 1)
+    self.assertEqual(self.find(calls[:3], ['r1']), [])
+    self.assertEqual(self.find(calls, ['r1', 'r2']), [])
+
+  def test_requests_that_were_not_observed_count_by_their_arrival(self):
+    calls = [(1.0 + n / 10, 'r1') for n in range(4)]
+    self.assertEqual(len(self.find(calls)), 1)
+    self.assertEqual(self.find([(1.0, 'r2'), *calls]), [])
+
+  def test_repeats_of_the_caller_are_requests(self):
+    calls = [(1.0, 'r1'), (1.1, 'r1'), (2.0, 'r1'), (2.1, 'r1')]
+    self.assertEqual(len(self.find(calls, ['r1'])), 1)
+    self.assertEqual(self.find(calls, ['r1'], {'r1': 1.9}), [])
+
+
 class StreamCallerTest(CheckTestCase):
 
   def find(self, gone_on: int, begun: int) -> list[str]:
@@ -184,6 +227,12 @@
   def test_few_requests_with_a_crashing_part_reach_endpoints(self):
     self.check_held(PART)
 
+  def test_gateway_that_spends_the_retries_of_all_is_detected(self):
+    self.check_found(FAILING, 'standins.soak_lavish_gateway', 'RETRIES')
+
+  def test_retries_of_gateways_that_are_apart_stay_within_the_bound(self):
+    self.check_held(FAILING)
+
 
 if __name__ == '__main__':
   unittest.main()
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -58,6 +58,7 @@
         soak_plan.VERSION_KIND,
         soak_plan.SILENCE_KIND,
         soak_plan.PART_KIND,
+        soak_plan.FAILING_KIND,
         soak_plan.UNFRAMED_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
--- a/standins/soak_unlimited_gateway.py
+++ b/standins/soak_unlimited_gateway.py
@@ -4,14 +4,14 @@
 """
 
 from mulberrypick.core import permits
-from mulberrypick.scripts import gateway
+from standins import relayed_gateway
 
 
 def main() -> None:
   """Runs the gateway with the bug."""
   permits.Permits.may_send = lambda *_: True
   permits.Permits.take = lambda *_: True
-  gateway.main()
+  relayed_gateway.main()
 
 
 if __name__ == '__main__':
