--- a/standins/soak.py
+++ b/standins/soak.py
@@ -236,7 +236,8 @@
     taken_up = self._injector.stream_caller.taken_up
     gone_on = sum(stream.has_gone_on for stream in taken_up)
     patient = len(self._injector.patient_caller.calls)
-    streams = f'{patient} patient streams, {gone_on} of {len(taken_up)} streams went on'
+    resumed = f'{gone_on} of {len(taken_up)} streams went on'
+    streams = f'{patient} patient streams, {resumed}'
     return f'{count_by_status}, {crashes}, {streams}, after {faults}'
 
 
