Exchange evidence of crashes through the store while hosts are missed

Cause: evidence that a bound for the fleet needs had one way, the links between hosts. Hosts that reach callers, endpoints and the store but not each other each judged a crashing request alone, two crashes at a host.

A host that misses others the store lists now writes what it would send them to an object of its own, and watches those of the others. Ruled out: reading the stored refusals more often (they hold nothing before a host saw two crashes itself); writing each crash as an object (hundreds of writes in an outage).

--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -27,6 +27,7 @@
 from mulberrypick.ops import permit_exchange
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import objects
+from mulberrypick.platform import stored_evidence
 
 _log = logging.getLogger(__name__)
 # Minimum interval between two messages while the load changes, and its increase
@@ -170,6 +171,7 @@
     message.leaving = state.endpoints.leaving(now)
     message.crash_news = state.quarantine.exchange.take_news(now)
     message.part_news = state.part_watch.take_news(now)
+    self._keep_for_missed_hosts(message)
     if self._started_at is None:
       self._started_at = now
     message.is_starting = now - self._started_at < START_S
@@ -183,6 +185,12 @@
       message.store_revision_by_kind = state.store_revision_by_kind
     return message
 
+  def _keep_for_missed_hosts(self, message: peer_message.PeerMessage) -> None:
+    """Keeps the evidence in a message for hosts that it does not reach."""
+    evidence = stored_evidence.Evidence(message.crash_news, message.part_news)
+    if self._state.missed_hosts and not evidence.is_empty():
+      self._state.unwritten_evidence.append(evidence)
+
   def _new_message(self) -> peer_message.PeerMessage:
     host = self._state.host
     config = self._state.config
@@ -331,11 +339,9 @@
     state = self._state
     if message.is_starting and state.crash_watch.repeat_soon(now):
       state.load_changed.set()
-    is_relay = self._table.neighbors.role is peer_topology.Role.RELAY
-    state.crash_watch.merge_news(
-        message.crash_news, message.host, is_relay, now
+    state.merge_evidence(
+        message.crash_news, message.part_news, message.host, now
     )
-    state.part_watch.merge_news(message.part_news, message.host, is_relay, now)
     if state.quarantine.exchange.has_unsent() or state.part_watch.has_unsent():
       state.load_changed.set()
 
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -1,14 +1,17 @@
 """State shared by the tasks of a gateway."""
 
 import asyncio
+import collections
 import logging
 import random
 
 from mulberrypick.adapters import logs
+from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_limits
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
+from mulberrypick.core import part_exchange
 from mulberrypick.core import permits
 from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
@@ -17,10 +20,13 @@
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 from mulberrypick.ops import retry_log
+from mulberrypick.platform import stored_evidence
 
 _log = logging.getLogger(__name__)
 # Longest time after which a host in contact with the store knows of a change.
 MAX_LIST_DELAY_S = 3.0
+# Messages whose evidence of crashes waits to be written to the store.
+MAX_UNWRITTEN_EVIDENCE = 40
 
 
 class GatewayState:
@@ -45,6 +51,10 @@
     part_watch: Prompt parts that crash endpoints.
     pool: Connections to endpoints.
     hosts: Number of live hosts, including this one.
+    is_relay: Whether this host forwards what it hears to members of its group.
+    missed_hosts: Number of known hosts that are not among the live ones.
+    unwritten_evidence: Evidence of crashes to be written to the store, for
+      missed hosts.
     rank_among_hosts: Position of this host, by name, among the hosts that are
       in contact with the store; the first is 0.
     unsent_parts: Prompt parts placed since the last message to other hosts.
@@ -88,6 +98,11 @@
     self.part_watch = self.crash_watch.parts
     self.pool = endpoint_pool.EndpointPool()
     self.hosts = 1
+    self.is_relay = False
+    self.missed_hosts = 0
+    self.unwritten_evidence: collections.deque[stored_evidence.Evidence] = (
+        collections.deque(maxlen=MAX_UNWRITTEN_EVIDENCE)
+    )
     self.rank_among_hosts = 0
     self.unsent_parts: list[tuple[str, int, int]] = []
     self.store_contact_since: float | None = None
@@ -120,6 +135,17 @@
       return True
     return self.part_watch.find_refusal(call) is not None
 
+  def merge_evidence(
+      self,
+      crash_news: crash_exchange.CrashNews,
+      part_news: part_exchange.PartNews,
+      source: str,
+      now: float,
+  ) -> None:
+    """Merges the evidence of crashes that another host reports."""
+    self.crash_watch.merge_news(crash_news, source, self.is_relay, now)
+    self.part_watch.merge_news(part_news, source, self.is_relay, now)
+
   def apply_settings(self, host: gateway_records.GatewayHost) -> None:
     """Applies changed settings."""
     self.host = host
--- a/mulberrypick/ops/peer_table.py
+++ b/mulberrypick/ops/peer_table.py
@@ -237,6 +237,12 @@
     This is the number of hosts, this host's rank among them, whether it watches
     the store, and whether another host has kept contact with the store.
     """
+    self._update_live_hosts(now)
+    known = len(self.topology.hosts())
+    self._state.missed_hosts = max(0, known - self._state.hosts)
+    self._state.is_relay = self.neighbors.role is peer_topology.Role.RELAY
+
+  def _update_live_hosts(self, now: float) -> None:
     state = self._state
     self._update_retry_budget(now)
     live_messages = [
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -17,6 +17,7 @@
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 from mulberrypick.ops import call_log
+from mulberrypick.ops import evidence_task
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_peers
 from mulberrypick.ops import gateway_state
@@ -92,6 +93,9 @@
         self._hosts.run(),
         stage_task.StageTask(self.state, self._make_store_client()).run(),
         refusals_task.RefusalsTask(self.state, self._make_store_client()).run(),
+        evidence_task.EvidenceTask(
+            self.state, self._make_store_client(), self._make_store_client()
+        ).run(),
         self._sweep(),
     ]
     running = [loop.create_task(task) for task in tasks]
