--- a/mulberrypick/ops/endpoint_pool.py
+++ b/mulberrypick/ops/endpoint_pool.py
@@ -23,10 +23,12 @@
   """Idle connections by endpoint; a restarted endpoint counts as a new one.
 
   Attributes:
+    connect: Opens a connection, given IP address, port and time limit.
     opened_count: Number of connections opened so far.
   """
 
   def __init__(self):
+    self.connect = stream_client.connect
     self._idle: dict[tuple[str, int], list[stream_client.ClientConnection]] = {}
     self.opened_count = 0
 
@@ -52,9 +54,7 @@
       connection.on_lost = None
       return connection
     self.opened_count += 1
-    return await stream_client.connect(
-        endpoint.ip, endpoint.port, CONNECT_TIMEOUT_S
-    )
+    return await self.connect(endpoint.ip, endpoint.port, CONNECT_TIMEOUT_S)
 
   def release(
       self,
