--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -1,6 +1,7 @@
 """Records which requests ran on which endpoints when these crashed."""
 
 import collections
+from collections.abc import Iterable
 from typing import NamedTuple
 
 # Requests that are tracked. If there are more, those that were part of only one
@@ -49,6 +50,23 @@
     self.disproved_at = float('-inf')
 
 
+class Withdrawal(NamedTuple):
+  """Requests that a host reported, although its connections had been cut.
+
+  Attributes:
+    endpoint: Name of the endpoint.
+    incarnation: The incarnation that did not crash by what the host knows.
+    age_s: Time since the host found that it had been cut off. Hosts share no
+      clock.
+    requests: Hashes of the requests.
+  """
+
+  endpoint: str
+  incarnation: int
+  age_s: float
+  requests: tuple[int, ...]
+
+
 class CrashEvidence:
   """Crashes, and the requests that were involved in them."""
 
@@ -57,6 +75,10 @@
     self._crashes_by_hash: collections.OrderedDict[int, list[Crash]] = (
         collections.OrderedDict()
     )
+    # Requests whose involvement in a crash was withdrawn, and when.
+    self._withdrawn_at: collections.OrderedDict[
+        tuple[IncarnationKey, int], float
+    ] = collections.OrderedDict()
     self._repeated: set[int] = set()
     self._cleared_until: collections.OrderedDict[int, float] = (
         collections.OrderedDict()
@@ -84,6 +106,8 @@
       return False
     if at <= self.cleared_until(fingerprint):
       return False
+    if at <= self._withdrawn_at.get((key, fingerprint), float('-inf')):
+      return False
     if not crash.involved_by_hash:
       crash.began_at = at
     crash.began_at = min(crash.began_at, at)
@@ -138,6 +162,34 @@
       if not involved.source:
         self._remove(crash, fingerprint)
 
+  def withdraw(
+      self, key: IncarnationKey, fingerprints: Iterable[int], at: float
+  ) -> set[int]:
+    """Withdraws the involvement of requests in a crash up to a time.
+
+    Other hosts may still repeat it for a moment.
+
+    Args:
+      key: The incarnation.
+      fingerprints: The requests.
+      at: The time.
+
+    Returns:
+      The requests for which this is new.
+    """
+    crash = self._crash_by_key.get(key)
+    withdrawn = set()
+    for fingerprint in fingerprints:
+      if at <= self._withdrawn_at.get((key, fingerprint), float('-inf')):
+        continue
+      withdrawn.add(fingerprint)
+      self._withdrawn_at[key, fingerprint] = at
+      if len(self._withdrawn_at) > MAX_CLEARED:
+        self._withdrawn_at.popitem(last=False)
+      if crash is not None and fingerprint in crash.involved_by_hash:
+        self._remove(crash, fingerprint)
+    return withdrawn
+
   def cleared_until(self, fingerprint: int) -> float:
     """Returns the time up to which a request is known to cause no crash."""
     return self._cleared_until.get(fingerprint, float('-inf'))
--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from mulberrypick.core import crash_evidence
+from mulberrypick.core import withdrawals
 
 REPEAT_INTERVAL_S = 1.0
 # Shortest interval if hosts start.
@@ -62,10 +63,12 @@
   Attributes:
     crashes: Crashes of endpoints.
     cleared: Requests that were not the cause of earlier crashes.
+    withdrawn: Crashes that the host reported while its connections were cut.
   """
 
   crashes: tuple[CrashReport, ...] = ()
   cleared: tuple[ClearedRequest, ...] = ()
+  withdrawn: tuple[crash_evidence.Withdrawal, ...] = ()
 
 
 class _Cleared(NamedTuple):
@@ -95,6 +98,7 @@
         collections.OrderedDict()
     )
     self._unsent_cleared: set[int] = set()
+    self._withdrawals = withdrawals.Withdrawals()
 
   def add_unsent(
       self, key: crash_evidence.IncarnationKey, fingerprint: int
@@ -129,6 +133,8 @@
       is_new = self._evidence.clear_until(cleared.fingerprint, until)
       if is_new and is_forwarded:
         self.add_cleared(cleared.fingerprint, until, now)
+    for withdrawal in news.withdrawn:
+      self.withdraw(withdrawal, is_forwarded, now)
     added = []
     for report in news.crashes:
       if report.age_s > MAX_AGE_S:
@@ -145,6 +151,29 @@
           self.add_unsent(key, fingerprint)
     return added
 
+  def withdraw(
+      self,
+      withdrawal: crash_evidence.Withdrawal,
+      is_told: bool,
+      now: float,
+  ) -> set[int]:
+    """Withdraws the involvement of requests in a crash.
+
+    Args:
+      withdrawal: The requests and the crash.
+      is_told: Whether other hosts are told.
+      now: Monotonic time.
+
+    Returns:
+      The requests for which this is new.
+    """
+    key = (withdrawal.endpoint, withdrawal.incarnation)
+    at = now - withdrawal.age_s
+    withdrawn = self._evidence.withdraw(key, withdrawal.requests, at)
+    if withdrawn and is_told:
+      self._withdrawals.add(key, withdrawn, at)
+    return withdrawn
+
   def _tell_if_cleared(self, fingerprint: int, at: float, now: float) -> None:
     """Tells others that a request whose crash they report was not the cause."""
     until = self._evidence.cleared_until(fingerprint)
@@ -164,7 +193,9 @@
 
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
-    return bool(self._unsent or self._unsent_cleared)
+    return bool(
+        self._unsent or self._unsent_cleared or self._withdrawals.has_unsent
+    )
 
   def take_news(self, now: float) -> CrashNews:
     """Returns the news for the next message to other hosts."""
@@ -174,6 +205,7 @@
     return CrashNews(
         tuple(self._take_crashes(is_repeat, now)),
         tuple(self._take_cleared(is_repeat, now)),
+        self._withdrawals.take(is_repeat, now),
     )
 
   def _take_cleared(self, is_repeat: bool, now: float) -> list[ClearedRequest]:
--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -228,6 +228,10 @@
       return
     health.suspended_until = now + _suspension_s(health.failures)
 
+  def forget_failures(self) -> None:
+    """Forgets all failures, which this host itself was the cause of."""
+    self._health.clear()
+
   def record_probe(
       self, endpoint: gateway_records.Endpoint, now: float
   ) -> None:
--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -228,7 +228,8 @@
     listen_port: Port for callers.
     ready_ip: IP address of the readiness check.
     ready_port: Port of the readiness check.
-    peer_port: Port for other hosts.
+    peer_port: Port for messages of other hosts.
+    forward_port: Port for requests that other hosts pass on; 0 for none.
     seeds: Addresses `IP:PORT` of a few other hosts; they may be outdated.
     store_ip: IP address of the store.
     store_port: Port of the store.
@@ -248,3 +249,4 @@
   store_port: int
   is_first_start: bool
   bounds: PlatformLimits
+  forward_port: int = 0
--- a/mulberrypick/core/part_evidence.py
+++ b/mulberrypick/core/part_evidence.py
@@ -69,6 +69,8 @@
     is_own: Whether an attempt of this host ended.
     disproved_at: Latest time at which the incarnation is known to have been
       alive, so that earlier ends of attempts were no crash.
+    withdrawn_at: Requests that did not end by the crash, and the time up to
+      which this holds.
   """
 
   def __init__(self, key: crash_evidence.IncarnationKey, source: str):
@@ -77,6 +79,7 @@
     self.source = source
     self.is_own = False
     self.disproved_at = float('-inf')
+    self.withdrawn_at: dict[int, float] = {}
 
   @property
   def began_at(self) -> float:
@@ -128,6 +131,8 @@
       self._drop_excess(key)
     if run.at <= crash.disproved_at:
       return False
+    if run.at <= crash.withdrawn_at.get(run.request, float('-inf')):
+      return False
     known = crash.run_by_request.get(run.request)
     if known is None:
       if len(crash.run_by_request) >= MAX_RUNS:
@@ -217,11 +222,44 @@
     self._drop_runs(crash)
     return True
 
+  def withdraw(
+      self,
+      key: crash_evidence.IncarnationKey,
+      requests: Iterable[int],
+      at: float,
+  ) -> set[int]:
+    """Withdraws that requests ended by a crash, up to a time.
+
+    Args:
+      key: The incarnation.
+      requests: The requests.
+      at: The time.
+
+    Returns:
+      The requests for which this is new.
+    """
+    crash = self._crash_by_key.get(key)
+    if crash is None:
+      crash = self._crash_by_key[key] = EndpointCrash(key, '')
+      self._drop_excess(key)
+    withdrawn = set()
+    for request in requests:
+      if at <= crash.withdrawn_at.get(request, float('-inf')):
+        continue
+      withdrawn.add(request)
+      crash.withdrawn_at[request] = at
+      run = crash.run_by_request.pop(request, None)
+      if run is not None:
+        self._unindex(crash, run.keys)
+    return withdrawn
+
   def expire(self, now: float) -> bool:
     """Drops old crashes; returns whether there were any."""
     old = []
     for key, crash in self._crash_by_key.items():
-      if max(crash.began_at, crash.disproved_at) < now - MAX_AGE_S:
+      withdrawn_at = max(crash.withdrawn_at.values(), default=0.0)
+      last_at = max(crash.began_at, crash.disproved_at, withdrawn_at)
+      if last_at < now - MAX_AGE_S:
         old.append(key)
     for key in old:
       self._drop_runs(self._crash_by_key.pop(key))
--- a/mulberrypick/core/part_exchange.py
+++ b/mulberrypick/core/part_exchange.py
@@ -13,6 +13,7 @@
 from mulberrypick.core import crash_evidence
 from mulberrypick.core import crashing_parts
 from mulberrypick.core import part_evidence
+from mulberrypick.core import withdrawals
 
 REPEAT_INTERVAL_S = 1.0
 # Shortest interval if hosts start.
@@ -66,10 +67,12 @@
   Attributes:
     crashes: Crashes of endpoints.
     cleared: Parts that are not the cause of crashes.
+    withdrawn: Crashes that the host reported while its connections were cut.
   """
 
   crashes: tuple[PartCrashReport, ...] = ()
   cleared: tuple[ClearedPart, ...] = ()
+  withdrawn: tuple[crash_evidence.Withdrawal, ...] = ()
 
 
 class PartExchange:
@@ -86,6 +89,7 @@
     # When this host learned of a crash, as long as it is repeated.
     self._learned_at: dict[crash_evidence.IncarnationKey, float] = {}
     self._repeated_at = float('-inf')
+    self._withdrawals = withdrawals.Withdrawals()
 
   def add_unsent(
       self, key: crash_evidence.IncarnationKey, request: int, now: float
@@ -121,6 +125,8 @@
         is_new = True
         if is_forwarded:
           self.add_cleared(cleared.part, now)
+    for withdrawal in news.withdrawn:
+      is_new = bool(self.withdraw(withdrawal, is_forwarded, now)) or is_new
     for report in news.crashes:
       if report.age_s > part_evidence.MAX_AGE_S:
         continue
@@ -137,6 +143,44 @@
           self.add_unsent(key, request, now)
     return is_new
 
+  def withdraw(
+      self,
+      withdrawal: crash_evidence.Withdrawal,
+      is_told: bool,
+      now: float,
+  ) -> set[int]:
+    """Withdraws that requests ended by a crash.
+
+    Args:
+      withdrawal: The requests and the crash.
+      is_told: Whether other hosts are told.
+      now: Monotonic time.
+
+    Returns:
+      The requests for which this is new.
+    """
+    key = (withdrawal.endpoint, withdrawal.incarnation)
+    at = now - withdrawal.age_s
+    withdrawn = self._evidence.withdraw(key, withdrawal.requests, at)
+    if withdrawn and is_told:
+      self._withdrawals.add(key, withdrawn, at)
+    return withdrawn
+
+  def withdraw_own(self, since: float, now: float) -> bool:
+    """Withdraws the crashes that this host reported since a time.
+
+    Returns:
+      Whether there were any.
+    """
+    withdrawn: set[int] = set()
+    for crash in self._evidence.all_crashes():
+      if crash.source != 'own' or crash.began_at < since:
+        continue
+      requests = tuple(crash.run_by_request)
+      withdrawal = crash_evidence.Withdrawal(*crash.key, 0.0, requests)
+      withdrawn |= self.withdraw(withdrawal, True, now)
+    return bool(withdrawn)
+
   def _tell_cleared(self, keys: frozenset[int], at: float, now: float) -> None:
     """Tells others of parts that are not the cause of what they report."""
     for part in keys:
@@ -162,7 +206,9 @@
 
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
-    return bool(self._unsent or self._unsent_cleared)
+    return bool(
+        self._unsent or self._unsent_cleared or self._withdrawals.has_unsent
+    )
 
   def take_news(
       self, refusals: list[crashing_parts.PartRefusal], now: float
@@ -185,7 +231,11 @@
           sent = selected.get(key, set())
           repeated[key] = crash.run_by_request.keys() - sent
       reports += self._make_reports(repeated, now)[0]
-    return PartNews(tuple(reports), tuple(self._take_cleared(is_repeat, now)))
+    return PartNews(
+        tuple(reports),
+        tuple(self._take_cleared(is_repeat, now)),
+        self._withdrawals.take(is_repeat, now),
+    )
 
   def reports_of(
       self, refusal: crashing_parts.PartRefusal, now: float
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -197,6 +197,25 @@
     self._evidence.disprove(key, alive_at)
     return involved
 
+  def withdraw_own(self, since: float, now: float) -> set[int]:
+    """Withdraws the crashes that this host saw since a time, at all hosts.
+
+    Args:
+      since: The time.
+      now: Monotonic time.
+
+    Returns:
+      The requests that were involved in them.
+    """
+    withdrawn = set()
+    for crash in self._evidence.all_crashes():
+      if crash.began_at < since:
+        continue
+      own = [f for f, known in crash.involved_by_hash.items() if known.is_own]
+      withdrawal = crash_evidence.Withdrawal(*crash.key, 0.0, tuple(own))
+      withdrawn |= self.exchange.withdraw(withdrawal, True, now)
+    return withdrawn
+
   def record_completion(self, fingerprint: int, now: float) -> None:
     """Clears a request that ran to its end without a crash."""
     is_suspect = bool(self._evidence.crashes(fingerprint))
--- a/mulberrypick/core/shared_retry_budget.py
+++ b/mulberrypick/core/shared_retry_budget.py
@@ -112,6 +112,12 @@
     times.append(now)
     self._drop_older(times, now - self._window_s)
 
+  def forget_request(self, service: str) -> None:
+    """Forgets the last request, which another host counts instead."""
+    times = self._requests_by_service.get(service)
+    if times:
+      times.pop()
+
   def take(self, service: str, now: float) -> bool:
     """Takes a retry from the budget if one is left.
 
--- a/mulberrypick/core/unanswered_attempts.py
+++ b/mulberrypick/core/unanswered_attempts.py
@@ -81,6 +81,11 @@
     kept = [a for a in attempts if a.ended_at <= connected_at]
     self._replace(key, kept)
 
+  def drop_since(self, since: float) -> None:
+    """Forgets the attempts that ended since a time."""
+    for key, attempts in list(self._attempts_by_key.items()):
+      self._replace(key, [a for a in attempts if a.ended_at < since])
+
   def record_end(
       self, key: crash_evidence.IncarnationKey, now: float
   ) -> list[UnansweredAttempt]:
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -25,6 +25,8 @@
     'retried': 2,
     'left': 1,
     'resumed': 1,
+    'passed_on': 4,
+    'taken': 4,
 }
 SHARED_LINES_PER_S = MAX_LINES_PER_S - sum(RESERVED_LINES_BY_OUTCOME.values())
 # One in this many served requests is logged.
@@ -59,8 +61,9 @@
     Args:
       outcome: `served`, `refused`, `failed`, `retried`, `left`, `cut`,
         `broke` for an attempt whose connection to the endpoint broke off,
-        `waited` or `moved` for one whose endpoint is silent, or `resumed` for a
-        stream that its caller takes up.
+        `waited` or `moved` for one whose endpoint is silent, `resumed` for a
+        stream that its caller takes up, `passed_on` for a request that
+        another host answered, or `taken` for one of another host.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -13,6 +13,8 @@
     'resumed',
     'waited',
     'moved',
+    'passed_on',
+    'taken',
 )
 # More decisions of a kind than are logged in a second.
 FLOOD = 10 * call_log.MAX_LINES_PER_S
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -18,9 +18,12 @@
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import endpoint_send
 from mulberrypick.ops import failure_response
+from mulberrypick.ops import forward_run
+from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import next_run
+from mulberrypick.ops import pass_on
 from mulberrypick.ops import prompt_handles
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
@@ -32,6 +35,9 @@
 # Retry-After of the response if no endpoint ran a request. The queues of
 # endpoints hold a few requests of some tens of milliseconds each.
 BUSY_RETRY_AFTER_S = 0.1
+# Retry-After of the response of a host that is apart if no other one takes the
+# request. Hosts describe themselves to each other every 0.25 s.
+NO_HELPER_RETRY_AFTER_S = 0.3
 # A request that may be retried is sent to another endpoint, if that is secured,
 # when the response head takes longer than both of these: a multiple of the
 # route's latency target, and a multiple of the predicted latency.
@@ -56,8 +62,22 @@
       call: gateway_records.Call,
       service: gateway_records.Service,
       received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      forwarded: forward_server.ForwardedCaller | None = None,
   ):
+    """Creates a run.
+
+    Args:
+      state: The state of this host.
+      log: Logs decisions.
+      metrics: Counts requests.
+      versions: Finds and tells the versions of streams.
+      call: The request.
+      service: Its service.
+      received: The request as it was received.
+      caller: Its caller.
+      forwarded: The same if it is that of another host, None otherwise.
+    """
     self._state = state
     self._log = log
     self._metrics = metrics
@@ -67,7 +87,11 @@
     self._caller = caller
     self._headers = requests.forwarded_headers(received)
     self._next = next_run.NextRun(state, call, service)
-    self._stream = caller_stream.CallerStream(caller)
+    self._forwarded = forwarded
+    self._stream = caller_stream.CallerStream(caller, forwarded)
+    self._passing = pass_on.PassOn(
+        state, self._next, received, caller, self._stream, forwarded
+    )
     self._is_sending = False
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
@@ -103,14 +127,20 @@
   async def _run_attempts(self) -> None:
     reason = 'no_endpoint'
     sends = 0
+    if not self._passing.may_begin():
+      self._fail(502, 'forwarded')
+      return
     while sends < MAX_SENDS or self._next.has_given_up:
+      if await self._pass_on():
+        return
       placement = await self._next.place()
       if isinstance(placement, placements.Refusal):
-        if not sends:
+        if await self._passing.is_needed_after_failure():
+          continue
+        if not sends and not self._next.runs:
           self._refuse(placement)
           return
-        self._next.lacked = placement.reason
-        if not await self._next.secure_again():
+        if not await self._is_secured_after(placement):
           break
         continue
       sends += 1
@@ -125,22 +155,74 @@
           else placement.prefiller
       )
       self._next.record_attempt(attempt, failed)
-      if self._next.secured is not None:
-        continue
-      if (
-          not self._next.may_retry(attempt)
-          and not await self._next.secure_again()
-      ):
+      if not await self._goes_on_after(attempt):
         break
-      self._log_decision('retried', reason)
+    self._end_unserved(reason)
+
+  def _end_unserved(self, reason: str) -> None:
+    """Fails a request that may have run, and refuses any other."""
     if self._next.runs:
       self._fail(502, reason)
       return
     self._refuse(placements.Refusal(reason, BUSY_RETRY_AFTER_S))
 
+  async def _is_secured_after(self, refusal: placements.Refusal) -> bool:
+    """Returns whether there is another run although none was placed."""
+    self._next.lacked = refusal.reason
+    return await self._next.secure_again()
+
+  async def _goes_on_after(self, attempt: next_run.AttemptResult) -> bool:
+    """Returns whether the request is sent again after an attempt."""
+    if self._next.secured is not None:
+      return True
+    if await self._passing.is_needed_after_failure():
+      return True
+    if (
+        not self._next.may_retry(attempt)
+        and not await self._next.secure_again()
+    ):
+      return False
+    self._log_decision('retried', attempt.reason)
+    return True
+
+  async def _pass_on(self) -> bool:
+    """Passes the request on to another host if this one is apart.
+
+    Returns:
+      Whether the request has its final response.
+    """
+    if not self._passing.is_needed():
+      return False
+    if self._forwarded is not None:
+      # The other host finds one that is not apart.
+      self._log_decision('refused', forward_server.APART)
+      self._forwarded.decline(forward_server.APART)
+      return True
+    self._is_sending = True
+    self._end_passed_on(await self._passing.run())
+    return True
+
+  def _end_passed_on(self, result: forward_run.ForwardResult) -> None:
+    """Logs how passing on ended, and fails the request if it was not served."""
+    if result.outcome is forward_run.Outcome.ANSWERED:
+      self._log_decision('passed_on', result.reason, helper=result.helper)
+      return
+    if self._next.runs:
+      self._fail(502, result.reason)
+      return
+    self._refuse(
+        placements.Refusal(forward_run.NO_HELPER, NO_HELPER_RETRY_AFTER_S)
+    )
+
   async def _give_up_for(self, is_silent: Callable[[], bool]) -> bool:
     """Secures another run while an endpoint is silent, and logs the result."""
     present = self._placement.endpoint
+    if (
+        await self._passing.is_needed_after_failure()
+        and self._next.may_run_again()
+    ):
+      self._log_decision('moved', 'apart', last_event=self._stream.last_event)
+      return True
     if await self._next.secure_elsewhere(present, is_silent):
       other = self._next.secured.placement
       self._log_decision(
@@ -361,6 +443,8 @@
       self._versions.bind(self._call, endpoint.software)
     if self._call.software is None:
       self._next.call = self._call._replace(software=endpoint.software)
+    if self._forwarded is not None:
+      self._forwarded.software = self._call.software
 
   def _silence_limit(self, after_s: float) -> endpoint_send.SilenceLimit | None:
     if not self._next.may_run_again():
@@ -444,6 +528,8 @@
     if outcome not in INTERIM_OUTCOMES:
       after_s = self._first_event_s or now - self._call.arrived_at
       self._metrics.observe_call(self._call.route, outcome, after_s)
+    if self._forwarded is not None:
+      fields['from_host'] = self._forwarded.origin.host
     config = self._state.config
     self._log.record(
         outcome,
--- a/mulberrypick/ops/caller_stream.py
+++ b/mulberrypick/ops/caller_stream.py
@@ -3,6 +3,7 @@
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import event_stream
+from mulberrypick.ops import forward_server
 from mulberrypick.platform import requests
 
 _LAST_CHUNK = b'0\r\n\r\n'
@@ -17,10 +18,25 @@
     has_head: Whether a response head was written to the caller.
   """
 
-  def __init__(self, caller: stream_server.ServerConnection):
+  def __init__(
+      self,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      forwarded: forward_server.ForwardedCaller | None = None,
+  ):
+    """Creates a stream.
+
+    Args:
+      caller: The caller.
+      forwarded: The same if it is that of another host, None otherwise. Parts
+        of the response may have reached it by way of others.
+    """
     self._caller = caller
+    self._forwarded = forwarded
     self.last_event: int | None = None
     self.has_head = False
+    if forwarded is not None:
+      self.last_event = forwarded.origin.last_event
+      self.has_head = forwarded.origin.has_head
 
   async def write(
       self, head: stream_client.Head, events: list[event_stream.Event]
@@ -36,6 +52,8 @@
     if not new_events:
       return
     self._write_head(head)
+    if self._forwarded is not None:
+      self._forwarded.last_event = self.last_event
     data = b''.join(new_events)
     self._caller.write(b'%x\r\n%s\r\n' % (len(data), data))
     await self._caller.drain()
@@ -44,6 +62,8 @@
     """Writes the end of a complete response."""
     self._write_head(head)
     self._caller.write(_LAST_CHUNK)
+    if self._forwarded is not None:
+      self._forwarded.finish()
 
   def _write_head(self, head: stream_client.Head) -> None:
     if self.has_head:
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -202,6 +202,19 @@
     self._add_crash(key, self._unanswered.record_end(key, now), now)
     self._add_ended(key, self._open_ended.record_end(key, now), now)
 
+  def withdraw_own(self, since: float, now: float) -> None:
+    """Withdraws the crashes that only this host saw since a time."""
+    self._unanswered.drop_since(since)
+    self.parts.withdraw_own(since, now)
+    withdrawn = self._quarantine.withdraw_own(since, now)
+    for fingerprint in withdrawn:
+      if fingerprint in self._logged:
+        # It was refused, and is removed from the store.
+        del self._logged[fingerprint]
+        self.add_refusal(fingerprint)
+    if withdrawn:
+      self._log_event(now, 'crashes_withdrawn', requests=len(withdrawn))
+
   def repeat_soon(self, now: float) -> bool:
     """Repeats the evidence in the next message, for a host that starts."""
     of_requests = self._quarantine.exchange.repeat_soon(now)
@@ -226,7 +239,7 @@
     self._log_added(added, now)
 
   def add_refusal(self, refused: int | part_watch.RefusalChange) -> None:
-    """Adds a refusal that is to be written to the store."""
+    """Adds a refusal to be written to the store, or removed if withdrawn."""
     try:
       self.new_refusals.put_nowait(refused)
     except asyncio.QueueFull:
--- a/mulberrypick/ops/endpoint_pool.py
+++ b/mulberrypick/ops/endpoint_pool.py
@@ -1,13 +1,17 @@
 """Pool of keep-alive connections to endpoints."""
 
 import asyncio
+from collections.abc import Callable
 
 from mulberrypick.adapters import stream_client
+from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 
 # Connections within a zone or region open within a few milliseconds. A lost SYN
 # is retransmitted after about a second, which is too late to wait for.
 CONNECT_TIMEOUT_S = 0.35
+# A connection that takes longer to be opened is a sign that links are cut.
+SLOW_CONNECT_S = 0.1
 # Maximum idle time if the endpoint doesn't announce a keep-alive timeout.
 DEFAULT_KEEP_ALIVE_S = 2.0
 # Subtracted from the keep-alive timeout that the endpoint announces, so that
@@ -24,11 +28,17 @@
 
   Attributes:
     connect: Opens a connection, given IP address, port and time limit.
+    on_opened: Called when a connection was opened.
+    on_slow: Called when a connection takes long to be opened.
+    on_failed: Called with the endpoint when none could be opened.
     opened_count: Number of connections opened so far.
   """
 
   def __init__(self):
     self.connect = stream_client.connect
+    self.on_opened: Callable[[], None] = lambda: None
+    self.on_slow: Callable[[], None] = lambda: None
+    self.on_failed: Callable[[gateway_records.Endpoint], None] = lambda _: None
     self._idle: dict[tuple[str, int], list[stream_client.ClientConnection]] = {}
     self.opened_count = 0
 
@@ -53,8 +63,28 @@
         continue
       connection.on_lost = None
       return connection
+    return await self.open(endpoint, CONNECT_TIMEOUT_S)
+
+  async def open(
+      self, endpoint: gateway_records.Endpoint, timeout_s: float
+  ) -> stream_client.ClientConnection:
+    """Returns a new connection.
+
+    Raises:
+      ConnectError: It could not be opened within the time limit.
+    """
     self.opened_count += 1
-    return await self.connect(endpoint.ip, endpoint.port, CONNECT_TIMEOUT_S)
+    loop = asyncio.get_running_loop()
+    slow = loop.call_later(SLOW_CONNECT_S, lambda: self.on_slow())
+    try:
+      connection = await self.connect(endpoint.ip, endpoint.port, timeout_s)
+    except errors.ConnectError:
+      self.on_failed(endpoint)
+      raise
+    finally:
+      slow.cancel()
+    self.on_opened()
+    return connection
 
   def release(
       self,
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -260,6 +260,7 @@
   def _record_silence(self, after_s: float, is_known: bool) -> None:
     """Keeps other requests off an endpoint that does not respond to any."""
     now = asyncio.get_running_loop().time()
+    self._state.reach.record_doubt()
     if now - self._own_load.last_response_at >= after_s:
       self._state.endpoints.suspend_silent(self._endpoint, now)
     elif not is_known:
@@ -286,6 +287,10 @@
     name, started_ms = self._endpoint.incarnation
     self._is_judged = True
     self._state.endpoints.record_failure(self._endpoint, now)
+    self._state.reach.record_doubt()
+    if self._state.reach.is_apart:
+      # The connection was cut; this says nothing about the endpoint.
+      return
     self._state.crash_watch.record_break(
         self._endpoint.incarnation,
         self._call.fingerprint,
@@ -362,6 +367,7 @@
         self._state.has_store_contact_since(connected_at, now),
         now,
     )
+    self._state.reach.record_data()
     self._heard_at = now
     self._own_load.last_response_at = now
     self._own_load.pending_since.pop(id(self), None)
@@ -382,7 +388,7 @@
     if self.exchange.is_done:
       connection.close()
       return
-    if not self._is_judged:
+    if not self._is_judged and not self._state.reach.is_apart:
       self._state.crash_watch.record_unanswered(
           self._endpoint.incarnation,
           self._call.fingerprint,
--- a/mulberrypick/ops/failure_response.py
+++ b/mulberrypick/ops/failure_response.py
@@ -1,6 +1,7 @@
 """Error responses that this system generates itself."""
 
 from mulberrypick.adapters import stream_server
+from mulberrypick.ops import forward_server
 from mulberrypick.platform import requests
 
 # Statuses that are sent only if the request did not run.
@@ -8,7 +9,7 @@
 
 
 def write_failure(
-    caller: stream_server.ServerConnection,
+    caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
     status: int,
     reason: str,
     request_id: str,
--- /dev/null
+++ b/mulberrypick/ops/forward_message_test.py
@@ -0,0 +1,55 @@
+"""Tests of the messages by which requests are passed on."""
+
+import unittest
+
+from mulberrypick.ops import forward_message
+
+FRAMES = [
+    forward_message.Head(200, [(b'A', b'1')], 'v1'),
+    forward_message.Data(b'5\r\nhello\r\n', 7),
+    forward_message.End(),
+    forward_message.Whole(503, [], b'x' * 1000),
+    forward_message.Declined('busy'),
+]
+
+
+class FrameReaderTest(unittest.TestCase):
+
+  def test_frames_are_read_whatever_their_pieces(self):
+    data = b''.join(forward_message.encode_frame(f) for f in FRAMES)
+    for size in (1, 3, 100, len(data)):
+      reader = forward_message.FrameReader()
+      found = []
+      for begin in range(0, len(data), size):
+        found += reader.feed(data[begin : begin + size])
+      self.assertEqual(found, FRAMES, size)
+
+  def test_bytes_that_are_no_frames_are_refused(self):
+    for data in (b'HTTP/1.1 200', b'\0\0\0\1\xc1', b'\0\0\0\2\x91\x05'):
+      with self.subTest(data=data), self.assertRaises(ValueError):
+        list(forward_message.FrameReader().feed(data))
+
+
+class RequestTest(unittest.TestCase):
+
+  def test_request_is_read_as_written(self):
+    request = forward_message.ForwardedRequest(
+        'host-1',
+        b'POST',
+        b'/a/b?c=%20',
+        [(b'X-Own', b'\xff'), (b'x-own', b'')],
+        b'\0\1',
+        '10.0.0.1',
+        0.25,
+        3,
+        1,
+        True,
+        None,
+        'v2',
+    )
+    data = forward_message.encode_request(request)
+    self.assertEqual(forward_message.decode_request(data), request)
+
+
+if __name__ == '__main__':
+  unittest.main()
--- /dev/null
+++ b/mulberrypick/ops/forward_run.py
@@ -0,0 +1,205 @@
+"""Passes a request on to a host that reaches endpoints, and its answer back."""
+
+import asyncio
+import enum
+import logging
+from typing import NamedTuple
+
+from mulberrypick.adapters import logs
+from mulberrypick.adapters import stream_client
+from mulberrypick.adapters import stream_server
+from mulberrypick.core import errors
+from mulberrypick.core import helper_choice
+from mulberrypick.ops import caller_stream
+from mulberrypick.ops import forward_message
+from mulberrypick.ops import gateway_state
+
+_log = logging.getLogger(__name__)
+# Hosts that are asked to take one request.
+MAX_HELPERS = 4
+NO_HELPER = 'no_helper'
+
+
+class Outcome(enum.Enum):
+  """How passing a request on ended."""
+
+  # The caller has its whole response.
+  ANSWERED = 'answered'
+  # No host took it; nothing was sent to endpoints on its behalf.
+  DECLINED = 'declined'
+  # It was taken, and its response broke off; it may have run.
+  BROKEN = 'broken'
+
+
+class ForwardResult(NamedTuple):
+  """Result of passing a request on.
+
+  Attributes:
+    outcome: How it ended.
+    reason: Identifier of the cause, for logs.
+    helper: Name of the host that took it, empty if none did.
+    status: HTTP status of the response, 0 without one.
+  """
+
+  outcome: Outcome
+  reason: str
+  helper: str
+  status: int = 0
+
+
+class ForwardRun:
+  """Passes one request on.
+
+  Attributes:
+    software: Software version that began the stream, None if unknown.
+  """
+
+  def __init__(
+      self,
+      state: gateway_state.GatewayState,
+      received: stream_server.ReceivedRequest,
+      caller: stream_server.ServerConnection,
+      stream: caller_stream.CallerStream,
+      is_idempotent: bool,
+  ):
+    self._state = state
+    self._received = received
+    self._caller = caller
+    self._stream = stream
+    self._is_idempotent = is_idempotent
+    self._tried: set[str] = set()
+    self.software: str | None = None
+
+  async def run(self, runs: int, software: str | None) -> ForwardResult:
+    """Passes the request on to one host after the other until one takes it.
+
+    Args:
+      runs: Number of endpoints that may have run it.
+      software: Software version that the stream is bound to.
+    """
+    helpers = self._state.helpers
+    self.software = software
+    result = ForwardResult(Outcome.DECLINED, NO_HELPER, '')
+    for _ in range(MAX_HELPERS):
+      helper = helpers.choose(self._tried, asyncio.get_running_loop().time())
+      if helper is None:
+        break
+      self._tried.add(helper.name)
+      helpers.begin(helper.name)
+      try:
+        result = await self._send_to(helper, runs)
+      finally:
+        helpers.end(helper.name)
+      if result.outcome is not Outcome.DECLINED:
+        break
+      helpers.record_declined(helper.name, asyncio.get_running_loop().time())
+    return result
+
+  async def _send_to(
+      self, helper: helper_choice.Helper, runs: int
+  ) -> ForwardResult:
+    links = self._state.forward_links
+    try:
+      connection = await links.acquire(
+          helper.ip, helper.port, not self._is_idempotent
+      )
+    except errors.ConnectError:
+      return ForwardResult(Outcome.DECLINED, 'connect', helper.name)
+    self._state.forwarded_count += 1
+    exchange = stream_client.Exchange(lambda _: True)
+    try:
+      connection.send(self._encode(helper, runs), exchange)
+      return await self._read_response(exchange, helper)
+    except (errors.ExchangeBrokenError, ValueError) as error:
+      self._log_broken(helper, error)
+      return ForwardResult(Outcome.BROKEN, 'helper_broke', helper.name)
+    finally:
+      if exchange.is_done:
+        links.release(helper.ip, helper.port, connection)
+      else:
+        # The helper ends the run at the endpoint.
+        connection.abort()
+
+  async def _read_response(
+      self, exchange: stream_client.Exchange, helper: helper_choice.Helper
+  ) -> ForwardResult:
+    """Passes the response on to the caller as it arrives."""
+    head = await exchange.read_head()
+    if head.status != 200:
+      # The helper does not know this host, so that it did not take it.
+      return ForwardResult(
+          Outcome.DECLINED, f'status_{head.status}', helper.name
+      )
+    reader = forward_message.FrameReader()
+    status = 0
+    result = None
+    while data := await exchange.read_some():
+      for frame in reader.feed(data):
+        if isinstance(frame, forward_message.Declined):
+          result = ForwardResult(Outcome.DECLINED, frame.reason, helper.name)
+        elif isinstance(frame, forward_message.End):
+          result = ForwardResult(
+              Outcome.ANSWERED, f'status_{status}', helper.name, status
+          )
+        else:
+          status = self._write(frame) or status
+      await self._caller.drain()
+    if result is None:
+      raise errors.ExchangeBrokenError('no_end')
+    return result
+
+  def _write(
+      self,
+      frame: (
+          forward_message.Whole | forward_message.Head | forward_message.Data
+      ),
+  ) -> int:
+    """Writes a frame to the caller; returns the status if it has one."""
+    if isinstance(frame, forward_message.Whole):
+      if not self._stream.has_head:
+        self._caller.write_response(frame.status, frame.headers, frame.body)
+      return frame.status
+    if isinstance(frame, forward_message.Head):
+      self.software = frame.software
+      self._stream.has_head = True
+      self._caller.write_head(frame.status, frame.headers, False)
+      return frame.status
+    self._stream.last_event = frame.last_event
+    self._caller.write(frame.data)
+    return 0
+
+  def _encode(self, helper: helper_choice.Helper, runs: int) -> bytes:
+    received = self._received
+    config = self._state.config
+    now = asyncio.get_running_loop().time()
+    request = forward_message.ForwardedRequest(
+        host=self._state.host.name,
+        method=received.method,
+        target=received.target,
+        headers=received.headers,
+        body=received.body,
+        peer=received.peer,
+        elapsed_s=now - received.received_at,
+        config_version=config.version if config else 0,
+        runs=runs,
+        has_head=self._stream.has_head,
+        last_event=self._stream.last_event,
+        software=self.software,
+    )
+    host = (b'Host', f'{helper.ip}:{helper.port}'.encode())
+    return stream_client.encode_request(
+        forward_message.METHOD,
+        forward_message.PATH,
+        [host],
+        forward_message.encode_request(request),
+    )
+
+  def _log_broken(self, helper: helper_choice.Helper, error: Exception) -> None:
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'helper_broke',
+        helper=helper.name,
+        error=str(error),
+        last_event=self._stream.last_event,
+    )
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -25,6 +25,7 @@
 from mulberrypick.ops import peer_message
 from mulberrypick.ops import peer_table
 from mulberrypick.ops import permit_exchange
+from mulberrypick.ops import reach_exchange
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import objects
 from mulberrypick.platform import stored_evidence
@@ -78,10 +79,18 @@
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
     )
+    self._reach = reach_exchange.ReachExchange(state)
     self.versions = version_exchange.VersionExchange(
         state, self._table.topology, own, self._new_message, self._send
     )
 
+  def is_host(self, ip: str) -> bool:
+    """Returns whether a known host has an IP address."""
+    for host in self._table.topology.hosts():
+      if host.address.rpartition(':')[0] == ip:
+        return True
+    return False
+
   def add_host(self, address: str) -> None:
     """Adds a host that is known only by its address."""
     known = {host.address for host in self._table.topology.hosts()}
@@ -177,6 +186,7 @@
     message.is_starting = now - self._started_at < START_S
     message.is_leaving = state.is_leaving
     self._permits.fill_message(message, now)
+    self._reach.fill_message(message, now)
     if state.watches_store and state.store_contact_since:
       message.store_contact_s = now - state.store_contact_since
       # A host that learns of a change in the store reads the store at once. By
@@ -240,8 +250,10 @@
       self._add_relayed_changes(own, relays)
     own.parts = peer_message.pack_parts(group_parts + self._other_group_parts)
     self._group_parts, self._other_group_parts = [], []
+    reach = own.reach
     for member in members:
       own.load = load_sum.subtract_load(total, member.load)
+      own.reach = self._reach.helpers_for(member, now) or reach
       self._send((member.address,), own)
 
   def _add_relayed_changes(
@@ -279,6 +291,7 @@
       self._reply(message, needs_host_list)
     self._handle_config(message, now)
     self._permits.handle_message(message, now)
+    self._reach.handle_message(message, now)
     self.versions.handle_message(message, now)
     if message.is_control_only:
       return
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -11,6 +11,7 @@
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
 from mulberrypick.core import gateway_records
+from mulberrypick.core import helper_choice
 from mulberrypick.core import part_exchange
 from mulberrypick.core import permits
 from mulberrypick.core import quarantine
@@ -19,6 +20,8 @@
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
+from mulberrypick.ops import forward_links
+from mulberrypick.ops import reach_watch
 from mulberrypick.ops import retry_log
 from mulberrypick.platform import stored_evidence
 
@@ -50,6 +53,12 @@
     crash_watch: Collects the signs of crashes for the quarantine.
     part_watch: Prompt parts that crash endpoints.
     pool: Connections to endpoints.
+    reach: Whether this host reaches endpoints.
+    helpers: Hosts that requests are passed on to if it does not.
+    forward_links: Connections to these hosts.
+    forwarded_count: Number of requests passed on so far.
+    taken: Requests of other hosts that this one works on.
+    taken_count: Number of such requests so far.
     hosts: Number of live hosts, including this one.
     is_relay: Whether this host forwards what it hears to members of its group.
     missed_hosts: Number of known hosts that are not among the live ones.
@@ -97,6 +106,17 @@
     self.crash_watch = crash_watch.CrashWatch(self.quarantine)
     self.part_watch = self.crash_watch.parts
     self.pool = endpoint_pool.EndpointPool()
+    self.reach = reach_watch.ReachWatch(
+        self._handle_apart, self.endpoints.forget_failures
+    )
+    self.pool.on_opened = self.reach.record_opened
+    self.pool.on_slow = self.reach.record_doubt
+    self.pool.on_failed = self.reach.record_failed
+    self.helpers = helper_choice.HelperChoice(host.zone, rng)
+    self.forward_links = forward_links.ForwardLinks()
+    self.forwarded_count = 0
+    self.taken = 0
+    self.taken_count = 0
     self.hosts = 1
     self.is_relay = False
     self.missed_hosts = 0
@@ -127,7 +147,13 @@
   def turn_among_hosts(self) -> int | None:
     """Position among the hosts that take turns; None if it takes no part."""
     rank = self.rank_among_hosts
-    return rank if rank < self.hosts else None
+    return rank if rank < self.hosts and not self.reach.is_apart else None
+
+  def may_pass_on(self) -> bool:
+    """Returns whether requests are passed on to other hosts."""
+    if not self.reach.is_apart:
+      return False
+    return bool(self.helpers.usable(asyncio.get_running_loop().time()))
 
   def is_refused(self, call: gateway_records.Call, now: float) -> bool:
     """Returns whether a request must not be sent because of crashes."""
@@ -146,6 +172,12 @@
     self.crash_watch.merge_news(crash_news, source, self.is_relay, now)
     self.part_watch.merge_news(part_news, source, self.is_relay, now)
 
+  def _handle_apart(self, since: float) -> None:
+    """Withdraws what this host took for crashes while it was cut off."""
+    now = asyncio.get_running_loop().time()
+    self.crash_watch.withdraw_own(since, now)
+    self.load_changed.set()
+
   def apply_settings(self, host: gateway_records.GatewayHost) -> None:
     """Applies changed settings."""
     self.host = host
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -10,6 +10,7 @@
 from mulberrypick.ops import call_log
 from mulberrypick.ops import call_run
 from mulberrypick.ops import failure_response
+from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import version_exchange
@@ -52,10 +53,30 @@
       _log.exception('call_fault')
       caller.abort()
 
+  async def answer_forwarded(
+      self,
+      received: stream_server.ReceivedRequest,
+      caller: forward_server.ForwardedCaller,
+  ) -> None:
+    """Responds to a request that another host passes on."""
+    headers = requests.decode_call(received)
+    self._log.record(
+        'taken',
+        'forwarded',
+        asyncio.get_running_loop().time(),
+        '',
+        request=headers.id,
+        from_host=caller.origin.host,
+        elapsed_s=round(caller.origin.elapsed_s, 3),
+        runs=caller.origin.runs,
+    )
+    await self._answer(received, caller, caller)
+
   async def _answer(
       self,
       received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      forwarded: forward_server.ForwardedCaller | None = None,
   ) -> None:
     state = self._state
     headers = requests.decode_call(received)
@@ -71,7 +92,8 @@
     call = make_call(received, headers, route)
     service = config.service_by_name.get(call.service)
     now = asyncio.get_running_loop().time()
-    state.budget.record_request(call.service, now)
+    if forwarded is None or not forwarded.origin.runs:
+      state.budget.record_request(call.service, now)
     if service is None:
       self._refuse(caller, 503, 'no_service', headers.id, NOT_READY_RETRY_S)
       return
@@ -93,7 +115,9 @@
           caller, 503, 'part_crashes_endpoints', headers.id, None, parts=parts
       )
       return
-    if headers.is_resumed and route.is_resumable:
+    if forwarded is not None and forwarded.origin.software is not None:
+      call = call._replace(software=forwarded.origin.software)
+    elif headers.is_resumed and route.is_resumable:
       call = await self._bind_taken_up(call)
       if not call.software:
         self._refuse(caller, 503, 'version_unknown', headers.id, None)
@@ -107,6 +131,7 @@
         service,
         received,
         caller,
+        forwarded,
     )
     await run.run()
 
@@ -150,7 +175,7 @@
 
   def _refuse(
       self,
-      caller: stream_server.ServerConnection,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
       status: int,
       reason: str,
       request_id: str,
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -19,7 +19,8 @@
 # takes a few milliseconds. Without a permit it is then refused.
 MAX_PERMIT_WAIT_S = 0.05
 # Reasons of attempts, also of prefills, after which nothing was sent.
-UNSENT_REASONS = ('connect', 'limited', 'read_connect', 'read_limited')
+CONNECT_REASONS = ('connect', 'read_connect')
+UNSENT_REASONS = (*CONNECT_REASONS, 'limited', 'read_limited')
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
 # After a run was given up for one that failed, the endpoint of the latter is
--- a/mulberrypick/ops/part_watch.py
+++ b/mulberrypick/ops/part_watch.py
@@ -134,6 +134,11 @@
     if self._evidence.disprove(key, alive_at, known_since):
       self._update('disproved', now)
 
+  def withdraw_own(self, since: float, now: float) -> None:
+    """Withdraws the crashes since a time that only this host reported."""
+    if self._exchange.withdraw_own(since, now):
+      self._update('withdrawn', now)
+
   def all_crashes(self) -> list[part_evidence.EndpointCrash]:
     """Returns all crashes in which a part may be the cause."""
     return self._evidence.all_crashes()
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -49,6 +49,44 @@
   software: str | None
 
 
+class HelperReport(NamedTuple):
+  """A host that reaches endpoints, as a relay reports it to its members.
+
+  Attributes:
+    host: Name of the host.
+    zone: Its availability zone.
+    ip: Its IP address.
+    port: Port on which it takes requests of other hosts.
+    taken: Requests of other hosts that it works on.
+    reached_age_s: Time since it last reached an endpoint.
+  """
+
+  host: str
+  zone: str
+  ip: str
+  port: int
+  taken: int
+  reached_age_s: float
+
+
+class ReachReport(NamedTuple):
+  """Whether the sender reaches endpoints, and whether it can help.
+
+  Attributes:
+    state: A value of `endpoint_reach.Reach`.
+    reached_age_s: Time since it last reached an endpoint.
+    port: Port on which it takes requests of other hosts.
+    taken: Requests of other hosts that it works on.
+    helpers: From a relay to a member that is cut off: other hosts that help.
+  """
+
+  state: str
+  reached_age_s: float
+  port: int
+  taken: int
+  helpers: tuple[HelperReport, ...] = ()
+
+
 class PeerMessage(msgspec.Struct, array_like=True, omit_defaults=True):
   """One message to another host; encoded as an array without field names.
 
@@ -89,6 +127,7 @@
       if a relay without contact reports its changes to the members.
     part_news: Crashes of endpoints, with the prompt parts that were there.
     is_starting: Whether the sender has just started and knows of no crashes.
+    reach: Whether the sender reaches endpoints; not in all messages.
   """
 
   host: str
@@ -121,6 +160,7 @@
   relayed_contact_s: float = 0.0
   part_news: part_exchange.PartNews = part_exchange.PartNews()
   is_starting: bool = False
+  reach: ReachReport | None = None
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/peer_table.py
+++ b/mulberrypick/ops/peer_table.py
@@ -279,10 +279,23 @@
     if now < self._min_hosts_until:
       hosts = max(hosts, self._min_hosts)
     state.hosts = hosts
+    state.rank_among_hosts = self._rank(live_messages)
+
+  def _rank(self, live_messages: list[peer_message.PeerMessage]) -> int:
+    """Returns the position of this host among those that do work for all.
+
+    Hosts that reach no endpoint can't do it.
+    """
+    state = self._state
+    if state.reach.is_apart:
+      return state.hosts
     rank = 0
     for message in live_messages:
-      rank += message.store_contact_s > 0 and message.host < state.host.name
-    state.rank_among_hosts = rank
+      helper = state.helpers.find(message.host)
+      is_apart = helper is not None and not helper.is_reaching
+      if message.store_contact_s > 0 and not is_apart:
+        rank += message.host < state.host.name
+    return rank
 
   def _update_retry_budget(self, now: float) -> None:
     """Updates the number of hosts that share the retry budget.
--- a/mulberrypick/ops/refusals_task.py
+++ b/mulberrypick/ops/refusals_task.py
@@ -95,20 +95,24 @@
     if reports:
       await self._client.put_if_revision(kind, name, spec, 0)
       return
+    await self._remove(name)
+
+  async def _remove(self, name: str) -> None:
     try:
-      await self._client.remove(kind, name)
+      await self._client.remove(protocol.REFUSALS_KIND, name)
     except errors.StoreError as error:
-      # Another host that saw the same has removed it.
+      # Nobody wrote it, or another host that saw the same has removed it.
       if error.status != HTTP_NOT_FOUND:
         raise
 
   async def _write(self, fingerprint: int) -> None:
     now = asyncio.get_running_loop().time()
     reports = self._state.quarantine.exchange.reports_of(fingerprint, now)
+    name, spec = objects.encode_refusal(fingerprint, reports, time.time())
     if not reports:
       # Its crashes were withdrawn.
+      await self._remove(name)
       return
-    name, spec = objects.encode_refusal(fingerprint, reports, time.time())
     # Several hosts may have seen crashes; the first one writes.
     await self._client.put_if_revision(protocol.REFUSALS_KIND, name, spec, 0)
 
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -59,7 +59,10 @@
     while True:
       await asyncio.sleep(CHECK_INTERVAL_S)
       state = self._state
-      if state.is_leaving or state.store_contact_since is None:
+      if state.is_leaving or state.reach.is_apart:
+        # It gives no orders, and could not deliver them.
+        continue
+      if state.store_contact_since is None:
         continue
       order = self._plan.decide(
           state.endpoints.all(), state.rank_among_hosts, boot_time()
--- a/mulberrypick/platform/gateway_apart_test.py
+++ b/mulberrypick/platform/gateway_apart_test.py
@@ -74,7 +74,7 @@
     end_at = loop.time() + duration_s
     tries: list[tuple[bool, asyncio.Task]] = []
     number = 0
-    while loop.time() < end_at:
+    while loop.time() < end_at or number < self.hosts:
       host = number % self.hosts
       route = routes[number // self.hosts % len(routes)]
       task = loop.create_task(self.send_at(host, route))
@@ -147,5 +147,17 @@
     await self.check_served(MODE.REFUSED)
 
 
+class TwentyHostsTest(ApartTestCase):
+  """Members of groups hear their relay only, which may be cut off too."""
+
+  hosts = 20
+  apart = 15
+  # All of them start in one process.
+  wait_timeout_s = 60.0
+
+  async def test_callers_are_served_if_connections_hang(self):
+    await self.check_served(MODE.HANGING)
+
+
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/platform/gateway_crash_test.py
+++ b/mulberrypick/platform/gateway_crash_test.py
@@ -221,6 +221,19 @@
       self.assertEqual(answer.status, 200)
     self.assertEqual(len(self.cluster.crashed_at), crashes)
 
+  async def test_refusal_that_a_cut_caused_is_removed_from_the_store(self):
+    state = self.gateway.state
+    now = asyncio.get_running_loop().time()
+    for name in ('desk-1', 'desk-2'):
+      state.crash_watch.record_break((name, 1), 7, False, now)
+    await self.wait_until(
+        lambda: self.cluster.store.names(protocol.REFUSALS_KIND)
+    )
+    state.crash_watch.withdraw_own(now - 0.1, now + 0.1)
+    await self.wait_until(
+        lambda: not self.cluster.store.names(protocol.REFUSALS_KIND)
+    )
+
   async def test_expired_refusals_are_removed_from_the_store(self):
     for name, age_s in (('0a', 700.0), ('0b', 10.0)):
       report = crash_exchange.CrashReport('desk-1', 1, age_s, False, ())
--- a/mulberrypick/platform/settings.py
+++ b/mulberrypick/platform/settings.py
@@ -52,6 +52,10 @@
     # other hosts; it is listed under `seeds` in their settings.
     peer_address = listen.get('controlPlane')
     store_ip, store_port = split_address(data['platform']['address'])
+    peer_port = split_address(peer_address)[1] if peer_address else None
+    internal_ports = [int(port) for port in data.get('internalPorts') or ()]
+    if peer_port is None:
+      peer_port = internal_ports.pop(0)
     return gateway_records.GatewayHost(
         name=str(data['nodeName']),
         zone=str(data['zone']),
@@ -59,11 +63,9 @@
         listen_port=split_address(listen['frontend'])[1],
         ready_ip=ready_ip,
         ready_port=ready_port,
-        peer_port=(
-            split_address(peer_address)[1]
-            if peer_address
-            else int(data['internalPorts'][0])
-        ),
+        peer_port=peer_port,
+        # The ports that are free reach from the first to the last of the list.
+        forward_port=internal_ports[0] if internal_ports else 0,
         seeds=tuple(data.get('seeds') or ()),
         store_ip=store_ip,
         store_port=store_port,
--- a/mulberrypick/platform/stored_evidence.py
+++ b/mulberrypick/platform/stored_evidence.py
@@ -92,10 +92,14 @@
   crash_news, part_news = evidence
   return Evidence(
       crash_exchange.CrashNews(
-          _older(crash_news.crashes, age), _older(crash_news.cleared, age)
+          _older(crash_news.crashes, age),
+          _older(crash_news.cleared, age),
+          _older(crash_news.withdrawn, age),
       ),
       part_exchange.PartNews(
-          _older(part_news.crashes, age), _older(part_news.cleared, age)
+          _older(part_news.crashes, age),
+          _older(part_news.cleared, age),
+          _older(part_news.withdrawn, age),
       ),
   )
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -18,11 +18,13 @@
 from mulberrypick.core import gateway_records
 from mulberrypick.ops import call_log
 from mulberrypick.ops import evidence_task
+from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_peers
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import gateway_task
 from mulberrypick.ops import hosts_task
+from mulberrypick.ops import reach_task
 from mulberrypick.ops import refusals_task
 from mulberrypick.ops import stage_task
 from mulberrypick.ops import store_task
@@ -44,6 +46,8 @@
 # Time reserved for exiting (s), out of the grace period between SIGTERM and
 # SIGKILL.
 SHUTDOWN_MARGIN_S = 0.6
+# Encoding of a request that is passed on, beside its own bytes.
+MAX_FORWARDED_EXTRA_BYTES = 65536
 
 
 class Gateway:
@@ -64,6 +68,12 @@
     self._caller_server = stream_server.StreamServer(
         self._task.handle, self._task.log_refused
     )
+    self._forward_server = stream_server.StreamServer(
+        forward_server.ForwardServer(
+            self.state, self._task.answer_forwarded, self._peers.is_host
+        ).handle,
+        self._task.log_refused,
+    )
     self._readiness_server = stream_server.StreamServer(
         self._task.answer_ready, self._task.log_refused
     )
@@ -85,6 +95,8 @@
     loop.add_signal_handler(signal.SIGHUP, self._reload)
     await self._readiness_server.listen(host.ready_ip, host.ready_port)
     await self._caller_server.listen(host.ip, host.listen_port)
+    if host.forward_port:
+      await self._forward_server.listen(host.ip, host.forward_port)
     await self._listen_for_metrics()
     tasks = [
         store_task.ConfigTask(self.state, self._make_store_client()).run(),
@@ -96,6 +108,7 @@
         evidence_task.EvidenceTask(
             self.state, self._make_store_client(), self._make_store_client()
         ).run(),
+        reach_task.ReachTask(self.state, random.Random()).run(),
         self._sweep(),
     ]
     running = [loop.create_task(task) for task in tasks]
@@ -117,6 +130,7 @@
     self._peers.close()
     for server in (
         self._caller_server,
+        self._forward_server,
         self._readiness_server,
         self._metrics_server,
     ):
@@ -144,7 +158,8 @@
     await asyncio.sleep(BALANCER_NOTICE_S)
     self._caller_server.stop_listening()
     deadline = started_at + self.state.host.bounds.grace_s - SHUTDOWN_MARGIN_S
-    while self._caller_server.close_idle() and loop.time() < deadline:
+    self._forward_server.stop_listening()
+    while self._close_idle() and loop.time() < deadline:
       await asyncio.sleep(0.05)
     leave_task.cancel()
     logs.log_event(
@@ -152,9 +167,14 @@
         logging.INFO,
         'stopped',
         took_s=round(loop.time() - started_at, 2),
-        cut=self._caller_server.close_idle(),
+        cut=self._close_idle(),
     )
 
+  def _close_idle(self) -> int:
+    """Closes idle connections; returns how many still have a request."""
+    busy = self._caller_server.close_idle()
+    return busy + self._forward_server.close_idle()
+
   async def _sweep(self) -> None:
     while True:
       await asyncio.sleep(SWEEP_INTERVAL_S)
@@ -183,11 +203,19 @@
       self.state.suspend_silent_endpoints(now)
       self.state.retry_log.log_changes(now)
       self.state.pool.close_expired()
+      self.state.forward_links.close_expired()
       if time.monotonic() - self._settings_read_at > SETTINGS_RELOAD_INTERVAL_S:
         self._reload()
       config = self.state.config
       if config is not None:
-        self._caller_server.limits = stream_server.Limits(*config.limits)
+        limits = stream_server.Limits(*config.limits)
+        self._caller_server.limits = limits
+        # The body of a request that is passed on holds all of it.
+        self._forward_server.limits = stream_server.Limits(
+            max_body_bytes=limits.max_header_bytes
+            + limits.max_body_bytes
+            + MAX_FORWARDED_EXTRA_BYTES
+        )
 
   def _reload(self) -> None:
     """Reloads the settings; changed addresses apply at the next start."""
--- a/standins/bench_forwarding.py
+++ b/standins/bench_forwarding.py
@@ -80,6 +80,7 @@
                   'ready': f'127.0.0.1:{host.ready_port}',
                   'controlPlane': address,
               },
+              'internalPorts': [host.forward_port, host.forward_port],
               'seeds': list(seeds),
               'bootstrap': host.is_first_start,
               'bounds': {
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -76,6 +76,7 @@
     runs: Number of executions by request id.
     aborted_requests: Ids of requests whose caller disconnected before the end.
     headers_by_request: Headers of each received request, by request id.
+    target_by_request: Path and query of each received request, by request id.
     body_by_request: Body of each received request, by request id.
     freed_handles: KV handles that were freed.
     arrivals: Number of received requests, including refused ones.
@@ -106,6 +107,7 @@
     self.runs: collections.Counter[str] = collections.Counter()
     self.aborted_requests: list[str] = []
     self.headers_by_request: dict[str, dict[str, str]] = {}
+    self.target_by_request: dict[str, str] = {}
     self.body_by_request: dict[str, bytes] = {}
     self.freed_handles: list[str] = []
     self.arrivals = 0
@@ -202,6 +204,7 @@
     if crash_point.parse_body(body) is not None:
       self.crashing_arrivals.append((self.arrived_at, request))
     self.headers_by_request[request] = headers
+    self.target_by_request[request] = received.target.decode()
     self.body_by_request[request] = received.body
     expected = headers.get('x-mulberrypick-expect-instance')
     if expected is not None and expected != self.name:
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -209,7 +209,7 @@
 
   def make_host(self, name: str = 'host-1') -> gateway_records.GatewayHost:
     """Returns a gateway host with free ports, as settings would define it."""
-    listen, ready, peer = free_ports(3)
+    listen, ready, peer, forward = free_ports(4)
     return gateway_records.GatewayHost(
         name=name,
         zone='zone-a',
@@ -223,6 +223,7 @@
         store_port=self.store.port,
         is_first_start=True,
         bounds=gateway_records.PlatformLimits(8.0, 0.2, 50.0, 10.0),
+        forward_port=forward,
     )
 
 
