--- a/standins/soak.py
+++ b/standins/soak.py
@@ -20,6 +20,7 @@
 import click
 
 from standins import gateway_cluster
+from standins import soak_apart
 from standins import soak_checks
 from standins import soak_client
 from standins import soak_cluster
@@ -189,6 +190,12 @@
     self._violations += self._injector.part_caller.find_violations(
         outages + self._injector.disturbances
     )
+    self._violations += soak_apart.find_violations(
+        self._client.observations,
+        self._injector.cuts,
+        outages + self._injector.disturbances,
+        self._injector.peer_cuts,
+    )
     self._violations += soak_retries.find_violations(
         self._cluster.calls(),
         self._client.observations,
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -7,6 +7,7 @@
 
 from standins import crash_point
 from standins import fleet_replica
+from standins import soak_apart
 from standins import soak_checks
 from standins import soak_cluster
 from standins import soak_parts
@@ -31,6 +32,8 @@
 
   Attributes:
     disturbances: Periods in which the store, or a path to it, was disturbed.
+    cuts: Periods in which gateways were cut off from all endpoints.
+    peer_cuts: Periods in which gateways did not reach each other.
     limited: Endpoints that named a limit, with the limit and the time since
       when.
     body_by_crasher: Body of each crashing request, by the prefix of its ids.
@@ -53,6 +56,8 @@
     self._cluster = cluster
     self._send = send
     self.disturbances: list[soak_checks.Outage] = []
+    self.cuts: list[soak_apart.Cut] = []
+    self.peer_cuts: list[soak_checks.Outage] = []
     self.limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
     self.body_by_crasher: dict[str, bytes] = {}
     self.stream_caller = soak_streams.StreamCaller(cluster)
@@ -149,12 +154,26 @@
     await asyncio.sleep(fault.duration_s)
     for link in links:
       link.heal()
+    if fault.variant == 'cut':
+      self.peer_cuts.append(soak_checks.Outage('', began_at, cluster.now()))
     cluster.fail(0.0)
     for name in cluster.replica_by_name:
       cluster.endpoint_outages.append(
           soak_checks.Outage(name, began_at, cluster.now())
       )
 
+  async def _inject_apart(self, fault: soak_plan.Fault) -> None:
+    """Cuts gateways off from all endpoints."""
+    names = tuple(fault.target.split())
+    gateways = [self._cluster.gateway_by_name[name] for name in names]
+    began_at = self._cluster.now()
+    for gateway in gateways:
+      gateway.set_apart(fault.variant)
+    await asyncio.sleep(fault.duration_s)
+    for gateway in gateways:
+      gateway.set_apart('')
+    self.cuts.append(soak_apart.Cut(names, began_at, self._cluster.now()))
+
   async def _inject_unframed(self, fault: soak_plan.Fault) -> None:
     """Lets an endpoint answer with neither a length nor chunks."""
     replica = self._cluster.replica_by_name[fault.target]
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -100,6 +100,13 @@
         self._bound.window_s,
     )
 
+  def set_apart(self, mode: str) -> None:
+    """Cuts the gateway off from all endpoints, or heals the cut if empty."""
+    path = self._folder / relayed_gateway.APART_FILE
+    written = path.with_suffix('.new')
+    written.write_text(mode)
+    written.replace(path)
+
   async def start(self) -> None:
     """Starts the process and waits until it handles signals."""
     with open(self._folder / 'log.txt', 'ab') as log:
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -69,6 +69,12 @@
 FAILING_FRACTION = 0.3
 FAILING_KIND = 'failing'
 FAILING_VARIANTS = ('linked', 'cut')
+# Fraction of the schedules in which gateways are cut off from endpoints, the
+# gateways, and what happens to their connections.
+APART_FRACTION = 0.35
+APART_KIND = 'apart'
+APART_TARGETS = ('host-1', 'host-2', 'host-1 host-3', 'host-2 host-3')
+APART_VARIANTS = ('refused', 'hanging', 'old_alive')
 USUAL_RETRIES = retry_check.Bound(0.2, 50.0, 10.0)
 FEW_RETRIES = retry_check.Bound(0.0, 12.0, 10.0)
 NO_RETRIES = retry_check.Bound(0.0, 0.0, 10.0)
@@ -85,8 +91,8 @@
   Attributes:
     at_s: When it begins, in seconds after the start.
     kind: Kind of fault, a key of `_TARGETS_BY_KIND`.
-    target: Name of the gateway, endpoint or store that it affects; the route
-      of a crashing request.
+    target: Name of the gateway, endpoint or store that it affects, or several
+      names; the route of a crashing request.
     duration_s: Duration of the fault.
     variant: Variant of the kind, empty if there is only one.
   """
@@ -149,7 +155,7 @@
   faults = _drop_overlapping(faults)
   faults += _plan_crashers(seed) + _plan_limits(seed) + _plan_versions(seed)
   faults += _plan_silences(seed) + _plan_failing(seed)
-  faults += _plan_parts(seed)
+  faults += _plan_parts(seed) + _plan_apart(seed)
   faults += _plan_unframed(seed, faults)
   return sorted(faults)
 
@@ -216,6 +222,17 @@
   return [Fault(at_s, PART_KIND, 'read', PART_DURATION_S, point)]
 
 
+def _plan_apart(seed: int) -> list[Fault]:
+  """Draws whether gateways are cut off from all endpoints, and how."""
+  rng = random.Random(f'apart of {seed}')
+  if rng.random() >= APART_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 0.6), 2)
+  duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
+  target, variant = rng.choice(APART_TARGETS), rng.choice(APART_VARIANTS)
+  return [Fault(at_s, APART_KIND, target, duration_s, variant)]
+
+
 def _plan_failing(seed: int) -> list[Fault]:
   """Draws whether endpoints fail, and whether gateways are apart then."""
   rng = random.Random(f'failing of {seed}')
@@ -239,7 +256,7 @@
     return []
   broken = set()
   for fault in faults:
-    if fault.kind in (CRASHER_KIND, PART_KIND, 'kill'):
+    if fault.kind in (CRASHER_KIND, PART_KIND, APART_KIND, 'kill'):
       return []
     if fault.kind in KINDS_BREAKING_CONNECTIONS:
       broken.add(fault.target)
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -60,6 +60,7 @@
         soak_plan.PART_KIND,
         soak_plan.FAILING_KIND,
         soak_plan.UNFRAMED_KIND,
+        soak_plan.APART_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
