--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -163,7 +163,7 @@
         self._remove(crash, fingerprint)
 
   def withdraw(
-      self, key: IncarnationKey, fingerprints: Iterable[int], at: float
+      self, key: IncarnationKey, requests: Iterable[int], at: float
   ) -> set[int]:
     """Withdraws the involvement of requests in a crash up to a time.
 
@@ -171,7 +171,7 @@
 
     Args:
       key: The incarnation.
-      fingerprints: The requests.
+      requests: The requests.
       at: The time.
 
     Returns:
@@ -179,7 +179,7 @@
     """
     crash = self._crash_by_key.get(key)
     withdrawn = set()
-    for fingerprint in fingerprints:
+    for fingerprint in requests:
       if at <= self._withdrawn_at.get((key, fingerprint), float('-inf')):
         continue
       withdrawn.add(fingerprint)
--- a/mulberrypick/core/crash_exchange.py
+++ b/mulberrypick/core/crash_exchange.py
@@ -86,7 +86,11 @@
 
 
 class CrashExchange:
-  """Evidence that this host has to send, and that it receives."""
+  """Evidence that this host has to send, and that it receives.
+
+  Attributes:
+    withdrawals: Crashes that were withdrawn.
+  """
 
   def __init__(self, evidence: crash_evidence.CrashEvidence):
     self._evidence = evidence
@@ -98,7 +102,7 @@
         collections.OrderedDict()
     )
     self._unsent_cleared: set[int] = set()
-    self._withdrawals = withdrawals.Withdrawals()
+    self.withdrawals = withdrawals.Withdrawals(evidence)
 
   def add_unsent(
       self, key: crash_evidence.IncarnationKey, fingerprint: int
@@ -134,7 +138,7 @@
       if is_new and is_forwarded:
         self.add_cleared(cleared.fingerprint, until, now)
     for withdrawal in news.withdrawn:
-      self.withdraw(withdrawal, is_forwarded, now)
+      self.withdrawals.withdraw(withdrawal, is_forwarded, now)
     added = []
     for report in news.crashes:
       if report.age_s > MAX_AGE_S:
@@ -151,29 +155,6 @@
           self.add_unsent(key, fingerprint)
     return added
 
-  def withdraw(
-      self,
-      withdrawal: crash_evidence.Withdrawal,
-      is_told: bool,
-      now: float,
-  ) -> set[int]:
-    """Withdraws the involvement of requests in a crash.
-
-    Args:
-      withdrawal: The requests and the crash.
-      is_told: Whether other hosts are told.
-      now: Monotonic time.
-
-    Returns:
-      The requests for which this is new.
-    """
-    key = (withdrawal.endpoint, withdrawal.incarnation)
-    at = now - withdrawal.age_s
-    withdrawn = self._evidence.withdraw(key, withdrawal.requests, at)
-    if withdrawn and is_told:
-      self._withdrawals.add(key, withdrawn, at)
-    return withdrawn
-
   def _tell_if_cleared(self, fingerprint: int, at: float, now: float) -> None:
     """Tells others that a request whose crash they report was not the cause."""
     until = self._evidence.cleared_until(fingerprint)
@@ -194,7 +175,7 @@
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return bool(
-        self._unsent or self._unsent_cleared or self._withdrawals.has_unsent
+        self._unsent or self._unsent_cleared or self.withdrawals.has_unsent
     )
 
   def take_news(self, now: float) -> CrashNews:
@@ -205,7 +186,7 @@
     return CrashNews(
         tuple(self._take_crashes(is_repeat, now)),
         tuple(self._take_cleared(is_repeat, now)),
-        self._withdrawals.take(is_repeat, now),
+        self.withdrawals.take(is_repeat, now),
     )
 
   def _take_cleared(self, is_repeat: bool, now: float) -> list[ClearedRequest]:
--- a/mulberrypick/core/part_exchange.py
+++ b/mulberrypick/core/part_exchange.py
@@ -76,7 +76,11 @@
 
 
 class PartExchange:
-  """Evidence that this host has to send, and that it receives."""
+  """Evidence that this host has to send, and that it receives.
+
+  Attributes:
+    withdrawals: Crashes that were withdrawn.
+  """
 
   def __init__(self, evidence: part_evidence.PartEvidence):
     self._evidence = evidence
@@ -89,7 +93,7 @@
     # When this host learned of a crash, as long as it is repeated.
     self._learned_at: dict[crash_evidence.IncarnationKey, float] = {}
     self._repeated_at = float('-inf')
-    self._withdrawals = withdrawals.Withdrawals()
+    self.withdrawals = withdrawals.Withdrawals(evidence)
 
   def add_unsent(
       self, key: crash_evidence.IncarnationKey, request: int, now: float
@@ -118,15 +122,10 @@
       is_forwarded: Whether this host forwards it, as a relay does.
       now: Monotonic time.
     """
-    is_new = False
-    for cleared in news.cleared:
-      completion = part_evidence.Completion(now - cleared.age_s, source)
-      if self._evidence.record_completion(cleared.part, completion):
-        is_new = True
-        if is_forwarded:
-          self.add_cleared(cleared.part, now)
+    is_new = self._merge_cleared(news.cleared, source, is_forwarded, now)
     for withdrawal in news.withdrawn:
-      is_new = bool(self.withdraw(withdrawal, is_forwarded, now)) or is_new
+      if self.withdrawals.withdraw(withdrawal, is_forwarded, now):
+        is_new = True
     for report in news.crashes:
       if report.age_s > part_evidence.MAX_AGE_S:
         continue
@@ -143,28 +142,21 @@
           self.add_unsent(key, request, now)
     return is_new
 
-  def withdraw(
+  def _merge_cleared(
       self,
-      withdrawal: crash_evidence.Withdrawal,
-      is_told: bool,
+      parts: tuple[ClearedPart, ...],
+      source: str,
+      is_forwarded: bool,
       now: float,
-  ) -> set[int]:
-    """Withdraws that requests ended by a crash.
-
-    Args:
-      withdrawal: The requests and the crash.
-      is_told: Whether other hosts are told.
-      now: Monotonic time.
-
-    Returns:
-      The requests for which this is new.
-    """
-    key = (withdrawal.endpoint, withdrawal.incarnation)
-    at = now - withdrawal.age_s
-    withdrawn = self._evidence.withdraw(key, withdrawal.requests, at)
-    if withdrawn and is_told:
-      self._withdrawals.add(key, withdrawn, at)
-    return withdrawn
+  ) -> bool:
+    is_new = False
+    for cleared in parts:
+      completion = part_evidence.Completion(now - cleared.age_s, source)
+      if self._evidence.record_completion(cleared.part, completion):
+        is_new = True
+        if is_forwarded:
+          self.add_cleared(cleared.part, now)
+    return is_new
 
   def withdraw_own(self, since: float, now: float) -> bool:
     """Withdraws the crashes that this host reported since a time.
@@ -178,7 +170,7 @@
         continue
       requests = tuple(crash.run_by_request)
       withdrawal = crash_evidence.Withdrawal(*crash.key, 0.0, requests)
-      withdrawn |= self.withdraw(withdrawal, True, now)
+      withdrawn |= self.withdrawals.withdraw(withdrawal, True, now)
     return bool(withdrawn)
 
   def _tell_cleared(self, keys: frozenset[int], at: float, now: float) -> None:
@@ -207,7 +199,7 @@
   def has_unsent(self) -> bool:
     """Returns whether there is anything new for the next message."""
     return bool(
-        self._unsent or self._unsent_cleared or self._withdrawals.has_unsent
+        self._unsent or self._unsent_cleared or self.withdrawals.has_unsent
     )
 
   def take_news(
@@ -234,7 +226,7 @@
     return PartNews(
         tuple(reports),
         tuple(self._take_cleared(is_repeat, now)),
-        self._withdrawals.take(is_repeat, now),
+        self.withdrawals.take(is_repeat, now),
     )
 
   def reports_of(
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -213,7 +213,7 @@
         continue
       own = [f for f, known in crash.involved_by_hash.items() if known.is_own]
       withdrawal = crash_evidence.Withdrawal(*crash.key, 0.0, tuple(own))
-      withdrawn |= self.exchange.withdraw(withdrawal, True, now)
+      withdrawn |= self.exchange.withdrawals.withdraw(withdrawal, True, now)
     return withdrawn
 
   def record_completion(self, fingerprint: int, now: float) -> None:
--- a/mulberrypick/core/withdrawals.py
+++ b/mulberrypick/core/withdrawals.py
@@ -1,5 +1,8 @@
 """Crashes that this host has withdrawn and still has to tell others of."""
 
+from collections.abc import Iterable
+from typing import Protocol
+
 from mulberrypick.core import crash_evidence
 
 # Time for which they are repeated: as long as others repeat recent crashes.
@@ -8,6 +11,18 @@
 MAX_REQUESTS = 200
 
 
+class Evidence(Protocol):
+  """Evidence from which crashes can be withdrawn."""
+
+  def withdraw(
+      self,
+      key: crash_evidence.IncarnationKey,
+      requests: Iterable[int],
+      at: float,
+  ) -> set[int]:
+    """Withdraws requests from a crash up to a time; returns the new ones."""
+
+
 class Withdrawals:
   """Withdrawn crashes by incarnation, until all hosts know of them.
 
@@ -15,22 +30,36 @@
     has_unsent: Whether there is anything new for the next message.
   """
 
-  def __init__(self):
+  def __init__(self, evidence: Evidence):
     self.has_unsent = False
+    self._evidence = evidence
     # Requests and when they were withdrawn.
     self._by_key: dict[crash_evidence.IncarnationKey, dict[int, float]] = {}
 
-  def add(
+  def withdraw(
       self,
-      key: crash_evidence.IncarnationKey,
-      requests: set[int],
-      at: float,
-  ) -> None:
-    """Adds requests whose involvement in a crash was withdrawn."""
-    self.has_unsent = True
-    known = self._by_key.setdefault(key, {})
-    for request in requests:
-      known[request] = at
+      withdrawal: crash_evidence.Withdrawal,
+      is_told: bool,
+      now: float,
+  ) -> set[int]:
+    """Withdraws the involvement of requests in a crash.
+
+    Args:
+      withdrawal: The requests and the crash.
+      is_told: Whether other hosts are told.
+      now: Monotonic time.
+
+    Returns:
+      The requests for which this is new.
+    """
+    key = (withdrawal.endpoint, withdrawal.incarnation)
+    at = now - withdrawal.age_s
+    withdrawn = self._evidence.withdraw(key, withdrawal.requests, at)
+    if withdrawn and is_told:
+      self.has_unsent = True
+      for request in withdrawn:
+        self._by_key.setdefault(key, {})[request] = at
+    return withdrawn
 
   def take(
       self, is_repeat: bool, now: float
--- a/mulberrypick/core/withdrawals_test.py
+++ b/mulberrypick/core/withdrawals_test.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberrypick.core import crash_evidence
 from mulberrypick.core import part_evidence
 from mulberrypick.core import part_exchange
 from mulberrypick.core import quarantine
@@ -83,8 +84,10 @@
 class WithdrawalsTest(unittest.TestCase):
 
   def test_withdrawals_are_repeated_for_a_while(self):
-    pending = withdrawals.Withdrawals()
-    pending.add(('desk-1', 1), {1, 2}, 10.0)
+    pending = withdrawals.Withdrawals(crash_evidence.CrashEvidence())
+    withdrawal = crash_evidence.Withdrawal('desk-1', 1, 0.0, (1, 2))
+    self.assertEqual(pending.withdraw(withdrawal, True, 10.0), {1, 2})
+    self.assertEqual(pending.withdraw(withdrawal, True, 10.0), set())
     self.assertTrue(pending.take(False, 10.1))
     self.assertFalse(pending.take(False, 10.2))
     self.assertTrue(pending.take(True, 11.0))
