--- a/mulberrypick/ops/caller_stream.py
+++ b/mulberrypick/ops/caller_stream.py
@@ -61,9 +61,15 @@
   def finish(self, head: stream_client.Head) -> None:
     """Writes the end of a complete response."""
     self._write_head(head)
-    self._caller.write(_LAST_CHUNK)
+    self.write_end()
+
+  def write_end(self) -> None:
+    """Writes the end of a complete response whose head was written."""
     if self._forwarded is not None:
+      # The host of the caller writes it.
       self._forwarded.finish()
+      return
+    self._caller.write(_LAST_CHUNK)
 
   def _write_head(self, head: stream_client.Head) -> None:
     if self.has_head:
--- a/mulberrypick/ops/forward_message.py
+++ b/mulberrypick/ops/forward_message.py
@@ -1,8 +1,9 @@
 """Messages by which a host passes a request on to another one, the helper.
 
 The request is the body of a POST to `PATH` on a port that callers do not reach.
-The response is a sequence of frames, each with its length in front. It is whole
-only if it ends with `End`. Closing the connection ends the request.
+The response is a sequence of frames, each with its length in front. The last
+one is `Whole`, `End` or `Declined`; without it the response is incomplete.
+Closing the connection ends the request.
 """
 
 from collections.abc import Iterator
@@ -79,7 +80,7 @@
 
 
 class End(msgspec.Struct, array_like=True, tag='end'):
-  """The response is whole."""
+  """The stream is complete."""
 
 
 class Declined(msgspec.Struct, array_like=True, tag='declined'):
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -17,6 +17,8 @@
 _log = logging.getLogger(__name__)
 # Hosts that are asked to take one request.
 MAX_HELPERS = 4
+# Time limit for the end of a response of which all was received.
+END_TIMEOUT_S = 0.1
 NO_HELPER = 'no_helper'
 
 
@@ -38,13 +40,11 @@
     outcome: How it ended.
     reason: Identifier of the cause, for logs.
     helper: Name of the host that took it, empty if none did.
-    status: HTTP status of the response, 0 without one.
   """
 
   outcome: Outcome
   reason: str
   helper: str
-  status: int = 0
 
 
 class ForwardRun:
@@ -131,42 +131,54 @@
           Outcome.DECLINED, f'status_{head.status}', helper.name
       )
     reader = forward_message.FrameReader()
-    status = 0
-    result = None
     while data := await exchange.read_some():
       for frame in reader.feed(data):
+        reason = self._handle_frame(frame)
+        if reason is None:
+          continue
+        outcome = Outcome.ANSWERED
         if isinstance(frame, forward_message.Declined):
-          result = ForwardResult(Outcome.DECLINED, frame.reason, helper.name)
-        elif isinstance(frame, forward_message.End):
-          result = ForwardResult(
-              Outcome.ANSWERED, f'status_{status}', helper.name, status
-          )
-        else:
-          status = self._write(frame) or status
+          outcome = Outcome.DECLINED
+        # The rest only ends the response of the helper.
+        await self._finish(exchange)
+        return ForwardResult(outcome, reason, helper.name)
       await self._caller.drain()
-    if result is None:
-      raise errors.ExchangeBrokenError('no_end')
-    return result
+    raise errors.ExchangeBrokenError('no_end')
 
-  def _write(
-      self,
-      frame: (
-          forward_message.Whole | forward_message.Head | forward_message.Data
-      ),
-  ) -> int:
-    """Writes a frame to the caller; returns the status if it has one."""
+  async def _finish(self, exchange: stream_client.Exchange) -> None:
+    """Reads the end of a response, so that its connection can be reused."""
+    try:
+      async with asyncio.timeout(END_TIMEOUT_S):
+        await exchange.read_all(forward_message.LENGTH_BYTES)
+    except (errors.ExchangeBrokenError, TimeoutError) as error:
+      logs.log_event(
+          _log, logging.INFO, 'helper_end_missing', error=repr(error)
+      )
+
+  def _handle_frame(self, frame: forward_message.Frame) -> str | None:
+    """Writes a frame to the caller.
+
+    Returns:
+      Identifier of how the request ended, None if its response goes on.
+    """
+    if isinstance(frame, forward_message.Declined):
+      return frame.reason
     if isinstance(frame, forward_message.Whole):
-      if not self._stream.has_head:
-        self._caller.write_response(frame.status, frame.headers, frame.body)
-      return frame.status
+      if self._stream.has_head:
+        raise errors.ExchangeBrokenError('whole_in_stream')
+      self._caller.write_response(frame.status, frame.headers, frame.body)
+      return f'status_{frame.status}'
+    if isinstance(frame, forward_message.End):
+      self._stream.write_end()
+      return 'stream'
     if isinstance(frame, forward_message.Head):
       self.software = frame.software
       self._stream.has_head = True
       self._caller.write_head(frame.status, frame.headers, False)
-      return frame.status
+      return None
     self._stream.last_event = frame.last_event
     self._caller.write(frame.data)
-    return 0
+    return None
 
   def _encode(self, helper: helper_choice.Helper, runs: int) -> bytes:
     received = self._received
--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -58,7 +58,7 @@
   ) -> None:
     """Writes a complete response."""
     self._write(forward_message.Whole(status, headers, body))
-    self.finish()
+    self._end_message()
 
   def write_head(
       self, status: int, headers: forward_message.Headers, is_last: bool
@@ -76,19 +76,22 @@
     await self._connection.drain()
 
   def finish(self) -> None:
-    """Ends a complete response."""
+    """Ends a complete stream."""
     self._write(forward_message.End())
-    self._connection.write(b'0\r\n\r\n')
+    self._end_message()
 
   def decline(self, reason: str) -> None:
     """Tells the other host that the request was sent to no endpoint."""
     self._write(forward_message.Declined(reason))
-    self._connection.write(b'0\r\n\r\n')
+    self._end_message()
 
   def abort(self) -> None:
     """Closes the connection at once; the response stays incomplete."""
     self._connection.abort()
 
+  def _end_message(self) -> None:
+    self._connection.write(b'0\r\n\r\n')
+
   def _write(self, frame: forward_message.Frame) -> None:
     if not self._has_begun:
       self._has_begun = True
--- a/mulberrypick/platform/gateway_pass_on_test.py
+++ b/mulberrypick/platform/gateway_pass_on_test.py
@@ -329,6 +329,121 @@
     self.cluster.store.put('config', 'main', config)
 
 
+class BrokenHelperTest(PassOnTestCase):
+  """The helper is a raw server that ends the connection too early."""
+
+  async def pass_on_to(
+      self, route: str, frames: list[forward_message.Frame]
+  ) -> bytes:
+    """Returns all that a caller gets if the helper sends only these frames."""
+    data = b''.join(forward_message.encode_frame(frame) for frame in frames)
+
+    async def respond(reader, writer):
+      await reader.readuntil(b'\r\n\r\n')
+      writer.write(
+          b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+          b'%x\r\n%s\r\n' % (len(data), data)
+      )
+      await writer.drain()
+      await asyncio.sleep(0.05)
+      writer.transport.abort()
+
+    port = gateway_cluster.free_ports(1)[0]
+    server = await asyncio.start_server(respond, '127.0.0.1', port)
+    self.addCleanup(server.close)
+    now = asyncio.get_running_loop().time()
+    helper = self.asker.helpers.find('host-2')
+    self.asker.helpers.remove('host-3')
+    self.asker.helpers.update(
+        helper._replace(
+            port=port, is_reaching=True, reached_at=now, heard_at=now
+        )
+    )
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', self.asker.host.listen_port
+    )
+    writer.write(
+        f'POST /{route}/x HTTP/1.1\r\nHost: {gateway_cluster.HOST}\r\n'
+        'X-Mulberrypick-Request-Id: r1\r\nContent-Length: 0\r\n'
+        'X-Mulberrypick-Deadline-Ms: 1000\r\n\r\n'.encode()
+    )
+    received = b''
+    try:
+      async with asyncio.timeout(0.6):
+        while piece := await reader.read(65536):
+          received += piece
+    except (TimeoutError, ConnectionResetError):
+      # The connection is kept for another request, or broken off.
+      pass
+    writer.close()
+    return received
+
+  async def test_whole_response_is_written_once(self):
+    whole = forward_message.Whole(200, [], b'answer')
+    received = await self.pass_on_to('unsafe', [whole])
+    self.assertEqual(received.count(b'HTTP/1.1'), 1)
+    self.assertIn(b'200', received.partition(b'\r\n')[0])
+
+  async def test_stream_without_end_is_not_complete(self):
+    chunked = [(b'Transfer-Encoding', b'chunked')]
+    frames = [
+        forward_message.Head(200, chunked, 'v1'),
+        forward_message.Data(b'7\r\nid: 1\n\n\r\n', 1),
+    ]
+    received = await self.pass_on_to('read', frames)
+    self.assertIn(b'id: 1', received)
+    self.assertFalse(received.endswith(b'0\r\n\r\n'))
+    self.assertEqual(received.count(b'HTTP/1.1'), 1)
+
+  async def test_stream_with_end_is_complete(self):
+    chunked = [(b'Transfer-Encoding', b'chunked')]
+    frames = [
+        forward_message.Head(200, chunked, 'v1'),
+        forward_message.Data(b'7\r\nid: 1\n\n\r\n', 1),
+        forward_message.End(),
+    ]
+    received = await self.pass_on_to('read', frames)
+    self.assertTrue(received.endswith(b'0\r\n\r\n'))
+    self.assertEqual(received.count(b'HTTP/1.1'), 1)
+
+  async def test_response_without_frames_may_have_run(self):
+    received = await self.pass_on_to('unsafe', [])
+    self.assertIn(b'502', received.partition(b'\r\n')[0])
+
+
+class NotHeldTest(gateway_apart_test.ApartTestCase):
+  """A suspicion holds no final answer up."""
+
+  hosts = 2
+  apart = 0
+
+  def suspect(self) -> None:
+    """Lets a suspicion last."""
+    reach = self.gateways[0].state.reach
+    reach.known.choose_probes = lambda endpoints: []
+    reach.record_doubt()
+
+  async def time_answer(self, route: str) -> tuple[int, float]:
+    loop = asyncio.get_running_loop()
+    began_at = loop.time()
+    answer = await self.send_at(0, route)
+    return answer.status, loop.time() - began_at
+
+  async def test_refusal_of_full_endpoints_is_not_held(self):
+    self.cluster.update_behaviour('desk', mode='full')
+    self.suspect()
+    status, took_s = await self.time_answer('unsafe')
+    self.assertEqual(status, 503)
+    self.assertLess(took_s, 0.2)
+
+  async def test_failure_of_a_booking_is_not_held(self):
+    self.cluster.update_behaviour('desk', mode='reset')
+    self.suspect()
+    status, took_s = await self.time_answer('unsafe')
+    self.assertEqual(status, 502)
+    self.assertLess(took_s, 0.2)
+
+
 class EvidenceTest(gateway_apart_test.ApartTestCase):
 
   hosts = 3
