Hold no final answer back while it is settled whether a host is apart

Found by reading the new code; tests failed first (0.31 s for a refusal by full endpoints and for a booking that broke off, while a suspicion lasted). A request now waits for the verdict only if it may be sent once more, and only after a connection that failed or broke, or if no endpoint is left.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -46,6 +46,8 @@
 # A stream that sends no data for this long is resumed at another endpoint, if
 # that is secured. Callers tolerate pauses of 0.15 s and disconnect after 2 s.
 STALL_TIMEOUT_S = 0.6
+# Refusals of a host that may be cut off from all endpoints.
+UNREACHABLE_REASONS = ('no_endpoint', 'no_decode_endpoint')
 # Outcomes of attempts after which the request goes on.
 INTERIM_OUTCOMES = ('retried', 'waited', 'moved')
 
@@ -135,7 +137,10 @@
         return
       placement = await self._next.place()
       if isinstance(placement, placements.Refusal):
-        if await self._passing.is_needed_after_failure():
+        if (
+            placement.reason in UNREACHABLE_REASONS
+            and await self._passing.is_needed_after_failure()
+        ):
           continue
         if not sends and not self._next.runs:
           self._refuse(placement)
@@ -175,7 +180,10 @@
     """Returns whether the request is sent again after an attempt."""
     if self._next.secured is not None:
       return True
-    if await self._passing.is_needed_after_failure():
+    has_failed = attempt.may_have_run or (
+        attempt.reason in next_run.CONNECT_REASONS
+    )
+    if has_failed and await self._passing.is_needed_after_failure():
       return True
     if (
         not self._next.may_retry(attempt)
--- a/mulberrypick/ops/pass_on.py
+++ b/mulberrypick/ops/pass_on.py
@@ -54,7 +54,12 @@
     return self._next.may_retry(passed_on)
 
   async def is_needed_after_failure(self) -> bool:
-    """Returns whether this host is found to be apart, and others may help."""
+    """Returns whether this host is found to be apart, and others may help.
+
+    It waits for that only if the request may be sent once more.
+    """
+    if not self._may_run():
+      return False
     await self._state.reach.wait_for_verdict()
     return self.is_needed()
 
