--- a/mulberrypick/ops/evidence_task.py
+++ b/mulberrypick/ops/evidence_task.py
@@ -21,8 +21,9 @@
 _log = logging.getLogger(__name__)
 # Interval at which it is checked whether hosts are missed.
 CHECK_INTERVAL_S = 0.1
-# Duration of one watch call.
-WATCH_TIMEOUT_S = 2.0
+# Duration of one watch call. Each is priced, and a host that is gone is missed
+# until the store no longer lists it.
+WATCH_TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.5
 # Shortest interval between two writes of one host, for each known host, so that
 # all of them write at most 100 objects a second.
