Let hosts that only suspect to be cut off help and keep their rank

Each crash of an endpoint makes hosts suspect for some milliseconds. Hosts that were not heard of for a minute are forgotten.

--- a/mulberrypick/core/helper_choice.py
+++ b/mulberrypick/core/helper_choice.py
@@ -16,6 +16,8 @@
 # Requests that a helper works on for other hosts, from which on those of other
 # zones are used too.
 MAX_LOCAL_REQUESTS = 24
+# A host that was not heard of for this long is forgotten.
+FORGET_S = 60.0
 # A helper that did not take a request gets none for this long.
 DECLINED_PAUSE_S = 0.25
 
@@ -29,7 +31,9 @@
     port: Port on which it takes requests of other hosts.
     zone: Its availability zone.
     taken: Requests of other hosts that it works on.
-    is_reaching: Whether it can open connections to endpoints.
+    is_reaching: Whether it takes requests; False if it is cut off from all
+      endpoints.
+    is_sure: Whether it does not suspect to be cut off.
     reached_at: When it last reached an endpoint, on this host's clock.
     heard_at: When it said so.
   """
@@ -42,6 +46,7 @@
   is_reaching: bool
   reached_at: float
   heard_at: float
+  is_sure: bool = True
 
 
 class HelperChoice:
@@ -57,10 +62,14 @@
   def update(self, helper: Helper) -> None:
     """Adds a host, or replaces what it said before."""
     self._by_name[helper.name] = helper
+    for name, known in list(self._by_name.items()):
+      if helper.heard_at - known.heard_at > FORGET_S:
+        self.remove(name)
 
   def remove(self, name: str) -> None:
     """Removes a host that is leaving."""
     self._by_name.pop(name, None)
+    self._declined_at.pop(name, None)
 
   def find(self, name: str) -> Helper | None:
     """Returns a host by its name, None if it never described itself."""
--- a/mulberrypick/core/helper_choice_test.py
+++ b/mulberrypick/core/helper_choice_test.py
@@ -38,6 +38,11 @@
     self.assertEqual(self.choose(), 'sound')
     self.assertIsNone(self.choose('sound'))
 
+  def test_hosts_that_are_gone_are_forgotten(self):
+    self.add('gone', heard_at=NOW - helper_choice.FORGET_S - 1.0)
+    self.add('sound')
+    self.assertIsNone(self.helpers.find('gone'))
+
   def test_own_zone_comes_first_until_it_has_much_to_do(self):
     self.add('near')
     self.add('far', zone='zone-b')
--- a/mulberrypick/ops/reach_exchange.py
+++ b/mulberrypick/ops/reach_exchange.py
@@ -11,6 +11,10 @@
 
 # Interval between two reports while nothing changes.
 REPORT_INTERVAL_S = 0.25
+APART_STATES = (
+    endpoint_reach.Reach.APART.value,
+    endpoint_reach.Reach.RETURNING.value,
+)
 # Time since an endpoint was reached that stands for any longer one.
 MAX_REPORTED_AGE_S = 1000.0
 # Helpers that a relay reports to a member.
@@ -40,14 +44,14 @@
   def helpers_for(
       self, member: peer_message.PeerMessage, now: float
   ) -> peer_message.ReachReport | None:
-    """Returns the report to a member that is cut off, None for others.
+    """Returns the report to a member that may be cut off, None for others.
 
     Args:
       member: The last message of the member.
       now: Time on the event loop's clock.
     """
     found = self._state.helpers.find(member.host)
-    if found is None or found.is_reaching:
+    if found is None or found.is_sure:
       return None
     helpers = self._state.helpers.usable(now)
     # Those in the zone of the member come first, then those with little to do.
@@ -86,12 +90,12 @@
             report.taken,
             report.reached_age_s,
         ),
-        report.state == endpoint_reach.Reach.CONNECTED.value,
+        report.state,
         now,
     )
     for helper in report.helpers:
       if helper.host != state.host.name:
-        self._update(helper, True, now)
+        self._update(helper, endpoint_reach.Reach.CONNECTED.value, now)
     if report.state == endpoint_reach.Reach.SUSPECTED.value:
       self._asked_at = now
       state.reach.known.ask()
@@ -99,7 +103,7 @@
   def _update(
       self,
       report: peer_message.HelperReport,
-      is_reaching: bool,
+      state: str,
       now: float,
   ) -> None:
     reached_at = now - report.reached_age_s
@@ -110,9 +114,11 @@
             report.port,
             report.zone,
             report.taken,
-            is_reaching,
+            # A suspicion is mostly the failure of a single endpoint.
+            state not in APART_STATES,
             reached_at,
             now,
+            state == endpoint_reach.Reach.CONNECTED.value,
         )
     )
     self._state.reach.record_peer(reached_at)
--- a/mulberrypick/ops/reach_exchange_test.py
+++ b/mulberrypick/ops/reach_exchange_test.py
@@ -79,6 +79,7 @@
     for name in ('host-2', 'host-3', 'host-4'):
       self.hear(name)
     self.hear('host-3', REACH.APART)
+    self.hear('host-2', REACH.SUSPECTED)
     leaving = make_message('host-4')
     leaving.is_leaving = True
     self.exchange.handle_message(leaving, self.now)
@@ -94,6 +95,8 @@
     report = self.exchange.helpers_for(message, self.now)
     names = [helper.host for helper in report.helpers]
     self.assertEqual(names, ['near', 'busy', 'far'])
+    self.hear('member', REACH.SUSPECTED)
+    self.assertIsNotNone(self.exchange.helpers_for(message, self.now))
     sound = make_message('near')
     self.assertIsNone(self.exchange.helpers_for(sound, self.now))
 
