--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -95,8 +95,7 @@
     loop.add_signal_handler(signal.SIGHUP, self._reload)
     await self._readiness_server.listen(host.ready_ip, host.ready_port)
     await self._caller_server.listen(host.ip, host.listen_port)
-    if host.forward_port:
-      await self._forward_server.listen(host.ip, host.forward_port)
+    await self._listen_for_hosts()
     await self._listen_for_metrics()
     tasks = [
         store_task.ConfigTask(self.state, self._make_store_client()).run(),
@@ -138,6 +137,18 @@
       for connection in list(server.connections):
         connection.abort()
 
+  async def _listen_for_hosts(self) -> None:
+    host = self.state.host
+    if not host.forward_port:
+      return
+    try:
+      await self._forward_server.listen(host.ip, host.forward_port)
+    except OSError as error:
+      # Requests of callers are still served; other hosts use another one.
+      logs.log_event(
+          _log, logging.ERROR, 'forwarded_not_taken', error=str(error)
+      )
+
   async def _listen_for_metrics(self) -> None:
     try:
       await self._metrics_server.listen(self.state.host.ip, METRICS_PORT)
