Keep the ports of test processes further apart

TwentyHostsTest failed once beside other test processes with EADDRINUSE: a process takes its ports from a range that began 457 ports after that of the next process id, and tests with many gateways now use more than that.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -16,7 +16,7 @@
 # Ports below the range that the kernel uses for outgoing connections.
 PORTS = range(10_000, 32_000)
 # Distance of the first ports of processes with consecutive ids.
-PORTS_PER_PROCESS = 457
+PORTS_PER_PROCESS = 1409
 # Time after a crash at which the entry of a replica expires.
 ENTRY_EXPIRY_S = 0.4
 # Time after a crash at which a replica restarts.
