Wait for a started gateway also if it already catches SIGHUP

Traced from two failures of retry_process_test beside load (TimeoutError at the start of a process, in two different tests). The soak's gateway imports the program before its signal handlers since it can be cut off from endpoints, so that SIGHUP is ignored for an instant only before it is caught; the poll for "ignored" could miss it, and waited 20 s. Either state means that SIGHUP does not end the process.

--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -19,7 +19,7 @@
 
 
 async def wait_until_signals_are_handled(pid: int) -> None:
-  """Waits until a gateway handles SIGTERM and ignores SIGHUP.
+  """Waits until a gateway handles SIGTERM, and SIGHUP does not end it.
 
   Until the first lines of the program have run, SIGTERM kills it. SIGHUP may be
   ignored from the start, as under nohup.
@@ -33,9 +33,12 @@
           field, mask = line.split()
           mask_by_field[field] = int(mask, 16)
       # Signal n is bit n - 1 of a mask.
+      caught = mask_by_field['SigCgt:']
+      # It is ignored during the imports, and caught once the program runs.
+      survived = mask_by_field['SigIgn:'] | caught
       if (
-          mask_by_field['SigIgn:'] >> (signal.SIGHUP - 1) & 1
-          and mask_by_field['SigCgt:'] >> (signal.SIGTERM - 1) & 1
+          survived >> (signal.SIGHUP - 1) & 1
+          and caught >> (signal.SIGTERM - 1) & 1
       ):
         return
       await asyncio.sleep(0.002)
