--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -129,9 +129,6 @@
   async def _run_attempts(self) -> None:
     reason = 'no_endpoint'
     sends = 0
-    if not self._passing.may_begin():
-      self._fail(502, 'forwarded')
-      return
     while sends < MAX_SENDS or self._next.has_given_up:
       if await self._pass_on():
         return
@@ -226,8 +223,8 @@
     """Secures another run while an endpoint is silent, and logs the result."""
     present = self._placement.endpoint
     if (
-        await self._passing.is_needed_after_failure()
-        and self._next.may_run_again()
+        self._next.may_run_again()
+        and await self._passing.is_needed_after_failure()
     ):
       self._log_decision('moved', 'apart', last_event=self._stream.last_event)
       return True
--- a/mulberrypick/ops/forward_message.py
+++ b/mulberrypick/ops/forward_message.py
@@ -32,6 +32,8 @@
     elapsed_s: Time since it was received.
     config_version: Version of the configuration of that host.
     runs: Number of endpoints that may have run it.
+    is_repeat: Whether it was sent to an endpoint before; its host has taken a
+      retry for it then, but none for its prompt to be read again.
     has_head: Whether the caller has the head of a stream.
     last_event: Id of the last event that the caller has, None without one.
     software: Software version that the stream is bound to, None if to none.
@@ -49,6 +51,7 @@
   has_head: bool = False
   last_event: int | None = None
   software: str | None = None
+  is_repeat: bool = False
 
 
 class Whole(msgspec.Struct, array_like=True, tag='whole'):
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -70,11 +70,18 @@
     self._tried: set[str] = set()
     self.software: str | None = None
 
-  async def run(self, runs: int, software: str | None) -> ForwardResult:
+  def allow_all(self) -> None:
+    """Allows the hosts that declined the request to be asked again."""
+    self._tried.clear()
+
+  async def run(
+      self, runs: int, is_repeat: bool, software: str | None
+  ) -> ForwardResult:
     """Passes the request on to one host after the other until one takes it.
 
     Args:
       runs: Number of endpoints that may have run it.
+      is_repeat: Whether it was sent to an endpoint before.
       software: Software version that the stream is bound to.
     """
     helpers = self._state.helpers
@@ -87,7 +94,7 @@
       self._tried.add(helper.name)
       helpers.begin(helper.name)
       try:
-        result = await self._send_to(helper, runs)
+        result = await self._send_to(helper, runs, is_repeat)
       finally:
         helpers.end(helper.name)
       if result.outcome is not Outcome.DECLINED:
@@ -96,7 +103,7 @@
     return result
 
   async def _send_to(
-      self, helper: helper_choice.Helper, runs: int
+      self, helper: helper_choice.Helper, runs: int, is_repeat: bool
   ) -> ForwardResult:
     links = self._state.forward_links
     try:
@@ -108,7 +115,7 @@
     self._state.forwarded_count += 1
     exchange = stream_client.Exchange(lambda _: True)
     try:
-      connection.send(self._encode(helper, runs), exchange)
+      connection.send(self._encode(helper, runs, is_repeat), exchange)
       return await self._read_response(exchange, helper)
     except (errors.ExchangeBrokenError, ValueError) as error:
       self._log_broken(helper, error)
@@ -180,7 +187,9 @@
     self._caller.write(frame.data)
     return None
 
-  def _encode(self, helper: helper_choice.Helper, runs: int) -> bytes:
+  def _encode(
+      self, helper: helper_choice.Helper, runs: int, is_repeat: bool
+  ) -> bytes:
     received = self._received
     config = self._state.config
     now = asyncio.get_running_loop().time()
@@ -194,6 +203,7 @@
         elapsed_s=now - received.received_at,
         config_version=config.version if config else 0,
         runs=runs,
+        is_repeat=is_repeat,
         has_head=self._stream.has_head,
         last_event=self._stream.last_event,
         software=self.software,
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -92,7 +92,7 @@
     call = make_call(received, headers, route)
     service = config.service_by_name.get(call.service)
     now = asyncio.get_running_loop().time()
-    if forwarded is None or not forwarded.origin.runs:
+    if forwarded is None or not forwarded.origin.is_repeat:
       state.budget.record_request(call.service, now)
     if service is None:
       self._refuse(caller, 503, 'no_service', headers.id, NOT_READY_RETRY_S)
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -55,6 +55,8 @@
     secured: The run that is secured and not begun, None without one.
     has_given_up: Whether this host ended the last run, which might have gone
       on.
+    has_sent: Whether the request was sent to an endpoint, also only to have its
+      prompt read.
     lacked: What another run lacked, for logs; empty if none was considered.
   """
 
@@ -69,6 +71,7 @@
     self.runs = 0
     self.secured: run_securer.SecuredRun | None = None
     self.has_given_up = False
+    self.has_sent = False
     self.lacked = ''
     self._state = state
     self._service = service
@@ -118,10 +121,24 @@
 
   def record_send(self, is_prefill: bool) -> None:
     """Records that the request is sent, by which it uses what was taken."""
+    self.has_sent = True
     if is_prefill:
       self._securer.has_unused_prefill = False
     self._securer.has_unused_retry = False
 
+  def may_pass_on(self) -> bool:
+    """Returns whether another host may send it; takes a retry for a repeat."""
+    if not self.has_sent:
+      return True
+    if self._securer.take_retry(self.call):
+      return True
+    self.lacked = 'budget'
+    return False
+
+  def record_passed_on(self) -> None:
+    """Records that another host has taken the request with the retry."""
+    self._securer.has_unused_retry = False
+
   def take_permit(self) -> float:
     """Returns when the reserved permit expires; it can be used once."""
     permit_until, self._permit_until = self._permit_until, float('-inf')
--- a/mulberrypick/ops/pass_on.py
+++ b/mulberrypick/ops/pass_on.py
@@ -1,7 +1,10 @@
 """Decides whether a request is passed on to another host, and does so."""
 
+import asyncio
+
 from mulberrypick.adapters import stream_server
 from mulberrypick.ops import caller_stream
+from mulberrypick.ops import endpoint_send
 from mulberrypick.ops import forward_run
 from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_state
@@ -42,16 +45,8 @@
     self._earlier_runs = 0
     if forwarded is not None:
       self._earlier_runs = next_.runs = forwarded.origin.runs
-
-  def may_begin(self) -> bool:
-    """Returns whether a request of another host may be sent to an endpoint.
-
-    If it may have run before, this takes a retry from the budget.
-    """
-    if not self._earlier_runs:
-      return True
-    passed_on = next_run.AttemptResult(False, True, 'forwarded')
-    return self._next.may_retry(passed_on)
+      if forwarded.origin.is_repeat:
+        next_.record_prefill()
 
   async def is_needed_after_failure(self) -> bool:
     """Returns whether this host is found to be apart, and others may help.
@@ -64,17 +59,24 @@
     return self.is_needed()
 
   def is_needed(self) -> bool:
-    """Returns whether this host is apart, and others may help."""
+    """Returns whether this host is apart, and others may help.
+
+    A request that was sent before also needs a retry, which is then taken.
+    """
     if not self._state.reach.is_apart:
       return False
     if self._forwarded is not None:
       return self._next.runs == self._earlier_runs
-    return self._may_run() and self._state.may_pass_on()
+    return (
+        self._may_run()
+        and self._state.may_pass_on()
+        and self._next.may_pass_on()
+    )
 
   async def run(self) -> forward_run.ForwardResult:
     """Passes the request on until it has a response or may not run again."""
     call = self._next.call
-    if not self._next.runs:
+    if not self._next.has_sent:
       # The host that sends it to an endpoint counts it.
       self._state.budget.forget_request(call.service)
     passing = forward_run.ForwardRun(
@@ -85,12 +87,22 @@
         call.route.is_idempotent,
     )
     while True:
-      result = await passing.run(self._next.runs, call.software)
-      if result.outcome is not forward_run.Outcome.BROKEN:
+      is_repeat = self._next.has_sent
+      result = await passing.run(self._next.runs, is_repeat, call.software)
+      if result.outcome is forward_run.Outcome.DECLINED:
+        if not self._next.has_given_up:
+          return result
+        # The caller does not lose an answer because a run was given up.
+        passing.allow_all()
+        await asyncio.sleep(endpoint_send.SECURE_INTERVAL_S)
+        continue
+      self._next.record_passed_on()
+      if result.outcome is forward_run.Outcome.ANSWERED:
         return result
+      self._next.has_sent = True
       self._next.runs += 1
       call = self._next.call = call._replace(software=passing.software)
-      if not self._may_run():
+      if not self._may_run() or not self._next.may_pass_on():
         return result
 
   def _may_run(self) -> bool:
--- a/mulberrypick/platform/gateway_pass_on_test.py
+++ b/mulberrypick/platform/gateway_pass_on_test.py
@@ -129,9 +129,12 @@
     answer = await call
     self.assertEqual(answer.status, 200)
     self.assertEqual(self.cluster.runs('s1'), 2)
-    other = self.gateways[3 - helper].state
-    retries = other.budget.usage('desk', asyncio.get_running_loop().time())
-    self.assertEqual(retries.retries, 1)
+    now = asyncio.get_running_loop().time()
+    retries = [
+        gateway.state.budget.usage('desk', now).retries
+        for gateway in self.gateways
+    ]
+    self.assertEqual(retries, [1, 0, 0])
 
   async def test_refusal_of_the_helper_says_not_run(self):
     self.cluster.update_behaviour('desk', mode='full')
@@ -322,6 +325,50 @@
     self.allow_long_streams()
     await self.check_goes_on(MODE.HANGING)
 
+  async def test_stream_is_not_given_up_without_a_retry(self):
+    self.allow_long_streams()
+    self.cluster.update_behaviour('engine', events=15, event_interval_s=0.1)
+    await self.send_at(1, 'safe')
+    for gateway in self.gateways:
+      gateway.state.budget.reconfigure(0.0, 0.0, 10.0)
+    call = asyncio.create_task(
+        self.send_at(
+            0,
+            'ask',
+            headers={'X-Mulberrypick-Deadline-Ms': '15000'},
+            request='r1',
+        )
+    )
+    await asyncio.sleep(0.4)
+    runs = self.cluster.runs('r1')
+    self.cut(MODE.OLD_ALIVE)
+    for replica in self.cluster.replica_by_name.values():
+      replica.silence.begin(1.2)
+    answer = await call
+    self.assertTrue(self.gateways[0].state.reach.is_apart)
+    self.assertTrue(answer.is_whole)
+    self.assertEqual(self.cluster.runs('r1'), runs)
+
+  async def check_prefill_once(self, mode: apart_host.CutMode) -> None:
+    """Cuts the host off while an engine prefills a prompt for another one."""
+    self.cluster.update_behaviour('engine', work_s=0.4)
+    for gateway in self.gateways:
+      gateway.state.budget.reconfigure(0.0, 0.0, 10.0)
+    await self.send_at(1, 'safe')
+    call = asyncio.create_task(self.send_at(0, 'read', request='r1'))
+    reader = self.cluster.replica_by_name['reader']
+    await self.wait_until(lambda: 'r1' in reader.headers_by_request)
+    arrivals = self.count_arrivals()
+    self.cut(mode)
+    await call
+    self.assertEqual(self.count_arrivals(), arrivals)
+
+  def count_arrivals(self) -> int:
+    return sum(r.arrivals for r in self.cluster.replica_by_name.values())
+
+  async def test_prompt_is_not_read_again_without_a_retry(self):
+    await self.check_prefill_once(MODE.REFUSED)
+
   def allow_long_streams(self) -> None:
     config = gateway_cluster.make_config(2)
     for route in config['routes']:
