--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import socket
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -16,16 +15,9 @@
 from mulberrypick.adapters import body_memory
 from mulberrypick.adapters import byte_queue
 from mulberrypick.adapters import response_limits
+from mulberrypick.adapters import tcp_options
 from mulberrypick.core import errors
 
-# TCP keepalive: idle time before the first probe (s), time between probes (s)
-# and number of probes. A peer that lost power is detected in about 3 s, within
-# the time allowed for detecting the loss of one host.
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
-KEEPALIVE_PROBES = 2
-# The kernel aborts a connection whose bytes stay unacknowledged so long (ms).
-USER_TIMEOUT_MS = 3000
 # Bytes buffered for a slow caller before reading from the endpoint pauses.
 MAX_UNREAD_BYTES = 1 << 20
 # Bytes of a response that are processed before other tasks run.
@@ -193,7 +185,7 @@
     self._transport = transport
     self.opened_at = asyncio.get_running_loop().time()
     self.idle_since = self.opened_at
-    set_tcp_options(transport.get_extra_info('socket'))
+    tcp_options.set_tcp_options(transport.get_extra_info('socket'))
 
   @property
   def is_open(self) -> bool:
@@ -326,17 +318,6 @@
       exchange.fail(reason)
 
 
-def set_tcp_options(sock: socket.socket) -> None:
-  """Sets TCP_NODELAY, and the options by which dead peers are detected."""
-  sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-  sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-  tcp = socket.IPPROTO_TCP
-  sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-  sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-  sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-  sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-
-
 def parse_keep_alive(value: bytes | None) -> float | None:
   """Returns the timeout of a Keep-Alive header (s), None if it has none."""
   if value is None:
@@ -365,16 +346,30 @@
   return b''.join(lines)
 
 
-async def connect(host: str, port: int, timeout_s: float) -> ClientConnection:
+async def connect(
+    host: str,
+    port: int,
+    timeout_s: float,
+    local_address: tuple[str, int] | None = None,
+) -> ClientConnection:
   """Opens a connection.
 
+  Args:
+    host: Address to connect to.
+    port: Port to connect to.
+    timeout_s: Time limit.
+    local_address: Address and port to connect from; the system chooses them by
+      default.
+
   Raises:
     ConnectError: The connection was refused or timed out.
   """
   loop = asyncio.get_running_loop()
   try:
     async with asyncio.timeout(timeout_s):
-      _, connection = await loop.create_connection(ClientConnection, host, port)
+      _, connection = await loop.create_connection(
+          ClientConnection, host, port, local_addr=local_address
+      )
   except (OSError, TimeoutError) as error:
     raise errors.ConnectError(f'{host}:{port}', repr(error)) from error
   return connection
--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from mulberrypick.adapters import stream_client
+from mulberrypick.adapters import tcp_options
 
 # Pipelined requests read per connection; further ones wait in the kernel.
 MAX_PIPELINED_REQUESTS = 4
@@ -96,7 +96,7 @@
     """Starts the idle timer; called by the event loop."""
     self._transport = transport
     transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
-    stream_client.set_tcp_options(transport.get_extra_info('socket'))
+    tcp_options.set_tcp_options(transport.get_extra_info('socket'))
     self._peer = (transport.get_extra_info('peername') or ('',))[0]
     self._server.connections.add(self)
     self._start_idle_timer()
--- a/mulberrypick/adapters/zmq_peers.py
+++ b/mulberrypick/adapters/zmq_peers.py
@@ -25,6 +25,7 @@
 import zmq
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import peer_counts
 from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import peers
 
@@ -45,24 +46,6 @@
 NO_REPLY_ID = b''
 
 
-class PeerCounts(NamedTuple):
-  """Traffic counters since the start.
-
-  Attributes:
-    sent_bytes: Bytes of all frames sent, without TCP and ZeroMQ overhead.
-    received_bytes: Bytes of all frames received.
-    sent_by_kind: Number of messages sent by kind, without replies.
-    dropped: Messages dropped because a queue was full or a peer unreachable.
-    refused: Handshakes refused because of a key of another deployment.
-  """
-
-  sent_bytes: int
-  received_bytes: int
-  sent_by_kind: dict[str, int]
-  dropped: int
-  refused: int = 0
-
-
 class _OutgoingMessage(NamedTuple):
   """A message in the queue to the thread that owns the sockets."""
 
@@ -180,9 +163,9 @@
     except queue.Empty:
       return None
 
-  def counts(self) -> PeerCounts:
+  def counts(self) -> peer_counts.PeerCounts:
     """Returns the traffic counters; may be called from any thread."""
-    return PeerCounts(
+    return peer_counts.PeerCounts(
         self._sent_bytes,
         self._received_bytes,
         dict(self._sent_by_kind),
--- a/mulberrypick/core/dispatch.py
+++ b/mulberrypick/core/dispatch.py
@@ -7,12 +7,12 @@
 """
 
 import random
-from typing import NamedTuple
 
 from mulberrypick.core import attempt_tracker
 from mulberrypick.core import cost
 from mulberrypick.core import decision_log
 from mulberrypick.core import demand_meter
+from mulberrypick.core import dispatcher_status
 from mulberrypick.core import endpoint_choice
 from mulberrypick.core import errors
 from mulberrypick.core import fleet
@@ -30,33 +30,7 @@
 PARTITION_INTERVAL_S = 1.0
 DEFAULT_MAX_ATTEMPTS = 3
 
-# Actions that the dispatcher returns for a message, in the order in which they
-# must be carried out.
-Effects = list[messages.Effect]
-
-
-class DispatcherStatus(NamedTuple):
-  """The dispatcher's part of `/status`.
-
-  Attributes:
-    generation: Generation of the current configuration.
-    endpoints: All known endpoints.
-    waiting_by_rank: Number of queued requests by rank.
-    running: Number of running attempts.
-    refused_by_kind: Number of refusals since the start, by error kind.
-    quarantined: Number of quarantined requests, which are refused because they
-      crashed endpoints.
-    demand_by_model: Engine seconds per second requested from this host for each
-      model, as (prefill, decode).
-  """
-
-  generation: int
-  endpoints: tuple[fleet.EndpointStatus, ...]
-  waiting_by_rank: dict[str, int]
-  running: int
-  refused_by_kind: dict[str, int]
-  quarantined: int
-  demand_by_model: dict[str, tuple[float, float]] = {}
+Effects = messages.Effects
 
 
 class Dispatcher:
@@ -144,9 +118,9 @@
     """
     return self._demand.by_model(now)
 
-  def snapshot(self, now: float) -> DispatcherStatus:
+  def snapshot(self, now: float) -> dispatcher_status.DispatcherStatus:
     """Returns the state for `/status`."""
-    return DispatcherStatus(
+    return dispatcher_status.DispatcherStatus(
         self._config.generation,
         self._fleet.statuses(now),
         self._admission.waiting_by_rank(),
@@ -168,7 +142,7 @@
         message.failed_endpoints,
         self._cost.cost(queue, request, message.next_index),
         now,
-        _is_retry(message),
+        message.is_retry,
         waiting_base.fingerprint(request),
         self._choice.hash_prompt(request),
     )
@@ -188,16 +162,14 @@
     request = message.request
     if request.deadline_at <= now:
       return errors.DeadlineError('the deadline has passed')
-    if not _is_retry(message):
+    if not message.is_retry:
       self._retry_budget.record_request()
       if self._fleet.pool(queue).all:
         return None
       return _unavailable(f'no live endpoint has {queue} loaded')
     failures = self._attempt_tracker.attempts.failures(request.request_id)
     service = self._config.service_by_name.get(request.service)
-    max_attempts = (
-        service.max_attempts if service is not None else DEFAULT_MAX_ATTEMPTS
-    )
+    max_attempts = service.max_attempts if service else DEFAULT_MAX_ATTEMPTS
     if failures >= max_attempts:
       return _unavailable(f'{failures} attempts failed')
     if not self._retry_budget.take(failures, now):
@@ -426,8 +398,3 @@
 
 def _unavailable(message: str) -> errors.UnavailableError:
   return errors.UnavailableError(message, retry_after_s=RETRY_AFTER_S)
-
-
-def _is_retry(message: messages.Submit) -> bool:
-  """Returns whether a request was sent to an endpoint before."""
-  return bool(message.next_index or message.failed_endpoints)
--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from mulberrypick.core import endpoint_hold_off
 from mulberrypick.core import gateway_records
 
 # Time after an outage of the store within which expired entries are registered
@@ -35,6 +36,8 @@
   def __init__(self):
     self.failures = 0
     self.suspended_until = 0.0
+    # Whether a request was sent to it after a suspension.
+    self.is_probed = False
     self.failure_fraction = 0.0
     self.is_unreachable = False
 
@@ -56,9 +59,17 @@
 
   Attributes:
     is_loaded: Whether the list of the store was read at least once.
+    hold_off: Endpoints that want no requests from this host for a while.
+    last_drain_s: Time for which the last endpoint of a stage is still used
+      after it said that it leaves.
   """
 
   def __init__(self):
+    self.hold_off = endpoint_hold_off.EndpointHoldOff()
+    self.last_drain_s = 0.0
+    # Endpoints that said that they leave, until when they may be used if there
+    # is no other one.
+    self._draining_until: dict[tuple[str, int], float] = {}
     self._by_name: dict[str, gateway_records.Endpoint] = {}
     self._by_service: dict[str, list[gateway_records.Endpoint]] = {}
     self._health: dict[tuple[str, int], _Health] = {}
@@ -81,9 +92,13 @@
 
     Suspended endpoints are left out, unless no other endpoint of their stage
     is left. Suspended endpoints to which no connection could be opened are
-    always left out.
+    always left out, and those that want no requests. Those that said that they
+    leave are used only if they are the last of their stage.
     """
-    listed = self._by_service.get(service, [])
+    listed = []
+    for endpoint in self._by_service.get(service, ()):
+      if not self.hold_off.is_held_off(endpoint.incarnation, now):
+        listed.append(endpoint)
     healthy, suspended = [], []
     for endpoint in listed:
       health = self._health.get(endpoint.incarnation)
@@ -92,12 +107,89 @@
           suspended.append(endpoint)
         continue
       healthy.append(endpoint)
+    healthy = self._without_draining(healthy, now)
     stages = {endpoint.stage for endpoint in healthy}
     for endpoint in suspended:
       if endpoint.stage not in stages:
         healthy.append(endpoint)
     return healthy
 
+  def _without_draining(
+      self, endpoints: list[gateway_records.Endpoint], now: float
+  ) -> list[gateway_records.Endpoint]:
+    """Leaves out those that leave, but for the last ones of a stage."""
+    if not self._draining_until:
+      return endpoints
+    staying = [e for e in endpoints if not self._is_draining(e)]
+    stages = {endpoint.stage for endpoint in staying}
+    for endpoint in endpoints:
+      if not self._is_draining(endpoint) or endpoint.stage in stages:
+        continue
+      if now < self._draining_until[endpoint.incarnation]:
+        staying.append(endpoint)
+    return staying
+
+  def _is_draining(self, endpoint: gateway_records.Endpoint) -> bool:
+    return endpoint.incarnation in self._draining_until
+
+  def hold_off_wait_s(self, service: str, now: float) -> float | None:
+    """Returns how long all endpoints of a service still want no requests.
+
+    Returns:
+      The shortest time; None if there is none, or if one takes requests.
+    """
+    endpoints = []
+    for endpoint in self._by_service.get(service, ()):
+      if endpoint.stage is not gateway_records.Stage.PREFILL:
+        endpoints.append(endpoint)
+    return self.hold_off.wait_s(endpoints, now) or None
+
+  def record_said_leaving(
+      self, endpoint: gateway_records.Endpoint, now: float
+  ) -> bool:
+    """Records that an endpoint says that it leaves; returns if this is new.
+
+    It gets no requests any more if another one of its stage can run them.
+    """
+    incarnation = endpoint.incarnation
+    if incarnation in self._leaving_since or self._is_draining(endpoint):
+      return False
+    listed = self._by_name.get(endpoint.name)
+    if listed is None or listed.incarnation != incarnation:
+      return self.mark_leaving(incarnation, now)
+    for other in self._by_service[endpoint.service]:
+      is_other = other.name != endpoint.name and other.stage is endpoint.stage
+      if is_other and not self._is_draining(other):
+        return self.mark_leaving(incarnation, now)
+    self._draining_until[incarnation] = now + self.last_drain_s
+    return True
+
+  def end_drains(self, now: float) -> list[str]:
+    """Drops the last endpoints of a stage whose time to drain is over.
+
+    Returns:
+      Their names. Also those that are not the last ones any more.
+    """
+    ended = []
+    for incarnation, until in list(self._draining_until.items()):
+      endpoint = self._by_name.get(incarnation[0])
+      if endpoint is None or endpoint.incarnation != incarnation:
+        del self._draining_until[incarnation]
+        continue
+      others = self._by_service[endpoint.service]
+      has_other = any(
+          o.stage is endpoint.stage and not self._is_draining(o) for o in others
+      )
+      if now >= until or has_other:
+        del self._draining_until[incarnation]
+        self.mark_leaving(incarnation, now)
+        ended.append(incarnation[0])
+    return ended
+
+  def is_held_off(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
+    """Returns whether an endpoint wants no requests from this host."""
+    return self.hold_off.is_held_off(endpoint.incarnation, now)
+
   def is_suspended(
       self, endpoint: gateway_records.Endpoint, now: float
   ) -> bool:
@@ -201,6 +293,7 @@
     if health is None:
       return
     health.failures = 0
+    health.is_probed = False
     health.is_unreachable = False
     health.suspended_until = 0.0
     health.failure_fraction *= 0.9
@@ -213,13 +306,18 @@
   ) -> None:
     """Records a request that an endpoint failed or did not answer.
 
+    Requests that fail while it is suspended were sent before. They are the same
+    failure, and do not make the suspension longer, unless one is a probe.
+
     Args:
       endpoint: The endpoint.
       now: Time on the event loop's clock.
       is_unreachable: Whether no connection could be opened.
     """
     health = self._health.setdefault(endpoint.incarnation, _Health())
-    health.failures += 1
+    if now >= health.suspended_until or health.is_probed:
+      health.failures += 1
+    health.is_probed = False
     health.is_unreachable = is_unreachable
     if is_unreachable:
       health.failures = max(health.failures, FAILURES_TO_SUSPEND)
@@ -242,6 +340,7 @@
     health = self._health.get(endpoint.incarnation)
     if health is None or health.failures < FAILURES_TO_SUSPEND:
       return
+    health.is_probed = True
     health.suspended_until = now + _suspension_s(health.failures)
 
   def suspend_silent(
--- a/mulberrypick/core/endpoint_registry_test.py
+++ b/mulberrypick/core/endpoint_registry_test.py
@@ -82,6 +82,22 @@
     self.registry.record_success(a)
     self.assertEqual(self.names(0.35), ['a', 'b'])
 
+  def test_requests_that_fail_together_suspend_as_one_failure(self):
+    # Fails if each of them doubles the suspension: an engine that froze for a
+    # second with twelve requests was left out for two more.
+    endpoint = make_endpoint('a')
+    other = make_endpoint('b')
+    self.registry.replace_all([endpoint, other], 0.0)
+    for number in range(12):
+      self.registry.record_failure(endpoint, 1.0 + number / 1000)
+    self.assertTrue(self.registry.is_suspended(endpoint, 1.2))
+    self.assertFalse(self.registry.is_suspended(endpoint, 1.3))
+    # The probe that fails afterwards makes the next suspension longer.
+    self.registry.record_probe(endpoint, 1.3)
+    self.registry.record_failure(endpoint, 1.4)
+    self.assertTrue(self.registry.is_suspended(endpoint, 1.8))
+    self.assertFalse(self.registry.is_suspended(endpoint, 2.0))
+
   def test_unreachable_endpoint_is_suspended_at_once(self):
     self.registry.record_failure(make_endpoint('a'), 0.0, is_unreachable=True)
     self.assertEqual(self.names(0.1), ['b'])
--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -1,33 +1,28 @@
 """Load of engines and plain endpoints, summed over all gateway hosts.
 
 This host's own load is counted exactly. The load of other hosts is what they
-sent last, and expires when they fall silent. The prefill rate of an engine is
-estimated from its answers: the tokens queued ahead of a request, divided by
-the time until it was prefilled.
+sent last, and expires when they fall silent. How long an engine takes for its
+work is predicted by `engine_models`, from the answers to earlier requests.
 """
 
 from typing import NamedTuple
 
+from mulberrypick.core import engine_models
 from mulberrypick.core import gateway_records
 from mulberrypick.core import part_cache
-
-# Prefill rates assumed before the first answers. Decode engines prefill at half
-# the speed of prefill engines.
-PREFILL_TOKENS_PER_S = 400_000.0
-DECODE_PREFILL_TOKENS_PER_S = 200_000.0
-MIN_TOKENS_PER_S = 20_000.0
-MAX_TOKENS_PER_S = 4_000_000.0
-# Weight of one sample in the mean prefill rate.
-RATE_WEIGHT = 0.05
-# Samples of the prefill rate with fewer tokens queued ahead are ignored: fixed
-# costs and partly finished work dominate them.
-SAMPLE_TOKENS = 25_000
-# Fixed time of a request on an engine, in addition to the prefill.
-REQUEST_OVERHEAD_S = 0.008
-# An endpoint with pending requests counts as silent after this long without a
-# response, a plain one after this many mean service times if they are longer. A
-# full endpoint answers several times within this time.
-SILENCE_TIMEOUT_S = 0.4
+from mulberrypick.core import pending_reads
+from mulberrypick.core import refusal_pause
+
+# Shortest silence after which callers leave, by the protocol.
+MIN_CALLER_PATIENCE_S = 2.0
+# Endpoints that a request is sent to, one after the other, before its caller
+# leaves if all of them are silent.
+SILENT_ENDPOINTS = 5
+# An endpoint with pending requests counts as silent if it has not responded for
+# this long in addition to the time that its work takes at the high end of what
+# is expected: its process may stand still for a moment. A plain endpoint counts
+# as silent after this many mean service times if they are longer.
+SILENCE_TIMEOUT_S = MIN_CALLER_PATIENCE_S / SILENT_ENDPOINTS
 SILENCE_SERVICE_TIMES = 8
 # Initial estimate of the requests, running and queued, that an endpoint accepts
 # per slot (the capacity to run one request), as in the existing deployments.
@@ -36,10 +31,11 @@
 # an endpoint that was believed to be full. The count known here lags behind by
 # some requests, so that a single sample may be wrong by half.
 CAPACITY_WEIGHT = 0.3
+# Answers from which on the model of an engine tells who will be late: a pause
+# at the start must not refuse what follows.
+KNOWN_SAMPLES = 2.0
 # Time for which the load sent by another host remains valid.
 PEER_TTL_S = 2.0
-# Load is counted for two classes of ranks: rank 0, and all others.
-RANK_CLASSES = 2
 
 
 class Load(NamedTuple):
@@ -70,23 +66,28 @@
 class _OwnLoad:
   """This host's load on one endpoint, and what it learned about it."""
 
-  def __init__(self, rate: float, slots: int):
+  def __init__(self, slots: int):
     self.count = 0
     self.decoding = 0
-    self.tokens = [0] * RANK_CLASSES
-    self.rate = rate
+    self.reads = pending_reads.PendingReads()
+    self.pace = engine_models.Pace()
     self.service_s = 0.05
     self.last_response_at = float('-inf')
-    self.refused_at = float('-inf')
+    self.refusal_pause = refusal_pause.RefusalPause()
     self.capacity = float(CAPACITY_PER_SLOT * slots)
     self.pending_since: dict[int, float] = {}
     self.cache = part_cache.PartCache()
 
 
 class EngineLoad:
-  """Load of this host and of others, by endpoint."""
+  """Load of this host and of others, by endpoint.
+
+  Attributes:
+    models: How long engines take for their work.
+  """
 
   def __init__(self):
+    self.models = engine_models.EngineModels()
     self._own: dict[tuple[str, int], _OwnLoad] = {}
     self._peers: dict[str, _PeerLoad] = {}
 
@@ -94,12 +95,7 @@
     """Returns this host's load on an endpoint, creating it if needed."""
     own = self._own.get(endpoint.incarnation)
     if own is None:
-      is_decode = endpoint.stage is gateway_records.Stage.DECODE
-      own = _OwnLoad(
-          DECODE_PREFILL_TOKENS_PER_S if is_decode else PREFILL_TOKENS_PER_S,
-          endpoint.slots,
-      )
-      self._own[endpoint.incarnation] = own
+      own = self._own[endpoint.incarnation] = _OwnLoad(endpoint.slots)
     return own
 
   def is_silent(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
@@ -109,7 +105,7 @@
       return False
     longest_s = max(SILENCE_TIMEOUT_S, SILENCE_SERVICE_TIMES * own.service_s)
     if endpoint.stage is not gateway_records.Stage.NONE:
-      longest_s = SILENCE_TIMEOUT_S + 2 * sum(own.tokens) / own.rate
+      longest_s = SILENCE_TIMEOUT_S + self.longest_read_s(endpoint, now)
     oldest = next(iter(own.pending_since.values()))
     return now - max(oldest, own.last_response_at) > longest_s
 
@@ -143,8 +139,7 @@
     """Returns the load of all hosts on an endpoint."""
     own = self._own.get(endpoint.incarnation)
     count = own.count if own else 0
-    urgent = own.tokens[0] if own else 0
-    other = own.tokens[1] if own else 0
+    urgent, other = own.reads.remaining(now) if own else (0, 0)
     decoding = own.decoding if own else 0
     for peer in self._peers.values():
       if now - peer.at > PEER_TTL_S:
@@ -158,13 +153,13 @@
       decoding += load.decoding
     return Load(count, urgent, other, decoding)
 
-  def own_loads(self) -> dict[str, Load]:
+  def own_loads(self, now: float) -> dict[str, Load]:
     """Returns this host's load by endpoint name, to be sent to other hosts."""
     load_by_endpoint = {}
     for incarnation, own in self._own.items():
       if own.count:
         load_by_endpoint[incarnation[0]] = Load(
-            own.count, own.tokens[0], own.tokens[1], own.decoding
+            own.count, *own.reads.remaining(now), own.decoding
         )
     return load_by_endpoint
 
@@ -200,25 +195,52 @@
     """Returns whether an endpoint is likely to refuse one more request."""
     return self.total(endpoint, now).count >= self.own(endpoint).capacity
 
+  def read_s(
+      self, endpoint: gateway_records.Endpoint, tokens: int, now: float
+  ) -> float:
+    """Returns the expected time until an engine has prefilled tokens."""
+    model = self.models.find(endpoint, engine_models.read_work(endpoint))
+    return model.expect_s(tokens) * self.own(endpoint).pace.factor(now)
+
+  def longest_read_s(
+      self, endpoint: gateway_records.Endpoint, now: float
+  ) -> float:
+    """Returns the high end of the time to prefill all that an engine has."""
+    model = self.models.find(endpoint, engine_models.read_work(endpoint))
+    load = self.total(endpoint, now)
+    tokens = load.urgent_tokens + load.other_tokens
+    return self.read_s(endpoint, tokens, now) * model.high_factor
+
+  def is_speed_known(self, endpoint: gateway_records.Endpoint) -> bool:
+    """Returns whether there are enough answers to tell who will be late."""
+    work = engine_models.read_work(endpoint)
+    return self.models.find(endpoint, work).samples >= KNOWN_SAMPLES
+
+  def read_token_s(
+      self, endpoint: gateway_records.Endpoint, now: float
+  ) -> float:
+    """Returns the time by which one more token delays the prefill."""
+    model = self.models.find(endpoint, engine_models.read_work(endpoint))
+    return model.per_token_s * self.own(endpoint).pace.factor(now)
+
   def observe_prefill(
       self,
       endpoint: gateway_records.Endpoint,
       tokens_ahead: int,
       took_s: float,
+      now: float,
   ) -> None:
-    """Updates the prefill rate of an engine by one prefilled prompt.
+    """Updates what is known of an engine by one prefilled prompt.
 
     Args:
       endpoint: The engine.
       tokens_ahead: Uncached tokens of the prompt, and the tokens before them.
       took_s: Time since the request was sent.
+      now: Time on the event loop's clock.
     """
-    own = self.own(endpoint)
-    if tokens_ahead < SAMPLE_TOKENS or took_s <= REQUEST_OVERHEAD_S:
-      return
-    sample = tokens_ahead / (took_s - REQUEST_OVERHEAD_S)
-    sample = min(MAX_TOKENS_PER_S, max(MIN_TOKENS_PER_S, sample))
-    own.rate += RATE_WEIGHT * (sample - own.rate)
+    work = engine_models.read_work(endpoint)
+    ratio = self.models.observe(endpoint, work, tokens_ahead, took_s, now)
+    self.own(endpoint).pace.observe(ratio, now)
 
   def observe_service_time(
       self, endpoint: gateway_records.Endpoint, took_s: float
--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -39,6 +39,8 @@
     share_by_service: Weight of each service that may serve the route.
     attempts: Number of endpoints that one request may be sent to.
     is_resumable: Whether another endpoint may resume a broken stream.
+    gap_s: Longest pause between two events of a stream that is in time; 0 if
+      it is not stated.
   """
 
   name: str
@@ -51,6 +53,7 @@
   share_by_service: dict[str, int]
   attempts: int
   is_resumable: bool
+  gap_s: float = 0.0
 
   @property
   def is_idempotent(self) -> bool:
@@ -71,12 +74,15 @@
     kv_tokens: Tokens that fit in the KV cache of one engine; 0 for a plain
       service.
     batch: Requests that one engine runs at a time; 0 for a plain service.
+    kv_transfer_token_s: Time to transfer the KV cache of one token between two
+      engines of a zone.
   """
 
   name: str
   max_connections: int
   kv_tokens: int
   batch: int
+  kv_transfer_token_s: float = 0.0
 
   @property
   def is_engine(self) -> bool:
@@ -210,12 +216,17 @@
     budget_ratio: Retries allowed per request.
     budget_slack: Further retries allowed per window, over all hosts.
     budget_window_s: Length of the window.
+    drain_s: Time for which an endpoint that leaves still serves.
+    steady_s: Time after a failure of a host's network, or of the store, within
+      which the host must follow the store again.
   """
 
   grace_s: float
   budget_ratio: float
   budget_slack: float
   budget_window_s: float
+  drain_s: float = 2.0
+  steady_s: float = 3.0
 
 
 class GatewayHost(NamedTuple):
--- a/mulberrypick/core/messages.py
+++ b/mulberrypick/core/messages.py
@@ -32,6 +32,11 @@
   next_index: int
   failed_endpoints: tuple[str, ...]
 
+  @property
+  def is_retry(self) -> bool:
+    """Whether the request was sent to an endpoint before."""
+    return bool(self.next_index or self.failed_endpoints)
+
 
 class Withdraw(NamedTuple):
   """The caller disconnected while its request was queued."""
@@ -177,3 +182,6 @@
 
 
 Effect = Start | Refuse
+# What the dispatcher returns for a message, in the order in which it must be
+# carried out.
+Effects = list[Effect]
--- a/mulberrypick/core/peer_topology.py
+++ b/mulberrypick/core/peer_topology.py
@@ -142,6 +142,14 @@
     """Excludes a silent host from being a relay for a while."""
     self._skip_until[address] = now + RELAY_RETRY_INTERVAL_S
 
+  def stop_skipping(self, address: str) -> None:
+    """Lets a host be a relay again that was skipped because it started late.
+
+    Otherwise the hosts that skip it and those that do not would form two fleets
+    that do not know each other's load.
+    """
+    self._skip_until.pop(address, None)
+
   def decide(
       self,
       own_members: frozenset[str],
--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from mulberrypick.core import gateway_records
+from mulberrypick.core import pending_reads
 
 # A request that may generate this many tokens is a long stream, which other
 # work must not slow down: at 0.5 ms per token it takes at least one second.
@@ -22,6 +23,10 @@
     tokens_ahead: `tokens` and the tokens that are prefilled before them.
     predicted_s: Predicted time to the first event.
     is_late: Whether the first event is predicted to miss its target.
+    slow_s: High end of the time to the first event; a sound engine seldom takes
+      longer.
+    wait_s: Part of the predicted time that requests before it take.
+    read_s: Part of the predicted time in which its own prompt is prefilled.
   """
 
   endpoint: gateway_records.Endpoint
@@ -30,6 +35,9 @@
   tokens_ahead: int
   predicted_s: float
   is_late: bool
+  slow_s: float = 0.0
+  wait_s: float = 0.0
+  read_s: float = 0.0
 
 
 class Refusal(NamedTuple):
@@ -50,6 +58,19 @@
   awaits_permit: bool = False
 
 
+def make_read(
+    call: gateway_records.Call, placement: Placement, now: float
+) -> pending_reads.PendingRead:
+  """Returns the prefill of a request that is sent now."""
+  begins_at = now + placement.wait_s
+  return pending_reads.PendingRead(
+      min(call.route.rank, 1),
+      placement.tokens,
+      begins_at,
+      begins_at + placement.read_s,
+  )
+
+
 def is_long_output(call: gateway_records.Call) -> bool:
   """Returns whether a request may generate a long stream."""
   return call.output_tokens >= LONG_OUTPUT_TOKENS
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -395,7 +395,4 @@
 
 
 def _is_strong(fingerprint: int, crashes: list[crash_evidence.Crash]) -> bool:
-  for crash in crashes:
-    if crash.involved_by_hash[fingerprint].has_token:
-      return False
-  return True
+  return not any(c.involved_by_hash[fingerprint].has_token for c in crashes)
--- a/mulberrypick/core/quarantine_test.py
+++ b/mulberrypick/core/quarantine_test.py
@@ -139,6 +139,24 @@
     self.assertEqual(quarantine.SUSPECT, found.verdict(CONCURRENT, 5.1))
     self.assertEqual(quarantine.SUSPECT, found.verdict(CRASHING, 5.1))
 
+  def test_stored_evidence_against_a_sound_request_yields_to_the_cause(self):
+    # A host that did not hear of the cause yet refuses the request beside it,
+    # and stores why. Hosts that start later read it, and that of the cause.
+    found = quarantine.Quarantine()
+    for second, endpoint in enumerate(('e1', 'e2')):
+      found.record_broken_attempt(endpoint, 1, CONCURRENT, False, 5.0 * second)
+    self.assertTrue(found.is_refused(CONCURRENT, 5.1))
+    stored = list(found.exchange.reports_of(CONCURRENT, 5.1))
+    for second, endpoint in enumerate(('e1', 'e2', 'e3')):
+      found.record_broken_attempt(endpoint, 1, CRASHING, False, 5.0 * second)
+    stored += found.exchange.reports_of(CRASHING, 10.1)
+    started = quarantine.Quarantine()
+    news = crash_exchange.CrashNews(tuple(stored))
+    started.exchange.merge(news, 'store', False, 10.2)
+    for host in (found, started):
+      self.assertFalse(host.is_refused(CONCURRENT, 10.2))
+      self.assertTrue(host.is_refused(CRASHING, 10.2))
+
   def test_second_crash_beside_other_failures_counts(self):
     # Three endpoints at once look like a failed network.
     found = quarantine.Quarantine()
--- a/mulberrypick/core/ranked_fair.py
+++ b/mulberrypick/core/ranked_fair.py
@@ -18,12 +18,11 @@
 from mulberrypick.core import errors
 from mulberrypick.core import fleet_usage
 from mulberrypick.core import partition
+from mulberrypick.core import rank_usage
 from mulberrypick.core import records
 from mulberrypick.core import retry_slots
 from mulberrypick.core import waiting as waiting_base
 
-# Share of a tenant that is not in the configuration.
-MIN_SHARE = 0.001
 # Fraction of the first-token target that the wait may use.
 MAX_WAIT_FRACTION = 0.45
 # A wait below this fraction of the first-token target is never too long.
@@ -74,6 +73,7 @@
     self._rng = random.Random(seed)
     self._config = records.EMPTY_CONFIG
     self._usage = fleet_usage.FleetUsage()
+    self._ranks = rank_usage.RankUsage(self._usage)
     self._queue_by_name: dict[str, class_queue.ModelQueue] = {}
     self._position_by_request: dict[str, class_queue.QueuePosition] = {}
     self._expiry_heap: list[tuple[float, int, str]] = []
@@ -86,7 +86,7 @@
 
   def configure(self, config):
     """Sets the configuration; see `Admission.configure`."""
-    self._config = config
+    self._config = self._ranks.config = config
 
   def set_capacity(self, queue, engines):
     """Sets the number of engines; see `Admission.set_capacity`."""
@@ -131,7 +131,7 @@
     rank_queue = self._rank_queue(position)
     if not rank_queue.count:
       rank_queue.rate.start_busy(now)
-    rank_queue.add(waiting, self._share(request.tenant), waiting.is_retry)
+    rank_queue.add(waiting, self._ranks.share(request.tenant), waiting.is_retry)
     tenant_queue = rank_queue.queue_by_tenant[request.tenant]
     if len(tenant_queue.waiting_by_request) == 1:
       tenant_queue.rate.start_busy(now)
@@ -150,7 +150,7 @@
       if tenant is None:
         continue
       queued = rank_queue.queue_by_tenant[tenant].waiting_by_request
-      order = (self._rank_order(key.rank), rank_queue.key(tenant), key.is_long)
+      order = (self._ranks.order(key.rank), rank_queue.key(tenant), key.is_long)
       ordered.append((order, next(iter(queued.values()))))
     ordered.sort(key=lambda item: item[0])
     return [waiting for _, waiting in ordered]
@@ -191,11 +191,11 @@
     rank = self._config.rank_by_name.get(waiting.request.rank)
     if rank is None:
       return NORMAL_FILL_FRACTION
-    if rank.is_urgent or self._is_below_reserve(rank.name):
+    if rank.is_urgent or self._ranks.is_below_reserve(rank.name):
       fill_fraction = PREFERRED_FILL_FRACTION
     else:
       fill_fraction = NORMAL_FILL_FRACTION
-      if self._has_urgent_waiting_at_peers(now):
+      if self._ranks.has_urgent_waiting_at_peers(now, MAX_DIGEST_AGE_S):
         return fill_fraction * DEFERRED_FILL_FACTOR
     min_usage = self._usage.min_waiting_usage(rank.name, now, MAX_DIGEST_AGE_S)
     own = self._rank_queue(_queue_position(queue, waiting)).key(
@@ -255,12 +255,12 @@
     """Returns the predicted wait of an arriving request, in seconds."""
     request = waiting.request
     rank_queue = self._rank_queue(_queue_position(queue, waiting))
-    weight = self._share(request.tenant)
+    weight = self._ranks.share(request.tenant)
     key = self._usage.tenant_usage(request.tenant) / weight
     own = rank_queue.queue_by_tenant.get(request.tenant)
     if own is None and key <= rank_queue.min_usage_ratio():
       return 0.0
-    rate = self._rank_rate(self._model_queue(queue), request.rank)
+    rate = self._ranks.rate(self._model_queue(queue), request.rank)
     rank_queue.rate.set_prior(rate, rate)
     own_s = waiting.cost.engine_s
     own_rate = rate * weight / max(weight, rank_queue.weight)
@@ -356,62 +356,11 @@
     own = rank_queue.queue_by_tenant.get(position.tenant)
     if own is not None:
       return own.rate.per_s()
-    weight = self._share(position.tenant)
-    rate = self._rank_rate(self._model_queue(position.queue), position.key.rank)
-    return rate * weight / max(weight, rank_queue.weight + weight)
-
-  def _rank_order(self, name: str) -> int:
-    """Returns the order of service of a rank.
-
-    This is 0 for a rank below its reserve, 1 for an urgent one, else 2.
-    """
-    rank = self._config.rank_by_name.get(name)
-    if rank is None:
-      return 2
-    if rank.is_urgent:
-      return 1
-    return 0 if self._is_below_reserve(name) else 2
-
-  def _is_below_reserve(self, name: str) -> bool:
-    rank = self._config.rank_by_name.get(name)
-    return (
-        rank is not None
-        and self._usage.rank_usage_fraction(name) < rank.reserve
+    weight = self._ranks.share(position.tenant)
+    rate = self._ranks.rate(
+        self._model_queue(position.queue), position.key.rank
     )
-
-  def _has_urgent_waiting_at_peers(self, now: float) -> bool:
-    for rank in self._config.rank_by_name.values():
-      if not rank.is_urgent:
-        continue
-      if (
-          self._usage.min_waiting_usage(rank.name, now, MAX_DIGEST_AGE_S)
-          < math.inf
-      ):
-        return True
-    return False
-
-  def _rank_rate(self, model_queue: class_queue.ModelQueue, name: str) -> float:
-    """Returns the engine seconds per second for a rank on this host."""
-    rank = self._config.rank_by_name.get(name)
-    fraction = 1.0
-    for other in self._config.rank_by_name.values():
-      if other.name == name:
-        continue
-      if rank is not None and rank.is_urgent:
-        if model_queue.count_of_rank(other.name):
-          fraction -= min(
-              other.reserve, self._usage.rank_usage_fraction(other.name) + 0.05
-          )
-      elif other.is_urgent:
-        fraction -= self._usage.rank_usage_fraction(other.name)
-    reserve = rank.reserve if rank is not None else 0.0
-    return model_queue.rate.per_s() * max(fraction, reserve, 0.05)
-
-  def _share(self, tenant: str) -> float:
-    known = self._config.tenant_by_name.get(tenant)
-    if known is None:
-      return MIN_SHARE
-    return max(MIN_SHARE, known.share)
+    return rate * weight / max(weight, rank_queue.weight + weight)
 
   def _model_queue(self, name: str) -> class_queue.ModelQueue:
     queue = self._queue_by_name.get(name)
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -13,18 +13,17 @@
 
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
+from mulberrypick.core import engine_models
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
 from mulberrypick.core import placements
 from mulberrypick.core import rendezvous
 from mulberrypick.core import size_fairness
 
-# Time to transfer a prompt's KV cache and to involve the second engine.
-KV_TRANSFER_S = 0.006
 # A prompt is sent to another engine than the first in its preference order only
-# if that gains at least this time: prompt parts cached on one engine have to be
-# prefilled again on another.
-MIN_AFFINITY_GAIN_S = 0.004
+# if that gains at least the time to prefill this many tokens of its shared
+# parts: parts cached on one engine have to be prefilled again on another.
+MIN_AFFINITY_GAIN_TOKENS = 1_600
 # Fraction of an engine's slots that decode-only work fills before another
 # engine is reserved for decoding. The rest absorbs fluctuations.
 MAX_DECODER_FILL = 0.6
@@ -37,9 +36,18 @@
 # Fraction of the target that a predicted time may use. The rest covers errors
 # of the prediction.
 MAX_TARGET_FRACTION = 0.85
-# A prompt whose prefill takes no longer than this is sent even if it will be
-# late: it hardly delays others, and a late answer is better than none.
-NEGLIGIBLE_PREFILL_S = 0.002
+# Cost of the time in which a prompt keeps an engine from others, relative to
+# its own waiting time. Without it, long prompts go to decode engines, which
+# take more than twice as long for them, and short ones wait behind them there.
+BLOCKING_COST = 1.5
+# Fraction of the target that a request may wait for others although it will be
+# late: a long prompt alone may take most of the target, and does not get faster
+# by coming back. In a flood the waiting time is longer.
+MAX_LATE_WAIT_FRACTION = 0.5
+# A prompt whose prefill takes no longer than this fraction of its target is
+# sent even if it will be late: it hardly delays others, and a late answer is
+# better than none.
+NEGLIGIBLE_PREFILL_FRACTION = 0.013
 # Fraction of decisions in which an engine that is believed to be full is still
 # considered, to find out whether it accepts requests.
 FULL_PROBE_FRACTION = 0.02
@@ -129,13 +137,21 @@
       now: float,
   ) -> placements.Placement | placements.Refusal:
     if not endpoints:
-      return placements.Refusal(
-          'no_endpoint', self._retry_after(call, 0.5, now)
-      )
+      return self._refuse_without_endpoint(call, 'no_endpoint', now)
     if service.is_engine:
       return self._place_engine(call, service, endpoints, now)
     return self._place_plain(call, endpoints, now)
 
+  def _refuse_without_endpoint(
+      self, call: gateway_records.Call, reason: str, now: float
+  ) -> placements.Refusal:
+    """Refuses a request that no endpoint may run now."""
+    wait_s = self._registry.hold_off_wait_s(call.service, now)
+    if wait_s is not None:
+      # A shorter time would not be true.
+      return placements.Refusal('held_off', wait_s)
+    return placements.Refusal(reason, self._retry_after(call, 0.5, now))
+
   def _refuse_limited(
       self,
       call: gateway_records.Call,
@@ -167,6 +183,35 @@
       now: float,
   ) -> gateway_records.Endpoint | None:
     """Returns another decode engine for a prefilled prompt, or None."""
+    runners = self._usable_runners(call, excluded, now)
+    return self._least_busy(runners, now) if runners else None
+
+  def choose_decoder(
+      self,
+      call: gateway_records.Call,
+      excluded: set[tuple[str, int]],
+      now: float,
+  ) -> gateway_records.Endpoint | None:
+    """Returns the best decode engine when a prompt has been prefilled, or None.
+
+    Answers load pattern: many prompts are prefilled at the same time. They put
+    no load on decode engines until their prefill has ended, so that all would
+    go to the engine that had the least load before.
+    """
+    runners = self._usable_runners(call, excluded, now)
+    if not runners:
+      return None
+    decoders, _ = self._split_runners(runners, now)
+    accepting = [e for e in decoders if not self._load.is_full(e, now)]
+    return self._least_busy(accepting or decoders, now)
+
+  def _usable_runners(
+      self,
+      call: gateway_records.Call,
+      excluded: set[tuple[str, int]],
+      now: float,
+  ) -> list[gateway_records.Endpoint]:
+    """Returns the engines that may decode a request now."""
     runners = []
     is_urgent = call.route.rank == 0
     for endpoint in self._registry.usable(call.service, now):
@@ -176,7 +221,7 @@
         continue
       if self._permits.may_send(endpoint.incarnation, is_urgent, now):
         runners.append(endpoint)
-    return self._least_busy(runners, now) if runners else None
+    return runners
 
   def _place_engine(
       self,
@@ -192,9 +237,7 @@
         continue
       runners.append(endpoint)
     if not runners:
-      return placements.Refusal(
-          'no_decode_endpoint', self._retry_after(call, 0.5, now)
-      )
+      return self._refuse_without_endpoint(call, 'no_decode_endpoint', now)
     decoders, overflow = self._split_runners(runners, now)
     candidates = self._runners_for(call, decoders, overflow, bool(prefillers))
     if not placements.is_urgent_stream(call):
@@ -306,18 +349,30 @@
     own.cache.set_memory(service.kv_tokens)
     load = self._load.total(prefill_engine, now)
     tokens = own.cache.uncached_tokens(call.parts) or call.prompt_tokens // 16
-    ahead = load.urgent_tokens
-    if call.route.rank > 0:
-      ahead += load.other_tokens
-    predicted_s = (ahead + tokens) / own.rate + engine_load.REQUEST_OVERHEAD_S
+    ahead = load.urgent_tokens + load.other_tokens
+    if call.route.rank == 0 and load.count > prefill_engine.slots:
+      # It overtakes what waits for a slot; what has one goes on in turn.
+      waiting = 1.0 - prefill_engine.slots / load.count
+      ahead -= round(waiting * load.other_tokens)
+    read_s = self._load.read_s(prefill_engine, ahead + tokens, now)
+    start_s, slow_s = 0.0, read_s * self._high_factor(prefill_engine)
     if prefiller is not None:
-      predicted_s += KV_TRANSFER_S
+      start = self._load.models.find(runner, engine_models.Work.START)
+      start_s = start.expect_s(call.prompt_tokens)
+      slow_s += start_s * start.high_factor
+    predicted_s = read_s + start_s
+    alone_s = self._load.read_s(prefill_engine, tokens, now)
     cost_s = predicted_s + 0.2 * self._registry.failure_fraction(prefill_engine)
+    cost_s += BLOCKING_COST * alone_s
+    # Tokens do not tell engines apart if prompts are short or cached.
+    fixed_s = self._load.read_s(prefill_engine, 0, now)
+    cost_s += fixed_s * load.count / prefill_engine.slots
     position = preference.index(prefill_engine.name)
     if position:
-      cost_s += MIN_AFFINITY_GAIN_S + self.affinity_spread_s * position / (
-          len(preference) - 1
-      )
+      token_s = self._load.read_token_s(prefill_engine, now)
+      shared = sum(part.tokens for part in call.parts[:-1])
+      cost_s += min(MIN_AFFINITY_GAIN_TOKENS, shared) * token_s
+      cost_s += self.affinity_spread_s * position / (len(preference) - 1)
     is_late = (
         now - call.arrived_at + predicted_s
         > MAX_TARGET_FRACTION * call.route.target_s
@@ -325,10 +380,23 @@
     return _Option(
         cost_s,
         placements.Placement(
-            runner, prefiller, tokens, ahead + tokens, predicted_s, is_late
+            runner,
+            prefiller,
+            tokens,
+            ahead + tokens,
+            predicted_s,
+            is_late,
+            slow_s,
+            read_s - alone_s,
+            alone_s,
         ),
     )
 
+  def _high_factor(self, endpoint: gateway_records.Endpoint) -> float:
+    """Returns the high end of the time of a prefill, relative to its mean."""
+    work = engine_models.read_work(endpoint)
+    return self._load.models.find(endpoint, work).high_factor
+
   def _admit(
       self,
       call: gateway_records.Call,
@@ -338,15 +406,15 @@
     if self._is_worth_sending(call, placement):
       return placement
     prefill_engine = placement.prefiller or placement.endpoint
-    if (
-        placement.tokens / self._load.own(prefill_engine).rate
-        <= NEGLIGIBLE_PREFILL_S
-    ):
+    if not self._load.is_speed_known(prefill_engine):
+      return placement
+    alone_s = placement.tokens * self._load.read_token_s(prefill_engine, now)
+    if alone_s <= NEGLIGIBLE_PREFILL_FRACTION * call.route.target_s:
       return placement
     excess_s = placement.predicted_s - MAX_TARGET_FRACTION * call.route.target_s
     return placements.Refusal(
         'too_late',
-        self._retry_after(call, excess_s, now),
+        self._retry_after(call, max(excess_s, placement.wait_s), now),
         placement.predicted_s,
     )
 
@@ -354,7 +422,9 @@
       self, call: gateway_records.Call, placement: placements.Placement
   ) -> bool:
     if placements.is_urgent_stream(call):
-      return not placement.is_late
+      return not placement.is_late or (
+          placement.wait_s <= MAX_LATE_WAIT_FRACTION * call.route.target_s
+      )
     fairness = self._fairness_by_route.get(call.route.name)
     if fairness is None:
       fairness = size_fairness.SizeFairness()
@@ -362,7 +432,10 @@
     fairness.record_prompt(call.prompt_tokens, placement.tokens)
     fraction = fairness.limit_fraction(call.prompt_tokens, placement.tokens)
     limit_s = fraction * MAX_TARGET_FRACTION * call.route.target_s
-    is_sent = placement.predicted_s <= limit_s
+    is_sent = placement.predicted_s <= limit_s or (
+        placement.wait_s
+        <= fraction * MAX_LATE_WAIT_FRACTION * call.route.target_s
+    )
     fairness.record_decision(call.prompt_tokens, is_sent)
     return is_sent
 
@@ -399,8 +472,8 @@
     best, best_cost = runners[0], float('inf')
     for runner in runners:
       load = self._load.total(runner, now)
-      own = self._load.own(runner)
-      cost = (load.urgent_tokens + load.other_tokens) / own.rate
+      tokens = load.urgent_tokens + load.other_tokens
+      cost = tokens * self._load.read_token_s(runner, now)
       cost += load.count / runner.slots * 0.05
       cost += 0.2 * self._registry.failure_fraction(runner)
       if cost < best_cost:
--- a/mulberrypick/core/shared_retry_budget.py
+++ b/mulberrypick/core/shared_retry_budget.py
@@ -118,19 +118,21 @@
     if times:
       times.pop()
 
-  def take(self, service: str, now: float) -> bool:
+  def take(self, service: str, now: float, max_fraction: float = 1.0) -> bool:
     """Takes a retry from the budget if one is left.
 
     Args:
       service: Service that the request would be sent to again.
       now: Time on the event loop's clock.
+      max_fraction: Part of the allowance that may be used with this one; less
+        than 1 for what only saves time.
 
     Returns:
       Whether the request may be retried.
     """
     self._handle_pause(now)
     usage = self.usage(service, now)
-    if usage.retries + 1 > usage.allowed:
+    if usage.retries + 1 > max_fraction * usage.allowed:
       return False
     unsent_until = now - self._paused_s + MAX_ARRIVAL_DELAY_S
     self._retries_by_service[service].append(_Retry(now, unsent_until))
--- a/mulberrypick/core/shared_retry_budget_test.py
+++ b/mulberrypick/core/shared_retry_budget_test.py
@@ -42,6 +42,16 @@
     self.assertGreater(granted, 5)
     self.assertLessEqual(granted, 20)
 
+  def test_what_only_saves_time_leaves_a_part_to_others(self):
+    # Guards against second prefills that leave no retry to streams.
+    budget = self.make_budget(0.0, 20)
+    while budget.take('s', 0.0, 0.5):
+      pass
+    left = 0
+    while budget.take('s', 0.0):
+      left += 1
+    self.assertEqual(left, 7)
+
   def test_window_slides(self):
     budget = self.make_budget(0.0, 10)
     while budget.take('s', 0.0):
--- a/mulberrypick/core/stream_versions.py
+++ b/mulberrypick/core/stream_versions.py
@@ -34,12 +34,12 @@
 def stream_key(request_id: str, fingerprint: int) -> int:
   """Returns the key of a stream.
 
-  Callers choose the ids of requests. The hash of caller and content keeps
-  streams of different callers apart.
+  Callers choose the ids of requests. The hash of the content keeps streams of
+  different requests apart.
 
   Args:
     request_id: Id of the attempt that received the first event.
-    fingerprint: Hash of the caller and of the content of the request.
+    fingerprint: Hash of the content of the request.
   """
   return xxhash.xxh3_64_intdigest(f'{fingerprint:x}/{request_id}'.encode())
 
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -40,12 +40,22 @@
 NO_HELPER_RETRY_AFTER_S = 0.3
 # A request that may be retried is sent to another endpoint, if that is secured,
 # when the response head takes longer than both of these: a multiple of the
-# route's latency target, and a multiple of the predicted latency.
+# route's latency target, and the high end of the predicted latency.
 HEAD_TIMEOUT_TARGET_FACTOR = 1.5
-HEAD_TIMEOUT_PREDICTION_FACTOR = 3.0
-# A stream that sends no data for this long is resumed at another endpoint, if
-# that is secured. Callers tolerate pauses of 0.15 s and disconnect after 2 s.
-STALL_TIMEOUT_S = 0.6
+# A stream that sends no data for this many of the longest pauses that are in
+# time is resumed at another endpoint, if that is secured. Callers disconnect
+# after eight of them or later.
+STALL_GAPS = 4.0
+# Longest pause that is in time if the route states none.
+DEFAULT_GAP_S = 0.15
+# Reason of an attempt that an endpoint refused as not run.
+REFUSED = 'status_503'
+# An engine that is full refuses at once. One that takes longer could not fetch
+# the KV cache.
+MIN_FETCH_FAILURE_S = 0.1
+# Engines that must fail to do so: with one, its own link may be the cause, and
+# to prefill a long prompt again takes longer than to ask another one.
+LOST_CACHE_REFUSALS = 2
 # Refusals of a host that may be cut off from all endpoints.
 UNREACHABLE_REASONS = ('no_endpoint', 'no_decode_endpoint')
 # Outcomes of attempts after which the request goes on.
@@ -98,6 +108,8 @@
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
+    # Whether an engine keeps the KV cache of the prefilled prompt.
+    self._has_handle = False
     # Whether it was logged that the silent run is not given up.
     self._is_waiting = False
 
@@ -201,7 +213,7 @@
     if self._forwarded is not None:
       # The other host finds one that is not apart.
       self._log_decision('refused', forward_server.APART)
-      self._forwarded.decline(forward_server.APART)
+      self._forwarded.decline(forward_server.APART, self._next.has_sent)
       return True
     self._is_sending = True
     self._end_passed_on(await self._passing.run())
@@ -258,31 +270,51 @@
     if handle is None:
       return attempt
     attempt = next_run.AttemptResult(False, False, 'cancelled')
+    self._has_handle = True
     try:
       attempt = await self._run_decode(placement, handle)
     finally:
       if not attempt.is_final and not attempt.may_have_run:
-        prompt_handles.free_in_background(
-            self._state, placement.prefiller, handle
-        )
+        self._free_handle(placement.prefiller, handle)
     return attempt
 
+  def _free_handle(
+      self, prefiller: gateway_records.Endpoint, handle: str
+  ) -> None:
+    """Frees the KV cache of a prefilled prompt that is not needed any more."""
+    if self._has_handle:
+      self._has_handle = False
+      prompt_handles.free_in_background(self._state, prefiller, handle)
+
   async def _run_decode(
       self, placement: placements.Placement, handle: str
   ) -> next_run.AttemptResult:
     """Decodes a prefilled request; tries another engine if one can't run it.
 
     Repeating the prefill instead would count as one more request to the service
-    and would waste the finished prefill.
+    and would waste the finished prefill. If the prefilled prompt can't be
+    fetched, the next engine prefills it itself: all would fail in the same way,
+    one after the other until the time limit.
     """
     source = requests.kv_source_headers(placement.prefiller, handle)
+    placement = self._placement = self._next.choose_decoder(placement)
     tried = set(self._next.excluded)
+    prefiller, tokens = placement.prefiller, 0
+    late_refusals = 0
+    loop = asyncio.get_running_loop()
     while True:
-      attempt = await self._send_to(placement, source, 0)
+      sent_at = loop.time()
+      attempt = await self._send_to(placement, source, tokens)
       if attempt.is_final or attempt.may_have_run:
         return attempt
       tried.add(placement.endpoint.incarnation)
-      now = asyncio.get_running_loop().time()
+      now = loop.time()
+      if attempt.reason == REFUSED and now - sent_at >= MIN_FETCH_FAILURE_S:
+        late_refusals += 1
+      if source and self._is_cache_lost(prefiller, late_refusals):
+        source, tokens = [], placement.tokens
+        placement = placement._replace(prefiller=None)
+        self._free_handle(prefiller, handle)
       other = self._state.placer.place_decode(self._call, tried, now)
       if other is None:
         return attempt
@@ -295,12 +327,33 @@
       placement = placement._replace(endpoint=other)
       self._placement = placement
 
+  def _is_cache_lost(
+      self,
+      prefiller: gateway_records.Endpoint,
+      late_refusals: int,
+  ) -> bool:
+    """Returns whether no decode engine can fetch a prefilled prompt.
+
+    Args:
+      prefiller: The engine that prefilled it.
+      late_refusals: Number of decode engines that refused it after some time.
+    """
+    endpoints = self._state.endpoints
+    now = asyncio.get_running_loop().time()
+    if endpoints.find(prefiller.name) is None:
+      return True
+    if endpoints.is_suspended(prefiller, now):
+      return True
+    return late_refusals >= LOST_CACHE_REFUSALS
+
   async def _prefill(
       self, placement: placements.Placement
   ) -> tuple[str | None, next_run.AttemptResult]:
     prefiller = placement.prefiller
+    now = asyncio.get_running_loop().time()
+    read = placements.make_read(self._call, placement, now)
     send = endpoint_send.EndpointSend(
-        self._state, self._log, prefiller, self._call, placement.tokens, 0
+        self._state, self._log, prefiller, self._call, read, 0
     )
     self._state.record_parts(prefiller, self._call.parts, True)
     extra_headers = requests.prefill_headers()
@@ -345,8 +398,12 @@
     decode_quarters = placements.decode_slot_quarters(
         self._call, bool(extra_headers)
     )
+    read = None
+    if tokens:
+      now = asyncio.get_running_loop().time()
+      read = placements.make_read(self._call, placement, now)
     send = endpoint_send.EndpointSend(
-        self._state, self._log, endpoint, self._call, tokens, decode_quarters
+        self._state, self._log, endpoint, self._call, read, decode_quarters
     )
     if self._service.is_engine:
       self._state.record_parts(endpoint, self._call.parts, not extra_headers)
@@ -417,7 +474,8 @@
   ) -> next_run.AttemptResult:
     cutter = event_stream.EventSplitter()
     is_first = True
-    limit = self._silence_limit(STALL_TIMEOUT_S)
+    gap_s = self._call.route.gap_s or DEFAULT_GAP_S
+    limit = self._silence_limit(STALL_GAPS * gap_s)
     while data := await send.read_some(limit):
       try:
         events = cutter.feed(data)
@@ -431,6 +489,8 @@
         self._first_event_s = self._first_event_s or now - self._call.arrived_at
         if tokens:
           send.record_prefill(placement.tokens_ahead)
+        elif placement.prefiller is not None:
+          send.record_start(self._call.prompt_tokens)
         self._state.endpoints.record_success(placement.endpoint)
         self._bind(placement.endpoint)
       send.record_activity()
@@ -462,7 +522,7 @@
     return self._silence_limit(
         max(
             HEAD_TIMEOUT_TARGET_FACTOR * self._call.route.target_s,
-            HEAD_TIMEOUT_PREDICTION_FACTOR * placement.predicted_s,
+            placement.slow_s,
         )
     )
 
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -12,9 +12,11 @@
 from mulberrypick.adapters import stream_client
 from mulberrypick.core import crashing_parts
 from mulberrypick.core import endpoint_limits
+from mulberrypick.core import engine_models
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 from mulberrypick.core import open_ended_answers
+from mulberrypick.core import pending_reads
 from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import protocol
@@ -38,6 +40,8 @@
 SECURE_INTERVAL_S = 0.2
 # Reason of a send for which there is no permit.
 LIMITED = 'limited'
+# Reason of a send to an endpoint that wants no requests.
+HELD_OFF = 'held_off'
 # Reason of a send that was given up because requests like it crash endpoints.
 CRASHES_ENDPOINTS = 'crashes_endpoints'
 # Reasons of a break after which the endpoint may have crashed. For all others
@@ -102,21 +106,31 @@
       log: call_log.CallLog,
       endpoint: gateway_records.Endpoint,
       call: gateway_records.Call,
-      tokens: int,
+      read: pending_reads.PendingRead | None,
       decode_quarters: int,
   ):
+    """Creates a send, which counts as load of the endpoint from now on.
+
+    Args:
+      state: The state of this host.
+      log: Logs decisions.
+      endpoint: Where the request is sent.
+      call: The request.
+      read: The prefill that it causes there, None for none.
+      decode_quarters: Quarters of slots that it takes for decoding.
+    """
     self._state = state
     self._log = log
     self._endpoint = endpoint
     self._call = call
-    self._tokens = tokens
+    self._tokens = read.tokens if read is not None else 0
     self._decode_quarters = decode_quarters
-    self._rank = min(call.route.rank, 1)
     self._own_load = state.load.own(endpoint)
     self._own_load.count += 1
     self._own_load.decoding += decode_quarters
     state.load_changed.set()
-    self._own_load.tokens[self._rank] += tokens
+    if read is not None:
+      self._own_load.reads.add(id(self), read)
     self._connection: stream_client.ClientConnection | None = None
     self.exchange = stream_client.Exchange(
         lambda head: requests.is_response_to(call.id, head)
@@ -162,6 +176,10 @@
       state.pool.release(self._endpoint, self._connection)
       self._connection = None
       return SendResult(Outcome.NOT_SENT, CRASHES_ENDPOINTS)
+    if state.endpoints.is_held_off(self._endpoint, self.sent_at):
+      state.pool.release(self._endpoint, self._connection)
+      self._connection = None
+      return SendResult(Outcome.NOT_SENT, HELD_OFF)
     if permit_until <= self.sent_at and not state.permits.take(
         self._endpoint.incarnation, self._call.route.rank == 0, self.sent_at
     ):
@@ -184,6 +202,8 @@
     self.record_activity()
     kind = requests.classify_response(head)
     self._observe_limit(head, kind, needs_signature)
+    if not kind.is_misdirected:
+      state.observe_wishes(self._endpoint, kind.says_leaving, kind.hold_off)
     return await self._evaluate_head(head, kind, needs_signature)
 
   def _observe_limit(
@@ -350,11 +370,20 @@
     )
 
   def record_prefill(self, tokens_ahead: int) -> None:
-    """Records that prefill finished; updates the endpoint's prefill rate."""
-    took_s = asyncio.get_running_loop().time() - self.sent_at
-    self._state.load.observe_prefill(self._endpoint, tokens_ahead, took_s)
+    """Records that prefill finished; updates the model of the engine."""
+    now = asyncio.get_running_loop().time()
+    self._state.load.observe_prefill(
+        self._endpoint, tokens_ahead, now - self.sent_at, now
+    )
     self._release_tokens()
 
+  def record_start(self, tokens: int) -> None:
+    """Records the first event of a request that was prefilled elsewhere."""
+    now = asyncio.get_running_loop().time()
+    work = engine_models.Work.START
+    took_s = now - self.sent_at
+    self._state.load.models.observe(self._endpoint, work, tokens, took_s, now)
+
   def record_activity(self) -> None:
     """Records that the endpoint sent data for this request."""
     now = asyncio.get_running_loop().time()
@@ -401,7 +430,7 @@
   def _release_tokens(self) -> None:
     if self._tokens:
       self._state.load_changed.set()
-    self._own_load.tokens[self._rank] -= self._tokens
+    self._own_load.reads.remove(id(self))
     self._tokens = 0
 
   def _is_full_refusal(self, kind: requests.ResponseTraits, now: float) -> bool:
@@ -448,7 +477,7 @@
         state.drop_endpoint(self._endpoint.name)
     if kind.is_not_run:
       self._is_judged = True
-      self._own_load.refused_at = now
+      self._own_load.refusal_pause.record_refused(now)
       if self._is_full_refusal(kind, now):
         state.load.record_refused(self._endpoint, self._other_count)
       await self._read_refusal()
@@ -461,6 +490,7 @@
     ):
       state.endpoints.record_failure(self._endpoint, now)
       return SendResult(Outcome.BROKEN, f'status_{head.status}')
+    self._own_load.refusal_pause.record_accepted()
     if self._tokens:
       state.load.record_accepted(self._endpoint, self._other_count)
     return SendResult(Outcome.ANSWERED, f'status_{head.status}', head)
--- a/mulberrypick/ops/evidence_task.py
+++ b/mulberrypick/ops/evidence_task.py
@@ -77,7 +77,7 @@
         if self._is_needed and evidence:
           spec = stored_evidence.encode(evidence, time.time())
           kind, name = protocol.EVIDENCE_KIND, state.host.name
-          await self._writer.put(kind, name, spec)
+          await self._writer.put(kind, name, spec, exists=has_object)
           has_object = True
         elif has_object and not state.missed_hosts:
           await self._remove(self._writer, state.host.name)
--- a/mulberrypick/ops/forward_message.py
+++ b/mulberrypick/ops/forward_message.py
@@ -87,9 +87,15 @@
 
 
 class Declined(msgspec.Struct, array_like=True, tag='declined'):
-  """The helper did not take the request, and sent it to no endpoint."""
+  """The helper did not take the request, and no endpoint ran it.
+
+  Attributes:
+    reason: Identifier of the cause.
+    has_sent: Whether an endpoint received it, to read its prompt.
+  """
 
   reason: str
+  has_sent: bool = False
 
 
 Frame = Whole | Head | Data | End | Declined
--- a/mulberrypick/ops/forward_message_test.py
+++ b/mulberrypick/ops/forward_message_test.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import msgspec
+
 from mulberrypick.ops import forward_message
 
 FRAMES = [
@@ -10,9 +12,16 @@
     forward_message.End(),
     forward_message.Whole(503, [], b'x' * 1000),
     forward_message.Declined('busy'),
+    forward_message.Declined('apart', True),
 ]
 
 
+class OldDeclined(msgspec.Struct, array_like=True, tag='declined'):
+  """The frame as the build before knows it."""
+
+  reason: str
+
+
 class FrameReaderTest(unittest.TestCase):
 
   def test_frames_are_read_whatever_their_pieces(self):
@@ -24,6 +33,15 @@
         found += reader.feed(data[begin : begin + size])
       self.assertEqual(found, FRAMES, size)
 
+  def test_frames_of_the_build_before_are_read_and_its_are_like_new_ones(self):
+    old = msgspec.msgpack.encode(['declined', 'apart'])
+    reader = forward_message.FrameReader()
+    found = list(reader.feed(len(old).to_bytes(4, 'big') + old))
+    self.assertEqual(found, [forward_message.Declined('apart', False)])
+    new = forward_message.encode_frame(forward_message.Declined('apart', True))
+    decoded = msgspec.msgpack.decode(new[4:], type=OldDeclined)
+    self.assertEqual(decoded.reason, 'apart')
+
   def test_bytes_that_are_no_frames_are_refused(self):
     for data in (b'HTTP/1.1 200', b'\0\0\0\1\xc1', b'\0\0\0\2\x91\x05'):
       with self.subTest(data=data), self.assertRaises(ValueError):
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -29,6 +29,9 @@
   ANSWERED = 'answered'
   # No host took it; nothing was sent to endpoints on its behalf.
   DECLINED = 'declined'
+  # The host that took it could not go on. No endpoint ran it, but one read its
+  # prompt, so that sending it again needs a retry.
+  PREFILLED = 'prefilled'
   # It was taken, and its response broke off; it may have run.
   BROKEN = 'broken'
 
@@ -146,6 +149,8 @@
         outcome = Outcome.ANSWERED
         if isinstance(frame, forward_message.Declined):
           outcome = Outcome.DECLINED
+          if frame.has_sent:
+            outcome = Outcome.PREFILLED
         # The rest only ends the response of the helper.
         await self._finish(exchange)
         return ForwardResult(outcome, reason, helper.name)
--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -80,9 +80,14 @@
     self._write(forward_message.End())
     self._end_message()
 
-  def decline(self, reason: str) -> None:
-    """Tells the other host that the request was sent to no endpoint."""
-    self._write(forward_message.Declined(reason))
+  def decline(self, reason: str, has_sent: bool = False) -> None:
+    """Tells the other host that no endpoint ran the request.
+
+    Args:
+      reason: Identifier of the cause.
+      has_sent: Whether an endpoint received it, to read its prompt.
+    """
+    self._write(forward_message.Declined(reason, has_sent))
     self._end_message()
 
   def abort(self) -> None:
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -29,6 +29,14 @@
     15.0,
 )
 _LABELS = ('kind', 'rank', 'zone', 'outcome')
+_ENGINE_LABELS = ('service', 'software', 'work')
+# Names and descriptions of the gauges of the models of engines.
+ENGINE_GAUGES = (
+    ('fixed_seconds', 'Expected time of a request without its tokens.'),
+    ('token_seconds', 'Expected time for each token.'),
+    ('spread', 'Relative standard error of the expected time.'),
+    ('samples', 'Recent answers behind the expected time, of all hosts.'),
+)
 
 
 class GatewayMetrics:
@@ -50,12 +58,23 @@
         buckets=BUCKET_BOUNDS_S,
         registry=self._registry,
     )
+    self._engine_gauges = []
+    for name, help_text in ENGINE_GAUGES:
+      self._engine_gauges.append(
+          prometheus_client.Gauge(
+              f'mulberrypick_engine_{name}',
+              help_text,
+              _ENGINE_LABELS,
+              registry=self._registry,
+          )
+      )
     self._gauge('config_version', lambda: self._config_version())
     self._gauge('endpoints', lambda: len(list(state.endpoints.all())))
     self._gauge('hosts', lambda: state.hosts)
     self._gauge('connections_opened', lambda: state.pool.opened_count)
     self._gauge('crashes', lambda: len(state.quarantine.all_crashes()))
     self._gauge('limited_endpoints', lambda: len(state.limits.limited()))
+    self._gauge('held_off_endpoints', self._held_off_endpoints)
     self._gauge('limited_sends', lambda: state.limited_sends)
     self._gauge('apart', lambda: int(state.reach.is_apart))
     self._gauge('passed_on_requests', lambda: state.forwarded_count)
@@ -81,6 +100,13 @@
     self._calls.labels(*labels).inc()
     self._first_event.labels(*labels).observe(first_s)
 
+  def _update_speeds(self) -> None:
+    for key, model in self._state.load.models.all_models():
+      labels = (key.service, key.software, key.work.value)
+      values = (model.fixed_s, model.per_token_s, model.spread, model.samples)
+      for gauge, value in zip(self._engine_gauges, values, strict=True):
+        gauge.labels(*labels).set(value)
+
   async def answer(
       self,
       received: stream_server.ReceivedRequest,
@@ -88,6 +114,7 @@
   ) -> None:
     """Responds with all metrics."""
     del received
+    self._update_speeds()
     text = prometheus_client.generate_latest(self._registry)
     kind = (b'Content-Type', b'text/plain; version=0.0.4')
     caller.write_response(200, [kind], text)
@@ -102,6 +129,10 @@
     now = asyncio.get_running_loop().time()
     return len(self._state.quarantine.refused(now))
 
+  def _held_off_endpoints(self) -> int:
+    now = asyncio.get_running_loop().time()
+    return self._state.endpoints.hold_off.count(now)
+
   def _config_version(self) -> int:
     config = self._state.config
     return config.version if config else 0
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -18,14 +18,17 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import engine_load
+from mulberrypick.core import engine_models
 from mulberrypick.core import load_sum
 from mulberrypick.core import peer_topology
+from mulberrypick.core import relay_traffic
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import peer_links
 from mulberrypick.ops import peer_message
 from mulberrypick.ops import peer_table
 from mulberrypick.ops import permit_exchange
 from mulberrypick.ops import reach_exchange
+from mulberrypick.ops import speed_log
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import objects
 from mulberrypick.platform import stored_evidence
@@ -40,14 +43,13 @@
 SEND_INTERVAL_PER_HOST_S = 0.001
 # Maximum interval between two messages; an idle host sends at this interval.
 MAX_SEND_INTERVAL_S = 0.25
-# Maximum traffic that a relay sends: a third of the slowest supported link,
-# which carries 5 Mbit/s.
-MAX_RELAY_BYTES_PER_S = 200_000
 # Maximum number of prompt parts in one message.
 MAX_PARTS = 200
 # Interval at which a request for a host's identity or for the configuration is
 # repeated until the reply arrives.
 REQUEST_INTERVAL_S = 0.5
+# Interval between two messages with what is known of the speed of engines.
+SPEEDS_INTERVAL_S = 1.0
 # Time after the start in which others are asked to repeat what they know.
 START_S = 1.0
 
@@ -75,6 +77,9 @@
     self._group_parts: list[tuple[str, int, int]] = []
     self._other_group_parts: list[tuple[str, int, int]] = []
     self._sent_bytes = 0
+    self._traffic = relay_traffic.RelayTraffic()
+    self._speeds_sent_at = float('-inf')
+    self._speed_log = speed_log.SpeedLog()
     self._started_at: float | None = None
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
@@ -149,7 +154,7 @@
     links = len(neighbors.members) + len(neighbors.relays)
     interval_s = MIN_SEND_INTERVAL_S + SEND_INTERVAL_PER_HOST_S * links
     if neighbors.role is peer_topology.Role.RELAY:
-      interval_s = max(interval_s, self._sent_bytes / MAX_RELAY_BYTES_PER_S)
+      interval_s = max(interval_s, self._traffic.min_interval_s)
     return interval_s
 
   def publish_now(self) -> None:
@@ -158,29 +163,38 @@
     self._sent_bytes = 0
     self._table.update_neighbors(self._links.opened_at, now)
     self._table.update_host_counts(now)
-    own = self._build_message(now)
-    self._query_unidentified(now)
     neighbors = self._table.neighbors
-    if neighbors.role is peer_topology.Role.RELAY:
-      self._send_as_relay(own, now)
+    is_relay = neighbors.role is peer_topology.Role.RELAY
+    has_news = not is_relay or self._traffic.is_news_due(now)
+    own = self._build_message(now, has_news)
+    self._query_unidentified(now)
+    if is_relay:
+      self._send_as_relay(own, has_news, now)
+      self._traffic.record_sent(self._sent_bytes, has_news, now)
     else:
+      if self._are_speeds_due(now):
+        own.speeds = self._state.load.models.sums_to_send((), now)
       self._send(neighbors.members | neighbors.relays, own)
     self._links.close_unused(neighbors.members | neighbors.relays, now)
 
-  def _build_message(self, now: float) -> peer_message.PeerMessage:
+  def _build_message(
+      self, now: float, has_news: bool = True
+  ) -> peer_message.PeerMessage:
+    """Builds the message with the state of this host.
+
+    Args:
+      now: Time on the event loop's clock.
+      has_news: Whether it holds prompt parts and evidence of crashes.
+    """
     state = self._state
-    parts = state.unsent_parts[-MAX_PARTS:]
-    state.unsent_parts.clear()
     load = {}
-    for name, item in state.load.own_loads().items():
+    for name, item in state.load.own_loads(now).items():
       load[name] = tuple(item)
     message = self._new_message()
     message.load = load
-    message.parts = peer_message.pack_parts(parts)
     message.leaving = state.endpoints.leaving(now)
-    message.crash_news = state.quarantine.exchange.take_news(now)
-    message.part_news = state.part_watch.take_news(now)
-    self._keep_for_missed_hosts(message)
+    if has_news:
+      self._add_news(message, now)
     if self._started_at is None:
       self._started_at = now
     message.is_starting = now - self._started_at < START_S
@@ -195,6 +209,15 @@
       message.store_revision_by_kind = state.store_revision_by_kind
     return message
 
+  def _add_news(self, message: peer_message.PeerMessage, now: float) -> None:
+    """Adds what was not sent yet of prompt parts and evidence of crashes."""
+    state = self._state
+    message.parts = peer_message.pack_parts(state.unsent_parts[-MAX_PARTS:])
+    state.unsent_parts.clear()
+    message.crash_news = state.quarantine.exchange.take_news(now)
+    message.part_news = state.part_watch.take_news(now)
+    self._keep_for_missed_hosts(message)
+
   def _keep_for_missed_hosts(self, message: peer_message.PeerMessage) -> None:
     """Keeps the evidence in a message for hosts that it does not reach."""
     evidence = stored_evidence.Evidence(message.crash_news, message.part_news)
@@ -230,32 +253,65 @@
     query.requests_config = self._state.config is None
     self._send(self._unidentified, query)
 
-  def _send_as_relay(self, own: peer_message.PeerMessage, now: float) -> None:
+  def _send_as_relay(
+      self, own: peer_message.PeerMessage, has_news: bool, now: float
+  ) -> None:
     """Sends this relay's messages.
 
     Other relays receive the load of its group, and each member receives the
     load of all other hosts.
+
+    Args:
+      own: The message with the state of this host.
+      has_news: Whether news are sent with the load.
+      now: Time on the event loop's clock.
     """
     members, relays = self._table.members(now), self._table.relays(now)
     group_load = load_sum.sum_loads([own.load, *(m.load for m in members)])
     own.load = group_load
-    group_parts = peer_message.unpack_parts(own.parts) + self._group_parts
+    group_parts, other_parts = [], []
+    if has_news:
+      group_parts = peer_message.unpack_parts(own.parts) + self._group_parts
+      other_parts = self._other_group_parts
+      self._group_parts, self._other_group_parts = [], []
     own.parts = peer_message.pack_parts(group_parts)
     own.hosts = 1 + len(members)
+    has_speeds = has_news and self._are_speeds_due(now)
+    if has_speeds:
+      addresses = [member.address for member in members]
+      own.speeds = self._state.load.models.sums_to_send(addresses, now)
     self._send(self._table.neighbors.relays, own)
     total = load_sum.sum_loads([group_load, *(r.load for r in relays)])
     own.covers_all_others = True
     own.hosts = self._state.hosts
     if not own.store_contact_s:
       self._add_relayed_changes(own, relays)
-    own.parts = peer_message.pack_parts(group_parts + self._other_group_parts)
-    self._group_parts, self._other_group_parts = [], []
+    own.relayed_changes = self._state.store_changes.take_unsent()
+    own.parts = peer_message.pack_parts(group_parts + other_parts)
     reach = own.reach
     for member in members:
       own.load = load_sum.subtract_load(total, member.load)
       own.reach = self._reach.helpers_for(member, now) or reach
+      if has_speeds:
+        own.speeds = self._speeds_without(member.address, now)
       self._send((member.address,), own)
 
+  def _are_speeds_due(self, now: float) -> bool:
+    """Returns whether to send what is known of engines; notes that it is."""
+    if now - self._speeds_sent_at < SPEEDS_INTERVAL_S:
+      return False
+    self._speeds_sent_at = now
+    self._speed_log.record(self._state.load.models)
+    return True
+
+  def _speeds_without(
+      self, address: str, now: float
+  ) -> engine_models.SumsByModel:
+    """Returns what all hosts but one observed of the speed of engines."""
+    models = self._state.load.models
+    sources = [s for s in models.peer_sources() if s != address]
+    return models.sums_to_send(sources, now)
+
   def _add_relayed_changes(
       self,
       message: peer_message.PeerMessage,
@@ -289,6 +345,7 @@
     needs_host_list = self._table.needs_host_list(message, now)
     if message.requests_config or needs_host_list:
       self._reply(message, needs_host_list)
+    self._state.add_relayed_changes(message.relayed_changes)
     self._handle_config(message, now)
     self._permits.handle_message(message, now)
     self._reach.handle_message(message, now)
@@ -314,16 +371,34 @@
     for name, item in message.load.items():
       load[name] = engine_load.Load(*item)
     self._state.load.update_peer(key, load, now)
+    if message.speeds:
+      self._state.load.models.update_peer(key, message.speeds, now)
     role = peer_topology.Role
     if self._table.neighbors.role is role.RELAY:
       parts = self._other_group_parts
       if message.role == role.MEMBER:
         parts = self._group_parts
-      parts += peer_message.unpack_parts(message.parts)
+      parts += self._select_new_parts(message, now)
       del parts[:-MAX_PARTS]
       if message.load != previous.load or message.parts:
         self._state.load_changed.set()
 
+  def _select_new_parts(
+      self, message: peer_message.PeerMessage, now: float
+  ) -> list[tuple[str, int, int]]:
+    """Returns the prompt parts that a relay did not forward a moment ago.
+
+    Many hosts place requests with the same part on the same engine.
+    """
+    new = []
+    for name, key, tokens in peer_message.unpack_parts(message.parts):
+      endpoint = self._state.endpoints.find(name)
+      if endpoint is None:
+        continue
+      if self._state.load.own(endpoint).cache.should_announce(key, now):
+        new.append((name, key, tokens))
+    return new
+
   def _update_endpoints(
       self, message: peer_message.PeerMessage, now: float
   ) -> None:
@@ -403,6 +478,9 @@
             source=message.host,
         )
       return
+    if message.relayed_changes:
+      # They may hold the newer one, and are applied first.
+      return
     if (
         message.config_version <= version
         or now - self._config_requested_at < REQUEST_INTERVAL_S
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -7,6 +7,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_exchange
+from mulberrypick.core import endpoint_hold_off
 from mulberrypick.core import endpoint_limits
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
@@ -17,17 +18,30 @@
 from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
 from mulberrypick.core import shared_retry_budget
+from mulberrypick.core import store_changes
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
 from mulberrypick.ops import forward_links
 from mulberrypick.ops import reach_watch
 from mulberrypick.ops import retry_log
+from mulberrypick.platform import store
 from mulberrypick.platform import stored_evidence
 
 _log = logging.getLogger(__name__)
-# Longest time after which a host in contact with the store knows of a change.
-MAX_LIST_DELAY_S = 3.0
+# Shortest duration of one watch call of the store. A connection that no longer
+# delivers data is detected after this plus `store.WATCH_TIMEOUT_MARGIN_S`.
+MIN_WATCH_S = 2.0
+# Time left, of that within which a host must follow the store again after a
+# network failure, to connect and to read.
+RECONNECT_S = 0.5
+# Characters of an unreadable value that are logged.
+MAX_LOGGED_VALUE = 40
+# Fraction of the time to drain for which the last endpoint of a stage is still
+# used after it said that it leaves; requests take some time to reach it.
+LAST_DRAIN_FRACTION = 0.8
+# Batches of changes of one kind that wait to be applied.
+MAX_RELAYED_BATCHES = 100
 # Messages whose evidence of crashes waits to be written to the store.
 MAX_UNWRITTEN_EVIDENCE = 40
 
@@ -77,6 +91,7 @@
     watches_store: Whether this host watches the store itself; if not, its relay
       reports changes.
     store_revision_by_kind: Revision of the last known change by kind of object.
+    store_changes: Changes of the store that this host passes on as a relay.
     store_changed: Set when the store must be read again; it is then replaced by
       a new event.
   """
@@ -86,6 +101,7 @@
     self.host = host
     self.config: gateway_records.GatewayConfig | None = None
     self.endpoints = endpoint_registry.EndpointRegistry()
+    self.endpoints.last_drain_s = LAST_DRAIN_FRACTION * bounds.drain_s
     self.limits = endpoint_limits.EndpointLimits()
     self.limited_sends = 0
     self.permits = permits.Permits(self.limits, rng)
@@ -132,8 +148,26 @@
     self.load_changed = asyncio.Event()
     self.watches_store = True
     self.store_revision_by_kind: dict[str, int] = {}
+    self.store_changes = store_changes.ChangeLog()
+    self._relayed_changes: dict[
+        str, collections.deque[store_changes.ChangeBatch]
+    ] = {}
     self.store_changed = asyncio.Event()
 
+  @property
+  def watch_s(self) -> float:
+    """Duration of one watch call of the store, in seconds."""
+    left_s = store.WATCH_TIMEOUT_MARGIN_S + RECONNECT_S
+    return max(MIN_WATCH_S, self.host.bounds.steady_s - left_s)
+
+  @property
+  def store_delay_s(self) -> float:
+    """Longest time after which a host in contact with the store knows a change.
+
+    A watch call without response is then considered failed.
+    """
+    return self.watch_s + store.WATCH_TIMEOUT_MARGIN_S
+
   @property
   def is_ready(self) -> bool:
     """Whether callers may be sent here."""
@@ -182,6 +216,7 @@
     """Applies changed settings."""
     self.host = host
     bounds = host.bounds
+    self.endpoints.last_drain_s = LAST_DRAIN_FRACTION * bounds.drain_s
     self.budget.reconfigure(
         bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
     )
@@ -195,11 +230,14 @@
     if self.config is not None and config.version <= self.config.version:
       return False
     self.config = config
+    self.load.models.configure(config.service_by_name.values())
     return True
 
-  def take_retry(self, service: str, now: float) -> bool:
+  def take_retry(
+      self, service: str, now: float, max_fraction: float = 1.0
+  ) -> bool:
     """Takes a retry from the budget if one is left; counts it for the log."""
-    is_taken = self.budget.take(service, now)
+    is_taken = self.budget.take(service, now, max_fraction)
     self.retry_log.record(service, is_taken)
     return is_taken
 
@@ -229,6 +267,71 @@
         sent=self.limited_sends,
     )
 
+  def observe_wishes(
+      self,
+      endpoint: gateway_records.Endpoint,
+      says_leaving: bool,
+      hold_off: str | None,
+  ) -> None:
+    """Records what an endpoint says of itself in an answer.
+
+    Args:
+      endpoint: The endpoint.
+      says_leaving: Whether it says that it leaves.
+      hold_off: Text of the time for which it wants no requests, None if it
+        names none.
+    """
+    now = asyncio.get_running_loop().time()
+    if hold_off is not None:
+      self._record_hold_off(endpoint, hold_off, now)
+    if says_leaving and self.endpoints.record_said_leaving(endpoint, now):
+      is_last = self.endpoints.find(endpoint.name) is not None
+      self._drop_leaving(endpoint.name, 'said', is_last=is_last)
+
+  def _record_hold_off(
+      self, endpoint: gateway_records.Endpoint, text: str, now: float
+  ) -> None:
+    seconds = endpoint_hold_off.parse_seconds(text)
+    if seconds is None:
+      seconds = endpoint_hold_off.DEFAULT_HOLD_OFF_S
+      logs.log_event(
+          _log,
+          logging.WARNING,
+          'hold_off_unreadable',
+          endpoint=endpoint.name,
+          value=repr(text[:MAX_LOGGED_VALUE]),
+      )
+    is_new = not self.endpoints.is_held_off(endpoint, now)
+    self.endpoints.hold_off.record(endpoint.incarnation, seconds, now)
+    if is_new and seconds:
+      logs.log_event(
+          _log,
+          logging.INFO,
+          'endpoint_held_off',
+          endpoint=endpoint.name,
+          started_ms=endpoint.started_ms,
+          for_s=seconds,
+      )
+
+  def _drop_leaving(self, name: str, reason: str, **fields: object) -> None:
+    """Drops the idle connections to an endpoint that leaves."""
+    self.drop_endpoint(name)
+    self.load_changed.set()
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'endpoint_dropped',
+        endpoint=name,
+        reason=reason,
+        **fields,
+    )
+
+  def update_wishes(self, now: float) -> None:
+    """Ends drains and times without requests that are over."""
+    self.endpoints.hold_off.expire(now)
+    for name in self.endpoints.end_drains(now):
+      self._drop_leaving(name, 'drained')
+
   def record_store_change(self, kind: str, revision: int) -> bool:
     """Records a change of a kind of objects; returns whether it is new."""
     if revision <= self.store_revision_by_kind.get(kind, 0):
@@ -236,12 +339,33 @@
     self.store_revision_by_kind[kind] = revision
     return True
 
+  def add_relayed_changes(
+      self, batches: list[store_changes.ChangeBatch]
+  ) -> None:
+    """Keeps changes that the relay of this host passed on, until applied."""
+    for batch in batches:
+      queue = self._relayed_changes.setdefault(
+          batch.kind, collections.deque(maxlen=MAX_RELAYED_BATCHES)
+      )
+      queue.append(batch)
+    if batches:
+      self.wake_store_tasks()
+
+  def take_relayed_changes(self, kind: str) -> list[store_changes.ChangeBatch]:
+    """Returns the changes of a kind that the relay passed on, in order."""
+    queue = self._relayed_changes.get(kind)
+    if not queue:
+      return []
+    batches = list(queue)
+    queue.clear()
+    return batches
+
   def has_store_contact_since(self, at: float, now: float) -> bool:
     """Returns whether this host knows what the store listed at a time."""
     contact_since = self.store_contact_since
     if contact_since is None:
       return False
-    return max(at, contact_since) + MAX_LIST_DELAY_S < now
+    return max(at, contact_since) + self.store_delay_s < now
 
   def set_watching(self, watches: bool) -> None:
     """Sets whether this host watches the store itself."""
@@ -261,10 +385,13 @@
 
   def suspend_silent_endpoints(self, now: float) -> None:
     """Suspends endpoints that have pending requests but send no data."""
+    self.update_wishes(now)
     names = set()
     incarnations = set()
+    software = set()
     for endpoint in self.endpoints.all():
       names.add(endpoint.name)
+      software.add((endpoint.service, endpoint.software))
       incarnations.add(endpoint.incarnation)
       if self.load.is_silent(endpoint, now):
         self.endpoints.suspend_silent(endpoint, now)
@@ -272,6 +399,7 @@
         # connection, which fails without risk to a request.
         self.pool.drop(endpoint.name)
     self.load.prune(names)
+    self.load.models.prune(software)
     self.limits.prune(incarnations)
     self.permits.prune()
 
--- a/mulberrypick/ops/hosts_task.py
+++ b/mulberrypick/ops/hosts_task.py
@@ -34,6 +34,7 @@
     self._client = client
     self._is_registered = False
     self._is_unreadable = False
+    self._revision = 0
 
   async def run(self) -> None:
     """Registers this host, then reads the list of hosts periodically."""
@@ -63,15 +64,17 @@
       )
 
   async def _sync_hosts(self) -> None:
-    host = self._state.host
+    # Hosts announce themselves to each other as well, so that after the first
+    # list it may be some seconds old.
+    listed = await self._client.list_objects(
+        protocol.HOSTS_KIND, may_be_stale=self._is_registered
+    )
+    if listed.revision < self._revision:
+      # An older copy than before lacks hosts that have joined since.
+      listed = await self._client.list_objects(protocol.HOSTS_KIND)
+    self._revision = listed.revision
     if not self._is_registered:
-      own = peer_topology.PeerHost(
-          host.name, host.zone, f'{host.ip}:{host.peer_port}'
-      )
-      spec = objects.encode_host(own)
-      await self._client.put(protocol.HOSTS_KIND, host.name, spec)
-      self._is_registered = True
-    listed = await self._client.list_objects(protocol.HOSTS_KIND)
+      await self._register(listed)
     hosts = []
     for item in listed.objects:
       found = objects.decode_host(item.name, item.spec)
@@ -79,6 +82,20 @@
         hosts.append(found)
     self._peers.update_listed_hosts(hosts)
 
+  async def _register(self, listed: store.StoredList) -> None:
+    """Writes this host's entry unless a process before has written it."""
+    host = self._state.host
+    own = peer_topology.PeerHost(
+        host.name, host.zone, f'{host.ip}:{host.peer_port}'
+    )
+    found = [item for item in listed.objects if item.name == host.name]
+    if not found or objects.decode_host(host.name, found[0].spec) != own:
+      spec = objects.encode_host(own)
+      await self._client.put(
+          protocol.HOSTS_KIND, host.name, spec, exists=bool(found)
+      )
+    self._is_registered = True
+
   def _log_unreadable(self, error: errors.StoreError) -> None:
     if self._is_unreadable:
       return
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -20,7 +20,13 @@
 MAX_PERMIT_WAIT_S = 0.05
 # Reasons of attempts, also of prefills, after which nothing was sent.
 CONNECT_REASONS = ('connect', 'read_connect')
-UNSENT_REASONS = (*CONNECT_REASONS, 'limited', 'read_limited')
+UNSENT_REASONS = (
+    *CONNECT_REASONS,
+    'limited',
+    'read_limited',
+    'held_off',
+    'read_held_off',
+)
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
 # After a run was given up for one that failed, the endpoint of the latter is
@@ -100,6 +106,25 @@
       self._state.endpoints.record_probe(placement.prefiller, now)
     return placement
 
+  def choose_decoder(
+      self, placement: placements.Placement
+  ) -> placements.Placement:
+    """Returns the placement with the best decode engine after the prefill.
+
+    An engine for which a permit is reserved is kept.
+    """
+    if self._permit_until != float('-inf'):
+      return placement
+    now = asyncio.get_running_loop().time()
+    chosen = self._state.placer.choose_decoder(self.call, self.excluded, now)
+    if chosen is None or chosen is placement.endpoint:
+      return placement
+    self._permit_until = self._state.permits.reserve(
+        chosen.incarnation, self.call.route.rank == 0, now
+    )
+    self._state.endpoints.record_probe(chosen, now)
+    return placement._replace(endpoint=chosen)
+
   def record_attempt(
       self, attempt: AttemptResult, failed: gateway_records.Endpoint
   ) -> None:
--- a/mulberrypick/ops/pass_on.py
+++ b/mulberrypick/ops/pass_on.py
@@ -100,7 +100,8 @@
       if result.outcome is forward_run.Outcome.ANSWERED:
         return result
       self._next.has_sent = True
-      self._next.runs += 1
+      if result.outcome is not forward_run.Outcome.PREFILLED:
+        self._next.runs += 1
       call = self._next.call = call._replace(software=passing.software)
       if not self._may_run() or not self._next.may_pass_on():
         return result
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -6,10 +6,12 @@
 
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_limits
+from mulberrypick.core import engine_models
 from mulberrypick.core import load_sum
 from mulberrypick.core import part_exchange
 from mulberrypick.core import peer_topology
 from mulberrypick.core import permits
+from mulberrypick.core import store_changes
 
 
 class StreamBinding(NamedTuple):
@@ -128,6 +130,9 @@
     part_news: Crashes of endpoints, with the prompt parts that were there.
     is_starting: Whether the sender has just started and knows of no crashes.
     reach: Whether the sender reaches endpoints; not in all messages.
+    speeds: What the hosts that the message covers observed of the speed of
+      engines, by model; empty in most messages.
+    relayed_changes: From a relay to its members: new changes of the store.
   """
 
   host: str
@@ -161,6 +166,8 @@
   part_news: part_exchange.PartNews = part_exchange.PartNews()
   is_starting: bool = False
   reach: ReachReport | None = None
+  speeds: engine_models.SumsByModel = {}
+  relayed_changes: list[store_changes.ChangeBatch] = []
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/peer_message_test.py
+++ b/mulberrypick/ops/peer_message_test.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from mulberrypick.core import store_changes
 from mulberrypick.ops import peer_message
 
 
@@ -33,6 +34,34 @@
     with self.assertRaises(msgspec.DecodeError):
       decoder.decode(raw)
 
+  def test_builds_with_more_and_fewer_fields_understand_each_other(self):
+    fields = []
+    for field in msgspec.structs.fields(peer_message.PeerMessage)[:-1]:
+      default = field.default
+      if field.default_factory is not msgspec.NODEFAULT:
+        default = msgspec.field(default_factory=field.default_factory)
+      is_required = default is msgspec.NODEFAULT
+      fields.append(
+          (field.name, field.type)
+          if is_required
+          else (field.name, field.type, default)
+      )
+    older = msgspec.defstruct(
+        'OlderMessage', fields, array_like=True, omit_defaults=True
+    )
+    change = store_changes.Change('i-1', 7, b'{}', False)
+    batch = store_changes.ChangeBatch('servers', 5, 8, (change,))
+    new = peer_message.PeerMessage(
+        'h', 'z', 'a:1', hosts=3, relayed_changes=[batch]
+    )
+    found = msgspec.msgpack.decode(msgspec.msgpack.encode(new), type=older)
+    self.assertEqual((found.host, found.hosts), ('h', 3))
+    found = msgspec.msgpack.decode(
+        msgspec.msgpack.encode(older('h', 'z', 'a:1', hosts=3)),
+        type=peer_message.PeerMessage,
+    )
+    self.assertEqual((found.hosts, found.relayed_changes), (3, []))
+
 
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/ops/peer_table.py
+++ b/mulberrypick/ops/peer_table.py
@@ -18,10 +18,10 @@
 LIVE_TIMEOUT_S = 2.0
 # A host that sent no message for this long is removed.
 FORGET_TIMEOUT_S = 30.0
-# After uninterrupted contact with the store for this long, no entry of an
-# endpoint can have expired because of an outage of the store. It is longer than
-# the time after which a watch call without response is considered failed.
-MIN_STORE_CONTACT_S = 4.0
+# After uninterrupted contact with the store for this long beyond the time after
+# which a watch call without response is considered failed, no entry of an
+# endpoint can have expired because of an outage of the store.
+MIN_STORE_CONTACT_S = 1.0
 # After a pause of this process for longer than this, the time since the last
 # message of another host is counted from the end of the pause.
 MAX_OWN_PAUSE_S = 0.65
@@ -35,6 +35,9 @@
 # and of two relays. Within this time, an engine receives as much work as it
 # completes, so its known load may lack this much work.
 RELAY_DELAY_S = 0.07
+# Time after the start within which other hosts are not missed: those that start
+# at the same time are heard within two seconds.
+SETTLE_S = 3.0
 # Key under which a member keeps the load of all other hosts.
 ALL_OTHERS_KEY = 'rest'
 
@@ -73,6 +76,7 @@
     self._min_hosts = 1
     self._min_hosts_until = float('-inf')
     self._host_count = host_count.HostCount()
+    self._started_at: float | None = None
 
   def handle_message(
       self, message: peer_message.PeerMessage, now: float
@@ -82,6 +86,7 @@
     For the first message of a host, that message is returned.
     """
     peer = self._peer_by_address.get(message.address)
+    is_first = peer is None
     if peer is None:
       peer = _Peer(message)
       self._peer_by_address[message.address] = peer
@@ -89,6 +94,8 @@
       logs.log_event(_log, logging.INFO, 'peer_heard', peer=message.host)
     if message.is_leaving and message.role == peer_topology.Role.RELAY:
       self.topology.skip(message.address, now)
+    elif is_first or message.is_starting:
+      self.topology.stop_skipping(message.address)
     previous = peer.last_message
     peer.last_message, peer.heard_at = message, now
     peer.issuers = message.issuers or peer.issuers
@@ -238,8 +245,11 @@
     the store, and whether another host has kept contact with the store.
     """
     self._update_live_hosts(now)
+    if self._started_at is None:
+      self._started_at = now
     known = len(self.topology.hosts())
-    self._state.missed_hosts = max(0, known - self._state.hosts)
+    if now - self._started_at >= SETTLE_S:
+      self._state.missed_hosts = max(0, known - self._state.hosts)
     self._state.is_relay = self.neighbors.role is peer_topology.Role.RELAY
 
   def _update_live_hosts(self, now: float) -> None:
@@ -253,7 +263,7 @@
     state.placer.hosts = state.hosts
     state.placer.affinity_spread_s = 0.0 if is_direct else RELAY_DELAY_S
     state.peer_kept_store_contact = any(
-        message.known_contact_s > MIN_STORE_CONTACT_S
+        message.known_contact_s > state.store_delay_s + MIN_STORE_CONTACT_S
         for message in live_messages
     )
     if role is peer_topology.Role.MEMBER:
--- a/mulberrypick/ops/prompt_handles.py
+++ b/mulberrypick/ops/prompt_handles.py
@@ -73,6 +73,15 @@
     connection: stream_client.ClientConnection,
 ) -> None:
   now = asyncio.get_running_loop().time()
+  if state.endpoints.is_held_off(prefiller, now):
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'handle_not_freed',
+        endpoint=prefiller.name,
+        error=endpoint_send.HELD_OFF,
+    )
+    return
   if not state.permits.take(prefiller.incarnation, False, now):
     logs.log_event(
         _log,
--- a/mulberrypick/ops/run_securer.py
+++ b/mulberrypick/ops/run_securer.py
@@ -17,9 +17,10 @@
 
 # What can't be secured because the request crashes endpoints.
 CRASHES_ENDPOINTS = 'crashes_endpoints'
-# An endpoint that refused a request is not secured for this long (s). Each
-# refused run uses up a retry.
-REFUSED_PAUSE_S = 0.5
+# Part of the retry budget that second prefills may use. They save time on the
+# engine that decodes, which can prefill too; what is left serves requests that
+# can't go on without a retry.
+MAX_PREFILL_FRACTION = 0.75
 
 
 class SecuredRun(NamedTuple):
@@ -84,7 +85,9 @@
       return placement
     if not self.has_unused_prefill:
       now = asyncio.get_running_loop().time()
-      self.has_unused_prefill = self._state.take_retry(call.service, now)
+      self.has_unused_prefill = self._state.take_retry(
+          call.service, now, MAX_PREFILL_FRACTION
+      )
     if self.has_unused_prefill:
       return placement
     return placement._replace(prefiller=None)
@@ -158,11 +161,26 @@
     permit_until = self._reserve_permit(call, placement.endpoint)
     if permit_until is None:
       self.lacked = 'permit'
+    elif not self._begin_trial(placement):
+      self.lacked = 'accepting_endpoint'
     elif is_needed():
       return SecuredRun(placement, connection, permit_until)
     self._state.pool.release(first, connection)
     return None
 
+  def _begin_trial(self, placement: placements.Placement) -> bool:
+    """Returns whether no other request finds out whether endpoints refuse."""
+    now = asyncio.get_running_loop().time()
+    pauses = []
+    for endpoint in (placement.endpoint, placement.prefiller):
+      if endpoint is not None:
+        pauses.append(self._state.load.own(endpoint).refusal_pause)
+    if not all(pause.may_try(now) for pause in pauses):
+      return False
+    for pause in pauses:
+      pause.record_trial(now)
+    return True
+
   def _reserve_permit(
       self, call: gateway_records.Call, endpoint: gateway_records.Endpoint
   ) -> float | None:
@@ -198,9 +216,9 @@
   def _refusing(
       self, call: gateway_records.Call, now: float
   ) -> set[tuple[str, int]]:
-    """Returns the incarnations that refused a request of this host lately."""
+    """Returns the incarnations that are likely to refuse another request."""
     refusing = set()
     for endpoint in self._state.endpoints.usable(call.service, now):
-      if now - self._state.load.own(endpoint).refused_at < REFUSED_PAUSE_S:
+      if not self._state.load.own(endpoint).refusal_pause.may_try(now):
         refusing.add(endpoint.incarnation)
     return refusing
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -64,9 +64,13 @@
         continue
       if state.store_contact_since is None:
         continue
-      order = self._plan.decide(
-          state.endpoints.all(), state.rank_among_hosts, boot_time()
-      )
+      now = asyncio.get_running_loop().time()
+      taking = [
+          e
+          for e in state.endpoints.all()
+          if not state.endpoints.is_held_off(e, now)
+      ]
+      order = self._plan.decide(taking, state.rank_among_hosts, boot_time())
       if order is None:
         continue
       try:
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -3,21 +3,20 @@
 import asyncio
 import logging
 
+import msgspec
+
 from mulberrypick.adapters import logs
 from mulberrypick.core import errors
+from mulberrypick.core import store_changes
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import objects
 from mulberrypick.platform import protocol
 from mulberrypick.platform import store
 
 _log = logging.getLogger(__name__)
-# Duration of one watch call. A connection that no longer delivers data is
-# detected after this plus `store.WATCH_TIMEOUT_MARGIN_S`. After a network
-# failure a host must follow the store again within 3 s, and a configuration
-# must be in force within 2 s.
-WATCH_TIMEOUT_S = 2.0
 # A host that does not watch the store reads it at least this often, to find
-# changes that no other host reported. The store keeps changes for 20 s.
+# changes that no other host reported. They may be some seconds old: such reads
+# are cheap. The store keeps changes for 20 s.
 MAX_POLL_INTERVAL_S = 15.0
 # Backoff after a failed call, doubled up to the maximum.
 INITIAL_BACKOFF_S = 0.1
@@ -41,6 +40,8 @@
     self._client = client
     self._backoff_s = INITIAL_BACKOFF_S
     self._is_disconnected = False
+    # Up to this revision all changes of the kind are known here.
+    self._revision = 0
 
   async def run(self) -> None:
     """Lists the objects, then watches them; restarts after every failure."""
@@ -55,49 +56,112 @@
   async def _watch_kind(self) -> None:
     listed = await self._client.list_objects(self.kind)
     self._on_store_regained()
-    revision = self._handle_whole_list(listed)
+    self._handle_whole_list(listed)
     while True:
-      wait_s = await self._wait_for_change(revision)
+      is_due = await self._wait_for_change()
+      wait_s = self._state.watch_s if self._state.watches_store else 0.0
       try:
-        changed = await self._client.watch(self.kind, revision, wait_s)
+        changed = await self._client.watch(
+            self.kind, self._revision, wait_s, may_be_stale=not is_due
+        )
       except errors.StoreError as error:
         if error.status != STATUS_HISTORY_GONE:
           raise
-        listed = await self._client.list_objects(self.kind)
-        revision = self._handle_whole_list(listed)
+        self._handle_whole_list(await self._client.list_objects(self.kind))
         continue
       self._on_store_regained()
-      for item in changed.objects:
-        self.handle_change(item)
-      if changed.objects:
-        self._state.record_store_change(self.kind, changed.revision)
-      revision = max(revision, changed.revision)
+      self._handle_changes(changed)
 
-  def _handle_whole_list(self, listed: store.StoredList) -> int:
-    """Handles a whole list; returns the revision to watch from."""
+  def _handle_whole_list(self, listed: store.StoredList) -> None:
+    """Handles a whole list, after which changes are watched."""
     self.handle_list(listed.objects)
     # The list may hold changes that no watch returned. Recording them makes the
     # hosts that don't watch read the store.
     self._state.record_store_change(self.kind, listed.revision)
-    return listed.revision
+    self._state.store_changes.record_known(self.kind, listed.revision)
+    self._revision = listed.revision
+
+  def _handle_changes(self, changed: store.StoredList) -> None:
+    """Handles the objects that changed since the last read."""
+    for item in changed.objects:
+      self.handle_change(item)
+    if changed.objects:
+      self._state.record_store_change(self.kind, changed.revision)
+      self._pass_on(changed)
+    self._revision = max(self._revision, changed.revision)
+
+  def _pass_on(self, changed: store.StoredList) -> None:
+    """Keeps changes for the members of this host's group, if it is a relay."""
+    if not self._state.is_relay:
+      self._state.store_changes.record_known(self.kind, changed.revision)
+      return
+    changes = []
+    for item in changed.objects:
+      spec = msgspec.json.encode(item.spec)
+      changes.append(
+          store_changes.Change(item.name, item.revision, spec, item.is_deleted)
+      )
+    self._state.store_changes.record_changes(
+        self.kind, changed.revision, changes
+    )
+    self._state.load_changed.set()
 
-  async def _wait_for_change(self, revision: int) -> float:
-    """Waits until the next watch call is due.
+  async def _wait_for_change(self) -> bool:
+    """Waits until the next read of the store is due.
 
     Returns:
-      How long that call may wait for a change, in seconds.
+      Whether there is a change that this host lacks, or it watches; if not, the
+      store is read in case a report was lost.
     """
     state = self._state
     try:
       async with asyncio.timeout(MAX_POLL_INTERVAL_S):
         while not state.watches_store:
-          if state.store_revision_by_kind.get(self.kind, 0) > revision:
-            return 0.0
+          self._apply_relayed()
+          if state.store_revision_by_kind.get(self.kind, 0) > self._revision:
+            return True
           await state.store_changed.wait()
     except TimeoutError:
-      # No change was reported; read the store in case a report was lost.
-      return 0.0
-    return WATCH_TIMEOUT_S
+      return False
+    return True
+
+  def _apply_relayed(self) -> None:
+    """Applies the changes that the relay of this host passed on."""
+    for batch in self._state.take_relayed_changes(self.kind):
+      new = store_changes.take_new(batch, self._revision)
+      items = None if new is None else self._decode_changes(new)
+      if items is None:
+        # It is read from the store, with all that came before.
+        continue
+      for item in items:
+        self.handle_change(item)
+      self._revision = max(self._revision, batch.revision)
+      self._state.store_changes.record_known(self.kind, self._revision)
+
+  def _decode_changes(
+      self, changes: tuple[store_changes.Change, ...]
+  ) -> list[store.StoredObject] | None:
+    """Decodes changes of a relay; returns None if one is malformed."""
+    items = []
+    for change in changes:
+      try:
+        spec = msgspec.json.decode(change.spec)
+      except msgspec.DecodeError as error:
+        logs.log_event(
+            _log,
+            logging.WARNING,
+            'relayed_change_malformed',
+            kind=self.kind,
+            name=change.name,
+            error=str(error),
+        )
+        return None
+      items.append(
+          store.StoredObject(
+              change.name, change.revision, spec, change.is_deleted
+          )
+      )
+    return items
 
   def handle_list(self, items: list[store.StoredObject]) -> None:
     """Handles the complete list of objects."""
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -7,6 +7,7 @@
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import errors
 from mulberrypick.core import peer_topology
+from mulberrypick.core import store_changes
 from mulberrypick.ops import peer_table
 from mulberrypick.ops import store_task
 from mulberrypick.platform import gateway_test
@@ -99,6 +100,70 @@
       counts.add(count)
     return counts
 
+  def member_calls(self) -> int:
+    """Returns the number of calls of all members to the store."""
+    calls = 0
+    for name in self.hosts_with_role(peer_topology.Role.MEMBER):
+      calls += sum(client.calls for client in self.store_clients_by_host[name])
+    return calls
+
+  async def change_endpoints(self, count: int) -> None:
+    """Adds endpoints, one after the other, and waits until all know them."""
+    for number in range(count):
+      name = f'added-{number}'
+      await self.cluster.add(name, 'desk')
+      await self.wait_until(
+          lambda name=name: all(
+              self.has_endpoint(host, name) for host in self.gateway_by_name
+          )
+      )
+
+  async def test_members_learn_changes_without_a_call_to_the_store(self):
+    # Guards against a call of each host for each change.
+    self.enterContext(
+        mock.patch.object(store_task, 'MAX_POLL_INTERVAL_S', 60.0)
+    )
+    # Members that are waiting go on with the interval that they began with.
+    await self.change_endpoints(1)
+    before = self.member_calls()
+    await self.change_endpoints(5)
+    self.cluster.store.put('config', 'main', gateway_cluster.make_config(9))
+    await self.wait_until(
+        lambda: all(
+            gateway.state.config.version == 9
+            for gateway in self.gateway_by_name.values()
+        )
+    )
+    await asyncio.sleep(0.5)
+    self.assertEqual(self.member_calls() - before, 0)
+
+  async def test_members_read_the_store_if_a_change_was_not_passed_on(self):
+    await self.change_endpoints(1)
+    with mock.patch.object(
+        store_changes.ChangeLog, 'take_unsent', return_value=[]
+    ):
+      await self.change_endpoints(2)
+    before = self.member_calls()
+    self.cluster.store.remove('servers', 'added-0')
+    await self.wait_until(
+        lambda: not any(
+            self.has_endpoint(host, 'added-0') for host in self.gateway_by_name
+        )
+    )
+    self.assertLessEqual(self.member_calls() - before, HOSTS)
+
+  async def test_malformed_change_of_a_relay_is_left_out(self):
+    # Guards against a message of another host that ends a process.
+    bad = store_changes.Change('x', 2, b'{', False)
+    batch = store_changes.ChangeBatch('servers', 0, 1 << 40, (bad,))
+    members = self.hosts_with_role(peer_topology.Role.MEMBER)
+    with self.assertLogs(store_task.__name__, 'WARNING') as lines:
+      for name in members:
+        self.gateway_by_name[name].state.add_relayed_changes([batch])
+      await self.change_endpoints(1)
+    text = '\n'.join(lines.output)
+    self.assertEqual(text.count('relayed_change_malformed'), len(members))
+
   async def test_running_calls_are_counted_once_at_every_host(self):
     self.cluster.update_behaviour('desk', work_s=30.0)
     calls = []
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -16,6 +16,9 @@
   wait_timeout_s = WAIT_TIMEOUT_S
 
   async def asyncSetUp(self):
+    # Debug mode records a stack for each callback. That takes more than half of
+    # the time of a process with many gateways, which then miss their deadlines.
+    asyncio.get_running_loop().set_debug(False)
     self.cluster = gateway_cluster.GatewayCluster()
     await self.cluster.start()
     self.host = self.cluster.make_host()
--- a/mulberrypick/platform/gateway_version_test.py
+++ b/mulberrypick/platform/gateway_version_test.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from mulberrypick.core import gateway_records
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import gateway_test
@@ -15,6 +16,7 @@
     'X-Mulberrypick-Token-Usage': '220,70',
     'X-Mulberrypick-Prefix-Hash': 'aa:80,bb:140',
 }
+DECODE = gateway_records.Stage.DECODE
 EVENTS = 60
 REPLY_TIMEOUT_S = 2.0
 INTERVAL_S = 0.01
@@ -100,6 +102,19 @@
     self.assertGreater(event_versions.last_event_id(answer.body), 1)
     return answer
 
+  def placing_at(self, host: str, version: str):
+    """Returns a context in which a host sends all to an engine of a version."""
+    state = self.gateway_by_name[host].state
+    for endpoint in state.endpoints.all():
+      if endpoint.software == version and endpoint.stage is DECODE:
+        break
+    usual = state.placer.place
+
+    def place(*args):
+      return usual(*args)._replace(endpoint=endpoint, prefiller=None)
+
+    return mock.patch.object(state.placer, 'place', place)
+
   async def find_parts(self) -> dict[str, str]:
     """Returns a prompt for each version that is placed there if all is idle."""
     parts_by_version: dict[str, str] = {}
@@ -244,9 +259,12 @@
 
   async def test_id_that_began_two_streams_binds_none(self):
     for version in ('v1', 'v2'):
-      begun = await self.begin('host-1', 'same', version)
+      with self.placing_at('host-1', version):
+        begun = await self.begin('host-1', 'same', version)
+      self.assertEqual(event_versions.versions(begun.body), {version})
     rest = await self.take_up('host-2', 'same', begun)
     self.assertEqual(rest.status, 503)
+    self.assertIn(b'"version_unknown"', rest.body)
 
 
 class ThirtyHostsTest(TakenUpTest):
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -219,6 +219,7 @@
       share_by_service=shares,
       attempts=max(1, int(item.get('maxAttempts', 1))),
       is_resumable=bool(item.get('resumable')),
+      gap_s=max(0.0, (item.get('gapTargetMs') or 0) / 1000),
   )
 
 
@@ -229,4 +230,12 @@
       max_connections=int(item.get('maxConnections', 0)),
       kv_tokens=int(engine.get('kvCapacity', 0)),
       batch=int(engine.get('slots', 0)),
+      kv_transfer_token_s=_decode_transfer_token_s(engine),
   )
+
+
+def _decode_transfer_token_s(engine: dict[str, Any]) -> float:
+  """Returns the time to transfer the KV cache of a token, 0 if unknown."""
+  bits_per_s = float(engine.get('linkMbps') or 0) * 1e6
+  bits = 8 * float(engine.get('kvTokenBytes') or 0)
+  return bits / bits_per_s if bits_per_s > 0 and bits > 0 else 0.0
--- a/mulberrypick/platform/protocol.py
+++ b/mulberrypick/platform/protocol.py
@@ -16,6 +16,8 @@
 EXPECTED_ENDPOINT = b'x-mulberrypick-expect-instance'
 # Requests per second that an endpoint takes from all hosts together.
 LIMIT = b'server-limit'
+# In the answers of an endpoint that leaves.
+LEAVING = b'server-leaving'
 NOT_RUN = b'x-mulberrypick-not-executed'
 PRIORITY = b'x-mulberrypick-request-priority'
 STAGE = b'x-mulberrypick-stage'
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -58,6 +58,9 @@
     limit: Requests per second that the endpoint takes from all hosts together;
       None if the response names no limit.
     has_invalid_limit: Whether the limit in the response can't be read.
+    says_leaving: Whether the endpoint states that it leaves.
+    hold_off: Text of the time for which the endpoint wants no requests from
+      this host; None if the response names none.
   """
 
   is_not_run: bool
@@ -66,6 +69,8 @@
   is_leaving: bool
   limit: float | None
   has_invalid_limit: bool
+  says_leaving: bool
+  hold_off: str | None
 
 
 def decode_call(received: stream_server.ReceivedRequest) -> CallHeaders:
@@ -92,13 +97,13 @@
 
 
 def fingerprint(received: stream_server.ReceivedRequest) -> int:
-  """Hashes content and caller, to recognize a repeated crashing request.
+  """Hashes the content, to recognize a repeated crashing request.
 
-  A repeat has the same path, caller and body; its headers may differ.
+  A repeat has the same path and body. Its headers may differ, and it may come
+  from any address: several callers send the same content.
   """
   digest = xxhash.xxh3_64(received.method)
   digest.update(received.target)
-  digest.update(received.peer.encode())
   digest.update(received.body)
   return digest.intdigest()
 
@@ -199,6 +204,9 @@
   limit = None
   if value is not None and _DECIMAL.fullmatch(value.strip()):
     limit = float(value)
+  hold_off = None
+  if head.status == 503 and head.get(protocol.RETRY_AFTER) is not None:
+    hold_off = head.get(protocol.RETRY_AFTER).decode('latin-1')
   return ResponseTraits(
       is_not_run=is_misdirected or head.get(protocol.NOT_RUN) is not None,
       is_misdirected=is_misdirected,
@@ -209,6 +217,8 @@
       is_leaving=(head.get(b'connection') or b'').lower() == b'close',
       limit=limit,
       has_invalid_limit=value is not None and limit is None,
+      says_leaving=(head.get(protocol.LEAVING) or b'').strip() == b'1',
+      hold_off=hold_off,
   )
 
 
--- a/mulberrypick/platform/settings.py
+++ b/mulberrypick/platform/settings.py
@@ -10,6 +10,11 @@
 from mulberrypick.core import gateway_records
 from mulberrypick.platform import protocol
 
+# Time to drain if the settings state none.
+DEFAULT_DRAIN_MS = 2000
+# Time within which a host must follow the store again if they state none.
+DEFAULT_STEADY_MS = 3000
+
 
 def settings_path() -> pathlib.Path:
   """Returns the path of the settings file.
@@ -75,6 +80,9 @@
             budget_ratio=float(bounds['retryBudgetRatio']),
             budget_slack=float(bounds['retryBudgetSlack']),
             budget_window_s=float(bounds['budgetWindowS']),
+            drain_s=float(bounds.get('drainMs', DEFAULT_DRAIN_MS)) / 1000,
+            steady_s=float(bounds.get('stableWindowMs', DEFAULT_STEADY_MS))
+            / 1000,
         ),
     )
   except (KeyError, TypeError, ValueError, IndexError) as error:
--- a/mulberrypick/platform/store.py
+++ b/mulberrypick/platform/store.py
@@ -62,15 +62,21 @@
     self._connection: stream_client.ClientConnection | None = None
     self.calls = 0
 
-  async def list_objects(self, kind: str) -> StoredList:
+  async def list_objects(
+      self, kind: str, may_be_stale: bool = False
+  ) -> StoredList:
     """Reads all objects of a kind.
 
+    Args:
+      kind: Kind of the objects.
+      may_be_stale: Whether the result may be seconds old, which costs less.
+
     Raises:
       StoreError: The store sent no valid response.
     """
     objects: list[StoredObject] = []
     revision = None
-    query: dict[str, Any] = {}
+    query: dict[str, Any] = {'serializable': 1} if may_be_stale else {}
     while True:
       data = await self._call('GET', kind, '', query, None, CALL_TIMEOUT_S)
       if revision is None:
@@ -79,21 +85,30 @@
         objects.append(_decode_object(item, False))
       if not data.get('hasMore') or not data['items']:
         return StoredList(objects, revision)
-      query = {'after': objects[-1].name}
+      query = query | {'after': objects[-1].name}
 
-  async def watch(self, kind: str, revision: int, wait_s: float) -> StoredList:
+  async def watch(
+      self,
+      kind: str,
+      revision: int,
+      wait_s: float,
+      may_be_stale: bool = False,
+  ) -> StoredList:
     """Waits for changes of a kind.
 
     Args:
       kind: Kind of the objects.
       revision: Revision of the previous list or watch.
       wait_s: Time that the store may wait for a change.
+      may_be_stale: Whether the result may be seconds old, which costs less.
 
     Raises:
       StoreError: The store sent no valid response. Its status is 410 if the
         store no longer has the changes since `revision`.
     """
     query = {'watch': revision, 'waitMs': int(wait_s * 1000)}
+    if may_be_stale:
+      query['serializable'] = 1
     data = await self._call(
         'GET', kind, '', query, None, wait_s + WATCH_TIMEOUT_MARGIN_S
     )
@@ -150,20 +165,34 @@
       raise
     return _decode_object(data, False)
 
-  async def put(self, kind: str, name: str, spec: Any) -> None:
+  async def put(
+      self, kind: str, name: str, spec: Any, exists: bool = False
+  ) -> None:
     """Creates or replaces an object.
 
+    Args:
+      kind: Kind of the object.
+      name: Name of the object.
+      spec: New content.
+      exists: Whether it is likely to exist, which saves a call.
+
     Raises:
       StoreError: The store sent no valid response; the object may have been
         written.
     """
     body = {'metadata': {'name': name}, 'spec': spec}
+    calls = [('POST', '', 409), ('PUT', name, 404)]
+    if exists:
+      calls.reverse()
+    (method, target, failure), (other_method, other_target, _) = calls
     try:
-      await self._call('POST', kind, '', {}, body, CALL_TIMEOUT_S)
+      await self._call(method, kind, target, {}, body, CALL_TIMEOUT_S)
     except errors.StoreError as error:
-      if error.status != 409:
+      if error.status != failure:
         raise
-      await self._call('PUT', kind, name, {}, body, CALL_TIMEOUT_S)
+      await self._call(
+          other_method, kind, other_target, {}, body, CALL_TIMEOUT_S
+      )
 
   async def remove(self, kind: str, name: str) -> None:
     """Deletes an object.
--- a/mulberrypick/scripts/entry.py
+++ b/mulberrypick/scripts/entry.py
@@ -18,10 +18,12 @@
 from mulberrypick.adapters import http_server
 from mulberrypick.adapters import http_service
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import peer_counts
 from mulberrypick.adapters import peer_keys
 from mulberrypick.adapters import zmq_peers
 from mulberrypick.core import admission
 from mulberrypick.core import dispatch
+from mulberrypick.core import dispatcher_status
 from mulberrypick.core import messages
 from mulberrypick.core import records
 from mulberrypick.core import routing
@@ -67,10 +69,10 @@
   generation: int
   is_ready: bool
   is_draining: bool
-  dispatcher: dispatch.DispatcherStatus
+  dispatcher: dispatcher_status.DispatcherStatus
   metrics: metrics_task.MetricsSnapshot
   hosts: tuple[records.Host, ...]
-  peers: zmq_peers.PeerCounts
+  peers: peer_counts.PeerCounts
 
 
 class Entry:
--- a/standins/claim_driver_test.py
+++ b/standins/claim_driver_test.py
@@ -85,6 +85,8 @@
     done = subprocess.run(
         command, env=variables, timeout=WAIT_S, capture_output=True
     )
+    if done.returncode > 0:
+      sys.stderr.write(done.stderr.decode())
     return done.returncode
 
   def repeat_call(self, runner, key):
--- a/standins/replay_trial.py
+++ b/standins/replay_trial.py
@@ -27,6 +27,10 @@
 
 FLOOD_REPLAY = pathlib.Path(__file__).parent / 'replays' / 'zagovina-flood.txt'
 PEER_LAG_S = 0.02
+# Prompts by which hosts know the speed of an engine when the flood begins, and
+# their tokens.
+LEARNED_PROMPTS = 30
+LEARNED_TOKENS = (500, 5_000, 20_000)
 SERVICE = gateway_records.Service(
     'engine', 300, replay.ENGINE_MEMORY_TOKENS, 64
 )
@@ -64,6 +68,17 @@
     self.placer = request_placement.Placer(
         self.registry, self.load, random.Random(host), self.permits
     )
+    for endpoint in recorded.endpoints:
+      self._learn_speed(endpoint, recorded.prefill_rate_by_name[endpoint.name])
+
+  def _learn_speed(
+      self, endpoint: gateway_records.Endpoint, tokens_per_s: float
+  ) -> None:
+    """Learns an engine's speed as from the requests before the flood."""
+    for number in range(LEARNED_PROMPTS):
+      tokens = LEARNED_TOKENS[number % len(LEARNED_TOKENS)]
+      took_s = replay.FIRST_EVENT_DELAY_S + tokens / tokens_per_s
+      self.load.observe_prefill(endpoint, tokens, took_s, 0.0)
 
   @abc.abstractmethod
   def place(
@@ -181,10 +196,12 @@
   def _exchange_loads(self) -> None:
     now = self._clock.now
     for name, host in self._host_by_name.items():
-      load_by_endpoint = host.load.own_loads()
+      load_by_endpoint = host.load.own_loads(now)
+      speeds = host.load.models.sums_to_send((), now)
       for other_name, other in self._host_by_name.items():
         if other_name != name:
           other.load.update_peer(name, load_by_endpoint, now)
+          other.load.models.update_peer(name, speeds, now)
 
   def _on_arrival(self, number: int, arrival: replay.Arrival) -> None:
     now = self._clock.now
@@ -224,9 +241,9 @@
       return
     started_at = self._clock.now
     own_load = host.load.own(engine_endpoint)
-    rank = min(arrival.rank, 1)
     own_load.count += 1
-    own_load.tokens[rank] += placement.tokens
+    read = placements.make_read(call, placement, started_at)
+    own_load.reads.add(id(arrival), read)
     for other in self._host_by_name.values():
       cache = other.load.own(engine_endpoint).cache
       for part in call.parts:
@@ -235,12 +252,14 @@
     def on_done(is_prefilled: bool) -> None:
       engine.reserved_places -= 1
       own_load.count -= 1
-      own_load.tokens[rank] -= placement.tokens
+      own_load.reads.remove(id(arrival))
       if not is_prefilled:
         self._add_outcome(arrival, 'lost')
         return
       took_s = self._clock.now - started_at
-      host.load.observe_prefill(engine_endpoint, placement.tokens_ahead, took_s)
+      host.load.observe_prefill(
+          engine_endpoint, placement.tokens_ahead, took_s, self._clock.now
+      )
       on_prefilled(call, arrival, host, placement)
 
     engine.prefill(arrival, lambda: self._clock.now < call.deadline_at, on_done)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -27,6 +27,7 @@
 from standins import soak_faults
 from standins import soak_plan
 from standins import soak_retries
+from standins import soak_told
 
 GATEWAY = 'standins.relayed_gateway'
 RATE_PER_S = 80.0
@@ -213,6 +214,15 @@
     self._violations += soak_checks.find_limit_violations(
         self._client.observations, limited, outages
     )
+    for replica, variant in self._injector.told:
+      arrivals = []
+      for at, request in replica.told_arrivals:
+        arrivals.append((at - self._cluster.started_at, request))
+      self._violations += soak_told.find_violations(
+          self._client.observations,
+          soak_told.ToldEndpoint(replica.name, variant, arrivals),
+          outages,
+      )
     for prefix, body in self._injector.body_by_crasher.items():
       self._violations += soak_checks.find_late_retries(
           self._client.observations,
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -36,6 +36,7 @@
     peer_cuts: Periods in which gateways did not reach each other.
     limited: Endpoints that named a limit, with the limit and the time since
       when.
+    told: Endpoints that said that they leave or want nothing, and which.
     body_by_crasher: Body of each crashing request, by the prefix of its ids.
     stream_caller: Caller that takes up streams.
     part_caller: Caller whose requests crash endpoints by a prompt part.
@@ -59,6 +60,7 @@
     self.cuts: list[soak_apart.Cut] = []
     self.peer_cuts: list[soak_checks.Outage] = []
     self.limited: list[tuple[fleet_replica.FleetReplica, float, float]] = []
+    self.told: list[tuple[fleet_replica.FleetReplica, str]] = []
     self.body_by_crasher: dict[str, bytes] = {}
     self.stream_caller = soak_streams.StreamCaller(cluster)
     self.part_caller = soak_parts.PartCaller(cluster)
@@ -105,6 +107,20 @@
     await asyncio.sleep(fault.duration_s)
     replica.limit = 0.0
 
+  async def _inject_told(self, fault: soak_plan.Fault) -> None:
+    """Lets an endpoint say that it leaves, or that it wants nothing."""
+    replica = self._cluster.replica_by_name[fault.target]
+    replica.is_saying_it_leaves = fault.variant == soak_plan.LEAVING
+    if not replica.is_saying_it_leaves:
+      replica.hold_off = fault.variant
+    self.told.append((replica, fault.variant))
+    await asyncio.sleep(fault.duration_s)
+    replica.hold_off = ''
+    if replica.is_saying_it_leaves:
+      replica.is_saying_it_leaves = False
+      replica.born += 1
+      self._cluster.base.store.put('servers', replica.name, replica.entry())
+
   async def _inject_version(self, fault: soak_plan.Fault) -> None:
     """Adds engines of another version; with `replace`, the others leave."""
     cluster = self._cluster
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -39,6 +39,12 @@
 LIMIT_FRACTION = 0.4
 LIMIT_KIND = 'limit'
 LIMITS = ('0.5', '1.5', '4.0')
+# Fraction of the schedules in which endpoints say that they leave, or refuse
+# requests and want none for a while, in seconds.
+TOLD_FRACTION = 0.4
+TOLD_KIND = 'told'
+LEAVING = 'leaving'
+TOLD_VARIANTS = (LEAVING, '0.9', '1.5', 'soon')
 # Fraction of the schedules with engines of a second software version, which
 # come beside the others or replace them.
 VERSION_FRACTION = 0.4
@@ -157,6 +163,7 @@
   faults += _plan_silences(seed) + _plan_failing(seed)
   faults += _plan_parts(seed) + _plan_apart(seed)
   faults += _plan_unframed(seed, faults)
+  faults += _plan_told(seed, faults)
   return sorted(faults)
 
 
@@ -190,6 +197,29 @@
   return faults
 
 
+def _plan_told(seed: int, others: list[Fault]) -> list[Fault]:
+  """Draws the endpoints that leave or want nothing for a while, in a run.
+
+  Args:
+    seed: The seed.
+    others: The other faults; their endpoints are left out.
+  """
+  rng = random.Random(f'told of {seed}')
+  if rng.random() >= TOLD_FRACTION:
+    return []
+  taken = {fault.target for fault in others}
+  if any(fault.kind in (SILENCE_KIND, VERSION_KIND) for fault in others):
+    taken.update(ENGINES)
+  faults = []
+  for name in rng.sample(DESKS + ENGINES, rng.randint(1, 2)):
+    at_s = round(rng.uniform(0.2, 0.8), 2)
+    duration_s = round(DURATION_S - at_s - END_MARGIN_S, 2)
+    variant = rng.choice(TOLD_VARIANTS)
+    if name not in taken:
+      faults.append(Fault(at_s, TOLD_KIND, name, duration_s, variant))
+  return faults
+
+
 def _plan_versions(seed: int) -> list[Fault]:
   """Draws whether engines of a second version come, and how."""
   rng = random.Random(f'versions of {seed}')
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -61,6 +61,7 @@
         soak_plan.FAILING_KIND,
         soak_plan.UNFRAMED_KIND,
         soak_plan.APART_KIND,
+        soak_plan.TOLD_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
