Handle signals from before the event loop starts until the program exits

Cause: the handler that covers the imports raises SystemExit; if SIGTERM arrives while uvloop sets up its own handling (socketpair in _setup_or_resume_signals), the loop stays marked as running, and neither the cancelling of tasks nor the closing of the loop works any more: RuntimeError, exit status 1, two tracebacks. Ruled out: a failure of a task (no line of one before), the load alone (the traceback names the handler).

Now plain handlers from before the loop to the exit keep that a stop was requested and call the gateway once it is there. The test sends SIGTERM within the loop's start: status 1 before, 0 after. The other new test (signals once the loop is closed) passed before as well.

--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -6,7 +6,6 @@
 import asyncio
 import logging
 import random
-import signal
 import sys
 import time
 
@@ -30,6 +29,7 @@
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
 from mulberrypick.platform import store
+from mulberrypick.scripts import process_signals
 
 _log = logging.getLogger(__name__)
 EXIT_SETTINGS = 2
@@ -57,7 +57,18 @@
     state: State shared by the components.
   """
 
-  def __init__(self, host: gateway_records.GatewayHost):
+  def __init__(
+      self,
+      host: gateway_records.GatewayHost,
+      signals: process_signals.ProcessSignals | None = None,
+  ):
+    """Creates the components.
+
+    Args:
+      host: The host, from its settings.
+      signals: Handles the signals to the program.
+    """
+    self._signals = signals or process_signals.ProcessSignals()
     self.state = gateway_state.GatewayState(host, random.Random())
     self._call_log = call_log.CallLog()
     self._metrics = gateway_metrics.GatewayMetrics(self.state)
@@ -90,9 +101,11 @@
     """Runs until SIGTERM or SIGINT."""
     host = self.state.host
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-      loop.add_signal_handler(signal_number, self._stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, self._reload)
+    self._signals.install()
+    self._signals.attach(
+        lambda: loop.call_soon_threadsafe(self._stop_requested.set),
+        lambda: loop.call_soon_threadsafe(self._reload),
+    )
     await self._readiness_server.listen(host.ready_ip, host.ready_port)
     await self._caller_server.listen(host.ip, host.listen_port)
     await self._listen_for_hosts()
@@ -121,6 +134,7 @@
           task.result()
       await self._shut_down()
     finally:
+      self._signals.detach()
       for task in (*running, stop_task):
         task.cancel()
 
@@ -250,9 +264,11 @@
     return store.StoreClient(host.store_ip, host.store_port)
 
 
-async def serve(host: gateway_records.GatewayHost) -> None:
+async def serve(
+    host: gateway_records.GatewayHost, signals: process_signals.ProcessSignals
+) -> None:
   """Creates a gateway on the running event loop, and runs it."""
-  await Gateway(host).run()
+  await Gateway(host, signals).run()
 
 
 def main() -> None:
@@ -272,7 +288,9 @@
       is_first_start=host.is_first_start,
       settings_s=round(time.monotonic() - started_at, 3),
   )
+  signals = process_signals.ProcessSignals()
+  signals.install()
   try:
-    uvloop.run(serve(host))
+    uvloop.run(serve(host, signals))
   finally:
     handler.listener.stop()
--- a/standins/gateway_process_test.py
+++ b/standins/gateway_process_test.py
@@ -80,6 +80,36 @@
       async with asyncio.timeout(TIMEOUT_S):
         self.assertEqual(await program.wait(), 0)
 
+  async def check_exit_status_after_signals_in(self, function: str):
+    """Checks the exit status if SIGTERM arrives during a function.
+
+    Args:
+      function: The function, as `module:name`, called while the event loop
+        starts, or once it is closed.
+    """
+    self.program.kill()
+    await self.program.wait()
+    program = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'standins.signalled_gateway',
+        function,
+        env=os.environ | {'MULBERRYPICK_NODE_FILE': str(self.settings)},
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    async with asyncio.timeout(TIMEOUT_S):
+      self.assertEqual(await program.wait(), 0)
+
+  async def test_stop_while_the_event_loop_starts_exits_with_status_0(self):
+    # Guards against SystemExit within the start of the event loop, which then
+    # ended with status 1, as in seed 6 of the soak test.
+    await self.check_exit_status_after_signals_in('_socket:socketpair')
+
+  async def test_signals_after_the_event_loop_exit_with_status_0(self):
+    await self.check_exit_status_after_signals_in(
+        'logging.handlers:QueueListener.stop'
+    )
+
   async def test_graceful_stop_cuts_no_answer(self):
     self.cluster.update_behaviour('engine', events=60, event_interval_s=0.02)
     await self.wait_until_ready(200)
