Do not blame content for crashes that refused parts explain

Ruled out: completions lost between hosts (none was logged), refusals from the store (the sources are own).

A part that explains all crashes of a request without it, and more, is the cause; the rule is the one between two requests.

--- a/mulberrypick/core/crash_evidence.py
+++ b/mulberrypick/core/crash_evidence.py
@@ -67,6 +67,18 @@
   requests: tuple[int, ...]
 
 
+class ExplainedCrashes(NamedTuple):
+  """Crashes whose cause is known to be something else than one request.
+
+  Attributes:
+    keys: The incarnations that crashed.
+    requests: Last 32 bits of the hashes of the requests that have the cause.
+  """
+
+  keys: frozenset[IncarnationKey]
+  requests: frozenset[int]
+
+
 class CrashEvidence:
   """Crashes, and the requests that were involved in them."""
 
--- a/mulberrypick/core/crashing_parts.py
+++ b/mulberrypick/core/crashing_parts.py
@@ -112,6 +112,17 @@
     """When the last endpoint crashed."""
     return self.crashes[-1].began_at
 
+  def explain(self) -> crash_evidence.ExplainedCrashes:
+    """Returns the crashes, and the requests with all the parts."""
+    requests = set()
+    for crash in self.crashes:
+      for run in crash.runs:
+        if self.keys <= run.keys:
+          requests.add(run.request)
+    return crash_evidence.ExplainedCrashes(
+        frozenset(crash.key for crash in self.crashes), frozenset(requests)
+    )
+
 
 def candidate_keys(
     parts: tuple[gateway_records.PromptPart, ...],
--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -23,9 +23,10 @@
 Requests are identified by a hash of their content, as the caller makes a new
 id each time. If several endpoints break off at once and none of the requests
 there was part of another crash, now or before, the network failed: nobody is
-suspected. An incarnation that is alive after the break did not crash either: an
-attempt that was given up because the endpoint was silent says nothing about the
-request.
+suspected. A request is not blamed for crashes that a part of other requests
+explains if that part explains more (see `crashing_parts`). An incarnation that
+is alive after the break did not crash either: an attempt that was given up
+because the endpoint was silent says nothing about the request.
 """
 
 import collections
@@ -96,6 +97,7 @@
         collections.OrderedDict()
     )
     self._peer_suspect_until: dict[int, float] = {}
+    self._explained: tuple[crash_evidence.ExplainedCrashes, ...] = ()
     self._expired_at = float('-inf')
 
   def record_broken_attempt(
@@ -224,6 +226,14 @@
     if is_suspect:
       self.exchange.add_cleared(fingerprint, until, now)
 
+  def set_explained(
+      self, explained: tuple[crash_evidence.ExplainedCrashes, ...]
+  ) -> bool:
+    """Sets which crashes have a known cause; returns whether this is new."""
+    is_new = explained != self._explained
+    self._explained = explained
+    return is_new
+
   def update_peer(
       self, suspects: tuple[int, ...], refused: tuple[int, ...], now: float
   ) -> None:
@@ -269,6 +279,20 @@
       ttl_s = min(ttl_s, SHARED_REFUSAL_S * SHARED_REFUSAL_FACTOR**excess)
     return now < self._last_crash_at(fingerprint) + ttl_s
 
+  def is_explained(self, fingerprint: int) -> bool:
+    """Returns whether something else caused all crashes of a request.
+
+    As with two requests, only one that was part of more crashes is taken to be
+    the cause instead.
+    """
+    keys = {crash.key for crash in self._evidence.crashes(fingerprint)}
+    for explained in self._explained:
+      if fingerprint & 0xFFFFFFFF in explained.requests:
+        continue
+      if keys < explained.keys:
+        return True
+    return False
+
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
     crashes = self._evidence.crashes(fingerprint)
@@ -301,7 +325,7 @@
   def _judge(self, fingerprint: int) -> _Cause:
     """Returns whether a request is taken to be the cause of its crashes."""
     crashes = self._evidence.crashes(fingerprint)
-    if len(crashes) < CRASHES_TO_REFUSE:
+    if len(crashes) < CRASHES_TO_REFUSE or self.is_explained(fingerprint):
       return _Cause.NO
     is_only_suspect = self._may_be_only_cause(fingerprint)
     cause = _Cause.SOLE
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -40,7 +40,7 @@
 
   def __init__(self, known: quarantine.Quarantine):
     self._quarantine = known
-    self.parts = part_watch.PartWatch(self.add_refusal)
+    self.parts = part_watch.PartWatch(self.add_refusal, self._update_explained)
     self._unanswered = unanswered_attempts.UnansweredAttempts()
     self._open_ended = open_ended_answers.OpenEndedAnswers()
     self._logged: collections.OrderedDict[object, None] = (
@@ -249,6 +249,22 @@
         fields = {'request_hash': call_log.format_hash(refused)}
       logs.log_event(_log, logging.WARNING, 'refusal_not_stored', **fields)
 
+  def _update_explained(self, now: float) -> None:
+    """Releases requests beside which refused parts crashed endpoints."""
+    explained = tuple(r.explain() for r in self.parts.refusals())
+    if not self._quarantine.set_explained(explained):
+      return
+    for item in list(self._logged):
+      if not isinstance(item, int) or not self._quarantine.is_explained(item):
+        continue
+      del self._logged[item]
+      self._log_event(
+          now,
+          'request_released',
+          request_hash=call_log.format_hash(item),
+          reason='parts_refused',
+      )
+
   def _add_crash(
       self,
       key: crash_evidence.IncarnationKey,
--- a/mulberrypick/ops/crash_watch_test.py
+++ b/mulberrypick/ops/crash_watch_test.py
@@ -97,5 +97,74 @@
       )
 
 
+class CrashesOfAPartTest(unittest.TestCase):
+  """Requests of one part crash endpoints beside content that many ask for."""
+
+  POPULAR = 77
+  PART, OTHER_PART = frozenset({5}), frozenset({6})
+
+  def setUp(self):
+    self.quarantine = quarantine.Quarantine()
+    self.watch = crash_watch.CrashWatch(self.quarantine)
+
+  def crash(self, number: int, beside: int | None = None):
+    """Lets one more request with the part crash an endpoint."""
+    key, at = (f'e{number}', 1), 10.0 + number
+    self.watch.record_break(key, 1000 + number, False, at, self.PART)
+    if beside is not None:
+      self.watch.record_break(key, beside, False, at, self.OTHER_PART)
+
+  def is_refused(self, fingerprint: int, now: float = 20.0) -> bool:
+    return self.quarantine.is_refused(fingerprint, now)
+
+  def test_content_beside_the_part_is_released(self):
+    # Guards against content that many callers send being refused for ten
+    # minutes after hosts that had seen it complete were restarted.
+    for number in range(3):
+      self.crash(number, beside=self.POPULAR)
+    self.assertTrue(self.is_refused(self.POPULAR))
+    with self.assertLogs(crash_watch.__name__, 'INFO') as lines:
+      for number in range(3, 6):
+        self.crash(number)
+    self.assertFalse(self.is_refused(self.POPULAR))
+    self.assertEqual(
+        sum('request_released' in line for line in lines.output), 1
+    )
+    # One more crash beside the part says nothing new about it.
+    self.crash(6, beside=self.POPULAR)
+    self.assertFalse(self.is_refused(self.POPULAR))
+
+  def test_content_at_a_crash_without_the_part_stays_refused(self):
+    for number in range(2):
+      self.crash(number, beside=self.POPULAR)
+    self.watch.record_break(('x', 1), self.POPULAR, False, 12.5)
+    for number in range(2, 6):
+      self.crash(number)
+    self.assertTrue(self.is_refused(self.POPULAR))
+
+  def test_content_that_explains_all_crashes_stays_refused(self):
+    for number in range(6):
+      self.crash(number, beside=self.POPULAR)
+    self.assertTrue(self.is_refused(self.POPULAR))
+
+  def test_content_with_the_part_stays_refused(self):
+    for number in range(3):
+      self.watch.record_break(
+          (f'e{number}', 1), self.POPULAR, False, 10.0 + number, self.PART
+      )
+    for number in range(3, 6):
+      self.crash(number)
+    self.assertTrue(self.is_refused(self.POPULAR))
+
+  def test_content_is_refused_again_if_the_part_is_found_sound(self):
+    for number in range(3):
+      self.crash(number, beside=self.POPULAR)
+    for number in range(3, 6):
+      self.crash(number)
+    self.assertFalse(self.is_refused(self.POPULAR))
+    self.watch.parts.record_completion(self.PART, 16.0, 16.1)
+    self.assertTrue(self.is_refused(self.POPULAR))
+
+
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/ops/part_watch.py
+++ b/mulberrypick/ops/part_watch.py
@@ -54,14 +54,21 @@
 class PartWatch:
   """Judges the parts of requests by the evidence of all hosts."""
 
-  def __init__(self, on_change: Callable[[RefusalChange], None] | None = None):
+  def __init__(
+      self,
+      on_change: Callable[[RefusalChange], None] | None = None,
+      on_update: Callable[[float], None] | None = None,
+  ):
     """Creates a watch.
 
     Args:
       on_change: Called with changes of refusals because of crashes of which
         this host saw one.
+      on_update: Called with the time when the refusals, or the crashes behind
+        them, may have changed.
     """
     self._on_change = on_change
+    self._on_update = on_update
     self._own_refusals: set[frozenset[int]] = set()
     self._evidence = part_evidence.PartEvidence()
     self._exchange = part_exchange.PartExchange(self._evidence)
@@ -260,6 +267,8 @@
       if keys in self._own_refusals:
         self._own_refusals.remove(keys)
         self._tell_change(RefusalChange(keys, False))
+    if self._on_update is not None and (old or refusal_by_keys):
+      self._on_update(now)
 
   def _is_own(self, key: crash_evidence.IncarnationKey) -> bool:
     crash = self._evidence.find(key)
