Keep order and promises when the store comes back from an older copy

Cause of what broke: revisions were compared as if they only grew, and what the store had acknowledged was taken to last.

Ruled out: the era in the names of the lease (two builds side by side would hold one each).

--- a/mulberrypick/core/errors.py
+++ b/mulberrypick/core/errors.py
@@ -115,6 +115,13 @@
     self.status = status
 
 
+class OlderStoreError(StoreError):
+  """The answer is of an era of the store that has ended."""
+
+  def __init__(self):
+    super().__init__('older_era')
+
+
 class ConfigUnknownError(MulberrypickError):
   """It could not be determined whether a change was accepted."""
 
--- a/mulberrypick/core/lease.py
+++ b/mulberrypick/core/lease.py
@@ -146,7 +146,11 @@
 
 
 def begin_take(
-    lease: Lease, now: float, nonce: str, duration_s: float
+    lease: Lease,
+    now: float,
+    nonce: str,
+    duration_s: float,
+    min_fence: int = 1,
 ) -> tuple[Lease, LeaseRecord]:
   """Begins the write by which this controller takes the lease.
 
@@ -155,12 +159,13 @@
     now: Monotonic time before the write is sent.
     nonce: Unique id of this write.
     duration_s: Length of the term.
+    min_fence: Smallest fencing number, if the object may have lost terms.
 
   Returns:
     The new lease state, and the content to write if the object is still at
     `lease.version`.
   """
-  fence = lease.record.fence + 1 if lease.record else 1
+  fence = max(min_fence, lease.record.fence + 1 if lease.record else 1)
   begun = lease._replace(
       state=chart.advance(CHART, lease.state, 'take'),
       fence=fence,
--- a/mulberrypick/ops/crash_watch.py
+++ b/mulberrypick/ops/crash_watch.py
@@ -238,6 +238,18 @@
     added = self._quarantine.exchange.merge(news, source, is_forwarded, now)
     self._log_added(added, now)
 
+  def repeat_refusals(self, now: float) -> int:
+    """Writes the refusals of this host to the store again; returns how many."""
+    count = 0
+    for fingerprint in self._quarantine.refused(now):
+      if any(
+          crash.involved_by_hash[fingerprint].is_own
+          for crash in self._quarantine.crashes(fingerprint)
+      ):
+        self.add_refusal(fingerprint)
+        count += 1
+    return count + self.parts.repeat_own_refusals()
+
   def add_refusal(self, refused: int | part_watch.RefusalChange) -> None:
     """Adds a refusal to be written to the store, or removed if withdrawn."""
     try:
--- a/mulberrypick/ops/evidence_task.py
+++ b/mulberrypick/ops/evidence_task.py
@@ -32,7 +32,6 @@
 # known host: the store's rates grow more slowly than the fleet.
 MIN_READ_INTERVAL_S = 0.2
 READ_INTERVAL_PER_HOST_S = 0.002
-STATUS_HISTORY_GONE = 410
 STATUS_NOT_FOUND = 404
 
 
@@ -102,7 +101,7 @@
       try:
         await self._watch()
       except errors.StoreError as error:
-        if error.status != STATUS_HISTORY_GONE:
+        if error.status != store.STATUS_HISTORY_GONE:
           _log_failure('evidence_not_read', error)
           await asyncio.sleep(RETRY_INTERVAL_S)
 
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -71,6 +71,7 @@
     self._gauge('config_version', lambda: self._config_version())
     self._gauge('endpoints', lambda: len(list(state.endpoints.all())))
     self._gauge('hosts', lambda: state.hosts)
+    self._gauge('store_era_changes', lambda: state.store_era.changes)
     self._gauge('connections_opened', lambda: state.pool.opened_count)
     self._gauge('crashes', lambda: len(state.quarantine.all_crashes()))
     self._gauge('limited_endpoints', lambda: len(state.limits.limited()))
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -207,6 +207,7 @@
       # then it must know whether contact with the store was interrupted.
       # The two fields are sent together or not at all.
       message.store_revision_by_kind = state.store_revision_by_kind
+      message.has_store_era = True
     return message
 
   def _add_news(self, message: peer_message.PeerMessage, now: float) -> None:
@@ -327,6 +328,7 @@
       return
     message.relayed_contact_s = contact_s
     message.store_revision_by_kind = self._state.store_revision_by_kind
+    message.has_store_era = True
 
   def _send(
       self, addresses: Iterable[str], message: peer_message.PeerMessage
@@ -447,7 +449,7 @@
     if message.address == self._table.neighbors.relay and is_new_contact:
       state.endpoints.record_store_recovery(now)
     for kind, revision in message.store_revision_by_kind.items():
-      if state.record_store_change(kind, revision):
+      if state.record_reported_change(kind, revision, message.has_store_era):
         state.wake_store_tasks()
 
   def _reply(
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -19,6 +19,7 @@
 from mulberrypick.core import request_placement
 from mulberrypick.core import shared_retry_budget
 from mulberrypick.core import store_changes
+from mulberrypick.core import store_era
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
 from mulberrypick.ops import endpoint_pool
@@ -90,7 +91,10 @@
     load_changed: Set when a request of this host starts or ends at an endpoint.
     watches_store: Whether this host watches the store itself; if not, its relay
       reports changes.
-    store_revision_by_kind: Revision of the last known change by kind of object.
+    store_revision_by_kind: Position of the last known change by kind of object.
+    store_era: What is known of the store's eras.
+    era_changed: Set when the store came back from an older copy; it is then
+      replaced by a new event.
     store_changes: Changes of the store that this host passes on as a relay.
     store_changed: Set when the store must be read again; it is then replaced by
       a new event.
@@ -143,11 +147,15 @@
     self.unsent_parts: list[tuple[str, int, int]] = []
     self.store_contact_since: float | None = None
     self.peer_kept_store_contact = False
+    self._era_changed_at = float('-inf')
     self.versions = stream_versions.VersionHistory()
     self.is_leaving = False
     self.load_changed = asyncio.Event()
     self.watches_store = True
     self.store_revision_by_kind: dict[str, int] = {}
+    self.store_era = store_era.StoreEra()
+    self.store_era.set_callback(self._handle_new_era)
+    self.era_changed = asyncio.Event()
     self.store_changes = store_changes.ChangeLog()
     self._relayed_changes: dict[
         str, collections.deque[store_changes.ChangeBatch]
@@ -339,6 +347,32 @@
     self.store_revision_by_kind[kind] = revision
     return True
 
+  def record_reported_change(
+      self, kind: str, revision: int, has_era: bool
+  ) -> bool:
+    """Records a change that another host reports; returns whether it is new.
+
+    Args:
+      kind: Kind of the objects.
+      revision: Position of the change.
+      has_era: Whether it is one. Older builds report the revision alone, which
+        then counts as of the current era.
+    """
+    if has_era:
+      self.store_era.observe(store_era.era_of(revision))
+    else:
+      revision = store_era.make_position(self.store_era.current, revision)
+    return self.record_store_change(kind, revision)
+
+  def record_store_read(self, kind: str, revision: int) -> None:
+    """Records up to which position the store has changes of a kind.
+
+    What other hosts reported beyond that is of an era that has ended.
+    """
+    known = self.store_revision_by_kind.get(kind, 0)
+    if known > revision:
+      self.store_revision_by_kind[kind] = revision
+
   def add_relayed_changes(
       self, batches: list[store_changes.ChangeBatch]
   ) -> None:
@@ -373,6 +407,32 @@
       self.wake_store_tasks()
     self.watches_store = watches
 
+  def _handle_new_era(self, old: int, new: int) -> None:
+    """Prepares for what the older copy of the store lacks."""
+    now = asyncio.get_running_loop().time()
+    # The endpoints write their entries again, as after an outage.
+    self.endpoints.record_store_recovery(now)
+    self._era_changed_at = now
+    written = self.crash_watch.repeat_refusals(now)
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'store_came_back_older',
+        old_era=old,
+        new_era=new,
+        refusals_written_again=written,
+        has_contact=self.store_contact_since is not None,
+    )
+    changed, self.era_changed = self.era_changed, asyncio.Event()
+    changed.set()
+    self.wake_store_tasks()
+    self.load_changed.set()
+
+  def was_store_steady(self, now: float) -> bool:
+    """Returns whether entries that are missing now did not get lost."""
+    is_recent = now - self._era_changed_at < endpoint_registry.STORE_RECOVERY_S
+    return self.peer_kept_store_contact and not is_recent
+
   def wake_store_tasks(self) -> None:
     """Wakes the tasks that wait for a change of the store."""
     changed, self.store_changed = self.store_changed, asyncio.Event()
--- a/mulberrypick/ops/hosts_task.py
+++ b/mulberrypick/ops/hosts_task.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+import random
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import errors
 from mulberrypick.core import peer_topology
+from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_peers
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import objects
@@ -18,6 +20,9 @@
 # reachable.
 LIST_INTERVAL_S = 10.0
 RETRY_INTERVAL_S = 1.0
+# Time within which all hosts write their entries again after the store came
+# back from an older copy; hundreds at once would exceed its rates.
+RESTORE_WITHIN_S = 2.0
 
 
 class HostsTask:
@@ -35,6 +40,8 @@
     self._is_registered = False
     self._is_unreadable = False
     self._revision = 0
+    # The era of the store in which this host's entry was written or seen.
+    self._era = 0
 
   async def run(self) -> None:
     """Registers this host, then reads the list of hosts periodically."""
@@ -46,11 +53,22 @@
         await asyncio.sleep(RETRY_INTERVAL_S)
         continue
       self._is_unreadable = False
-      await asyncio.sleep(LIST_INTERVAL_S)
-      while not self._state.watches_store:
+      is_due = await self._wait_for_interval()
+      while is_due and not self._state.watches_store:
         # Another host, the relay of this one, reads the list and reports
         # changes.
-        await asyncio.sleep(LIST_INTERVAL_S)
+        is_due = await self._wait_for_interval()
+
+  async def _wait_for_interval(self) -> bool:
+    """Waits for the next list; returns False if this host's entry is lost."""
+    if self._state.store_era.current == self._era:
+      try:
+        async with asyncio.timeout(LIST_INTERVAL_S):
+          await self._state.era_changed.wait()
+      except TimeoutError:
+        return True
+    await asyncio.sleep(random.uniform(0.0, RESTORE_WITHIN_S))
+    return False
 
   async def leave(self) -> None:
     """Removes this host's entry."""
@@ -64,17 +82,27 @@
       )
 
   async def _sync_hosts(self) -> None:
+    era = self._state.store_era.current
+    if era != self._era and self._is_registered:
+      await self._restore_entry()
+      self._era = era
+      if not self._state.watches_store:
+        return
     # Hosts announce themselves to each other as well, so that after the first
     # list it may be some seconds old.
-    listed = await self._client.list_objects(
-        protocol.HOSTS_KIND, may_be_stale=self._is_registered
-    )
-    if listed.revision < self._revision:
+    try:
+      listed = await self._client.list_objects(
+          protocol.HOSTS_KIND, may_be_stale=self._is_registered
+      )
+    except errors.OlderStoreError:
+      listed = None
+    if listed is None or listed.revision < self._revision:
       # An older copy than before lacks hosts that have joined since.
       listed = await self._client.list_objects(protocol.HOSTS_KIND)
     self._revision = listed.revision
     if not self._is_registered:
       await self._register(listed)
+      self._era = store_era.era_of(listed.revision)
     hosts = []
     for item in listed.objects:
       found = objects.decode_host(item.name, item.spec)
@@ -85,9 +113,7 @@
   async def _register(self, listed: store.StoredList) -> None:
     """Writes this host's entry unless a process before has written it."""
     host = self._state.host
-    own = peer_topology.PeerHost(
-        host.name, host.zone, f'{host.ip}:{host.peer_port}'
-    )
+    own = self._own_entry()
     found = [item for item in listed.objects if item.name == host.name]
     if not found or objects.decode_host(host.name, found[0].spec) != own:
       spec = objects.encode_host(own)
@@ -96,6 +122,26 @@
       )
     self._is_registered = True
 
+  async def _restore_entry(self) -> None:
+    """Writes this host's entry again if the store has lost it."""
+    name, own = self._state.host.name, self._own_entry()
+    found = await self._client.read(protocol.HOSTS_KIND, name)
+    if found is not None and objects.decode_host(name, found.spec) == own:
+      return
+    await self._client.put(
+        protocol.HOSTS_KIND,
+        name,
+        objects.encode_host(own),
+        exists=found is not None,
+    )
+    logs.log_event(_log, logging.INFO, 'host_entry_written_again')
+
+  def _own_entry(self) -> peer_topology.PeerHost:
+    host = self._state.host
+    return peer_topology.PeerHost(
+        host.name, host.zone, f'{host.ip}:{host.peer_port}'
+    )
+
   def _log_unreadable(self, error: errors.StoreError) -> None:
     if self._is_unreadable:
       return
--- a/mulberrypick/ops/part_watch.py
+++ b/mulberrypick/ops/part_watch.py
@@ -187,6 +187,12 @@
     if self._evidence.expire(now):
       self._update('expired', now)
 
+  def repeat_own_refusals(self) -> int:
+    """Tells the refusals by crashes of this host again; returns how many."""
+    for keys in self._own_refusals:
+      self._tell_change(RefusalChange(keys, True))
+    return len(self._own_refusals)
+
   def refusals(self) -> list[Refusal]:
     """Returns the sets of parts with which requests are refused."""
     return list(self._refusal_by_keys.values())
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -109,7 +109,7 @@
     leaving: Name and start time of endpoints that are leaving.
     crash_news: Crashes of endpoints, with the requests that ran there.
     store_contact_s: Duration of the current contact with the store.
-    store_revision_by_kind: Revision of the last known change in the store by
+    store_revision_by_kind: Position of the last known change in the store by
       kind of object.
     digest: Digest of the hosts known to the sender.
     known: Name, zone and address of all hosts known to the sender, if the
@@ -133,6 +133,8 @@
     speeds: What the hosts that the message covers observed of the speed of
       engines, by model; empty in most messages.
     relayed_changes: From a relay to its members: new changes of the store.
+    has_store_era: Whether revisions of the store are positions, see
+      `store_era`; older builds send them without the era.
   """
 
   host: str
@@ -168,6 +170,7 @@
   reach: ReachReport | None = None
   speeds: engine_models.SumsByModel = {}
   relayed_changes: list[store_changes.ChangeBatch] = []
+  has_store_era: bool = False
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -18,6 +18,7 @@
 from mulberrypick.core import errors
 from mulberrypick.core import lease
 from mulberrypick.core import stage_planner
+from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import orders
 from mulberrypick.platform import protocol
@@ -35,6 +36,9 @@
 # An order is sent only if this much of the term is left, so that it arrives
 # within the term.
 ORDER_MARGIN_S = 1.5
+# Fencing numbers of each era of the store. An older copy has lost the latest
+# terms, so that their numbers are not known from the object.
+FENCES_PER_ERA = 1_000_000
 
 
 def boot_time() -> float:
@@ -53,11 +57,15 @@
     self._plan = stage_planner.StagePlanner()
     owner = f'{state.host.name}.{secrets.token_hex(4)}'
     self._lease = lease.Lease(owner)
+    self._era = 0
+    self._era_seen_at = boot_time()
+    self._highest_fence = 0
 
   async def run(self) -> None:
     """Checks at regular intervals whether an order is due, until cancelled."""
     while True:
       await asyncio.sleep(CHECK_INTERVAL_S)
+      self._observe_era()
       state = self._state
       if state.is_leaving or state.reach.is_apart:
         # It gives no orders, and could not deliver them.
@@ -119,6 +127,20 @@
     self._lease = lease.on_tick(self._lease, boot_time())
     return lease.is_authorized(self._lease, boot_time() + ORDER_MARGIN_S)
 
+  def _observe_era(self) -> None:
+    """Notes when the store came back from an older copy."""
+    era = self._state.store_era.current
+    if era != self._era:
+      self._era, self._era_seen_at = era, boot_time()
+
+  def _may_take_lease(self) -> bool:
+    """Returns whether no holder of a term that the store lost is left."""
+    if not lease.can_take(self._lease, boot_time(), GUARD_S):
+      return False
+    if self._lease.record is not None or not self._era:
+      return True
+    return boot_time() >= self._era_seen_at + TERM_S + GUARD_S
+
   async def _acquire_lease(self) -> None:
     """Acquires or renews the lease, or reads whether another holder has it."""
     self._lease = lease.on_tick(self._lease, boot_time())
@@ -127,10 +149,12 @@
         await self._renew()
       return
     await self._read()
-    if not lease.can_take(self._lease, boot_time(), GUARD_S):
+    self._observe_era()
+    if not self._may_take_lease():
       return
+    min_fence = max(self._era * FENCES_PER_ERA, self._highest_fence) + 1
     self._lease, record = lease.begin_take(
-        self._lease, boot_time(), secrets.token_hex(8), TERM_S
+        self._lease, boot_time(), secrets.token_hex(8), TERM_S, min_fence
     )
     await self._write(record)
 
@@ -146,10 +170,12 @@
     if found is not None:
       version = found.revision
       record = lease.decode_record(msgspec.json.encode(found.spec))
+      self._highest_fence = max(self._highest_fence, record.fence)
     self._lease = lease.on_read(self._lease, version, record, boot_time())
 
   async def _write(self, record: lease.LeaseRecord) -> None:
     spec = record._asdict()
+    self._highest_fence = max(self._highest_fence, record.fence)
     try:
       written = await self._client.put_if_revision(
           protocol.LEASES_KIND, protocol.STAGES_LEASE, spec, self._lease.version
@@ -165,4 +191,11 @@
       self._lease = lease.on_conflict(self._lease)
       await self._read()
       return
+    era = store_era.era_of(written.revision)
+    if self._lease.version and era != store_era.era_of(self._lease.version):
+      # The revision was given out again: this replaced another holder's term,
+      # which ends before anybody takes the lease by this record.
+      self._lease = lease.Lease(self._lease.owner)
+      logs.log_event(_log, logging.WARNING, 'lease_of_older_era_written')
+      return
     self._lease = lease.on_written(self._lease, written.revision, record)
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -8,6 +8,7 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import errors
 from mulberrypick.core import store_changes
+from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import objects
 from mulberrypick.platform import protocol
@@ -21,7 +22,6 @@
 # Backoff after a failed call, doubled up to the maximum.
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.4
-STATUS_HISTORY_GONE = 410
 
 
 class StoreTask:
@@ -48,6 +48,9 @@
     while True:
       try:
         await self._watch_kind()
+      except errors.OlderStoreError:
+        # Nothing is known to be lost; the next answer is of the new era.
+        await asyncio.sleep(INITIAL_BACKOFF_S)
       except errors.StoreError as error:
         self._on_store_lost(error)
         await asyncio.sleep(self._backoff_s)
@@ -65,12 +68,14 @@
             self.kind, self._revision, wait_s, may_be_stale=not is_due
         )
       except errors.StoreError as error:
-        if error.status != STATUS_HISTORY_GONE:
+        if error.status != store.STATUS_HISTORY_GONE:
           raise
         self._handle_whole_list(await self._client.list_objects(self.kind))
         continue
       self._on_store_regained()
       self._handle_changes(changed)
+      if is_due:
+        self._state.record_store_read(self.kind, self._revision)
 
   def _handle_whole_list(self, listed: store.StoredList) -> None:
     """Handles a whole list, after which changes are watched."""
@@ -224,10 +229,21 @@
 
   kind = protocol.ENDPOINTS_KIND
 
+  def __init__(
+      self, state: gateway_state.GatewayState, client: store.StoreClient
+  ):
+    super().__init__(state, client)
+    self._entries = store_era.GoneEntries()
+
   def handle_list(self, items: list[store.StoredObject]) -> None:
     """Handles the complete list of objects."""
     endpoints = []
+    self._entries.keep_only({item.name for item in items})
     for item in items:
+      if self._entries.is_gone(item.name, item.revision):
+        self._log_gone(item.name)
+        continue
+      self._entries.record(item.name, item.revision)
       endpoint = objects.decode_endpoint(item.name, item.spec)
       if endpoint is not None:
         endpoints.append(endpoint)
@@ -240,9 +256,11 @@
     """Handles one changed object."""
     now = asyncio.get_running_loop().time()
     if item.is_deleted:
+      self._entries.remove(item.name)
       if self._state.endpoints.remove_entry(item.name, now):
         self._drop(item.name, 'removed')
       return
+    self._entries.record(item.name, item.revision)
     endpoint = objects.decode_endpoint(item.name, item.spec)
     if endpoint is None:
       return
@@ -263,6 +281,9 @@
     """Gives endpoints whose entries expired time to register again."""
     self._state.endpoints.record_store_recovery(now)
 
+  def _log_gone(self, name: str) -> None:
+    logs.log_event(_log, logging.INFO, 'endpoint_of_older_copy', endpoint=name)
+
   def _drop(self, name: str, reason: str) -> None:
     self._state.drop_endpoint(name)
     logs.log_event(
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -20,7 +20,7 @@
 MAX_DRAIN_S = 3.0
 
 
-class RelayTest(gateway_test.GatewayTestCase):
+class RelayTestCase(gateway_test.GatewayTestCase):
   """Runs six gateways in one zone, which form two groups."""
 
   async def asyncSetUp(self):
@@ -118,6 +118,9 @@
           )
       )
 
+
+class RelayTest(RelayTestCase):
+
   async def test_members_learn_changes_without_a_call_to_the_store(self):
     # Guards against a call of each host for each change.
     self.enterContext(
--- a/mulberrypick/platform/protocol.py
+++ b/mulberrypick/platform/protocol.py
@@ -16,6 +16,8 @@
 EXPECTED_ENDPOINT = b'x-mulberrypick-expect-instance'
 # Requests per second that an endpoint takes from all hosts together.
 LIMIT = b'server-limit'
+# Number of times that the store came back from an older copy.
+STORE_ERA = b'store-era'
 # In the answers of an endpoint that leaves.
 LEAVING = b'server-leaving'
 NOT_RUN = b'x-mulberrypick-not-executed'
--- a/mulberrypick/platform/store.py
+++ b/mulberrypick/platform/store.py
@@ -1,16 +1,20 @@
 """Client of the platform's object store; only this module calls the store."""
 
 import asyncio
+import logging
 import urllib.parse
 from typing import Any
 from typing import NamedTuple
 
 import msgspec
 
+from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
 from mulberrypick.core import errors
+from mulberrypick.core import store_era
 from mulberrypick.platform import protocol
 
+_log = logging.getLogger(__name__)
 # Timeout for connecting, which normally takes a few ms. It is short, because
 # after a network failure the host must reconnect and follow the store again
 # within 3 s.
@@ -20,6 +24,7 @@
 # Time added to the wait time of a watch to get its timeout.
 WATCH_TIMEOUT_MARGIN_S = 1.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+STATUS_HISTORY_GONE = 410
 
 
 class StoredObject(NamedTuple):
@@ -27,7 +32,7 @@
 
   Attributes:
     name: Name of the object.
-    revision: Revision of its last change.
+    revision: Position of its last change.
     spec: Content of the object.
     is_deleted: Whether the object was deleted.
   """
@@ -39,11 +44,11 @@
 
 
 class StoredList(NamedTuple):
-  """Objects at a revision of the store.
+  """Objects at a position of the store.
 
   Attributes:
     objects: All objects, or the changed ones.
-    revision: Revision of the store, from which to watch.
+    revision: Position of the store, from which to watch.
   """
 
   objects: list[StoredObject]
@@ -53,12 +58,22 @@
 class StoreClient:
   """Calls the store over a single connection, one call at a time.
 
-  Each task that calls the store needs its own client.
+  Each task that calls the store needs its own client. Revisions are positions,
+  see `store_era`: the store may come back from an older copy.
   """
 
-  def __init__(self, ip: str, port: int):
+  def __init__(self, ip: str, port: int, era: store_era.StoreEra | None = None):
+    """Creates a client without a connection.
+
+    Args:
+      ip: Address of the store.
+      port: Its port.
+      era: What this host knows of the store's eras.
+    """
     self._ip = ip
     self._port = port
+    self._era = era or store_era.StoreEra()
+    self._is_era_odd = False
     self._connection: stream_client.ClientConnection | None = None
     self.calls = 0
 
@@ -80,10 +95,13 @@
     while True:
       data = await self._call('GET', kind, '', query, None, CALL_TIMEOUT_S)
       if revision is None:
-        revision = data['currentRev']
-      for item in data['items']:
-        objects.append(_decode_object(item, False))
-      if not data.get('hasMore') or not data['items']:
+        revision = data.position(data.body['currentRev'])
+      if store_era.era_of(revision) != data.era:
+        # The pages would be of two copies.
+        raise errors.OlderStoreError
+      for item in data.body['items']:
+        objects.append(_decode_object(item, data.era, False))
+      if not data.body.get('hasMore') or not data.body['items']:
         return StoredList(objects, revision)
       query = query | {'after': objects[-1].name}
 
@@ -106,18 +124,22 @@
       StoreError: The store sent no valid response. Its status is 410 if the
         store no longer has the changes since `revision`.
     """
-    query = {'watch': revision, 'waitMs': int(wait_s * 1000)}
+    self._check_era(revision, self._era.current)
+    query = {
+        'watch': store_era.revision_of(revision),
+        'waitMs': int(wait_s * 1000),
+    }
     if may_be_stale:
       query['serializable'] = 1
     data = await self._call(
         'GET', kind, '', query, None, wait_s + WATCH_TIMEOUT_MARGIN_S
     )
+    self._check_era(revision, data.era)
     objects = []
-    for event in data.get('events', ()):
-      objects.append(
-          _decode_object(event['object'], bool(event.get('tombstone')))
-      )
-    return StoredList(objects, data['currentRev'])
+    for event in data.body.get('events', ()):
+      is_deleted = bool(event.get('tombstone'))
+      objects.append(_decode_object(event['object'], data.era, is_deleted))
+    return StoredList(objects, data.position(data.body['currentRev']))
 
   async def read(self, kind: str, name: str) -> StoredObject | None:
     """Reads an object; returns None if it does not exist.
@@ -131,7 +153,7 @@
       if error.status == 404:
         return None
       raise
-    return _decode_object(data, False)
+    return _decode_object(data.body, data.era, False)
 
   async def put_if_revision(
       self, kind: str, name: str, spec: Any, revision: int
@@ -142,10 +164,12 @@
       kind: Kind of the object.
       name: Name of the object.
       spec: New content.
-      revision: Expected revision; 0 if the object must not exist.
+      revision: Expected position; 0 if the object must not exist.
 
     Returns:
-      The object as written; None if it had another revision.
+      The object as written; None if it had another revision. If the store came
+      back from an older copy since the revision was read, the object may be
+      another one: its era tells.
 
     Raises:
       StoreError: The store sent no valid response. If the error has no status,
@@ -154,7 +178,9 @@
     metadata: dict[str, Any] = {'name': name}
     method, target = 'POST', ''
     if revision:
-      metadata['revision'] = revision
+      if store_era.era_of(revision) != self._era.current:
+        return None
+      metadata['revision'] = store_era.revision_of(revision)
       method, target = 'PUT', name
     body = {'metadata': metadata, 'spec': spec}
     try:
@@ -163,7 +189,7 @@
       if error.status in (404, 409):
         return None
       raise
-    return _decode_object(data, False)
+    return _decode_object(data.body, data.era, False)
 
   async def put(
       self, kind: str, name: str, spec: Any, exists: bool = False
@@ -217,13 +243,14 @@
       query: dict[str, Any],
       body: Any,
       timeout_s: float,
-  ) -> dict[str, Any]:
+  ) -> '_Answer':
     target = f'{protocol.OBJECTS_PATH}/{kind}'
     if name:
       target += f'/{urllib.parse.quote(name, safe="")}'
     if query:
       target += '?' + urllib.parse.urlencode(query)
     self.calls += 1
+    era_before = self._era.current
     exchange = stream_client.Exchange(lambda _: True)
     try:
       connection = await self._connect()
@@ -237,13 +264,56 @@
     except (errors.ConnectError, errors.ExchangeBrokenError) as error:
       self.close()
       raise errors.StoreError(str(error)) from error
+    era = self._read_era(
+        head.get(protocol.STORE_ERA), era_before, 'serializable' in query
+    )
     if head.status >= 300:
       raise errors.StoreError(f'status {head.status}', head.status)
     try:
-      return msgspec.json.decode(raw)
+      return _Answer(msgspec.json.decode(raw), era)
     except msgspec.DecodeError as error:
       raise errors.StoreError(f'malformed response: {error}') from error
 
+  def _read_era(
+      self, text: bytes | None, era_before: int, may_be_stale: bool
+  ) -> int:
+    """Returns the era of an answer.
+
+    Args:
+      text: What the store states.
+      era_before: The era that was known when the call was sent.
+      may_be_stale: Whether the answer may be older than that.
+
+    Raises:
+      OlderStoreError: The answer is of an era that has ended.
+    """
+    known = self._era
+    era = store_era.parse_era(text)
+    if era is not None and era >= known.current:
+      known.observe(era)
+      return era
+    if era is not None and (may_be_stale or era_before < known.current):
+      raise errors.OlderStoreError
+    if (text is not None or known.is_known) and not self._is_era_odd:
+      self._is_era_odd = True
+      logs.log_event(
+          _log,
+          logging.WARNING,
+          'store_era_unusable',
+          stated=repr(text),
+          known=known.current,
+      )
+    return known.current
+
+  def _check_era(self, revision: int, era: int) -> None:
+    """Checks that a watch goes on in the era in which it began.
+
+    Raises:
+      StoreError: It does not; the status is that of a lost history.
+    """
+    if store_era.era_of(revision) != era:
+      raise errors.StoreError('another era', STATUS_HISTORY_GONE)
+
   async def _connect(self) -> stream_client.ClientConnection:
     if self._connection is None or not self._connection.is_open:
       self._connection = await stream_client.connect(
@@ -262,12 +332,30 @@
     )
 
 
-def _decode_object(item: dict[str, Any], is_deleted: bool) -> StoredObject:
+class _Answer(NamedTuple):
+  """A response of the store.
+
+  Attributes:
+    body: Its decoded body.
+    era: The era that it is of.
+  """
+
+  body: dict[str, Any]
+  era: int
+
+  def position(self, revision: int) -> int:
+    """Returns the position of a revision in the response."""
+    return store_era.make_position(self.era, revision)
+
+
+def _decode_object(
+    item: dict[str, Any], era: int, is_deleted: bool
+) -> StoredObject:
   try:
     metadata = item['metadata']
     return StoredObject(
         str(metadata['name']),
-        int(metadata['revision']),
+        store_era.make_position(era, int(metadata['revision'])),
         item.get('spec'),
         is_deleted,
     )
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -205,7 +205,7 @@
       await asyncio.sleep(SWEEP_INTERVAL_S)
       now = asyncio.get_running_loop().time()
       expired = self.state.endpoints.expire(
-          now, self.state.peer_kept_store_contact
+          now, self.state.was_store_steady(now)
       )
       for name in expired:
         self.state.drop_endpoint(name)
@@ -261,7 +261,9 @@
 
   def _make_store_client(self) -> store.StoreClient:
     host = self.state.host
-    return store.StoreClient(host.store_ip, host.store_port)
+    return store.StoreClient(
+        host.store_ip, host.store_port, self.state.store_era
+    )
 
 
 async def serve(
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import urllib.parse
 from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
@@ -13,6 +14,22 @@
 MAX_HISTORY_CHANGES = 200
 
 
+# Kinds that others than the gateways write.
+REWRITTEN_KINDS = ('config', 'servers')
+
+
+class StoreCopy(NamedTuple):
+  """The content of the store at a revision.
+
+  Attributes:
+    revision: The revision.
+    objects: Objects by kind and name.
+  """
+
+  revision: int
+  objects: dict[str, dict[str, dict[str, Any]]]
+
+
 class FleetStore:
   """An object store over HTTP; objects have a kind and a name.
 
@@ -23,13 +40,19 @@
       closed without an answer.
     calls: Number of calls by method and kind.
     port: Port that it listens on, 0 before the start.
+    era: Number of times that it came back from an older copy, stated in all
+      answers; None if it states none.
   """
 
+  # The era that a new store states.
+  first_era: int | None = None
+
   def __init__(self):
     self.mode = 'ok'
     self.drops_write_answers = False
     self.calls: dict[tuple[str, str], int] = {}
     self.port = 0
+    self.era = self.first_era
     self._revision = 1
     self._objects: dict[str, dict[str, dict[str, Any]]] = {}
     self._history: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -85,6 +108,56 @@
     self._oldest_revision = self._revision + 1
     self._notify_watchers()
 
+  def copy(self) -> StoreCopy:
+    """Returns a copy of the present content."""
+    objects = {kind: dict(by_name) for kind, by_name in self._objects.items()}
+    return StoreCopy(self._revision, objects)
+
+  async def come_back_older(
+      self, copy: StoreCopy, away_s: float, rewrite_after_s: float
+  ) -> None:
+    """Is away for a moment, then comes back with an older copy.
+
+    Args:
+      copy: The copy.
+      away_s: How long it is away; 0 if only its watches are cut.
+      rewrite_after_s: Time until the operator and the endpoints have written
+        again what the copy lacks.
+    """
+    if away_s:
+      self.fail('reset')
+      await asyncio.sleep(away_s)
+    latest = self.copy()
+    self._revision = copy.revision
+    self._objects = {
+        kind: dict(by_name) for kind, by_name in copy.objects.items()
+    }
+    self._history.clear()
+    self._oldest_revision = self._revision + 1
+    self.era = (self.era or 0) + 1
+    self.fail('ok')
+    await asyncio.sleep(rewrite_after_s)
+    for kind in REWRITTEN_KINDS:
+      self._write_again(
+          kind, copy.objects.get(kind, {}), latest.objects.get(kind, {})
+      )
+
+  def _write_again(
+      self,
+      kind: str,
+      old: dict[str, dict[str, Any]],
+      new: dict[str, dict[str, Any]],
+  ) -> None:
+    """Writes what changed between two states, unless it changed since."""
+    present = self._objects.get(kind, {})
+    for name in old.keys() | new.keys():
+      if old.get(name) == new.get(name) or present.get(name) != old.get(name):
+        continue
+      if name in new:
+        self.put(kind, name, new[name]['spec'])
+      else:
+        self.remove(kind, name)
+
   def fail(self, mode: str) -> None:
     """Sets the failure mode for open and new connections."""
     self.mode = mode
@@ -120,7 +193,12 @@
     if self.drops_write_answers and method != 'GET':
       caller.abort()
       return
-    caller.write_response(status, [], msgspec.json.encode(body))
+    caller.write_response(status, self._headers(), msgspec.json.encode(body))
+
+  def _headers(self) -> list[tuple[bytes, bytes]]:
+    if self.era is None:
+      return []
+    return [(b'Store-Era', b'%d' % self.era)]
 
   async def _is_failing(self, caller: stream_server.ServerConnection) -> bool:
     if self.mode == 'silent':
@@ -129,7 +207,7 @@
       caller.abort()
       return True
     if self.mode == 'busy':
-      caller.write_response(503, [], b'{}')
+      caller.write_response(503, self._headers(), b'{}')
       return True
     return False
 
@@ -173,7 +251,7 @@
     wait_s = int(values.get('waitMs', '0')) / 1000
     end_at = asyncio.get_running_loop().time() + wait_s
     while True:
-      if since + 1 < self._oldest_revision:
+      if since + 1 < self._oldest_revision or since > self._revision:
         return 410, {}
       events = []
       for revision, changed, item, is_removed in self._history:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -41,6 +41,7 @@
     'store',
     'store_link',
     'history',
+    'older',
     'pause',
     'kill',
     'stop',
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -82,6 +82,7 @@
   async def start(self) -> None:
     """Starts all parts, and waits until the gateways are ready."""
     store = self.base.store
+    store.era = 1
     await store.start(gateway_cluster.free_ports(1)[0])
     store.put('config', 'main', _make_config(1))
     for name in soak_plan.DESKS + soak_plan.ENGINES:
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -24,6 +24,10 @@
 # Share of the runs that failing endpoints break off.
 RESET_SHARE = 0.6
 # Kinds of faults whose target is an endpoint that then breaks requests.
+# How long the store is away before it comes back from an older copy, and until
+# the others have written again what it lacks.
+OLDER_AWAY_S = 0.3
+OLDER_REWRITE_S = 1.2
 ENDPOINT_FAULTS = ('crash', 'mode', 'link')
 
 
@@ -75,7 +79,7 @@
     )
     began_at = self._cluster.now()
     await getattr(self, f'_inject_{fault.kind}')(fault)
-    if fault.kind in ('store', 'store_link'):
+    if fault.kind in ('store', 'store_link', soak_plan.OLDER_KIND):
       gateway = fault.target if fault.kind == 'store_link' else ''
       self.disturbances.append(
           soak_checks.Outage(gateway, began_at, self._cluster.now())
@@ -276,6 +280,13 @@
     await asyncio.sleep(fault.duration_s)
     store.fail('ok')
 
+  async def _inject_older(self, fault: soak_plan.Fault) -> None:
+    store = self._cluster.base.store
+    copy = store.copy()
+    await asyncio.sleep(fault.duration_s)
+    for _ in range(2 if fault.variant == 'twice' else 1):
+      await store.come_back_older(copy, OLDER_AWAY_S, OLDER_REWRITE_S)
+
   async def _inject_history(self, fault: soak_plan.Fault) -> None:
     del fault
     self._cluster.base.store.forget_history()
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -13,6 +13,11 @@
 MIN_FAULTS = 4
 MAX_FAULTS = 9
 MAX_FAULT_DURATION_S = 1.5
+# Fraction of the schedules in which the store comes back from an older copy,
+# and how often it does. The duration is the age of the copy.
+OLDER_FRACTION = 0.35
+OLDER_KIND = 'older'
+OLDER_TIMES = ('once', 'twice')
 GATEWAYS = ('host-1', 'host-2', 'host-3')
 DESKS = ('desk-1', 'desk-2', 'desk-3')
 ENGINES = ('reader', 'writer-1', 'writer-2')
@@ -163,7 +168,7 @@
   faults += _plan_silences(seed) + _plan_failing(seed)
   faults += _plan_parts(seed) + _plan_apart(seed)
   faults += _plan_unframed(seed, faults)
-  faults += _plan_told(seed, faults)
+  faults += _plan_told(seed, faults) + _plan_older(seed)
   return sorted(faults)
 
 
@@ -274,6 +279,16 @@
   return [Fault(at_s, FAILING_KIND, 'endpoints', duration_s, variant)]
 
 
+def _plan_older(seed: int) -> list[Fault]:
+  """Draws whether the store comes back from an older copy, and how often."""
+  rng = random.Random(f'older of {seed}')
+  if rng.random() >= OLDER_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.2, 1.5), 2)
+  duration_s = round(rng.uniform(1.0, 2.5), 2)
+  return [Fault(at_s, OLDER_KIND, 'store', duration_s, rng.choice(OLDER_TIMES))]
+
+
 def _plan_unframed(seed: int, faults: list[Fault]) -> list[Fault]:
   """Draws whether endpoints send unframed answers, and which ones.
 
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -62,6 +62,7 @@
         soak_plan.UNFRAMED_KIND,
         soak_plan.APART_KIND,
         soak_plan.TOLD_KIND,
+        soak_plan.OLDER_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
