Take no era for known if the store states none

Cause: hosts told each other positions of era 0, which counted as an era that the store states. Test red before, green after.

--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -359,7 +359,10 @@
         then counts as of the current era.
     """
     if has_era:
-      self.store_era.observe(store_era.era_of(revision))
+      era = store_era.era_of(revision)
+      if era:
+        # Without one, the store may state none.
+        self.store_era.observe(era)
     else:
       revision = store_era.make_position(self.store_era.current, revision)
     return self.record_store_change(kind, revision)
--- a/mulberrypick/platform/gateway_store_era_test.py
+++ b/mulberrypick/platform/gateway_store_era_test.py
@@ -235,6 +235,19 @@
     await self.wait_until(lambda: era.current == 2)
 
 
+class NoEraTest(gateway_relay_test.RelayTestCase):
+  """A store that states no era, as by the older protocol."""
+
+  async def test_nothing_is_logged_of_eras(self):
+    with self.assertNoLogs(store.__name__, 'WARNING'):
+      for version in range(2, 5):
+        config = gateway_cluster.make_config(version)
+        self.cluster.store.put('config', 'main', config)
+        await asyncio.sleep(0.3)
+    for gateway in self.gateway_by_name.values():
+      self.assertFalse(gateway.state.store_era.is_known)
+
+
 class ClientTest(StoreEraTestCase):
 
   def make_client(self, current: int) -> store.StoreClient:
