Refuse content and a part that explain the same crashes for a while only

Cause in the logs: the part was at exactly the three crashes that the content was at (six requests with it), so that it explained no more, and the content stayed refused for 600 s. Two requests in that position have shared refusals of 5 s that grow; a part counts the same now.

--- a/mulberrypick/core/quarantine.py
+++ b/mulberrypick/core/quarantine.py
@@ -23,8 +23,10 @@
 Requests are identified by a hash of their content, as the caller makes a new
 id each time. If several endpoints break off at once and none of the requests
 there was part of another crash, now or before, the network failed: nobody is
-suspected. A request is not blamed for crashes that a part of other requests
-explains if that part explains more (see `crashing_parts`). An incarnation that
+suspected. A part of other requests that explains all crashes of a request (see
+`crashing_parts`) counts like another request that was part of them: if it
+explains more, the request is not blamed, else both are refused for a while. An
+incarnation that
 is alive after the break did not crash either: an attempt that was given up
 because the endpoint was silent says nothing about the request.
 """
@@ -286,12 +288,14 @@
     the cause instead.
     """
     keys = {crash.key for crash in self._evidence.crashes(fingerprint)}
-    for explained in self._explained:
-      if fingerprint & 0xFFFFFFFF in explained.requests:
-        continue
-      if keys < explained.keys:
-        return True
-    return False
+    return any(keys < e.keys for e in self._other_causes(fingerprint))
+
+  def _other_causes(
+      self, fingerprint: int
+  ) -> list[crash_evidence.ExplainedCrashes]:
+    """Returns the explained crashes whose cause the request does not have."""
+    key = fingerprint & 0xFFFFFFFF
+    return [e for e in self._explained if key not in e.requests]
 
   def is_strong(self, fingerprint: int) -> bool:
     """Returns whether a suspect has to run in isolation."""
@@ -328,7 +332,9 @@
     if len(crashes) < CRASHES_TO_REFUSE or self.is_explained(fingerprint):
       return _Cause.NO
     is_only_suspect = self._may_be_only_cause(fingerprint)
-    cause = _Cause.SOLE
+    keys = {crash.key for crash in crashes}
+    is_shared = any(keys == e.keys for e in self._other_causes(fingerprint))
+    cause = _Cause.SHARED if is_shared else _Cause.SOLE
     for other in self._evidence.repeated():
       shared = sum(other in crash.involved_by_hash for crash in crashes)
       if other == fingerprint or not shared:
