Keep the speeds of engines in the store, for a restart of all hosts

Replay of a flood without knowledge (request_placement_test): 60 of 60 sent before, under 6 after, where the engines can prefill one within the target.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -214,7 +214,8 @@
   def is_speed_known(self, endpoint: gateway_records.Endpoint) -> bool:
     """Returns whether there are enough answers to tell who will be late."""
     work = engine_models.read_work(endpoint)
-    return self.models.find(endpoint, work).samples >= KNOWN_SAMPLES
+    model = self.models.find(endpoint, work)
+    return model.is_prior_known or model.samples >= KNOWN_SAMPLES
 
   def read_token_s(
       self, endpoint: gateway_records.Endpoint, now: float
--- a/mulberrypick/core/engine_models.py
+++ b/mulberrypick/core/engine_models.py
@@ -30,6 +30,15 @@
 # Sums of other hosts that are older than this are left out.
 PEER_TTL_S = 3.0
 
+# Samples from which on a model is kept for hosts that start.
+MIN_KEPT_SAMPLES = 5.0
+# A prompt by which models are compared, in tokens, and the relative change of
+# its expected time from which on they differ.
+TYPICAL_TOKENS = 4_000
+MIN_CHANGE = 0.3
+
+# Fixed time and time for a token by model, as kept for hosts that start.
+SpeedsByModel = dict[str, tuple[float, float]]
 # Sums of the samples by model, as hosts send them to each other.
 SumsByModel = dict[str, tuple[float, ...]]
 
@@ -112,6 +121,24 @@
   at: float
 
 
+def are_alike(one: SpeedsByModel, other: SpeedsByModel) -> bool:
+  """Returns whether two sets of speeds tell about the same."""
+  if one.keys() != other.keys():
+    return False
+  for key, (fixed_s, per_token_s) in one.items():
+    other_fixed_s, other_token_s = other[key]
+    expected_s = fixed_s + TYPICAL_TOKENS * per_token_s
+    other_s = other_fixed_s + TYPICAL_TOKENS * other_token_s
+    if not has_same_time(expected_s, other_s):
+      return False
+  return True
+
+
+def has_same_time(one_s: float, other_s: float) -> bool:
+  """Returns whether two expected times hardly differ."""
+  return 1.0 / (1.0 + MIN_CHANGE) < one_s / other_s < 1.0 + MIN_CHANGE
+
+
 class EngineModels:
   """Models of all engines, learned here and by other hosts."""
 
@@ -136,7 +163,7 @@
     """
     key = ModelKey(endpoint.service, endpoint.software, work)
     model = self._own_model(key)
-    if model.samples >= MIN_SAMPLES:
+    if model.samples >= MIN_SAMPLES or model.is_prior_known:
       return model
     best = model
     for other, candidate in self._models.items():
@@ -192,6 +219,33 @@
           del self._models[key]
           break
 
+  def speeds_to_keep(self) -> SpeedsByModel:
+    """Returns what is worth to be known to hosts that start."""
+    speeds = {}
+    for key, model in self._models.items():
+      if model.samples < MIN_KEPT_SAMPLES:
+        continue
+      speeds[key.encode()] = (
+          float(f'{model.fixed_s:.4g}'),
+          float(f'{model.per_token_s:.4g}'),
+      )
+    return speeds
+
+  def adopt_speeds(self, speeds: SpeedsByModel) -> int:
+    """Uses kept speeds until there are samples; returns how many are usable."""
+    count = 0
+    for text, (fixed_s, per_token_s) in speeds.items():
+      key = decode_key(text)
+      is_sound = all(
+          math.isfinite(value) and value >= 0
+          for value in (fixed_s, per_token_s)
+      )
+      if key is None or not is_sound:
+        continue
+      self._own_model(key).set_known_prior(fixed_s, per_token_s)
+      count += 1
+    return count
+
   def update_peer(self, source: str, received: SumsByModel, now: float) -> None:
     """Replaces the sums sent by another host, or by a relay for several."""
     sums_by_key = {}
@@ -264,6 +318,9 @@
     if key.work is Work.READ_ON_DECODER:
       slowdown = DECODE_READ_SLOWDOWN
     reader = self._models.get(key._replace(work=Work.READ))
-    if slowdown > 1.0 and reader is not None and reader.samples >= MIN_SAMPLES:
+    is_reader_known = reader is not None and (
+        reader.samples >= MIN_SAMPLES or reader.is_prior_known
+    )
+    if slowdown > 1.0 and is_reader_known:
       return reader.fixed_s, slowdown * reader.per_token_s
     return PRIOR_FIXED_S, slowdown / PRIOR_READ_TOKENS_PER_S
--- a/mulberrypick/core/engine_models_test.py
+++ b/mulberrypick/core/engine_models_test.py
@@ -54,6 +54,39 @@
         self.expect_s(self.models, self.engine), 0.21, delta=0.03
     )
 
+  def test_kept_speeds_are_used_until_there_are_samples(self):
+    self.teach(self.models, self.engine, 50_000)
+    kept = self.models.speeds_to_keep()
+    later = engine_models.EngineModels()
+    self.assertFalse(later.find(self.engine, READ).is_prior_known)
+    self.assertEqual(later.adopt_speeds(kept), 1)
+    self.assertAlmostEqual(self.expect_s(later, self.engine), 0.21, delta=0.03)
+    decoder = make_engine('d', Stage.DECODE)
+    work = engine_models.read_work(decoder)
+    self.assertAlmostEqual(
+        self.expect_s(later, decoder, work), 0.41, delta=0.05
+    )
+    self.teach(later, self.engine, 100_000)
+    self.assertAlmostEqual(self.expect_s(later, self.engine), 0.11, delta=0.02)
+
+  def test_kept_speeds_that_are_none_are_left_out(self):
+    bad = {
+        'read/v1/s': (float('nan'), 1.0),
+        'unknown/v1/s': (0.1, 0.1),
+        'start/v1/s': (-1.0, 0.0),
+    }
+    self.assertEqual(self.models.adopt_speeds(bad), 0)
+    self.assertEqual(self.models.adopt_speeds({'read/v1/s': (0.0, 0.0)}), 1)
+    self.assertGreater(self.expect_s(self.models, self.engine), 0.0)
+
+  def test_speeds_are_kept_again_only_if_they_changed(self):
+    one = {'read/v1/s': (0.01, 1e-5)}
+    self.assertTrue(
+        engine_models.are_alike(one, {'read/v1/s': (0.012, 1.1e-5)})
+    )
+    self.assertFalse(engine_models.are_alike(one, {'read/v1/s': (0.01, 2e-5)}))
+    self.assertFalse(engine_models.are_alike(one, {}))
+
   def test_models_of_vanished_software_are_dropped_but_for_the_last(self):
     for number in range(50):
       self.teach(self.models, make_engine('a', software=f'v{number}'), 50_000)
--- a/mulberrypick/core/request_placement_test.py
+++ b/mulberrypick/core/request_placement_test.py
@@ -218,6 +218,36 @@
     placement = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
     self.assertIsInstance(placement, placements.Placement)
 
+  def count_admitted(self, speeds: engine_models.SpeedsByModel) -> int:
+    """Returns how many of 60 prompts that come at once are sent."""
+    self.setUp()
+    engines = self.list_engines(p1=PREFILL, d1=DECODE)
+    self.load.models = engine_models.EngineModels()
+    self.load.models.adopt_speeds(speeds)
+    admitted = 0
+    tokens_by_engine = dict.fromkeys(engines, 0)
+    for number in range(60):
+      call = make_call(number, 0.0, own=10_000)
+      placement = self.placer.place(call, ENGINE, set(), 0.0)
+      if isinstance(placement, placements.Refusal):
+        continue
+      admitted += 1
+      engine = placement.prefiller or placement.endpoint
+      tokens_by_engine[engine.name] += placement.tokens
+      self.add_waiting_tokens(engine, tokens_by_engine[engine.name])
+    return admitted
+
+  def test_flood_after_a_restart_of_all_hosts_if_speeds_were_kept(self):
+    # Load pattern: nobody has seen an answer, and all callers come at once. The
+    # engines can prefill one prompt within the target.
+    software = endpoint_registry_test.make_endpoint('p1').software
+    kept = {
+        f'{work}/{software}/s': (0.005, 1 / 50_000)
+        for work in ('read', 'read_on_decoder')
+    }
+    self.assertEqual(self.count_admitted({}), 60)
+    self.assertLess(self.count_admitted(kept), 6)
+
   def test_refused_request_comes_back_when_the_queue_is_read(self):
     engines = self.list_engines(p1=PREFILL, d1=DECODE)
     for engine in engines.values():
--- a/mulberrypick/core/time_model.py
+++ b/mulberrypick/core/time_model.py
@@ -25,6 +25,9 @@
 PRIOR_SPREAD_WEIGHT = 2.0
 # Number of standard deviations to the high end of an expectation.
 HIGH_DEVIATIONS = 3.0
+# Smallest fixed time, and time for a token (s).
+MIN_FIXED_S = 1e-5
+MIN_TOKEN_S = 1e-9
 
 
 class Sums(NamedTuple):
@@ -67,11 +70,14 @@
     spread: Relative standard error of the expectation.
     samples: Weight of the samples behind it, of all hosts.
     sums: Sums over the samples of this host.
+    is_prior_known: Whether the prior was observed by hosts before, rather than
+      assumed.
   """
 
   def __init__(self, fixed_s: float, per_token_s: float):
     """Creates a model without samples, with the times of the prior."""
     self._prior = (fixed_s, per_token_s)
+    self.is_prior_known = False
     self.fixed_s = fixed_s
     self.per_token_s = per_token_s
     self.spread = PRIOR_SPREAD
@@ -80,6 +86,15 @@
     self._others = Sums()
     self._faded_at = 0.0
 
+  def set_known_prior(self, fixed_s: float, per_token_s: float) -> None:
+    """Replaces the prior by times that hosts observed before."""
+    self._prior = (max(fixed_s, MIN_FIXED_S), max(per_token_s, MIN_TOKEN_S))
+    self.is_prior_known = True
+    if self.samples:
+      self._fit()
+    else:
+      self.fixed_s, self.per_token_s = self._prior
+
   def expect_s(self, tokens: float) -> float:
     """Returns the expected time for a number of tokens."""
     return self.fixed_s + self.per_token_s * tokens
@@ -150,8 +165,8 @@
     elif per_token_s <= 0.0:
       fixed_s, per_token_s = times / ones, 0.0
     # Some time always passes.
-    self.fixed_s = max(fixed_s, 1e-5)
-    self.per_token_s = max(per_token_s, 1e-9)
+    self.fixed_s = max(fixed_s, MIN_FIXED_S)
+    self.per_token_s = max(per_token_s, MIN_TOKEN_S)
     self.samples = total.weight
     self.spread = math.sqrt(
         (total.errors + PRIOR_SPREAD_WEIGHT * PRIOR_SPREAD**2)
--- a/mulberrypick/ops/speed_log.py
+++ b/mulberrypick/ops/speed_log.py
@@ -6,10 +6,6 @@
 from mulberrypick.core import engine_models
 
 _log = logging.getLogger(__name__)
-# Prompt by whose expected time a change is judged, in tokens.
-TYPICAL_TOKENS = 4_000
-# Relative change of that time from which on it is logged.
-MIN_CHANGE = 0.3
 # Samples without which a model is not logged.
 MIN_SAMPLES = 5.0
 
@@ -26,14 +22,14 @@
     for key in self._logged_s.keys() - {key for key, _ in known}:
       del self._logged_s[key]
     for key, model in known:
-      expected_s = model.expect_s(TYPICAL_TOKENS)
+      expected_s = model.expect_s(engine_models.TYPICAL_TOKENS)
       logged_s = self._logged_s.get(key)
       if model.samples < MIN_SAMPLES:
         continue
-      if logged_s is not None:
-        change = expected_s / logged_s
-        if 1.0 / (1.0 + MIN_CHANGE) < change < 1.0 + MIN_CHANGE:
-          continue
+      if logged_s is not None and engine_models.has_same_time(
+          expected_s, logged_s
+      ):
+        continue
       self._logged_s[key] = expected_s
       logs.log_event(
           _log,
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -7,6 +7,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_exchange
+from mulberrypick.core import engine_models
 from mulberrypick.core import gateway_records
 from mulberrypick.core import peer_topology
 from mulberrypick.platform import protocol
@@ -48,6 +49,27 @@
     return None
 
 
+def encode_speeds(speeds: engine_models.SpeedsByModel) -> dict[str, Any]:
+  """Encodes the store object of the speeds of engines."""
+  return {'speeds': {key: list(times) for key, times in speeds.items()}}
+
+
+def decode_speeds(spec: Any) -> engine_models.SpeedsByModel:
+  """Decodes the store object of the speeds of engines.
+
+  Returns:
+    The speeds; empty if the object is malformed, which is logged.
+  """
+  try:
+    speeds = {}
+    for key, (fixed_s, per_token_s) in spec['speeds'].items():
+      speeds[str(key)] = (float(fixed_s), float(per_token_s))
+    return speeds
+  except (KeyError, TypeError, ValueError, AttributeError) as error:
+    logs.log_event(_log, logging.WARNING, 'speeds_malformed', error=repr(error))
+    return {}
+
+
 def encode_refusal(
     fingerprint: int, reports: list[crash_exchange.CrashReport], wall_s: float
 ) -> tuple[str, dict[str, Any]]:
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -25,6 +25,7 @@
 from mulberrypick.ops import hosts_task
 from mulberrypick.ops import reach_task
 from mulberrypick.ops import refusals_task
+from mulberrypick.ops import speeds_task
 from mulberrypick.ops import stage_task
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
@@ -120,6 +121,7 @@
         evidence_task.EvidenceTask(
             self.state, self._make_store_client(), self._make_store_client()
         ).run(),
+        speeds_task.SpeedsTask(self.state, self._make_store_client()).run(),
         reach_task.ReachTask(self.state, random.Random()).run(),
         self._sweep(),
     ]
