Tell in the soak what hosts that are cut off, and runs that meet a crash, can't do

The two checks leave out just these: streams while all links between hosts are cut, and streams that end within 50 ms after an endpoint did.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -185,7 +185,10 @@
         outages,
         soak_cluster.EVENTS,
     )
-    self._violations += self._injector.stream_caller.find_violations(outages)
+    # Hosts that can't ask each other don't know the version of a stream.
+    self._violations += self._injector.stream_caller.find_violations(
+        outages + self._injector.peer_cuts
+    )
     self._violations += self._injector.patient_caller.find_violations(
         outages, self._cluster.endpoint_outages
     )
--- a/standins/soak_patient.py
+++ b/standins/soak_patient.py
@@ -16,6 +16,9 @@
 # A request that no endpoint got and whose connection closes so soon may have
 # crossed the close of an idle connection.
 LOSS_SLACK_S = 0.2
+# A run that was given up goes to another endpoint. If that one ends so shortly
+# before the stream, the run met its end, and did not begin there.
+MET_END_S = 0.05
 HEADERS_BY_ROUTE = {
     'ask': {
         'X-Mulberrypick-Token-Usage': '220,70',
@@ -123,6 +126,7 @@
         continue
       if _is_excused(call, {call.gateway}, outages) or (
           _is_excused(call, ran_at, endpoint_outages)
+          or _met_end(call, endpoint_outages)
       ):
         continue
       violations.append(
@@ -134,6 +138,16 @@
     return violations
 
 
+def _met_end(
+    call: PatientCall, endpoint_outages: list[soak_checks.Outage]
+) -> bool:
+  """Returns whether an endpoint ended right before a stream did."""
+  for outage in endpoint_outages:
+    if 0.0 <= call.ended_at - outage.began_at < MET_END_S:
+      return True
+  return False
+
+
 def _is_excused(
     call: PatientCall, names: set[str], outages: list[soak_checks.Outage]
 ) -> bool:
--- a/standins/soak_series_test.py
+++ b/standins/soak_series_test.py
@@ -89,6 +89,17 @@
     self.assertEqual(self.find(endpoint_outages=[outage('writer-1')]), [])
     self.assertEqual(len(self.find(endpoint_outages=[outage('writer-2')])), 1)
 
+  def test_end_of_the_endpoint_that_a_stream_moves_to_excuses_it(self):
+    def outage(began_at):
+      return soak_checks.Outage('writer-2', began_at, began_at + 1.0)
+
+    self.assertEqual(
+        self.find(ended_at=2.0, endpoint_outages=[outage(1.98)]), []
+    )
+    for began_at in (1.9, 2.01):
+      found = self.find(ended_at=2.0, endpoint_outages=[outage(began_at)])
+      self.assertEqual(len(found), 1)
+
 
 class PartCallerTest(CheckTestCase):
 
@@ -169,7 +180,7 @@
 
 class StreamCallerTest(CheckTestCase):
 
-  def find(self, gone_on: int, begun: int) -> list[str]:
+  def find(self, gone_on: int, begun: int, outages=()) -> list[str]:
     """Returns the violations of 12 streams taken up, of 20 new ones."""
     caller = soak_streams.StreamCaller(self.cluster)
     for number in range(soak_streams.MIN_STREAMS):
@@ -184,7 +195,14 @@
           )
       )
     caller.begun = [number < begun for number in range(20)]
-    return caller.find_violations([])
+    return caller.find_violations(list(outages))
+
+  def test_streams_while_gateways_are_cut_off_from_each_other(self):
+    # A host that can't ask for the version of a stream must refuse it.
+    cut = soak_checks.Outage('', 0.5, 1.5)
+    self.assertEqual(self.find(0, 20, [cut]), [])
+    earlier = cut._replace(ended_at=0.9 - soak_checks.STABLE_S)
+    self.assertEqual(len(self.find(0, 20, [earlier])), 1)
 
   def test_streams_must_go_on_half_as_often_as_new_ones_begin(self):
     self.assertEqual(self.find(6, 20), [])
--- a/standins/soak_streams.py
+++ b/standins/soak_streams.py
@@ -114,7 +114,8 @@
     """Returns streams of two versions, and whether too few went on.
 
     Args:
-      outages: Periods in which gateways were killed, paused or starting.
+      outages: Periods in which gateways were killed, paused or starting; those
+        without a name are of all gateways.
     """
     violations = []
     calm = []
@@ -161,7 +162,7 @@
 
 def _is_disturbed(stream: TakenUp, outages: list[soak_checks.Outage]) -> bool:
   for outage in outages:
-    if outage.gateway not in stream.gateways:
+    if outage.gateway and outage.gateway not in stream.gateways:
       continue
     if (
         outage.began_at < stream.ended_at
