Choose a decode engine in the zone of the prefilled prompt if they are alike

The time of the transfer, from the configuration, is part of its cost now; a decode engine of another zone is taken once the difference in load outweighs it. Test: red before (another argument), green after.

--- a/mulberrypick/core/engine_models.py
+++ b/mulberrypick/core/engine_models.py
@@ -19,6 +19,8 @@
 PRIOR_READ_TOKENS_PER_S = 100_000.0
 # Decode engines prefill at half the speed of prefill engines, by the protocol.
 DECODE_READ_SLOWDOWN = 2.0
+# A KV cache is transferred between zones at half the speed, by the protocol.
+CROSS_ZONE_SLOWDOWN = 2.0
 # Samples from which on a model is used rather than that of similar engines.
 MIN_SAMPLES = 2.0
 # Weight of one answer in the pace of an endpoint, and the time constant by
@@ -153,6 +155,18 @@
     for service in services:
       self._transfer_token_s[service.name] = service.kv_transfer_token_s
 
+  def transfer_s(
+      self,
+      source: gateway_records.Endpoint,
+      target: gateway_records.Endpoint,
+      tokens: int,
+  ) -> float:
+    """Returns the time to transfer a KV cache between two engines."""
+    transfer_s = tokens * self._transfer_token_s.get(source.service, 0.0)
+    if source.zone != target.zone:
+      transfer_s *= CROSS_ZONE_SLOWDOWN
+    return transfer_s
+
   def find(
       self, endpoint: gateway_records.Endpoint, work: Work
   ) -> time_model.TimeModel:
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -191,6 +191,7 @@
       call: gateway_records.Call,
       excluded: set[tuple[str, int]],
       now: float,
+      prefiller: gateway_records.Endpoint,
   ) -> gateway_records.Endpoint | None:
     """Returns the best decode engine when a prompt has been prefilled, or None.
 
@@ -203,7 +204,9 @@
       return None
     decoders, _ = self._split_runners(runners, now)
     accepting = [e for e in decoders if not self._load.is_full(e, now)]
-    return self._least_busy(accepting or decoders, now)
+    return self._least_busy(
+        accepting or decoders, now, prefiller, call.prompt_tokens
+    )
 
   def _usable_runners(
       self,
@@ -467,8 +470,21 @@
     return placements.Placement(best, None, 0, 0, best_wait_s, False)
 
   def _least_busy(
-      self, runners: list[gateway_records.Endpoint], now: float
+      self,
+      runners: list[gateway_records.Endpoint],
+      now: float,
+      prefiller: gateway_records.Endpoint | None = None,
+      prompt_tokens: int = 0,
   ) -> gateway_records.Endpoint:
+    """Returns the decode engine that starts first.
+
+    Args:
+      runners: The engines.
+      now: Time on the event loop's clock.
+      prefiller: Engine that has prefilled the prompt, if it is known.
+      prompt_tokens: Tokens of the prompt; their KV cache is transferred from
+        there.
+    """
     best, best_cost = runners[0], float('inf')
     for runner in runners:
       load = self._load.total(runner, now)
@@ -476,6 +492,8 @@
       cost = tokens * self._load.read_token_s(runner, now)
       cost += load.count / runner.slots * 0.05
       cost += 0.2 * self._registry.failure_fraction(runner)
+      if prefiller is not None:
+        cost += self._load.models.transfer_s(prefiller, runner, prompt_tokens)
       if cost < best_cost:
         best, best_cost = runner, cost
     return best
--- a/mulberrypick/core/request_placement_test.py
+++ b/mulberrypick/core/request_placement_test.py
@@ -286,9 +286,37 @@
     for busy, idle in (('d1', 'd2'), ('d2', 'd1')):
       self.load.own(engines[busy]).count = 30
       self.load.own(engines[idle]).count = 0
-      chosen[busy] = self.placer.choose_decoder(call, set(), 0.0).name
+      chosen[busy] = self.placer.choose_decoder(
+          call, set(), 0.0, engines['p1']
+      ).name
     self.assertEqual(chosen, {'d1': 'd2', 'd2': 'd1'})
 
+  def test_kv_cache_goes_to_a_decode_engine_of_the_same_zone(self):
+    # Load pattern: calm, so that the transfer between zones, which takes twice
+    # as long, is what tells the decode engines apart.
+    self.load.models.configure([ENGINE._replace(kv_transfer_token_s=1e-6)])
+    engines = {}
+    for name, stage, zone in (
+        ('p1', PREFILL, 'b'),
+        ('d1', DECODE, 'a'),
+        ('d2', DECODE, 'b'),
+    ):
+      engines[name] = endpoint_registry_test.make_endpoint(
+          name, stage=stage, zone=zone, slots=64
+      )
+    self.registry.replace_all(list(engines.values()), 0.0)
+    self.load.own(engines['d1']).decoding = 200
+    call = make_call(1, 0.0)
+
+    def choose() -> str:
+      return self.placer.choose_decoder(call, set(), 0.0, engines['p1']).name
+
+    self.assertEqual(choose(), 'd2')
+    self.load.own(engines['d2']).count = 5
+    self.assertEqual(choose(), 'd2')
+    self.load.own(engines['d2']).count = 40
+    self.assertEqual(choose(), 'd1')
+
   def test_without_decode_engine_all_is_refused(self):
     self.list_engines(p1=PREFILL)
     refused = self.placer.place(make_call(1, 0.0), ENGINE, set(), 0.0)
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -113,10 +113,13 @@
 
     An engine for which a permit is reserved is kept.
     """
-    if self._permit_until != float('-inf'):
+    prefiller = placement.prefiller
+    if self._permit_until != float('-inf') or prefiller is None:
       return placement
     now = asyncio.get_running_loop().time()
-    chosen = self._state.placer.choose_decoder(self.call, self.excluded, now)
+    chosen = self._state.placer.choose_decoder(
+        self.call, self.excluded, now, prefiller
+    )
     if chosen is None or chosen is placement.endpoint:
       return placement
     self._permit_until = self._state.permits.reserve(
