Answer a request if its handling fails unexpectedly

Cause: an unexpected exception aborted the connection, as no response could be true. A 502 claims nothing of the run; it is written if no head was, with the type internal_fault and "run": "unknown". Test: connection closed before, 502 and whole after.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -73,7 +73,11 @@
 
 
 class ServerConnection(asyncio.Protocol):
-  """A connection that a caller opened."""
+  """A connection that a caller opened.
+
+  Attributes:
+    has_head: Whether the head of a response to the present request was written.
+  """
 
   def __init__(self, server: 'StreamServer'):
     self._server = server
@@ -90,6 +94,7 @@
     self._is_reading = False
     self._keeps_alive = True
     self._refusal_status: int | None = None
+    self.has_head = False
     self._reset_request()
 
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -229,6 +234,7 @@
       headers: All headers, including Content-Length or Transfer-Encoding.
       is_last: Whether the connection closes after this response.
     """
+    self.has_head = True
     # Requests that were read whole are answered before the connection closes.
     if is_last or (self._server.is_leaving and not self._pending):
       self._keeps_alive = False
@@ -275,6 +281,7 @@
     self._task = self._loop.create_task(self._serve(received))
 
   async def _serve(self, received: ReceivedRequest) -> None:
+    self.has_head = False
     try:
       await self._server.handle(received, self)
     finally:
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -44,14 +44,20 @@
   ) -> None:
     """Responds to one request of a caller.
 
-    An unexpected exception aborts the connection: it is unknown then whether
-    the request ran, so no error response may make a statement about it.
+    After an unexpected exception it is unknown whether the request ran, and the
+    response says so. A response that has begun is broken off.
     """
     try:
       await self._answer(received, caller)
     except Exception:
       _log.exception('call_fault')
-      caller.abort()
+      if caller.has_head:
+        caller.abort()
+        return
+      request_id = requests.decode_call(received).id
+      failure_response.write_failure(
+          caller, 502, 'internal_fault', request_id, None
+      )
 
   async def answer_forwarded(
       self,
--- a/mulberrypick/platform/gateway_test.py
+++ b/mulberrypick/platform/gateway_test.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from mulberrypick.core import request_placement
+from mulberrypick.ops import gateway_task
 from mulberrypick.scripts import gateway_app
 from standins import gateway_cluster
 
@@ -86,6 +89,22 @@
     mark = response.headers['x-mulberrypick-server-signature']
     self.assertTrue(mark.startswith(name))
 
+  async def test_unexpected_exception_is_answered(self):
+    # Guards against a connection that is closed without an answer to a request
+    # that an endpoint has begun to work on.
+    placer = request_placement.Placer
+    for path in ('/unsafe/x', '/ask/x'):
+      with (
+          mock.patch.object(placer, 'place', side_effect=RuntimeError('x')),
+          self.assertLogs(gateway_task.__name__, 'ERROR'),
+      ):
+        response = await self.call(path, f'fault{path}')
+      self.assertEqual(response.status, 502, path)
+      self.assertTrue(response.is_whole)
+      self.assertIn(b'"run":"unknown"', response.body)
+    response = await self.call('/ask/x', 'r1')
+    self.assertEqual(response.status, 200)
+
   async def test_internal_and_hop_by_hop_headers_are_not_forwarded(self):
     await self.call(
         '/unsafe/x',
