--- a/mulberrypick/ops/speeds_task.py
+++ b/mulberrypick/ops/speeds_task.py
@@ -12,6 +12,7 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import engine_models
 from mulberrypick.core import errors
+from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import objects
 from mulberrypick.platform import protocol
@@ -35,6 +36,7 @@
     self._client = client
     self._kept: engine_models.SpeedsByModel = {}
     self._kept_era = 0
+    self._is_lost = False
 
   async def run(self) -> None:
     """Reads and writes until cancelled."""
@@ -49,10 +51,10 @@
         interval_s = WRITE_INTERVAL_S
         await self._write()
       except errors.StoreError as error:
-        logs.log_event(
-            _log, logging.WARNING, 'speeds_not_kept', error=error.reason
-        )
+        self._log_lost(error)
         await asyncio.sleep(RETRY_INTERVAL_S)
+        continue
+      self._is_lost = False
 
   async def _read(self) -> None:
     try:
@@ -66,6 +68,7 @@
       if item.name != protocol.SPEEDS_NAME:
         continue
       self._kept = objects.decode_speeds(item.spec)
+      self._kept_era = store_era.era_of(item.revision)
       count = self._state.load.models.adopt_speeds(self._kept)
       logs.log_event(_log, logging.INFO, 'speeds_read', models=count)
 
@@ -86,3 +89,9 @@
         exists=bool(self._kept),
     )
     self._kept, self._kept_era = speeds, era
+
+  def _log_lost(self, error: errors.StoreError) -> None:
+    if self._is_lost:
+      return
+    self._is_lost = True
+    logs.log_event(_log, logging.WARNING, 'speeds_not_kept', error=error.reason)
--- a/mulberrypick/platform/gateway_speeds_test.py
+++ b/mulberrypick/platform/gateway_speeds_test.py
@@ -61,6 +61,21 @@
       self.teach(20_000)
     await self.wait_until(lambda: self.writes() > 1)
 
+  async def test_an_outage_of_the_store_is_logged_once(self):
+    self.enterContext(mock.patch.object(speeds_task, 'RETRY_INTERVAL_S', 0.01))
+    self.cluster.store.fail('busy')
+    client = self.gateway._make_store_client()
+    task = speeds_task.SpeedsTask(self.gateway.state, client)
+    with self.assertLogs(speeds_task.__name__, 'WARNING') as lines:
+      running = asyncio.create_task(task.run())
+      await self.wait_until(lambda: client.calls > 5)
+      running.cancel()
+      await asyncio.gather(running, return_exceptions=True)
+    client.close()
+    not_kept = [line for line in lines.output if 'speeds_not_kept' in line]
+    # The gateway has such a task too.
+    self.assertLessEqual(len(not_kept), 2)
+
   async def test_malformed_object_is_left_out(self):
     for spec in ({}, {'speeds': [1]}, {'speeds': {'read/v1/s': ['x', 1]}}):
       with self.assertLogs(objects.__name__, 'WARNING'):
