Let the stages of engines follow the load

Two engines prefill at some 30 tokens a ms; of three decode engines one only decoded, and two read prompts at 13 tokens a ms. The mean need is half of that, the waves are more than all of it. Prefill engines were never more than at the start: the planner gave orders only if no decode engine was left.

Change: decode engines that read prompts most of the time change to prefill, down to what the decode load needs and a reserve; the reverse if too few decode. The engine refuses requests while it changes and looks idle, so the host that gives the order tells all hosts first. gateway_balance_test fails without that (requests reach the engine while it changes).

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -12,6 +12,7 @@
 
 from mulberrypick.core import endpoint_hold_off
 from mulberrypick.core import gateway_records
+from mulberrypick.core import stage_switches
 
 # Time after an outage of the store within which expired entries are registered
 # again; according to the platform, this takes about two seconds.
@@ -60,12 +61,14 @@
   Attributes:
     is_loaded: Whether the list of the store was read at least once.
     hold_off: Endpoints that want no requests from this host for a while.
+    switches: Engines that are changing their stage.
     last_drain_s: Time for which the last endpoint of a stage is still used
       after it said that it leaves.
   """
 
   def __init__(self):
     self.hold_off = endpoint_hold_off.EndpointHoldOff()
+    self.switches = stage_switches.StageSwitches()
     self.last_drain_s = 0.0
     # Endpoints that said that they leave, until when they may be used if there
     # is no other one.
@@ -92,12 +95,16 @@
 
     Suspended endpoints are left out, unless no other endpoint of their stage
     is left. Suspended endpoints to which no connection could be opened are
-    always left out, and those that want no requests. Those that said that they
-    leave are used only if they are the last of their stage.
+    always left out, those that want no requests, and engines that are changing
+    their stage. Those that said that they leave are used only if they are the
+    last of their stage.
     """
     listed = []
     for endpoint in self._by_service.get(service, ()):
-      if not self.hold_off.is_held_off(endpoint.incarnation, now):
+      incarnation = endpoint.incarnation
+      if self.hold_off.is_held_off(incarnation, now):
+        continue
+      if not self.switches.is_switching(incarnation, now):
         listed.append(endpoint)
     healthy, suspended = [], []
     for endpoint in listed:
@@ -365,6 +372,8 @@
     if old is not None and old.incarnation != endpoint.incarnation:
       self._end(endpoint.name)
     elif old is not None:
+      if old.stage is not endpoint.stage:
+        self.switches.end(endpoint.incarnation, now)
       self._remove(endpoint.name)
     self._by_name[endpoint.name] = endpoint
     self._by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -1,5 +1,6 @@
 """Results of placing a request, and what a request needs of an engine."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from mulberrypick.core import gateway_records
@@ -10,6 +11,9 @@
 LONG_OUTPUT_TOKENS = 2_000
 # Decode load is counted in quarters of a slot, the capacity for one request.
 QUARTERS_PER_SLOT = 4
+# Fraction of an engine's slots that decode-only work fills before another
+# engine is reserved for decoding. The rest absorbs fluctuations.
+MAX_DECODER_FILL = 0.6
 
 
 class Placement(NamedTuple):
@@ -99,3 +103,22 @@
   if is_urgent_stream(call) or (is_prefilled and is_long_output(call)):
     return QUARTERS_PER_SLOT
   return 1 if is_prefilled else 0
+
+
+def count_decoders(slots: Iterable[int], quarters: int) -> int:
+  """Returns how many engines the decode load needs, and one more request.
+
+  Args:
+    slots: Slots of each engine, in the order in which they are used.
+    quarters: Quarters of slots that all requests use to decode.
+
+  Returns:
+    The number; all of them if they are too few.
+  """
+  count, reserved = 0, 0.0
+  for number in slots:
+    if reserved >= quarters + QUARTERS_PER_SLOT:
+      break
+    reserved += QUARTERS_PER_SLOT * MAX_DECODER_FILL * number
+    count += 1
+  return count
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -24,9 +24,6 @@
 # if that gains at least the time to prefill this many tokens of its shared
 # parts: parts cached on one engine have to be prefilled again on another.
 MIN_AFFINITY_GAIN_TOKENS = 1_600
-# Fraction of an engine's slots that decode-only work fills before another
-# engine is reserved for decoding. The rest absorbs fluctuations.
-MAX_DECODER_FILL = 0.6
 # Cost of a full engine for a long stream, in proportion less on an engine with
 # fewer requests. It is added to the predicted time when engines are compared.
 FULL_ENGINE_COST_S = 0.02
@@ -292,15 +289,8 @@
     decoding = 0
     for runner in ordered:
       decoding += self._load.total(runner, now).decoding
-    count, reserved = 0, 0.0
-    while (
-        count < len(ordered)
-        and reserved < decoding + placements.QUARTERS_PER_SLOT
-    ):
-      reserved += (
-          placements.QUARTERS_PER_SLOT * MAX_DECODER_FILL * ordered[count].slots
-      )
-      count += 1
+    slots = [runner.slots for runner in ordered]
+    count = placements.count_decoders(slots, decoding)
     return ordered[:count], ordered[count:]
 
   def _runners_for(
--- /dev/null
+++ b/mulberrypick/core/stage_balance.py
@@ -0,0 +1,207 @@
+"""Decides when engines change between prefill and decode because of the load.
+
+Answers load pattern: prompts are long and answers short, so that the prefill
+engines have more to read than they can, while the decode engines have little to
+decode. Decode engines can prefill as well, at half of the speed and in smaller
+chunks. An engine that does so most of the time prefills more than twice as much
+in the other stage. The reverse is decided when too few engines decode.
+
+An engine is unavailable for seconds while it changes, and orders are priced.
+The decode load that counts is therefore the highest one of a longer time, some
+decode engines are kept as a reserve for crashes, and few engines change at a
+time.
+"""
+
+import math
+from typing import NamedTuple
+
+from mulberrypick.core import gateway_records
+from mulberrypick.core import placements
+from mulberrypick.core import stage_planner
+
+# Time constant of the mean number of decode engines that prefill.
+READING_MEAN_S = 1.5
+# Mean number of decode engines that prefill from which on one of them changes.
+MIN_READING_ENGINES = 0.5
+# The highest decode load of this time counts.
+NEED_HORIZON_S = 20.0
+# Decode engines that are kept beyond those that the decode load needs, as a
+# fraction of all engines of the service, and the least number kept.
+RESERVE_FRACTION = 0.2
+MIN_DECODERS = 2
+# Largest fraction of the engines of a service that change at a time; one may
+# always.
+MAX_SWITCHING_FRACTION = 0.125
+# Time with too few decode engines until a prefill engine changes: an engine
+# that crashed is mostly back within a few seconds.
+LACK_S = 6.0
+
+
+class EngineUse(NamedTuple):
+  """An engine and its load of all hosts.
+
+  Attributes:
+    endpoint: The engine.
+    read_tokens: Tokens that it still has to prefill.
+    decode_quarters: Quarters of slots that it uses to decode.
+    is_switching: Whether it is changing its stage.
+  """
+
+  endpoint: gateway_records.Endpoint
+  read_tokens: int
+  decode_quarters: int
+  is_switching: bool = False
+
+
+class _ServiceState:
+  """What was observed of the engines of one service."""
+
+  def __init__(self, now: float):
+    self.observed_at = now
+    self.reading_mean = 0.0
+    self.need = 0
+    self.need_at = now
+    self.lacking_since: float | None = None
+
+
+class StageBalance:
+  """Observes the load of engines and decides which of them change."""
+
+  def __init__(self):
+    self._by_service: dict[str, _ServiceState] = {}
+
+  def decide(
+      self, uses: list[EngineUse], now: float
+  ) -> list[stage_planner.StageOrder]:
+    """Returns the orders to be given now.
+
+    Args:
+      uses: All engines that are listed, with their load.
+      now: Time on a clock that advances while the host is suspended.
+    """
+    by_service: dict[str, list[EngineUse]] = {}
+    for use in uses:
+      if use.endpoint.stage is not gateway_records.Stage.NONE:
+        by_service.setdefault(use.endpoint.service, []).append(use)
+    for service in list(self._by_service):
+      if service not in by_service:
+        del self._by_service[service]
+    given = []
+    for service, engines in by_service.items():
+      state = self._by_service.setdefault(service, _ServiceState(now))
+      given += _decide_service(state, engines, now)
+    return given
+
+
+def _decide_service(
+    state: _ServiceState, engines: list[EngineUse], now: float
+) -> list[stage_planner.StageOrder]:
+  decoders = _in_stage(engines, gateway_records.Stage.DECODE)
+  prefillers = _in_stage(engines, gateway_records.Stage.PREFILL)
+  _observe(state, decoders, prefillers, now)
+  switching = sum(use.is_switching for use in engines)
+  most = max(1, int(MAX_SWITCHING_FRACTION * len(engines))) - switching
+  if not decoders or not prefillers or most <= 0:
+    return []
+  if _is_lacking(state, len(decoders), len(prefillers), now):
+    state.lacking_since = None
+    return [_order_to_decode(decoders, prefillers)]
+  if state.reading_mean < MIN_READING_ENGINES:
+    return []
+  reserve = max(1, math.ceil(RESERVE_FRACTION * len(engines)))
+  surplus = len(decoders) - max(MIN_DECODERS, state.need + reserve)
+  return _orders_to_prefill(decoders, prefillers, min(surplus, most))
+
+
+def _in_stage(
+    engines: list[EngineUse], stage: gateway_records.Stage
+) -> list[EngineUse]:
+  """Returns the engines of a stage that do not change it now."""
+  found = []
+  for use in engines:
+    if use.endpoint.stage is stage and not use.is_switching:
+      found.append(use)
+  return found
+
+
+def _observe(
+    state: _ServiceState,
+    decoders: list[EngineUse],
+    prefillers: list[EngineUse],
+    now: float,
+) -> None:
+  """Updates the mean number of reading engines and the decode load."""
+  elapsed_s = max(0.0, now - state.observed_at)
+  state.observed_at = now
+  reading = sum(use.read_tokens > 0 for use in decoders)
+  weight = 1.0 - math.exp(-elapsed_s / READING_MEAN_S)
+  state.reading_mean += weight * (reading - state.reading_mean)
+  quarters = sum(use.decode_quarters for use in decoders)
+  slots = [use.endpoint.slots for use in decoders + prefillers]
+  need = placements.count_decoders(slots, quarters)
+  if need >= state.need or now - state.need_at > NEED_HORIZON_S:
+    state.need, state.need_at = need, now
+
+
+def _is_lacking(
+    state: _ServiceState, decoders: int, prefillers: int, now: float
+) -> bool:
+  """Returns whether too few engines decode for long enough."""
+  is_short = decoders < max(MIN_DECODERS, state.need)
+  if not is_short or prefillers < decoders + 2:
+    state.lacking_since = None
+    return False
+  if state.lacking_since is None:
+    state.lacking_since = now
+  return now - state.lacking_since >= LACK_S
+
+
+def _count_by_zone(engines: list[EngineUse]) -> dict[str, int]:
+  counts: dict[str, int] = {}
+  for use in engines:
+    zone = use.endpoint.zone
+    counts[zone] = counts.get(zone, 0) + 1
+  return counts
+
+
+def _orders_to_prefill(
+    decoders: list[EngineUse], prefillers: list[EngineUse], count: int
+) -> list[stage_planner.StageOrder]:
+  """Orders decode engines to prefill; each zone keeps one if it can."""
+  decoding = _count_by_zone(decoders)
+  prefilling = _count_by_zone(prefillers)
+  # Engines at the end of the order of names are the first to prefill besides.
+  left = sorted(decoders, key=lambda u: u.endpoint.name, reverse=True)
+  given = []
+  for _ in range(count):
+    chosen = max(
+        left,
+        key=lambda u: (
+            decoding[u.endpoint.zone],
+            -prefilling.get(u.endpoint.zone, 0),
+        ),
+    )
+    left.remove(chosen)
+    zone = chosen.endpoint.zone
+    decoding[zone] -= 1
+    prefilling[zone] = prefilling.get(zone, 0) + 1
+    given.append(
+        stage_planner.StageOrder(chosen.endpoint, gateway_records.Stage.PREFILL)
+    )
+  return given
+
+
+def _order_to_decode(
+    decoders: list[EngineUse], prefillers: list[EngineUse]
+) -> stage_planner.StageOrder:
+  """Orders the prefill engine to decode whose zone has fewest that do."""
+  decoding = _count_by_zone(decoders)
+  chosen = min(
+      prefillers,
+      key=lambda u: (
+          decoding.get(u.endpoint.zone, 0),
+          u.read_tokens,
+          u.endpoint.name,
+      ),
+  )
+  return stage_planner.StageOrder(chosen.endpoint, gateway_records.Stage.DECODE)
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -76,6 +76,7 @@
     self._gauge('crashes', lambda: len(state.quarantine.all_crashes()))
     self._gauge('limited_endpoints', lambda: len(state.limits.limited()))
     self._gauge('held_off_endpoints', self._held_off_endpoints)
+    self._gauge('switching_endpoints', self._switching_endpoints)
     self._gauge('limited_sends', lambda: state.limited_sends)
     self._gauge('apart', lambda: int(state.reach.is_apart))
     self._gauge('passed_on_requests', lambda: state.forwarded_count)
@@ -134,6 +135,10 @@
     now = asyncio.get_running_loop().time()
     return self._state.endpoints.hold_off.count(now)
 
+  def _switching_endpoints(self) -> int:
+    now = asyncio.get_running_loop().time()
+    return self._state.endpoints.switches.count(now)
+
   def _config_version(self) -> int:
     config = self._state.config
     return config.version if config else 0
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -193,6 +193,7 @@
     message = self._new_message()
     message.load = load
     message.leaving = state.endpoints.leaving(now)
+    message.switches = state.endpoints.switches.reports(now)
     if has_news:
       self._add_news(message, now)
     if self._started_at is None:
@@ -420,6 +421,8 @@
             endpoint=name,
             reason='peer',
         )
+    for report in message.switches:
+      state.record_switch(report, message.host, now)
     self._merge_crashes(message, now)
 
   def _merge_crashes(
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -18,6 +18,7 @@
 from mulberrypick.core import quarantine
 from mulberrypick.core import request_placement
 from mulberrypick.core import shared_retry_budget
+from mulberrypick.core import stage_switches
 from mulberrypick.core import store_changes
 from mulberrypick.core import store_era
 from mulberrypick.core import stream_versions
@@ -296,6 +297,24 @@
       is_last = self.endpoints.find(endpoint.name) is not None
       self._drop_leaving(endpoint.name, 'said', is_last=is_last)
 
+  def record_switch(
+      self, report: stage_switches.SwitchReport, source: str, now: float
+  ) -> None:
+    """Leaves out an engine that is changing its stage, and tells others."""
+    if not self.endpoints.switches.record(report, now):
+      return
+    self.load_changed.set()
+    logs.log_event(
+        _log,
+        logging.INFO,
+        'endpoint_switching',
+        endpoint=report.name,
+        started_ms=report.started_ms,
+        orders_before=report.number,
+        for_s=report.left_s,
+        source=source,
+    )
+
   def _record_hold_off(
       self, endpoint: gateway_records.Endpoint, text: str, now: float
   ) -> None:
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -11,6 +11,7 @@
 from mulberrypick.core import part_exchange
 from mulberrypick.core import peer_topology
 from mulberrypick.core import permits
+from mulberrypick.core import stage_switches
 from mulberrypick.core import store_changes
 
 
@@ -135,6 +136,7 @@
     relayed_changes: From a relay to its members: new changes of the store.
     has_store_era: Whether revisions of the store are positions, see
       `store_era`; older builds send them without the era.
+    switches: Engines that are changing their stage on an order.
   """
 
   host: str
@@ -171,6 +173,7 @@
   speeds: engine_models.SumsByModel = {}
   relayed_changes: list[store_changes.ChangeBatch] = []
   has_store_era: bool = False
+  switches: list[stage_switches.SwitchReport] = []
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -16,8 +16,11 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.core import errors
+from mulberrypick.core import gateway_records
 from mulberrypick.core import lease
+from mulberrypick.core import stage_balance
 from mulberrypick.core import stage_planner
+from mulberrypick.core import stage_switches
 from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import orders
@@ -36,6 +39,13 @@
 # An order is sent only if this much of the term is left, so that it arrives
 # within the term.
 ORDER_MARGIN_S = 1.5
+# Time from telling other hosts of an order until it is sent, so that they send
+# nothing to the engine any more; members of groups hear of it within it.
+ANNOUNCE_S = 0.05
+# Time without orders for the balance of the stages after one that failed.
+RETRY_PAUSE_S = 2.0
+# Responses of an engine that changes its stage, or has it already.
+ACCEPTED_STATUSES = (200, 202)
 # Fencing numbers of each era of the store. An older copy has lost the latest
 # terms, so that their numbers are not known from the object.
 FENCES_PER_ERA = 1_000_000
@@ -55,6 +65,8 @@
     self._state = state
     self._client = client
     self._plan = stage_planner.StagePlanner()
+    self._balance = stage_balance.StageBalance()
+    self._balance_from = 0.0
     owner = f'{state.host.name}.{secrets.token_hex(4)}'
     self._lease = lease.Lease(owner)
     self._era = 0
@@ -72,57 +84,108 @@
         continue
       if state.store_contact_since is None:
         continue
-      now = asyncio.get_running_loop().time()
-      taking = [
-          e
-          for e in state.endpoints.all()
-          if not state.endpoints.is_held_off(e, now)
-      ]
-      order = self._plan.decide(taking, state.rank_among_hosts, boot_time())
-      if order is None:
+      orders_due = self._decide()
+      if not orders_due:
         continue
       try:
-        await self._send_order(order)
+        await self._send_orders(orders_due)
       except (
           errors.StoreError,
           errors.ConnectError,
           errors.ExchangeBrokenError,
       ) as error:
+        self._balance_from = boot_time() + RETRY_PAUSE_S
         logs.log_event(
             _log,
             logging.WARNING,
             'order_failed',
-            endpoint=order.endpoint.name,
+            endpoint=','.join(order.endpoint.name for order in orders_due),
             error=str(error),
         )
 
-  async def _send_order(self, order: stage_planner.StageOrder) -> None:
+  def _decide(self) -> list[stage_planner.StageOrder]:
+    """Returns the orders that are due now."""
+    state = self._state
+    now = asyncio.get_running_loop().time()
+    taking = []
+    for endpoint in state.endpoints.all():
+      if not state.endpoints.is_held_off(endpoint, now):
+        taking.append(endpoint)
+    order = self._plan.decide(taking, state.rank_among_hosts, boot_time())
+    if order is not None:
+      return [order]
+    if state.rank_among_hosts != 0:
+      # One host alone sees to the balance. Without it nothing is lost but time.
+      return []
+    if boot_time() < self._balance_from:
+      return []
+    uses = []
+    for endpoint in taking:
+      if state.endpoints.is_suspended(endpoint, now):
+        continue
+      load = state.load.total(endpoint, now)
+      uses.append(
+          stage_balance.EngineUse(
+              endpoint,
+              load.urgent_tokens + load.other_tokens,
+              load.decoding,
+              state.endpoints.switches.is_switching(endpoint.incarnation, now),
+          )
+      )
+    return self._balance.decide(uses, boot_time())
+
+  async def _send_orders(
+      self, orders_due: list[stage_planner.StageOrder]
+  ) -> None:
     await self._acquire_lease()
+    for order in orders_due:
+      if not self._can_send_order():
+        return
+      await self._send_order(order)
+
+  async def _send_order(self, order: stage_planner.StageOrder) -> None:
+    endpoint = order.endpoint
+    number = await orders.read_order_count(endpoint)
+    self._announce(endpoint, number)
+    await asyncio.sleep(ANNOUNCE_S)
     if not self._can_send_order():
+      self._end_switch(endpoint)
       return
-    expected = await orders.read_order_count(order.endpoint)
-    if not self._can_send_order():
-      return
-    self._plan.record_order(order.endpoint.service, boot_time())
-    status = await orders.send_stage_order(
-        order.endpoint,
-        order.stage,
-        self._lease.owner,
-        self._lease.fence,
-        expected,
-    )
+    self._plan.record_order(endpoint.service, boot_time())
+    try:
+      status = await orders.send_stage_order(
+          endpoint, order.stage, self._lease.owner, self._lease.fence, number
+      )
+    except errors.ConnectError:
+      self._end_switch(endpoint)
+      raise
+    if status not in ACCEPTED_STATUSES:
+      self._end_switch(endpoint)
     if status == 412:
       self._lease = lease.on_stale(self._lease)
     logs.log_event(
         _log,
         logging.INFO,
         'order_given',
-        endpoint=order.endpoint.name,
+        endpoint=endpoint.name,
         stage=order.stage.value,
         fence=self._lease.fence,
         status=status,
     )
 
+  def _announce(self, endpoint: gateway_records.Endpoint, number: int) -> None:
+    """Tells all hosts that an engine will refuse requests for a while."""
+    report = stage_switches.SwitchReport(
+        *endpoint.incarnation, number, stage_switches.MAX_SWITCH_S
+    )
+    now = asyncio.get_running_loop().time()
+    self._state.record_switch(report, self._state.host.name, now)
+
+  def _end_switch(self, endpoint: gateway_records.Endpoint) -> None:
+    """Uses an engine again that did not take an order."""
+    now = asyncio.get_running_loop().time()
+    self._state.endpoints.switches.end(endpoint.incarnation, now)
+
   def _can_send_order(self) -> bool:
     self._lease = lease.on_tick(self._lease, boot_time())
     return lease.is_authorized(self._lease, boot_time() + ORDER_MARGIN_S)
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -97,6 +97,11 @@
       that was received while it named a limit. The id is empty for calls that
       belong to no request.
     orders: Accepted orders.
+    switch_s: Time for which it refuses requests after an order until it has
+      changed its stage; 0 if it executes no orders.
+    switching_arrivals: Time, on the event loop's clock, and id of each request
+      that was received while it was changing its stage.
+    on_stage: Called after it has changed its stage.
     port: Port that it listens on, 0 before the start.
     born: Epoch of its KV events and `born` of its entry. Increases with every
       start of the replica.
@@ -129,6 +134,10 @@
     self.arrived_at = float('-inf')
     self.limited_arrivals: list[tuple[float, str]] = []
     self.orders: list[dict[str, object]] = []
+    self.switch_s = 0.0
+    self.switching_arrivals: list[tuple[float, str]] = []
+    self.on_stage: Callable[[FleetReplica], None] = lambda replica: None
+    self._switch: asyncio.TimerHandle | None = None
     self.port = 0
     self.born = 1
     self.on_crash: Callable[[FleetReplica], None] = lambda replica: None
@@ -156,6 +165,8 @@
 
   def stop(self) -> None:
     """Stops abruptly, as in a crash: aborts all connections."""
+    if self._switch is not None:
+      self._switch.cancel()
     self._server.stop_listening()
     for connection in list(self._server.connections):
       connection.abort()
@@ -236,7 +247,7 @@
           503, [*_refusal(request), (b'Content-Length', b'9')], True
       )
       await asyncio.Event().wait()
-    if self.behaviour.mode == 'full' or self.hold_off:
+    if self._is_refusing(request):
       self._refuse(caller, request)
       return
     try:
@@ -247,6 +258,13 @@
     finally:
       self.run_spans.get(request, []).append(asyncio.get_running_loop().time())
 
+  def _is_refusing(self, request: str) -> bool:
+    """Returns whether it refuses a request as not executed."""
+    if self._switch is not None:
+      self.switching_arrivals.append((self.arrived_at, request))
+      return True
+    return self.behaviour.mode == 'full' or bool(self.hold_off)
+
   def _record_limited_arrival(self, headers: dict[str, str]) -> None:
     if not self.limit:
       return
@@ -276,6 +294,16 @@
       return
     self.orders.append(order)
     caller.write_response(202, [], b'{}')
+    if self.switch_s:
+      loop = asyncio.get_running_loop()
+      self._switch = loop.call_later(
+          self.switch_s, self._change_stage, str(order['stage'])
+      )
+
+  def _change_stage(self, stage: str) -> None:
+    self._switch = None
+    self.stage = stage
+    self.on_stage(self)
 
   def _refuse(
       self, caller: stream_server.ServerConnection, request: str
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -158,6 +158,7 @@
     replica = fleet_replica.FleetReplica(name, service, stage)
     replica.software = software
     replica.on_crash = self._handle_crash
+    replica.on_stage = self._list_again
     previous = self.replica_by_name.get(name)
     if previous is not None:
       replica.born = previous.born + 1
@@ -167,6 +168,9 @@
     self.store.put('servers', name, replica.entry())
     return replica
 
+  def _list_again(self, replica: fleet_replica.FleetReplica) -> None:
+    self.store.put('servers', replica.name, replica.entry())
+
   def crashing_arrivals(self) -> list[tuple[float, str]]:
     """Returns when crashing requests arrived, and their ids, in order."""
     arrivals = []
