Use as many decode engines as their links need, not their slots alone

Change: what a decode engine takes is bound by its slots and by the time to fetch what it has, a quarter of the latency target, from the transfer time that the configuration states. A test of zones set decode load at one of two engines that it compares; both have it now.

--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -105,20 +105,21 @@
   return 1 if is_prefilled else 0
 
 
-def count_decoders(slots: Iterable[int], quarters: int) -> int:
+def count_decoders(capacities: Iterable[float], quarters: int) -> int:
   """Returns how many engines the decode load needs, and one more request.
 
   Args:
-    slots: Slots of each engine, in the order in which they are used.
+    capacities: Quarters of slots that each engine takes, in the order in which
+      the engines are used; see `fetch_load.FetchLoad.capacity`.
     quarters: Quarters of slots that all requests use to decode.
 
   Returns:
     The number; all of them if they are too few.
   """
   count, reserved = 0, 0.0
-  for number in slots:
+  for capacity in capacities:
     if reserved >= quarters + QUARTERS_PER_SLOT:
       break
-    reserved += QUARTERS_PER_SLOT * MAX_DECODER_FILL * number
+    reserved += capacity
     count += 1
   return count
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -14,6 +14,7 @@
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
 from mulberrypick.core import engine_models
+from mulberrypick.core import fetch_load
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
 from mulberrypick.core import placements
@@ -77,6 +78,7 @@
       requests with different shared parts to different engines and keeps those
       with the same part together.
     hosts: Number of live hosts.
+    fetches: How much decode load engines take.
   """
 
   def __init__(
@@ -88,6 +90,7 @@
   ):
     self.affinity_spread_s = 0.0
     self.hosts = 1
+    self.fetches = fetch_load.FetchLoad(load.models)
     self._permits = known_permits
     self._registry = registry
     self._load = load
@@ -201,9 +204,11 @@
       return None
     decoders, _ = self._split_runners(runners, now)
     accepting = [e for e in decoders if not self._load.is_full(e, now)]
-    return self._least_busy(
+    chosen = self._least_busy(
         accepting or decoders, now, prefiller, call.prompt_tokens
     )
+    self.fetches.record(call, prefiller, chosen)
+    return chosen
 
   def _usable_runners(
       self,
@@ -289,8 +294,8 @@
     decoding = 0
     for runner in ordered:
       decoding += self._load.total(runner, now).decoding
-    slots = [runner.slots for runner in ordered]
-    count = placements.count_decoders(slots, decoding)
+    capacities = [self.fetches.capacity(runner) for runner in ordered]
+    count = placements.count_decoders(capacities, decoding)
     return ordered[:count], ordered[count:]
 
   def _runners_for(
@@ -482,6 +487,7 @@
       cost = tokens * self._load.read_token_s(runner, now)
       cost += load.count / runner.slots * 0.05
       cost += 0.2 * self._registry.failure_fraction(runner)
+      cost += self.fetches.wait_s(runner, load.decoding)
       if prefiller is not None:
         cost += self._load.models.transfer_s(prefiller, runner, prompt_tokens)
       if cost < best_cost:
--- a/mulberrypick/core/request_placement_test.py
+++ b/mulberrypick/core/request_placement_test.py
@@ -305,7 +305,8 @@
           name, stage=stage, zone=zone, slots=64
       )
     self.registry.replace_all(list(engines.values()), 0.0)
-    self.load.own(engines['d1']).decoding = 200
+    for name in ('d1', 'd2'):
+      self.load.own(engines[name]).decoding = 200
     call = make_call(1, 0.0)
 
     def choose() -> str:
--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -44,12 +44,14 @@
     endpoint: The engine.
     read_tokens: Tokens that it still has to prefill.
     decode_quarters: Quarters of slots that it uses to decode.
+    capacity: Quarters of slots that it takes of decode load.
     is_switching: Whether it is changing its stage.
   """
 
   endpoint: gateway_records.Endpoint
   read_tokens: int
   decode_quarters: int
+  capacity: float
   is_switching: bool = False
 
 
@@ -137,8 +139,8 @@
   weight = 1.0 - math.exp(-elapsed_s / READING_MEAN_S)
   state.reading_mean += weight * (reading - state.reading_mean)
   quarters = sum(use.decode_quarters for use in decoders)
-  slots = [use.endpoint.slots for use in decoders + prefillers]
-  need = placements.count_decoders(slots, quarters)
+  capacities = [use.capacity for use in decoders + prefillers]
+  need = placements.count_decoders(capacities, quarters)
   if need >= state.need or now - state.need_at > NEED_HORIZON_S:
     state.need, state.need_at = need, now
 
--- a/mulberrypick/core/stage_balance_test.py
+++ b/mulberrypick/core/stage_balance_test.py
@@ -29,13 +29,14 @@
     endpoint = endpoint_registry_test.make_endpoint(
         f'e{number:02}', stage=stage
     )
-    endpoint = endpoint._replace(zone=f'zone-{number % 3}', slots=16)
+    endpoint = endpoint._replace(zone=f'zone-{number % 3}')
     is_reading = 0 <= number - prefillers < reading
     uses.append(
         stage_balance.EngineUse(
             endpoint,
             1_000 if is_reading else 0,
             quarters if stage is DECODE else 0,
+            38.0,
         )
     )
   return uses
@@ -116,7 +117,7 @@
     self.assertEqual(play.given, [])
 
   def test_no_change_if_the_engines_have_to_decode(self):
-    # 16 slots, 0.6 of which are filled: 38 quarters an engine.
+    # Each engine takes 38 quarters.
     play = FleetPlay(make_uses(2, 4, reading=4, quarters=35))
     play.run(20.0)
     self.assertEqual(play.given, [])
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -129,6 +129,7 @@
               endpoint,
               load.urgent_tokens + load.other_tokens,
               load.decoding,
+              state.placer.fetches.capacity(endpoint),
               state.endpoints.switches.is_switching(endpoint.incarnation, now),
           )
       )
