Let no host that misses others see to the balance, nor order engines that leave

Cause (by reading): a first host that hears few others takes their decode load for none, and would order engines to prefill that they decode on; the last engine of a stage that said it leaves would be ordered to change.

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -127,16 +127,17 @@
     """Leaves out those that leave, but for the last ones of a stage."""
     if not self._draining_until:
       return endpoints
-    staying = [e for e in endpoints if not self._is_draining(e)]
+    staying = [e for e in endpoints if not self.is_draining(e)]
     stages = {endpoint.stage for endpoint in staying}
     for endpoint in endpoints:
-      if not self._is_draining(endpoint) or endpoint.stage in stages:
+      if not self.is_draining(endpoint) or endpoint.stage in stages:
         continue
       if now < self._draining_until[endpoint.incarnation]:
         staying.append(endpoint)
     return staying
 
-  def _is_draining(self, endpoint: gateway_records.Endpoint) -> bool:
+  def is_draining(self, endpoint: gateway_records.Endpoint) -> bool:
+    """Returns whether an endpoint leaves and is the last one of its stage."""
     return endpoint.incarnation in self._draining_until
 
   def hold_off_wait_s(self, service: str, now: float) -> float | None:
@@ -159,14 +160,14 @@
     It gets no requests any more if another one of its stage can run them.
     """
     incarnation = endpoint.incarnation
-    if incarnation in self._leaving_since or self._is_draining(endpoint):
+    if incarnation in self._leaving_since or self.is_draining(endpoint):
       return False
     listed = self._by_name.get(endpoint.name)
     if listed is None or listed.incarnation != incarnation:
       return self.mark_leaving(incarnation, now)
     for other in self._by_service[endpoint.service]:
       is_other = other.name != endpoint.name and other.stage is endpoint.stage
-      if is_other and not self._is_draining(other):
+      if is_other and not self.is_draining(other):
         return self.mark_leaving(incarnation, now)
     self._draining_until[incarnation] = now + self.last_drain_s
     return True
@@ -185,7 +186,7 @@
         continue
       others = self._by_service[endpoint.service]
       has_other = any(
-          o.stage is endpoint.stage and not self._is_draining(o) for o in others
+          o.stage is endpoint.stage and not self.is_draining(o) for o in others
       )
       if now >= until or has_other:
         del self._draining_until[incarnation]
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -44,6 +44,8 @@
 ANNOUNCE_S = 0.05
 # Time without orders for the balance of the stages after one that failed.
 RETRY_PAUSE_S = 2.0
+# Fraction of the known hosts that this host must hear to see to the balance.
+MIN_HEARD_FRACTION = 0.75
 # Responses of an engine that changes its stage, or has it already.
 ACCEPTED_STATUSES = (200, 202)
 # Fencing numbers of each era of the store. An older copy has lost the latest
@@ -117,12 +119,14 @@
     if state.rank_among_hosts != 0:
       # One host alone sees to the balance. Without it nothing is lost but time.
       return []
-    if boot_time() < self._balance_from:
+    if boot_time() < self._balance_from or not self._hears_fleet():
       return []
     uses = []
     for endpoint in taking:
       if state.endpoints.is_suspended(endpoint, now):
         continue
+      if state.endpoints.is_draining(endpoint):
+        continue
       load = state.load.total(endpoint, now)
       uses.append(
           stage_balance.EngineUse(
@@ -135,6 +139,14 @@
       )
     return self._balance.decide(uses, boot_time())
 
+  def _hears_fleet(self) -> bool:
+    """Returns whether this host knows the load of most hosts.
+
+    One that is cut off from others would take their decode load for none.
+    """
+    known = self._state.hosts + self._state.missed_hosts
+    return self._state.hosts >= MIN_HEARD_FRACTION * known
+
   async def _send_orders(
       self, orders_due: list[stage_planner.StageOrder]
   ) -> None:
--- /dev/null
+++ b/mulberrypick/ops/stage_task_test.py
@@ -0,0 +1,75 @@
+"""Tests of which hosts see to the balance of the stages."""
+
+import asyncio
+import random
+import unittest
+
+from mulberrypick.core import endpoint_registry_test
+from mulberrypick.core import gateway_records
+from mulberrypick.core import pending_reads
+from mulberrypick.core import stage_balance
+from mulberrypick.core import stage_planner
+from mulberrypick.ops import gateway_state
+from mulberrypick.ops import stage_task
+from standins import gateway_cluster
+
+PREFILL = gateway_records.Stage.PREFILL
+DECODE = gateway_records.Stage.DECODE
+
+
+class _AskedBalance(stage_balance.StageBalance):
+  """Remembers the engines that it was asked about; orders the last decoder."""
+
+  def __init__(self):
+    super().__init__()
+    self.names: list[str] = []
+
+  def decide(self, uses, now):
+    del now
+    self.names = sorted(use.endpoint.name for use in uses)
+    return [stage_planner.StageOrder(uses[-1].endpoint, PREFILL)]
+
+
+class DecideTest(unittest.IsolatedAsyncioTestCase):
+
+  def setUp(self):
+    host = gateway_cluster.GatewayCluster().make_host()
+    self.state = gateway_state.GatewayState(host, random.Random(1))
+    self.state.hosts = 9
+    make = endpoint_registry_test.make_endpoint
+    self.engines = [make('p1', stage=PREFILL)]
+    for number in range(4):
+      self.engines.append(make(f'd{number}', stage=DECODE))
+    self.state.endpoints.replace_all(self.engines, 0.0)
+    for engine in self.engines:
+      read = pending_reads.PendingRead(1, 1_000, float('inf'), float('inf'))
+      self.state.load.own(engine).reads.add(1, read)
+    self.task = stage_task.StageTask(self.state, None)
+    self.balance = self.task._balance = _AskedBalance()
+
+  async def test_the_first_host_decides_for_all_engines_that_are_well(self):
+    now = asyncio.get_running_loop().time()
+    self.state.endpoints.suspend_silent(self.engines[2], now)
+    self.assertEqual(len(self.task._decide()), 1)
+    self.assertEqual(self.balance.names, ['d0', 'd2', 'd3', 'p1'])
+
+  async def test_other_hosts_decide_nothing(self):
+    self.state.rank_among_hosts = 1
+    self.assertEqual(self.task._decide(), [])
+
+  async def test_a_host_that_misses_many_others_decides_nothing(self):
+    self.state.hosts, self.state.missed_hosts = 7, 2
+    self.assertEqual(len(self.task._decide()), 1)
+    self.state.hosts, self.state.missed_hosts = 6, 3
+    self.assertEqual(self.task._decide(), [])
+
+  async def test_engines_that_leave_get_no_orders(self):
+    self.state.endpoints.last_drain_s = 5.0
+    for engine in self.engines[1:]:
+      self.state.endpoints.record_said_leaving(engine, 0.0)
+    self.task._decide()
+    self.assertEqual(self.balance.names, ['p1'])
+
+
+if __name__ == '__main__':
+  unittest.main()
