Let engines of the soak change their stage on orders

Cause: the stand-ins of the soak accepted orders and executed none, so that nothing of stages by load was drawn there. They now refuse requests for a second, change, and are listed again.

--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -21,6 +21,8 @@
 # when an endpoint crashes.
 DESK_WORK_S = 0.12
 ENGINE_WORK_S = 0.02
+# Time for which an engine refuses requests while it changes its stage.
+SWITCH_S = 1.0
 # Time limit of the streaming routes.
 STREAM_LIMIT_MS = 8000
 # Time for all hosts to settle after a change or the end of a fault. A
@@ -127,6 +129,8 @@
         event_interval_s=EVENT_INTERVAL_S,
     )
     replica.on_crash = self._handle_crash
+    replica.switch_s = SWITCH_S
+    replica.on_stage = self._handle_stage
     old = self.replica_by_name.get(name)
     replica.born = old.born + 1 if old else 1
     if software or old:
@@ -172,6 +176,11 @@
     if self.replica_by_name[replica.name] is replica:
       await self.start_replica(replica.name)
 
+  def _handle_stage(self, replica: fleet_replica.FleetReplica) -> None:
+    """Lists an engine again that has changed its stage on an order."""
+    if self.replica_by_name[replica.name] is replica:
+      self.list_replica(replica.name)
+
   def list_replica(self, name: str, state: str = 'ready') -> None:
     """Writes the entry of an endpoint to the store."""
     entry = self.replica_by_name[name].entry(state)
