Order an engine once in 30 s, and read a lease of another host every two seconds

Cause (by reading): an engine that accepts orders and executes none would be ordered and left out again every six seconds; while another host holds the lease, a first host whose decode engines read prompts would read it at each check, five times a second. Both have a test that failed before (reads 5, allowed 1).

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -46,6 +46,8 @@
     decode_quarters: Quarters of slots that it uses to decode.
     capacity: Quarters of slots that it takes of decode load.
     is_switching: Whether it is changing its stage.
+    may_change: Whether it may be ordered to; one that was ordered lately stays
+      as it is, also if it has not changed.
   """
 
   endpoint: gateway_records.Endpoint
@@ -53,6 +55,7 @@
   decode_quarters: int
   capacity: float
   is_switching: bool = False
+  may_change: bool = True
 
 
 class _ServiceState:
@@ -107,7 +110,7 @@
     return []
   if _is_lacking(state, len(decoders), len(prefillers), now):
     state.lacking_since = None
-    return [_order_to_decode(decoders, prefillers)]
+    return _order_to_decode(decoders, prefillers)
   if state.reading_mean < MIN_READING_ENGINES:
     return []
   reserve = max(1, math.ceil(RESERVE_FRACTION * len(engines)))
@@ -173,9 +176,13 @@
   decoding = _count_by_zone(decoders)
   prefilling = _count_by_zone(prefillers)
   # Engines at the end of the order of names are the first to prefill besides.
-  left = sorted(decoders, key=lambda u: u.endpoint.name, reverse=True)
+  left = sorted(
+      (use for use in decoders if use.may_change),
+      key=lambda u: u.endpoint.name,
+      reverse=True,
+  )
   given = []
-  for _ in range(count):
+  for _ in range(min(count, len(left))):
     chosen = max(
         left,
         key=lambda u: (
@@ -195,15 +202,20 @@
 
 def _order_to_decode(
     decoders: list[EngineUse], prefillers: list[EngineUse]
-) -> stage_planner.StageOrder:
+) -> list[stage_planner.StageOrder]:
   """Orders the prefill engine to decode whose zone has fewest that do."""
   decoding = _count_by_zone(decoders)
   chosen = min(
-      prefillers,
+      (use for use in prefillers if use.may_change),
       key=lambda u: (
           decoding.get(u.endpoint.zone, 0),
           u.read_tokens,
           u.endpoint.name,
       ),
+      default=None,
   )
-  return stage_planner.StageOrder(chosen.endpoint, gateway_records.Stage.DECODE)
+  if chosen is None:
+    return []
+  return [
+      stage_planner.StageOrder(chosen.endpoint, gateway_records.Stage.DECODE)
+  ]
--- a/mulberrypick/core/stage_balance_test.py
+++ b/mulberrypick/core/stage_balance_test.py
@@ -136,6 +136,21 @@
     play.run(10.0, switch_s=100.0)
     self.assertEqual(len(play.given), 1)
 
+  def test_engines_that_were_ordered_lately_stay_as_they_are(self):
+    uses = make_uses(2, 6, reading=6)
+    kept = [use._replace(may_change=False) for use in uses]
+    play = FleetPlay(kept)
+    play.run(10.0)
+    self.assertEqual(play.given, [])
+    play.uses = [*kept[:7], uses[7]]
+    play.run(10.0, switch_s=100.0)
+    self.assertEqual([o.endpoint.name for _, o in play.given], ['e07'])
+    play = FleetPlay(
+        [use._replace(may_change=False) for use in make_uses(4, 1)]
+    )
+    play.run(30.0)
+    self.assertEqual(play.given, [])
+
 
 class ToDecodeTest(unittest.TestCase):
 
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -42,8 +42,12 @@
 # Time from telling other hosts of an order until it is sent, so that they send
 # nothing to the engine any more; members of groups hear of it within it.
 ANNOUNCE_S = 0.05
-# Time without orders for the balance of the stages after one that failed.
+# Time without orders for the balance of the stages after one that failed, or
+# that the lease did not permit.
 RETRY_PAUSE_S = 2.0
+# Time after an order in which the engine gets no other one for the balance: it
+# may have accepted the order and not executed it.
+MIN_STAGE_S = 30.0
 # Fraction of the known hosts that this host must hear to see to the balance.
 MIN_HEARD_FRACTION = 0.75
 # Responses of an engine that changes its stage, or has it already.
@@ -69,6 +73,8 @@
     self._plan = stage_planner.StagePlanner()
     self._balance = stage_balance.StageBalance()
     self._balance_from = 0.0
+    # When each incarnation was ordered to change.
+    self._ordered_at: dict[tuple[str, int], float] = {}
     owner = f'{state.host.name}.{secrets.token_hex(4)}'
     self._lease = lease.Lease(owner)
     self._era = 0
@@ -135,10 +141,24 @@
               load.decoding,
               state.placer.fetches.capacity(endpoint),
               state.endpoints.switches.is_switching(endpoint.incarnation, now),
+              self._may_change(endpoint),
           )
       )
     return self._balance.decide(uses, boot_time())
 
+  def _may_change(self, endpoint: gateway_records.Endpoint) -> bool:
+    """Returns whether an engine was not ordered to change lately."""
+    ordered_at = self._ordered_at.get(endpoint.incarnation, float('-inf'))
+    return boot_time() - ordered_at >= MIN_STAGE_S
+
+  def _record_order(self, endpoint: gateway_records.Endpoint) -> None:
+    now = boot_time()
+    for incarnation, ordered_at in list(self._ordered_at.items()):
+      if now - ordered_at >= MIN_STAGE_S:
+        del self._ordered_at[incarnation]
+    self._ordered_at[endpoint.incarnation] = now
+    self._plan.record_order(endpoint.service, now)
+
   def _hears_fleet(self) -> bool:
     """Returns whether this host knows the load of most hosts.
 
@@ -153,6 +173,8 @@
     await self._acquire_lease()
     for order in orders_due:
       if not self._can_send_order():
+        # Another host holds the lease, or too little of the term is left.
+        self._balance_from = boot_time() + RETRY_PAUSE_S
         return
       await self._send_order(order)
 
@@ -164,7 +186,7 @@
     if not self._can_send_order():
       self._end_switch(endpoint)
       return
-    self._plan.record_order(endpoint.service, boot_time())
+    self._record_order(endpoint)
     try:
       status = await orders.send_stage_order(
           endpoint, order.stage, self._lease.owner, self._lease.fence, number
--- a/mulberrypick/ops/stage_task_test.py
+++ b/mulberrypick/ops/stage_task_test.py
@@ -3,14 +3,17 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from mulberrypick.core import endpoint_registry_test
 from mulberrypick.core import gateway_records
+from mulberrypick.core import lease
 from mulberrypick.core import pending_reads
 from mulberrypick.core import stage_balance
 from mulberrypick.core import stage_planner
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import stage_task
+from mulberrypick.platform import store
 from standins import gateway_cluster
 
 PREFILL = gateway_records.Stage.PREFILL
@@ -70,6 +73,37 @@
     self.task._decide()
     self.assertEqual(self.balance.names, ['p1'])
 
+  async def test_the_lease_of_another_host_is_not_read_at_each_check(self):
+    client = _HeldLease()
+    self.task = stage_task.StageTask(self.state, client)
+    self.task._balance = self.balance
+    for _ in range(5):
+      due = self.task._decide()
+      if due:
+        await self.task._send_orders(due)
+    self.assertEqual(client.reads, 1)
+
+  async def test_engine_that_does_not_execute_an_order_gets_no_other(self):
+    engine = self.engines[-1]
+    self.task._record_order(engine)
+    self.assertFalse(self.task._may_change(engine))
+    self.assertTrue(self.task._may_change(engine._replace(started_ms=99)))
+    later = stage_task.boot_time() + stage_task.MIN_STAGE_S
+    with mock.patch.object(stage_task, 'boot_time', lambda: later):
+      self.assertTrue(self.task._may_change(engine))
+
+
+class _HeldLease:
+  """A store whose lease another host holds."""
+
+  def __init__(self):
+    self.reads = 0
+
+  async def read(self, kind: str, name: str) -> store.StoredObject:
+    self.reads += 1
+    record = lease.LeaseRecord('other.1', 'n', 7, stage_task.TERM_S)
+    return store.StoredObject(name, 5, record._asdict(), False)
+
 
 if __name__ == '__main__':
   unittest.main()
