--- a/mulberrypick/core/fetch_load_test.py
+++ b/mulberrypick/core/fetch_load_test.py
@@ -85,8 +85,8 @@
 class LinkTest(unittest.TestCase):
 
   def test_prompts_are_fetched_in_time_although_links_are_slow(self):
-    # 110 prompts a second are 1.6 times what one link transfers. By slots
-    # alone two engines were used, with 2 s to fetch a prompt after 10 s.
+    # 110 prompts a second are more than one link transfers. By slots alone, one
+    # in a hundred took 0.70 s to fetch.
     play = LinkPlay(28, TOKEN_S)
     play.run(10.0, PROMPTS_PER_S)
     ordered = sorted(play.fetch_waits_s)
