Keep off an endpoint whose leaving a passed-on answer stated

What callers saw: requests reached an endpoint that leaves, from a host that had passed on an answer of it with Server-Leaving (DRAIN). Why it works: the frame with the head names the endpoint if it says that it leaves, and the host that passes it on records that as if it had read the header itself (endpoint_dropped reason=passed_on). Older builds ignore the field, and send none.

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -153,20 +153,21 @@
     return self.hold_off.wait_s(endpoints, now) or None
 
   def record_said_leaving(
-      self, endpoint: gateway_records.Endpoint, now: float
+      self, incarnation: tuple[str, int], now: float
   ) -> bool:
     """Records that an endpoint says that it leaves; returns if this is new.
 
     It gets no requests any more if another one of its stage can run them.
     """
-    incarnation = endpoint.incarnation
-    if incarnation in self._leaving_since or self.is_draining(endpoint):
+    if incarnation in self._leaving_since:
+      return False
+    if incarnation in self._draining_until:
       return False
-    listed = self._by_name.get(endpoint.name)
+    listed = self._by_name.get(incarnation[0])
     if listed is None or listed.incarnation != incarnation:
       return self.mark_leaving(incarnation, now)
-    for other in self._by_service[endpoint.service]:
-      is_other = other.name != endpoint.name and other.stage is endpoint.stage
+    for other in self._by_service[listed.service]:
+      is_other = other.name != listed.name and other.stage is listed.stage
       if is_other and not self.is_draining(other):
         return self.mark_leaving(incarnation, now)
     self._draining_until[incarnation] = now + self.last_drain_s
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -418,6 +418,8 @@
           self._next.take_connection(),
       )
       if result.outcome is endpoint_send.Outcome.ANSWERED:
+        if self._forwarded is not None and result.says_leaving:
+          self._forwarded.leaving = endpoint.incarnation
         return await self._forward_response(
             send, result.head, placement, tokens
         )
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -73,11 +73,13 @@
     outcome: Outcome of the send.
     reason: Identifier of the cause, for logs.
     head: The response head if the outcome is `ANSWERED`.
+    says_leaving: Whether the endpoint says in that head that it leaves.
   """
 
   outcome: Outcome
   reason: str
   head: stream_client.Head | None = None
+  says_leaving: bool = False
 
 
 class SilenceLimit(NamedTuple):
@@ -493,4 +495,6 @@
     self._own_load.refusal_pause.record_accepted()
     if self._tokens:
       state.load.record_accepted(self._endpoint, self._other_count)
-    return SendResult(Outcome.ANSWERED, f'status_{head.status}', head)
+    return SendResult(
+        Outcome.ANSWERED, f'status_{head.status}', head, kind.says_leaving
+    )
--- a/mulberrypick/ops/forward_message.py
+++ b/mulberrypick/ops/forward_message.py
@@ -55,19 +55,36 @@
 
 
 class Whole(msgspec.Struct, array_like=True, tag='whole'):
-  """A whole response, other than a stream."""
+  """A whole response, other than a stream.
+
+  Attributes:
+    status: The status.
+    headers: All headers.
+    body: The body.
+    leaving: Name and start time of the endpoint that sent it, if it said that
+      it leaves.
+  """
 
   status: int
   headers: Headers
   body: bytes
+  leaving: tuple[str, int] | None = None
 
 
 class Head(msgspec.Struct, array_like=True, tag='head'):
-  """The head of a stream, and the software version that began it."""
+  """The head of a stream.
+
+  Attributes:
+    status: The status.
+    headers: All headers.
+    software: The software version that began the stream.
+    leaving: As in `Whole`.
+  """
 
   status: int
   headers: Headers
   software: str | None
+  leaving: tuple[str, int] | None = None
 
 
 class Data(msgspec.Struct, array_like=True, tag='data'):
--- a/mulberrypick/ops/forward_message_test.py
+++ b/mulberrypick/ops/forward_message_test.py
@@ -22,6 +22,22 @@
   reason: str
 
 
+class OldHead(msgspec.Struct, array_like=True, tag='head'):
+  """The frame as the build before knows it."""
+
+  status: int
+  headers: forward_message.Headers
+  software: str | None
+
+
+class OldWhole(msgspec.Struct, array_like=True, tag='whole'):
+  """The frame as the build before knows it."""
+
+  status: int
+  headers: forward_message.Headers
+  body: bytes
+
+
 class FrameReaderTest(unittest.TestCase):
 
   def test_frames_are_read_whatever_their_pieces(self):
@@ -42,6 +58,21 @@
     decoded = msgspec.msgpack.decode(new[4:], type=OldDeclined)
     self.assertEqual(decoded.reason, 'apart')
 
+  def test_heads_of_the_build_before_are_read_and_new_ones_by_it(self):
+    for old, old_type, new in (
+        (['head', 200, [], 'v1'], OldHead, forward_message.Head),
+        (['whole', 200, [], b'body'], OldWhole, forward_message.Whole),
+    ):
+      encoded = msgspec.msgpack.encode(old)
+      reader = forward_message.FrameReader()
+      found = list(reader.feed(len(encoded).to_bytes(4, 'big') + encoded))
+      self.assertEqual(found, [new(*old[1:])])
+      frame = new(*old[1:], leaving=('e', 7))
+      data = forward_message.encode_frame(frame)
+      self.assertEqual(list(forward_message.FrameReader().feed(data)), [frame])
+      decoded = msgspec.msgpack.decode(data[4:], type=old_type)
+      self.assertEqual(decoded, old_type(*old[1:]))
+
   def test_bytes_that_are_no_frames_are_refused(self):
     for data in (b'HTTP/1.1 200', b'\0\0\0\1\xc1', b'\0\0\0\2\x91\x05'):
       with self.subTest(data=data), self.assertRaises(ValueError):
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -178,12 +178,14 @@
     if isinstance(frame, forward_message.Whole):
       if self._stream.has_head:
         raise errors.ExchangeBrokenError('whole_in_stream')
+      self._record_leaving(frame.leaving)
       self._caller.write_response(frame.status, frame.headers, frame.body)
       return f'status_{frame.status}'
     if isinstance(frame, forward_message.End):
       self._stream.write_end()
       return 'stream'
     if isinstance(frame, forward_message.Head):
+      self._record_leaving(frame.leaving)
       self.software = frame.software
       self._stream.has_head = True
       self._caller.write_head(frame.status, frame.headers, False)
@@ -192,6 +194,14 @@
     self._caller.write(frame.data)
     return None
 
+  def _record_leaving(self, incarnation: tuple[str, int] | None) -> None:
+    """Records what the answer that is passed on says of its endpoint.
+
+    This host may send to it later, and may not hear who else knows.
+    """
+    if incarnation is not None:
+      self._state.record_said_leaving(incarnation, 'passed_on')
+
   def _encode(
       self, helper: helper_choice.Helper, runs: int, is_repeat: bool
   ) -> bytes:
--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -35,6 +35,8 @@
     origin: The request as the other host passed it on.
     last_event: Id of the last event written, None without one.
     software: Software version that the stream is bound to, None if to none.
+    leaving: Name and start time of the endpoint that answers, if it said that
+      it leaves.
   """
 
   def __init__(
@@ -45,6 +47,7 @@
     self.origin = origin
     self.last_event = origin.last_event
     self.software = origin.software
+    self.leaving: tuple[str, int] | None = None
     self._connection = connection
     self._has_begun = False
 
@@ -57,7 +60,7 @@
       self, status: int, headers: forward_message.Headers, body: bytes
   ) -> None:
     """Writes a complete response."""
-    self._write(forward_message.Whole(status, headers, body))
+    self._write(forward_message.Whole(status, headers, body, self.leaving))
     self._end_message()
 
   def write_head(
@@ -65,7 +68,9 @@
   ) -> None:
     """Writes the head of a stream."""
     del is_last
-    self._write(forward_message.Head(status, headers, self.software))
+    self._write(
+        forward_message.Head(status, headers, self.software, self.leaving)
+    )
 
   def write(self, data: bytes) -> None:
     """Writes bytes of a stream."""
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -293,9 +293,24 @@
     now = asyncio.get_running_loop().time()
     if hold_off is not None:
       self._record_hold_off(endpoint, hold_off, now)
-    if says_leaving and self.endpoints.record_said_leaving(endpoint, now):
-      is_last = self.endpoints.find(endpoint.name) is not None
-      self._drop_leaving(endpoint.name, 'said', is_last=is_last)
+    if says_leaving:
+      self.record_said_leaving(endpoint.incarnation, 'said')
+
+  def record_said_leaving(
+      self, incarnation: tuple[str, int], source: str
+  ) -> None:
+    """Records that an endpoint says in an answer that it leaves.
+
+    Args:
+      incarnation: The endpoint.
+      source: How the answer came, for logs.
+    """
+    now = asyncio.get_running_loop().time()
+    if not self.endpoints.record_said_leaving(incarnation, now):
+      return
+    name, started_ms = incarnation
+    is_last = self.endpoints.find(name) is not None
+    self._drop_leaving(name, source, started_ms=started_ms, is_last=is_last)
 
   def record_switch(
       self, report: stage_switches.SwitchReport, source: str, now: float
--- a/mulberrypick/ops/stage_task_test.py
+++ b/mulberrypick/ops/stage_task_test.py
@@ -69,7 +69,7 @@
   async def test_engines_that_leave_get_no_orders(self):
     self.state.endpoints.last_drain_s = 5.0
     for engine in self.engines[1:]:
-      self.state.endpoints.record_said_leaving(engine, 0.0)
+      self.state.endpoints.record_said_leaving(engine.incarnation, 0.0)
     self.task._decide()
     self.assertEqual(self.balance.names, ['p1'])
 
