Let an odd entry among the endpoints cost no more than itself

Cause: the answer of the store was decoded as one value, so that one nested too deeply (RecursionError, no DecodeError), a number out of range or text that is not UTF-8 hid all others; fields were taken as they are (ports, host names, numbers of more than 64 bits) and raised later, in a connection or a message; any unexpected error of a task ended the process, and again after each start. Class: input is trusted past the place that reads it. Values are decoded one level after the other where the whole can't be (tolerant_json); fields are read with type and range (platform/fields); encoding leaves out what can't be passed on; a connection to an impossible address is a ConnectError; a task that fails is logged and started again; so is a message of another host. Tests: gateway_relay_test listed endpoints on port 0, which no endpoint has: they have a port now. gateway_store_era_test finds its task behind the supervision.

--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -370,7 +370,8 @@
       _, connection = await loop.create_connection(
           ClientConnection, host, port, local_addr=local_address
       )
-  except (OSError, TimeoutError) as error:
+  except (OSError, TimeoutError, ValueError, OverflowError) as error:
+    # The last two: there is no such address or port.
     raise errors.ConnectError(f'{host}:{port}', repr(error)) from error
   return connection
 
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -52,6 +52,8 @@
 SPEEDS_INTERVAL_S = 1.0
 # Time after the start in which others are asked to repeat what they know.
 START_S = 1.0
+# Shortest interval between two lines about unexpected errors.
+FAULT_LOG_INTERVAL_S = 10.0
 
 
 class PeerTask:
@@ -81,6 +83,7 @@
     self._speeds_sent_at = float('-inf')
     self._speed_log = speed_log.SpeedLog()
     self._started_at: float | None = None
+    self._fault_logged_at = float('-inf')
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
     )
@@ -128,13 +131,26 @@
       frames = await listener.recv_multipart()
       try:
         message = decoder.decode(frames[-1])
-      except msgspec.DecodeError as error:
+      except (msgspec.DecodeError, RecursionError) as error:
         logs.log_event(
             _log, logging.WARNING, 'peer_unreadable', error=str(error)
         )
         continue
-      if message.address != self._address:
+      if message.address == self._address:
+        continue
+      try:
         self._handle_message(message)
+      except Exception:
+        # A host whose messages can't be handled must not end this one.
+        self._log_fault(message.host)
+
+  def _log_fault(self, peer: str) -> None:
+    """Logs the present error unless another one was logged a moment ago."""
+    now = asyncio.get_running_loop().time()
+    if now - self._fault_logged_at < FAULT_LOG_INTERVAL_S:
+      return
+    self._fault_logged_at = now
+    _log.exception({'event': 'peer_fault', 'peer': peer})
 
   async def _publish_changes(self) -> None:
     load_changed = self._state.load_changed
@@ -147,7 +163,11 @@
         # Nothing has changed; the message shows that this host is alive.
         pass
       load_changed.clear()
-      self.publish_now()
+      try:
+        self.publish_now()
+      except Exception:
+        # It is sent with the next message, of what has changed by then.
+        self._log_fault('')
 
   def _send_interval_s(self) -> float:
     neighbors = self._table.neighbors
--- a/mulberrypick/ops/peer_links.py
+++ b/mulberrypick/ops/peer_links.py
@@ -25,6 +25,9 @@
 CONNECT_TIMEOUT_MS = 1000
 # A link that was not used for this long is closed.
 UNUSED_LINK_TIMEOUT_S = 5.0
+# Unusable addresses that are logged, and characters of each.
+MAX_UNUSABLE_LOGGED = 20
+MAX_LOGGED_ADDRESS = 60
 
 
 class _Link:
@@ -43,6 +46,8 @@
     self._address = address
     self._context = zmq.asyncio.Context()
     self._link_by_address: dict[str, _Link] = {}
+    # Addresses for which it was logged that they can't be used.
+    self._unusable: set[str] = set()
 
   def listen(self) -> zmq.asyncio.Socket:
     """Opens the socket that receives messages of all hosts."""
@@ -57,6 +62,8 @@
     link = self._link_by_address.get(address)
     if link is None:
       link = self._open(address, now)
+    if link is None:
+      return
     link.used_at = now
     try:
       # The send of the base class, because that of the asyncio socket would
@@ -92,14 +99,34 @@
     """Closes all sockets at once."""
     self._context.destroy(0)
 
-  def _open(self, address: str, now: float) -> _Link:
+  def _open(self, address: str, now: float) -> _Link | None:
+    """Opens a link; returns None if there is no such address."""
     socket = self._context.socket(zmq.DEALER)
     _set_options(socket)
-    socket.connect(f'tcp://{address}')
+    try:
+      socket.connect(f'tcp://{address}')
+    except (zmq.ZMQError, ValueError) as error:
+      socket.close(0)
+      self._log_unusable(address, error)
+      return None
     link = _Link(socket, now)
     self._link_by_address[address] = link
     return link
 
+  def _log_unusable(self, address: str, error: Exception) -> None:
+    if address in self._unusable:
+      return
+    if len(self._unusable) >= MAX_UNUSABLE_LOGGED:
+      return
+    self._unusable.add(address)
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'peer_address_unusable',
+        peer=repr(address[:MAX_LOGGED_ADDRESS]),
+        error=repr(error),
+    )
+
 
 def _set_options(socket: zmq.asyncio.Socket) -> None:
   socket.setsockopt(zmq.LINGER, 0)
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import errors
 from mulberrypick.core import store_changes
 from mulberrypick.core import store_era
@@ -102,7 +103,7 @@
       return
     changes = []
     for item in changed.objects:
-      spec = msgspec.json.encode(item.spec)
+      spec = tolerant_json.encode(item.spec)
       changes.append(
           store_changes.Change(item.name, item.revision, spec, item.is_deleted)
       )
@@ -150,7 +151,7 @@
     items = []
     for change in changes:
       try:
-        spec = msgspec.json.decode(change.spec)
+        spec = tolerant_json.decode(change.spec, 1)
       except msgspec.DecodeError as error:
         logs.log_event(
             _log,
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -209,6 +209,7 @@
       state = self.gateway_by_name[name].state
       self.assertEqual(state.watches_store, name not in members)
     replica = fleet_replica.FleetReplica('desk-3', 'desk')
+    (replica.port,) = gateway_cluster.free_ports(1)
     self.cluster.store.put('servers', 'desk-3', replica.entry())
     for gateway in self.gateway_by_name.values():
       state = gateway.state
@@ -241,6 +242,7 @@
     ]
     self.assertNotEqual([], members)
     replica = fleet_replica.FleetReplica('desk-3', 'desk')
+    (replica.port,) = gateway_cluster.free_ports(1)
     self.cluster.store.put('servers', 'desk-3', replica.entry())
     names = [*members, other_relay]
     for name in names:
--- a/mulberrypick/platform/gateway_store_era_test.py
+++ b/mulberrypick/platform/gateway_store_era_test.py
@@ -194,7 +194,8 @@
   def gateway_task(self, _: str) -> stage_task.StageTask:
     for task in asyncio.all_tasks():
       frame = task.get_coro().cr_frame
-      owner = frame.f_locals.get('self') if frame is not None else None
+      run = frame.f_locals.get('run') if frame is not None else None
+      owner = getattr(run, '__self__', None)
       if isinstance(owner, stage_task.StageTask):
         return owner
     raise AssertionError('no stage task')
--- a/mulberrypick/platform/objects.py
+++ b/mulberrypick/platform/objects.py
@@ -6,14 +6,17 @@
 import msgspec
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import engine_models
 from mulberrypick.core import gateway_records
 from mulberrypick.core import peer_topology
+from mulberrypick.platform import fields
 from mulberrypick.platform import protocol
-from mulberrypick.platform import settings
 
 _log = logging.getLogger(__name__)
+# Largest number of requests at once that an endpoint is believed to process.
+MAX_SLOTS = 65536
 _CALL_KIND_BY_NAME = {
     protocol.KIND_SAFE: gateway_records.CallKind.SAFE,
     protocol.KIND_UNSAFE: gateway_records.CallKind.UNSAFE,
@@ -37,14 +40,16 @@
     The host; None if the object is malformed, which is logged.
   """
   try:
-    return peer_topology.PeerHost(name, str(spec['zone']), str(spec['address']))
-  except (KeyError, TypeError) as error:
+    address = fields.read_text(spec, 'address')
+    fields.split_address(address)
+    return peer_topology.PeerHost(name, fields.read_text(spec, 'zone'), address)
+  except fields.MALFORMED as error:
     logs.log_event(
         _log,
         logging.WARNING,
         'host_entry_malformed',
         host=name,
-        error=repr(error),
+        error=fields.describe(error),
     )
     return None
 
@@ -65,8 +70,13 @@
     for key, (fixed_s, per_token_s) in spec['speeds'].items():
       speeds[str(key)] = (float(fixed_s), float(per_token_s))
     return speeds
-  except (KeyError, TypeError, ValueError, AttributeError) as error:
-    logs.log_event(_log, logging.WARNING, 'speeds_malformed', error=repr(error))
+  except fields.MALFORMED as error:
+    logs.log_event(
+        _log,
+        logging.WARNING,
+        'speeds_malformed',
+        error=fields.describe(error),
+    )
     return {}
 
 
@@ -111,23 +121,25 @@
   """
   try:
     fingerprint = int(name, 16)
+    if not 0 <= fingerprint <= fields.MAX_HASH:
+      raise ValueError('the name is no hash of a request')
     return [
         crash_exchange.CrashReport(
-            str(crash['endpoint']),
-            int(crash['incarnation']),
-            max(0.0, wall_s - float(crash['crashedAt'])),
+            fields.read_text(crash, 'endpoint'),
+            fields.read_int(crash, 'incarnation'),
+            max(0.0, wall_s - fields.read_number(crash, 'crashedAt')),
             bool(crash['hasToken']),
             (fingerprint,),
         )
         for crash in spec['crashes']
     ]
-  except (KeyError, TypeError, ValueError) as error:
+  except fields.MALFORMED as error:
     logs.log_event(
         _log,
         logging.WARNING,
         'refusal_malformed',
         name=name,
-        error=repr(error),
+        error=fields.describe(error),
     )
     return []
 
@@ -154,7 +166,7 @@
       service_by_name[service.name] = service
     limits = spec['limits']
     return gateway_records.GatewayConfig(
-        version=int(spec['version']),
+        version=fields.read_int(spec, 'version'),
         routes_by_host=routes_by_host,
         service_by_name=service_by_name,
         limits=gateway_records.CallerLimits(
@@ -163,17 +175,22 @@
             limits['headerTimeoutMs'] / 1000,
             limits['idleTimeoutMs'] / 1000,
         ),
-        raw=msgspec.json.encode(spec),
+        raw=tolerant_json.encode(spec),
+    )
+  except fields.MALFORMED as error:
+    logs.log_event(
+        _log,
+        logging.ERROR,
+        'config_unreadable',
+        error=fields.describe(error),
     )
-  except (KeyError, TypeError, ValueError, AttributeError) as error:
-    logs.log_event(_log, logging.ERROR, 'config_unreadable', error=repr(error))
     return None
 
 
 def decode_config_json(raw: bytes) -> gateway_records.GatewayConfig | None:
   """Decodes a configuration that was received from another host as JSON."""
   try:
-    return decode_config(msgspec.json.decode(raw))
+    return decode_config(tolerant_json.decode(raw, 1))
   except msgspec.DecodeError as error:
     logs.log_event(_log, logging.ERROR, 'config_unreadable', error=str(error))
     return None
@@ -186,44 +203,45 @@
     The endpoint; None if the object is malformed, which is logged.
   """
   try:
-    ip, port = settings.split_address(spec['address'])
-    state = spec['state']
+    ip, port = fields.split_address(fields.read_text(spec, 'address'))
+    state = fields.read_text(spec, 'state')
     if state not in (protocol.STATE_READY, protocol.STATE_LEAVING):
-      raise ValueError(f'unknown state {state!r}')
-    born = spec.get('born', 0)
-    slots = spec['slots']
-    service = spec['service']
-    if not isinstance(service, str) or not service:
-      raise ValueError(f'invalid service {service!r}')
-    if type(born) is not int or type(slots) is not int:
-      raise ValueError('born or slots is not an integer')
+      raise ValueError(f'unknown state "{state}"')
+    service = fields.read_text(spec, 'service')
+    if not service:
+      raise ValueError('field "service" is empty')
     stage = spec.get('stage')
-    if stage is not None and not isinstance(stage, str):
-      raise ValueError(f'invalid stage {stage!r}')
+    if stage is not None:
+      stage = fields.read_text(spec, 'stage')
     software = spec.get('version')
     return gateway_records.Endpoint(
         name=name,
-        started_ms=born,
+        started_ms=fields.read_int(spec, 'born', 0),
         service=service,
         ip=ip,
         port=port,
-        zone=str(spec.get('zone', '')),
-        slots=max(1, slots),
+        zone=fields.read_text(spec, 'zone', ''),
+        slots=min(max(1, _read_slots(spec)), MAX_SLOTS),
         is_leaving=state == protocol.STATE_LEAVING,
         stage=_STAGE_BY_NAME.get(stage, gateway_records.Stage.NONE),
         software=software if isinstance(software, str) else '',
     )
-  except (KeyError, TypeError, ValueError, AttributeError) as error:
+  except fields.MALFORMED as error:
     logs.log_event(
         _log,
         logging.WARNING,
         'endpoint_entry_malformed',
         endpoint=name,
-        error=repr(error),
+        error=fields.describe(error),
     )
     return None
 
 
+def _read_slots(spec: Any) -> int:
+  """Returns the requests that an endpoint processes at once, as it says."""
+  return fields.read_int(spec, 'slots', None, -fields.MAX_INT)
+
+
 def _decode_route(item: dict[str, Any]) -> gateway_records.Route:
   shares = {}
   for split in item.get('trafficSplit') or ():
@@ -232,8 +250,8 @@
     shares[item['service']] = 1
   return gateway_records.Route(
       name=str(item['name']),
-      hostname=item['hostname'].lower(),
-      path_prefix=item['pathPrefix'],
+      hostname=fields.read_text(item, 'hostname').lower(),
+      path_prefix=fields.read_text(item, 'pathPrefix'),
       kind=_CALL_KIND_BY_NAME[item['routeType']],
       timeout_s=item['timeoutMs'] / 1000,
       target_s=item['targetLatencyMs'] / 1000,
--- a/mulberrypick/platform/orders.py
+++ b/mulberrypick/platform/orders.py
@@ -5,8 +5,10 @@
 import msgspec
 
 from mulberrypick.adapters import stream_client
+from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
+from mulberrypick.platform import fields
 from mulberrypick.platform import protocol
 
 # Timeouts for connecting and for each of the two calls (s). An order whose call
@@ -28,8 +30,8 @@
   """
   _, body = await _call(endpoint, b'GET', protocol.REPORT_PATH, [], b'')
   try:
-    return int(msgspec.json.decode(body)['sequence'])
-  except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    return fields.read_int(tolerant_json.decode(body, 1), 'sequence')
+  except (msgspec.DecodeError, *fields.MALFORMED) as error:
     raise errors.ExchangeBrokenError('report_unreadable') from error
 
 
--- a/mulberrypick/platform/part_refusal.py
+++ b/mulberrypick/platform/part_refusal.py
@@ -12,6 +12,7 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crashing_parts
 from mulberrypick.core import part_exchange
+from mulberrypick.platform import fields
 
 _log = logging.getLogger(__name__)
 _PARTS = 'parts'
@@ -66,25 +67,32 @@
     The crashes, empty if the object is malformed.
   """
   try:
-    keys = tuple(int(key) for key in spec[_PARTS])
+    keys = _read_hashes(spec[_PARTS])
     reports = []
     for crash in spec['crashes']:
-      runs = tuple((int(request), keys) for request in crash['requests'])
+      runs = tuple((r, keys) for r in _read_hashes(crash['requests']))
       reports.append(
           part_exchange.PartCrashReport(
-              str(crash['endpoint']),
-              int(crash['incarnation']),
-              max(0.0, wall_s - float(crash['crashedAt'])),
+              fields.read_text(crash, 'endpoint'),
+              fields.read_int(crash, 'incarnation'),
+              max(0.0, wall_s - fields.read_number(crash, 'crashedAt')),
               runs,
           )
       )
     return reports
-  except (KeyError, TypeError, ValueError) as error:
+  except fields.MALFORMED as error:
     logs.log_event(
         _log,
         logging.WARNING,
         'refusal_malformed',
         name=name,
-        error=repr(error),
+        error=fields.describe(error),
     )
     return []
+
+
+def _read_hashes(values: list[Any]) -> tuple[int, ...]:
+  hashes = tuple(int(value) for value in values)
+  if not all(0 <= value <= fields.MAX_HASH for value in hashes):
+    raise ValueError('a hash has more than 64 bits')
+  return hashes
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -9,6 +9,7 @@
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import gateway_records
 from mulberrypick.platform import protocol
 
@@ -176,7 +177,7 @@
 def decode_kv_handle(body: bytes) -> str | None:
   """Returns the KV handle in the response to a prefill, None if missing."""
   with contextlib.suppress(msgspec.DecodeError):
-    data = msgspec.json.decode(body)
+    data = tolerant_json.decode(body, 1)
     if isinstance(data, dict) and isinstance(data.get('kvHandle'), str):
       return data['kvHandle']
   return None
--- a/mulberrypick/platform/settings.py
+++ b/mulberrypick/platform/settings.py
@@ -8,6 +8,7 @@
 
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
+from mulberrypick.platform import fields
 from mulberrypick.platform import protocol
 
 # Time to drain if the settings state none.
@@ -52,12 +53,12 @@
   try:
     bounds = data['bounds']
     listen = data['listen']
-    ready_ip, ready_port = split_address(listen['ready'])
+    ready_ip, ready_port = fields.split_address(listen['ready'])
     # `controlPlane` is the address on which this host receives messages of
     # other hosts; it is listed under `seeds` in their settings.
     peer_address = listen.get('controlPlane')
-    store_ip, store_port = split_address(data['platform']['address'])
-    peer_port = split_address(peer_address)[1] if peer_address else None
+    store_ip, store_port = fields.split_address(data['platform']['address'])
+    peer_port = fields.split_address(peer_address)[1] if peer_address else None
     internal_ports = [int(port) for port in data.get('internalPorts') or ()]
     if peer_port is None:
       peer_port = internal_ports.pop(0)
@@ -65,7 +66,7 @@
         name=str(data['nodeName']),
         zone=str(data['zone']),
         ip=str(data['ip']),
-        listen_port=split_address(listen['frontend'])[1],
+        listen_port=fields.split_address(listen['frontend'])[1],
         ready_ip=ready_ip,
         ready_port=ready_port,
         peer_port=peer_port,
@@ -85,18 +86,6 @@
             / 1000,
         ),
     )
-  except (KeyError, TypeError, ValueError, IndexError) as error:
+  except fields.MALFORMED as error:
     fault = errors.Fault('settings', repr(error))
     raise errors.SettingsError([fault]) from error
-
-
-def split_address(address: str) -> tuple[str, int]:
-  """Splits `IP:PORT`.
-
-  Raises:
-    ValueError: The address has no IP, or the port is not a number.
-  """
-  ip, _, port = address.rpartition(':')
-  if not ip:
-    raise ValueError(f'address "{address}" has no port')
-  return ip, int(port)
--- a/mulberrypick/platform/store.py
+++ b/mulberrypick/platform/store.py
@@ -10,8 +10,10 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
+from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import errors
 from mulberrypick.core import store_era
+from mulberrypick.platform import fields
 from mulberrypick.platform import protocol
 
 _log = logging.getLogger(__name__)
@@ -25,6 +27,9 @@
 WATCH_TIMEOUT_MARGIN_S = 1.0
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 STATUS_HISTORY_GONE = 410
+# Levels of an answer in which one unusable value hides no other: the answer,
+# its list, an entry of it, the object, its content.
+ANSWER_LEVELS = 5
 
 
 class StoredObject(NamedTuple):
@@ -95,15 +100,17 @@
     while True:
       data = await self._call('GET', kind, '', query, None, CALL_TIMEOUT_S)
       if revision is None:
-        revision = data.position(data.body['currentRev'])
+        revision = data.position()
       if store_era.era_of(revision) != data.era:
         # The pages would be of two copies.
         raise errors.OlderStoreError
-      for item in data.body['items']:
-        objects.append(_decode_object(item, data.era, False))
-      if not data.body.get('hasMore') or not data.body['items']:
+      page = _decode_usable(data.items('items'), data.era)
+      objects += page
+      if not data.has_more():
         return StoredList(objects, revision)
-      query = query | {'after': objects[-1].name}
+      if not page:
+        raise errors.StoreError('no usable entry on a page of a list')
+      query = query | {'after': page[-1].name}
 
   async def watch(
       self,
@@ -136,10 +143,11 @@
     )
     self._check_era(revision, data.era)
     objects = []
-    for event in data.body.get('events', ()):
-      is_deleted = bool(event.get('tombstone'))
-      objects.append(_decode_object(event['object'], data.era, is_deleted))
-    return StoredList(objects, data.position(data.body['currentRev']))
+    for event in data.items('events'):
+      is_deleted = isinstance(event, dict) and bool(event.get('tombstone'))
+      item = event.get('object') if isinstance(event, dict) else event
+      objects += _decode_usable([item], data.era, is_deleted)
+    return StoredList(objects, data.position())
 
   async def read(self, kind: str, name: str) -> StoredObject | None:
     """Reads an object; returns None if it does not exist.
@@ -270,7 +278,7 @@
     if head.status >= 300:
       raise errors.StoreError(f'status {head.status}', head.status)
     try:
-      return _Answer(msgspec.json.decode(raw), era)
+      return _Answer(tolerant_json.decode(raw, ANSWER_LEVELS), era)
     except msgspec.DecodeError as error:
       raise errors.StoreError(f'malformed response: {error}') from error
 
@@ -340,24 +348,64 @@
     era: The era that it is of.
   """
 
-  body: dict[str, Any]
+  body: Any
   era: int
 
-  def position(self, revision: int) -> int:
-    """Returns the position of a revision in the response."""
+  def position(self) -> int:
+    """Returns the position of the store when it answered.
+
+    Raises:
+      StoreError: The response holds none.
+    """
+    try:
+      revision = fields.read_int(self.body, 'currentRev')
+    except fields.MALFORMED as error:
+      raise _malformed('response', error) from error
     return store_era.make_position(self.era, revision)
 
+  def items(self, name: str) -> list[Any]:
+    """Returns a list in the response.
+
+    Raises:
+      StoreError: There is none.
+    """
+    found = self.body.get(name) if isinstance(self.body, dict) else None
+    if not isinstance(found, list):
+      raise errors.StoreError(f'malformed response: "{name}" is no list')
+    return found
+
+  def has_more(self) -> bool:
+    """Returns whether the list goes on."""
+    return bool(self.body.get('hasMore')) and bool(self.items('items'))
+
+
+def _decode_usable(
+    items: list[Any], era: int, is_deleted: bool = False
+) -> list[StoredObject]:
+  """Decodes the objects of a list, and logs those that have no name."""
+  objects = []
+  for item in items:
+    try:
+      objects.append(_decode_object(item, era, is_deleted))
+    except errors.StoreError as error:
+      logs.log_event(
+          _log, logging.WARNING, 'store_object_unusable', error=error.reason
+      )
+  return objects
+
 
-def _decode_object(
-    item: dict[str, Any], era: int, is_deleted: bool
-) -> StoredObject:
+def _decode_object(item: Any, era: int, is_deleted: bool) -> StoredObject:
   try:
     metadata = item['metadata']
     return StoredObject(
-        str(metadata['name']),
-        store_era.make_position(era, int(metadata['revision'])),
+        fields.read_text(metadata, 'name'),
+        store_era.make_position(era, fields.read_int(metadata, 'revision')),
         item.get('spec'),
         is_deleted,
     )
-  except (KeyError, TypeError, ValueError) as error:
-    raise errors.StoreError(f'malformed object: {error!r}') from error
+  except fields.MALFORMED as error:
+    raise _malformed('object', error) from error
+
+
+def _malformed(what: str, error: BaseException) -> errors.StoreError:
+  return errors.StoreError(f'malformed {what}: {fields.describe(error)}')
--- a/mulberrypick/platform/stored_evidence.py
+++ b/mulberrypick/platform/stored_evidence.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import binascii
 import logging
 from typing import Any
 from typing import NamedTuple
@@ -15,6 +14,7 @@
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import part_exchange
+from mulberrypick.platform import fields
 
 _log = logging.getLogger(__name__)
 
@@ -54,10 +54,10 @@
 
 def age_s(spec: Any, wall_s: float) -> float | None:
   """Returns the time since an object was written; None if it is malformed."""
-  written_at = spec.get('writtenAt') if isinstance(spec, dict) else None
-  if not isinstance(written_at, (int, float)):
+  try:
+    return max(0.0, wall_s - fields.read_number(spec, 'writtenAt'))
+  except fields.MALFORMED:
     return None
-  return max(0.0, wall_s - written_at)
 
 
 def decode(name: str, spec: Any, wall_s: float) -> list[Evidence]:
@@ -75,14 +75,15 @@
   try:
     if age is None:
       raise ValueError('field "writtenAt" is no number')
-    found = _decoder.decode(base64.b64decode(spec['evidence'], validate=True))
-  except (KeyError, TypeError, ValueError, binascii.Error) as error:
+    encoded = fields.read_text(spec, 'evidence')
+    found = _decoder.decode(base64.b64decode(encoded, validate=True))
+  except fields.MALFORMED as error:
     logs.log_event(
         _log,
         logging.WARNING,
         'evidence_malformed',
         name=name,
-        error=repr(error),
+        error=fields.describe(error),
     )
     return []
   return [_add_age(evidence, age) for evidence in found]
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -8,6 +8,8 @@
 import random
 import sys
 import time
+from collections.abc import Awaitable
+from collections.abc import Callable
 
 import uvloop
 
@@ -41,6 +43,8 @@
 # Interval at which the settings file is read (s); it may change without a
 # signal to this process.
 SETTINGS_RELOAD_INTERVAL_S = 2.0
+# Time after which a task is started again that ended by an unexpected error.
+TASK_RESTART_S = 0.5
 # Time that the port stays open after SIGTERM (s). The load balancer needs two
 # health checks, one per second, to notice the stop.
 BALANCER_NOTICE_S = 3.0
@@ -112,20 +116,21 @@
     await self._listen_for_hosts()
     await self._listen_for_metrics()
     tasks = [
-        store_task.ConfigTask(self.state, self._make_store_client()).run(),
-        store_task.EndpointsTask(self.state, self._make_store_client()).run(),
-        self._peers.run(),
-        self._hosts.run(),
-        stage_task.StageTask(self.state, self._make_store_client()).run(),
-        refusals_task.RefusalsTask(self.state, self._make_store_client()).run(),
+        store_task.ConfigTask(self.state, self._make_store_client()).run,
+        store_task.EndpointsTask(self.state, self._make_store_client()).run,
+        self._hosts.run,
+        stage_task.StageTask(self.state, self._make_store_client()).run,
+        refusals_task.RefusalsTask(self.state, self._make_store_client()).run,
         evidence_task.EvidenceTask(
             self.state, self._make_store_client(), self._make_store_client()
-        ).run(),
-        speeds_task.SpeedsTask(self.state, self._make_store_client()).run(),
-        reach_task.ReachTask(self.state, random.Random()).run(),
-        self._sweep(),
+        ).run,
+        speeds_task.SpeedsTask(self.state, self._make_store_client()).run,
+        reach_task.ReachTask(self.state, random.Random()).run,
+        self._sweep,
     ]
-    running = [loop.create_task(task) for task in tasks]
+    running = [loop.create_task(_keep_running(task)) for task in tasks]
+    # It owns the socket of this host, and handles its own errors.
+    running.append(loop.create_task(self._peers.run()))
     stop_task = loop.create_task(self._stop_requested.wait())
     try:
       done, _ = await asyncio.wait(
@@ -268,6 +273,21 @@
     )
 
 
+async def _keep_running(run: Callable[[], Awaitable[None]]) -> None:
+  """Runs a method until cancelled, and again after an unexpected error.
+
+  The other tasks serve callers meanwhile. A process that ends would meet the
+  same input again after its restart.
+  """
+  name = f'{type(run.__self__).__name__}.{run.__name__}'
+  while True:
+    try:
+      await run()
+    except Exception:
+      _log.exception({'event': 'task_fault', 'task': name})
+    await asyncio.sleep(TASK_RESTART_S)
+
+
 async def serve(
     host: gateway_records.GatewayHost, signals: process_signals.ProcessSignals
 ) -> None:
