Take a version for the only one only if the list of endpoints is confirmed

Cause: a host that gets no reply for a stream concludes from its own list that only one version can have begun it, whatever the age of the list; it stamped an old list with the present time. Class: a conclusion from not hearing. Why it works: the list counts if a call to the store that begins after the caller came back confirms it, with the versions that it lacked. While the store is away, all registrars must reply, have kept bindings for the lifetime of a stream and know nothing. A host tells registrars of a stream also while it isn't certain of one version itself. For that its history may have no holes: versions count as they are listed, and a lost contact goes on from the last revision instead of a new list; a list after a lost history starts the 30 s again. Ruled out: the age of the last read as a sign (a thawed host reads old answers); the replies alone (the host that is gone is one of those asked). Messages: keeps_bindings_s is appended; older builds ignore it, and theirs count as restarted a moment ago. Costs: two messages a stream for 30 s from the start of a host; a call for a stream that is taken up and known to nobody.

--- a/mulberrypick/core/stream_versions.py
+++ b/mulberrypick/core/stream_versions.py
@@ -23,6 +23,10 @@
 
 # Longest time between the first event of a stream and the return of its caller.
 STREAM_LIFETIME_S = 30.0
+# Longest age of a list of endpoints for which the registrars make up: within it
+# the only version can't have been replaced by another one for so long that a
+# host is certain of that.
+MAX_LIST_AGE_S = 20.0
 # Maximum number of bindings that are kept; the oldest is dropped first.
 MAX_BINDINGS = 50_000
 # Registrars of a stream in the zone of its host, and those asked for it: the
@@ -92,25 +96,34 @@
     if self._known_since is None:
       self._known_since = now
     for endpoint in endpoints:
-      seen = self._seen_at_by_service.setdefault(endpoint.service, {})
-      seen[endpoint.software] = now
+      self.record(endpoint, now)
     for seen in self._seen_at_by_service.values():
       for software, at in list(seen.items()):
         if now - at > STREAM_LIFETIME_S:
           del seen[software]
 
-  def has_several(self, service: str) -> bool:
-    """Returns whether a service had several versions recently."""
-    return len(self._seen_at_by_service.get(service, ())) > 1
+  def record(self, endpoint: gateway_records.Endpoint, now: float) -> None:
+    """Records an endpoint that was listed, also if it has left by now."""
+    seen = self._seen_at_by_service.setdefault(endpoint.service, {})
+    seen[endpoint.software] = now
+
+  def record_gap(self, now: float) -> None:
+    """Records that endpoints that were listed before now may be missing."""
+    self._known_since = now
+
+  def is_certain(self, service: str, now: float) -> bool:
+    """Returns whether a service had one version for long, by what is known."""
+    if self._known_since is None:
+      return False
+    if now - self._known_since < STREAM_LIFETIME_S:
+      return False
+    return len(self._seen_at_by_service.get(service, ())) == 1
 
   def only_version(self, service: str, now: float) -> str | None:
     """Returns the version that alone can have begun a stream, if any."""
-    seen = self._seen_at_by_service.get(service, {})
-    if self._known_since is None or len(seen) != 1:
-      return None
-    if now - self._known_since < STREAM_LIFETIME_S:
+    if not self.is_certain(service, now):
       return None
-    return next(iter(seen)) or None
+    return next(iter(self._seen_at_by_service[service])) or None
 
 
 def choose_registrars(
--- a/mulberrypick/core/stream_versions_test.py
+++ b/mulberrypick/core/stream_versions_test.py
@@ -71,13 +71,26 @@
   def test_version_that_left_counts_for_the_lifetime_of_a_stream(self):
     self.history.observe([_endpoint('a', 'v1'), _endpoint('b', 'v2')], 0.0)
     self.history.observe([_endpoint('b', 'v2')], LIFETIME_S)
-    self.assertTrue(self.history.has_several('s'))
+    self.assertFalse(self.history.is_certain('s', LIFETIME_S))
     self.assertIsNone(self.history.only_version('s', LIFETIME_S))
     self.history.observe([_endpoint('b', 'v2')], LIFETIME_S + 1)
-    self.assertFalse(self.history.has_several('s'))
+    self.assertTrue(self.history.is_certain('s', LIFETIME_S + 1))
     self.assertEqual(self.history.only_version('s', LIFETIME_S + 1), 'v2')
 
-  def test_unknown_version_is_never_certain(self):
+  def test_version_is_uncertain_after_a_gap_in_what_is_known(self):
+    self.history.observe([_endpoint('a', 'v1')], 0.0)
+    self.history.record_gap(LIFETIME_S)
+    self.history.observe([_endpoint('a', 'v1')], LIFETIME_S)
+    self.assertIsNone(self.history.only_version('s', 2 * LIFETIME_S - 1))
+    self.assertEqual(self.history.only_version('s', 2 * LIFETIME_S), 'v1')
+
+  def test_version_that_came_and_went_between_two_looks_counts(self):
+    self.history.observe([_endpoint('a', 'v1')], 0.0)
+    self.history.record(_endpoint('b', 'v2'), LIFETIME_S)
+    self.history.observe([_endpoint('a', 'v1')], LIFETIME_S)
+    self.assertIsNone(self.history.only_version('s', LIFETIME_S))
+
+  def test_unknown_version_is_never_the_only_one(self):
     self.history.observe([_endpoint('a', '')], 0.0)
     self.assertIsNone(self.history.only_version('s', LIFETIME_S))
 
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -23,6 +23,7 @@
 from mulberrypick.core import peer_topology
 from mulberrypick.core import relay_traffic
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import list_check
 from mulberrypick.ops import peer_links
 from mulberrypick.ops import peer_message
 from mulberrypick.ops import peer_table
@@ -63,7 +64,15 @@
     versions: Software versions of streams.
   """
 
-  def __init__(self, state: gateway_state.GatewayState):
+  def __init__(
+      self, state: gateway_state.GatewayState, check: list_check.ListCheck
+  ):
+    """Creates the task.
+
+    Args:
+      state: The state of this host.
+      check: Checks its list of endpoints.
+    """
     host = state.host
     self._state = state
     self._address = f'{host.ip}:{host.peer_port}'
@@ -89,7 +98,7 @@
     )
     self._reach = reach_exchange.ReachExchange(state)
     self.versions = version_exchange.VersionExchange(
-        state, self._table.topology, own, self._new_message, self._send
+        state, self._table.topology, own, self._new_message, self._send, check
     )
 
   def is_host(self, ip: str) -> bool:
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -5,6 +5,7 @@
 import logging
 import random
 
+from mulberrypick.adapters import boot_clock
 from mulberrypick.adapters import logs
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import endpoint_hold_off
@@ -88,6 +89,8 @@
     peer_kept_store_contact: Whether another host has had contact with the store
       for long enough to rule out that entries expired in an outage.
     versions: Software versions of the endpoints of each service.
+    endpoints_revision: Position of the store up to which all changes of the
+      endpoints are known, 0 before the first list.
     is_leaving: Whether this process is shutting down.
     load_changed: Set when a request of this host starts or ends at an endpoint.
     watches_store: Whether this host watches the store itself; if not, its relay
@@ -150,6 +153,8 @@
     self.peer_kept_store_contact = False
     self._era_changed_at = float('-inf')
     self.versions = stream_versions.VersionHistory()
+    self.endpoints_revision = 0
+    self._list_read_at = float('-inf')
     self.is_leaving = False
     self.load_changed = asyncio.Event()
     self.watches_store = True
@@ -192,6 +197,23 @@
     rank = self.rank_among_hosts
     return rank if rank < self.hosts and not self.reach.is_apart else None
 
+  def record_list_read(self, revision: int, began_at: float | None) -> None:
+    """Records up to where the changes of the endpoints are known.
+
+    Args:
+      revision: The position.
+      began_at: When the store was asked for them, on the clock of `boot_time`;
+        None if another host passed them on.
+    """
+    self.endpoints_revision = revision
+    if began_at is not None:
+      self._list_read_at = began_at
+
+  def is_list_recent(self) -> bool:
+    """Returns whether the endpoints were read from the store some time ago."""
+    age_s = boot_clock.boot_time() - self._list_read_at
+    return age_s < stream_versions.MAX_LIST_AGE_S
+
   def may_pass_on(self) -> bool:
     """Returns whether requests are passed on to other hosts."""
     if not self.reach.is_apart:
--- a/mulberrypick/ops/peer_message.py
+++ b/mulberrypick/ops/peer_message.py
@@ -137,6 +137,8 @@
     has_store_era: Whether revisions of the store are positions, see
       `store_era`; older builds send them without the era.
     switches: Engines that are changing their stage on an order.
+    keeps_bindings_s: With a reply for a stream: time for which the sender has
+      kept the versions that it was told; older builds name none.
   """
 
   host: str
@@ -174,6 +176,7 @@
   relayed_changes: list[store_changes.ChangeBatch] = []
   has_store_era: bool = False
   switches: list[stage_switches.SwitchReport] = []
+  keeps_bindings_s: float = 0.0
 
   @property
   def known_contact_s(self) -> float:
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -10,10 +10,10 @@
 import asyncio
 import logging
 import secrets
-import time
 
 import msgspec
 
+from mulberrypick.adapters import boot_clock
 from mulberrypick.adapters import logs
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -57,11 +57,6 @@
 FENCES_PER_ERA = 1_000_000
 
 
-def boot_time() -> float:
-  """Returns the time of a clock that includes time in suspend, in seconds."""
-  return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class StageTask:
   """Monitors the stages of engines and orders changes where needed."""
 
@@ -78,7 +73,7 @@
     owner = f'{state.host.name}.{secrets.token_hex(4)}'
     self._lease = lease.Lease(owner)
     self._era = 0
-    self._era_seen_at = boot_time()
+    self._era_seen_at = boot_clock.boot_time()
     self._highest_fence = 0
 
   async def run(self) -> None:
@@ -102,7 +97,7 @@
           errors.ConnectError,
           errors.ExchangeBrokenError,
       ) as error:
-        self._balance_from = boot_time() + RETRY_PAUSE_S
+        self._balance_from = boot_clock.boot_time() + RETRY_PAUSE_S
         logs.log_event(
             _log,
             logging.WARNING,
@@ -119,13 +114,15 @@
     for endpoint in state.endpoints.all():
       if not state.endpoints.is_held_off(endpoint, now):
         taking.append(endpoint)
-    order = self._plan.decide(taking, state.rank_among_hosts, boot_time())
+    order = self._plan.decide(
+        taking, state.rank_among_hosts, boot_clock.boot_time()
+    )
     if order is not None:
       return [order]
     if state.rank_among_hosts != 0:
       # One host alone sees to the balance. Without it nothing is lost but time.
       return []
-    if boot_time() < self._balance_from or not self._hears_fleet():
+    if boot_clock.boot_time() < self._balance_from or not self._hears_fleet():
       return []
     uses = []
     for endpoint in taking:
@@ -144,15 +141,15 @@
               self._may_change(endpoint),
           )
       )
-    return self._balance.decide(uses, boot_time())
+    return self._balance.decide(uses, boot_clock.boot_time())
 
   def _may_change(self, endpoint: gateway_records.Endpoint) -> bool:
     """Returns whether an engine was not ordered to change lately."""
     ordered_at = self._ordered_at.get(endpoint.incarnation, float('-inf'))
-    return boot_time() - ordered_at >= MIN_STAGE_S
+    return boot_clock.boot_time() - ordered_at >= MIN_STAGE_S
 
   def _record_order(self, endpoint: gateway_records.Endpoint) -> None:
-    now = boot_time()
+    now = boot_clock.boot_time()
     for incarnation, ordered_at in list(self._ordered_at.items()):
       if now - ordered_at >= MIN_STAGE_S:
         del self._ordered_at[incarnation]
@@ -174,7 +171,7 @@
     for order in orders_due:
       if not self._can_send_order():
         # Another host holds the lease, or too little of the term is left.
-        self._balance_from = boot_time() + RETRY_PAUSE_S
+        self._balance_from = boot_clock.boot_time() + RETRY_PAUSE_S
         return
       await self._send_order(order)
 
@@ -222,26 +219,28 @@
     self._state.endpoints.switches.end(endpoint.incarnation, now)
 
   def _can_send_order(self) -> bool:
-    self._lease = lease.on_tick(self._lease, boot_time())
-    return lease.is_authorized(self._lease, boot_time() + ORDER_MARGIN_S)
+    self._lease = lease.on_tick(self._lease, boot_clock.boot_time())
+    return lease.is_authorized(
+        self._lease, boot_clock.boot_time() + ORDER_MARGIN_S
+    )
 
   def _observe_era(self) -> None:
     """Notes when the store came back from an older copy."""
     era = self._state.store_era.current
     if era != self._era:
-      self._era, self._era_seen_at = era, boot_time()
+      self._era, self._era_seen_at = era, boot_clock.boot_time()
 
   def _may_take_lease(self) -> bool:
     """Returns whether no holder of a term that the store lost is left."""
-    if not lease.can_take(self._lease, boot_time(), GUARD_S):
+    if not lease.can_take(self._lease, boot_clock.boot_time(), GUARD_S):
       return False
     if self._lease.record is not None or not self._era:
       return True
-    return boot_time() >= self._era_seen_at + TERM_S + GUARD_S
+    return boot_clock.boot_time() >= self._era_seen_at + TERM_S + GUARD_S
 
   async def _acquire_lease(self) -> None:
     """Acquires or renews the lease, or reads whether another holder has it."""
-    self._lease = lease.on_tick(self._lease, boot_time())
+    self._lease = lease.on_tick(self._lease, boot_clock.boot_time())
     if self._lease.state == lease.HOLDING:
       if not self._can_send_order():
         await self._renew()
@@ -252,13 +251,17 @@
       return
     min_fence = max(self._era * FENCES_PER_ERA, self._highest_fence) + 1
     self._lease, record = lease.begin_take(
-        self._lease, boot_time(), secrets.token_hex(8), TERM_S, min_fence
+        self._lease,
+        boot_clock.boot_time(),
+        secrets.token_hex(8),
+        TERM_S,
+        min_fence,
     )
     await self._write(record)
 
   async def _renew(self) -> None:
     self._lease, record = lease.begin_renewal(
-        self._lease, boot_time(), secrets.token_hex(8), TERM_S
+        self._lease, boot_clock.boot_time(), secrets.token_hex(8), TERM_S
     )
     await self._write(record)
 
@@ -269,7 +272,9 @@
       version = found.revision
       record = lease.decode_record(msgspec.json.encode(found.spec))
       self._highest_fence = max(self._highest_fence, record.fence)
-    self._lease = lease.on_read(self._lease, version, record, boot_time())
+    self._lease = lease.on_read(
+        self._lease, version, record, boot_clock.boot_time()
+    )
 
   async def _write(self, record: lease.LeaseRecord) -> None:
     spec = record._asdict()
--- a/mulberrypick/ops/stage_task_test.py
+++ b/mulberrypick/ops/stage_task_test.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from mulberrypick.adapters import boot_clock
 from mulberrypick.core import endpoint_registry_test
 from mulberrypick.core import gateway_records
 from mulberrypick.core import lease
@@ -88,8 +89,8 @@
     self.task._record_order(engine)
     self.assertFalse(self.task._may_change(engine))
     self.assertTrue(self.task._may_change(engine._replace(started_ms=99)))
-    later = stage_task.boot_time() + stage_task.MIN_STAGE_S
-    with mock.patch.object(stage_task, 'boot_time', lambda: later):
+    later = boot_clock.boot_time() + stage_task.MIN_STAGE_S
+    with mock.patch.object(boot_clock, 'boot_time', lambda: later):
       self.assertTrue(self.task._may_change(engine))
 
 
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from mulberrypick.adapters import boot_clock
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import errors
@@ -58,25 +59,45 @@
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
   async def _watch_kind(self) -> None:
-    listed = await self._client.list_objects(self.kind)
-    self._on_store_regained()
-    self._handle_whole_list(listed)
+    if self._revision:
+      # A contact that was lost goes on where it ended.
+      await self._read_changes(0.0, True)
+    else:
+      await self._read_list()
     while True:
       is_due = await self._wait_for_change()
       wait_s = self._state.watch_s if self._state.watches_store else 0.0
-      try:
-        changed = await self._client.watch(
-            self.kind, self._revision, wait_s, may_be_stale=not is_due
-        )
-      except errors.StoreError as error:
-        if error.status != store.STATUS_HISTORY_GONE:
-          raise
-        self._handle_whole_list(await self._client.list_objects(self.kind))
-        continue
-      self._on_store_regained()
-      self._handle_changes(changed)
-      if is_due:
-        self._state.record_store_read(self.kind, self._revision)
+      await self._read_changes(wait_s, is_due)
+
+  async def _read_list(self) -> None:
+    began_at = boot_clock.boot_time()
+    listed = await self._client.list_objects(self.kind)
+    self._on_store_regained()
+    self._handle_whole_list(listed)
+    self.on_read(self._revision, began_at)
+
+  async def _read_changes(self, wait_s: float, is_due: bool) -> None:
+    """Reads the changes since the last read, or everything if they are gone.
+
+    Args:
+      wait_s: Time that the store may wait for a change.
+      is_due: Whether there is one that this host lacks, or it watches.
+    """
+    began_at = boot_clock.boot_time()
+    try:
+      changed = await self._client.watch(
+          self.kind, self._revision, wait_s, may_be_stale=not is_due
+      )
+    except errors.StoreError as error:
+      if error.status != store.STATUS_HISTORY_GONE:
+        raise
+      await self._read_list()
+      return
+    self._on_store_regained()
+    self._handle_changes(changed)
+    self.on_read(self._revision, began_at)
+    if is_due:
+      self._state.record_store_read(self.kind, self._revision)
 
   def _handle_whole_list(self, listed: store.StoredList) -> None:
     """Handles a whole list, after which changes are watched."""
@@ -142,6 +163,7 @@
       for item in items:
         self.handle_change(item)
       self._revision = max(self._revision, batch.revision)
+      self.on_read(self._revision, None)
       self._state.store_changes.record_known(self.kind, self._revision)
 
   def _decode_changes(
@@ -180,6 +202,15 @@
   def on_store_back(self, now: float) -> None:
     """Called when the store responds again after an outage."""
 
+  def on_read(self, revision: int, began_at: float | None) -> None:
+    """Called when all changes up to a position are handled.
+
+    Args:
+      revision: The position.
+      began_at: When the store was asked, on the clock of `boot_clock`; None if
+        a relay passed the changes on.
+    """
+
   def _on_store_lost(self, error: errors.StoreError) -> None:
     self._state.store_contact_since = None
     if self._is_disconnected:
@@ -249,6 +280,7 @@
       if endpoint is not None:
         endpoints.append(endpoint)
     now = asyncio.get_running_loop().time()
+    self._state.versions.record_gap(now)
     listing = self._state.endpoints.replace_all(endpoints, now)
     for name in listing.removed:
       self._drop(name, 'not_listed')
@@ -265,6 +297,7 @@
     endpoint = objects.decode_endpoint(item.name, item.spec)
     if endpoint is None:
       return
+    self._state.versions.record(endpoint, now)
     if self._state.endpoints.update_entry(endpoint, now):
       logs.log_event(
           _log,
@@ -278,6 +311,10 @@
     if endpoint.is_leaving:
       self._drop(endpoint.name, 'leaving')
 
+  def on_read(self, revision: int, began_at: float | None) -> None:
+    """Notes how old the list of endpoints is."""
+    self._state.record_list_read(revision, began_at)
+
   def on_store_back(self, now: float) -> None:
     """Gives endpoints whose entries expired time to register again."""
     self._state.endpoints.record_store_recovery(now)
--- a/mulberrypick/ops/version_exchange.py
+++ b/mulberrypick/ops/version_exchange.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import time
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from mulberrypick.core import peer_topology
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import list_check
 from mulberrypick.ops import peer_message
 
 # Longest time to wait for the replies of other hosts, which normally arrive
@@ -37,11 +39,24 @@
   """A question to other hosts, and its replies."""
 
   def __init__(self, expected: int):
+    self.is_asked = expected > 0
     self.missing = expected
+    # Whether each reply so far is of a host that would know the stream.
+    self.is_known_to_all = True
     self.software: set[str] = set()
     self.source = ''
     self.is_settled = asyncio.Event()
 
+  @property
+  def is_unbound(self) -> bool:
+    """Whether no registrar was told of the stream."""
+    return (
+        self.is_asked
+        and not self.missing
+        and not self.software
+        and self.is_known_to_all
+    )
+
 
 class VersionExchange:
   """Binds streams to versions, and finds the versions of others' streams."""
@@ -53,8 +68,12 @@
       own: peer_topology.PeerHost,
       new_message: Callable[[], peer_message.PeerMessage],
       send: Callable[[Iterable[str], peer_message.PeerMessage], None],
+      check: list_check.ListCheck,
   ):
     self._state = state
+    self._check = check
+    # The clock stands still while this host is suspended and hears nothing.
+    self._started_at = time.monotonic()
     self._topology = topology
     self._own = own
     self._new_message = new_message
@@ -71,7 +90,7 @@
       software: The version that writes its next event.
     """
     now = self._observe_versions()
-    if not self._state.versions.has_several(call.service):
+    if self._state.versions.is_certain(call.service, now):
       return
     key = stream_versions.stream_key(call.stream_id, call.fingerprint)
     self._bindings.bind(key, software, now)
@@ -95,9 +114,24 @@
       return FoundVersion('', 'several')
     if found:
       return FoundVersion(found.pop(), query.source or self._state.host.name)
+    return await self._conclude(call.service, query)
+
+  async def _conclude(self, service: str, query: _Query) -> FoundVersion:
+    """Returns the version of a stream that no host knows, if there is one."""
+    if not self._only_version(service):
+      return FoundVersion(None, 'none')
+    source = 'only_version'
+    if not await self._check.confirm():
+      if not query.is_unbound or not self._state.is_list_recent():
+        return FoundVersion(None, 'list_not_confirmed')
+      source = 'only_version_of_old_list'
+    # Another one may have become known meanwhile.
+    only = self._only_version(service)
+    return FoundVersion(only, source if only else 'none')
+
+  def _only_version(self, service: str) -> str | None:
     now = self._observe_versions()
-    only = self._state.versions.only_version(call.service, now)
-    return FoundVersion(only, 'only_version' if only else 'none')
+    return self._state.versions.only_version(service, now)
 
   def handle_message(
       self, message: peer_message.PeerMessage, now: float
@@ -108,7 +142,7 @@
     if message.version_query is not None:
       self._answer(message.address, message.version_query)
     if message.version_reply is not None:
-      self._handle_reply(message.host, message.version_reply)
+      self._handle_reply(message)
 
   def _observe_versions(self) -> float:
     """Updates the known versions; returns the time."""
@@ -144,15 +178,23 @@
     answer.version_reply = peer_message.VersionReply(
         query.number, self._bindings.find(query.key)
     )
+    answer.keeps_bindings_s = self._keeps_bindings_s()
     self._send((address,), answer)
 
-  def _handle_reply(self, host: str, reply: peer_message.VersionReply) -> None:
+  def _keeps_bindings_s(self) -> float:
+    """Returns for how long this host has kept the bindings that it was told."""
+    return time.monotonic() - self._started_at
+
+  def _handle_reply(self, message: peer_message.PeerMessage) -> None:
+    reply = message.version_reply
     query = self._query_by_number.get(reply.number)
     if query is None:
       return
     query.missing -= 1
+    if message.keeps_bindings_s < stream_versions.STREAM_LIFETIME_S:
+      query.is_known_to_all = False
     if reply.software is not None:
       query.software.add(reply.software)
-      query.source = host
+      query.source = message.host
     if query.software or not query.missing:
       query.is_settled.set()
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -25,6 +25,7 @@
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import gateway_task
 from mulberrypick.ops import hosts_task
+from mulberrypick.ops import list_check
 from mulberrypick.ops import reach_task
 from mulberrypick.ops import refusals_task
 from mulberrypick.ops import speeds_task
@@ -77,7 +78,10 @@
     self.state = gateway_state.GatewayState(host, random.Random())
     self._call_log = call_log.CallLog()
     self._metrics = gateway_metrics.GatewayMetrics(self.state)
-    self._peers = gateway_peers.PeerTask(self.state)
+    self._peers = gateway_peers.PeerTask(
+        self.state,
+        list_check.ListCheck(self.state, self._make_store_client()),
+    )
     self._task = gateway_task.GatewayTask(
         self.state, self._call_log, self._metrics, self._peers.versions
     )
