Send nothing to an endpoint that said since the placement that it leaves

What endpoints saw: requests that were placed before the word of leaving arrived were sent after it, up to the 0.35 s that a connection may take. Cause: the time without requests was checked when a request is sent, leaving was not. Nothing was sent, so that the next endpoint costs no retry.

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -199,6 +199,15 @@
     """Returns whether an endpoint wants no requests from this host."""
     return self.hold_off.is_held_off(endpoint.incarnation, now)
 
+  def may_send(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
+    """Returns whether an endpoint still takes requests that were placed there.
+
+    It may have said since then that it leaves.
+    """
+    if endpoint.incarnation in self._leaving_since:
+      return False
+    return now < self._draining_until.get(endpoint.incarnation, float('inf'))
+
   def is_suspended(
       self, endpoint: gateway_records.Endpoint, now: float
   ) -> bool:
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -42,6 +42,8 @@
 LIMITED = 'limited'
 # Reason of a send to an endpoint that wants no requests.
 HELD_OFF = 'held_off'
+# Reason of a send to an endpoint that leaves.
+LEAVING = 'leaving'
 # Reason of a send that was given up because requests like it crash endpoints.
 CRASHES_ENDPOINTS = 'crashes_endpoints'
 # Reasons of a break after which the endpoint may have crashed. For all others
@@ -174,20 +176,11 @@
       state.endpoints.record_failure(self._endpoint, loop.time(), True)
       return SendResult(Outcome.NOT_SENT, 'connect')
     self.sent_at = loop.time()
-    if state.is_refused(self._call, self.sent_at):
+    reason = self._reason_not_to_send(permit_until)
+    if reason:
       state.pool.release(self._endpoint, self._connection)
       self._connection = None
-      return SendResult(Outcome.NOT_SENT, CRASHES_ENDPOINTS)
-    if state.endpoints.is_held_off(self._endpoint, self.sent_at):
-      state.pool.release(self._endpoint, self._connection)
-      self._connection = None
-      return SendResult(Outcome.NOT_SENT, HELD_OFF)
-    if permit_until <= self.sent_at and not state.permits.take(
-        self._endpoint.incarnation, self._call.route.rank == 0, self.sent_at
-    ):
-      state.pool.release(self._endpoint, self._connection)
-      self._connection = None
-      return SendResult(Outcome.NOT_SENT, LIMITED)
+      return SendResult(Outcome.NOT_SENT, reason)
     self._own_load.pending_since[id(self)] = self.sent_at
     count = state.load.total(self._endpoint, self.sent_at).count
     self._other_count = count - 1
@@ -208,6 +201,24 @@
       state.observe_wishes(self._endpoint, kind.says_leaving, kind.hold_off)
     return await self._evaluate_head(head, kind, needs_signature)
 
+  def _reason_not_to_send(self, permit_until: float) -> str:
+    """Returns why the request must not be sent now, empty if it may be.
+
+    It was placed a moment ago; a connection may have taken some time.
+    """
+    state, endpoint, now = self._state, self._endpoint, self.sent_at
+    if state.is_refused(self._call, now):
+      return CRASHES_ENDPOINTS
+    if not state.endpoints.may_send(endpoint, now):
+      return LEAVING
+    if state.endpoints.is_held_off(endpoint, now):
+      return HELD_OFF
+    if permit_until <= now and not state.permits.take(
+        endpoint.incarnation, self._call.route.rank == 0, now
+    ):
+      return LIMITED
+    return ''
+
   def _observe_limit(
       self,
       head: stream_client.Head,
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -26,6 +26,8 @@
     'read_limited',
     'held_off',
     'read_held_off',
+    'leaving',
+    'read_leaving',
 )
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
--- a/mulberrypick/platform/gateway_leaving_test.py
+++ b/mulberrypick/platform/gateway_leaving_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from mulberrypick.platform import gateway_test
 from standins import gateway_cluster
@@ -89,6 +90,22 @@
   async def test_engine_that_streams(self):
     await self.check_left('/read/x', 'writer-1')
 
+  async def test_request_that_was_placed_before_goes_elsewhere(self):
+    # Opening a connection takes some time.
+    state = self.gateway.state
+    usual = state.pool.acquire
+
+    async def acquire(endpoint, must_be_fresh):
+      connection = await usual(endpoint, must_be_fresh)
+      if endpoint.name == 'desk-1':
+        state.record_said_leaving(endpoint.incarnation, 'said')
+      return connection
+
+    with mock.patch.object(state.pool, 'acquire', acquire):
+      await self.send_until(lambda: self.is_unused('desk-1'))
+    self.assertEqual(self.replica('desk-1').arrivals, 0)
+    self.assertEqual({a.status for a in self.answers}, {200})
+
   async def test_refusal_says_it_too(self):
     replica = self.replica('desk-1')
     replica.is_saying_it_leaves = True
