Forget neither leaving nor rest because an entry lacks its start or many leave

What endpoints would see: requests after they had said that they leave or want rest. Class: an identity, or a memory, that is smaller than what it must tell apart. An entry without a start keeps the start that is known of its name.

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -25,8 +25,9 @@
 # the request. A connection that can't be opened suspends at once, as no
 # request can be the cause.
 FAILURES_TO_SUSPEND = 2
-# Leaving incarnations that are remembered.
-MAX_LEAVING = 512
+# Leaving incarnations that are remembered: a release replaces all endpoints of
+# a fleet.
+MAX_LEAVING = 4096
 # Time for which a leaving endpoint is announced to other hosts.
 ANNOUNCE_LEAVING_S = 5.0
 
@@ -371,7 +372,23 @@
         health.suspended_until, now + _suspension_s(health.failures)
     )
 
+  def _with_known_start(
+      self, endpoint: gateway_records.Endpoint
+  ) -> gateway_records.Endpoint:
+    """Returns an endpoint with the start time that is known of it.
+
+    An entry without one does not tell of a restart.
+    """
+    if endpoint.started_ms:
+      return endpoint
+    old = self._by_name.get(endpoint.name)
+    if old is not None:
+      return endpoint._replace(started_ms=old.started_ms)
+    starts = [s for name, s in self._leaving_since if name == endpoint.name]
+    return endpoint._replace(started_ms=max(starts, default=0))
+
   def _update(self, endpoint: gateway_records.Endpoint, now: float) -> bool:
+    endpoint = self._with_known_start(endpoint)
     if endpoint.is_leaving:
       self.mark_leaving(endpoint.incarnation, now)
     if endpoint.incarnation in self._leaving_since:
--- a/mulberrypick/core/endpoint_registry_test.py
+++ b/mulberrypick/core/endpoint_registry_test.py
@@ -42,6 +42,35 @@
     self.assertEqual(self.names(1.0), ['b'])
     self.assertEqual(self.registry.leaving(2.0), [('a', 1)])
 
+  def test_entry_without_a_start_does_not_bring_a_leaving_endpoint_back(self):
+    self.registry.mark_leaving(('a', 1), 1.0)
+    self.registry.update_entry(make_endpoint('a', started_ms=0), 2.0)
+    self.assertEqual(self.names(2.0), ['b'])
+    self.registry.update_entry(make_endpoint('a', started_ms=2), 3.0)
+    self.assertEqual(self.names(3.0), ['a', 'b'])
+
+  def test_entry_without_a_start_ends_no_time_without_requests(self):
+    self.registry.hold_off.record(('a', 1), 5.0, 1.0)
+    self.registry.update_entry(make_endpoint('a', started_ms=0), 2.0)
+    self.assertEqual(self.names(2.0), ['b'])
+    self.assertEqual(self.registry.take_ended(), [])
+
+  def test_leaving_endpoints_of_a_large_fleet_are_all_remembered(self):
+    for number in range(1700):
+      self.registry.mark_leaving((f'e{number}', 1), 1.0)
+    self.registry.update_entry(make_endpoint('e0'), 2.0)
+    self.assertEqual(self.names(2.0), ['a', 'b'])
+
+  def test_endpoint_that_leaves_gets_nothing_that_was_placed_before(self):
+    self.registry.last_drain_s = 2.0
+    a, b = make_endpoint('a'), make_endpoint('b')
+    self.registry.record_said_leaving(('a', 1), 1.0)
+    self.assertFalse(self.registry.may_send(a, 1.0))
+    # The last one is used for a while.
+    self.registry.record_said_leaving(('b', 1), 1.0)
+    self.assertTrue(self.registry.may_send(b, 2.9))
+    self.assertFalse(self.registry.may_send(b, 3.0))
+
   def test_removed_entry_is_dropped_at_once(self):
     self.assertTrue(self.registry.remove_entry('a', 1.0))
     self.assertEqual(self.names(1.0), ['b'])
