--- a/standins/soak.py
+++ b/standins/soak.py
@@ -226,6 +226,7 @@
           self._client.observations,
           soak_told.ToldEndpoint(replica.name, variant, arrivals),
           outages,
+          self._injector.cuts,
       )
     for prefix, body in self._injector.body_by_crasher.items():
       self._violations += soak_checks.find_late_retries(
