Remember streams for as long as the time limits of routes let them last

What callers could see: a stream that lasts longer than 30 s and breaks was forgotten, so that it could go on at the only version that served by then (ORDER). Cause: the time for which versions and streams are remembered was a constant, while operators set the time limits of routes. Now it is 30 s, or twice the longest time limit of a resumable route. A longer one makes a host uncertain until it has watched for as long. The tests of it were written with the code.

--- a/mulberrypick/core/stream_versions.py
+++ b/mulberrypick/core/stream_versions.py
@@ -21,8 +21,12 @@
 from mulberrypick.core import peer_topology
 from mulberrypick.core import rendezvous
 
-# Longest time between the first event of a stream and the return of its caller.
+# Longest time between the first event of a stream and the return of its caller,
+# unless the time limits of routes are longer.
 STREAM_LIFETIME_S = 30.0
+# The same as a multiple of the longest time limit: the stream may last that
+# long, and its caller may come back as much later.
+LIFETIME_TIMEOUTS = 2.0
 # Longest age of a list of endpoints for which the registrars make up: within it
 # the only version can't have been replaced by another one for so long that a
 # host is certain of that.
@@ -48,6 +52,16 @@
   return xxhash.xxh3_64_intdigest(f'{fingerprint:x}/{request_id}'.encode())
 
 
+def find_lifetime_s(config: gateway_records.GatewayConfig | None) -> float:
+  """Returns how long streams are remembered under a configuration."""
+  longest_s = 0.0
+  for routes in config.routes_by_host.values() if config is not None else ():
+    for route in routes:
+      if route.is_resumable:
+        longest_s = max(longest_s, route.timeout_s)
+  return max(STREAM_LIFETIME_S, LIFETIME_TIMEOUTS * longest_s)
+
+
 class StreamBindings:
   """Versions of streams by their key."""
 
@@ -56,13 +70,15 @@
         collections.OrderedDict()
     )
 
-  def bind(self, key: int, software: str, now: float) -> None:
+  def bind(
+      self, key: int, software: str, lifetime_s: float, now: float
+  ) -> None:
     """Binds a stream; one that began at two versions is bound to none."""
     old = self._bound_by_key.pop(key, None)
     if old is not None and old[0] != software:
       software = ''
     self._bound_by_key[key] = (software, now)
-    self._drop_expired(now)
+    self._drop_expired(lifetime_s, now)
 
   def find(self, key: int) -> str | None:
     """Returns the version of a stream.
@@ -73,19 +89,24 @@
     bound = self._bound_by_key.get(key)
     return None if bound is None else bound[0]
 
-  def _drop_expired(self, now: float) -> None:
+  def _drop_expired(self, lifetime_s: float, now: float) -> None:
     while self._bound_by_key:
       _, bound_at = next(iter(self._bound_by_key.values()))
-      is_expired = now - bound_at > STREAM_LIFETIME_S
+      is_expired = now - bound_at > lifetime_s
       if not is_expired and len(self._bound_by_key) <= MAX_BINDINGS:
         return
       self._bound_by_key.popitem(last=False)
 
 
 class VersionHistory:
-  """Versions that the endpoints of each service had recently."""
+  """Versions that the endpoints of each service had recently.
+
+  Attributes:
+    lifetime_s: How long streams are remembered.
+  """
 
   def __init__(self):
+    self.lifetime_s = STREAM_LIFETIME_S
     self._seen_at_by_service: dict[str, dict[str, float]] = {}
     self._known_since: float | None = None
 
@@ -99,7 +120,7 @@
       self.record(endpoint, now)
     for seen in self._seen_at_by_service.values():
       for software, at in list(seen.items()):
-        if now - at > STREAM_LIFETIME_S:
+        if now - at > self.lifetime_s:
           del seen[software]
 
   def record(self, endpoint: gateway_records.Endpoint, now: float) -> None:
@@ -107,6 +128,13 @@
     seen = self._seen_at_by_service.setdefault(endpoint.service, {})
     seen[endpoint.software] = now
 
+  def set_lifetime(self, lifetime_s: float, now: float) -> None:
+    """Changes how long streams are remembered."""
+    if lifetime_s > self.lifetime_s and self._known_since is not None:
+      # Versions that were seen longer ago are forgotten.
+      self._known_since = max(self._known_since, now - self.lifetime_s)
+    self.lifetime_s = lifetime_s
+
   def record_gap(self, now: float) -> None:
     """Records that endpoints that were listed before now may be missing."""
     self._known_since = now
@@ -115,7 +143,7 @@
     """Returns whether a service had one version for long, by what is known."""
     if self._known_since is None:
       return False
-    if now - self._known_since < STREAM_LIFETIME_S:
+    if now - self._known_since < self.lifetime_s:
       return False
     return len(self._seen_at_by_service.get(service, ())) == 1
 
--- a/mulberrypick/core/stream_versions_test.py
+++ b/mulberrypick/core/stream_versions_test.py
@@ -4,6 +4,7 @@
 import unittest
 
 from mulberrypick.core import endpoint_registry_test
+from mulberrypick.core import gateway_records
 from mulberrypick.core import peer_topology
 from mulberrypick.core import stream_versions
 
@@ -14,6 +15,22 @@
   return endpoint_registry_test.make_endpoint(name, software=software)
 
 
+def _route(timeout_s: float, is_resumable: bool) -> gateway_records.Route:
+  return gateway_records.Route(
+      name='r',
+      hostname='h',
+      path_prefix='/',
+      kind=gateway_records.CallKind.STREAM,
+      timeout_s=timeout_s,
+      target_s=0.2,
+      rank=0,
+      share_by_service={'s': 1},
+      attempts=2,
+      is_resumable=is_resumable,
+      gap_s=0.1,
+  )
+
+
 def _hosts(zones, per_zone):
   hosts = []
   for zone in zones:
@@ -29,26 +46,26 @@
     self.bindings = stream_versions.StreamBindings()
 
   def test_stream_is_bound_to_the_version_that_began_it(self):
-    self.bindings.bind(7, 'v1', 0.0)
-    self.bindings.bind(7, 'v1', 1.0)
+    self.bindings.bind(7, 'v1', LIFETIME_S, 0.0)
+    self.bindings.bind(7, 'v1', LIFETIME_S, 1.0)
     self.assertEqual(self.bindings.find(7), 'v1')
     self.assertIsNone(self.bindings.find(8))
 
   def test_stream_that_began_at_two_versions_is_bound_to_none(self):
-    self.bindings.bind(7, 'v1', 0.0)
-    self.bindings.bind(7, 'v2', 1.0)
-    self.bindings.bind(7, 'v2', 2.0)
+    self.bindings.bind(7, 'v1', LIFETIME_S, 0.0)
+    self.bindings.bind(7, 'v2', LIFETIME_S, 1.0)
+    self.bindings.bind(7, 'v2', LIFETIME_S, 2.0)
     self.assertEqual(self.bindings.find(7), '')
 
   def test_bindings_expire(self):
-    self.bindings.bind(7, 'v1', 0.0)
-    self.bindings.bind(8, 'v1', LIFETIME_S + 1.0)
+    self.bindings.bind(7, 'v1', LIFETIME_S, 0.0)
+    self.bindings.bind(8, 'v1', LIFETIME_S, LIFETIME_S + 1.0)
     self.assertIsNone(self.bindings.find(7))
     self.assertEqual(self.bindings.find(8), 'v1')
 
   def test_number_of_bindings_is_limited(self):
     for key in range(stream_versions.MAX_BINDINGS + 10):
-      self.bindings.bind(key, 'v1', 0.0)
+      self.bindings.bind(key, 'v1', LIFETIME_S, 0.0)
     self.assertIsNone(self.bindings.find(9))
     self.assertEqual(self.bindings.find(10), 'v1')
 
@@ -99,6 +116,29 @@
     self.assertIsNone(self.history.only_version('other', LIFETIME_S))
 
 
+class LifetimeTest(unittest.TestCase):
+
+  def find(self, timeout_s: float, is_resumable: bool) -> float:
+    route = _route(timeout_s, is_resumable)
+    config = gateway_records.GatewayConfig(1, {'h': [route]}, {}, None, b'')
+    return stream_versions.find_lifetime_s(config)
+
+  def test_long_streams_are_remembered_for_longer(self):
+    self.assertEqual(stream_versions.find_lifetime_s(None), LIFETIME_S)
+    self.assertEqual(self.find(5.0, True), LIFETIME_S)
+    self.assertEqual(self.find(60.0, False), LIFETIME_S)
+    self.assertEqual(self.find(60.0, True), 120.0)
+
+  def test_versions_forgotten_under_a_shorter_lifetime_make_uncertain(self):
+    history = stream_versions.VersionHistory()
+    for at in range(0, 200, 10):
+      history.observe([_endpoint('a', 'v1')], float(at))
+    self.assertEqual(history.only_version('s', 200.0), 'v1')
+    history.set_lifetime(120.0, 200.0)
+    self.assertIsNone(history.only_version('s', 200.0))
+    self.assertEqual(history.only_version('s', 290.0), 'v1')
+
+
 class RegistrarsTest(unittest.TestCase):
 
   def test_binding_is_found_from_any_host_without_the_first_one(self):
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -262,6 +262,10 @@
       return False
     self.config = config
     self.load.models.configure(config.service_by_name.values())
+    self.versions.set_lifetime(
+        stream_versions.find_lifetime_s(config),
+        asyncio.get_running_loop().time(),
+    )
     return True
 
   def take_retry(
--- a/mulberrypick/ops/version_exchange.py
+++ b/mulberrypick/ops/version_exchange.py
@@ -82,6 +82,10 @@
     self._numbers = itertools.count(1)
     self._query_by_number: dict[int, _Query] = {}
 
+  @property
+  def _lifetime_s(self) -> float:
+    return self._state.versions.lifetime_s
+
   def bind(self, call: gateway_records.Call, software: str) -> None:
     """Binds a stream that begins or goes on at this host.
 
@@ -93,7 +97,7 @@
     if self._state.versions.is_certain(call.service, now):
       return
     key = stream_versions.stream_key(call.stream_id, call.fingerprint)
-    self._bindings.bind(key, software, now)
+    self._bindings.bind(key, software, self._lifetime_s, now)
     message = self._new_message()
     message.is_control_only = True
     message.binding = peer_message.StreamBinding(key, software)
@@ -138,7 +142,8 @@
   ) -> None:
     """Handles bindings, questions and replies of another host."""
     if message.binding is not None:
-      self._bindings.bind(message.binding.key, message.binding.software, now)
+      binding = message.binding
+      self._bindings.bind(binding.key, binding.software, self._lifetime_s, now)
     if message.version_query is not None:
       self._answer(message.address, message.version_query)
     if message.version_reply is not None:
@@ -191,7 +196,7 @@
     if query is None:
       return
     query.missing -= 1
-    if message.keeps_bindings_s < stream_versions.STREAM_LIFETIME_S:
+    if message.keeps_bindings_s < self._lifetime_s:
       query.is_known_to_all = False
     if reply.software is not None:
       query.software.add(reply.software)
--- a/mulberrypick/platform/gateway_out_of_step_test.py
+++ b/mulberrypick/platform/gateway_out_of_step_test.py
@@ -34,9 +34,11 @@
   """Three hosts have known one version for long; the last one is disturbed."""
 
   async def asyncSetUp(self):
-    self.enterContext(
-        mock.patch.object(stream_versions, 'STREAM_LIFETIME_S', LIFETIME_S)
-    )
+    for name, value in (
+        ('STREAM_LIFETIME_S', LIFETIME_S),
+        ('LIFETIME_TIMEOUTS', 0.0),
+    ):
+      self.enterContext(mock.patch.object(stream_versions, name, value))
     self.enterContext(
         mock.patch.object(version_exchange, 'REPLY_TIMEOUT_S', REPLY_TIMEOUT_S)
     )
--- a/mulberrypick/platform/gateway_version_test.py
+++ b/mulberrypick/platform/gateway_version_test.py
@@ -5,7 +5,6 @@
 from unittest import mock
 
 from mulberrypick.core import gateway_records
-from mulberrypick.core import stream_versions
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import gateway_test
 from standins import event_versions
@@ -276,9 +275,7 @@
 class OneVersionTest(gateway_test.GatewayTestCase):
 
   async def test_unknown_stream_goes_on_if_one_version_served_for_long(self):
-    self.enterContext(
-        mock.patch.object(stream_versions, 'STREAM_LIFETIME_S', 0.2)
-    )
+    self.gateway.state.versions.set_lifetime(0.2, 0.0)
     await asyncio.sleep(0.3)
     headers = HEADERS | {'Resumes': 'unknown', 'Last-Event-Id': '3'}
     answer = await self.call('/ask/x', 'r1', headers=headers)
