Order no engine away from decoding before the decode load is known

Cause: the order goes by the highest decode load of 20 s, of which a host that has just started, or has taken this over from another, knows nothing; it took that for none. The first start of the whole system is known from the settings: there was no load before, and the gain of stages by load in the first seconds stays.

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -9,7 +9,9 @@
 An engine is unavailable for seconds while it changes, and orders are priced.
 The decode load that counts is therefore the highest one of a longer time, some
 decode engines are kept as a reserve for crashes, and few engines change at a
-time.
+time. A host that has not observed it for that long, because it restarted or
+took this over from another one, does not know it, and orders no engine away
+from decoding.
 """
 
 import math
@@ -61,7 +63,8 @@
 class _ServiceState:
   """What was observed of the engines of one service."""
 
-  def __init__(self, now: float):
+  def __init__(self, now: float, knows_need_from: float):
+    self.knows_need_from = knows_need_from
     self.observed_at = now
     self.reading_mean = 0.0
     self.need = 0
@@ -72,7 +75,14 @@
 class StageBalance:
   """Observes the load of engines and decides which of them change."""
 
-  def __init__(self):
+  def __init__(self, first_start_at: float | None = None):
+    """Creates the decision.
+
+    Args:
+      first_start_at: When the whole system was started for the first time,
+        with this process; None if it ran before. There was no load before.
+    """
+    self._first_start_at = first_start_at
     self._by_service: dict[str, _ServiceState] = {}
 
   def decide(
@@ -93,10 +103,20 @@
         del self._by_service[service]
     given = []
     for service, engines in by_service.items():
-      state = self._by_service.setdefault(service, _ServiceState(now))
+      state = self._by_service.get(service)
+      if state is None:
+        state = _ServiceState(now, self._find_knows_need_from(now))
+        self._by_service[service] = state
       given += _decide_service(state, engines, now)
     return given
 
+  def _find_knows_need_from(self, now: float) -> float:
+    """Returns from when on the decode load before is known."""
+    first_start_at = self._first_start_at
+    if first_start_at is not None and now - first_start_at < NEED_HORIZON_S:
+      return now
+    return now + NEED_HORIZON_S
+
 
 def _decide_service(
     state: _ServiceState, engines: list[EngineUse], now: float
@@ -111,7 +131,7 @@
   if _is_lacking(state, len(decoders), len(prefillers), now):
     state.lacking_since = None
     return _order_to_decode(decoders, prefillers)
-  if state.reading_mean < MIN_READING_ENGINES:
+  if state.reading_mean < MIN_READING_ENGINES or now < state.knows_need_from:
     return []
   reserve = max(1, math.ceil(RESERVE_FRACTION * len(engines)))
   surplus = len(decoders) - max(MIN_DECODERS, state.need + reserve)
--- a/mulberrypick/core/stage_balance_test.py
+++ b/mulberrypick/core/stage_balance_test.py
@@ -45,9 +45,13 @@
 class FleetPlay:
   """Engines that execute the orders of a balance after some time."""
 
-  def __init__(self, uses: list[stage_balance.EngineUse]):
+  def __init__(
+      self,
+      uses: list[stage_balance.EngineUse],
+      first_start_at: float | None = 0.0,
+  ):
     self.uses = uses
-    self.balance = stage_balance.StageBalance()
+    self.balance = stage_balance.StageBalance(first_start_at)
     self.now = 0.0
     self.given = []
     self._ready_at: dict[str, float] = {}
@@ -83,6 +87,16 @@
 
 class ToPrefillTest(unittest.TestCase):
 
+  def test_host_that_restarted_orders_no_engine_away_from_decoding(self):
+    # Guards against an order in the first second after all hosts were killed:
+    # the engine was away while all callers came back.
+    for first_start_at in (None, -60.0):
+      play = FleetPlay(make_uses(2, 3, reading=3), first_start_at)
+      play.run(stage_balance.NEED_HORIZON_S - 1.0)
+      self.assertEqual(play.given, [])
+      play.run(4.0)
+      self.assertEqual([o.stage for _, o in play.given], [PREFILL])
+
   def test_decode_engines_that_prefill_change_until_the_reserve_is_left(self):
     play = FleetPlay(make_uses(2, 3, reading=2))
     play.run(20.0)
@@ -195,7 +209,7 @@
       self.assertEqual(play.given, [])
 
   def test_clock_that_steps_back_is_no_time(self):
-    balance = stage_balance.StageBalance()
+    balance = stage_balance.StageBalance(0.0)
     balance.decide(make_uses(2, 4, reading=4), 100.0)
     self.assertEqual(balance.decide(make_uses(2, 4, reading=4), 50.0), [])
 
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -66,7 +66,9 @@
     self._state = state
     self._client = client
     self._plan = stage_planner.StagePlanner()
-    self._balance = stage_balance.StageBalance()
+    self._balance = stage_balance.StageBalance(
+        boot_clock.boot_time() if state.host.is_first_start else None
+    )
     self._balance_from = 0.0
     # When each incarnation was ordered to change.
     self._ordered_at: dict[tuple[str, int], float] = {}
