Count no check of the list that its caller cut off

Read again: a caller that leaves while its host asks the store cancels the call. Those who waited for the same call took the result of an earlier one, and the next call met the rest of the response on its connection. list_check_test: a check that was cut off was answered with an earlier confirmation before; now the next one asks again, on a new connection.

--- a/mulberrypick/core/endpoint_registry.py
+++ b/mulberrypick/core/endpoint_registry.py
@@ -301,9 +301,11 @@
   def leaving(self, now: float) -> list[tuple[str, int]]:
     """Returns the leaving incarnations that are announced to other hosts."""
     recent = []
-    for incarnation, since in self._leaving_since.items():
-      if now - since < ANNOUNCE_LEAVING_S:
-        recent.append(incarnation)
+    # The latest ones are at the end.
+    for incarnation, since in reversed(self._leaving_since.items()):
+      if now - since >= ANNOUNCE_LEAVING_S:
+        break
+      recent.append(incarnation)
     return recent
 
   def record_success(self, endpoint: gateway_records.Endpoint) -> None:
--- a/mulberrypick/ops/list_check.py
+++ b/mulberrypick/ops/list_check.py
@@ -35,6 +35,8 @@
     # Number of calls that have begun, and when the last one did.
     self._begun = 0
     self._begun_at = float('-inf')
+    # Number of the last call that ended, and its result.
+    self._ended = 0
     self._is_confirmed = False
 
   async def confirm(self) -> bool:
@@ -44,10 +46,11 @@
     """
     begun = self._begun
     async with self._lock:
-      if self._begun == begun:
+      if self._ended <= begun:
         await self._wait_for_interval()
         self._begun += 1
         self._is_confirmed = await self._ask()
+        self._ended = self._begun
       return self._is_confirmed
 
   async def _wait_for_interval(self) -> None:
@@ -73,6 +76,10 @@
           _log, logging.WARNING, 'list_not_confirmed', error=repr(error)
       )
       return False
+    except asyncio.CancelledError:
+      # The caller has left; nobody reads the response.
+      self._client.close()
+      raise
     now = asyncio.get_running_loop().time()
     for item in changed.objects:
       endpoint = objects.decode_endpoint(item.name, item.spec)
