Reserve the ports of tests for their process

Cause: a port was probed when it was chosen, and bound by a gateway process later, and again after each restart; processes whose ids differ by the right number chose the same ports in between. Each process locks blocks of 100 ports until it ends.

--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -1,10 +1,13 @@
 """A cluster on loopback for gateways: the store and replicas of services."""
 
 import asyncio
-import itertools
+import fcntl
 import os
+import pathlib
 import socket
+import tempfile
 from collections.abc import Iterator
+from typing import IO
 from typing import NamedTuple
 
 from mulberrypick.adapters import stream_client
@@ -15,18 +18,56 @@
 HOST = 'town.example'
 # Ports below the range that the kernel uses for outgoing connections.
 PORTS = range(10_000, 32_000)
-# Distance of the first ports of processes with consecutive ids.
-PORTS_PER_PROCESS = 1409
+# Ports that a process reserves at a time. Others, such as tests that run beside
+# it, get none of them until it ends.
+PORTS_PER_BLOCK = 100
+_BLOCKS = len(PORTS) // PORTS_PER_BLOCK
+_LOCKS_FOLDER = pathlib.Path(tempfile.gettempdir()) / 'mulberrypick-ports'
 # Time after a crash at which the entry of a replica expires.
 ENTRY_EXPIRY_S = 0.4
 # Time after a crash at which a replica restarts.
 RESTART_S = 0.8
 
 
+# Locked files of the blocks that this process has reserved, by block.
+_lock_by_block: dict[int, IO[bytes]] = {}
+
+
+def _is_own_or_free(block: int) -> bool:
+  """Returns whether this process has a block of ports, reserved now if free."""
+  if block in _lock_by_block:
+    return True
+  _LOCKS_FOLDER.mkdir(exist_ok=True)
+  lock = (_LOCKS_FOLDER / str(block)).open('wb')
+  try:
+    fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+  except BlockingIOError:
+    lock.close()
+    return False
+  _lock_by_block[block] = lock
+  return True
+
+
 def _iterate_ports() -> Iterator[int]:
-  first = os.getpid() * PORTS_PER_PROCESS
-  for number in itertools.count(first):
-    yield PORTS[number % len(PORTS)]
+  """Returns the ports of one block after the other, each of them once.
+
+  After all blocks that are free, those of this process come again.
+
+  Raises:
+    RuntimeError: Other processes have reserved all blocks.
+  """
+  first = os.getpid()
+  while True:
+    is_any = False
+    for offset in range(_BLOCKS):
+      block = (first + offset) % _BLOCKS
+      if not _is_own_or_free(block):
+        continue
+      is_any = True
+      begin = block * PORTS_PER_BLOCK
+      yield from PORTS[begin : begin + PORTS_PER_BLOCK]
+    if not is_any:
+      raise RuntimeError('all ports are reserved by other processes')
 
 
 _ports = _iterate_ports()
@@ -52,7 +93,7 @@
   """Returns loopback ports that are currently free.
 
   The kernel does not assign them to outgoing connections, which other processes
-  may open before a port is used. This process gets each port only once.
+  may open before a port is used. They are reserved for this process.
   """
   ports = []
   while len(ports) < count:
