Send no signal of the soak to a gateway that is being loaded

Cause: a gateway that was killed at 1.8 s starts again at 2.7 s, and the plan reloads its settings by SIGHUP at 3.0 s; beside load the interpreter was still being loaded, which no program can handle, and SIGHUP ended it. The gateway counted as started before it handled signals. Evidence: soak_gateway_test reloads while the process is loaded: the same FileNotFoundError before, passes now. A planned reload in that moment is left out, as nothing could handle it; all others are sent as before, and settings are read every two seconds besides.

--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -111,7 +111,11 @@
     written.replace(path)
 
   async def start(self) -> None:
-    """Starts the process and waits until it handles signals."""
+    """Starts the process and waits until it handles signals.
+
+    None is sent before: a process can't handle it while it is being loaded.
+    """
+    self._is_ending = True
     with open(self._folder / 'log.txt', 'ab') as log:
       self._program = await asyncio.create_subprocess_exec(
           sys.executable,
@@ -122,8 +126,8 @@
           stdout=log,
           stderr=log,
       )
-    self._is_ending = False
     await wait_until_signals_are_handled(self._program.pid)
+    self._is_ending = False
 
   async def _start_again(self) -> None:
     """Starts the process; the whole system has started before."""
