Begin with a new list after an unexpected error of a change

Read again: since a lost contact with the store goes on from the last revision, a change whose handling raises would be read and fail again for good, and the host would not follow the list any more. test_change_that_always_fails_hides_no_later_one: an endpoint that joins after such a change was not found in 10 s before, and is now.

--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -57,6 +57,10 @@
         self._on_store_lost(error)
         await asyncio.sleep(self._backoff_s)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
+      except Exception:
+        # One of the changes may be the cause, and would be read again.
+        self._revision = 0
+        raise
 
   async def _watch_kind(self) -> None:
     if self._revision:
--- a/mulberrypick/platform/gateway_odd_entry_test.py
+++ b/mulberrypick/platform/gateway_odd_entry_test.py
@@ -145,6 +145,25 @@
     await self.wait_until(lambda: self.gateway.state.endpoints.find('desk-new'))
     self.assertFalse(self.running.done())
 
+  async def test_change_that_always_fails_hides_no_later_one(self):
+    self.enterContext(mock.patch.object(gateway_app, 'TASK_RESTART_S', 0.01))
+    usual = store_task.EndpointsTask.handle_change
+
+    def handle(task, item):
+      if item.name == 'any':
+        raise RuntimeError('x')
+      usual(task, item)
+
+    with (
+        mock.patch.object(store_task.EndpointsTask, 'handle_change', handle),
+        self.assertLogs(gateway_app.__name__, 'ERROR'),
+    ):
+      self.cluster.store.put('servers', 'any', {})
+      await self.cluster.add('desk-new', 'desk')
+      await self.wait_until(
+          lambda: self.gateway.state.endpoints.find('desk-new')
+      )
+
   async def test_message_that_can_not_be_handled_ends_no_host(self):
     other = await self.start_gateway('host-2')
     await self.wait_until(lambda: self.gateway.state.hosts == 2)
