Log and count the pauses of streams, and how a host splits the engines

The logs could not tell the hypotheses apart: first events came at once, and nothing told of what follows them. Lines of streams now name their events, mean interval, longest pause and the tokens that waited to be prefilled at their engine; a whole stream with a pause over that of its route is always logged (reason slow_stream) within the limit of lines. engine_split says which engines a host keeps for decoding, and by which load. A histogram counts the longest pauses. No decision changes.

--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -62,6 +62,24 @@
   awaits_permit: bool = False
 
 
+class EngineSplit(NamedTuple):
+  """How a host uses the engines of a service.
+
+  Attributes:
+    prefillers: Names of the engines of stage prefill.
+    decoders: Names of the decode engines that are kept for decoding.
+    overflow: Names of the decode engines that also prefill for others.
+    quarters: Quarters of slots that requests use to decode.
+    capacity: Quarters of slots that `decoders` take.
+  """
+
+  prefillers: tuple[str, ...]
+  decoders: tuple[str, ...]
+  overflow: tuple[str, ...]
+  quarters: int
+  capacity: float
+
+
 def make_read(
     call: gateway_records.Call, placement: Placement, now: float
 ) -> pending_reads.PendingRead:
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -210,6 +210,25 @@
     self.fetches.record(call, prefiller, chosen)
     return chosen
 
+  def split(self, service: str, now: float) -> placements.EngineSplit | None:
+    """Returns how the engines of a service are used, None without any."""
+    prefillers, runners = [], []
+    for endpoint in self._registry.usable(service, now):
+      if endpoint.stage is gateway_records.Stage.PREFILL:
+        prefillers.append(endpoint.name)
+      if endpoint.stage is gateway_records.Stage.DECODE:
+        runners.append(endpoint)
+    if not prefillers and not runners:
+      return None
+    decoders, overflow = self._split_runners(runners, now)
+    return placements.EngineSplit(
+        tuple(sorted(prefillers)),
+        tuple(runner.name for runner in decoders),
+        tuple(runner.name for runner in overflow),
+        sum(self._load.total(runner, now).decoding for runner in runners),
+        sum(self.fetches.capacity(runner) for runner in decoders),
+    )
+
   def _usable_runners(
       self,
       call: gateway_records.Call,
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -31,6 +31,9 @@
 SHARED_LINES_PER_S = MAX_LINES_PER_S - sum(RESERVED_LINES_BY_OUTCOME.values())
 # One in this many served requests is logged.
 SERVED_PER_LOG_LINE = 50
+# Reason of a stream that was served whole, with a pause longer than its route
+# allows. Each of them is logged.
+SLOW_STREAM = 'slow_stream'
 
 
 class CallLog:
@@ -71,7 +74,7 @@
     """
     key = (outcome, reason, route)
     self.count_by_outcome[key] = self.count_by_outcome.get(key, 0) + 1
-    if outcome == 'served':
+    if outcome == 'served' and reason != SLOW_STREAM:
       self._served += 1
       if self._served % SERVED_PER_LOG_LINE:
         return
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -49,6 +49,13 @@
         self.record('cut')
       self.assertEqual(self.count_lines(lines, 'call_cut'), 1, outcome)
 
+  def test_each_slow_stream_is_logged_but_not_each_served_one(self):
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      for reason in ('stream', call_log.SLOW_STREAM):
+        for _ in range(10):
+          self.log.record('served', reason, NOW, 'ask')
+    self.assertEqual(self.count_lines(lines, 'call_served'), 10)
+
   def test_flood_of_all_kinds_stays_within_the_bound(self):
     with self.assertLogs(call_log.__name__, 'INFO') as lines:
       for _ in range(call_log.SERVED_PER_LOG_LINE * FLOOD):
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -14,6 +14,7 @@
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
 from mulberrypick.core import placements
+from mulberrypick.core import stream_meter
 from mulberrypick.ops import call_log
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import endpoint_send
@@ -104,6 +105,7 @@
     self._passing = pass_on.PassOn(
         state, self._next, received, caller, self._stream, forwarded
     )
+    self._meter = stream_meter.StreamMeter()
     self._is_sending = False
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
@@ -496,14 +498,22 @@
         self._state.endpoints.record_success(placement.endpoint)
         self._bind(placement.endpoint)
       send.record_activity()
+      self._measure(placement.endpoint, len(events))
       await self._stream.write(head, events)
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
     self._stream.finish(head)
     send.record_completion()
-    self._log_decision('served', 'stream')
+    is_slow = self._meter.longest_pause_s > gap_s
+    self._log_decision('served', call_log.SLOW_STREAM if is_slow else 'stream')
     return next_run.AttemptResult(True, True, 'served')
 
+  def _measure(self, endpoint: gateway_records.Endpoint, events: int) -> None:
+    """Measures the pauses of the stream beside the load of its engine."""
+    now = asyncio.get_running_loop().time()
+    load = self._state.load.total(endpoint, now)
+    self._meter.record(events, load.urgent_tokens + load.other_tokens, now)
+
   def _bind(self, endpoint: gateway_records.Endpoint) -> None:
     """Binds the stream to the version that writes its first event."""
     if self._call.route.is_resumable and not self._stream.has_head:
@@ -592,9 +602,18 @@
       fields['tokens_ahead'] = placement.tokens_ahead
       fields['tokens'] = placement.tokens
       fields['expected_s'] = round(placement.predicted_s, 3)
+    if self._meter.events:
+      fields['events'] = self._meter.events
+      fields['event_s'] = round(self._meter.mean_event_s, 3)
+      fields['longest_pause_s'] = round(self._meter.longest_pause_s, 3)
+      fields['beside_tokens'] = self._meter.most_beside
     if outcome not in INTERIM_OUTCOMES:
       after_s = self._first_event_s or now - self._call.arrived_at
       self._metrics.observe_call(self._call.route, outcome, after_s)
+      if self._meter.events > 1:
+        self._metrics.observe_pause(
+            self._call.route, outcome, self._meter.longest_pause_s
+        )
     if self._forwarded is not None:
       fields['from_host'] = self._forwarded.origin.host
     config = self._state.config
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -58,6 +58,13 @@
         buckets=BUCKET_BOUNDS_S,
         registry=self._registry,
     )
+    self._longest_pause = prometheus_client.Histogram(
+        'mulberrypick_longest_pause_seconds',
+        'Longest time between two events of a stream.',
+        _LABELS,
+        buckets=BUCKET_BOUNDS_S,
+        registry=self._registry,
+    )
     self._engine_gauges = []
     for name, help_text in ENGINE_GAUGES:
       self._engine_gauges.append(
@@ -93,15 +100,23 @@
       first_s: float,
   ) -> None:
     """Records a request that ended and its time to the first event."""
-    labels = (
-        route.kind.value,
-        str(route.rank),
-        self._state.host.zone,
-        outcome,
-    )
+    labels = self._labels(route, outcome)
     self._calls.labels(*labels).inc()
     self._first_event.labels(*labels).observe(first_s)
 
+  def observe_pause(
+      self, route: gateway_records.Route, outcome: str, longest_s: float
+  ) -> None:
+    """Records the longest pause of a stream that ended."""
+    labels = self._labels(route, outcome)
+    self._longest_pause.labels(*labels).observe(longest_s)
+
+  def _labels(
+      self, route: gateway_records.Route, outcome: str
+  ) -> tuple[str, ...]:
+    zone = self._state.host.zone
+    return (route.kind.value, str(route.rank), zone, outcome)
+
   def _update_speeds(self) -> None:
     for key, model in self._state.load.models.all_models():
       labels = (key.service, key.software, key.work.value)
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -23,6 +23,7 @@
 from mulberrypick.core import stage_switches
 from mulberrypick.core import store_era
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import split_log
 from mulberrypick.platform import orders
 from mulberrypick.platform import protocol
 from mulberrypick.platform import store
@@ -69,6 +70,7 @@
     self._balance = stage_balance.StageBalance(
         boot_clock.boot_time() if state.host.is_first_start else None
     )
+    self._split_log = split_log.SplitLog()
     self._balance_from = 0.0
     # When each incarnation was ordered to change.
     self._ordered_at: dict[tuple[str, int], float] = {}
@@ -83,6 +85,7 @@
     while True:
       await asyncio.sleep(CHECK_INTERVAL_S)
       self._observe_era()
+      self._log_splits()
       state = self._state
       if state.is_leaving or state.reach.is_apart:
         # It gives no orders, and could not deliver them.
@@ -108,6 +111,16 @@
             error=str(error),
         )
 
+  def _log_splits(self) -> None:
+    config = self._state.config
+    now = asyncio.get_running_loop().time()
+    for service in config.service_by_name.values() if config else ():
+      if not service.is_engine:
+        continue
+      split = self._state.placer.split(service.name, now)
+      if split is not None:
+        self._split_log.record(service.name, split, now)
+
   def _decide(self) -> list[stage_planner.StageOrder]:
     """Returns the orders that are due now."""
     state = self._state
