Order an engine to prefill if no prefill engine is left

Cause: the balance of stages gave no order unless engines of both stages were there, and the planner knows only the lack of decode engines, so that nothing brought prefill back. Class: a decision that handles one direction of a lack. Now a decode engine is ordered as for any other lack of prefill, without the reserve for crashes, while two decode engines and those that the decode load needs stay. The engine that decodes least changes, as it does so once its streams have ended.

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -9,9 +9,11 @@
 An engine is unavailable for seconds while it changes, and orders are priced.
 The decode load that counts is therefore the highest one of a longer time, some
 decode engines are kept as a reserve for crashes, and few engines change at a
-time. A host that has not observed it for that long, because it restarted or
-took this over from another one, does not know it, and orders no engine away
-from decoding.
+time. A host that has not observed it for that long, because it restarted, does
+not know it, and orders no engine away from decoding.
+
+If all prefill engines left or crashed, one is ordered to prefill without such a
+reserve, for as long as two decode engines stay.
 """
 
 import math
@@ -126,7 +128,7 @@
   _observe(state, decoders, prefillers, now)
   switching = sum(use.is_switching for use in engines)
   most = max(1, int(MAX_SWITCHING_FRACTION * len(engines))) - switching
-  if not decoders or not prefillers or most <= 0:
+  if not decoders or most <= 0:
     return []
   if _is_lacking(state, len(decoders), len(prefillers), now):
     state.lacking_since = None
@@ -134,6 +136,9 @@
   if state.reading_mean < MIN_READING_ENGINES or now < state.knows_need_from:
     return []
   reserve = max(1, math.ceil(RESERVE_FRACTION * len(engines)))
+  if not prefillers:
+    # All prompts are prefilled between the tokens of streams.
+    reserve = 0
   surplus = len(decoders) - max(MIN_DECODERS, state.need + reserve)
   return _orders_to_prefill(decoders, prefillers, min(surplus, most))
 
@@ -208,6 +213,8 @@
         key=lambda u: (
             decoding[u.endpoint.zone],
             -prefilling.get(u.endpoint.zone, 0),
+            # It changes once what it decodes has ended.
+            -u.decode_quarters,
         ),
     )
     left.remove(chosen)
--- a/standins/stage_play.py
+++ b/standins/stage_play.py
@@ -282,11 +282,17 @@
     )
 
   def _place(self, call: gateway_records.Call) -> None:
-    placed = self.placer.place(call, SERVICE, set(), self.now)
-    if isinstance(placed, placements.Refusal):
-      self._record(call, 'cut')
-      return
-    reader = placed.prefiller or placed.endpoint
+    excluded: set[tuple[str, int]] = set()
+    while True:
+      placed = self.placer.place(call, SERVICE, excluded, self.now)
+      if isinstance(placed, placements.Refusal):
+        self._record(call, 'cut')
+        return
+      reader = placed.prefiller or placed.endpoint
+      if self.engines[reader.name].ordered is None:
+        break
+      # An engine that was ordered refuses requests until it has changed.
+      excluded.add(reader.incarnation)
     own = self.load.own(reader)
     own.count += 1
     quarters = placements.decode_slot_quarters(call, False)
