Expect of decode engines what prefill engines have shown by now

Cause: the model of prefill on decode engines is made with its prior when it is first asked for, before any prefill engine has answered. Decode engines that have prefilled only the short prompts of long streams learn nothing of the time for each token, so that the prior decides (20 us a token, five times too long), and they never get a long prompt to learn from. Class: a prior taken once and kept. Every answer of a prefill engine now renews it unless it was kept from earlier hosts.

The test fails before (0.22 s expected for 10,000 tokens, 0.055 s is true).

--- a/mulberrypick/core/engine_models.py
+++ b/mulberrypick/core/engine_models.py
@@ -210,8 +210,21 @@
     expected_s = self.find(endpoint, work).expect_s(tokens)
     key = ModelKey(endpoint.service, endpoint.software, work)
     self._own_model(key).observe(tokens, took_s, now)
+    if work is Work.READ:
+      self._update_decoder_prior(key)
     return took_s / expected_s
 
+  def _update_decoder_prior(self, key: ModelKey) -> None:
+    """Expects of decode engines what is now known of prefill engines.
+
+    Decode engines may have prefilled short prompts only, which tell nothing of
+    the time for each token. They would then get no long ones to learn from.
+    """
+    key = key._replace(work=Work.READ_ON_DECODER)
+    model = self._models.get(key)
+    if model is not None and not model.is_prior_known:
+      model.set_prior(*self._prior(key))
+
   def all_models(self) -> list[tuple[ModelKey, time_model.TimeModel]]:
     """Returns all models that have samples."""
     return [(k, m) for k, m in self._models.items() if m.samples > 0]
--- a/mulberrypick/core/engine_models_test.py
+++ b/mulberrypick/core/engine_models_test.py
@@ -44,6 +44,18 @@
         self.expect_s(self.models, decoder, work), 0.41, delta=0.05
     )
 
+  def test_decode_engine_that_read_short_prompts_only_is_known_by_others(self):
+    # Guards against decode engines that get no long prompt since short ones
+    # told nothing of the time for each token.
+    decoder = make_engine('d', Stage.DECODE)
+    work = engine_models.read_work(decoder)
+    for number in range(20):
+      self.models.observe(decoder, work, 160, 0.015, number / 10)
+    self.teach(self.models, self.engine, 400_000)
+    self.assertAlmostEqual(
+        self.expect_s(self.models, decoder, work), 0.06, delta=0.02
+    )
+
   def test_new_software_is_first_taken_to_be_like_the_old_one(self):
     self.teach(self.models, self.engine, 50_000)
     newer = make_engine('c', software='v2')
--- a/mulberrypick/core/time_model.py
+++ b/mulberrypick/core/time_model.py
@@ -88,8 +88,12 @@
 
   def set_known_prior(self, fixed_s: float, per_token_s: float) -> None:
     """Replaces the prior by times that hosts observed before."""
-    self._prior = (max(fixed_s, MIN_FIXED_S), max(per_token_s, MIN_TOKEN_S))
     self.is_prior_known = True
+    self.set_prior(fixed_s, per_token_s)
+
+  def set_prior(self, fixed_s: float, per_token_s: float) -> None:
+    """Replaces the prior; it decides what the samples do not."""
+    self._prior = (max(fixed_s, MIN_FIXED_S), max(per_token_s, MIN_TOKEN_S))
     if self.samples:
       self._fit()
     else:
