Take a refusal without an id for the own one only on a fresh connection

A report of other operators: a faulty replica writes an earlier refusal once more on a kept connection. Callers got 'not run' for requests that ran. Cause: a 400, a 421 or a refusal with the not-executed header and no request id was the answer to whatever request was on the connection. Class: proof by position. Nothing else can have been answered on a connection that carries its first request, so that such a refusal is proven there; elsewhere the request may have run, the connection is aborted, and callers get 502 or another run if it may be repeated. With an id, the same one is used by a prefill, its run and a retry: a connection that has carried an id is left to other requests.

The test fails if the proof is left out (503 with run not_run for a request that ran twice). A second one shows refusals with their id, which held before, a third one heads that stop at seven places (502, held before as well). What it costs: a genuine refusal without an id on a kept connection is no longer a promise. Replicas echo the id by the protocol.

--- a/mulberrypick/adapters/stream_client.py
+++ b/mulberrypick/adapters/stream_client.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+import collections
+import enum
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -22,6 +24,9 @@
 MAX_UNREAD_BYTES = 1 << 20
 # Bytes of a response that are processed before other tasks run.
 MAX_READ_BYTES = 65536
+# Ids of the last requests that a connection remembers. A request is sent again
+# within its time limit, and seldom over the same connection.
+MAX_CARRIED_IDS = 32
 # Requests of these methods carry no Content-Length if the body is empty.
 _METHODS_WITHOUT_BODY = (b'GET', b'HEAD', b'DELETE')
 _STATUSES_WITHOUT_BODY = (204, 304)
@@ -48,19 +53,45 @@
     return None
 
 
+class HeadMatch(enum.Enum):
+  """Whether a head belongs to a request.
+
+  OWN: it does.
+  FOREIGN: it belongs to another request; the own response may follow.
+  UNPROVEN: it may belong to this request or to an earlier one.
+  """
+
+  OWN = 'own'
+  FOREIGN = 'foreign'
+  UNPROVEN = 'unproven'
+
+
+def accept_any(head: Head, is_first: bool) -> HeadMatch:
+  """Takes any head for the own one."""
+  del head, is_first
+  return HeadMatch.OWN
+
+
 class Exchange:
   """One request on a connection and the state of its response.
 
   Attributes:
-    is_response_head: Returns whether a head belongs to this request.
+    match: Returns whether a head belongs to this request, given the head and
+      whether the request is the first one on its connection.
+    request_id: Id of the request; empty if it has none.
     head: Head of the response, None until it has arrived.
     is_done: Whether the response is complete.
     failure: Why the response can't be completed, empty if it did not fail.
     pause: Pauses (True) or resumes (False) reading; set by the connection.
   """
 
-  def __init__(self, is_response_head: Callable[[Head], bool]):
-    self.is_response_head = is_response_head
+  def __init__(
+      self,
+      match: Callable[[Head, bool], HeadMatch] = accept_any,
+      request_id: str = '',
+  ):
+    self.match = match
+    self.request_id = request_id
     self.head: Head | None = None
     self.is_done = False
     self.failure = ''
@@ -174,6 +205,11 @@
     self.on_lost: Callable[[ClientConnection], None] | None = None
     self._transport: asyncio.Transport | None = None
     self._exchange: Exchange | None = None
+    self._was_used = False
+    self._is_first = True
+    self._carried: collections.deque[str] = collections.deque(
+        maxlen=MAX_CARRIED_IDS
+    )
     self._parser = httptools.HttpResponseParser(self)
     self._headers: list[tuple[bytes, bytes]] = []
     self._is_skipping = False
@@ -198,8 +234,19 @@
         and not transport.is_closing()
     )
 
+  def has_carried(self, request_id: str) -> bool:
+    """Returns whether a request with this id was sent here before.
+
+    A response with the id may then belong to either.
+    """
+    return request_id in self._carried
+
   def send(self, request: bytes, exchange: Exchange) -> None:
     """Sends a request; the exchange receives the response."""
+    self._is_first = not self._was_used
+    self._was_used = True
+    if exchange.request_id:
+      self._carried.append(exchange.request_id)
     self._exchange = exchange
     self._meter = response_limits.ResponseMeter()
     exchange.pause = self._pause
@@ -269,11 +316,15 @@
     exchange = self._exchange
     if exchange is None:
       return
-    if not exchange.is_response_head(head):
-      # The response belongs to another request, so the connection is not
-      # reused.
+    match = exchange.match(head, self._is_first)
+    if match is not HeadMatch.OWN:
+      # The connection is not reused: it carries a response of another request.
       self.is_reusable = False
       self._is_skipping = True
+    if match is HeadMatch.UNPROVEN:
+      self._fail_exchange('refusal_unproven')
+      self.abort()
+    if match is not HeadMatch.OWN:
       return
     exchange.add_head(head)
 
--- a/mulberrypick/ops/endpoint_pool.py
+++ b/mulberrypick/ops/endpoint_pool.py
@@ -43,26 +43,33 @@
     self.opened_count = 0
 
   async def acquire(
-      self, endpoint: gateway_records.Endpoint, must_be_fresh: bool
+      self,
+      endpoint: gateway_records.Endpoint,
+      must_be_fresh: bool,
+      request_id: str = '',
   ) -> stream_client.ClientConnection:
     """Returns an idle connection, or a new one if none is usable.
 
     Args:
       endpoint: Endpoint to connect to.
       must_be_fresh: Whether an idle connection must have been used recently.
+      request_id: Id of the request; a connection that has carried it already
+        is left to others.
 
     Raises:
       ConnectError: No connection could be opened; nothing was sent.
     """
     now = asyncio.get_running_loop().time()
     idle = self._idle.get(endpoint.incarnation, [])
-    while idle:
-      connection = idle.pop()
-      if not _is_usable(connection, must_be_fresh, now):
-        connection.close()
-        continue
-      connection.on_lost = None
-      return connection
+    for connection in reversed(list(idle)):
+      if _is_usable(connection, must_be_fresh, now):
+        if request_id and connection.has_carried(request_id):
+          continue
+        idle.remove(connection)
+        connection.on_lost = None
+        return connection
+      idle.remove(connection)
+      connection.close()
     return await self.open(endpoint, CONNECT_TIMEOUT_S)
 
   async def open(
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -137,7 +137,8 @@
       self._own_load.reads.add(id(self), read)
     self._connection: stream_client.ClientConnection | None = None
     self.exchange = stream_client.Exchange(
-        lambda head: requests.is_response_to(call.id, head)
+        lambda head, is_first: requests.match_response(call.id, head, is_first),
+        call.id,
     )
     self.sent_at = 0.0
     self._heard_at = 0.0
@@ -170,7 +171,7 @@
     state = self._state
     try:
       self._connection = connection or await state.pool.acquire(
-          self._endpoint, not self._call.route.is_idempotent
+          self._endpoint, not self._call.route.is_idempotent, self._call.id
       )
     except errors.ConnectError:
       state.endpoints.record_failure(self._endpoint, loop.time(), True)
--- a/mulberrypick/ops/prompt_handles.py
+++ b/mulberrypick/ops/prompt_handles.py
@@ -91,7 +91,7 @@
         error=endpoint_send.LIMITED,
     )
     return
-  exchange = stream_client.Exchange(lambda _: True)
+  exchange = stream_client.Exchange()
   host = f'{prefiller.ip}:{prefiller.port}'.encode()
   connection.send(
       stream_client.encode_request(
--- a/mulberrypick/ops/run_securer.py
+++ b/mulberrypick/ops/run_securer.py
@@ -151,7 +151,7 @@
     first = placement.prefiller or placement.endpoint
     try:
       connection = await self._state.pool.acquire(
-          first, not call.route.is_idempotent
+          first, not call.route.is_idempotent, call.id
       )
     except errors.ConnectError:
       now = asyncio.get_running_loop().time()
--- /dev/null
+++ b/mulberrypick/platform/gateway_odd_answer_test.py
@@ -0,0 +1,69 @@
+"""Tests of a gateway whose replicas answer with what is not the answer."""
+
+from mulberrypick.platform import gateway_test
+from standins import odd_answers
+
+REQUESTS = 30
+# Where the head of an answer ends, with `ID` for the request's id.
+HALF_HEADS = (
+    b'HTTP/1.1',
+    b'HTTP/1.1 200',
+    b'HTTP/1.1 200 OK\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Mulberrypick-Request-Id: ID',
+    b'HTTP/1.1 200 OK\r\nX-Mulberrypick-Request-Id: ID\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Mulberrypick-Request-Id: ID\r\n'
+    b'X-Mulberrypick-Server-Signature: x\r\n',
+    b'HTTP/1.1 200 OK\r\nX-Mulberrypick-Request-Id: ID\r\n'
+    b'X-Mulberrypick-Server-Signature: x\r\nContent-Length: 9\r',
+)
+
+
+class OddAnswerCase(gateway_test.GatewayTestCase):
+
+  def set_fault(self, service: str, make) -> None:
+    """Makes all replicas of a service answer so."""
+    for replica in self.cluster.replica_by_name.values():
+      if replica.service == service:
+        replica.on_run = make()
+
+
+class RefusalAgainTest(OddAnswerCase):
+
+  async def check(self, path: str, has_id: bool) -> None:
+    self.set_fault('desk', lambda: odd_answers.RefusalAgain(has_id))
+    ran = 0
+    for number in range(REQUESTS):
+      request = f'{path[1:5]}{has_id}{number}'
+      answer = await self.call(path, request)
+      runs = self.cluster.runs(request)
+      ran += runs
+      if path == '/unsafe/x':
+        self.assertLessEqual(runs, 1, request)
+      if answer.status in (408, 421, 429, 503):
+        self.assertEqual(runs, 0, f'{request}: {answer}')
+    self.assertGreater(ran, 0)
+
+  async def test_earlier_refusal_without_an_id_is_no_word_on_the_next(self):
+    # Guards against "not run" for requests that run, and that then run twice.
+    for path in ('/safe/x', '/unsafe/x'):
+      await self.check(path, False)
+
+  async def test_earlier_refusal_with_its_id_is_no_word_on_the_next(self):
+    for path in ('/safe/x', '/unsafe/x'):
+      await self.check(path, True)
+
+
+class HalfHeadTest(OddAnswerCase):
+
+  async def test_head_that_stops_in_the_middle_is_no_answer(self):
+    for number, part in enumerate(HALF_HEADS):
+      for service, path in (('desk', '/unsafe/x'), ('engine', '/ask/x')):
+        self.set_fault(service, lambda p=part: odd_answers.HalfHead(p))
+        request = f'h{number}{path[1]}'
+        answer = await self.call(path, request, body=request.encode())
+        self.assertIn(answer.status, (502, 504), f'{part}: {answer}')
+        self.assertTrue(answer.is_whole)
+
+
+if __name__ == '__main__':
+  gateway_test.unittest.main()
--- a/mulberrypick/platform/gateway_pass_on_test.py
+++ b/mulberrypick/platform/gateway_pass_on_test.py
@@ -67,7 +67,7 @@
         (b'Content-Type', b'application/x-own'),
     ]
     body = bytes(range(256))
-    exchange = gateway_cluster.stream_client.Exchange(lambda _: True)
+    exchange = gateway_cluster.stream_client.Exchange()
     connection.send(
         gateway_cluster.stream_client.encode_request(
             b'POST', b'/unsafe/x/y?a=%20b&c', headers, body
--- a/mulberrypick/platform/platform_test.py
+++ b/mulberrypick/platform/platform_test.py
@@ -177,12 +177,28 @@
     self.assertEqual(requests.fingerprint(first), requests.fingerprint(again))
 
   def test_responses_to_other_requests_are_detected(self):
+    match = stream_client.HeadMatch
     own = (b'X-Mulberrypick-Request-Id', b'r1')
-    head = stream_client.Head(200, [own], False)
-    self.assertTrue(requests.is_response_to('r1', head))
-    self.assertFalse(requests.is_response_to('r2', head))
     bare = stream_client.Head(200, [], False)
-    self.assertFalse(requests.is_response_to('r1', bare))
+    for is_first in (True, False):
+      for status in (200, 503):
+        head = stream_client.Head(status, [own], False)
+        found = requests.match_response('r1', head, is_first)
+        self.assertIs(found, match.OWN)
+        found = requests.match_response('r2', head, is_first)
+        self.assertIs(found, match.FOREIGN)
+      found = requests.match_response('r1', bare, is_first)
+      self.assertIs(found, match.FOREIGN)
+
+  def test_refusal_without_an_id_is_proven_by_a_fresh_connection_only(self):
+    match = stream_client.HeadMatch
+    marked = [(b'X-Mulberrypick-Not-Executed', b'1')]
+    for status, headers in ((400, []), (421, []), (503, marked)):
+      head = stream_client.Head(status, headers, False)
+      found = requests.match_response('r1', head, True)
+      self.assertIs(found, match.OWN)
+      found = requests.match_response('r1', head, False)
+      self.assertIs(found, match.UNPROVEN)
 
   def test_only_marked_or_misdirected_responses_are_not_run(self):
     marked = stream_client.Head(
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -183,16 +183,33 @@
   return None
 
 
-def is_response_to(request_id: str, head: stream_client.Head) -> bool:
-  """Returns whether a response head belongs to a request."""
+def match_response(
+    request_id: str, head: stream_client.Head, is_first: bool
+) -> stream_client.HeadMatch:
+  """Returns whether a response head belongs to a request.
+
+  Some refusals carry no request id. A replica may write an earlier one again
+  where the next response is expected, so that such a refusal is proven to be
+  the own one only if nothing else was sent over the connection.
+
+  Args:
+    request_id: Id of the request.
+    head: The head.
+    is_first: Whether the request is the first one on its connection.
+  """
   value = head.get(protocol.REQUEST_ID)
-  if value is None:
-    # These refusals carry no request id. They are accepted as responses to any
-    # request, because they hold no data of another one.
-    return head.status in (400, 421) or (
-        head.get(protocol.NOT_RUN) is not None and head.status >= 400
-    )
-  return value.decode('latin-1') == request_id
+  if value is not None:
+    is_own = value.decode('latin-1') == request_id
+    match = stream_client.HeadMatch
+    return match.OWN if is_own else match.FOREIGN
+  is_refusal = head.status in (400, 421) or (
+      head.get(protocol.NOT_RUN) is not None and head.status >= 400
+  )
+  if not is_refusal:
+    return stream_client.HeadMatch.FOREIGN
+  if is_first:
+    return stream_client.HeadMatch.OWN
+  return stream_client.HeadMatch.UNPROVEN
 
 
 def classify_response(head: stream_client.Head) -> ResponseTraits:
--- a/mulberrypick/platform/store.py
+++ b/mulberrypick/platform/store.py
@@ -259,7 +259,7 @@
       target += '?' + urllib.parse.urlencode(query)
     self.calls += 1
     era_before = self._era.current
-    exchange = stream_client.Exchange(lambda _: True)
+    exchange = stream_client.Exchange()
     try:
       connection = await self._connect()
       connection.send(self._encode(method, target, body), exchange)
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -8,6 +8,7 @@
 import collections
 import secrets
 import urllib.parse
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -76,6 +77,8 @@
     service: Name of the service.
     stage: `prefill`, `decode`, or empty for a plain service.
     behaviour: How it handles requests.
+    on_run: Called with each request that it would run, its headers by name and
+      its connection; returns whether it has answered it. None for nothing.
     limit: Requests per second that its answers ask for; 0 for no limit.
     is_saying_it_leaves: Whether its answers say that it leaves.
     hold_off: Value of Retry-After with which it refuses all requests; empty to
@@ -119,6 +122,13 @@
     self.service = service
     self.stage = stage
     self.behaviour = Behaviour()
+    self.on_run: (
+        Callable[
+            [str, dict[str, str], stream_server.ServerConnection],
+            Awaitable[bool],
+        ]
+        | None
+    ) = None
     self.limit = 0.0
     self.is_saying_it_leaves = False
     self.hold_off = ''
@@ -251,7 +261,7 @@
       self._refuse(caller, request)
       return
     try:
-      await self._run(request, headers, body, caller)
+      await self._run_or_fail(request, headers, body, caller)
     except asyncio.CancelledError:
       self.aborted_requests.append(request)
       raise
@@ -322,6 +332,17 @@
       headers.append((b'Server-Leaving', b'1'))
     return headers
 
+  async def _run_or_fail(
+      self,
+      request: str,
+      headers: dict[str, str],
+      body: bytes,
+      caller: stream_server.ServerConnection,
+  ) -> None:
+    if self.on_run is not None and await self.on_run(request, headers, caller):
+      return
+    await self._run(request, headers, body, caller)
+
   async def _run(
       self,
       request: str,
--- a/standins/gateway_cluster.py
+++ b/standins/gateway_cluster.py
@@ -287,7 +287,7 @@
   connection = await stream_client.connect(
       '127.0.0.1', port, 2.0, (caller_ip, 0)
   )
-  exchange = stream_client.Exchange(lambda _: True)
+  exchange = stream_client.Exchange()
   lines = [
       (b'Host', HOST.encode()),
       (b'X-Mulberrypick-Request-Id', request.encode()),
--- a/standins/soak_client.py
+++ b/standins/soak_client.py
@@ -91,7 +91,7 @@
       encoded: bytes,
       began_at: float,
   ) -> soak_checks.Observation:
-    exchange = stream_client.Exchange(lambda _: True)
+    exchange = stream_client.Exchange()
     connection.send(encoded, exchange)
     status, body, head_at, limited_by = 0, b'', 0.0, ''
     is_whole = is_hung = False
