Pass on only the next events of a stream, and end none without them

A report of other operators: a stream broke off, and callers found the text of the next endpoint's error in it, or it ended as complete. Shown on our stand-ins (7 kinds of resumed answers): a 200 without events, an event that the caller has, an event without an id, text that ends in a blank line, and ids that skip one each ended the stream as complete, with that text in it or a piece missing; so did skipped ids in a first run. Cause: whatever looked like an event was passed on, and the end of any 2xx was the end of the stream. Class: an answer taken for the wanted one by its framing.

Events of a stream have consecutive ids: after the first one, an event without an id that is no comment, or with another id than the next, breaks the run off, and the request goes on elsewhere or is cut. A run that resumes a stream and adds no event proves no end. Only a 200 is a stream; others are passed on whole. What it costs: a stream that broke off after its last event and before its end is cut, since an empty answer looks the same.

--- a/mulberrypick/core/event_stream.py
+++ b/mulberrypick/core/event_stream.py
@@ -21,6 +21,12 @@
   raw: bytes
   id: int | None
 
+  @property
+  def is_comment(self) -> bool:
+    """Whether it holds nothing for the caller, as to keep a stream alive."""
+    lines = self.raw.splitlines()
+    return all(line.startswith(b':') for line in lines if line)
+
 
 class EventSplitter:
   """Buffers bytes until they form complete events."""
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -444,7 +444,7 @@
       tokens: int,
   ) -> next_run.AttemptResult:
     is_stream = self._call.route.kind is gateway_records.CallKind.STREAM
-    if is_stream and head.status < 300:
+    if is_stream and head.status == 200:
       return await self._forward_stream(send, head, placement, tokens)
     body = await send.exchange.read_all(endpoint_send.MAX_RESPONSE_BYTES)
     if head.status >= 500:
@@ -478,6 +478,8 @@
   ) -> next_run.AttemptResult:
     cutter = event_stream.EventSplitter()
     is_first = True
+    is_resumed = self._stream.has_head
+    resumed_after = self._stream.last_event
     gap_s = self._call.route.gap_s or DEFAULT_GAP_S
     limit = self._silence_limit(STALL_GAPS * gap_s)
     while data := await send.read_some(limit):
@@ -502,6 +504,9 @@
       await self._stream.write(head, events)
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
+    if is_resumed and self._stream.last_event == resumed_after:
+      # Nothing shows that the stream had ended before it broke off.
+      raise errors.ExchangeBrokenError('no_event')
     self._stream.finish(head)
     send.record_completion()
     is_slow = self._meter.longest_pause_s > gap_s
--- a/mulberrypick/ops/caller_stream.py
+++ b/mulberrypick/ops/caller_stream.py
@@ -1,7 +1,13 @@
-"""Forwards a streamed response to its caller event by event."""
+"""Forwards a streamed response to its caller event by event.
+
+The events of a stream have consecutive ids. An event without one, or with
+another one than the next, is not part of the stream: an endpoint that resumes
+it may send the text of an error, or the wrong part.
+"""
 
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import stream_server
+from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.ops import forward_server
 from mulberrypick.platform import requests
@@ -41,20 +47,43 @@
   async def write(
       self, head: stream_client.Head, events: list[event_stream.Event]
   ) -> None:
-    """Writes events, except those that the caller already has."""
+    """Writes events, except those that the caller already has.
+
+    Raises:
+      ExchangeBrokenError: An event is not part of the stream. Those before it
+        were written.
+    """
     new_events = []
+    reason = ''
     for event in events:
+      reason = self._find_fault(event)
+      if reason:
+        break
       if event.id is not None:
         if self.last_event is not None and event.id <= self.last_event:
           continue
         self.last_event = event.id
       new_events.append(event.raw)
-    if not new_events:
-      return
+    if new_events:
+      await self._write_events(head, new_events)
+    if reason:
+      raise errors.ExchangeBrokenError(reason)
+
+  def _find_fault(self, event: event_stream.Event) -> str:
+    """Returns why an event is not part of the stream, empty if it may be."""
+    if self.last_event is None:
+      return ''
+    if event.id is None:
+      return '' if event.is_comment else 'event_without_id'
+    return 'event_missing' if event.id > self.last_event + 1 else ''
+
+  async def _write_events(
+      self, head: stream_client.Head, events: list[bytes]
+  ) -> None:
     self._write_head(head)
     if self._forwarded is not None:
       self._forwarded.last_event = self.last_event
-    data = b''.join(new_events)
+    data = b''.join(events)
     self._caller.write(b'%x\r\n%s\r\n' % (len(data), data))
     await self._caller.drain()
 
--- a/mulberrypick/platform/gateway_odd_answer_test.py
+++ b/mulberrypick/platform/gateway_odd_answer_test.py
@@ -53,6 +53,28 @@
       await self.check(path, True)
 
 
+class ResumedStreamTest(OddAnswerCase):
+
+  async def test_stream_is_not_whole_without_the_rest_of_its_own_events(self):
+    # Guards against the text of an error within a stream, and against streams
+    # that end as complete with a piece missing.
+    for kind in odd_answers.RESUMED_ANSWERS:
+      self.set_fault('engine', lambda k=kind: odd_answers.OddResumption(k))
+      answer = await self.call('/ask/x', f'r-{kind}')
+      self.assertFalse(answer.is_whole, f'{kind}: {answer}')
+      self.assertNotIn(b'failed', answer.body, kind)
+      self.assertNotIn(b'piece 5', answer.body, kind)
+
+  async def test_first_run_with_a_piece_missing_is_not_whole(self):
+    for kind in ('skipped_id', 'own_event_and_text'):
+      self.set_fault(
+          'engine', lambda k=kind: odd_answers.OddResumption(k, True)
+      )
+      answer = await self.call('/ask/x', f'f-{kind}')
+      self.assertFalse(answer.is_whole, f'{kind}: {answer}')
+      self.assertNotIn(b'failed', answer.body, kind)
+
+
 class HalfHeadTest(OddAnswerCase):
 
   async def test_head_that_stops_in_the_middle_is_no_answer(self):
--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -19,6 +19,11 @@
         b'event: error\ndata: engine failed\n\n',
     ),
     'text': (200, b'text/plain', b'engine failed, try again\n\n'),
+    'event_again': (
+        200,
+        b'text/event-stream',
+        b'id: 2\ndata: piece 2\n\n',
+    ),
     'skipped_id': (200, b'text/event-stream', None),
     'own_event_and_text': (200, b'text/event-stream', None),
 }
