Let the next hosts observe the load that orders go by

Cause: only the first host observed the decode load, so that its successor knew none for 20 s and ordered no engine to prefill meanwhile, though the first may be cut off right when the prefill engines leave. Class: state that only the holder of a duty has. The next two hosts now observe too and order nothing; more would cost every host of a large fleet the sums over all engines five times a second. The test fails before (no engine is asked about by the second host).

--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -49,6 +49,8 @@
 # Time after an order in which the engine gets no other one for the balance: it
 # may have accepted the order and not executed it.
 MIN_STAGE_S = 30.0
+# Number of hosts that are ready to see to the balance when the first is gone.
+STANDBY_HOSTS = 2
 # Fraction of the known hosts that this host must hear to see to the balance.
 MIN_HEARD_FRACTION = 0.75
 # Responses of an engine that changes its stage, or has it already.
@@ -134,8 +136,7 @@
     )
     if order is not None:
       return [order]
-    if state.rank_among_hosts != 0:
-      # One host alone sees to the balance. Without it nothing is lost but time.
+    if state.rank_among_hosts > STANDBY_HOSTS:
       return []
     if boot_clock.boot_time() < self._balance_from or not self._hears_fleet():
       return []
@@ -156,7 +157,10 @@
               self._may_change(endpoint),
           )
       )
-    return self._balance.decide(uses, boot_clock.boot_time())
+    given = self._balance.decide(uses, boot_clock.boot_time())
+    # One host alone sees to the balance. The next ones only observe, so that
+    # they know the load if they take over.
+    return given if state.rank_among_hosts == 0 else []
 
   def _may_change(self, endpoint: gateway_records.Endpoint) -> bool:
     """Returns whether an engine was not ordered to change lately."""
--- a/mulberrypick/ops/stage_task_test.py
+++ b/mulberrypick/ops/stage_task_test.py
@@ -61,6 +61,15 @@
     self.state.rank_among_hosts = 1
     self.assertEqual(self.task._decide(), [])
 
+  async def test_next_hosts_observe_the_load_and_others_do_not(self):
+    # Guards against a successor that orders nothing for the 20 s for which it
+    # does not know the decode load.
+    for rank, names in ((1, 5), (stage_task.STANDBY_HOSTS, 5), (3, 0)):
+      self.balance.names = []
+      self.state.rank_among_hosts = rank
+      self.assertEqual(self.task._decide(), [])
+      self.assertEqual(len(self.balance.names), names, rank)
+
   async def test_a_host_that_misses_many_others_decides_nothing(self):
     self.state.hosts, self.state.missed_hosts = 7, 2
     self.assertEqual(len(self.task._decide()), 1)
