--- a/mulberrypick/core/helper_choice.py
+++ b/mulberrypick/core/helper_choice.py
@@ -36,6 +36,8 @@
     is_sure: Whether it does not suspect to be cut off.
     reached_at: When it last reached an endpoint, on this host's clock.
     heard_at: When it said so.
+    is_leaving: Whether it is shutting down. It takes requests for as long as it
+      takes those of its own callers.
   """
 
   name: str
@@ -47,6 +49,7 @@
   reached_at: float
   heard_at: float
   is_sure: bool = True
+  is_leaving: bool = False
 
 
 class HelperChoice:
@@ -66,8 +69,14 @@
       if helper.heard_at - known.heard_at > FORGET_S:
         self.remove(name)
 
+  def mark_leaving(self, name: str, now: float) -> None:
+    """Uses a host only if there is no other one."""
+    known = self._by_name.get(name)
+    if known is not None:
+      self._by_name[name] = known._replace(is_leaving=True, heard_at=now)
+
   def remove(self, name: str) -> None:
-    """Removes a host that is leaving."""
+    """Removes a host that is gone."""
     self._by_name.pop(name, None)
     self._declined_at.pop(name, None)
 
@@ -76,8 +85,11 @@
     return self._by_name.get(name)
 
   def usable(self, now: float) -> list[Helper]:
-    """Returns the hosts to which requests may be passed on."""
-    usable = []
+    """Returns the hosts to which requests may be passed on.
+
+    Those that are leaving are used only if there is no other one.
+    """
+    usable, leaving = [], []
     for helper in self._by_name.values():
       if not helper.port or not helper.is_reaching:
         continue
@@ -85,8 +97,8 @@
         continue
       if now - helper.reached_at > MAX_REACHED_AGE_S:
         continue
-      usable.append(helper)
-    return usable
+      (leaving if helper.is_leaving else usable).append(helper)
+    return usable or leaving
 
   def choose(self, excluded: set[str], now: float) -> Helper | None:
     """Returns the host to pass a request on to, None if there is none.
--- a/mulberrypick/core/helper_choice_test.py
+++ b/mulberrypick/core/helper_choice_test.py
@@ -43,6 +43,17 @@
     self.add('sound')
     self.assertIsNone(self.helpers.find('gone'))
 
+  def test_host_that_is_leaving_is_used_if_it_is_the_only_one(self):
+    self.add('leaving')
+    self.helpers.mark_leaving('leaving', NOW)
+    self.helpers.mark_leaving('unknown', NOW)
+    self.assertEqual(self.choose(), 'leaving')
+    self.add('sound', zone='zone-b')
+    for _ in range(20):
+      self.assertEqual(self.choose(), 'sound')
+    self.add('leaving')
+    self.assertEqual(self.choose(), 'leaving')
+
   def test_own_zone_comes_first_until_it_has_much_to_do(self):
     self.add('near')
     self.add('far', zone='zone-b')
--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -187,7 +187,7 @@
 
   def _reason_to_decline(self, origin: forward_message.ForwardedRequest) -> str:
     state = self._state
-    if state.is_leaving:
+    if state.has_stopped_listening:
       return LEAVING
     if state.reach.is_apart:
       return APART
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -92,6 +92,7 @@
     endpoints_revision: Position of the store up to which all changes of the
       endpoints are known, 0 before the first list.
     is_leaving: Whether this process is shutting down.
+    has_stopped_listening: Whether it takes no new requests any more.
     load_changed: Set when a request of this host starts or ends at an endpoint.
     watches_store: Whether this host watches the store itself; if not, its relay
       reports changes.
@@ -156,6 +157,7 @@
     self.endpoints_revision = 0
     self._list_read_at = float('-inf')
     self.is_leaving = False
+    self.has_stopped_listening = False
     self.load_changed = asyncio.Event()
     self.watches_store = True
     self.store_revision_by_kind: dict[str, int] = {}
--- a/mulberrypick/ops/reach_exchange.py
+++ b/mulberrypick/ops/reach_exchange.py
@@ -74,13 +74,18 @@
       self, message: peer_message.PeerMessage, now: float
   ) -> None:
     """Handles the report in the message of another host."""
-    state = self._state
+    if message.reach is not None:
+      self._handle_report(message, message.reach, now)
     if message.is_leaving:
-      state.helpers.remove(message.host)
-      return
-    report = message.reach
-    if report is None:
-      return
+      self._state.helpers.mark_leaving(message.host, now)
+
+  def _handle_report(
+      self,
+      message: peer_message.PeerMessage,
+      report: peer_message.ReachReport,
+      now: float,
+  ) -> None:
+    state = self._state
     self._update(
         peer_message.HelperReport(
             message.host,
--- a/mulberrypick/platform/gateway_pass_on_test.py
+++ b/mulberrypick/platform/gateway_pass_on_test.py
@@ -352,6 +352,23 @@
     self.assertEqual(helper.state.taken_count, before)
 
 
+class OnlyHelperTest(PassOnTestCase):
+  """Two of three hosts are cut off; the third helps them."""
+
+  apart = 2
+
+  async def test_only_helper_helps_while_it_takes_its_own_callers(self):
+    # Guards against refusals for the three seconds after its SIGTERM.
+    helper = self.gateways[2]
+    await self.wait_until(lambda: self.asker.helpers.find('host-3'))
+    helper._stop_requested.set()
+    await self.wait_until(lambda: self.asker.helpers.find('host-3').is_leaving)
+    for number in range(10):
+      answer = await self.send_at(0, 'unsafe', request=f'b{number}')
+      self.assertEqual(answer.status, 200)
+      await asyncio.sleep(0.1)
+
+
 class CutDuringRunTest(PassOnTestCase):
   """The cut begins while requests run."""
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -193,6 +193,7 @@
     leave_task = loop.create_task(self._hosts.leave())
     await asyncio.sleep(BALANCER_NOTICE_S)
     self._caller_server.stop_listening()
+    self.state.has_stopped_listening = True
     deadline = started_at + self.state.host.bounds.grace_s - SHUTDOWN_MARGIN_S
     self._forward_server.stop_listening()
     while self._close_idle() and loop.time() < deadline:
