Count a fetch as more decode load rather than an engine as smaller

Cause: the capacity of an engine was lowered to the requests whose KV caches its link takes (16 of 64 slots with transfers of 2 ms), and long streams, which fetch nothing and count four quarters each, were measured against it. Class: one number for two loads. A request that fetches its KV cache now counts as the part of the engine that its transfer takes; the capacity is that of the slots. Where only such requests run the result is as before.

--- a/mulberrypick/core/fetch_load.py
+++ b/mulberrypick/core/fetch_load.py
@@ -3,8 +3,10 @@
 Answers load pattern: many long prompts with short answers are prefilled on
 other engines. A decode engine fetches one KV cache after the other, so that its
 link is full long before its slots are: with 17 ms for each, 60 requests at once
-wait for a second. What an engine takes is therefore limited so that fetching
-what it has takes a fraction of the requests' latency target.
+wait for a second. A request that fetches its KV cache therefore counts as more
+decode load the longer that takes, so that fetching for all requests at an
+engine takes a fraction of their latency target. Streams that fetch nothing
+count by their slots only.
 """
 
 from mulberrypick.core import engine_models
@@ -52,21 +54,43 @@
 
   def capacity(self, endpoint: gateway_records.Endpoint) -> float:
     """Returns the quarters of slots that an engine takes of decode load."""
-    quarters = placements.QUARTERS_PER_SLOT * (
+    return placements.QUARTERS_PER_SLOT * (
         placements.MAX_DECODER_FILL * endpoint.slots
     )
-    mean = self._by_service.get(endpoint.service)
-    if mean is None or mean.fraction <= 0.0:
+
+  def quarters(
+      self,
+      call: gateway_records.Call,
+      endpoint: gateway_records.Endpoint,
+      is_prefilled: bool,
+  ) -> int:
+    """Returns the decode load of a request, in quarters of a slot.
+
+    Args:
+      call: The request.
+      endpoint: The engine that decodes it.
+      is_prefilled: Whether it fetches its KV cache from another engine.
+    """
+    quarters = placements.decode_slot_quarters(call, is_prefilled)
+    if not is_prefilled:
       return quarters
-    return min(quarters, max(1.0, 1.0 / mean.fraction))
+    return max(quarters, round(self._fetch_quarters(endpoint)))
+
+  def _fetch_quarters(self, endpoint: gateway_records.Endpoint) -> float:
+    """Returns the part of an engine's capacity that one fetch takes."""
+    mean = self._by_service.get(endpoint.service)
+    fraction = 0.0 if mean is None else min(1.0, mean.fraction)
+    return max(1.0, fraction * self.capacity(endpoint))
 
   def wait_s(self, endpoint: gateway_records.Endpoint, quarters: int) -> float:
     """Returns how long one more request waits for the link at most.
 
     Args:
       endpoint: The decode engine.
-      quarters: Quarters of slots that it uses to decode. A request that fetched
-        its KV cache, or has yet to, takes at least one.
+      quarters: Quarters of slots that it uses to decode, as if all of them were
+        of requests that fetched their KV cache or have yet to.
     """
     mean = self._by_service.get(endpoint.service)
-    return 0.0 if mean is None else quarters * mean.fetch_s
+    if mean is None:
+      return 0.0
+    return quarters / self._fetch_quarters(endpoint) * mean.fetch_s
