Order no engine that has streams while another prefills

Cause: which engine changes went by zones and names. Engines that decode now change only if no prefill engine is left, and then the one that decodes least.

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -26,7 +26,7 @@
 # Time constant of the mean number of decode engines that prefill.
 READING_MEAN_S = 1.5
 # Mean number of decode engines that prefill from which on one of them changes.
-MIN_READING_ENGINES = 0.5
+MIN_READING_ENGINES = 0.3
 # The highest decode load of this time counts.
 NEED_HORIZON_S = 20.0
 # Decode engines that are kept beyond those that the decode load needs, as a
@@ -69,8 +69,8 @@
     self.knows_need_from = knows_need_from
     self.observed_at = now
     self.reading_mean = 0.0
-    self.need = 0
-    self.need_at = now
+    self.quarters = 0
+    self.quarters_at = now
     self.lacking_since: float | None = None
 
 
@@ -125,12 +125,14 @@
 ) -> list[stage_planner.StageOrder]:
   decoders = _in_stage(engines, gateway_records.Stage.DECODE)
   prefillers = _in_stage(engines, gateway_records.Stage.PREFILL)
-  _observe(state, decoders, prefillers, now)
+  _observe(state, decoders, now)
   switching = sum(use.is_switching for use in engines)
   most = max(1, int(MAX_SWITCHING_FRACTION * len(engines))) - switching
   if not decoders or most <= 0:
     return []
-  if _is_lacking(state, len(decoders), len(prefillers), now):
+  capacities = [use.capacity for use in decoders + prefillers]
+  need = placements.count_decoders(capacities, state.quarters)
+  if _is_lacking(state, need, len(decoders), len(prefillers), now):
     state.lacking_since = None
     return _order_to_decode(decoders, prefillers)
   if state.reading_mean < MIN_READING_ENGINES or now < state.knows_need_from:
@@ -139,7 +141,10 @@
   if not prefillers:
     # All prompts are prefilled between the tokens of streams.
     reserve = 0
-  surplus = len(decoders) - max(MIN_DECODERS, state.need + reserve)
+  # Those that are left after crashes may be filled with decode load.
+  crowded = [c / placements.MAX_DECODER_FILL for c in capacities]
+  crowded_need = placements.count_decoders(crowded, state.quarters)
+  surplus = len(decoders) - max(MIN_DECODERS, need, crowded_need + reserve)
   return _orders_to_prefill(decoders, prefillers, min(surplus, most))
 
 
@@ -157,27 +162,25 @@
 def _observe(
     state: _ServiceState,
     decoders: list[EngineUse],
-    prefillers: list[EngineUse],
     now: float,
 ) -> None:
   """Updates the mean number of reading engines and the decode load."""
   elapsed_s = max(0.0, now - state.observed_at)
   state.observed_at = now
-  reading = sum(use.read_tokens > 0 for use in decoders)
   weight = 1.0 - math.exp(-elapsed_s / READING_MEAN_S)
+  reading = sum(use.read_tokens > 0 for use in decoders)
   state.reading_mean += weight * (reading - state.reading_mean)
   quarters = sum(use.decode_quarters for use in decoders)
-  capacities = [use.capacity for use in decoders + prefillers]
-  need = placements.count_decoders(capacities, quarters)
-  if need >= state.need or now - state.need_at > NEED_HORIZON_S:
-    state.need, state.need_at = need, now
+  is_old = now - state.quarters_at > NEED_HORIZON_S
+  if quarters >= state.quarters or is_old:
+    state.quarters, state.quarters_at = quarters, now
 
 
 def _is_lacking(
-    state: _ServiceState, decoders: int, prefillers: int, now: float
+    state: _ServiceState, need: int, decoders: int, prefillers: int, now: float
 ) -> bool:
   """Returns whether too few engines decode for long enough."""
-  is_short = decoders < max(MIN_DECODERS, state.need)
+  is_short = decoders < max(MIN_DECODERS, need)
   if not is_short or prefillers < decoders + 2:
     state.lacking_since = None
     return False
@@ -197,12 +200,20 @@
 def _orders_to_prefill(
     decoders: list[EngineUse], prefillers: list[EngineUse], count: int
 ) -> list[stage_planner.StageOrder]:
-  """Orders decode engines to prefill; each zone keeps one if it can."""
+  """Orders decode engines to prefill; each zone keeps one if it can.
+
+  An engine is away until the streams that it decodes have ended. One that has
+  any is therefore ordered only if no engine is left to prefill.
+  """
   decoding = _count_by_zone(decoders)
   prefilling = _count_by_zone(prefillers)
   # Engines at the end of the order of names are the first to prefill besides.
   left = sorted(
-      (use for use in decoders if use.may_change),
+      (
+          use
+          for use in decoders
+          if use.may_change and not (prefillers and _is_decoding(use))
+      ),
       key=lambda u: u.endpoint.name,
       reverse=True,
   )
@@ -211,9 +222,9 @@
     chosen = max(
         left,
         key=lambda u: (
+            not _is_decoding(u),
             decoding[u.endpoint.zone],
             -prefilling.get(u.endpoint.zone, 0),
-            # It changes once what it decodes has ended.
             -u.decode_quarters,
         ),
     )
@@ -227,6 +238,11 @@
   return given
 
 
+def _is_decoding(use: EngineUse) -> bool:
+  """Returns whether an engine may have a long stream."""
+  return use.decode_quarters >= placements.QUARTERS_PER_SLOT
+
+
 def _order_to_decode(
     decoders: list[EngineUse], prefillers: list[EngineUse]
 ) -> list[stage_planner.StageOrder]:
