Let long streams of every rank share engines that prompts keep off

Cause: only long streams of rank 0 counted as decode load and had engines of their own. Those of a lower rank ran beside prompts of rank 0, which are prefilled between their tokens, at 1.1 to 1.3 ms a token instead of 0.53; the largest end after their deadline, the others pause for too long. Class: a property of the work taken from its rank.

Long streams of every rank now share the engines that decode. Prompts are prefilled there, or on an engine that still has streams, only if they would be late or refused elsewhere, and as far as the pauses of streams stay in time by what is learned of events and prefill. Streams avoid engines on which they would be late or not end, and one that waits for a slot until it can't end is refused (no_slot, Retry-After by the wait).

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -34,6 +34,10 @@
 # Answers from which on the model of an engine tells who will be late: a pause
 # at the start must not refuse what follows.
 KNOWN_SAMPLES = 2.0
+# Events of streams arrive more often than their engine's load is summed up, and
+# than its pace is learned from them.
+BACKLOG_INTERVAL_S = 0.02
+EVENT_SAMPLE_INTERVAL_S = 0.1
 # Time for which the load sent by another host remains valid.
 PEER_TTL_S = 2.0
 
@@ -71,6 +75,10 @@
     self.decoding = 0
     self.reads = pending_reads.PendingReads()
     self.pace = engine_models.Pace()
+    self.event_pace = engine_models.Pace()
+    self.event_sampled_at = float('-inf')
+    self.backlog = 0
+    self.backlog_at = float('-inf')
     self.service_s = 0.05
     self.last_response_at = float('-inf')
     self.refusal_pause = refusal_pause.RefusalPause()
@@ -243,6 +251,41 @@
     ratio = self.models.observe(endpoint, work, tokens_ahead, took_s, now)
     self.own(endpoint).pace.observe(ratio, now)
 
+  def observe_event(
+      self, endpoint: gateway_records.Endpoint, took_s: float, now: float
+  ) -> None:
+    """Updates what is known of the pace of streams at an engine.
+
+    Args:
+      endpoint: The engine; it prefilled nothing meanwhile.
+      took_s: Time between two events of a stream.
+      now: Time on the event loop's clock.
+    """
+    own = self.own(endpoint)
+    if now - own.event_sampled_at < EVENT_SAMPLE_INTERVAL_S:
+      return
+    own.event_sampled_at = now
+    count = self.total(endpoint, now).count
+    ratio = self.models.observe(
+        endpoint, engine_models.Work.EVENT, count, took_s, now
+    )
+    own.event_pace.observe(ratio, now)
+
+  def backlog(self, endpoint: gateway_records.Endpoint, now: float) -> int:
+    """Returns the tokens that wait to be prefilled, as of a moment ago."""
+    own = self.own(endpoint)
+    if now - own.backlog_at >= BACKLOG_INTERVAL_S:
+      load = self.total(endpoint, now)
+      own.backlog = load.urgent_tokens + load.other_tokens
+      own.backlog_at = now
+    return own.backlog
+
+  def event_s(self, endpoint: gateway_records.Endpoint, now: float) -> float:
+    """Returns the expected time between two events without prefill."""
+    model = self.models.find(endpoint, engine_models.Work.EVENT)
+    count = self.total(endpoint, now).count
+    return model.expect_s(count) * self.own(endpoint).event_pace.factor(now)
+
   def observe_service_time(
       self, endpoint: gateway_records.Endpoint, took_s: float
   ) -> None:
--- a/mulberrypick/core/engine_models.py
+++ b/mulberrypick/core/engine_models.py
@@ -51,11 +51,14 @@
   READ: a prompt is prefilled on a prefill engine.
   READ_ON_DECODER: a prompt is prefilled on a decode engine.
   START: a decode engine fetches a prefilled prompt and writes the first event.
+  EVENT: a decode engine that prefills nothing writes the next event of a
+    stream. The time grows with the requests at the engine, not with tokens.
   """
 
   READ = 'read'
   READ_ON_DECODER = 'read_on_decoder'
   START = 'start'
+  EVENT = 'event'
 
 
 class ModelKey(NamedTuple):
--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -69,6 +69,7 @@
     prefillers: Names of the engines of stage prefill.
     decoders: Names of the decode engines that are kept for decoding.
     overflow: Names of the decode engines that also prefill for others.
+    draining: Names of those that will, once their streams have ended.
     quarters: Quarters of slots that requests use to decode.
     capacity: Quarters of slots that `decoders` take.
   """
@@ -76,6 +77,7 @@
   prefillers: tuple[str, ...]
   decoders: tuple[str, ...]
   overflow: tuple[str, ...]
+  draining: tuple[str, ...]
   quarters: int
   capacity: float
 
@@ -118,7 +120,7 @@
     call: The request.
     is_prefilled: Whether its prompt is prefilled on another engine.
   """
-  if is_urgent_stream(call) or (is_prefilled and is_long_output(call)):
+  if is_long_output(call):
     return QUARTERS_PER_SLOT
   return 1 if is_prefilled else 0
 
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -14,12 +14,14 @@
 from mulberrypick.core import endpoint_registry
 from mulberrypick.core import engine_load
 from mulberrypick.core import engine_models
+from mulberrypick.core import engine_roles
 from mulberrypick.core import fetch_load
 from mulberrypick.core import gateway_records
 from mulberrypick.core import permits
 from mulberrypick.core import placements
 from mulberrypick.core import rendezvous
 from mulberrypick.core import size_fairness
+from mulberrypick.core import stream_outlook
 
 # A prompt is sent to another engine than the first in its preference order only
 # if that gains at least the time to prefill this many tokens of its shared
@@ -79,6 +81,7 @@
       with the same part together.
     hosts: Number of live hosts.
     fetches: How much decode load engines take.
+    outlook: What is expected of long streams.
   """
 
   def __init__(
@@ -91,6 +94,8 @@
     self.affinity_spread_s = 0.0
     self.hosts = 1
     self.fetches = fetch_load.FetchLoad(load.models)
+    self.outlook = stream_outlook.StreamOutlook(load)
+    self._roles = engine_roles.EngineRoles(load, self.fetches)
     self._permits = known_permits
     self._registry = registry
     self._load = load
@@ -138,6 +143,8 @@
   ) -> placements.Placement | placements.Refusal:
     if not endpoints:
       return self._refuse_without_endpoint(call, 'no_endpoint', now)
+    if placements.is_long_output(call):
+      self.outlook.record_call(call)
     if service.is_engine:
       return self._place_engine(call, service, endpoints, now)
     return self._place_plain(call, endpoints, now)
@@ -202,7 +209,13 @@
     runners = self._usable_runners(call, excluded, now)
     if not runners:
       return None
-    decoders, _ = self._split_runners(runners, now)
+    roles = self._roles.split(runners, now)
+    decoders = roles.decoders
+    if placements.is_long_output(call):
+      others = roles.overflow + roles.draining
+      in_time = self.outlook.filter_in_time(call, decoders, now)
+      in_time = in_time or self.outlook.filter_in_time(call, others, now)
+      decoders = in_time or decoders
     accepting = [e for e in decoders if not self._load.is_full(e, now)]
     chosen = self._least_busy(
         accepting or decoders, now, prefiller, call.prompt_tokens
@@ -220,13 +233,14 @@
         runners.append(endpoint)
     if not prefillers and not runners:
       return None
-    decoders, overflow = self._split_runners(runners, now)
+    roles = self._roles.split(runners, now)
     return placements.EngineSplit(
         tuple(sorted(prefillers)),
-        tuple(runner.name for runner in decoders),
-        tuple(runner.name for runner in overflow),
+        tuple(runner.name for runner in roles.decoders),
+        tuple(runner.name for runner in roles.overflow),
+        tuple(runner.name for runner in roles.draining),
         sum(self._load.total(runner, now).decoding for runner in runners),
-        sum(self.fetches.capacity(runner) for runner in decoders),
+        sum(self.fetches.capacity(runner) for runner in roles.decoders),
     )
 
   def _usable_runners(
@@ -262,31 +276,68 @@
       runners.append(endpoint)
     if not runners:
       return self._refuse_without_endpoint(call, 'no_decode_endpoint', now)
-    decoders, overflow = self._split_runners(runners, now)
-    candidates = self._runners_for(call, decoders, overflow, bool(prefillers))
+    roles = self._roles.split(runners, now)
+    decoders = roles.decoders
+    candidates = engine_roles.runners_for(call, roles, bool(prefillers))
+    spare = engine_roles.spare_runners(call, roles, candidates)
     if not placements.is_urgent_stream(call):
       candidates = self._filter_accepting(candidates, now)
+      spare = self._filter_accepting(spare, now)
       decoders = self._filter_accepting(decoders, now)
       prefillers = self._filter_accepting(prefillers, now) if decoders else []
-      if not candidates and not prefillers:
-        return placements.Refusal(
-            'full', self._retry_after(call, FULL_RETRY_AFTER_S, now)
-        )
     key = str(call.parts[-2].key) if len(call.parts) > 1 else call.id
-    preference = rendezvous.rank(key, [e.name for e in prefillers + candidates])
-    best: _Option | None = None
+    names = [e.name for e in prefillers + candidates + spare]
+    preference = rendezvous.rank(key, names)
+    options = []
     for runner in candidates:
       option = self._evaluate(call, service, runner, None, preference, now)
-      cost_s = option.cost_s + self._interference_cost(call, runner, now)
-      option = option._replace(cost_s=cost_s)
-      if best is None or option.cost_s < best.cost_s:
-        best = option
+      options.append(option)
     runner = self._least_busy(decoders, now) if prefillers else None
     for prefiller in prefillers:
       option = self._evaluate(call, service, runner, prefiller, preference, now)
+      options.append(option)
+    best = min(options, key=lambda option: option.cost_s, default=None)
+    if best is None or self._needs_spare(call, best.placement, now):
+      best = self._find_spare(call, service, spare, preference, best, now)
+    if best is None:
+      return placements.Refusal(
+          'full', self._retry_after(call, FULL_RETRY_AFTER_S, now)
+      )
+    return self._admit(call, best.placement, now)
+
+  def _needs_spare(
+      self,
+      call: gateway_records.Call,
+      placement: placements.Placement,
+      now: float,
+  ) -> bool:
+    """Returns whether a request would be refused, or miss a target."""
+    if placement.is_late or not self._is_worth_sending(call, placement):
+      return True
+    return placements.is_long_output(call) and self.outlook.is_late(
+        call, placement.endpoint, now
+    )
+
+  def _find_spare(
+      self,
+      call: gateway_records.Call,
+      service: gateway_records.Service,
+      spare: list[gateway_records.Endpoint],
+      preference: list[str],
+      best: _Option | None,
+      now: float,
+  ) -> _Option | None:
+    """Returns a better option on engines that are kept for other requests."""
+    for runner in spare:
+      option = self._evaluate(call, service, runner, None, preference, now)
+      ahead = option.placement.tokens_ahead
+      if not placements.is_long_output(call) and not self.outlook.has_room(
+          runner, ahead, now
+      ):
+        continue
       if best is None or option.cost_s < best.cost_s:
         best = option
-    return self._admit(call, best.placement, now)
+    return best
 
   def _filter_accepting(
       self, endpoints: list[gateway_records.Endpoint], now: float
@@ -299,45 +350,6 @@
         accepting.append(endpoint)
     return accepting
 
-  def _split_runners(
-      self, runners: list[gateway_records.Endpoint], now: float
-  ) -> tuple[list[gateway_records.Endpoint], list[gateway_records.Endpoint]]:
-    """Splits decode engines into decode-only ones and those that also prefill.
-
-    Prefill on a decode engine delays the tokens of urgent streams by more than
-    callers tolerate, and delays requests whose prompt was prefilled on another
-    engine. All hosts sort the engines by name, so they choose the same engines
-    without coordination.
-    """
-    ordered = sorted(runners, key=lambda runner: runner.name)
-    decoding = 0
-    for runner in ordered:
-      decoding += self._load.total(runner, now).decoding
-    capacities = [self.fetches.capacity(runner) for runner in ordered]
-    count = placements.count_decoders(capacities, decoding)
-    return ordered[:count], ordered[count:]
-
-  def _runners_for(
-      self,
-      call: gateway_records.Call,
-      decoders: list[gateway_records.Endpoint],
-      overflow: list[gateway_records.Endpoint],
-      has_prefillers: bool,
-  ) -> list[gateway_records.Endpoint]:
-    """Returns the engines that may both prefill and decode a request."""
-    if placements.is_urgent_stream(call):
-      return decoders
-    if call.route.rank == 0:
-      # Load pattern: all engines that prefill have less urgent prompts for
-      # longer than an urgent one may wait.
-      return decoders + overflow
-    if not overflow:
-      # All decode engines are needed for decoding.
-      return [] if has_prefillers else decoders
-    if placements.is_long_output(call):
-      return decoders + overflow
-    return overflow
-
   def _interference_cost(
       self,
       call: gateway_records.Call,
@@ -350,6 +362,9 @@
     if placements.is_long_output(call):
       # Streams share decode steps: the fewer on an engine, the faster.
       cost_s = FULL_ENGINE_COST_S * load.count / runner.slots
+      cost_s += self.outlook.wait_s(runner, now)
+      if self.outlook.is_late(call, runner, now):
+        cost_s += self.outlook.duration_s(call, runner, now)
       return cost_s + (STREAM_INTERFERENCE_COST_S if is_prefilling else 0.0)
     if load.decoding and is_prefilling:
       return STREAM_INTERFERENCE_COST_S
@@ -387,6 +402,8 @@
     # Tokens do not tell engines apart if prompts are short or cached.
     fixed_s = self._load.read_s(prefill_engine, 0, now)
     cost_s += fixed_s * load.count / prefill_engine.slots
+    if prefiller is None or placements.is_long_output(call):
+      cost_s += self._interference_cost(call, runner, now)
     position = preference.index(prefill_engine.name)
     if position:
       token_s = self._load.read_token_s(prefill_engine, now)
@@ -423,7 +440,16 @@
       placement: placements.Placement,
       now: float,
   ) -> placements.Placement | placements.Refusal:
-    if self._is_worth_sending(call, placement):
+    if self._is_hopeless(call, placement, now):
+      wait_s = self.outlook.wait_s(placement.endpoint, now)
+      return placements.Refusal(
+          'no_slot', self._retry_after(call, wait_s, now), wait_s
+      )
+    fairness = self._fairness(call)
+    fairness.record_prompt(call.prompt_tokens, placement.tokens)
+    is_sent = self._is_worth_sending(call, placement)
+    fairness.record_decision(call.prompt_tokens, is_sent)
+    if is_sent:
       return placement
     prefill_engine = placement.prefiller or placement.endpoint
     if not self._load.is_speed_known(prefill_engine):
@@ -438,6 +464,25 @@
         placement.predicted_s,
     )
 
+  def _is_hopeless(
+      self,
+      call: gateway_records.Call,
+      placement: placements.Placement,
+      now: float,
+  ) -> bool:
+    """Returns whether a stream waits for a slot until it can't end in time.
+
+    Load pattern: more long streams than slots. Each of them would begin late
+    and be cut at its deadline, and keep a slot from others until then. Urgent
+    ones do not wait for others.
+    """
+    if call.route.rank == 0 or not placements.is_long_output(call):
+      return False
+    runner = placement.endpoint
+    return self.outlook.wait_s(runner, now) > 0.0 and not self.outlook.can_end(
+        call, runner, now
+    )
+
   def _is_worth_sending(
       self, call: gateway_records.Call, placement: placements.Placement
   ) -> bool:
@@ -445,19 +490,18 @@
       return not placement.is_late or (
           placement.wait_s <= MAX_LATE_WAIT_FRACTION * call.route.target_s
       )
-    fairness = self._fairness_by_route.get(call.route.name)
-    if fairness is None:
-      fairness = size_fairness.SizeFairness()
-      self._fairness_by_route[call.route.name] = fairness
-    fairness.record_prompt(call.prompt_tokens, placement.tokens)
+    fairness = self._fairness(call)
     fraction = fairness.limit_fraction(call.prompt_tokens, placement.tokens)
     limit_s = fraction * MAX_TARGET_FRACTION * call.route.target_s
-    is_sent = placement.predicted_s <= limit_s or (
+    return placement.predicted_s <= limit_s or (
         placement.wait_s
         <= fraction * MAX_LATE_WAIT_FRACTION * call.route.target_s
     )
-    fairness.record_decision(call.prompt_tokens, is_sent)
-    return is_sent
+
+  def _fairness(self, call: gateway_records.Call) -> size_fairness.SizeFairness:
+    return self._fairness_by_route.setdefault(
+        call.route.name, size_fairness.SizeFairness()
+    )
 
   def _place_plain(
       self,
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -509,6 +509,8 @@
       raise errors.ExchangeBrokenError('no_event')
     self._stream.finish(head)
     send.record_completion()
+    if placements.is_long_output(self._call):
+      self._state.placer.outlook.record_end(self._call, self._meter.events)
     is_slow = self._meter.longest_pause_s > gap_s
     self._log_decision('served', call_log.SLOW_STREAM if is_slow else 'stream')
     return next_run.AttemptResult(True, True, 'served')
@@ -516,8 +518,10 @@
   def _measure(self, endpoint: gateway_records.Endpoint, events: int) -> None:
     """Measures the pauses of the stream beside the load of its engine."""
     now = asyncio.get_running_loop().time()
-    load = self._state.load.total(endpoint, now)
-    self._meter.record(events, load.urgent_tokens + load.other_tokens, now)
+    beside = self._state.load.backlog(endpoint, now)
+    pause_s = self._meter.record(events, beside, now)
+    if pause_s is not None and placements.is_long_output(self._call):
+      self._state.load.observe_event(endpoint, pause_s, now)
 
   def _bind(self, endpoint: gateway_records.Endpoint) -> None:
     """Binds the stream to the version that writes its first event."""
--- a/mulberrypick/ops/split_log.py
+++ b/mulberrypick/ops/split_log.py
@@ -26,7 +26,7 @@
       split: Its engines as this host uses them, and why.
       now: Time on the event loop's clock.
     """
-    names = (split.prefillers, split.decoders, split.overflow)
+    names = (split.prefillers, split.decoders, split.overflow, split.draining)
     logged_at, logged = self._logged.get(service, (float('-inf'), ((),)))
     if names == logged or now - logged_at < MIN_INTERVAL_S:
       return
@@ -39,6 +39,7 @@
         prefillers=','.join(split.prefillers),
         decoders=','.join(split.decoders),
         overflow=','.join(split.overflow),
+        draining=','.join(split.draining),
         decode_quarters=split.quarters,
         decoder_capacity=round(split.capacity, 1),
     )
--- a/standins/stage_play.py
+++ b/standins/stage_play.py
@@ -40,7 +40,11 @@
 MAX_STREAM_TOKENS = 14_000
 STREAM_GAP_S = 0.15
 STREAM_TIMEOUT_S = 15.0
-SERVICE = gateway_records.Service('s', 300, 10_000_000, SLOTS)
+# Time for which a prompt that was prefilled elsewhere decodes its short answer,
+# and the time to transfer the KV cache of a token.
+SHORT_ANSWER_S = 0.06
+TRANSFER_TOKEN_S = 2.5e-7
+SERVICE = gateway_records.Service('s', 300, 10_000_000, SLOTS, TRANSFER_TOKEN_S)
 
 
 class Load(NamedTuple):
@@ -65,6 +69,7 @@
     self.left = float(tokens)
     self.on_read = on_read
     self.generated = 0.0
+    self.decode_quarters = 0
     self.meter = stream_meter.StreamMeter()
 
 
@@ -189,6 +194,8 @@
     self._rng = random.Random(1)
     self._registry = endpoint_registry.EndpointRegistry()
     self.load = engine_load.EngineLoad()
+    self.load.models.configure([SERVICE])
+    self._short_answers: list[tuple[float, gateway_records.Endpoint, int]] = []
     known = permits.Permits(endpoint_limits.EndpointLimits(), self._rng)
     self.placer = request_placement.Placer(
         self._registry, self.load, self._rng, known
@@ -233,6 +240,7 @@
         self._finish_switch(engine)
         if engine.back_at is None:
           engine.advance(lambda j, n, e=engine: self._on_events(e, j, n))
+      self._end_short_answers()
       if self.now >= next_check:
         next_check += CHECK_INTERVAL_S
         self._check_stages()
@@ -295,14 +303,21 @@
       excluded.add(reader.incarnation)
     own = self.load.own(reader)
     own.count += 1
-    quarters = placements.decode_slot_quarters(call, False)
-    if placed.prefiller is None:
-      own.decoding += quarters
     own.reads.add(id(call), placements.make_read(call, placed, self.now))
     engine = self.engines[reader.name]
     job = Job(call, placed.tokens, lambda: self._on_read(job, placed, engine))
+    if placed.prefiller is None:
+      self._add_decode_load(job, reader, False)
     engine.queue.append(job)
 
+  def _add_decode_load(
+      self, job: Job, runner: gateway_records.Endpoint, is_prefilled: bool
+  ) -> None:
+    job.decode_quarters = self.placer.fetches.quarters(
+        job.call, runner, is_prefilled
+    )
+    self.load.own(runner).decoding += job.decode_quarters
+
   def _on_read(
       self, job: Job, placed: placements.Placement, engine: Engine
   ) -> None:
@@ -312,26 +327,37 @@
     self.load.observe_prefill(
         engine.endpoint, placed.tokens_ahead, took_s, self.now
     )
+    runner = engine.endpoint
+    if placed.prefiller is not None:
+      own.count -= 1
+      runner = self.placer.choose_decoder(
+          call, set(), self.now, placed.prefiller
+      )
+      engine = self.engines[runner.name]
+      own = self.load.own(runner)
+      own.count += 1
+      self._add_decode_load(job, runner, True)
     if placements.is_long_output(call):
-      if placed.prefiller is not None:
-        own.count -= 1
-        runner = self.placer.choose_decoder(
-            call, set(), self.now, placed.prefiller
-        )
-        engine = self.engines[runner.name]
-        own = self.load.own(runner)
-        own.count += 1
-        own.decoding += placements.decode_slot_quarters(call, True)
       self._measure(engine, job, 1)
       engine.streams.append(job)
       return
-    own.count -= 1
+    self._short_answers.append(
+        (self.now + SHORT_ANSWER_S, runner, job.decode_quarters)
+    )
     self._record(call, 'in time' if took_s <= PROMPT_TARGET_S else 'late')
 
+  def _end_short_answers(self) -> None:
+    while self._short_answers and self._short_answers[0][0] <= self.now:
+      _, runner, quarters = self._short_answers.pop(0)
+      own = self.load.own(runner)
+      own.count -= 1
+      own.decoding -= quarters
+
   def _measure(self, engine: Engine, job: Job, events: int) -> None:
-    load = self.load.total(engine.endpoint, self.now)
-    beside = load.urgent_tokens + load.other_tokens
-    job.meter.record(events, beside, self.now)
+    beside = self.load.backlog(engine.endpoint, self.now)
+    pause_s = job.meter.record(events, beside, self.now)
+    if pause_s is not None:
+      self.load.observe_event(engine.endpoint, pause_s, self.now)
 
   def _on_events(self, engine: Engine, job: Job, events: int) -> None:
     call = job.call
@@ -342,7 +368,9 @@
     engine.streams.remove(job)
     own = self.load.own(engine.endpoint)
     own.count -= 1
-    own.decoding -= placements.decode_slot_quarters(call, False)
+    own.decoding -= job.decode_quarters
+    if not is_over:
+      self.placer.outlook.record_end(call, job.meter.events)
     is_late = job.meter.longest_pause_s > STREAM_GAP_S
     self._end(job, 'cut' if is_over else 'late' if is_late else 'in time')
 
