--- a/mulberrypick/platform/gateway_pass_on_test.py
+++ b/mulberrypick/platform/gateway_pass_on_test.py
@@ -360,9 +360,10 @@
   async def test_only_helper_helps_while_it_takes_its_own_callers(self):
     # Guards against refusals for the three seconds after its SIGTERM.
     helper = self.gateways[2]
-    await self.wait_until(lambda: self.asker.helpers.find('host-3'))
+    answer = await self.send_at(0, 'unsafe', request='before')
+    self.assertEqual(answer.status, 200)
     helper._stop_requested.set()
-    await self.wait_until(lambda: self.asker.helpers.find('host-3').is_leaving)
+    await self.wait_until(lambda: helper.state.is_leaving)
     for number in range(10):
       answer = await self.send_at(0, 'unsafe', request=f'b{number}')
       self.assertEqual(answer.status, 200)
