--- a/mulberrypick/platform/gateway_odd_answer_test.py
+++ b/mulberrypick/platform/gateway_odd_answer_test.py
@@ -1,5 +1,6 @@
 """Tests of a gateway whose replicas answer with what is not the answer."""
 
+from mulberrypick.platform import gateway_pass_on_test
 from mulberrypick.platform import gateway_test
 from standins import odd_answers
 
@@ -75,6 +76,20 @@
       self.assertNotIn(b'failed', answer.body, kind)
 
 
+class PassedBackStreamTest(gateway_pass_on_test.PassOnTestCase):
+  """The host of the caller is cut off, and another one runs the stream."""
+
+  async def test_stream_passed_back_is_not_whole_without_its_own_events(self):
+    for kind in odd_answers.RESUMED_ANSWERS:
+      for replica in self.cluster.replica_by_name.values():
+        replica.on_run = odd_answers.OddResumption(kind)
+      answer = await self.send_at(0, 'ask', request=f'p-{kind}')
+      self.assertGreater(sum(self.taken()), 0)
+      self.assertFalse(answer.is_whole, f'{kind}: {answer}')
+      self.assertNotIn(b'failed', answer.body, kind)
+      self.assertNotIn(b'piece 5', answer.body, kind)
+
+
 class HalfHeadTest(OddAnswerCase):
 
   async def test_head_that_stops_in_the_middle_is_no_answer(self):
