Order no engine away from decoding while engines are replaced

Cause: numbers of engines and decode load taken for lasting although both were changing. Class: a conclusion from a moment. An order to prefill now waits until the engines have been the same, and load has been there, for five seconds, unless no engine prefills. The way back was late: a crashed engine that is tried again counted for a moment, and each time the six seconds began anew. A lack now ends only if there is none for 0.9 s, and if the slots of the only decode engine are full it lasts two seconds.

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -39,6 +39,15 @@
 # Time with too few decode engines until a prefill engine changes: an engine
 # that crashed is mostly back within a few seconds.
 LACK_S = 6.0
+# The same if the slots of the only decode engine are full.
+FULL_LACK_S = 2.0
+# An engine that crashed seems to be back for a moment whenever it is tried. A
+# lack ends only if there is none for this long.
+LACK_PAUSE_S = 0.9
+# Time for which the engines must be the same, and the decode load be known,
+# before an engine is ordered away from decoding: in a release old engines leave
+# one after the other, and streams last for seconds.
+SETTLED_S = 5.0
 
 
 class EngineUse(NamedTuple):
@@ -72,6 +81,10 @@
     self.quarters = 0
     self.quarters_at = now
     self.lacking_since: float | None = None
+    self.lacked_at = now
+    self.loaded_since: float | None = None
+    self.engines: frozenset[tuple[str, int]] = frozenset()
+    self.changed_at = now
 
 
 class StageBalance:
@@ -125,29 +138,44 @@
 ) -> list[stage_planner.StageOrder]:
   decoders = _in_stage(engines, gateway_records.Stage.DECODE)
   prefillers = _in_stage(engines, gateway_records.Stage.PREFILL)
-  _observe(state, decoders, now)
+  _observe(state, engines, decoders, now)
   switching = sum(use.is_switching for use in engines)
   most = max(1, int(MAX_SWITCHING_FRACTION * len(engines))) - switching
   if not decoders or most <= 0:
     return []
   capacities = [use.capacity for use in decoders + prefillers]
+  # Those that are left after crashes may be filled with decode load.
+  crowded = [c / placements.MAX_DECODER_FILL for c in capacities]
   need = placements.count_decoders(capacities, state.quarters)
-  if _is_lacking(state, need, len(decoders), len(prefillers), now):
+  quarters = sum(use.decode_quarters for use in decoders)
+  is_full = placements.count_decoders(crowded, quarters) > len(decoders)
+  if _is_lacking(state, need, len(decoders), len(prefillers), is_full, now):
     state.lacking_since = None
     return _order_to_decode(decoders, prefillers)
-  if state.reading_mean < MIN_READING_ENGINES or now < state.knows_need_from:
+  if state.reading_mean < MIN_READING_ENGINES:
+    return []
+  if not _may_reduce(state, bool(prefillers), now):
     return []
   reserve = max(1, math.ceil(RESERVE_FRACTION * len(engines)))
   if not prefillers:
     # All prompts are prefilled between the tokens of streams.
     reserve = 0
-  # Those that are left after crashes may be filled with decode load.
-  crowded = [c / placements.MAX_DECODER_FILL for c in capacities]
   crowded_need = placements.count_decoders(crowded, state.quarters)
   surplus = len(decoders) - max(MIN_DECODERS, need, crowded_need + reserve)
   return _orders_to_prefill(decoders, prefillers, min(surplus, most))
 
 
+def _may_reduce(state: _ServiceState, has_prefillers: bool, now: float) -> bool:
+  """Returns whether enough is known to order an engine away from decoding."""
+  if now < state.knows_need_from:
+    return False
+  if not has_prefillers:
+    return True
+  if state.loaded_since is None or now - state.loaded_since < SETTLED_S:
+    return False
+  return now - state.changed_at >= SETTLED_S
+
+
 def _in_stage(
     engines: list[EngineUse], stage: gateway_records.Stage
 ) -> list[EngineUse]:
@@ -161,32 +189,57 @@
 
 def _observe(
     state: _ServiceState,
+    engines: list[EngineUse],
     decoders: list[EngineUse],
     now: float,
 ) -> None:
-  """Updates the mean number of reading engines and the decode load."""
+  """Updates what is known of the engines and of the decode load."""
   elapsed_s = max(0.0, now - state.observed_at)
   state.observed_at = now
   weight = 1.0 - math.exp(-elapsed_s / READING_MEAN_S)
   reading = sum(use.read_tokens > 0 for use in decoders)
   state.reading_mean += weight * (reading - state.reading_mean)
   quarters = sum(use.decode_quarters for use in decoders)
+  if (quarters or reading) and state.loaded_since is None:
+    state.loaded_since = now
+  present = frozenset(use.endpoint.incarnation for use in engines)
+  if present != state.engines:
+    state.engines, state.changed_at = present, now
   is_old = now - state.quarters_at > NEED_HORIZON_S
   if quarters >= state.quarters or is_old:
     state.quarters, state.quarters_at = quarters, now
 
 
 def _is_lacking(
-    state: _ServiceState, need: int, decoders: int, prefillers: int, now: float
+    state: _ServiceState,
+    need: int,
+    decoders: int,
+    prefillers: int,
+    is_full: bool,
+    now: float,
 ) -> bool:
-  """Returns whether too few engines decode for long enough."""
+  """Returns whether too few engines decode for long enough.
+
+  Args:
+    state: What was observed of the service.
+    need: Decode engines that the decode load needs.
+    decoders: Number of decode engines.
+    prefillers: Number of prefill engines.
+    is_full: Whether the decode load takes all slots of the decode engines.
+    now: Time on a clock that advances while the host is suspended.
+  """
   is_short = decoders < max(MIN_DECODERS, need)
-  if not is_short or prefillers < decoders + 2:
+  is_urgent = decoders < MIN_DECODERS <= prefillers and is_full
+  if is_urgent or (is_short and prefillers >= decoders + 2):
+    state.lacked_at = now
+    if state.lacking_since is None:
+      state.lacking_since = now
+  elif now - state.lacked_at > LACK_PAUSE_S:
     state.lacking_since = None
+  if state.lacking_since is None or state.lacked_at != now:
     return False
-  if state.lacking_since is None:
-    state.lacking_since = now
-  return now - state.lacking_since >= LACK_S
+  lack_s = FULL_LACK_S if is_urgent else LACK_S
+  return now - state.lacking_since >= lack_s
 
 
 def _count_by_zone(engines: list[EngineUse]) -> dict[str, int]:
--- a/mulberrypick/core/stage_balance_test.py
+++ b/mulberrypick/core/stage_balance_test.py
@@ -116,6 +116,23 @@
     counts = [zones.count(zone) for zone in sorted(set(zones))]
     self.assertEqual(sorted(counts), [3, 3, 4])
 
+  def test_nothing_changes_while_engines_are_replaced(self):
+    # Guards against an order by the number of engines in a release: the old
+    # ones left one after the other, and a single decode engine stayed.
+    play = FleetPlay(make_uses(2, 4, reading=4))
+    for number in range(5):
+      play.run(stage_balance.SETTLED_S - 1.0)
+      renamed = play.uses[-1].endpoint._replace(started_ms=100 + number)
+      play.uses[-1] = play.uses[-1]._replace(endpoint=renamed)
+    self.assertEqual(play.given, [])
+    play.run(stage_balance.SETTLED_S + 1.0)
+    self.assertEqual([order.stage for _, order in play.given], [PREFILL])
+
+  def test_nothing_changes_before_streams_had_time_to_begin(self):
+    play = FleetPlay(make_uses(2, 4, reading=4))
+    play.run(stage_balance.SETTLED_S - 0.5)
+    self.assertEqual(play.given, [])
+
   def test_two_decode_engines_always_stay(self):
     play = FleetPlay(make_uses(2, 2, reading=2))
     play.run(20.0)
@@ -190,6 +207,24 @@
     play.run(30.0)
     self.assertEqual({order.stage for _, order in play.given}, {DECODE})
 
+  def test_full_slots_of_the_only_decode_engine_change_one_soon(self):
+    # Guards against ten times as many streams as slots beside idle engines.
+    for prefillers, stages in ((2, [DECODE]), (1, [])):
+      play = FleetPlay(make_uses(prefillers, 1, quarters=90))
+      play.run(stage_balance.FULL_LACK_S + 1.0)
+      self.assertEqual([order.stage for _, order in play.given], stages)
+
+  def test_crashed_engine_that_is_tried_now_and_then_hides_no_lack(self):
+    play = FleetPlay(make_uses(4, 1))
+    for _ in range(12):
+      play.uses = make_uses(4, 1)
+      play.run(1.0)
+      play.uses = make_uses(3, 1)
+      play.run(0.4)
+      if play.given:
+        break
+    self.assertEqual([order.stage for _, order in play.given], [DECODE])
+
   def test_few_engines_are_left_as_they_are(self):
     play = FleetPlay(make_uses(2, 1))
     play.run(30.0)
