Count what fetches and what decodes against links and slots each

Nothing in messages changes. Links are no longer counted for streams in the wait for a fetch either, and which engine has a stream is exact enough to decide on orders. Rank 0 prompts of a service without long streams use all decode engines as before: two tests of silent and slow engines were red since, as a prompt went to the prefill engine and took twice as long.

--- a/mulberrypick/core/engine_load.py
+++ b/mulberrypick/core/engine_load.py
@@ -59,6 +59,20 @@
   other_tokens: int
   decoding: int = 0
 
+  @property
+  def fetches(self) -> int:
+    """Requests whose prompt was prefilled on another engine, at most.
+
+    The decode load counts them as one quarter each and long streams as four.
+    Requests that the engine still prefills make the number too high.
+    """
+    return max(0, min(self.decoding, (4 * self.count - self.decoding) // 3))
+
+  @property
+  def streams(self) -> int:
+    """Long streams, at least."""
+    return (self.decoding - self.fetches) // 4
+
 
 class _PeerLoad:
 
--- a/mulberrypick/core/engine_load_test.py
+++ b/mulberrypick/core/engine_load_test.py
@@ -113,5 +113,15 @@
     self.assertIsNot(self.load.own(self.engine), own)
 
 
+class LoadTest(unittest.TestCase):
+
+  def test_prompts_that_are_being_read_are_no_streams(self):
+    load = engine_load.Load(count=9, urgent_tokens=900, other_tokens=0)
+    self.assertEqual((load.streams, load.fetches), (0, 0))
+    beside = engine_load.Load(9, 900, 0, decoding=12)
+    self.assertLessEqual(beside.streams, 3)
+    self.assertLessEqual(beside.fetches, 12)
+
+
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/core/engine_roles.py
+++ b/mulberrypick/core/engine_roles.py
@@ -41,26 +41,35 @@
   def split(self, runners: list[gateway_records.Endpoint], now: float) -> Roles:
     """Splits decode engines; the first ones by name decode."""
     ordered = sorted(runners, key=lambda runner: runner.name)
-    loads = [self._load.total(runner, now).decoding for runner in ordered]
-    capacities = [self._fetches.capacity(runner) for runner in ordered]
-    count = placements.count_decoders(capacities, sum(loads))
+    loads = [self._load.total(runner, now) for runner in ordered]
+    count = self._fetches.count_decoders(ordered, loads)
     overflow, draining = [], []
     for runner, load in zip(ordered[count:], loads[count:], strict=True):
-      has_stream = load >= placements.QUARTERS_PER_SLOT
-      (draining if has_stream else overflow).append(runner)
+      (draining if load.streams else overflow).append(runner)
     return Roles(ordered[:count], overflow, draining)
 
 
 def runners_for(
-    call: gateway_records.Call, roles: Roles, has_prefillers: bool
+    call: gateway_records.Call,
+    roles: Roles,
+    has_prefillers: bool,
+    has_streams: bool,
 ) -> list[gateway_records.Endpoint]:
   """Returns the engines that may both prefill and decode a request.
 
   Long streams of all ranks share the engines that decode: a prompt of any rank
   delays each of them by its whole prefill.
+
+  Args:
+    call: The request.
+    roles: The decode engines.
+    has_prefillers: Whether there are prefill engines.
+    has_streams: Whether the service has long streams.
   """
   if placements.is_long_output(call):
     return roles.decoders
+  if call.route.rank == 0 and not has_streams:
+    return roles.decoders + roles.overflow + roles.draining
   if roles.overflow or has_prefillers:
     return roles.overflow
   # All decode engines are needed for decoding.
--- a/mulberrypick/core/fetch_load.py
+++ b/mulberrypick/core/fetch_load.py
@@ -3,12 +3,12 @@
 Answers load pattern: many long prompts with short answers are prefilled on
 other engines. A decode engine fetches one KV cache after the other, so that its
 link is full long before its slots are: with 17 ms for each, 60 requests at once
-wait for a second. A request that fetches its KV cache therefore counts as more
-decode load the longer that takes, so that fetching for all requests at an
-engine takes a fraction of their latency target. Streams that fetch nothing
-count by their slots only.
+wait for a second. Requests that fetch are therefore limited so that fetching
+for all of them takes a fraction of their latency target. The slots limit them
+too, together with the streams, which fetch nothing.
 """
 
+from mulberrypick.core import engine_load
 from mulberrypick.core import engine_models
 from mulberrypick.core import gateway_records
 from mulberrypick.core import placements
@@ -58,39 +58,42 @@
         placements.MAX_DECODER_FILL * endpoint.slots
     )
 
-  def quarters(
-      self,
-      call: gateway_records.Call,
-      endpoint: gateway_records.Endpoint,
-      is_prefilled: bool,
-  ) -> int:
-    """Returns the decode load of a request, in quarters of a slot.
-
-    Args:
-      call: The request.
-      endpoint: The engine that decodes it.
-      is_prefilled: Whether it fetches its KV cache from another engine.
-    """
-    quarters = placements.decode_slot_quarters(call, is_prefilled)
-    if not is_prefilled:
-      return quarters
-    return max(quarters, round(self._fetch_quarters(endpoint)))
-
-  def _fetch_quarters(self, endpoint: gateway_records.Endpoint) -> float:
-    """Returns the part of an engine's capacity that one fetch takes."""
+  def max_fetches(self, endpoint: gateway_records.Endpoint) -> float:
+    """Returns how many requests that fetch their KV cache an engine takes."""
     mean = self._by_service.get(endpoint.service)
-    fraction = 0.0 if mean is None else min(1.0, mean.fraction)
-    return max(1.0, fraction * self.capacity(endpoint))
+    if mean is None or mean.fraction <= 0.0:
+      return float('inf')
+    return max(1.0, 1.0 / mean.fraction)
 
-  def wait_s(self, endpoint: gateway_records.Endpoint, quarters: int) -> float:
+  def wait_s(self, endpoint: gateway_records.Endpoint, fetches: int) -> float:
     """Returns how long one more request waits for the link at most.
 
     Args:
       endpoint: The decode engine.
-      quarters: Quarters of slots that it uses to decode, as if all of them were
-        of requests that fetched their KV cache or have yet to.
+      fetches: Its requests that fetched their KV cache, or have yet to.
     """
     mean = self._by_service.get(endpoint.service)
-    if mean is None:
-      return 0.0
-    return quarters / self._fetch_quarters(endpoint) * mean.fetch_s
+    return 0.0 if mean is None else fetches * mean.fetch_s
+
+  def count_decoders(
+      self,
+      runners: list[gateway_records.Endpoint],
+      loads: list[engine_load.Load],
+  ) -> int:
+    """Returns how many engines what decodes now needs, and one more request.
+
+    Args:
+      runners: The engines, in the order in which they are used.
+      loads: The load of each.
+    """
+    by_slots = placements.count_engines(
+        [self.capacity(runner) for runner in runners],
+        sum(load.decoding for load in loads),
+        placements.QUARTERS_PER_SLOT,
+    )
+    by_links = placements.count_engines(
+        [self.max_fetches(runner) for runner in runners],
+        sum(load.fetches for load in loads),
+        1,
+    )
+    return max(by_slots, by_links)
--- a/mulberrypick/core/placements.py
+++ b/mulberrypick/core/placements.py
@@ -125,20 +125,22 @@
   return 1 if is_prefilled else 0
 
 
-def count_decoders(capacities: Iterable[float], quarters: int) -> int:
-  """Returns how many engines the decode load needs, and one more request.
+def count_engines(
+    capacities: Iterable[float], load: float, one_more: float
+) -> int:
+  """Returns how many engines a load needs, and one more request.
 
   Args:
-    capacities: Quarters of slots that each engine takes, in the order in which
-      the engines are used; see `fetch_load.FetchLoad.capacity`.
-    quarters: Quarters of slots that all requests use to decode.
+    capacities: What each engine takes, in the order in which they are used.
+    load: What all requests use.
+    one_more: What one more request uses.
 
   Returns:
     The number; all of them if they are too few.
   """
   count, reserved = 0, 0.0
   for capacity in capacities:
-    if reserved >= quarters + QUARTERS_PER_SLOT:
+    if reserved >= load + one_more:
       break
     reserved += capacity
     count += 1
--- a/mulberrypick/core/request_placement.py
+++ b/mulberrypick/core/request_placement.py
@@ -278,7 +278,10 @@
       return self._refuse_without_endpoint(call, 'no_decode_endpoint', now)
     roles = self._roles.split(runners, now)
     decoders = roles.decoders
-    candidates = engine_roles.runners_for(call, roles, bool(prefillers))
+    has_streams = self.outlook.has_streams(call.service)
+    candidates = engine_roles.runners_for(
+        call, roles, bool(prefillers), has_streams
+    )
     spare = engine_roles.spare_runners(call, roles, candidates)
     if not placements.is_urgent_stream(call):
       candidates = self._filter_accepting(candidates, now)
@@ -553,7 +556,7 @@
       cost = tokens * self._load.read_token_s(runner, now)
       cost += load.count / runner.slots * 0.05
       cost += 0.2 * self._registry.failure_fraction(runner)
-      cost += self.fetches.wait_s(runner, load.decoding)
+      cost += self.fetches.wait_s(runner, load.fetches)
       if prefiller is not None:
         cost += self._load.models.transfer_s(prefiller, runner, prompt_tokens)
       if cost < best_cost:
--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -58,6 +58,9 @@
     read_tokens: Tokens that it still has to prefill.
     decode_quarters: Quarters of slots that it uses to decode.
     capacity: Quarters of slots that it takes of decode load.
+    fetches: Its requests that fetch their KV cache from another engine.
+    max_fetches: How many of them it takes.
+    streams: Long streams that it decodes.
     is_switching: Whether it is changing its stage.
     may_change: Whether it may be ordered to; one that was ordered lately stays
       as it is, also if it has not changed.
@@ -67,10 +70,42 @@
   read_tokens: int
   decode_quarters: int
   capacity: float
+  fetches: int = 0
+  max_fetches: float = float('inf')
+  streams: int = 0
   is_switching: bool = False
   may_change: bool = True
 
 
+class _Need(NamedTuple):
+  """Decode load of a service.
+
+  Attributes:
+    quarters: Quarters of slots that its requests use to decode.
+    fetches: Requests that fetch their KV cache from another engine.
+  """
+
+  quarters: int
+  fetches: int
+
+  def count_engines(self, engines: list[EngineUse], fill: float) -> int:
+    """Returns how many engines it takes.
+
+    Args:
+      engines: The engines, in the order in which they are used.
+      fill: Multiple of the usual load that an engine takes.
+    """
+    by_slots = placements.count_engines(
+        [fill * use.capacity for use in engines],
+        self.quarters,
+        placements.QUARTERS_PER_SLOT,
+    )
+    by_links = placements.count_engines(
+        [fill * use.max_fetches for use in engines], self.fetches, 1
+    )
+    return max(by_slots, by_links)
+
+
 class _ServiceState:
   """What was observed of the engines of one service."""
 
@@ -78,8 +113,8 @@
     self.knows_need_from = knows_need_from
     self.observed_at = now
     self.reading_mean = 0.0
-    self.quarters = 0
-    self.quarters_at = now
+    self.need = _Need(0, 0)
+    self.need_at = now
     self.lacking_since: float | None = None
     self.lacked_at = now
     self.loaded_since: float | None = None
@@ -143,12 +178,11 @@
   most = max(1, int(MAX_SWITCHING_FRACTION * len(engines))) - switching
   if not decoders or most <= 0:
     return []
-  capacities = [use.capacity for use in decoders + prefillers]
+  usable = decoders + prefillers
   # Those that are left after crashes may be filled with decode load.
-  crowded = [c / placements.MAX_DECODER_FILL for c in capacities]
-  need = placements.count_decoders(capacities, state.quarters)
-  quarters = sum(use.decode_quarters for use in decoders)
-  is_full = placements.count_decoders(crowded, quarters) > len(decoders)
+  crowded = 1.0 / placements.MAX_DECODER_FILL
+  need = state.need.count_engines(usable, 1.0)
+  is_full = _sum_need(decoders).count_engines(usable, crowded) > len(decoders)
   if _is_lacking(state, need, len(decoders), len(prefillers), is_full, now):
     state.lacking_since = None
     return _order_to_decode(decoders, prefillers)
@@ -160,7 +194,7 @@
   if not prefillers:
     # All prompts are prefilled between the tokens of streams.
     reserve = 0
-  crowded_need = placements.count_decoders(crowded, state.quarters)
+  crowded_need = state.need.count_engines(usable, crowded)
   surplus = len(decoders) - max(MIN_DECODERS, need, crowded_need + reserve)
   return _orders_to_prefill(decoders, prefillers, min(surplus, most))
 
@@ -199,15 +233,24 @@
   weight = 1.0 - math.exp(-elapsed_s / READING_MEAN_S)
   reading = sum(use.read_tokens > 0 for use in decoders)
   state.reading_mean += weight * (reading - state.reading_mean)
-  quarters = sum(use.decode_quarters for use in decoders)
-  if (quarters or reading) and state.loaded_since is None:
+  need = _sum_need(decoders)
+  if (need.quarters or reading) and state.loaded_since is None:
     state.loaded_since = now
   present = frozenset(use.endpoint.incarnation for use in engines)
   if present != state.engines:
     state.engines, state.changed_at = present, now
-  is_old = now - state.quarters_at > NEED_HORIZON_S
-  if quarters >= state.quarters or is_old:
-    state.quarters, state.quarters_at = quarters, now
+  is_old = now - state.need_at > NEED_HORIZON_S
+  if is_old or need.quarters >= state.need.quarters:
+    state.need, state.need_at = need, now
+  elif need.fetches > state.need.fetches:
+    state.need = state.need._replace(fetches=need.fetches)
+
+
+def _sum_need(decoders: list[EngineUse]) -> _Need:
+  return _Need(
+      sum(use.decode_quarters for use in decoders),
+      sum(use.fetches for use in decoders),
+  )
 
 
 def _is_lacking(
@@ -292,8 +335,8 @@
 
 
 def _is_decoding(use: EngineUse) -> bool:
-  """Returns whether an engine may have a long stream."""
-  return use.decode_quarters >= placements.QUARTERS_PER_SLOT
+  """Returns whether an engine has a long stream."""
+  return use.streams > 0
 
 
 def _order_to_decode(
--- a/mulberrypick/core/stream_outlook.py
+++ b/mulberrypick/core/stream_outlook.py
@@ -55,12 +55,18 @@
     """
     if not events or not call.output_tokens:
       return
-    streams = self._by_service.setdefault(call.service, _Streams())
+    streams = self._by_service.get(call.service)
+    if streams is None:
+      return
     streams.count += 1
     weight = max(MEAN_WEIGHT, 1 / streams.count)
     sample = call.output_tokens / events
     streams.tokens_per_event += weight * (sample - streams.tokens_per_event)
 
+  def has_streams(self, service: str) -> bool:
+    """Returns whether a long stream of a service was placed here."""
+    return service in self._by_service
+
   def is_late(
       self,
       call: gateway_records.Call,
--- a/mulberrypick/core/stream_placement_test.py
+++ b/mulberrypick/core/stream_placement_test.py
@@ -4,6 +4,7 @@
 
 from mulberrypick.core import placements
 from mulberrypick.core import request_placement_test
+from mulberrypick.core import stream_outlook
 
 DECODE = request_placement_test.DECODE
 ENGINE = request_placement_test.ENGINE
@@ -133,6 +134,12 @@
           placed.prefiller or placed.endpoint.name in ('d2', 'd3'), placed
       )
 
+  def test_urgent_prompt_uses_all_engines_of_a_service_without_streams(self):
+    self.placer.outlook = stream_outlook.StreamOutlook(self.load)
+    self.wait_at(40_000, 'p1', 'd2', 'd3')
+    placed = self.place(self.make_prompt())
+    self.assertEqual((placed.endpoint.name, placed.prefiller), ('d1', None))
+
   def test_urgent_prompt_that_is_late_elsewhere_uses_room_beside_streams(self):
     self.wait_at(60_000, 'p1', 'd2', 'd3')
     long_prompt = self.make_prompt()
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -397,8 +397,8 @@
       tokens: int,
   ) -> next_run.AttemptResult:
     endpoint = placement.endpoint
-    decode_quarters = self._state.placer.fetches.quarters(
-        self._call, endpoint, bool(extra_headers)
+    decode_quarters = placements.decode_slot_quarters(
+        self._call, bool(extra_headers)
     )
     read = None
     if tokens:
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -153,6 +153,9 @@
               load.urgent_tokens + load.other_tokens,
               load.decoding,
               state.placer.fetches.capacity(endpoint),
+              load.fetches,
+              state.placer.fetches.max_fetches(endpoint),
+              load.streams,
               state.endpoints.switches.is_switching(endpoint.incarnation, now),
               self._may_change(endpoint),
           )
--- a/standins/stage_play.py
+++ b/standins/stage_play.py
@@ -313,8 +313,8 @@
   def _add_decode_load(
       self, job: Job, runner: gateway_records.Endpoint, is_prefilled: bool
   ) -> None:
-    job.decode_quarters = self.placer.fetches.quarters(
-        job.call, runner, is_prefilled
+    job.decode_quarters = placements.decode_slot_quarters(
+        job.call, is_prefilled
     )
     self.load.own(runner).decoding += job.decode_quarters
 
@@ -396,6 +396,9 @@
               load.urgent_tokens + load.other_tokens,
               load.decoding,
               self.placer.fetches.capacity(endpoint),
+              load.fetches,
+              self.placer.fetches.max_fetches(endpoint),
+              load.streams,
               engine.ordered is not None,
           )
       )
