Let the last holder take the lease of orders again at once

The new line order_not_permitted says why: the host that had given the last order waited for the guard time of its own term, as if it had been a stranger's, because a lease that lapsed forgets what it wrote; each try pauses for two seconds besides. Class: knowledge that is dropped with the duty. If the object still names this process, nobody else has held the lease since, and the write is conditional; it takes it at once, unless the store came back from an older copy in the last 6.5 s, which may have lost a stranger's term. The test fails before.

--- a/mulberrypick/core/stage_balance.py
+++ b/mulberrypick/core/stage_balance.py
@@ -39,7 +39,7 @@
 # Time with too few decode engines until a prefill engine changes: an engine
 # that crashed is mostly back within a few seconds.
 LACK_S = 6.0
-# The same if the slots of the only decode engine are full.
+# The same if the only decode engine has more than it should.
 FULL_LACK_S = 2.0
 # An engine that crashed seems to be back for a moment whenever it is tried. A
 # lack ends only if there is none for this long.
@@ -182,7 +182,7 @@
   # Those that are left after crashes may be filled with decode load.
   crowded = 1.0 / placements.MAX_DECODER_FILL
   need = state.need.count_engines(usable, 1.0)
-  is_full = _sum_need(decoders).count_engines(usable, crowded) > len(decoders)
+  is_full = _sum_need(decoders).count_engines(usable, 1.0) > len(decoders)
   if _is_lacking(state, need, len(decoders), len(prefillers), is_full, now):
     state.lacking_since = None
     return _order_to_decode(decoders, prefillers)
@@ -268,7 +268,7 @@
     need: Decode engines that the decode load needs.
     decoders: Number of decode engines.
     prefillers: Number of prefill engines.
-    is_full: Whether the decode load takes all slots of the decode engines.
+    is_full: Whether the decode engines have more load than they should.
     now: Time on a clock that advances while the host is suspended.
   """
   is_short = decoders < max(MIN_DECODERS, need)
--- a/mulberrypick/ops/stage_task.py
+++ b/mulberrypick/ops/stage_task.py
@@ -194,6 +194,14 @@
       if not self._can_send_order():
         # Another host holds the lease, or too little of the term is left.
         self._balance_from = boot_clock.boot_time() + RETRY_PAUSE_S
+        logs.log_event(
+            _log,
+            logging.INFO,
+            'order_not_permitted',
+            endpoint=order.endpoint.name,
+            stage=order.stage.value,
+            lease=self._lease.state,
+        )
         return
       await self._send_order(order)
 
@@ -253,12 +261,17 @@
       self._era, self._era_seen_at = era, boot_clock.boot_time()
 
   def _may_take_lease(self) -> bool:
-    """Returns whether no holder of a term that the store lost is left."""
-    if not lease.can_take(self._lease, boot_clock.boot_time(), GUARD_S):
+    """Returns whether no holder is left, also of a term that got lost."""
+    now = boot_clock.boot_time()
+    record = self._lease.record
+    has_settled = not self._era or (now >= self._era_seen_at + TERM_S + GUARD_S)
+    if record is not None and record.owner == self._lease.owner and has_settled:
+      # The last term was one of this process, and nobody else has given orders
+      # since, or the conditional write fails.
+      return self._lease.state == lease.WATCHING
+    if not lease.can_take(self._lease, now, GUARD_S):
       return False
-    if self._lease.record is not None or not self._era:
-      return True
-    return boot_clock.boot_time() >= self._era_seen_at + TERM_S + GUARD_S
+    return record is not None or has_settled
 
   async def _acquire_lease(self) -> None:
     """Acquires or renews the lease, or reads whether another holder has it."""
--- a/mulberrypick/ops/stage_task_test.py
+++ b/mulberrypick/ops/stage_task_test.py
@@ -93,6 +93,26 @@
         await self.task._send_orders(due)
     self.assertEqual(client.reads, 1)
 
+  async def test_the_last_holder_takes_the_lease_again_at_once(self):
+    # Guards against an order that waits for the guard time of a stranger's term
+    # while the only decode engine is full.
+    client = _HeldLease()
+    self.task = stage_task.StageTask(self.state, client)
+    await self.task._acquire_lease()
+    self.assertEqual(client.writes, 0)
+    own = _HeldLease(self.task._lease.owner)
+    self.task._client = own
+    self.task._lease = lease.Lease(own.owner)
+    # An older copy of the store may have lost the term of another host.
+    self.state.store_era.current = 2
+    self.task._observe_era()
+    await self.task._acquire_lease()
+    self.assertEqual(own.writes, 0)
+    self.task._era_seen_at -= stage_task.TERM_S + stage_task.GUARD_S
+    await self.task._acquire_lease()
+    self.assertEqual(own.writes, 1)
+    self.assertTrue(self.task._can_send_order())
+
   async def test_engine_that_does_not_execute_an_order_gets_no_other(self):
     engine = self.engines[-1]
     self.task._record_order(engine)
@@ -106,14 +126,22 @@
 class _HeldLease:
   """A store whose lease another host holds."""
 
-  def __init__(self):
+  def __init__(self, owner: str = 'other.1'):
     self.reads = 0
+    self.writes = 0
+    self.owner = owner
 
   async def read(self, kind: str, name: str) -> store.StoredObject:
     self.reads += 1
-    record = lease.LeaseRecord('other.1', 'n', 7, stage_task.TERM_S)
+    record = lease.LeaseRecord(self.owner, 'n', 7, stage_task.TERM_S)
     return store.StoredObject(name, 5, record._asdict(), False)
 
+  async def put_if_revision(
+      self, kind: str, name: str, spec, revision: int
+  ) -> store.StoredObject:
+    self.writes += 1
+    return store.StoredObject(name, revision + 1, spec, False)
+
 
 if __name__ == '__main__':
   unittest.main()
