Ask for the last event again when a stream goes on elsewhere

Cause: nothing that the other endpoint sends shows that it goes on with this stream if nothing follows. A run that resumes a stream is now asked for the last event that the caller has, too. It is dropped on the way; an endpoint that sends it, or the next one, goes on where the stream broke off, and its end is the end. Without it the run has failed, as before. One event is generated again for it.

The kind 'event again' leaves the odd answers: an endpoint that sends it is asked for just that now, and one that ends too early by its own framing can't be told from one that is done, in a first run either. A stream without ids that broke off is not resumed: there is no place to resume at.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -478,8 +478,13 @@
   ) -> next_run.AttemptResult:
     cutter = event_stream.EventSplitter()
     is_first = True
-    is_resumed = self._stream.has_head
-    resumed_after = self._stream.last_event
+    resumed_at = self._stream.last_event or 0
+    # The last event that the caller has, or the next one, shows that the run
+    # goes on where the stream broke off.
+    is_proven = not self._stream.has_head
+    if self._stream.has_head and self._stream.last_event is None:
+      # Without ids it can't go on elsewhere.
+      raise errors.ExchangeBrokenError('event_without_id')
     gap_s = self._call.route.gap_s or DEFAULT_GAP_S
     limit = self._silence_limit(STALL_GAPS * gap_s)
     while data := await send.read_some(limit):
@@ -491,21 +496,14 @@
         continue
       if is_first:
         is_first = False
-        now = asyncio.get_running_loop().time()
-        self._first_event_s = self._first_event_s or now - self._call.arrived_at
-        if tokens:
-          send.record_prefill(placement.tokens_ahead)
-        elif placement.prefiller is not None:
-          send.record_start(self._call.prompt_tokens)
-        self._state.endpoints.record_success(placement.endpoint)
-        self._bind(placement.endpoint)
+        self._record_first_event(send, placement, tokens)
       send.record_activity()
       self._measure(placement.endpoint, len(events))
+      is_proven |= any((event.id or 0) >= resumed_at for event in events)
       await self._stream.write(head, events)
     if cutter.has_partial_event:
       raise errors.ExchangeBrokenError('event_cut')
-    if is_resumed and self._stream.last_event == resumed_after:
-      # Nothing shows that the stream had ended before it broke off.
+    if not is_proven:
       raise errors.ExchangeBrokenError('no_event')
     self._stream.finish(head)
     send.record_completion()
@@ -515,6 +513,22 @@
     self._log_decision('served', call_log.SLOW_STREAM if is_slow else 'stream')
     return next_run.AttemptResult(True, True, 'served')
 
+  def _record_first_event(
+      self,
+      send: endpoint_send.EndpointSend,
+      placement: placements.Placement,
+      tokens: int,
+  ) -> None:
+    """Records the first event of a run, and learns from its time."""
+    now = asyncio.get_running_loop().time()
+    self._first_event_s = self._first_event_s or now - self._call.arrived_at
+    if tokens:
+      send.record_prefill(placement.tokens_ahead)
+    elif placement.prefiller is not None:
+      send.record_start(self._call.prompt_tokens)
+    self._state.endpoints.record_success(placement.endpoint)
+    self._bind(placement.endpoint)
+
   def _measure(self, endpoint: gateway_records.Endpoint, events: int) -> None:
     """Measures the pauses of the stream beside the load of its engine."""
     now = asyncio.get_running_loop().time()
@@ -558,7 +572,7 @@
     headers = list(self._headers)
     if self._stream.last_event is not None:
       headers = [h for h in headers if h[0].lower() != protocol.LAST_EVENT]
-      headers += requests.resume_headers(b'%d' % self._stream.last_event)
+      headers += requests.resume_headers(self._stream.last_event)
     headers += requests.endpoint_headers(
         endpoint,
         self._end_at - now,
--- a/mulberrypick/platform/gateway_odd_answer_test.py
+++ b/mulberrypick/platform/gateway_odd_answer_test.py
@@ -2,9 +2,12 @@
 
 from mulberrypick.platform import gateway_pass_on_test
 from mulberrypick.platform import gateway_test
+from standins import fleet_replica
 from standins import odd_answers
 
 REQUESTS = 30
+# Events of a stream of the stand-ins.
+EVENTS = fleet_replica.Behaviour().events
 # Where the head of an answer ends, with `ID` for the request's id.
 HALF_HEADS = (
     b'HTTP/1.1',
@@ -66,6 +69,14 @@
       self.assertNotIn(b'failed', answer.body, kind)
       self.assertNotIn(b'piece 5', answer.body, kind)
 
+  async def test_stream_that_lost_only_its_end_is_whole(self):
+    # Guards against a cut after the last event: another run sends that again
+    # and shows that nothing follows.
+    self.set_fault('engine', lambda: odd_answers.LostEnd(EVENTS))
+    answer = await self.call('/ask/x', 'e1')
+    self.assertTrue(answer.is_whole, answer)
+    self.assertEqual(answer.body.count(b'piece'), EVENTS)
+
   async def test_first_run_with_a_piece_missing_is_not_whole(self):
     for kind in ('skipped_id', 'own_event_and_text'):
       self.set_fault(
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -169,9 +169,15 @@
   return [(protocol.KV_SOURCE, source.encode())]
 
 
-def resume_headers(last_event: bytes) -> list[tuple[bytes, bytes]]:
-  """Returns the headers that request the rest of a stream after an event."""
-  return [(protocol.LAST_EVENT, last_event)]
+def resume_headers(last_event: int) -> list[tuple[bytes, bytes]]:
+  """Returns the headers that request a stream from its last event on.
+
+  The event that the caller already has is requested again: an endpoint that
+  sends it goes on with this stream, also if nothing follows.
+  """
+  if last_event <= 1:
+    return []
+  return [(protocol.LAST_EVENT, b'%d' % (last_event - 1))]
 
 
 def decode_kv_handle(body: bytes) -> str | None:
