Show that a crashing request is cleared by other callers' answers

A request that crashes replicas is never refused if other callers send the same path and body and are served (BUDGET).

--- a/review/shared/replica.py
+++ b/review/shared/replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from review.shared import wire
@@ -53,6 +54,9 @@
     arrivals: Requests that reached it, refused ones too.
     runs: Runs by request id.
     version: Version of its software.
+    slots: Requests at once that its entry states.
+    crashing_cookie: Requests with this cookie crash it; empty for none.
+    on_crash: Called after it has crashed.
     server: Its server.
   """
 
@@ -64,6 +68,9 @@
     self.answer = b'x' * 800
     self.tokens_per_event = 1
     self.version = 'v1'
+    self.slots = 64
+    self.crashing_cookie = ''
+    self.on_crash: Callable[[Replica], None] = lambda replica: None
     self.arrivals: list[Arrival] = []
     self.runs: dict[str, list[Run]] = {}
     self.server = wire.Server(self._handle)
@@ -79,6 +86,12 @@
     self._ip = ip
     await self.server.start(ip)
 
+  async def restart(self) -> None:
+    """Starts again, as a new boot under the same id."""
+    self._born = int(time.time() * 1000)
+    self.server = wire.Server(self._handle)
+    await self.server.start(self._ip)
+
   def entry(self, state: str = 'ready') -> dict[str, object]:
     """Returns its entry in the store."""
     entry = {
@@ -86,7 +99,7 @@
         'address': f'{self._ip}:{self.server.port}',
         'zone': self._zone,
         'version': self.version,
-        'slots': 64,
+        'slots': self.slots,
         'state': state,
         'coldRemainingMs': 0,
         'sequence': 1,
@@ -113,6 +126,11 @@
       return
     run = Run(self.id)
     self.runs.setdefault(request_id, []).append(run)
+    cookie = request.headers.get('cookie', '')
+    if self.crashing_cookie and cookie == self.crashing_cookie:
+      self.server.stop()
+      self.on_crash(self)
+      await asyncio.Event().wait()
     headers = [
         ('X-Mulberrypick-Request-Id', request_id),
         ('X-Mulberrypick-Server-Signature', f'{self.id}.{request_id}'),
--- a/review/shared/requester.py
+++ b/review/shared/requester.py
@@ -50,9 +50,18 @@
 class Channel:
   """A kept connection to a gateway."""
 
-  def __init__(self, name: str, ip: str, port: int):
+  def __init__(self, name: str, ip: str, port: int, own_ip: str = '127.0.0.1'):
+    """Creates a channel that is not open yet.
+
+    Args:
+      name: Name of the gateway.
+      ip: Its address.
+      port: Its port.
+      own_ip: Address of the requester.
+    """
     self._name = name
     self._address = (ip, port)
+    self._own_ip = own_ip
     self._reader: asyncio.StreamReader | None = None
     self._writer: asyncio.StreamWriter | None = None
 
@@ -69,7 +78,7 @@
     """Opens the connection."""
     async with asyncio.timeout(1.0):
       self._reader, self._writer = await asyncio.open_connection(
-          *self._address, limit=1 << 20
+          *self._address, limit=1 << 20, local_addr=(self._own_ip, 0)
       )
 
   def close(self) -> None:
