Send no request in a stop that the process would cut

Cause: nothing asked, at the moment a request is sent to an endpoint, whether it can end before the process does. The process ended with the time that is left for all of them.

Fix: EndpointSend, through which all of these go, asks StopGuard at the moment of sending; CallRun asks before each attempt and before it passes a request on. A request may go if its time limit ends before the process, or the slowest of the last 64 requests of its route (a stream's rest by its events and pace) would, with half of that to spare. Others get 503 host_stopping with Connection: close; one of another host is declined, so that it tries the next. A silent run is not given up if the next one could not end. What is under way at the end gets 502 (503 if nothing was sent) in place of a closed connection. The port of hosts says Connection: close too.

The steps of a stop follow from graceS (core/stop_schedule): 3.0 s of notice and 0.6 s of margin were constants, so that with a grace of 3 s or less the port was closed only after SIGKILL.

Ruled out: closing kept connections at once (mends the case and not the other ways in); a mean of the times (half of the requests take longer).

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -14,6 +14,7 @@
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
 from mulberrypick.core import placements
+from mulberrypick.core import run_times
 from mulberrypick.core import stream_meter
 from mulberrypick.ops import call_log
 from mulberrypick.ops import caller_stream
@@ -26,6 +27,7 @@
 from mulberrypick.ops import next_run
 from mulberrypick.ops import pass_on
 from mulberrypick.ops import prompt_handles
+from mulberrypick.ops import stop_guard
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
@@ -110,6 +112,9 @@
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
+    # When the present attempt began, and when its first event arrived.
+    self._attempt_at = call.arrived_at
+    self._attempt_event_at: float | None = None
     # Whether an engine keeps the KV cache of the prefilled prompt.
     self._has_handle = False
     # Whether it was logged that the silent run is not given up.
@@ -127,9 +132,14 @@
     )
     self._end_at = end_at
     try:
-      async with asyncio.timeout_at(end_at):
-        await self._run_attempts()
+      async with asyncio.timeout_at(end_at) as timeout:
+        with self._state.stop.watch(timeout):
+          await self._run_attempts()
     except TimeoutError:
+      self._record_time()
+      if asyncio.get_running_loop().time() < end_at:
+        self._end_for_stop()
+        return
       if self._next.runs or self._is_sending:
         self._fail(504, 'timeout')
         return
@@ -144,7 +154,7 @@
     reason = 'no_endpoint'
     sends = 0
     while sends < MAX_SENDS or self._next.has_given_up:
-      if await self._pass_on():
+      if self._is_ended_for_stop() or await self._pass_on():
         return
       placement = await self._next.place()
       if isinstance(placement, placements.Refusal):
@@ -162,6 +172,8 @@
       sends += 1
       self._placement = placement
       attempt = await self._run_attempt(placement)
+      if attempt.may_have_run:
+        self._record_time()
       if attempt.is_final:
         return
       reason = attempt.reason
@@ -175,6 +187,72 @@
         break
     self._end_unserved(reason)
 
+  def _can_end(self, now: float) -> bool:
+    """Returns whether the request ends before this process if sent now.
+
+    One whose run this host gave up goes on in any case: that run might have
+    ended in time.
+    """
+    return self._next.has_given_up or self._can_run_again(
+        now, now - self._attempt_at
+    )
+
+  def _can_run_again(self, now: float, spent_s: float = 0.0) -> bool:
+    """Returns whether one more run ends before this process."""
+    return self._state.stop.can_end(
+        self._call,
+        self._stream.last_event,
+        self._meter.mean_event_s,
+        spent_s,
+        now,
+    )
+
+  def _is_ended_for_stop(self) -> bool:
+    """Begins an attempt; ends the request if this process can't serve it.
+
+    Returns:
+      Whether the request has its final response.
+    """
+    self._attempt_at = asyncio.get_running_loop().time()
+    self._attempt_event_at = None
+    if self._can_end(self._attempt_at):
+      return False
+    self._end_for_stop()
+    return True
+
+  def _end_for_stop(self) -> None:
+    """Ends a request that this process can't serve before it exits.
+
+    The host that passed it on, if any, finds another one.
+    """
+    may_have_run = bool(self._next.runs) or self._is_sending
+    if self._forwarded is not None:
+      has_run_here = self._next.runs > self._forwarded.origin.runs
+      if not has_run_here and not self._is_sending:
+        self._log_decision('refused', stop_guard.STOPPING)
+        self._forwarded.decline(forward_server.LEAVING, self._next.has_sent)
+        return
+      self._log_decision('cut', stop_guard.STOPPING)
+      self._forwarded.abort()
+      return
+    if may_have_run:
+      self._fail(502, stop_guard.STOPPING)
+      return
+    self._refuse(
+        placements.Refusal(stop_guard.STOPPING, stop_guard.RETRY_AFTER_S)
+    )
+
+  def _record_time(self) -> None:
+    """Records how long the present attempt took."""
+    whole_s = asyncio.get_running_loop().time() - self._attempt_at
+    first_s = whole_s
+    if self._attempt_event_at is not None:
+      first_s = self._attempt_event_at - self._attempt_at
+    self._state.stop.times.record(
+        self._call.route.name,
+        run_times.RunTime(first_s, whole_s, self._meter.mean_event_s),
+    )
+
   def _end_unserved(self, reason: str) -> None:
     """Fails a request that may have run, and refuses any other."""
     if self._next.runs:
@@ -224,6 +302,7 @@
   def _end_passed_on(self, result: forward_run.ForwardResult) -> None:
     """Logs how passing on ended, and fails the request if it was not served."""
     if result.outcome is forward_run.Outcome.ANSWERED:
+      self._record_time()
       self._log_decision('passed_on', result.reason, helper=result.helper)
       return
     if self._next.runs:
@@ -236,6 +315,9 @@
   async def _give_up_for(self, is_silent: Callable[[], bool]) -> bool:
     """Secures another run while an endpoint is silent, and logs the result."""
     present = self._placement.endpoint
+    if not self._can_run_again(asyncio.get_running_loop().time()):
+      self._log_waiting(stop_guard.STOPPING)
+      return False
     if (
         self._next.may_run_again()
         and await self._passing.is_needed_after_failure()
@@ -253,16 +335,18 @@
       )
       self._is_waiting = False
       return True
-    if not self._is_waiting:
-      self._is_waiting = True
-      self._log_decision(
-          'waited',
-          'silent',
-          lacked=self._next.lacked,
-          last_event=self._stream.last_event,
-      )
+    self._log_waiting(self._next.lacked)
     return False
 
+  def _log_waiting(self, lacked: str) -> None:
+    """Logs once that a silent run is not given up, as another one lacks."""
+    if self._is_waiting:
+      return
+    self._is_waiting = True
+    self._log_decision(
+        'waited', 'silent', lacked=lacked, last_event=self._stream.last_event
+    )
+
   async def _run_attempt(
       self, placement: placements.Placement
   ) -> next_run.AttemptResult:
@@ -309,6 +393,8 @@
       attempt = await self._send_to(placement, source, tokens)
       if attempt.is_final or attempt.may_have_run:
         return attempt
+      if attempt.reason == stop_guard.STOPPING:
+        return attempt
       tried.add(placement.endpoint.incarnation)
       now = loop.time()
       if attempt.reason == REFUSED and now - sent_at >= MIN_FETCH_FAILURE_S:
@@ -355,7 +441,7 @@
     now = asyncio.get_running_loop().time()
     read = placements.make_read(self._call, placement, now)
     send = endpoint_send.EndpointSend(
-        self._state, self._log, prefiller, self._call, read, 0
+        self._state, self._log, prefiller, self._call, read, 0, self._can_end
     )
     self._state.record_parts(prefiller, self._call.parts, True)
     extra_headers = requests.prefill_headers()
@@ -405,7 +491,13 @@
       now = asyncio.get_running_loop().time()
       read = placements.make_read(self._call, placement, now)
     send = endpoint_send.EndpointSend(
-        self._state, self._log, endpoint, self._call, read, decode_quarters
+        self._state,
+        self._log,
+        endpoint,
+        self._call,
+        read,
+        decode_quarters,
+        self._can_end,
     )
     if self._service.is_engine:
       self._state.record_parts(endpoint, self._call.parts, not extra_headers)
@@ -521,6 +613,7 @@
   ) -> None:
     """Records the first event of a run, and learns from its time."""
     now = asyncio.get_running_loop().time()
+    self._attempt_event_at = now
     self._first_event_s = self._first_event_s or now - self._call.arrived_at
     if tokens:
       send.record_prefill(placement.tokens_ahead)
--- a/mulberrypick/ops/endpoint_send.py
+++ b/mulberrypick/ops/endpoint_send.py
@@ -19,6 +19,7 @@
 from mulberrypick.core import pending_reads
 from mulberrypick.ops import call_log
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import stop_guard
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
 
@@ -44,6 +45,8 @@
 HELD_OFF = 'held_off'
 # Reason of a send to an endpoint that leaves.
 LEAVING = 'leaving'
+# Reason of a send that this process would end before.
+STOPPING = stop_guard.STOPPING
 # Reason of a send that was given up because requests like it crash endpoints.
 CRASHES_ENDPOINTS = 'crashes_endpoints'
 # Reasons of a break after which the endpoint may have crashed. For all others
@@ -112,6 +115,7 @@
       call: gateway_records.Call,
       read: pending_reads.PendingRead | None,
       decode_quarters: int,
+      can_end: Callable[[float], bool],
   ):
     """Creates a send, which counts as load of the endpoint from now on.
 
@@ -122,7 +126,10 @@
       call: The request.
       read: The prefill that it causes there, None for none.
       decode_quarters: Quarters of slots that it takes for decoding.
+      can_end: Returns whether the request ends before this process if it is
+        sent at the given time.
     """
+    self._can_end = can_end
     self._state = state
     self._log = log
     self._endpoint = endpoint
@@ -208,6 +215,8 @@
     It was placed a moment ago; a connection may have taken some time.
     """
     state, endpoint, now = self._state, self._endpoint, self.sent_at
+    if not self._can_end(now):
+      return STOPPING
     if state.is_refused(self._call, now):
       return CRASHES_ENDPOINTS
     if not state.endpoints.may_send(endpoint, now):
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -28,6 +28,7 @@
 from mulberrypick.ops import forward_links
 from mulberrypick.ops import reach_watch
 from mulberrypick.ops import retry_log
+from mulberrypick.ops import stop_guard
 from mulberrypick.platform import store
 from mulberrypick.platform import stored_evidence
 
@@ -93,6 +94,7 @@
       endpoints are known, 0 before the first list.
     is_leaving: Whether this process is shutting down.
     has_stopped_listening: Whether it takes no new requests any more.
+    stop: Keeps requests from being sent that this process would cut.
     load_changed: Set when a request of this host starts or ends at an endpoint.
     watches_store: Whether this host watches the store itself; if not, its relay
       reports changes.
@@ -158,6 +160,7 @@
     self._list_read_at = float('-inf')
     self.is_leaving = False
     self.has_stopped_listening = False
+    self.stop = stop_guard.StopGuard()
     self.load_changed = asyncio.Event()
     self.watches_store = True
     self.store_revision_by_kind: dict[str, int] = {}
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -14,6 +14,7 @@
 from mulberrypick.ops import endpoint_send
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import run_securer
+from mulberrypick.ops import stop_guard
 
 # Longest time for which a request waits for a permit from another host, which
 # takes a few milliseconds. Without a permit it is then refused.
@@ -28,6 +29,8 @@
     'read_held_off',
     'leaving',
     'read_leaving',
+    stop_guard.STOPPING,
+    f'read_{stop_guard.STOPPING}',
 )
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
--- /dev/null
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -0,0 +1,277 @@
+"""Tests of requests at a gateway that shuts down."""
+
+import asyncio
+import time
+import unittest
+
+from mulberrypick.platform import gateway_pass_on_test
+from mulberrypick.platform import gateway_test
+from standins import gateway_cluster
+
+GRACE_S = 3.0
+# Requests that are sent later than this after SIGTERM are never excused.
+LATE_S = 1.4
+# Longer than the time that is left then.
+SLOW_WORK_S = 2.5
+TIMEOUT_MS = 10_000
+HEAD = (
+    b'POST %s HTTP/1.1\r\nHost: '
+    + gateway_cluster.HOST.encode()
+    + b'\r\nX-Mulberrypick-Request-Id: %s\r\n'
+    + b'X-Mulberrypick-Deadline-Ms: 10000\r\nContent-Length: 2\r\n\r\n'
+)
+
+
+def make_config() -> dict[str, object]:
+  """Returns a configuration whose time limits outlast the grace period."""
+  config = gateway_cluster.make_config(2)
+  for route in config['routes']:
+    route['timeoutMs'] = TIMEOUT_MS
+  return config
+
+
+class Caller:
+  """A caller that writes bytes as it likes, and reads all that comes back.
+
+  Attributes:
+    received: The bytes received.
+    is_closed: Whether the gateway closed the connection.
+  """
+
+  def __init__(self):
+    self.received = b''
+    self.is_closed = False
+
+  async def open(self, port: int) -> None:
+    self._reader, self._writer = await asyncio.open_connection(
+        '127.0.0.1', port
+    )
+    self._task = asyncio.create_task(self._read())
+
+  def send(self, path: str, request: str, body: bytes = b'xy') -> None:
+    self.send_head(path, request)
+    self.send_body(body)
+
+  def send_head(self, path: str, request: str) -> None:
+    self._writer.write(HEAD % (path.encode(), request.encode()))
+
+  def send_body(self, body: bytes) -> None:
+    self._writer.write(body)
+
+  async def wait(self) -> bytes:
+    """Waits until the connection is closed; returns what was received."""
+    await self._task
+    return self.received
+
+  def close(self) -> None:
+    self._task.cancel()
+    self._writer.close()
+
+  async def _read(self) -> None:
+    try:
+      while data := await self._reader.read(65536):
+        self.received += data
+    except ConnectionResetError:
+      # What arrived before counts.
+      pass
+    self.is_closed = True
+
+
+class StopTestCase(gateway_test.GatewayTestCase):
+  """Stops a gateway whose requests take longer than the grace period."""
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    await self.set_up_stop([self.gateway])
+
+  async def set_up_stop(self, gateways) -> None:
+    for gateway in gateways:
+      bounds = self.host.bounds._replace(grace_s=GRACE_S)
+      gateway.state.host = gateway.state.host._replace(bounds=bounds)
+    self.cluster.store.put('config', 'main', make_config())
+    await self.wait_until(
+        lambda: all(g.state.config.version == 2 for g in gateways)
+    )
+
+  async def open_caller(self, gateway=None) -> Caller:
+    caller = Caller()
+    await caller.open((gateway or self.gateway).state.host.listen_port)
+    self.addCleanup(caller.close)
+    return caller
+
+  def stop_gateway(self) -> None:
+    self.stopped_at = time.monotonic()
+    self.gateway._stop_requested.set()
+
+  async def wait_for_end(self) -> float:
+    """Waits until the process would exit; returns the time since SIGTERM."""
+    await self.running
+    took_s = time.monotonic() - self.stopped_at
+    self.gateway.close()
+    return took_s
+
+  def arrivals(self) -> int:
+    return sum(r.arrivals for r in self.cluster.replica_by_name.values())
+
+  def assert_refused(self, received: bytes) -> None:
+    """Checks for one complete response that says that nothing ran."""
+    self.assertTrue(received.startswith(b'HTTP/1.1 503 '), received[:200])
+    self.assertEqual(received.count(b'HTTP/1.1 '), 1, received)
+    self.assertIn(b'Connection: close\r\n', received)
+    self.assertIn(b'"run":"not_run"', received)
+
+
+class LateRequestTest(StopTestCase):
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    self.cluster.update_behaviour('desk', work_s=SLOW_WORK_S)
+
+  async def test_late_body_is_not_passed_on(self):
+    # Guards against requests that are cut at the end of a planned stop, and may
+    # have run, because the last byte of their bodies came late.
+    caller = await self.open_caller()
+    caller.send_head('/unsafe/x', 'r1')
+    await asyncio.sleep(0.05)
+    self.stop_gateway()
+    await asyncio.sleep(LATE_S)
+    caller.send_body(b'xy')
+    self.assert_refused(await caller.wait())
+    self.assertEqual(self.arrivals(), 0)
+
+  async def test_late_request_on_a_kept_connection_is_not_passed_on(self):
+    # Guards against the same on a connection that a caller keeps: the head of
+    # its stream was sent before SIGTERM and could not say that it closes.
+    self.cluster.update_behaviour('engine', events=26, event_interval_s=0.05)
+    caller = await self.open_caller()
+    caller.send('/read/x', 'r0')
+    await self.wait_until(lambda: b'\n\n' in caller.received)
+    arrivals = self.arrivals()
+    self.stop_gateway()
+    await self.wait_until(lambda: b'\r\n0\r\n\r\n' in caller.received)
+    caller.send('/unsafe/x', 'r1')
+    received = await caller.wait()
+    self.assert_refused(received.partition(b'\r\n0\r\n\r\n')[2])
+    self.assertEqual(self.arrivals(), arrivals)
+
+  async def test_pipelined_request_is_not_passed_on(self):
+    # Guards against the same for a request that waited behind another one.
+    self.cluster.update_behaviour('desk', work_s=1.6)
+    caller = await self.open_caller()
+    caller.send('/unsafe/x', 'r0')
+    await self.wait_until(self.arrivals)
+    caller.send('/unsafe/x', 'r1')
+    await asyncio.sleep(0.05)
+    self.stop_gateway()
+    received = await caller.wait()
+    first, _, second = received.rpartition(b'HTTP/1.1 ')
+    self.assertTrue(first.startswith(b'HTTP/1.1 200 '), received)
+    self.assert_refused(b'HTTP/1.1 ' + second)
+    self.assertEqual(self.arrivals(), 1)
+
+  async def test_request_that_waits_is_not_sent_late(self):
+    # Guards against a check at the arrival only: opening a connection to the
+    # endpoint takes most of the grace period.
+    usual = self.gateway.state.pool.acquire
+
+    async def acquire(*args, **options):
+      connection = await usual(*args, **options)
+      await asyncio.sleep(LATE_S)
+      return connection
+
+    self.gateway.state.pool.acquire = acquire
+    caller = await self.open_caller()
+    caller.send('/unsafe/x', 'r1')
+    await asyncio.sleep(0.05)
+    self.stop_gateway()
+    self.assert_refused(await caller.wait())
+    self.assertEqual(self.arrivals(), 0)
+
+  async def test_request_under_way_at_the_end_is_answered(self):
+    # Guards against a connection that closes without a response to a request
+    # that was taken early in the stop.
+    caller = await self.open_caller()
+    self.cluster.update_behaviour('desk', work_s=2 * GRACE_S)
+    caller.send('/unsafe/x', 'r1')
+    await self.wait_until(self.arrivals)
+    self.stop_gateway()
+    received = await caller.wait()
+    self.assertTrue(received.startswith(b'HTTP/1.1 502 '), received[:200])
+    self.assertIn(b'"run":"unknown"', received)
+    self.assertLess(await self.wait_for_end(), GRACE_S)
+
+  async def test_short_requests_are_served_late(self):
+    # Guards against refusing what could be served: the load balancer sends
+    # requests for some time after SIGTERM.
+    self.cluster.update_behaviour('desk', work_s=0.02)
+    for number in range(10):
+      answer = await self.call('/unsafe/x', f'before-{number}')
+      self.assertEqual(answer.status, 200)
+    caller = await self.open_caller()
+    caller.send_head('/unsafe/x', 'r1')
+    await asyncio.sleep(0.05)
+    self.stop_gateway()
+    await asyncio.sleep(LATE_S)
+    caller.send_body(b'xy')
+    received = await caller.wait()
+    self.assertTrue(received.startswith(b'HTTP/1.1 200 '), received[:200])
+
+
+class LateStreamTest(StopTestCase):
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    self.cluster.update_behaviour('engine', events=100, event_interval_s=0.05)
+
+  async def test_stream_that_would_be_cut_is_not_begun(self):
+    # Guards against streams that are passed on late and broken off.
+    headers = {
+        'X-Mulberrypick-Deadline-Ms': '10000',
+        'X-Mulberrypick-Token-Usage': '100,100',
+    }
+    self.stop_gateway()
+    await asyncio.sleep(LATE_S)
+    answer = await self.call('/read/x', 'r1', headers=headers)
+    self.assertEqual(answer.status, 503)
+    self.assertEqual(answer.headers['connection'], 'close')
+    self.assertEqual(self.arrivals(), 0)
+
+
+class LeavingHelperTest(gateway_pass_on_test.PassOnTestCase, StopTestCase):
+  """A host that is apart passes requests on to hosts of which one leaves."""
+
+  hosts = 3
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    await self.set_up_stop(self.gateways)
+    self.cluster.update_behaviour('desk', work_s=SLOW_WORK_S)
+
+  async def test_leaving_helper_takes_nothing_that_it_would_cut(self):
+    # Guards against requests that are cut with the host that helps.
+    helper = self.gateways[1]
+    running = self.running_by_name[helper.state.host.name]
+    running.add_done_callback(lambda _: helper.close())
+    helper._stop_requested.set()
+    await asyncio.sleep(1.0)
+    # Of two helpers the one that leaves is asked first.
+    helpers = self.asker.helpers
+    usual = helpers.choose
+
+    def choose(excluded, now):
+      found = helpers.find(helper.state.host.name)
+      if found.name not in excluded:
+        return found
+      return usual(excluded, now)
+
+    helpers.choose = choose
+    caller = await self.open_caller(self.gateways[0])
+    caller.send('/unsafe/x', 'r1')
+    await self.wait_until(lambda: b'\r\n\r\n' in caller.received)
+    self.assertTrue(caller.received.startswith(b'HTTP/1.1 200 '))
+    self.assertEqual(self.cluster.runs('r1'), 1)
+    await running
+
+
+if __name__ == '__main__':
+  unittest.main()
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -17,6 +17,7 @@
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
+from mulberrypick.core import stop_schedule
 from mulberrypick.ops import call_log
 from mulberrypick.ops import evidence_task
 from mulberrypick.ops import forward_server
@@ -46,12 +47,10 @@
 SETTINGS_RELOAD_INTERVAL_S = 2.0
 # Time after which a task is started again that ended by an unexpected error.
 TASK_RESTART_S = 0.5
-# Time that the port stays open after SIGTERM (s). The load balancer needs two
-# health checks, one per second, to notice the stop.
-BALANCER_NOTICE_S = 3.0
-# Time reserved for exiting (s), out of the grace period between SIGTERM and
-# SIGKILL.
-SHUTDOWN_MARGIN_S = 0.6
+# Time between checks whether all connections have ended in a stop (s), and
+# whether all bytes are sent at its end.
+DRAIN_POLL_S = 0.05
+FLUSH_POLL_S = 0.01
 # Encoding of a request that is passed on, beside its own bytes.
 MAX_FORWARDED_EXTRA_BYTES = 65536
 
@@ -186,29 +185,38 @@
   async def _shut_down(self) -> None:
     loop = asyncio.get_running_loop()
     started_at = loop.time()
-    logs.log_event(_log, logging.INFO, 'stopping')
+    grace_s = self.state.host.bounds.grace_s
+    schedule = stop_schedule.make_schedule(started_at, grace_s)
+    logs.log_event(_log, logging.INFO, 'stopping', grace_s=grace_s)
     self.state.is_leaving = True
+    self.state.stop.end_at = schedule.end_requests_at
     self._caller_server.is_leaving = True
+    self._forward_server.is_leaving = True
     self._peers.publish_now()
     leave_task = loop.create_task(self._hosts.leave())
-    await asyncio.sleep(BALANCER_NOTICE_S)
+    await asyncio.sleep(schedule.close_port_at - started_at)
     self._caller_server.stop_listening()
     self.state.has_stopped_listening = True
-    deadline = started_at + self.state.host.bounds.grace_s - SHUTDOWN_MARGIN_S
     self._forward_server.stop_listening()
-    while self._close_idle() and loop.time() < deadline:
-      await asyncio.sleep(0.05)
+    while self._close_idle() and loop.time() < schedule.end_requests_at:
+      await asyncio.sleep(DRAIN_POLL_S)
+    given_up = self.state.stop.give_up()
+    # What was just written is sent in the next turn of the event loop.
+    await asyncio.sleep(FLUSH_POLL_S)
+    while self._close_idle() and loop.time() < schedule.exit_at:
+      await asyncio.sleep(FLUSH_POLL_S)
     leave_task.cancel()
     logs.log_event(
         _log,
         logging.INFO,
         'stopped',
         took_s=round(loop.time() - started_at, 2),
+        given_up=given_up,
         cut=self._close_idle(),
     )
 
   def _close_idle(self) -> int:
-    """Closes idle connections; returns how many still have a request."""
+    """Closes idle connections; returns how many are still in use."""
     busy = self._caller_server.close_idle()
     return busy + self._forward_server.close_idle()
 
