Deliver responses whose bytes are unsent when a stop ends

Cause: is_idle knows requests only. close_idle counted a connection whose response waits in its write buffer as idle, and the process exited over it.

Fix: close_idle counts connections with unsent bytes, also closing ones, as in use. A caller that never reads keeps the process until the end of its grace.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -210,6 +210,11 @@
     """Whether no request is being read or answered."""
     return self._task is None and not self._is_reading and not self._pending
 
+  @property
+  def has_unsent(self) -> bool:
+    """Whether written bytes wait until the caller reads."""
+    return self._transport.get_write_buffer_size() > 0
+
   @property
   def is_closed(self) -> bool:
     """Whether the connection is closed or closing."""
@@ -385,12 +390,14 @@
     """Closes the idle connections.
 
     Returns:
-      The number of connections that still have a request.
+      The number of connections that still have a request, or a response of
+      which bytes are unsent.
     """
     busy = 0
     for connection in list(self.connections):
       if connection.is_idle:
         connection.close()
+        busy += connection.has_unsent
         continue
       busy += 1
     return busy
--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -237,6 +237,46 @@
     self.assertEqual(self.arrivals(), 0)
 
 
+class SlowReaderTest(StopTestCase):
+  """Callers that read slowly when the process ends."""
+
+  async def test_response_in_a_buffer_is_delivered(self):
+    # Guards against an exit that loses responses whose bytes are not sent yet.
+    replica = self.cluster.replica_by_name['desk-1']
+    self.cluster.store.remove('servers', 'desk-2')
+    size = 12 << 20
+
+    async def answer(request, headers, connection) -> bool:
+      connection.write_response(
+          200,
+          [
+              (b'X-Mulberrypick-Request-Id', request.encode()),
+              (b'X-Mulberrypick-Server-Signature', b's'),
+          ],
+          bytes(size),
+      )
+      return True
+
+    replica.on_run = answer
+    await self.wait_until(
+        lambda: self.gateway.state.endpoints.find('desk-2') is None
+    )
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', self.host.listen_port, limit=65536
+    )
+    self.addCleanup(writer.close)
+    writer.write(HEAD % (b'/safe/x', b'r1') + b'xy')
+    received = len(await reader.read(1000))
+    self.stop_gateway()
+    end = asyncio.create_task(self.wait_for_end())
+    # The port is closed by then, and nothing is being answered.
+    await asyncio.sleep(0.6 * GRACE_S)
+    while data := await reader.read(1 << 20):
+      received += len(data)
+    self.assertGreater(received, size)
+    self.assertLess(await end, GRACE_S)
+
+
 class LeavingHelperTest(gateway_pass_on_test.PassOnTestCase, StopTestCase):
   """A host that is apart passes requests on to hosts of which one leaves."""
 
