Tell a silent connection from an outage of the store

Causes, two: the silence was noticed by the time limit of the watch, up to 3.0 s after it began; and any failed call was then taken for an outage of the store, after which missing entries are kept for 2 s more. Each further failed call, and the relay's new contact, began that time anew.

Fix: a watch that is 0.3 s late is checked by a short call on a new connection (adapters/hedged_call), so that a silence is noticed 2.3 s after the watch began. An entry expires after three heartbeats without its endpoint; if this host lacked answers for less than two, over all of its clients, nothing has expired and what is missing has left (core/store_contact). The watch is never so long that its own silence exceeds that. A relay goes on stating its earlier contact after such a silence, and nothing while a call is late or failed; members count it as new only if it began later.

What goes on holding: the store away for 6 s, all entries expire and are back 1.6 s after its return: no request unserved; the one that does not come back gets none later than 4 s after the return. OutageTest, written first; it held before and holds now.

Ruled out: dropping at once what is missing (breaks OutageTest); revisions of other entries as a proof (heartbeats change no revision, so that a calm fleet gives none); a connection that answers while another is silent as the only proof (it shows that the store is there now, not that it was).

--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -219,6 +219,7 @@
     drain_s: Time for which an endpoint that leaves still serves.
     steady_s: Time after a failure of a host's network, or of the store, within
       which the host must follow the store again.
+    heartbeat_s: Interval at which endpoints write their entries in the store.
   """
 
   grace_s: float
@@ -227,6 +228,7 @@
   budget_window_s: float
   drain_s: float = 2.0
   steady_s: float = 3.0
+  heartbeat_s: float = 1.2
 
 
 class GatewayHost(NamedTuple):
--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -44,6 +44,8 @@
 SEND_INTERVAL_PER_HOST_S = 0.001
 # Maximum interval between two messages; an idle host sends at this interval.
 MAX_SEND_INTERVAL_S = 0.25
+# By so much the time differs that messages take (s).
+CONTACT_JITTER_S = 0.5
 # Maximum number of prompt parts in one message.
 MAX_PARTS = 200
 # Interval at which a request for a host's identity or for the configuration is
@@ -93,6 +95,8 @@
     self._speed_log = speed_log.SpeedLog()
     self._started_at: float | None = None
     self._fault_logged_at = float('-inf')
+    # Address of the relay, and when its contact with the store began.
+    self._relay_contact = ('', 0.0)
     self._permits = permit_exchange.PermitExchange(
         state, self._table, self._address, self._new_message, self._send
     )
@@ -231,7 +235,10 @@
     message.is_leaving = state.is_leaving
     self._permits.fill_message(message, now)
     self._reach.fill_message(message, now)
-    if state.watches_store and state.store_contact_since:
+    has_contact = state.store_contact_since and not (
+        state.store_contact.is_doubtful
+    )
+    if state.watches_store and has_contact:
       message.store_contact_s = now - state.store_contact_since
       # A host that learns of a change in the store reads the store at once. By
       # then it must know whether contact with the store was interrupted.
@@ -387,7 +394,7 @@
     previous = self._table.handle_message(message, now)
     self._update_load(message, previous, now)
     self._update_endpoints(message, now)
-    self._handle_store_changes(message, previous, now)
+    self._handle_store_changes(message, now)
 
   def _update_load(
       self,
@@ -468,22 +475,35 @@
       state.load_changed.set()
 
   def _handle_store_changes(
-      self,
-      message: peer_message.PeerMessage,
-      previous: peer_message.PeerMessage,
-      now: float,
+      self, message: peer_message.PeerMessage, now: float
   ) -> None:
     """Applies store changes reported by a peer."""
     state = self._state
-    contact_s, previous_s = message.known_contact_s, previous.known_contact_s
-    # A shorter contact than before began after the earlier one had ended.
-    is_new_contact = contact_s and (not previous_s or contact_s < previous_s)
-    if message.address == self._table.neighbors.relay and is_new_contact:
+    is_relay = message.address == self._table.neighbors.relay
+    if is_relay and self._is_new_contact(message, now):
       state.endpoints.record_store_recovery(now)
     for kind, revision in message.store_revision_by_kind.items():
       if state.record_reported_change(kind, revision, message.has_store_era):
         state.wake_store_tasks()
 
+  def _is_new_contact(
+      self, message: peer_message.PeerMessage, now: float
+  ) -> bool:
+    """Returns whether the relay has lost the store and found it again.
+
+    A relay that states no contact for a moment and then the earlier one was
+    not without it for long enough that entries could expire.
+    """
+    if not message.known_contact_s:
+      return False
+    began_at = now - message.known_contact_s
+    address, known_at = self._relay_contact
+    if address == message.address and began_at < known_at + CONTACT_JITTER_S:
+      self._relay_contact = (address, min(began_at, known_at))
+      return False
+    self._relay_contact = (message.address, began_at)
+    return True
+
   def _reply(
       self, message: peer_message.PeerMessage, needs_host_list: bool
   ) -> None:
--- a/mulberrypick/ops/gateway_state.py
+++ b/mulberrypick/ops/gateway_state.py
@@ -21,6 +21,7 @@
 from mulberrypick.core import shared_retry_budget
 from mulberrypick.core import stage_switches
 from mulberrypick.core import store_changes
+from mulberrypick.core import store_contact
 from mulberrypick.core import store_era
 from mulberrypick.core import stream_versions
 from mulberrypick.ops import crash_watch
@@ -33,12 +34,13 @@
 from mulberrypick.platform import stored_evidence
 
 _log = logging.getLogger(__name__)
-# Shortest duration of one watch call of the store. A connection that no longer
-# delivers data is detected after this plus `store.WATCH_TIMEOUT_MARGIN_S`.
-MIN_WATCH_S = 2.0
+# Shortest duration of one watch call of the store.
+MIN_WATCH_S = 1.0
 # Time left, of that within which a host must follow the store again after a
 # network failure, to connect and to read.
 RECONNECT_S = 0.5
+# Longest time that the store usually takes for an answer.
+STORE_ANSWER_S = 0.1
 # Characters of an unreadable value that are logged.
 MAX_LOGGED_VALUE = 40
 # Fraction of the time to drain for which the last endpoint of a stage is still
@@ -85,8 +87,9 @@
     rank_among_hosts: Position of this host, by name, among the hosts that are
       in contact with the store; the first is 0.
     unsent_parts: Prompt parts placed since the last message to other hosts.
+    store_contact: When the store answered this host.
     store_contact_since: Start of the current contact with the store, None
-      without contact.
+      without contact. A connection that goes silent for a moment ends none.
     peer_kept_store_contact: Whether another host has had contact with the store
       for long enough to rule out that entries expired in an outage.
     versions: Software versions of the endpoints of each service.
@@ -152,6 +155,8 @@
     )
     self.rank_among_hosts = 0
     self.unsent_parts: list[tuple[str, int, int]] = []
+    self.store_contact = store_contact.StoreContact(bounds.heartbeat_s)
+    self.store_contact.set_callback(self._handle_store_back)
     self.store_contact_since: float | None = None
     self.peer_kept_store_contact = False
     self._era_changed_at = float('-inf')
@@ -175,9 +180,19 @@
 
   @property
   def watch_s(self) -> float:
-    """Duration of one watch call of the store, in seconds."""
-    left_s = store.WATCH_TIMEOUT_MARGIN_S + RECONNECT_S
-    return max(MIN_WATCH_S, self.host.bounds.steady_s - left_s)
+    """Duration of one watch call of the store, in seconds.
+
+    A connection that went silent is noticed `store.WATCH_LATE_S` later. This
+    must be in time to follow the store again, and before entries can expire:
+    the silence would else look like an outage.
+    """
+    bounds = self.host.bounds
+    steady_s = bounds.steady_s - RECONNECT_S
+    no_expiry_s = (
+        store_contact.EXPIRY_HEARTBEATS - 1
+    ) * bounds.heartbeat_s - STORE_ANSWER_S
+    longest_s = min(steady_s, no_expiry_s) - store.WATCH_LATE_S
+    return max(MIN_WATCH_S, longest_s)
 
   @property
   def store_delay_s(self) -> float:
@@ -253,6 +268,7 @@
     self.host = host
     bounds = host.bounds
     self.endpoints.last_drain_s = LAST_DRAIN_FRACTION * bounds.drain_s
+    self.store_contact.heartbeat_s = bounds.heartbeat_s
     self.budget.reconfigure(
         bounds.budget_ratio, bounds.budget_slack, bounds.budget_window_s
     )
@@ -475,6 +491,15 @@
       self.wake_store_tasks()
     self.watches_store = watches
 
+  def _handle_store_back(self, away_s: float) -> None:
+    """Gives endpoints whose entries expired time to register again."""
+    now = asyncio.get_running_loop().time()
+    self.endpoints.record_store_recovery(now)
+    self.store_contact_since = now
+    logs.log_event(
+        _log, logging.WARNING, 'store_was_away', away_s=round(away_s, 2)
+    )
+
   def _handle_new_era(self, old: int, new: int) -> None:
     """Prepares for what the older copy of the store lacks."""
     now = asyncio.get_running_loop().time()
--- a/mulberrypick/ops/store_task.py
+++ b/mulberrypick/ops/store_task.py
@@ -203,9 +203,6 @@
     """Handles one changed object."""
     raise NotImplementedError
 
-  def on_store_back(self, now: float) -> None:
-    """Called when the store responds again after an outage."""
-
   def on_read(self, revision: int, began_at: float | None) -> None:
     """Called when all changes up to a position are handled.
 
@@ -216,7 +213,8 @@
     """
 
   def _on_store_lost(self, error: errors.StoreError) -> None:
-    self._state.store_contact_since = None
+    if self._state.store_contact.is_lost(boot_clock.boot_time()):
+      self._state.store_contact_since = None
     if self._is_disconnected:
       return
     self._is_disconnected = True
@@ -231,7 +229,6 @@
     if not self._is_disconnected:
       return
     self._is_disconnected = False
-    self.on_store_back(asyncio.get_running_loop().time())
     logs.log_event(_log, logging.INFO, 'store_regained', kind=self.kind)
 
 
@@ -319,10 +316,6 @@
     """Notes how old the list of endpoints is."""
     self._state.record_list_read(revision, began_at)
 
-  def on_store_back(self, now: float) -> None:
-    """Gives endpoints whose entries expired time to register again."""
-    self._state.endpoints.record_store_recovery(now)
-
   def _log_gone(self, name: str) -> None:
     logs.log_event(_log, logging.INFO, 'endpoint_of_older_copy', endpoint=name)
 
--- a/mulberrypick/platform/gateway_relay_test.py
+++ b/mulberrypick/platform/gateway_relay_test.py
@@ -261,6 +261,21 @@
       state = gateway.state
       await self.wait_until(lambda s=state: s.config.version == 2)
 
+  async def test_members_drop_what_left_beside_silent_connections(self):
+    # Guards against members that take a silent connection of their relay for an
+    # outage of the store, and keep an endpoint that has left.
+    loop = asyncio.get_running_loop()
+    silent_at = loop.time()
+    self.cluster.store.silence_connections()
+    await asyncio.sleep(0.2)
+    self.cluster.store.remove('servers', 'desk-2')
+    await self.wait_until(
+        lambda: not any(
+            self.has_endpoint(name, 'desk-2') for name in self.gateway_by_name
+        )
+    )
+    self.assertLess(loop.time() - silent_at, MAX_DRAIN_S)
+
   async def test_members_keep_entries_that_expired_during_store_outage(
       self,
   ):
--- a/mulberrypick/platform/settings.py
+++ b/mulberrypick/platform/settings.py
@@ -15,6 +15,7 @@
 DEFAULT_DRAIN_MS = 2000
 # Time within which a host must follow the store again if they state none.
 DEFAULT_STEADY_MS = 3000
+DEFAULT_HEARTBEAT_MS = 1200
 
 
 def settings_path() -> pathlib.Path:
@@ -84,6 +85,8 @@
             drain_s=float(bounds.get('drainMs', DEFAULT_DRAIN_MS)) / 1000,
             steady_s=float(bounds.get('stableWindowMs', DEFAULT_STEADY_MS))
             / 1000,
+            heartbeat_s=float(data.get('heartbeatMs', DEFAULT_HEARTBEAT_MS))
+            / 1000,
         ),
     )
   except fields.MALFORMED as error:
--- a/mulberrypick/platform/store.py
+++ b/mulberrypick/platform/store.py
@@ -8,10 +8,13 @@
 
 import msgspec
 
+from mulberrypick.adapters import boot_clock
+from mulberrypick.adapters import hedged_call
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_client
 from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import errors
+from mulberrypick.core import store_contact
 from mulberrypick.core import store_era
 from mulberrypick.platform import fields
 from mulberrypick.platform import protocol
@@ -25,8 +28,13 @@
 CALL_TIMEOUT_S = 2.0
 # Time added to the wait time of a watch to get its timeout.
 WATCH_TIMEOUT_MARGIN_S = 1.0
+# Time after the wait time of a watch from which on it is late. A second call
+# then shows whether its connection went silent.
+WATCH_LATE_S = 0.3
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 STATUS_HISTORY_GONE = 410
+# With these and with 5xx the store did nothing; it may be away for others too.
+STATUS_TOO_MANY = 429
 # Levels of an answer in which one unusable value hides no other: the answer,
 # its list, an entry of it, the object, its content.
 ANSWER_LEVELS = 5
@@ -67,17 +75,25 @@
   see `store_era`: the store may come back from an older copy.
   """
 
-  def __init__(self, ip: str, port: int, era: store_era.StoreEra | None = None):
+  def __init__(
+      self,
+      ip: str,
+      port: int,
+      era: store_era.StoreEra | None = None,
+      contact: store_contact.StoreContact | None = None,
+  ):
     """Creates a client without a connection.
 
     Args:
       ip: Address of the store.
       port: Its port.
       era: What this host knows of the store's eras.
+      contact: When the store answered this host; None to note it nowhere.
     """
     self._ip = ip
     self._port = port
     self._era = era or store_era.StoreEra()
+    self._contact = contact
     self._is_era_odd = False
     self._connection: stream_client.ClientConnection | None = None
     self.calls = 0
@@ -138,9 +154,7 @@
     }
     if may_be_stale:
       query['serializable'] = 1
-    data = await self._call(
-        'GET', kind, '', query, None, wait_s + WATCH_TIMEOUT_MARGIN_S
-    )
+    data = await self._call_watch(kind, query, wait_s)
     self._check_era(revision, data.era)
     objects = []
     for event in data.items('events'):
@@ -243,6 +257,46 @@
       self._connection.abort()
       self._connection = None
 
+  async def _call_watch(
+      self, kind: str, query: dict[str, Any], wait_s: float
+  ) -> '_Answer':
+    """Calls a watch; asks for changes on a new connection if it is late."""
+    second = StoreClient(self._ip, self._port, self._era, self._contact)
+
+    def ask_again():
+      self._record_doubt()
+      self.calls += 1
+      return second._call(
+          'GET', kind, '', query | {'waitMs': 0}, None, CALL_TIMEOUT_S
+      )
+
+    try:
+      found = await hedged_call.run(
+          self._call(
+              'GET', kind, '', query, None, wait_s + WATCH_TIMEOUT_MARGIN_S
+          ),
+          wait_s + WATCH_LATE_S,
+          ask_again,
+      )
+    except errors.StoreError:
+      second.close()
+      raise
+    except BaseException:
+      # Neither call has ended.
+      second.close()
+      self.close()
+      raise
+    if found.is_second:
+      self.close()
+      self._connection = second._connection
+    else:
+      second.close()
+    return found.result
+
+  def _record_doubt(self) -> None:
+    if self._contact is not None:
+      self._contact.record_doubt()
+
   async def _call(
       self,
       method: str,
@@ -268,10 +322,13 @@
         raw = await exchange.read_all(MAX_RESPONSE_BYTES)
     except TimeoutError as error:
       self.close()
+      self._record_doubt()
       raise errors.StoreError('silent') from error
     except (errors.ConnectError, errors.ExchangeBrokenError) as error:
       self.close()
+      self._record_doubt()
       raise errors.StoreError(str(error)) from error
+    self._record_status(head.status)
     era = self._read_era(
         head.get(protocol.STORE_ERA), era_before, 'serializable' in query
     )
@@ -282,6 +339,15 @@
     except msgspec.DecodeError as error:
       raise errors.StoreError(f'malformed response: {error}') from error
 
+  def _record_status(self, status: int) -> None:
+    """Records whether an answer shows that the store serves its callers."""
+    if self._contact is None:
+      return
+    if status >= 500 or status == STATUS_TOO_MANY:
+      self._contact.record_doubt()
+      return
+    self._contact.record_answer(boot_clock.boot_time())
+
   def _read_era(
       self, text: bytes | None, era_before: int, may_be_stale: bool
   ) -> int:
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -282,7 +282,10 @@
   def _make_store_client(self) -> store.StoreClient:
     host = self.state.host
     return store.StoreClient(
-        host.store_ip, host.store_port, self.state.store_era
+        host.store_ip,
+        host.store_port,
+        self.state.store_era,
+        self.state.store_contact,
     )
 
 
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -59,6 +59,7 @@
     self._oldest_revision = 1
     self._changed = asyncio.Event()
     self._server = stream_server.StreamServer(self._handle, lambda *_: None)
+    self._silenced: set[stream_server.ServerConnection] = set()
 
   async def start(self, port: int) -> None:
     """Listens on a loopback port."""
@@ -167,6 +168,15 @@
           connection.abort()
     self._notify_watchers()
 
+  def silence_connections(self) -> int:
+    """Lets the open connections go silent for good; new ones work.
+
+    Returns:
+      Their number.
+    """
+    self._silenced |= self._server.connections
+    return len(self._silenced)
+
   def _record(self, kind: str, item: dict[str, Any], is_removed: bool) -> None:
     self._history.append((self._revision, kind, item, is_removed))
     while len(self._history) > MAX_HISTORY_CHANGES:
@@ -201,7 +211,7 @@
     return [(b'Store-Era', b'%d' % self.era)]
 
   async def _is_failing(self, caller: stream_server.ServerConnection) -> bool:
-    if self.mode == 'silent':
+    if self.mode == 'silent' or caller in self._silenced:
       await asyncio.Event().wait()
     if self.mode == 'reset':
       caller.abort()
