Draw late requests, silent connections and endless bytes in the soak

Two departures of a run may be noticed later beside them, so that GONE is not checked there; the limit of idle connections is 10 s, longer than a stop. The test of which runs last longer names late requests too.

--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -7,6 +7,7 @@
 from mulberrypick.platform import gateway_pass_on_test
 from mulberrypick.platform import gateway_test
 from standins import gateway_cluster
+from standins import late_caller
 
 GRACE_S = 3.0
 # Requests that are sent later than this after SIGTERM are never excused.
@@ -14,12 +15,6 @@
 # Longer than the time that is left then.
 SLOW_WORK_S = 2.5
 TIMEOUT_MS = 10_000
-HEAD = (
-    b'POST %s HTTP/1.1\r\nHost: '
-    + gateway_cluster.HOST.encode()
-    + b'\r\nX-Mulberrypick-Request-Id: %s\r\n'
-    + b'X-Mulberrypick-Deadline-Ms: 10000\r\nContent-Length: 2\r\n\r\n'
-)
 
 
 def make_config() -> dict[str, object]:
@@ -30,53 +25,6 @@
   return config
 
 
-class Caller:
-  """A caller that writes bytes as it likes, and reads all that comes back.
-
-  Attributes:
-    received: The bytes received.
-    is_closed: Whether the gateway closed the connection.
-  """
-
-  def __init__(self):
-    self.received = b''
-    self.is_closed = False
-
-  async def open(self, port: int) -> None:
-    self._reader, self._writer = await asyncio.open_connection(
-        '127.0.0.1', port
-    )
-    self._task = asyncio.create_task(self._read())
-
-  def send(self, path: str, request: str, body: bytes = b'xy') -> None:
-    self.send_head(path, request)
-    self.send_body(body)
-
-  def send_head(self, path: str, request: str) -> None:
-    self._writer.write(HEAD % (path.encode(), request.encode()))
-
-  def send_body(self, body: bytes) -> None:
-    self._writer.write(body)
-
-  async def wait(self) -> bytes:
-    """Waits until the connection is closed; returns what was received."""
-    await self._task
-    return self.received
-
-  def close(self) -> None:
-    self._task.cancel()
-    self._writer.close()
-
-  async def _read(self) -> None:
-    try:
-      while data := await self._reader.read(65536):
-        self.received += data
-    except ConnectionResetError:
-      # What arrived before counts.
-      pass
-    self.is_closed = True
-
-
 class StopTestCase(gateway_test.GatewayTestCase):
   """Stops a gateway whose requests take longer than the grace period."""
 
@@ -93,8 +41,8 @@
         lambda: all(g.state.config.version == 2 for g in gateways)
     )
 
-  async def open_caller(self, gateway=None) -> Caller:
-    caller = Caller()
+  async def open_caller(self, gateway=None) -> late_caller.LateCaller:
+    caller = late_caller.LateCaller()
     await caller.open((gateway or self.gateway).state.host.listen_port)
     self.addCleanup(caller.close)
     return caller
@@ -265,7 +213,10 @@
         '127.0.0.1', self.host.listen_port, limit=65536
     )
     self.addCleanup(writer.close)
-    writer.write(HEAD % (b'/safe/x', b'r1') + b'xy')
+    writer.write(
+        b'POST /safe/x HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n'
+        b'X-Mulberrypick-Request-Id: r1\r\n\r\n' % gateway_cluster.HOST.encode()
+    )
     received = len(await reader.read(1000))
     self.stop_gateway()
     end = asyncio.create_task(self.wait_for_end())
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -45,6 +45,8 @@
     'pause',
     'kill',
     'stop',
+    'late',
+    'quiet',
 )
 RECOVERY_REQUESTS = 24
 # Interval at which the lateness of this process is measured.
@@ -236,6 +238,11 @@
     self._violations += soak_checks.find_limit_violations(
         self._client.observations, limited, outages
     )
+    self._violations += self._injector.late_callers.find_violations()
+    self._violations += self._injector.endless.violations
+    self._violations += self._injector.quiet.find_violations(
+        self._client.observations, outages + self._injector.disturbances
+    )
     for replica, variant in self._injector.told:
       arrivals = []
       for at, request in replica.told_arrivals:
--- a/standins/soak_cluster.py
+++ b/standins/soak_cluster.py
@@ -25,6 +25,8 @@
 SWITCH_S = 1.0
 # Time limit of the streaming routes.
 STREAM_LIMIT_MS = 8000
+# Time limit of idle connections and of bodies, longer than a gateway's stop.
+IDLE_LIMIT_MS = 10_000
 # Time for all hosts to settle after a change or the end of a fault. A
 # configuration must be in force within 2 to 3 s, and gateways notice within 3 s
 # that the store is back.
@@ -249,9 +251,10 @@
 
 
 def _make_config(version: int) -> dict[str, object]:
-  """Returns a configuration whose streams may outlast silent endpoints."""
+  """Returns a configuration with long time limits of streams and bodies."""
   config = gateway_cluster.make_config(version)
   for route in config['routes']:
     if route['routeType'] == 'streaming':
       route['timeoutMs'] = STREAM_LIMIT_MS
+  config['limits']['idleTimeoutMs'] = IDLE_LIMIT_MS
   return config
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -10,9 +10,12 @@
 from standins import soak_apart
 from standins import soak_checks
 from standins import soak_cluster
+from standins import soak_endless
+from standins import soak_late
 from standins import soak_parts
 from standins import soak_patient
 from standins import soak_plan
+from standins import soak_quiet
 from standins import soak_streams
 from standins import unframed_stream
 
@@ -45,6 +48,9 @@
     stream_caller: Caller that takes up streams.
     part_caller: Caller whose requests crash endpoints by a prompt part.
     patient_caller: Caller that waits for silent endpoints.
+    late_callers: Callers whose requests end late in the stop of a gateway.
+    quiet: Endpoints that left beside silent connections to the store.
+    endless: Endpoint that sends bytes without end.
   """
 
   def __init__(
@@ -69,6 +75,9 @@
     self.stream_caller = soak_streams.StreamCaller(cluster)
     self.part_caller = soak_parts.PartCaller(cluster)
     self.patient_caller = soak_patient.PatientCaller(cluster)
+    self.late_callers = soak_late.LateCallers(cluster)
+    self.quiet = soak_quiet.QuietStore(cluster)
+    self.endless = soak_endless.EndlessEndpoint(cluster, send)
 
   async def inject(
       self, fault: soak_plan.Fault, schedule_start_at: float
@@ -158,6 +167,15 @@
     if fault.variant == 'few':
       cluster.list_replica('writer-2')
 
+  async def _inject_late(self, fault: soak_plan.Fault) -> None:
+    await self.late_callers.run(fault.target, fault.variant, fault.duration_s)
+
+  async def _inject_quiet(self, fault: soak_plan.Fault) -> None:
+    await self.quiet.run(fault.target, fault.variant, fault.duration_s)
+
+  async def _inject_endless(self, fault: soak_plan.Fault) -> None:
+    await self.endless.run(fault.variant, fault.duration_s)
+
   async def _inject_part(self, fault: soak_plan.Fault) -> None:
     point = crash_point.CrashPoint(fault.variant)
     await self.part_caller.run(point, fault.duration_s)
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -225,6 +225,11 @@
         soak_checks.Outage(self.host.name, began_at, self._now() + 0.5)
     )
 
+  @property
+  def pid(self) -> int:
+    """Id of the process."""
+    return self._program.pid
+
   def reload(self) -> None:
     """Sends SIGHUP, on which the gateway reloads its settings."""
     if not self._is_ending:
--- a/standins/soak_plan.py
+++ b/standins/soak_plan.py
@@ -86,6 +86,23 @@
 APART_KIND = 'apart'
 APART_TARGETS = ('host-1', 'host-2', 'host-1 host-3', 'host-2 host-3')
 APART_VARIANTS = ('refused', 'hanging', 'old_alive')
+# Fraction of the schedules in which requests end late in the stop of a gateway.
+LATE_FRACTION = 0.25
+LATE_KIND = 'late'
+LATE_VARIANTS = ('body', 'pipelined')
+# Grace period of a gateway, and kinds of faults beside which it is not stopped.
+GRACE_S = 8.0
+KINDS_ENDING_PROCESSES = ('kill', 'stop', 'pause', 'reload')
+# Fraction of the schedules in which all connections to the store go silent and
+# an endpoint leaves just after.
+QUIET_FRACTION = 0.3
+QUIET_KIND = 'quiet'
+QUIET_VARIANTS = ('draining', 'removed')
+# Fraction of the schedules with an endpoint that sends bytes without end, and
+# what it sends.
+ENDLESS_FRACTION = 0.25
+ENDLESS_KIND = 'endless'
+ENDLESS_VARIANTS = ('header_line', 'header_lines', 'foreign_long_body')
 USUAL_RETRIES = retry_check.Bound(0.2, 50.0, 10.0)
 FEW_RETRIES = retry_check.Bound(0.0, 12.0, 10.0)
 NO_RETRIES = retry_check.Bound(0.0, 0.0, 10.0)
@@ -119,6 +136,9 @@
   """Returns how long the load and the faults of a run last."""
   longest_s = DURATION_S
   for fault in faults:
+    if fault.kind == LATE_KIND:
+      stopped_s = fault.at_s + GRACE_S + fault.duration_s
+      longest_s = max(longest_s, stopped_s + END_MARGIN_S)
     if fault.kind == PART_KIND:
       longest_s = max(longest_s, fault.at_s + fault.duration_s + END_MARGIN_S)
   return longest_s
@@ -169,6 +189,8 @@
   faults += _plan_parts(seed) + _plan_apart(seed)
   faults += _plan_unframed(seed, faults)
   faults += _plan_told(seed, faults) + _plan_older(seed)
+  faults += _plan_late(seed, faults) + _plan_quiet(seed, faults)
+  faults += _plan_endless(seed)
   return sorted(faults)
 
 
@@ -289,6 +311,53 @@
   return [Fault(at_s, OLDER_KIND, 'store', duration_s, rng.choice(OLDER_TIMES))]
 
 
+def _plan_late(seed: int, others: list[Fault]) -> list[Fault]:
+  """Draws the gateway whose stop meets requests that end late, if any.
+
+  Args:
+    seed: The seed.
+    others: The other faults; gateways that end otherwise are left out.
+  """
+  rng = random.Random(f'late of {seed}')
+  name, variant = rng.choice(GATEWAYS), rng.choice(LATE_VARIANTS)
+  if rng.random() >= LATE_FRACTION:
+    return []
+  for fault in others:
+    if fault.kind == APART_KIND:
+      return []
+    if fault.kind in KINDS_ENDING_PROCESSES and fault.target == name:
+      return []
+  at_s = round(rng.uniform(0.3, 1.0), 2)
+  return [Fault(at_s, LATE_KIND, name, 0.5, variant)]
+
+
+def _plan_quiet(seed: int, others: list[Fault]) -> list[Fault]:
+  """Draws the endpoint that leaves beside silent connections, if any.
+
+  Args:
+    seed: The seed.
+    others: The other faults; their endpoints are left out.
+  """
+  rng = random.Random(f'quiet of {seed}')
+  name, variant = rng.choice(DESKS), rng.choice(QUIET_VARIANTS)
+  if rng.random() >= QUIET_FRACTION:
+    return []
+  if any(fault.target == name for fault in others):
+    return []
+  at_s = round(rng.uniform(0.3, 1.5), 2)
+  return [Fault(at_s, QUIET_KIND, name, rng.choice((0.2, 0.5, 1.0)), variant)]
+
+
+def _plan_endless(seed: int) -> list[Fault]:
+  """Draws what an endpoint sends without end, if one does."""
+  rng = random.Random(f'endless of {seed}')
+  variant = rng.choice(ENDLESS_VARIANTS)
+  if rng.random() >= ENDLESS_FRACTION:
+    return []
+  at_s = round(rng.uniform(0.3, 1.5), 2)
+  return [Fault(at_s, ENDLESS_KIND, 'endless', 3.0, variant)]
+
+
 def _plan_unframed(seed: int, faults: list[Fault]) -> list[Fault]:
   """Draws whether endpoints send unframed answers, and which ones.
 
--- a/standins/soak_test.py
+++ b/standins/soak_test.py
@@ -63,13 +63,17 @@
         soak_plan.APART_KIND,
         soak_plan.TOLD_KIND,
         soak_plan.OLDER_KIND,
+        soak_plan.LATE_KIND,
+        soak_plan.QUIET_KIND,
+        soak_plan.ENDLESS_KIND,
     }
     self.assertEqual(kinds, {*soak_plan._TARGETS_BY_KIND, *series})
 
-  def test_only_runs_with_a_crashing_part_last_longer(self):
+  def test_only_runs_with_a_crashing_part_or_late_requests_last_longer(self):
+    long_kinds = (soak_plan.PART_KIND, soak_plan.LATE_KIND)
     for seed in range(50):
       faults = soak_plan.plan_faults(seed)
-      if all(fault.kind != soak_plan.PART_KIND for fault in faults):
+      if all(fault.kind not in long_kinds for fault in faults):
         self.assertEqual(soak_plan.duration_s(faults), soak_plan.DURATION_S)
 
   def test_seeds_are_read_as_ranges_and_lists(self):
