Count incomplete frames of other hosts in the memory of responses

The account of all responses left out what a host that passes requests on holds of frames that have not ended; each is bounded, their sum was not.

--- a/mulberrypick/ops/forward_message.py
+++ b/mulberrypick/ops/forward_message.py
@@ -147,6 +147,11 @@
   def __init__(self):
     self._buffer = bytearray()
 
+  @property
+  def partial_bytes(self) -> int:
+    """Size of the incomplete frame that is buffered."""
+    return len(self._buffer)
+
   def feed(self, data: bytes) -> Iterator[Frame]:
     """Returns the frames that are complete with more bytes.
 
--- a/mulberrypick/ops/forward_message_test.py
+++ b/mulberrypick/ops/forward_message_test.py
@@ -73,6 +73,15 @@
       decoded = msgspec.msgpack.decode(data[4:], type=old_type)
       self.assertEqual(decoded, old_type(*old[1:]))
 
+  def test_incomplete_frame_is_counted(self):
+    # Guards against frames that take memory and are counted nowhere.
+    data = forward_message.encode_frame(FRAMES[0])
+    reader = forward_message.FrameReader()
+    self.assertEqual(list(reader.feed(data[:-1])), [])
+    self.assertEqual(reader.partial_bytes, len(data) - 1)
+    self.assertEqual(list(reader.feed(data[-1:])), [FRAMES[0]])
+    self.assertEqual(reader.partial_bytes, 0)
+
   def test_bytes_that_are_no_frames_are_refused(self):
     for data in (b'HTTP/1.1 200', b'\0\0\0\1\xc1', b'\0\0\0\2\x91\x05'):
       with self.subTest(data=data), self.assertRaises(ValueError):
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -154,6 +154,7 @@
         # The rest only ends the response of the helper.
         await self._finish(exchange)
         return ForwardResult(outcome, reason, helper.name)
+      exchange.keep(reader.partial_bytes)
       await self._caller.drain()
     raise errors.ExchangeBrokenError('no_end')
 
