Move the timing of attempts out of CallRun

Attempts are timed, and judged against the end of the process, in ops/attempt_clock; CallRun had grown by a hundred lines. No change of behaviour: gateway_stop_test, gateway_timeout_test and the silent stream beside a stop held before and after.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -14,8 +14,8 @@
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
 from mulberrypick.core import placements
-from mulberrypick.core import run_times
 from mulberrypick.core import stream_meter
+from mulberrypick.ops import attempt_clock
 from mulberrypick.ops import call_log
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import endpoint_send
@@ -112,9 +112,9 @@
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
-    # When the present attempt began, and when its first event arrived.
-    self._attempt_at = call.arrived_at
-    self._attempt_event_at: float | None = None
+    self._clock = attempt_clock.AttemptClock(
+        state.stop, self._stream, self._meter
+    )
     # Whether an engine keeps the KV cache of the prefilled prompt.
     self._has_handle = False
     # Whether it was logged that the silent run is not given up.
@@ -136,7 +136,7 @@
         with self._state.stop.watch(timeout):
           await self._run_attempts()
     except TimeoutError:
-      self._record_time()
+      self._clock.record_end(self._call.route.name)
       if asyncio.get_running_loop().time() < end_at:
         self._end_for_stop()
         return
@@ -173,7 +173,7 @@
       self._placement = placement
       attempt = await self._run_attempt(placement)
       if attempt.may_have_run:
-        self._record_time()
+        self._clock.record_end(self._call.route.name)
       if attempt.is_final:
         return
       reason = attempt.reason
@@ -193,19 +193,7 @@
     One whose run this host gave up goes on in any case: that run might have
     ended in time.
     """
-    return self._next.has_given_up or self._can_run_again(
-        now, now - self._attempt_at
-    )
-
-  def _can_run_again(self, now: float, spent_s: float = 0.0) -> bool:
-    """Returns whether one more run ends before this process."""
-    return self._state.stop.can_end(
-        self._call,
-        self._stream.last_event,
-        self._meter.mean_event_s,
-        spent_s,
-        now,
-    )
+    return self._next.has_given_up or self._clock.can_end(self._call, now)
 
   def _is_ended_for_stop(self) -> bool:
     """Begins an attempt; ends the request if this process can't serve it.
@@ -213,9 +201,8 @@
     Returns:
       Whether the request has its final response.
     """
-    self._attempt_at = asyncio.get_running_loop().time()
-    self._attempt_event_at = None
-    if self._can_end(self._attempt_at):
+    self._clock.begin()
+    if self._can_end(asyncio.get_running_loop().time()):
       return False
     self._end_for_stop()
     return True
@@ -225,33 +212,25 @@
 
     The host that passed it on, if any, finds another one.
     """
-    may_have_run = bool(self._next.runs) or self._is_sending
     if self._forwarded is not None:
-      has_run_here = self._next.runs > self._forwarded.origin.runs
-      if not has_run_here and not self._is_sending:
-        self._log_decision('refused', stop_guard.STOPPING)
-        self._forwarded.decline(forward_server.LEAVING, self._next.has_sent)
-        return
-      self._log_decision('cut', stop_guard.STOPPING)
-      self._forwarded.abort()
+      self._return_to_host(self._forwarded)
       return
-    if may_have_run:
+    if self._next.runs or self._is_sending:
       self._fail(502, stop_guard.STOPPING)
       return
     self._refuse(
         placements.Refusal(stop_guard.STOPPING, stop_guard.RETRY_AFTER_S)
     )
 
-  def _record_time(self) -> None:
-    """Records how long the present attempt took."""
-    whole_s = asyncio.get_running_loop().time() - self._attempt_at
-    first_s = whole_s
-    if self._attempt_event_at is not None:
-      first_s = self._attempt_event_at - self._attempt_at
-    self._state.stop.times.record(
-        self._call.route.name,
-        run_times.RunTime(first_s, whole_s, self._meter.mean_event_s),
-    )
+  def _return_to_host(self, forwarded: forward_server.ForwardedCaller) -> None:
+    """Declines a request of another host, or breaks it off if it may run."""
+    has_run_here = self._next.runs > forwarded.origin.runs
+    if has_run_here or self._is_sending:
+      self._log_decision('cut', stop_guard.STOPPING)
+      forwarded.abort()
+      return
+    self._log_decision('refused', stop_guard.STOPPING)
+    forwarded.decline(forward_server.LEAVING, self._next.has_sent)
 
   def _end_unserved(self, reason: str) -> None:
     """Fails a request that may have run, and refuses any other."""
@@ -302,7 +281,7 @@
   def _end_passed_on(self, result: forward_run.ForwardResult) -> None:
     """Logs how passing on ended, and fails the request if it was not served."""
     if result.outcome is forward_run.Outcome.ANSWERED:
-      self._record_time()
+      self._clock.record_end(self._call.route.name)
       self._log_decision('passed_on', result.reason, helper=result.helper)
       return
     if self._next.runs:
@@ -315,7 +294,7 @@
   async def _give_up_for(self, is_silent: Callable[[], bool]) -> bool:
     """Secures another run while an endpoint is silent, and logs the result."""
     present = self._placement.endpoint
-    if not self._can_run_again(asyncio.get_running_loop().time()):
+    if not self._clock.can_repeat(self._call):
       self._log_waiting(stop_guard.STOPPING)
       return False
     if (
@@ -616,7 +595,7 @@
   ) -> None:
     """Records the first event of a run, and learns from its time."""
     now = asyncio.get_running_loop().time()
-    self._attempt_event_at = now
+    self._clock.record_first_event(now)
     self._first_event_s = self._first_event_s or now - self._call.arrived_at
     if tokens:
       send.record_prefill(placement.tokens_ahead)
