Notice silent links between hosts within 3 s

Messages stopped for up to 3.5 s: heartbeats went each 1.0 s, and a missing reply counted after 2.5 s.

A heartbeat is some ten bytes a link.

--- a/mulberrypick/ops/peer_links.py
+++ b/mulberrypick/ops/peer_links.py
@@ -16,9 +16,10 @@
 # Maximum number of received messages queued on this host.
 MAX_QUEUED_RECEIVES = 1000
 # Heartbeats on links between hosts. A link on which no reply arrives within the
-# timeout is reopened.
-HEARTBEAT_INTERVAL_MS = 1000
-HEARTBEAT_TIMEOUT_MS = 2500
+# timeout is reopened. Both together stay below the 3 s within which hosts must
+# reach each other again after their links went silent.
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_TIMEOUT_MS = 2000
 # Backoff before a broken link is reopened, doubled up to the maximum.
 MIN_RECONNECT_INTERVAL_MS = 100
 MAX_RECONNECT_INTERVAL_MS = 1000
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -44,6 +44,7 @@
     self._is_closed = False
     self._lock = threading.Lock()
     self._sockets: set[socket.socket] = set()
+    self._silenced: set[socket.socket] = set()
     self._listener = socket.create_server((listen_ip, 0), backlog=BACKLOG)
     host, port = self._listener.getsockname()
     self.address = f'{host}:{port}'
@@ -86,6 +87,16 @@
     for end_socket in sockets:
       _shut_down(end_socket)
 
+  def silence_connections(self) -> int:
+    """Lets the open connections go silent for good; new ones work.
+
+    Returns:
+      The number of their ends.
+    """
+    with self._lock:
+      self._silenced |= self._sockets
+      return len(self._silenced)
+
   def close(self) -> None:
     """Stops the relay and closes its connections."""
     self._is_closed = True
@@ -145,6 +156,8 @@
         self._wait_while_held(is_answer)
         if not data:
           break
+        if source in self._silenced:
+          continue
         time.sleep(self._delay_s)
         sink.sendall(data)
       except OSError:
