Close connections with unsent bytes in two steps

Cause: the kernel resets a connection whose socket is closed while received bytes are unread, or which gets more afterwards, and drops what is unsent. A connection counted as idle once its handler had ended.

Now a connection whose bytes are not acknowledged is in use: its next request is read and answered, in a stop with 503 or by what still ends in time. A connection that ends after a response is closed on this side first, and reads on until its caller closes, for 1 s at most after the last byte was sent. Idle connections with nothing unsent are closed at once as before, so that the caller of a request that crosses the close knows that it was not read. A caller that reads nothing for the whole idle limit is left, with a line `call_undelivered`; so is each response that is unsent when a stop ends, which a served request never left.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -3,6 +3,11 @@
 A connection reads a request completely before it is handled. The request to the
 endpoint can then carry an exact length, which prevents request smuggling.
 Requests on a connection are handled one at a time, in order.
+
+If a socket is closed while received bytes are unread, or gets more afterwards,
+the kernel resets the connection, and what the caller has not read yet is lost.
+So a connection with unsent bytes is closed in two steps: this side first, after
+the last byte of the response, and the whole of it once the caller has closed.
 """
 
 import asyncio
@@ -13,12 +18,17 @@
 import httptools
 
 from mulberrypick.adapters import tcp_options
+from mulberrypick.adapters import unsent_bytes
 
 # Pipelined requests read per connection; further ones wait in the kernel.
 MAX_PIPELINED_REQUESTS = 4
 # Time between the end of an idle limit and the close of the connection (s). A
 # request that arrived while the event loop stood still is read in it.
 IDLE_CLOSE_DELAY_S = 0.01
+# Time for a caller to close its side of a connection once this side is closed
+# and all bytes are sent (s), and time between checks whether they are.
+LINGER_S = 1.0
+LINGER_POLL_S = 0.05
 # Bytes buffered for a slow caller before writers have to wait.
 MAX_WRITE_BUFFER_BYTES = 262144
 REASON_BY_STATUS = {
@@ -77,6 +87,7 @@
 
   Attributes:
     has_head: Whether the head of a response to the present request was written.
+    request_id: Id of the last request, for logs; set by its handler.
   """
 
   def __init__(self, server: 'StreamServer'):
@@ -93,13 +104,16 @@
     self._can_write.set()
     self._is_reading = False
     self._keeps_alive = True
+    self._is_half_closed = False
     self._refusal_status: int | None = None
     self.has_head = False
+    self.request_id = ''
     self._reset_request()
 
   def connection_made(self, transport: asyncio.BaseTransport) -> None:
     """Starts the idle timer; called by the event loop."""
     self._transport = transport
+    self._unsent = unsent_bytes.UnsentBytes(transport)
     transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
     tcp_options.set_tcp_options(transport.get_extra_info('socket'))
     self._peer = (transport.get_extra_info('peername') or ('',))[0]
@@ -113,6 +127,8 @@
     self._can_write.set()
     if self._task is not None:
       self._task.cancel()
+    elif exc is not None:
+      self.report_undelivered('reset')
     self._pending.clear()
 
   def eof_received(self) -> bool:
@@ -129,7 +145,7 @@
 
   def data_received(self, data: bytes) -> None:
     """Parses received bytes; called by the event loop."""
-    if self._refusal_status is not None:
+    if self._refusal_status is not None or self._is_half_closed:
       return
     if not self._is_reading and self._task is None:
       self._set_timer(
@@ -207,23 +223,70 @@
 
   @property
   def is_idle(self) -> bool:
-    """Whether no request is being read or answered."""
+    """Whether it is open, and no request is being read or answered."""
+    if self.is_closed:
+      return False
     return self._task is None and not self._is_reading and not self._pending
 
   @property
   def has_unsent(self) -> bool:
-    """Whether written bytes wait until the caller reads."""
-    return self._transport.get_write_buffer_size() > 0
+    """Whether written bytes have not reached the caller."""
+    return self._unsent.measure() > 0
 
   @property
   def is_closed(self) -> bool:
     """Whether the connection is closed or closing."""
-    return self._transport.is_closing()
+    return self._is_half_closed or self._transport.is_closing()
 
   def close(self) -> None:
-    """Closes the connection once all written bytes are sent."""
+    """Closes the connection once all written bytes are sent.
+
+    Received bytes are discarded from now on.
+    """
+    if self.is_closed:
+      return
+    self._is_half_closed = True
+    self._stop_timer()
+    self._transport.resume_reading()
+    try:
+      self._transport.write_eof()
+    except OSError:
+      # The caller has left.
+      self._transport.abort()
+      return
+    self._await_close()
+
+  def close_unused(self) -> None:
+    """Closes an idle connection whose bytes are sent.
+
+    A request that crosses the close stays unread, so that its caller knows that
+    it was not taken.
+    """
     self._transport.close()
 
+  def _await_close(self) -> None:
+    """Ends a half-closed connection if its caller neither reads nor closes."""
+    if self._transport.is_closing():
+      return
+    limit_s = (
+        self._server.limits.idle_timeout_s if self.has_unsent else LINGER_S
+    )
+    if self._loop.time() - self._unsent.since >= limit_s:
+      self._drop('not_read')
+      return
+    self._set_timer(LINGER_POLL_S, self._await_close)
+
+  def _drop(self, reason: str) -> None:
+    """Closes the connection at once, though its caller may lack bytes."""
+    self.report_undelivered(reason)
+    self._transport.abort()
+
+  def report_undelivered(self, reason: str) -> None:
+    """Reports the last response if it is written, and bytes are unsent."""
+    if self._task is None and self._unsent.count:
+      self._server.on_undelivered(self.request_id, self._unsent.count, reason)
+      self._unsent.reset()
+
   def abort(self) -> None:
     """Closes the connection at once; an open response stays incomplete."""
     self._keeps_alive = False
@@ -287,6 +350,7 @@
 
   async def _serve(self, received: ReceivedRequest) -> None:
     self.has_head = False
+    self._unsent.reset()
     try:
       await self._server.handle(received, self)
     finally:
@@ -299,7 +363,7 @@
     if not self._keeps_alive or self._refusal_status is not None:
       if self._refusal_status is not None and self._keeps_alive:
         self._refuse(self._refusal_status)
-      self._transport.close()
+      self.close()
       return
     if self._pending:
       self._transport.resume_reading()
@@ -319,11 +383,17 @@
   def _close_idle(self) -> None:
     # The limit may have been raised since the timer was set.
     limit_s = self._server.limits.idle_timeout_s
-    left_s = self._idle_since + limit_s - self._loop.time()
+    since = self._idle_since
+    if self.has_unsent:
+      since = self._unsent.since
+    left_s = since + limit_s - self._loop.time()
     if left_s > 0:
       self._set_timer(left_s, self._close_idle)
       return
-    self._set_timer(IDLE_CLOSE_DELAY_S, self.close)
+    if self._unsent.count:
+      self._drop('not_read')
+      return
+    self._set_timer(IDLE_CLOSE_DELAY_S, self.close_unused)
 
   def _refuse_timeout(self) -> None:
     self._refuse(408)
@@ -336,7 +406,7 @@
     self._server.on_refused(status, self._peer)
     self._keeps_alive = False
     self.write_response(status, [], b'')
-    self._transport.close()
+    self.close()
 
   def _set_timer(self, delay_s: float, callback: Callable[[], None]) -> None:
     self._stop_timer()
@@ -359,6 +429,8 @@
     handle: Handles one request.
     on_refused: Called with the status and the IP address of the caller when a
       request is refused before it is complete.
+    on_undelivered: Called with the id of a request, the number of unsent bytes
+      and the reason when a connection ends before its response is sent.
   """
 
   def __init__(
@@ -371,6 +443,7 @@
     self.limits = Limits()
     self.handle = handle
     self.on_refused = on_refused
+    self.on_undelivered: Callable[[str, int, str], None] = lambda *_: None
     self._listener: asyncio.Server | None = None
 
   async def listen(self, host: str, port: int) -> None:
@@ -380,6 +453,15 @@
         lambda: ServerConnection(self), host, port, backlog=512
     )
 
+  def report_undelivered(self, reason: str) -> None:
+    """Reports the connections whose responses are not sent yet.
+
+    Args:
+      reason: Why they are not going to be sent.
+    """
+    for connection in list(self.connections):
+      connection.report_undelivered(reason)
+
   def stop_listening(self) -> None:
     """Closes the port; open connections continue."""
     if self._listener is not None:
@@ -395,9 +477,8 @@
     """
     busy = 0
     for connection in list(self.connections):
-      if connection.is_idle:
-        connection.close()
-        busy += connection.has_unsent
+      if connection.is_idle and not connection.has_unsent:
+        connection.close_unused()
         continue
       busy += 1
     return busy
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -27,6 +27,7 @@
     'resumed': 1,
     'passed_on': 4,
     'taken': 4,
+    'undelivered': 4,
 }
 SHARED_LINES_PER_S = MAX_LINES_PER_S - sum(RESERVED_LINES_BY_OUTCOME.values())
 # One in this many served requests is logged.
@@ -66,7 +67,8 @@
         `broke` for an attempt whose connection to the endpoint broke off,
         `waited` or `moved` for one whose endpoint is silent, `resumed` for a
         stream that its caller takes up, `passed_on` for a request that
-        another host answered, or `taken` for one of another host.
+        another host answered, `taken` for one of another host, or
+        `undelivered` for a response that did not reach its caller whole.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -15,6 +15,7 @@
     'moved',
     'passed_on',
     'taken',
+    'undelivered',
 )
 # More decisions of a kind than are logged in a second.
 FLOOD = 10 * call_log.MAX_LINES_PER_S
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -47,6 +47,7 @@
     After an unexpected exception it is unknown whether the request ran, and the
     response says so. A response that has begun is broken off.
     """
+    caller.request_id = requests.find_id(received.headers)
     try:
       await self._answer(received, caller)
     except Exception:
@@ -54,9 +55,8 @@
       if caller.has_head:
         caller.abort()
         return
-      request_id = requests.decode_call(received).id
       failure_response.write_failure(
-          caller, 502, 'internal_fault', request_id, None
+          caller, 502, 'internal_fault', caller.request_id, None
       )
 
   async def answer_forwarded(
@@ -179,6 +179,13 @@
     now = asyncio.get_running_loop().time()
     self._log.record('refused', f'status_{status}', now, '', peer=peer)
 
+  def log_undelivered(self, request: str, unsent: int, reason: str) -> None:
+    """Logs a response that was written, and did not reach its caller whole."""
+    now = asyncio.get_running_loop().time()
+    self._log.record(
+        'undelivered', reason, now, '', request=request, unsent_bytes=unsent
+    )
+
   def _refuse(
       self,
       caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -15,6 +15,8 @@
 # Longer than the time that is left then.
 SLOW_WORK_S = 2.5
 TIMEOUT_MS = 10_000
+# More than the buffers of both sides hold.
+LARGE_BYTES = 12 << 20
 
 
 def make_config() -> dict[str, object]:
@@ -188,11 +190,10 @@
 class SlowReaderTest(StopTestCase):
   """Callers that read slowly when the process ends."""
 
-  async def test_response_in_a_buffer_is_delivered(self):
-    # Guards against an exit that loses responses whose bytes are not sent yet.
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
     replica = self.cluster.replica_by_name['desk-1']
     self.cluster.store.remove('servers', 'desk-2')
-    size = 12 << 20
 
     async def answer(request, headers, connection) -> bool:
       connection.write_response(
@@ -201,7 +202,7 @@
               (b'X-Mulberrypick-Request-Id', request.encode()),
               (b'X-Mulberrypick-Server-Signature', b's'),
           ],
-          bytes(size),
+          bytes(LARGE_BYTES),
       )
       return True
 
@@ -209,22 +210,51 @@
     await self.wait_until(
         lambda: self.gateway.state.endpoints.find('desk-2') is None
     )
-    reader, writer = await asyncio.open_connection(
+    self.reader, self.writer = await asyncio.open_connection(
         '127.0.0.1', self.host.listen_port, limit=65536
     )
-    self.addCleanup(writer.close)
-    writer.write(
-        b'POST /safe/x HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n'
-        b'X-Mulberrypick-Request-Id: r1\r\n\r\n' % gateway_cluster.HOST.encode()
+    self.addCleanup(self.writer.close)
+
+  def send(self, request: str) -> None:
+    head = (
+        f'POST /safe/x HTTP/1.1\r\nHost: {gateway_cluster.HOST}\r\n'
+        f'Content-Length: 0\r\nX-Mulberrypick-Request-Id: {request}\r\n\r\n'
     )
-    received = len(await reader.read(1000))
+    self.writer.write(head.encode())
+
+  async def read_rest(self) -> bytes:
+    received = b''
+    async with asyncio.timeout(10):
+      while data := await self.reader.read(1 << 20):
+        received += data
+    return received
+
+  async def test_response_in_a_buffer_is_delivered(self):
+    # Guards against an exit that loses responses whose bytes are not sent yet.
+    self.send('r1')
+    received = await self.reader.read(1000)
     self.stop_gateway()
     end = asyncio.create_task(self.wait_for_end())
     # The port is closed by then, and nothing is being answered.
     await asyncio.sleep(0.6 * GRACE_S)
-    while data := await reader.read(1 << 20):
-      received += len(data)
-    self.assertGreater(received, size)
+    received += await self.read_rest()
+    self.assertGreater(len(received), LARGE_BYTES)
+    self.assertLess(await end, GRACE_S)
+
+  async def test_next_request_does_not_cut_a_response_in_a_buffer(self):
+    # Guards against a reset that loses the unsent bytes of a response: its head
+    # was written before SIGTERM, so the caller may send a next request.
+    self.send('r1')
+    received = await self.reader.read(1000)
+    self.stop_gateway()
+    end = asyncio.create_task(self.wait_for_end())
+    await asyncio.sleep(0.6 * GRACE_S)
+    self.send('r2')
+    received += await self.read_rest()
+    self.assertGreater(len(received), LARGE_BYTES)
+    first, _, second = received.rpartition(b'HTTP/1.1 ')
+    self.assertGreater(len(first), LARGE_BYTES)
+    self.assert_refused(b'HTTP/1.1 ' + second)
     self.assertLess(await end, GRACE_S)
 
 
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -74,6 +74,14 @@
   hold_off: str | None
 
 
+def find_id(headers: list[tuple[bytes, bytes]]) -> str:
+  """Returns the id of a request, empty if it has none."""
+  for name, value in headers:
+    if name.lower() == protocol.REQUEST_ID:
+      return value.decode('latin-1')
+  return ''
+
+
 def decode_call(received: stream_server.ReceivedRequest) -> CallHeaders:
   """Decodes the request headers that routing and admission need."""
   by_name = {name.lower(): value for name, value in received.headers}
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -31,6 +31,7 @@
 from mulberrypick.ops import refusals_task
 from mulberrypick.ops import speeds_task
 from mulberrypick.ops import stage_task
+from mulberrypick.ops import stop_guard
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
 from mulberrypick.platform import store
@@ -87,6 +88,7 @@
     self._caller_server = stream_server.StreamServer(
         self._task.handle, self._task.log_refused
     )
+    self._caller_server.on_undelivered = self._task.log_undelivered
     self._forward_server = stream_server.StreamServer(
         forward_server.ForwardServer(
             self.state, self._task.answer_forwarded, self._peers.is_host
@@ -206,6 +208,7 @@
     while self._close_idle() and loop.time() < schedule.exit_at:
       await asyncio.sleep(FLUSH_POLL_S)
     leave_task.cancel()
+    self._caller_server.report_undelivered(stop_guard.STOPPING)
     logs.log_event(
         _log,
         logging.INFO,
