Keep callers that pause while they read a response

What callers saw: a response of 12 MB whose caller reads nothing for 3.5 s ended with a reset after 129 KB, at any time and without a line in the log.

Cause: TCP_USER_TIMEOUT of 3 s, by which connections to dead peers end. The kernel counts the time without room at the peer too, also if that peer lives.

Now connections of callers have the limit that the operator sets for idle callers (`idleTimeoutMs`), 3 s at least. Endpoints, the store and other hosts read at once, and keep 3 s. The price: a caller that died with bytes unacknowledged is noticed that much later; its request still ends at its time limit. A reset while bytes wait in our buffer is logged as `call_undelivered`.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -115,7 +115,9 @@
     self._transport = transport
     self._unsent = unsent_bytes.UnsentBytes(transport)
     transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
-    tcp_options.set_tcp_options(transport.get_extra_info('socket'))
+    tcp_options.set_tcp_options(
+        transport.get_extra_info('socket'), self._server.user_timeout_s
+    )
     self._peer = (transport.get_extra_info('peername') or ('',))[0]
     self._server.connections.add(self)
     self._start_idle_timer()
@@ -360,6 +362,9 @@
   def _on_response_done(self) -> None:
     if self._transport.is_closing():
       return
+    if self._transport.get_write_buffer_size():
+      # A reset from now on loses bytes that the log has to name.
+      self._unsent.measure()
     if not self._keeps_alive or self._refusal_status is not None:
       if self._refusal_status is not None and self._keeps_alive:
         self._refuse(self._refusal_status)
@@ -426,6 +431,9 @@
     is_leaving: Whether responses carry `Connection: close`, so that callers
       reconnect to another host.
     limits: Limits for requests.
+    user_timeout_s: Time after which a connection is dropped whose caller
+      acknowledges nothing, or has no room for what is written; for connections
+      that are opened from now on.
     handle: Handles one request.
     on_refused: Called with the status and the IP address of the caller when a
       request is refused before it is complete.
@@ -441,6 +449,7 @@
     self.connections: set[ServerConnection] = set()
     self.is_leaving = False
     self.limits = Limits()
+    self.user_timeout_s = tcp_options.USER_TIMEOUT_S
     self.handle = handle
     self.on_refused = on_refused
     self.on_undelivered: Callable[[str, int, str], None] = lambda *_: None
--- a/mulberrypick/adapters/tcp_options.py
+++ b/mulberrypick/adapters/tcp_options.py
@@ -8,16 +8,26 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-# The kernel aborts a connection whose bytes stay unacknowledged so long (ms).
-USER_TIMEOUT_MS = 3000
+# The kernel drops a connection whose bytes stay unacknowledged so long (s), or
+# whose peer has no room for them.
+USER_TIMEOUT_S = 3.0
 
 
-def set_tcp_options(sock: socket.socket) -> None:
-  """Sets TCP_NODELAY, and the options by which dead peers are detected."""
+def set_tcp_options(
+    sock: socket.socket, user_timeout_s: float = USER_TIMEOUT_S
+) -> None:
+  """Sets TCP_NODELAY, and the options by which dead peers are detected.
+
+  Args:
+    sock: The socket.
+    user_timeout_s: Time that sent bytes may stay unacknowledged, and written
+      ones unsent. A peer that lives and reads nothing counts as dead after it.
+  """
   sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
   sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
   tcp = socket.IPPROTO_TCP
   sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
   sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
   sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-  sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+  user_timeout_ms = round(1000 * user_timeout_s)
+  sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -258,6 +258,17 @@
     self.assertLess(await end, GRACE_S)
 
 
+class PausingCallerTest(gateway_test.GatewayTestCase):
+
+  async def test_limit_of_idle_callers_bounds_those_that_pause(self):
+    # Guards against responses that the kernel drops after three seconds.
+    config = gateway_cluster.make_config(2)
+    config['limits'] |= {'idleTimeoutMs': 9000}
+    self.cluster.store.put('config', 'main', config)
+    server = self.gateway._caller_server
+    await self.wait_until(lambda: server.user_timeout_s == 9.0)
+
+
 class LeavingHelperTest(gateway_pass_on_test.PassOnTestCase, StopTestCase):
   """A host that is apart passes requests on to hosts of which one leaves."""
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -15,6 +15,7 @@
 
 from mulberrypick.adapters import logs
 from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import tcp_options
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
 from mulberrypick.core import stop_schedule
@@ -258,6 +259,10 @@
       if config is not None:
         limits = stream_server.Limits(*config.limits)
         self._caller_server.limits = limits
+        # A caller may read slowly; a dead one is left at the time limit.
+        self._caller_server.user_timeout_s = max(
+            limits.idle_timeout_s, tcp_options.USER_TIMEOUT_S
+        )
         # The body of a request that is passed on holds all of it.
         self._forward_server.limits = stream_server.Limits(
             max_body_bytes=limits.max_header_bytes
