Answer requests that crossed the head of the last response in a stop

What callers saw: a request that was read whole while a stream was sent, whose head had said that the connection closes, got no response and no line in the log; the connection closed at the end of the stream, which may be seconds later.

Cause: a connection that closes after its response dropped what it had read meanwhile. Now the request gets 503 `host_stopping`, and never runs: its caller may ignore a response behind the last one, and would not know.

Evidence: test_request_behind_a_last_response_is_answered failed before (nothing followed the stream), holds now.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -72,6 +72,9 @@
     body: The body.
     peer: IP address of the caller.
     received_at: When it was complete, on the clock of the event loop.
+    follows_close: Whether it crossed the head of a response that says that the
+      connection closes. Its caller may ignore the response, so that the request
+      must not run.
   """
 
   method: bytes
@@ -80,6 +83,7 @@
   body: bytes
   peer: str
   received_at: float
+  follows_close: bool = False
 
 
 class ServerConnection(asyncio.Protocol):
@@ -215,6 +219,7 @@
             b''.join(self._body),
             self._peer,
             self._loop.time(),
+            not self._keeps_alive,
         )
     )
     self._reset_request()
@@ -365,15 +370,15 @@
     if self._transport.get_write_buffer_size():
       # A reset from now on loses bytes that the log has to name.
       self._unsent.measure()
+    if self._pending and self._refusal_status is None:
+      self._transport.resume_reading()
+      self._start_next()
+      return
     if not self._keeps_alive or self._refusal_status is not None:
       if self._refusal_status is not None and self._keeps_alive:
         self._refuse(self._refusal_status)
       self.close()
       return
-    if self._pending:
-      self._transport.resume_reading()
-      self._start_next()
-      return
     if self._is_reading:
       self._set_timer(
           self._server.limits.header_timeout_s, self._refuse_timeout
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -13,6 +13,7 @@
 from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_metrics
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import stop_guard
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
 from mulberrypick.platform import requests
@@ -48,6 +49,15 @@
     response says so. A response that has begun is broken off.
     """
     caller.request_id = requests.find_id(received.headers)
+    if received.follows_close:
+      self._refuse(
+          caller,
+          503,
+          stop_guard.STOPPING,
+          caller.request_id,
+          stop_guard.RETRY_AFTER_S,
+      )
+      return
     try:
       await self._answer(received, caller)
     except Exception:
--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -119,6 +119,22 @@
     self.assert_refused(b'HTTP/1.1 ' + second)
     self.assertEqual(self.arrivals(), 1)
 
+  async def test_request_behind_a_last_response_is_answered(self):
+    # Guards against a request that was read whole and gets no response: it
+    # crossed the head of a stream that says that the connection closes.
+    self.cluster.update_behaviour(
+        'engine', events=5, work_s=0.5, event_interval_s=0.3
+    )
+    caller = await self.open_caller()
+    caller.send('/read/x', 'r0')
+    await self.wait_until(self.arrivals)
+    self.stop_gateway()
+    await self.wait_until(lambda: b'Connection: close\r\n' in caller.received)
+    caller.send('/unsafe/x', 'r1')
+    received = await caller.wait()
+    self.assert_refused(received.partition(b'\r\n0\r\n\r\n')[2])
+    self.assertEqual(self.cluster.runs('r1'), 0)
+
   async def test_request_that_waits_is_not_sent_late(self):
     # Guards against a check at the arrival only: opening a connection to the
     # endpoint takes most of the grace period.
