Tell a time limit from the end of a stop by the timer, not the time

Callers of a host that does not stop got 502 host_stopping instead of 504 for requests that reached the time limit of their route. Requests of other hosts were declined or broken off as if this host left, and the log said call_failed reason=host_stopping after_s=0.4.

CallRun compared the time with the limit once the timer had fired. The clock of uvloop counts whole milliseconds, so that a timer can fire up to 1 ms, or one rounding error of a float, before its time. StopGuard.give_up reschedules the timer, so the timer itself tells which of the two it was.

The test lets timers fire 20 ms early; it failed before with 502 != 504.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -139,7 +139,8 @@
           await self._run_attempts()
     except TimeoutError:
       self._clock.record_end(self._call, False)
-      if asyncio.get_running_loop().time() < end_at:
+      # A timer may fire a moment before its time, so the time tells nothing.
+      if timeout.when() < end_at:
         self._end_for_stop()
         return
       if self._next.runs or self._is_sending:
--- a/mulberrypick/platform/gateway_timeout_test.py
+++ b/mulberrypick/platform/gateway_timeout_test.py
@@ -1,6 +1,8 @@
 """Tests of time limits of routes and of response heads, on loopback."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from mulberrypick.platform import gateway_test
 from standins import gateway_cluster
@@ -13,9 +15,12 @@
 # Time to the first event, above the limit for a head if another engine can run
 # the request.
 SLOW_HEAD_S = 0.9
+# How early timers fire in the test (s). Those of uvloop do by up to 1 ms.
+EARLY_S = 0.02
 
 
-class RouteTimeoutTest(gateway_test.GatewayTestCase):
+class RouteTimeoutTestCase(gateway_test.GatewayTestCase):
+  """A gateway whose routes have a short time limit."""
 
   async def asyncSetUp(self):
     await super().asyncSetUp()
@@ -28,6 +33,9 @@
   def outcomes(self) -> set[tuple[str, str, str]]:
     return set(self.gateway._call_log.count_by_outcome)
 
+
+class RouteTimeoutTest(RouteTimeoutTestCase):
+
   async def test_call_without_answer_gets_504_at_the_limit_of_its_route(self):
     self.cluster.update_behaviour('desk', mode='mute')
     response = await self.call('/unsafe/x', 'r1', headers=CALLER_HEADERS)
@@ -45,6 +53,28 @@
       self.assertEqual(self.cluster.runs(route), 1)
 
 
+class CoarseTimersTest(RouteTimeoutTestCase):
+  """Timers that fire a moment before their time, as those of uvloop do."""
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    loop = asyncio.get_running_loop()
+    usual = loop.call_at
+
+    def call_early(when, callback, *args, **options):
+      return usual(when - EARLY_S, callback, *args, **options)
+
+    self.enterContext(mock.patch.object(loop, 'call_at', call_early))
+
+  async def test_time_limit_is_not_taken_for_the_end_of_a_stop(self):
+    # Guards against 502 `host_stopping` at a host that does not stop, for
+    # requests that reach the time limit of their route.
+    self.cluster.update_behaviour('desk', mode='mute')
+    response = await self.call('/unsafe/x', 'r1', headers=CALLER_HEADERS)
+    self.assertEqual(response.status, 504)
+    self.assertIn(('failed', 'timeout', 'unsafe'), self.outcomes())
+
+
 class OnlyEngineTest(gateway_test.GatewayTestCase):
 
   async def test_slow_head_of_the_only_decoding_engine_is_waited_for(self):
