End the gateway by the schedule of its stop only, counted from the signal

On the code before, an error in the task that hears other hosts, or a cancellation of what any task waits for, ended the process at once, with all open requests. So did an error in a step of the stop: telling other hosts (at SIGTERM), closing the ports or the idle connections (when the port closes). An error while the entry of the host is removed was not logged. The schedule counted from when the event loop got to SIGTERM, SIGKILL counts from SIGTERM.

Cause: `run` waited for the first of all tasks and passed its error on, the peer task was not started again as the others are, and the steps of the stop were a sequence that the first error leaves.

Now the peer task is started again like the others (it closes its listening socket when it ends), a cancellation that is not of the task itself counts as an error of it, and a task that ends all the same begins a stop in order (`task_ended`). The stop is a module of its own; an error in a step is logged once (`stop_failed`) and the next steps follow. The handler of the signal records its time.

--- a/mulberrypick/ops/gateway_peers.py
+++ b/mulberrypick/ops/gateway_peers.py
@@ -133,10 +133,14 @@
     for seed in self._state.host.seeds:
       self.add_host(seed)
     listener = self._links.listen()
-    async with asyncio.TaskGroup() as group:
-      group.create_task(self._receive(listener))
-      group.create_task(self._publish_changes())
-      group.create_task(self._permits.run())
+    try:
+      async with asyncio.TaskGroup() as group:
+        group.create_task(self._receive(listener))
+        group.create_task(self._publish_changes())
+        group.create_task(self._permits.run())
+    finally:
+      # The next run opens it again.
+      listener.close(0)
 
   async def _receive(self, listener: zmq.asyncio.Socket) -> None:
     decoder = msgspec.msgpack.Decoder(peer_message.PeerMessage)
--- a/mulberrypick/ops/peer_links.py
+++ b/mulberrypick/ops/peer_links.py
@@ -54,7 +54,11 @@
     """Opens the socket that receives messages of all hosts."""
     listener = self._context.socket(zmq.ROUTER)
     _set_options(listener)
-    listener.bind(f'tcp://{self._address}')
+    try:
+      listener.bind(f'tcp://{self._address}')
+    except zmq.ZMQError:
+      listener.close(0)
+      raise
     return listener
 
   def send(self, address: str, message: bytes) -> None:
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -18,7 +18,6 @@
 from mulberrypick.adapters import tcp_options
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
-from mulberrypick.core import stop_schedule
 from mulberrypick.ops import call_log
 from mulberrypick.ops import evidence_task
 from mulberrypick.ops import forward_server
@@ -32,10 +31,10 @@
 from mulberrypick.ops import refusals_task
 from mulberrypick.ops import speeds_task
 from mulberrypick.ops import stage_task
-from mulberrypick.ops import stop_guard
 from mulberrypick.ops import store_task
 from mulberrypick.platform import settings
 from mulberrypick.platform import store
+from mulberrypick.scripts import gateway_stop
 from mulberrypick.scripts import process_signals
 
 _log = logging.getLogger(__name__)
@@ -49,10 +48,6 @@
 SETTINGS_RELOAD_INTERVAL_S = 2.0
 # Time after which a task is started again that ended by an unexpected error.
 TASK_RESTART_S = 0.5
-# Time between checks whether all connections have ended in a stop (s), and
-# whether all bytes are sent at its end.
-DRAIN_POLL_S = 0.05
-FLUSH_POLL_S = 0.01
 # Encoding of a request that is passed on, beside its own bytes.
 MAX_FORWARDED_EXTRA_BYTES = 65536
 
@@ -105,6 +100,13 @@
     self._hosts = hosts_task.HostsTask(
         self.state, self._peers, self._make_store_client()
     )
+    self._stop = gateway_stop.GatewayStop(
+        self.state,
+        self._caller_server,
+        self._forward_server,
+        self._peers.publish_now,
+        self._hosts.leave,
+    )
     self._stop_requested = asyncio.Event()
     self._settings_read_at = time.monotonic()
 
@@ -125,6 +127,7 @@
         store_task.ConfigTask(self.state, self._make_store_client()).run,
         store_task.EndpointsTask(self.state, self._make_store_client()).run,
         self._hosts.run,
+        self._peers.run,
         stage_task.StageTask(self.state, self._make_store_client()).run,
         refusals_task.RefusalsTask(self.state, self._make_store_client()).run,
         evidence_task.EvidenceTask(
@@ -135,8 +138,6 @@
         self._sweep,
     ]
     running = [loop.create_task(_keep_running(task)) for task in tasks]
-    # It owns the socket of this host, and handles its own errors.
-    running.append(loop.create_task(self._peers.run()))
     stop_task = loop.create_task(self._stop_requested.wait())
     try:
       done, _ = await asyncio.wait(
@@ -144,13 +145,22 @@
       )
       for task in done:
         if task is not stop_task:
-          task.result()
-      await self._shut_down()
+          # What it did is missing from now on; what is open can still end.
+          logs.log_event(_log, logging.ERROR, 'task_ended', task=repr(task))
+      await self._stop.run(self._stop_began_at())
     finally:
       self._signals.detach()
       for task in (*running, stop_task):
         task.cancel()
 
+  def _stop_began_at(self) -> float:
+    """Returns when SIGTERM came; SIGKILL follows after the grace period."""
+    now = asyncio.get_running_loop().time()
+    requested_at = self._signals.stop_requested_at
+    if requested_at is None:
+      return now
+    return now - (time.monotonic() - requested_at)
+
   def close(self) -> None:
     """Closes all sockets immediately."""
     self._peers.close()
@@ -185,45 +195,6 @@
           _log, logging.ERROR, 'metrics_not_served', error=str(error)
       )
 
-  async def _shut_down(self) -> None:
-    loop = asyncio.get_running_loop()
-    started_at = loop.time()
-    grace_s = self.state.host.bounds.grace_s
-    schedule = stop_schedule.make_schedule(started_at, grace_s)
-    logs.log_event(_log, logging.INFO, 'stopping', grace_s=grace_s)
-    self.state.is_leaving = True
-    self.state.stop.end_at = schedule.end_requests_at
-    self._caller_server.is_leaving = True
-    self._forward_server.is_leaving = True
-    self._peers.publish_now()
-    leave_task = loop.create_task(self._hosts.leave())
-    await asyncio.sleep(schedule.close_port_at - started_at)
-    self._caller_server.stop_listening()
-    self.state.has_stopped_listening = True
-    self._forward_server.stop_listening()
-    while self._close_idle() and loop.time() < schedule.end_requests_at:
-      await asyncio.sleep(DRAIN_POLL_S)
-    given_up = self.state.stop.give_up()
-    # What was just written is sent in the next turn of the event loop.
-    await asyncio.sleep(FLUSH_POLL_S)
-    while self._close_idle() and loop.time() < schedule.exit_at:
-      await asyncio.sleep(FLUSH_POLL_S)
-    leave_task.cancel()
-    self._caller_server.report_undelivered(stop_guard.STOPPING)
-    logs.log_event(
-        _log,
-        logging.INFO,
-        'stopped',
-        took_s=round(loop.time() - started_at, 2),
-        given_up=given_up,
-        cut=self._close_idle(),
-    )
-
-  def _close_idle(self) -> int:
-    """Closes idle connections; returns how many are still in use."""
-    busy = self._caller_server.close_idle()
-    return busy + self._forward_server.close_idle()
-
   async def _sweep(self) -> None:
     while True:
       await asyncio.sleep(SWEEP_INTERVAL_S)
@@ -307,6 +278,11 @@
   while True:
     try:
       await run()
+    except asyncio.CancelledError:
+      if asyncio.current_task().cancelling():
+        raise
+      # It was not this task that was cancelled, but what it waited for.
+      _log.exception({'event': 'task_fault', 'task': name})
     except Exception:
       _log.exception({'event': 'task_fault', 'task': name})
     await asyncio.sleep(TASK_RESTART_S)
--- a/mulberrypick/scripts/process_signals.py
+++ b/mulberrypick/scripts/process_signals.py
@@ -6,14 +6,20 @@
 """
 
 import signal
+import time
 from collections.abc import Callable
 
 
 class ProcessSignals:
-  """Keeps that a stop was requested, and calls whom a signal concerns."""
+  """Keeps that a stop was requested, and calls whom a signal concerns.
+
+  Attributes:
+    stop_requested_at: When the first SIGTERM or SIGINT came, on the monotonic
+      clock, None without one. The event loop may get to it later.
+  """
 
   def __init__(self):
-    self._is_stop_requested = False
+    self.stop_requested_at: float | None = None
     self._stop: Callable[[], None] | None = None
     self._reload: Callable[[], None] | None = None
 
@@ -33,7 +39,7 @@
       reload: Called at each SIGHUP.
     """
     self._stop, self._reload = stop, reload
-    if self._is_stop_requested:
+    if self.stop_requested_at is not None:
       stop()
 
   def detach(self) -> None:
@@ -41,7 +47,8 @@
     self._stop = self._reload = None
 
   def _handle_stop(self) -> None:
-    self._is_stop_requested = True
+    if self.stop_requested_at is None:
+      self.stop_requested_at = time.monotonic()
     if self._stop is not None:
       self._stop()
 
