Refuse requests that no endpoint received, and log whether one has them

Callers got 504, or 502 in a stop, for requests that had waited for a connection to an endpoint all the time. These promise nothing, so that a request that is not idempotent could not be sent again, though that is safe; a host that leaves broke off those of other hosts.

CallRun counted a request as sent from before the connection was asked for. It is now sent once it is encoded, right before its bytes are written.

The lines of timeouts had runs=0 also when an endpoint had the request all the time, which reads as if nothing was sent: runs counts the runs that ended before. is_sent tells the two cases apart.

Tests, seen failing before: 504 != 503 for a request without a connection; KeyError is_sent for the line.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -108,7 +108,8 @@
         state, self._next, received, caller, self._stream, forwarded
     )
     self._meter = stream_meter.StreamMeter()
-    self._is_sending = False
+    # Whether an endpoint or a helper has the request and may run it.
+    self._is_sent = False
     self._placement: placements.Placement | None = None
     self._first_event_s = 0.0
     self._prefill_s = 0.0
@@ -143,7 +144,7 @@
       if timeout.when() < end_at:
         self._end_for_stop()
         return
-      if self._next.runs or self._is_sending:
+      if self._next.runs or self._is_sent:
         self._fail(504, 'timeout')
         return
       self._refuse(placements.Refusal('timeout', None))
@@ -186,6 +187,7 @@
           else placement.prefiller
       )
       self._next.record_attempt(attempt, failed)
+      self._is_sent = False
       if not await self._goes_on_after(attempt):
         break
     self._end_unserved(reason)
@@ -214,7 +216,7 @@
     if self._forwarded is not None:
       self._return_to_host(self._forwarded)
       return
-    if self._next.runs or self._is_sending:
+    if self._next.runs or self._is_sent:
       self._fail(502, stop_guard.STOPPING)
       return
     self._refuse(
@@ -224,7 +226,7 @@
   def _return_to_host(self, forwarded: forward_server.ForwardedCaller) -> None:
     """Declines a request of another host, or breaks it off if it may run."""
     has_run_here = self._next.runs > forwarded.origin.runs
-    if has_run_here or self._is_sending:
+    if has_run_here or self._is_sent:
       self._log_decision('cut', stop_guard.STOPPING)
       forwarded.abort()
       return
@@ -273,8 +275,10 @@
       self._log_decision('refused', forward_server.APART)
       self._forwarded.decline(forward_server.APART, self._next.has_sent)
       return True
-    self._is_sending = True
-    self._end_passed_on(await self._passing.run())
+    self._is_sent = True
+    result = await self._passing.run()
+    self._is_sent = False
+    self._end_passed_on(result)
     return True
 
   def _end_passed_on(self, result: forward_run.ForwardResult) -> None:
@@ -482,10 +486,14 @@
     if self._service.is_engine:
       self._state.record_parts(endpoint, self._call.parts, not extra_headers)
     permit_until = self._next.take_permit()
+
+    def encode(now: float) -> bytes:
+      self._is_sent = True
+      return self._encode(endpoint, extra_headers, now)
+
     try:
-      self._is_sending = True
       result = await send.start(
-          lambda now: self._encode(endpoint, extra_headers, now),
+          encode,
           self._head_limit(placement),
           True,
           permit_until,
@@ -497,7 +505,7 @@
         return await self._forward_response(
             send, result.head, placement, tokens
         )
-      self._is_sending = False
+      self._is_sent = False
       ran = result.outcome is endpoint_send.Outcome.BROKEN
       return next_run.AttemptResult(False, ran, result.reason)
     except errors.RunGivenUpError:
@@ -727,6 +735,7 @@
         read_s=round(self._prefill_s, 3),
         first_s=round(self._first_event_s, 3),
         runs=self._next.runs,
+        is_sent=self._is_sent,
         bound_to=self._call.software,
         config=config.version if config else 0,
         **fields,
--- a/mulberrypick/platform/gateway_timeout_test.py
+++ b/mulberrypick/platform/gateway_timeout_test.py
@@ -75,6 +75,35 @@
     self.assertIn(('failed', 'timeout', 'unsafe'), self.outcomes())
 
 
+class UnsentTest(RouteTimeoutTestCase):
+
+  async def test_request_that_was_not_sent_is_refused_at_its_limit(self):
+    # Guards against 504 for a request that no endpoint received: its caller
+    # must not send it again though that is safe.
+    async def acquire(*args, **options):
+      del args, options
+      await asyncio.Event().wait()
+
+    self.enterContext(
+        mock.patch.object(self.gateway.state.pool, 'acquire', acquire)
+    )
+    response = await self.call('/unsafe/x', 'r1', headers=CALLER_HEADERS)
+    self.assertEqual(response.status, 503)
+    self.assertIn(b'"run":"not_run"', response.body)
+    self.assertIn(('refused', 'timeout', 'unsafe'), self.outcomes())
+
+  async def test_log_tells_whether_an_endpoint_has_the_request(self):
+    # Guards against lines that look as if nothing was sent: `runs` does not
+    # count the run that a request waits for.
+    self.cluster.update_behaviour('desk', mode='mute')
+    with self.assertLogs('mulberrypick.ops.call_log', 'INFO') as logs:
+      await self.call('/unsafe/x', 'r1', headers=CALLER_HEADERS)
+    (found,) = [r.msg for r in logs.records if r.msg.get('request') == 'r1']
+    self.assertEqual(found['event'], 'call_failed')
+    self.assertEqual(found['runs'], 0)
+    self.assertTrue(found['is_sent'])
+
+
 class OnlyEngineTest(gateway_test.GatewayTestCase):
 
   async def test_slow_head_of_the_only_decoding_engine_is_waited_for(self):
