Answer requests that arrive while a last response is unsent

The request was read and discarded, and the connection ended without a response to it, up to 4 s later.

Cause: a connection that closes after its response was half-closed at once, and what arrived afterwards was dropped. Now it stays open until the caller has acknowledged all bytes, and a request that arrives meanwhile gets 503, as one that crossed the head does. Then it is closed whole: a later request stays unread, so that its caller may send it again. Bytes are discarded only after the refusal of an incomplete request, and after one that says itself that it is the last.

Evidence: test_next_request_does_not_cut_an_unsent_last_response failed before (one response instead of two). It replaces the test that no byte is lost and that the next request is not handled; it checks the first as before, and now that the next request is marked as one that must not run.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -5,9 +5,11 @@
 Requests on a connection are handled one at a time, in order.
 
 If a socket is closed while received bytes are unread, or gets more afterwards,
-the kernel resets the connection, and what the caller has not read yet is lost.
-So a connection with unsent bytes is closed in two steps: this side first, after
-the last byte of the response, and the whole of it once the caller has closed.
+the kernel resets the connection, and the bytes that the caller has not received
+are lost. So a connection is closed once its caller has acknowledged all bytes;
+requests that arrive until then are answered. After a refusal of an incomplete
+request, and after one that says that it is the last, more bytes are discarded
+discarded until the caller closes its side, or for some time.
 """
 
 import asyncio
@@ -26,9 +28,10 @@
 # request that arrived while the event loop stood still is read in it.
 IDLE_CLOSE_DELAY_S = 0.01
 # Time for a caller to close its side of a connection once this side is closed
-# and all bytes are sent (s), and time between checks whether they are.
+# and all bytes are sent (s).
 LINGER_S = 1.0
-LINGER_POLL_S = 0.05
+# Time between checks whether all bytes are sent (s).
+UNSENT_POLL_S = 0.01
 # Bytes buffered for a slow caller before writers have to wait.
 MAX_WRITE_BUFFER_BYTES = 262144
 REASON_BY_STATUS = {
@@ -246,7 +249,7 @@
     return self._is_half_closed or self._transport.is_closing()
 
   def close(self) -> None:
-    """Closes the connection once all written bytes are sent.
+    """Closes this side once all written bytes are sent; the rest follows.
 
     Received bytes are discarded from now on.
     """
@@ -271,6 +274,19 @@
     """
     self._transport.close()
 
+  def _close_when_sent(self) -> None:
+    """Closes the connection once its caller has acknowledged all bytes."""
+    if self._transport.is_closing():
+      return
+    if not self.has_unsent:
+      self.close_unused()
+      return
+    unread_s = self._loop.time() - self._unsent.since
+    if unread_s >= self._server.limits.idle_timeout_s:
+      self._drop('not_read')
+      return
+    self._set_timer(UNSENT_POLL_S, self._close_when_sent)
+
   def _await_close(self) -> None:
     """Ends a half-closed connection if its caller neither reads nor closes."""
     if self._transport.is_closing():
@@ -281,7 +297,7 @@
     if self._loop.time() - self._unsent.since >= limit_s:
       self._drop('not_read')
       return
-    self._set_timer(LINGER_POLL_S, self._await_close)
+    self._set_timer(UNSENT_POLL_S, self._await_close)
 
   def _drop(self, reason: str) -> None:
     """Closes the connection at once, though its caller may lack bytes."""
@@ -374,11 +390,17 @@
       self._transport.resume_reading()
       self._start_next()
       return
-    if not self._keeps_alive or self._refusal_status is not None:
-      if self._refusal_status is not None and self._keeps_alive:
+    if self._refusal_status is not None:
+      if self._keeps_alive:
         self._refuse(self._refusal_status)
       self.close()
       return
+    if self._is_last_request:
+      self.close()
+      return
+    if not self._keeps_alive:
+      self._close_when_sent()
+      return
     if self._is_reading:
       self._set_timer(
           self._server.limits.header_timeout_s, self._refuse_timeout
--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -88,7 +88,7 @@
     await self.server.listen('127.0.0.1', self.port)
     self.caller = SlowCaller(self.port)
     await self.caller.open()
-    self.handled = 0
+    self.seen: list[stream_server.ReceivedRequest] = []
 
   async def asyncTearDown(self):
     self.caller.close()
@@ -99,7 +99,7 @@
   async def handle(self, received, caller):
     size = BODY_BYTES if received.target == b'/large' else 5
     caller.write_response(200, [], bytes(size))
-    self.handled += 1
+    self.seen.append(received)
 
   async def wait_until(self, condition) -> None:
     async with asyncio.timeout(10):
@@ -117,7 +117,7 @@
     # Guards against a reset that drops the unsent bytes of a response: a kept
     # connection was closed while its next request was unread.
     await self.caller.send(REQUEST)
-    await self.wait_until(lambda: self.handled)
+    await self.wait_until(lambda: self.seen)
     self.server.is_leaving = True
     self.assertEqual(self.server.close_idle(), 1)
     await self.caller.send(NEXT_REQUEST)
@@ -127,22 +127,24 @@
     self.assert_whole(2)
     self.assertIn(b'Connection: close', self.caller.received[BODY_BYTES:])
 
-  async def test_bytes_after_a_last_request_do_not_cut_its_response(self):
-    # Guards against the same after a response that says that it is the last.
+  async def test_next_request_does_not_cut_an_unsent_last_response(self):
+    # Guards against the same after a response that says that it is the last,
+    # and against a next request that was read and gets no response: its caller
+    # has not read so far.
     self.server.is_leaving = True
     await self.caller.send(REQUEST)
-    await self.wait_until(lambda: self.handled)
+    await self.wait_until(lambda: self.seen)
     await self.caller.send(NEXT_REQUEST)
     await asyncio.sleep(0.05)
     self.server.close_idle()
     await self.caller.read_rest()
-    self.assert_whole(1)
-    self.assertEqual(self.handled, 1)
+    self.assert_whole(2)
+    self.assertEqual([r.follows_close for r in self.seen], [False, True])
 
   async def test_idle_limit_does_not_cut_an_unsent_response(self):
     # Guards against the same at the idle limit, without a stop.
     await self.caller.send(REQUEST)
-    await self.wait_until(lambda: self.handled)
+    await self.wait_until(lambda: self.seen)
     for _ in range(SLOW_READS):
       await asyncio.sleep(SLOW_READ_INTERVAL_S)
       await self.caller.read_some()
@@ -185,13 +187,13 @@
     # Guards against connections that are kept for callers that never close.
     self.server.is_leaving = True
     await self.caller.send(NEXT_REQUEST)
-    await self.wait_until(lambda: self.handled)
+    await self.wait_until(lambda: self.seen)
     await self.wait_until(lambda: not self.server.connections)
 
   async def test_caller_that_stops_reading_is_left_after_the_idle_limit(self):
     # Guards against responses that are held for ever.
     await self.caller.send(REQUEST)
-    await self.wait_until(lambda: self.handled)
+    await self.wait_until(lambda: self.seen)
     await self.wait_until(lambda: not self.server.connections)
 
 
