Ask at each pass to another host whether a request ends in a stop

What callers saw: a request at a host that is apart from all endpoints and shuts down was passed on although it could not end there in time, and ended with this process: 502 with `run: unknown` for plain requests, a cut for streams.

Cause: only the attempt asked. Now each pass asks after it has its connection, as each send to an endpoint does. A request that was not passed on is refused with 503 at once, or failed with 502 if a run before may go on.

--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -27,6 +27,7 @@
 from mulberrypick.ops import next_run
 from mulberrypick.ops import pass_on
 from mulberrypick.ops import prompt_handles
+from mulberrypick.ops import stop_end
 from mulberrypick.ops import stop_guard
 from mulberrypick.ops import version_exchange
 from mulberrypick.platform import protocol
@@ -105,7 +106,16 @@
     self._forwarded = forwarded
     self._stream = caller_stream.CallerStream(caller, forwarded)
     self._passing = pass_on.PassOn(
-        state, self._next, received, caller, self._stream, forwarded
+        state,
+        self._next,
+        received,
+        caller,
+        self._stream,
+        forwarded,
+        self._can_end,
+    )
+    self._stop_end = stop_end.StopEnd(
+        self._next, forwarded, self._log_decision, self._refuse, self._fail
     )
     self._meter = stream_meter.StreamMeter()
     # Whether an endpoint or a helper has the request and may run it.
@@ -142,7 +152,7 @@
       self._clock.record_end(self._call, False)
       # A timer may fire a moment before its time, so the time tells nothing.
       if timeout.when() < end_at:
-        self._end_for_stop()
+        self._stop_end.end(self._is_sent)
         return
       if self._next.runs or self._is_sent:
         self._fail(504, 'timeout')
@@ -205,34 +215,9 @@
     self._clock.begin()
     if self._can_end(asyncio.get_running_loop().time()):
       return False
-    self._end_for_stop()
+    self._stop_end.end(self._is_sent)
     return True
 
-  def _end_for_stop(self) -> None:
-    """Ends a request that this process can't serve before it exits.
-
-    The host that passed it on, if any, finds another one.
-    """
-    if self._forwarded is not None:
-      self._return_to_host(self._forwarded)
-      return
-    if self._next.runs or self._is_sent:
-      self._fail(502, stop_guard.STOPPING)
-      return
-    self._refuse(
-        placements.Refusal(stop_guard.STOPPING, stop_guard.RETRY_AFTER_S)
-    )
-
-  def _return_to_host(self, forwarded: forward_server.ForwardedCaller) -> None:
-    """Declines a request of another host, or breaks it off if it may run."""
-    has_run_here = self._next.runs > forwarded.origin.runs
-    if has_run_here or self._is_sent:
-      self._log_decision('cut', stop_guard.STOPPING)
-      forwarded.abort()
-      return
-    self._log_decision('refused', stop_guard.STOPPING)
-    forwarded.decline(forward_server.LEAVING, self._next.has_sent)
-
   def _end_unserved(self, reason: str) -> None:
     """Fails a request that may have run, and refuses any other."""
     if self._next.runs:
@@ -287,6 +272,10 @@
       self._clock.record_end(self._call, True)
       self._log_decision('passed_on', result.reason, helper=result.helper)
       return
+    if result.reason == stop_guard.STOPPING:
+      # No other host has taken it since the last run, which is counted.
+      self._stop_end.end(False)
+      return
     if self._next.runs:
       self._fail(502, result.reason)
       return
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import logging
+from collections.abc import Callable
 from typing import NamedTuple
 
 from mulberrypick.adapters import logs
@@ -13,6 +14,7 @@
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import forward_message
 from mulberrypick.ops import gateway_state
+from mulberrypick.ops import stop_guard
 
 _log = logging.getLogger(__name__)
 # Hosts that are asked to take one request.
@@ -64,12 +66,25 @@
       caller: stream_server.ServerConnection,
       stream: caller_stream.CallerStream,
       is_idempotent: bool,
+      can_end: Callable[[float], bool],
   ):
+    """Creates a run.
+
+    Args:
+      state: The state of this host.
+      received: The request as it was received.
+      caller: Its caller.
+      stream: The stream to the caller.
+      is_idempotent: Whether the request may run twice.
+      can_end: Returns whether the request ends before this process if it is
+        passed on at the given time.
+    """
     self._state = state
     self._received = received
     self._caller = caller
     self._stream = stream
     self._is_idempotent = is_idempotent
+    self._can_end = can_end
     self._tried: set[str] = set()
     self.software: str | None = None
 
@@ -100,7 +115,10 @@
         result = await self._send_to(helper, runs, is_repeat)
       finally:
         helpers.end(helper.name)
-      if result.outcome is not Outcome.DECLINED:
+      if (
+          result.outcome is not Outcome.DECLINED
+          or result.reason == stop_guard.STOPPING
+      ):
         break
       helpers.record_declined(helper.name, asyncio.get_running_loop().time())
     return result
@@ -115,6 +133,9 @@
       )
     except errors.ConnectError:
       return ForwardResult(Outcome.DECLINED, 'connect', helper.name)
+    if not self._can_end(asyncio.get_running_loop().time()):
+      links.release(helper.ip, helper.port, connection)
+      return ForwardResult(Outcome.DECLINED, stop_guard.STOPPING, '')
     self._state.forwarded_count += 1
     exchange = stream_client.Exchange(source=helper.name)
     try:
--- a/mulberrypick/ops/pass_on.py
+++ b/mulberrypick/ops/pass_on.py
@@ -1,6 +1,7 @@
 """Decides whether a request is passed on to another host, and does so."""
 
 import asyncio
+from collections.abc import Callable
 
 from mulberrypick.adapters import stream_server
 from mulberrypick.ops import caller_stream
@@ -9,6 +10,7 @@
 from mulberrypick.ops import forward_server
 from mulberrypick.ops import gateway_state
 from mulberrypick.ops import next_run
+from mulberrypick.ops import stop_guard
 
 
 class PassOn:
@@ -25,6 +27,7 @@
       caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
       stream: caller_stream.CallerStream,
       forwarded: forward_server.ForwardedCaller | None,
+      can_end: Callable[[float], bool],
   ):
     """Creates the decision.
 
@@ -35,6 +38,8 @@
       caller: Its caller.
       stream: The stream to the caller.
       forwarded: The caller if it is that of another host, None otherwise.
+      can_end: Returns whether the request ends before this process if it is
+        passed on at the given time.
     """
     self._state = state
     self._next = next_
@@ -42,6 +47,7 @@
     self._caller = caller
     self._stream = stream
     self._forwarded = forwarded
+    self._can_end = can_end
     self._earlier_runs = 0
     if forwarded is not None:
       self._earlier_runs = next_.runs = forwarded.origin.runs
@@ -85,12 +91,13 @@
         self._caller,
         self._stream,
         call.route.is_idempotent,
+        self._can_end,
     )
     while True:
       is_repeat = self._next.has_sent
       result = await passing.run(self._next.runs, is_repeat, call.software)
       if result.outcome is forward_run.Outcome.DECLINED:
-        if not self._next.has_given_up:
+        if not self._next.has_given_up or result.reason == stop_guard.STOPPING:
           return result
         # The caller does not lose an answer because a run was given up.
         passing.allow_all()
