Test late prefills and endpoints that end beside a stop

A stream whose prompt another endpoint took 0.7 of the grace period to read is refused before its decode, and a resumable stream whose endpoint ends beside the stop goes on at another one if it ends in time.

--- a/mulberrypick/platform/gateway_stop_class_test.py
+++ b/mulberrypick/platform/gateway_stop_class_test.py
@@ -13,6 +13,11 @@
 # Requests whose endpoints still work then may be cut.
 MAY_CUT_FRACTION = 5 / 6
 EVENT_INTERVAL_S = 0.05
+PROMPT_HEADERS = {
+    'X-Mulberrypick-Deadline-Ms': '10000',
+    'X-Mulberrypick-Token-Usage': '900,20',
+    'X-Mulberrypick-Prefix-Hash': 'aa:500,bb:400',
+}
 
 
 class ShortGraceTest(gateway_stop_test.StopTestCase):
@@ -154,6 +159,59 @@
     self.assert_refused(await caller.wait())
     self.assertEqual(self.cluster.runs('r1'), 0)
 
+  async def test_decode_is_not_begun_after_a_late_prefill(self):
+    # Guards against streams that are begun too late because another endpoint
+    # took long to read their prompts.
+    self.cluster.update_behaviour(
+        'engine', events=20, event_interval_s=EVENT_INTERVAL_S
+    )
+    await asyncio.gather(
+        *(
+            self.call('/read/x', f'before-{number}', headers=PROMPT_HEADERS)
+            for number in range(run_times.MIN_RUNS)
+        )
+    )
+    reader = self.cluster.replica_by_name['reader']
+    reader.behaviour = reader.behaviour._replace(work_s=0.7 * self.grace_s)
+    headers = PROMPT_HEADERS | {'X-Mulberrypick-Prefix-Hash': 'cc:900'}
+    arrivals = reader.arrivals
+    call = asyncio.create_task(self.call('/read/x', 'r1', headers=headers))
+    await self.wait_until(lambda: reader.arrivals > arrivals)
+    self.stop_gateway()
+    answer = await call
+    self.assertEqual(answer.status, 503)
+    self.assertIn(b'"run":"not_run"', answer.body)
+    self.assertEqual(self.cluster.runs('r1'), 0)
+
+
+class ReplacedEndpointTest(gateway_stop_test.StopTestCase):
+  """Endpoints end beside the stop."""
+
+  async def test_stream_goes_on_elsewhere_if_it_ends_in_time(self):
+    # Guards against streams that are given up in a stop with their endpoint.
+    self.cluster.update_behaviour(
+        'engine', events=20, event_interval_s=EVENT_INTERVAL_S
+    )
+    await asyncio.gather(
+        *(
+            self.call('/ask/x', f'before-{number}', headers=PROMPT_HEADERS)
+            for number in range(run_times.MIN_RUNS)
+        )
+    )
+    call = asyncio.create_task(
+        self.call('/ask/x', 'r1', headers=PROMPT_HEADERS)
+    )
+    replicas = self.cluster.replica_by_name.values()
+    await self.wait_until(lambda: any(r.runs['r1'] for r in replicas))
+    self.stop_gateway()
+    await asyncio.sleep(3 * EVENT_INTERVAL_S)
+    next(r for r in replicas if r.runs['r1']).stop()
+    answer = await call
+    self.assertTrue(answer.is_whole)
+    self.assertEqual(self.cluster.runs('r1'), 2)
+    for number in range(1, 21):
+      self.assertEqual(answer.body.count(b'data: piece %d\n' % number), 1)
+
 
 if __name__ == '__main__':
   unittest.main()
