Log every request that a stop ends or refuses, and by which prediction

A request still open at the exit was logged as left by its caller; one whose body was half received, and one that waited behind another one on its connection, left no line. A stream that its caller takes up, and whose version was still being looked for, ended without an answer and without a line; it now gets 503 at the end of the stop.

Cause: handlers cancelled by the exit were taken for callers that left; the limit of lines a second holds for a stop too, in which all that is open ends at one moment (10 refusals of 600 in a second were logged); a full queue of lines made the flush at the exit raise, which lost all of them; an exit by an error left no line.

Now the lines of a stop say how far the request came (`ran`: not_sent, sent, runs), the prediction it was judged by (`needed_s`, `basis`), the time left then and now (`judged_left_s`, `left_s`). They have a limit of their own, 1000 of each outcome. `call_unreceived` names half-received requests. `stopping` and `stopped` count the connections by what they are used for; `stopped` also what the stop ended, and the idle connections that it closed. New: `process_failed`, `lines_dropped`. `StopGuard.can_end` is split into the prediction and its comparison.

Evidence: gateway_stop_log_test, 8 of 9 tests failed before (the ninth, a caller that leaves in a stop, held); 2 of 2 new tests of call_log_test, logs_test (queue.Full) and test_exit_by_an_error_is_logged failed before. All hold now.

--- a/mulberrypick/adapters/logs.py
+++ b/mulberrypick/adapters/logs.py
@@ -16,6 +16,9 @@
 
 # Lines queued while standard output is blocked; further lines are dropped.
 MAX_QUEUED_LINES = 2000
+# Time for a full queue to get room at the end of the process (s). If it has
+# none by then, nobody reads standard output.
+FLUSH_TIMEOUT_S = 2.0
 
 
 def configure_queued_logging(
@@ -41,7 +44,7 @@
   root.setLevel(level.upper())
   writer = logging.StreamHandler(sys.stdout)
   writer.setFormatter(_make_formatter())
-  handler.listener = logging.handlers.QueueListener(handler.queue, writer)
+  handler.listener = _QueuedWriter(handler.queue, writer)
   handler.listener.start()
   return handler
 
@@ -92,6 +95,14 @@
       self.dropped += 1
 
 
+class _QueuedWriter(logging.handlers.QueueListener):
+  """Writes queued lines in a thread, at the end of the process all of them."""
+
+  def enqueue_sentinel(self) -> None:
+    """Queues the end, for which a full queue must have room first."""
+    self.queue.put(self._sentinel, timeout=FLUSH_TIMEOUT_S)
+
+
 class _ProcessFields(logging.Filter):
   """Adds the names of the program and the host to every line."""
 
--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import enum
 from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
@@ -49,6 +50,19 @@
 }
 
 
+class Activity(enum.Enum):
+  """What a connection is used for."""
+
+  # A request was received, and its answer is not written to the end.
+  ANSWERING = 'answering'
+  # A part of a request was received.
+  RECEIVING = 'receiving'
+  # All is answered, and bytes have not reached the caller.
+  UNSENT = 'unsent'
+  IDLE = 'idle'
+  CLOSED = 'closed'
+
+
 class Limits(NamedTuple):
   """Limits for requests of callers.
 
@@ -238,6 +252,34 @@
       return False
     return self._task is None and not self._is_reading and not self._pending
 
+  @property
+  def activity(self) -> Activity:
+    """What it is used for."""
+    if self._task is not None or self._pending:
+      return Activity.ANSWERING
+    if self._transport.is_closing():
+      return Activity.CLOSED
+    if self.has_unsent:
+      return Activity.UNSENT
+    if self._is_half_closed:
+      return Activity.CLOSED
+    return Activity.RECEIVING if self._is_reading else Activity.IDLE
+
+  @property
+  def waiting(self) -> tuple[ReceivedRequest, ...]:
+    """Requests that were received, and wait for the one before them."""
+    return tuple(self._pending)
+
+  @property
+  def partial_headers(self) -> list[tuple[bytes, bytes]]:
+    """Headers received of a request that is not complete."""
+    return self._headers
+
+  @property
+  def partial_bytes(self) -> int:
+    """Bytes received of a request that is not complete."""
+    return self._request_bytes
+
   @property
   def has_unsent(self) -> bool:
     """Whether written bytes have not reached the caller."""
--- a/mulberrypick/ops/attempt_clock.py
+++ b/mulberrypick/ops/attempt_clock.py
@@ -38,6 +38,9 @@
     self._first_event_at: float | None = None
     self._began_at = 0.0
     self.read_s = 0.0
+    # The latest prediction in a stop, and the time that was left then.
+    self._judged = stop_guard.Prediction(None, stop_guard.Basis.BEFORE_STOP)
+    self._judged_left_s: float | None = None
     self.begin()
 
   def begin(self) -> None:
@@ -93,10 +96,27 @@
   def _can_end(
       self, call: gateway_records.Call, spent_s: float, now: float
   ) -> bool:
+    if self._stop.end_at == float('inf'):
+      return True
     progress = stop_guard.Progress(
         self._stream.last_event,
         self._meter.mean_event_s,
         spent_s,
         self._is_forwarded,
     )
-    return self._stop.can_end(call, progress, now)
+    self._judged = self._stop.predict(call, progress, now)
+    self._judged_left_s = self._stop.end_at - now
+    return self._stop.is_in_time(self._judged, now)
+
+  def describe(self, now: float) -> dict[str, object]:
+    """Returns by what the request was judged in a stop, for logs."""
+    return {
+        'needed_s': _round(self._judged.needed_s),
+        'basis': self._judged.basis.value,
+        'judged_left_s': _round(self._judged_left_s),
+        'left_s': _round(self._stop.end_at - now),
+    }
+
+
+def _round(time_s: float | None) -> float | None:
+  return None if time_s is None else round(time_s, 3)
--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from mulberrypick.adapters import logs
+from mulberrypick.ops import stop_guard
 
 _log = logging.getLogger(__name__)
 # Limits the time spent on logging: at 0.1 ms per line, 0.6% of a core.
@@ -37,6 +38,12 @@
 SLOW_STREAM = 'slow_stream'
 
 
+# Outcomes of requests that a stop ends or refuses. Their lines have a limit of
+# their own: so many of each outcome. The queue of lines holds twice as many.
+ENDED_OUTCOMES = ('refused', 'failed', 'cut', 'undelivered', 'unreceived')
+MAX_STOP_LINES = 1000
+
+
 class CallLog:
   """Logs and counts decisions on requests.
 
@@ -50,6 +57,7 @@
     self._shared_lines = 0
     self._reserved_lines: collections.Counter[str] = collections.Counter()
     self._suppressed: collections.Counter[str] = collections.Counter()
+    self._stop_lines: collections.Counter[str] = collections.Counter()
     self._served = 0
 
   def record(
@@ -67,8 +75,9 @@
         `broke` for an attempt whose connection to the endpoint broke off,
         `waited` or `moved` for one whose endpoint is silent, `resumed` for a
         stream that its caller takes up, `passed_on` for a request that
-        another host answered, `taken` for one of another host, or
-        `undelivered` for a response that did not reach its caller whole.
+        another host answered, `taken` for one of another host,
+        `undelivered` for a response that did not reach its caller whole, or
+        `unreceived` for a request that did not reach this host whole.
       reason: Identifier of the cause.
       now: Time on the event loop's clock.
       route: Name of the route, empty if there is none.
@@ -82,7 +91,10 @@
         return
     if int(now) != self._second:
       self._start_second(int(now))
-    if not self._take_line(outcome):
+    is_by_stop = reason in stop_guard.REASONS and outcome in ENDED_OUTCOMES
+    if not (is_by_stop and self._take_stop_line(outcome)) and (
+        not self._take_line(outcome)
+    ):
       self._suppressed[outcome] += 1
       return
     logs.log_event(
@@ -94,6 +106,25 @@
         **fields,
     )
 
+  def count_ended_by_stop(self) -> dict[str, int]:
+    """Returns how many requests a stop ended or refused, by outcome."""
+    count_by_outcome = dict.fromkeys(ENDED_OUTCOMES, 0)
+    for (outcome, reason, _), count in self.count_by_outcome.items():
+      if reason in stop_guard.REASONS and outcome in count_by_outcome:
+        count_by_outcome[outcome] += count
+    return count_by_outcome
+
+  def flush(self) -> None:
+    """Logs how many lines were left out lately."""
+    self._start_second(self._second)
+
+  def _take_stop_line(self, outcome: str) -> bool:
+    """Returns whether a line about a stop may be logged, and uses it up."""
+    if self._stop_lines[outcome] >= MAX_STOP_LINES:
+      return False
+    self._stop_lines[outcome] += 1
+    return True
+
   def _take_line(self, outcome: str) -> bool:
     """Returns whether a line may be logged, and uses it up."""
     reserved = RESERVED_LINES_BY_OUTCOME.get(outcome, 0)
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -3,6 +3,7 @@
 import unittest
 
 from mulberrypick.ops import call_log
+from mulberrypick.ops import stop_guard
 
 RARE_OUTCOMES = (
     'cut',
@@ -64,6 +65,35 @@
           self.record(outcome)
     self.assertEqual(len(lines.output), call_log.MAX_LINES_PER_S)
 
+  def test_all_requests_that_a_stop_ends_are_logged(self):
+    # Guards against requests that end in a stop without a line: all that are
+    # open end at one moment, beside refusals of many more.
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      for _ in range(FLOOD):
+        for outcome in ('refused', 'cut', 'failed'):
+          self.log.record(
+              outcome, stop_guard.STOPPING, NOW, 'ask', request=outcome
+          )
+    for outcome in ('refused', 'cut', 'failed'):
+      self.assertEqual(
+          self.count_lines(lines, f'call_{outcome}'), FLOOD, outcome
+      )
+
+  def test_lines_about_a_stop_are_bounded(self):
+    flood = 2 * call_log.MAX_STOP_LINES
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      for _ in range(flood):
+        self.log.record('refused', stop_guard.STOPPING, NOW, 'ask')
+      self.log.record('cut', stop_guard.STOPPING, NOW, 'ask')
+      self.log.flush()
+    written = self.count_lines(lines, 'call_refused')
+    self.assertLessEqual(
+        written, call_log.MAX_STOP_LINES + call_log.MAX_LINES_PER_S
+    )
+    self.assertEqual(self.count_lines(lines, 'call_cut'), 1)
+    self.assertIn(f"'count': {flood - written}", lines.output[-1])
+    self.assertEqual(self.log.count_ended_by_stop()['refused'], flood)
+
   def test_left_out_lines_are_counted_by_kind(self):
     with self.assertLogs(call_log.__name__, 'INFO') as lines:
       self.record('refused', FLOOD)
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -159,7 +159,7 @@
         return
       self._refuse(placements.Refusal('timeout', None))
     except asyncio.CancelledError:
-      self._log_decision('left', 'caller_left')
+      self._log_decision(*self._state.stop.cause_of_cancellation())
       raise
     finally:
       self._next.close()
@@ -688,8 +688,19 @@
         self._caller, status, reason, self._call.id, None
     )
 
+  def _describe_run(self) -> str:
+    """Returns how far the request came, for logs."""
+    if self._stream.has_head:
+      return 'runs'
+    if self._next.runs or self._is_sent:
+      return 'sent'
+    return 'not_sent'
+
   def _log_decision(self, outcome: str, reason: str, **fields: object) -> None:
     now = asyncio.get_running_loop().time()
+    if reason in stop_guard.REASONS:
+      fields['ran'] = self._describe_run()
+      fields |= self._clock.describe(now)
     placement = self._placement
     if placement is not None:
       fields['endpoint'] = placement.endpoint.name
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -134,9 +134,8 @@
     if forwarded is not None and forwarded.origin.software is not None:
       call = call._replace(software=forwarded.origin.software)
     elif headers.is_resumed and route.is_resumable:
-      call = await self._bind_taken_up(call)
-      if not call.software:
-        self._refuse(caller, 503, 'version_unknown', headers.id, None)
+      call = await self._take_up(call, caller, forwarded)
+      if call is None:
         return
     run = call_run.CallRun(
         state,
@@ -151,6 +150,71 @@
     )
     await run.run()
 
+  async def _take_up(
+      self,
+      call: gateway_records.Call,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      forwarded: forward_server.ForwardedCaller | None,
+  ) -> gateway_records.Call | None:
+    """Binds a stream that goes on; returns None if it was refused."""
+    bound = await self._bind_in_time(call)
+    if bound is None:
+      self._end_for_stop(call, caller, forwarded)
+      return None
+    if not bound.software:
+      self._refuse(caller, 503, 'version_unknown', call.id, None)
+      return None
+    return bound
+
+  async def _bind_in_time(
+      self, call: gateway_records.Call
+  ) -> gateway_records.Call | None:
+    """Binds a stream; returns None if a stop ends the request meanwhile."""
+    stop = self._state.stop
+    timeout = asyncio.timeout(None)
+    try:
+      async with timeout:
+        with stop.watch(timeout):
+          return await self._bind_taken_up(call)
+    except TimeoutError:
+      if not timeout.expired():
+        raise
+      return None
+    except asyncio.CancelledError:
+      outcome, reason = stop.cause_of_cancellation()
+      self._record(outcome, reason, call)
+      raise
+
+  def _end_for_stop(
+      self,
+      call: gateway_records.Call,
+      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      forwarded: forward_server.ForwardedCaller | None,
+  ) -> None:
+    """Ends a request that was not sent and that a stop leaves no time for."""
+    self._record('refused', stop_guard.STOPPING, call)
+    if forwarded is not None:
+      forwarded.decline(forward_server.LEAVING)
+      return
+    failure_response.write_failure(
+        caller, 503, stop_guard.STOPPING, call.id, stop_guard.RETRY_AFTER_S
+    )
+
+  def _record(
+      self, outcome: str, reason: str, call: gateway_records.Call
+  ) -> None:
+    """Logs how a request ended that was not sent."""
+    now = asyncio.get_running_loop().time()
+    self._log.record(
+        outcome,
+        reason,
+        now,
+        call.route.name,
+        request=call.id,
+        after_s=round(now - call.arrived_at, 3),
+        ran='not_sent',
+    )
+
   async def _bind_taken_up(
       self, call: gateway_records.Call
   ) -> gateway_records.Call:
--- a/mulberrypick/ops/next_run.py
+++ b/mulberrypick/ops/next_run.py
@@ -29,8 +29,7 @@
     'read_held_off',
     'leaving',
     'read_leaving',
-    stop_guard.STOPPING,
-    f'read_{stop_guard.STOPPING}',
+    *stop_guard.REASONS,
 )
 # Reasons of attempts that this host ended, and that might have gone on.
 GIVEN_UP_REASONS = ('silent', 'stalled')
--- a/mulberrypick/ops/stop_guard.py
+++ b/mulberrypick/ops/stop_guard.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import NamedTuple
@@ -17,6 +18,9 @@
 
 # Reason of a request that was not sent, for logs and callers.
 STOPPING = 'host_stopping'
+# The same of a prefill, and both.
+READ_STOPPING = f'read_{STOPPING}'
+REASONS = (STOPPING, READ_STOPPING)
 # Retry-After of its response: other hosts take it at once.
 RETRY_AFTER_S = 0.05
 
@@ -44,6 +48,34 @@
   is_forwarded: bool
 
 
+class Basis(enum.Enum):
+  """What the time to the end of a request is known by."""
+
+  # It was not judged, as no stop has begun.
+  BEFORE_STOP = 'before_stop'
+  # It ends by its time limit, which is earlier than the end of the stop.
+  TIME_LIMIT = 'time_limit'
+  # Earlier requests, requests under way, or the events of its own stream.
+  RUN_TIMES = 'run_times'
+  OPEN_RUNS = 'open_runs'
+  PACE = 'pace'
+  # The size of its stream is unknown, or too few like it were seen.
+  UNKNOWN_SIZE = 'unknown_size'
+  UNKNOWN = 'unknown'
+
+
+class Prediction(NamedTuple):
+  """How long a request is going to take.
+
+  Attributes:
+    needed_s: Time to its end, None if unknown.
+    basis: What that is known by.
+  """
+
+  needed_s: float | None
+  basis: Basis
+
+
 # Returns a request that is under way, and how long it has taken by a time.
 Observer = Callable[[float], tuple[gateway_records.Call, run_times.RunTime]]
 
@@ -52,28 +84,27 @@
   """The time at which requests must have ended, and those that are open.
 
   Attributes:
+    end_at: When requests are given up, on the clock of the event loop; infinite
+      while the process does not shut down.
     times: How long requests took lately.
+    is_over: Whether the process is about to exit: it ends what is still open.
   """
 
   def __init__(self):
-    self._end_at = float('inf')
-    self._excused_until = float('inf')
+    self.end_at = float('inf')
     self.times = run_times.RunTimes()
+    self.is_over = False
+    self._excused_until = float('inf')
     self._observers: dict[asyncio.Timeout, Observer] = {}
 
-  @property
-  def end_at(self) -> float:
-    """When requests are given up, on the clock of the event loop.
+  def begin(self, began_at: float, end_at: float) -> None:
+    """Begins the stop.
 
-    It is infinite while the process does not shut down. The stop begins when it
-    is set.
+    Args:
+      began_at: When SIGTERM came, on the clock of the event loop.
+      end_at: When requests are given up, on the same clock.
     """
-    return self._end_at
-
-  @end_at.setter
-  def end_at(self, end_at: float) -> None:
-    self._end_at = end_at
-    began_at = asyncio.get_running_loop().time()
+    self.end_at = end_at
     self._excused_until = began_at + EXCUSED_S - SIGNAL_DELAY_S
 
   def is_owed_its_end(
@@ -84,42 +115,63 @@
     A response that is written as a whole is replaced by a failure instead.
     Nothing is excused for callers of a host that does not leave.
     """
-    if self._end_at == float('inf'):
+    if self.end_at == float('inf'):
       return False
     is_stream = call.route.kind is gateway_records.CallKind.STREAM
     return is_stream and (is_forwarded or call.arrived_at > self._excused_until)
 
-  def can_end(
+  def predict(
       self, call: gateway_records.Call, progress: Progress, now: float
-  ) -> bool:
-    """Returns whether a request that is sent now ends before the process.
+  ) -> Prediction:
+    """Predicts in a stop when a request ends that is sent now.
 
     Args:
       call: The request.
       progress: How far it has come.
       now: Time on the event loop's clock.
     """
-    if self._end_at == float('inf'):
-      return True
     limit_at = min(call.deadline_at, call.arrived_at + call.route.timeout_s)
-    if limit_at <= self._end_at:
-      return True
+    if limit_at <= self.end_at:
+      return Prediction(limit_at - now, Basis.TIME_LIMIT)
     events = None
     if call.route.kind is gateway_records.CallKind.STREAM:
       events = max(0, call.output_tokens - (progress.last_event or 0)) or None
     is_owed = self.is_owed_its_end(call, progress.is_forwarded)
     if is_owed and events is None:
       # It may be longer than any that was seen.
-      return False
+      return Prediction(None, Basis.UNKNOWN_SIZE)
+    found = self._predict_by_runs(call, events, progress, not is_owed)
+    if found.needed_s is None or not is_owed:
+      return found
+    slowest_s = self._slowest_open_s(call, events, progress.spent_s, now)
+    if slowest_s > found.needed_s:
+      return Prediction(slowest_s, Basis.OPEN_RUNS)
+    return found
+
+  def _predict_by_runs(
+      self,
+      call: gateway_records.Call,
+      events: int | None,
+      progress: Progress,
+      may_be_larger: bool,
+  ) -> Prediction:
+    """Predicts by earlier requests, or else by the pace of its own stream."""
     needed_s = self.times.predict_s(
-        describe_work(call), events, progress.spent_s, not is_owed
+        describe_work(call), events, progress.spent_s, may_be_larger
     )
-    if needed_s is None and events and progress.event_s:
+    if needed_s is not None:
+      return Prediction(needed_s, Basis.RUN_TIMES)
+    if events and progress.event_s:
       needed_s = run_times.SAFETY_FACTOR * events * progress.event_s
-    if needed_s is not None and is_owed:
-      slowest_s = self._slowest_open_s(call, events, progress.spent_s, now)
-      needed_s = max(needed_s, slowest_s)
-    return needed_s is not None and now + needed_s <= self._end_at
+      return Prediction(needed_s, Basis.PACE)
+    return Prediction(None, Basis.UNKNOWN)
+
+  def is_in_time(self, prediction: Prediction, now: float) -> bool:
+    """Returns whether a request that is sent now ends before the process."""
+    if prediction.basis is Basis.TIME_LIMIT:
+      return True
+    needed_s = prediction.needed_s
+    return needed_s is not None and now + needed_s <= self.end_at
 
   def _slowest_open_s(
       self,
@@ -143,6 +195,12 @@
       longest_s = max(longest_s, run.rest_s(events, spent_s))
     return run_times.SAFETY_FACTOR * longest_s
 
+  def cause_of_cancellation(self) -> tuple[str, str]:
+    """Returns outcome and reason of a request that is cancelled."""
+    if self.is_over:
+      return 'cut', STOPPING
+    return 'left', 'caller_left'
+
   @contextlib.contextmanager
   def watch(
       self, timeout: asyncio.Timeout, observe: Observer
--- a/mulberrypick/ops/stop_guard_test.py
+++ b/mulberrypick/ops/stop_guard_test.py
@@ -24,7 +24,7 @@
 
   async def asyncSetUp(self):
     self.began_at = asyncio.get_running_loop().time()
-    self.stop.end_at = self.began_at + GRACE_S
+    self.stop.begin(self.began_at, self.began_at + GRACE_S)
 
   def make_clock(self, is_forwarded=False) -> attempt_clock.AttemptClock:
     return attempt_clock.AttemptClock(
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -104,6 +104,7 @@
         self.state,
         self._caller_server,
         self._forward_server,
+        self._call_log,
         self._peers.publish_now,
         self._hosts.leave,
     )
@@ -149,6 +150,7 @@
           logs.log_event(_log, logging.ERROR, 'task_ended', task=repr(task))
       await self._stop.run(self._stop_began_at())
     finally:
+      self.state.stop.is_over = True
       self._signals.detach()
       for task in (*running, stop_task):
         task.cancel()
@@ -316,5 +318,12 @@
   signals.install()
   try:
     uvloop.run(serve(host, signals))
+  except Exception:
+    _log.exception({'event': 'process_failed'})
+    raise
   finally:
+    if handler.dropped:
+      logs.log_event(
+          _log, logging.WARNING, 'lines_dropped', count=handler.dropped
+      )
     handler.listener.stop()
--- a/standins/gateway_process_test.py
+++ b/standins/gateway_process_test.py
@@ -27,13 +27,15 @@
     )
     self.program = await self.spawn()
 
-  async def spawn(self) -> asyncio.subprocess.Process:
+  async def spawn(
+      self, output: int = asyncio.subprocess.DEVNULL
+  ) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         '-m',
         'mulberrypick.scripts.gateway',
         env=os.environ | {'MULBERRYPICK_NODE_FILE': str(self.settings)},
-        stdout=asyncio.subprocess.DEVNULL,
+        stdout=output,
     )
 
   async def asyncTearDown(self):
@@ -80,6 +82,16 @@
       async with asyncio.timeout(TIMEOUT_S):
         self.assertEqual(await program.wait(), 0)
 
+  async def test_exit_by_an_error_is_logged(self):
+    # Guards against a process that ends without a word in its log.
+    await self.wait_until_ready(200)
+    # The port is in use.
+    program = await self.spawn(asyncio.subprocess.PIPE)
+    async with asyncio.timeout(TIMEOUT_S):
+      written, _ = await program.communicate()
+    self.assertNotEqual(program.returncode, 0)
+    self.assertIn(b'event=process_failed', written)
+
   async def check_exit_status_after_signals_in(self, function: str):
     """Checks the exit status if SIGTERM arrives during a function.
 
