Trace a request that a stop ended from its id to the reason

What operators saw: `explain` of a request that a stop cut did not show SIGTERM: the line `stopping` stands a whole grace period before, and `explain` shows 3 s around the lines of a request.

Now lines about the life of the hosts' processes are shown within 60 s.

--- a/mulberrypick/core/request_timeline.py
+++ b/mulberrypick/core/request_timeline.py
@@ -7,6 +7,17 @@
 # Time before the first and after the last line of a request within which lines
 # about its endpoints are included.
 CONTEXT_WINDOW_S = 3.0
+# The same for lines about the life of its processes: a stop begins a whole
+# grace period before it ends requests.
+LIFE_WINDOW_S = 60.0
+LIFE_EVENTS = (
+    'starting',
+    'stopping',
+    'stop_failed',
+    'task_ended',
+    'stopped',
+    'process_failed',
+)
 _FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _TIME = re.compile(r'(\d\d):(\d\d):(\d\d),(\d{3})')
 _DAY_S = 86400.0
@@ -47,9 +58,9 @@
   Returns:
     All lines of the request. Among them, each indented by two spaces, are the
     lines of all hosts about requests with the same content, and other lines
-    that its hosts logged at about that time, see `CONTEXT_WINDOW_S`: those
-    about its endpoints, and those about no endpoint, for example about the
-    store or the configuration.
+    that its hosts logged at about that time, see `CONTEXT_WINDOW_S` and
+    `LIFE_WINDOW_S`: those about its endpoints, and those about no endpoint,
+    for example about the store or the configuration.
   """
   parsed = []
   for text in lines:
@@ -97,9 +108,12 @@
     endpoints: set[str],
     hosts: set[str],
 ) -> bool:
-  if not first - CONTEXT_WINDOW_S <= line.at_s <= last + CONTEXT_WINDOW_S:
-    return False
   fields = line.value_by_field
+  window_s = CONTEXT_WINDOW_S
+  if fields['event'] in LIFE_EVENTS:
+    window_s = LIFE_WINDOW_S
+  if not first - window_s <= line.at_s <= last + window_s:
+    return False
   if 'request' in fields or fields.get('host') not in hosts:
     return False
   if 'endpoint' in fields:
--- a/mulberrypick/core/request_timeline_test.py
+++ b/mulberrypick/core/request_timeline_test.py
@@ -43,6 +43,22 @@
     self.assertEqual(len(timeline), 2)
     self.assertIn('  10:00:01.000 h3 call_broke', timeline[0])
 
+  def test_begin_of_a_stop_is_included(self):
+    # Guards against a request that a stop cut and that can't be traced to it:
+    # SIGTERM comes as long before as the grace period lasts.
+    stop = (
+        'at="2026-01-01 10:00:00,500" level=INFO event=stopping grace_s=9.0'
+        ' host=h1',
+        'at="2026-01-01 10:00:00,500" level=INFO event=stopping grace_s=9.0'
+        ' host=h2',
+        'at="2026-01-01 10:00:14,500" level=INFO event=stopped host=h1',
+        'at="2026-01-01 09:00:00,500" level=INFO event=starting host=h1',
+    )
+    timeline = request_timeline.build_timeline((*LINES, *stop), 'r1')
+    self.assertIn('10:00:00.500 h1 stopping grace_s=9.0', timeline[0])
+    self.assertIn('10:00:14.500 h1 stopped', timeline[-1])
+    self.assertEqual(len(timeline), 5)
+
   def test_unknown_request(self):
     self.assertEqual(request_timeline.build_timeline(LINES, 'r7'), [])
 
--- a/standins/gateway_process_test.py
+++ b/standins/gateway_process_test.py
@@ -8,11 +8,14 @@
 import tempfile
 import unittest
 
+from mulberrypick.core import request_timeline
 from standins import bench_forwarding
 from standins import gateway_cluster
 from standins import soak_gateway
 
 TIMEOUT_S = 20.0
+# Longer than the grace period.
+LONG_MS = 15_000
 
 
 class GatewayProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -92,6 +95,45 @@
     self.assertNotEqual(program.returncode, 0)
     self.assertIn(b'event=process_failed', written)
 
+  async def test_cut_request_is_traced_to_the_stop(self):
+    # Guards against a request that ends with the process and that no line
+    # names, as in issue 53.
+    self.program.kill()
+    await self.program.wait()
+    config = gateway_cluster.make_config(2)
+    for route in config['routes']:
+      route['timeoutMs'] = LONG_MS
+    self.cluster.store.put('config', 'main', config)
+    self.cluster.update_behaviour(
+        'engine', events=LONG_MS // 50, event_interval_s=0.05
+    )
+    self.program = await self.spawn(asyncio.subprocess.PIPE)
+    await self.wait_until_ready(200)
+    headers = {'X-Mulberrypick-Deadline-Ms': f'{LONG_MS}'}
+    call = asyncio.create_task(
+        gateway_cluster.call(
+            self.host.listen_port, '/read/x', 'r1', headers=headers
+        )
+    )
+    async with asyncio.timeout(TIMEOUT_S):
+      while not self.cluster.runs('r1'):
+        await asyncio.sleep(0.01)
+      self.program.send_signal(signal.SIGTERM)
+      written, _ = await self.program.communicate()
+    self.assertFalse((await call).is_whole)
+    self.assertEqual(self.program.returncode, 0)
+    timeline = request_timeline.build_timeline(
+        written.decode().splitlines(), 'r1'
+    )
+    events = [line.split()[2] for line in timeline]
+    self.assertEqual(events.count('call_cut'), 1, timeline)
+    at = events.index('call_cut')
+    self.assertIn('reason=host_stopping', timeline[at])
+    self.assertIn('ran=runs', timeline[at])
+    self.assertIn('stopping', events[:at])
+    self.assertIn('stopped', events[at:])
+    self.assertIn(' cut=1 ', timeline[events.index('stopped')])
+
   async def check_exit_status_after_signals_in(self, function: str):
     """Checks the exit status if SIGTERM arrives during a function.
 
