Log responses to other hosts that an exit cuts

What operators saw: a response to a request that another host passed on, and that this host had not delivered when it exited, left no line; `call_undelivered` was written for callers only.

Cause: the port of other hosts reported to nobody, and its connections had no id of a request. Both are set now; the stop reports both ports.

--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -15,6 +15,7 @@
 from mulberrypick.adapters import stream_server
 from mulberrypick.ops import forward_message
 from mulberrypick.ops import gateway_state
+from mulberrypick.platform import requests
 
 _log = logging.getLogger(__name__)
 # Requests of other hosts that this one works on at a time; it declines others.
@@ -153,6 +154,7 @@
       self._log_refused(received, str(error))
       connection.write_response(400, [], b'')
       return
+    connection.request_id = requests.find_id(origin.headers)
     caller = ForwardedCaller(origin, connection)
     reason = self._reason_to_decline(origin)
     if reason:
--- a/mulberrypick/platform/gateway_stop_log_test.py
+++ b/mulberrypick/platform/gateway_stop_log_test.py
@@ -5,8 +5,10 @@
 from unittest import mock
 
 from mulberrypick.core import run_times
+from mulberrypick.ops import forward_message
 from mulberrypick.ops import stop_guard
 from mulberrypick.platform import gateway_stop_test
+from standins import gateway_cluster
 
 LONG_S = 2 * gateway_stop_test.GRACE_S
 IDLE_TIMEOUT_MS = 20_000
@@ -190,5 +192,67 @@
     self.assertGreaterEqual(end['closed_idle'], 1)
 
 
+class SlowHostTest(gateway_stop_test.StopTestCase):
+  """Another host does not read the answers to what it has passed on."""
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+
+    async def answer(request, headers, connection) -> bool:
+      found = {
+          b'X-Mulberrypick-Request-Id': request.encode(),
+          b'X-Mulberrypick-Server-Signature': b's',
+      }
+      connection.write_response(
+          200, list(found.items()), bytes(gateway_stop_test.LARGE_BYTES)
+      )
+      return True
+
+    for name in ('desk-1', 'desk-2'):
+      self.cluster.replica_by_name[name].on_run = answer
+    other = await self.start_gateway('host-2')
+    peers = self.gateway._peers
+    await self.wait_until(lambda: peers.is_host(other.state.host.ip))
+
+  async def test_response_to_another_host_that_is_not_delivered(self):
+    # Guards against a response that the exit cuts without a line.
+    request = forward_message.ForwardedRequest(
+        host='host-2',
+        method=b'POST',
+        target=b'/safe/x',
+        headers=[
+            (b'Host', gateway_cluster.HOST.encode()),
+            (b'X-Mulberrypick-Request-Id', b'r1'),
+        ],
+        body=b'',
+        peer='127.0.0.1',
+        elapsed_s=0.0,
+        config_version=2,
+    )
+    body = forward_message.encode_request(request)
+    reader, writer = await asyncio.open_connection(
+        '127.0.0.1', self.host.forward_port, limit=65536
+    )
+    self.addCleanup(writer.close)
+    head = (
+        f'POST {forward_message.PATH.decode()} HTTP/1.1\r\nHost: x\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    with self.assertLogs('mulberrypick', 'INFO') as lines:
+      writer.write(head.encode() + body)
+      await reader.read(1000)
+      self.stop_gateway()
+      await self.wait_for_end()
+    found = [
+        record.msg
+        for record in lines.records
+        if record.msg['event'] == 'call_undelivered'
+    ]
+    self.assertEqual(len(found), 1, lines.output)
+    self.assertEqual(found[0]['request'], 'r1')
+    self.assertEqual(found[0]['reason'], stop_guard.STOPPING)
+    self.assertGreater(found[0]['unsent_bytes'], 0)
+
+
 if __name__ == '__main__':
   unittest.main()
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -91,6 +91,7 @@
         ).handle,
         self._task.log_refused,
     )
+    self._forward_server.on_undelivered = self._task.log_undelivered
     self._readiness_server = stream_server.StreamServer(
         self._task.answer_ready, self._task.log_refused
     )
--- a/mulberrypick/scripts/gateway_stop.py
+++ b/mulberrypick/scripts/gateway_stop.py
@@ -44,7 +44,6 @@
       remove_entry: Removes the entry of this host from the store.
     """
     self._state = state
-    self._caller_server = caller_server
     self._servers = (caller_server, forward_server)
     self._log = log
     self._tell_hosts = tell_hosts
@@ -82,7 +81,7 @@
       self._try('close_port', server.stop_listening)
     while self._close_idle() and loop.time() < schedule.end_requests_at:
       await asyncio.sleep(DRAIN_POLL_S)
-    given_up = state.stop.give_up()
+    given_up = self._try('give_up', state.stop.give_up)
     # What was just written is sent in the next turn of the event loop.
     await asyncio.sleep(FLUSH_POLL_S)
     while self._close_idle() and loop.time() < schedule.exit_at:
@@ -113,7 +112,8 @@
       self._log_failure('remove_entry')
 
   def _report_undelivered(self) -> None:
-    self._caller_server.report_undelivered(stop_guard.STOPPING)
+    for server in self._servers:
+      server.report_undelivered(stop_guard.STOPPING)
 
   def _connections(self) -> list[stream_server.ServerConnection]:
     found = []
