Let the log tell at the end how many lines it left out

CallLog.report_left_out logs the count.

The test failed before with AttributeError: report_left_out.

--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -136,7 +136,8 @@
       return True
     return False
 
-  def _start_second(self, second: int) -> None:
+  def report_left_out(self) -> None:
+    """Logs how many lines were left out; called when no decision may follow."""
     if self._suppressed:
       logs.log_event(
           _log,
@@ -145,10 +146,13 @@
           count=self._suppressed.total(),
           **self._suppressed,
       )
+    self._suppressed.clear()
+
+  def _start_second(self, second: int) -> None:
+    self.report_left_out()
     self._second = second
     self._shared_lines = 0
     self._reserved_lines.clear()
-    self._suppressed.clear()
 
 
 def format_hash(fingerprint: int) -> str:
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -107,6 +107,17 @@
     self.assertIn(f"'refused': {refused}", line)
     self.assertIn(f"'cut': {cut}", line)
 
+  def test_left_out_lines_are_counted_at_the_end_of_the_process(self):
+    # Guards against requests that are cut in the last second of a stop, and of
+    # which no line tells, not even how many there were.
+    with self.assertLogs(call_log.__name__, 'INFO') as lines:
+      self.record('cut', FLOOD)
+      self.log.report_left_out()
+      self.log.report_left_out()
+    cut = FLOOD - self.count_lines(lines, 'call_cut')
+    self.assertEqual(self.count_lines(lines, 'lines_left_out'), 1)
+    self.assertIn(f"'cut': {cut}", lines.output[-1])
+
   def test_all_decisions_are_counted(self):
     with self.assertLogs(call_log.__name__, 'INFO'):
       self.record('refused', FLOOD)
