Show that a stop cuts a stream on a route that moved to a slower service

A route keeps its name when a configuration moves it to another service. The times of its runs at the old one then predict that a stream ends within the grace period, though it does not: RunTimes is keyed by the name of the route alone.

The test sends a stream of 8 s 3.1 s after SIGTERM, with a grace period of 8 s, after ten short streams at the old service.

--- a/mulberrypick/platform/gateway_stop_config_test.py
+++ b/mulberrypick/platform/gateway_stop_config_test.py
@@ -16,6 +16,10 @@
 WORK_S = 1.2
 # Time limit of a route, shorter than the work that is under way.
 SHORT_LIMIT_MS = 300
+# The grace period of all deployments, and a time after SIGTERM from which on no
+# request that is sent may be cut.
+LONG_GRACE_S = 8.0
+UNEXCUSED_S = 3.1
 BODY_BYTES = 60_000
 # Limit of bodies that the part which was sent already exceeds.
 SMALL_BODY_BYTES = 1000
@@ -169,5 +173,51 @@
     self.assertEqual(self.arrivals(), 0)
 
 
+class SlowerServiceTest(ChangeTestCase):
+
+  async def asyncSetUp(self):
+    await super().asyncSetUp()
+    state = self.gateway.state
+    bounds = state.host.bounds._replace(grace_s=LONG_GRACE_S)
+    state.host = state.host._replace(bounds=bounds)
+
+  async def test_stream_on_a_moved_route_is_not_cut(self):
+    # Guards against a prediction from runs at the service before the move.
+    self.cluster.update_behaviour('engine', events=5, event_interval_s=0.005)
+    for number in range(10):
+      answer = await self.call('/read/x', f'before-{number}')
+      self.assertTrue(answer.is_whole)
+    for number in (1, 2):
+      slow = await self.cluster.add(f'slow-{number}', 'slow', 'decode')
+      slow.behaviour = slow.behaviour._replace(
+          events=160, event_interval_s=0.05
+      )
+
+    def move(config):
+      config['limits']['idleTimeoutMs'] = gateway_stop_test.TIMEOUT_MS
+      engine = config['services'][1]
+      config['services'].append(engine | {'name': 'slow'})
+      for route in config['routes']:
+        if route['name'] == 'read':
+          route['service'] = 'slow'
+
+    await self.change_config(move)
+    await self.wait_until(
+        lambda: self.gateway.state.endpoints.find('slow-2') is not None
+        and self.gateway._caller_server.limits.idle_timeout_s > LONG_GRACE_S
+    )
+    caller = await self.open_caller()
+    caller.send_head('/read/x', 'r1')
+    await asyncio.sleep(0.05)
+    self.stop_gateway()
+    await asyncio.sleep(UNEXCUSED_S)
+    caller.send_body(b'xy')
+    received = await caller.wait()
+    if received.startswith(b'HTTP/1.1 200 '):
+      self.assertTrue(received.endswith(b'\r\n0\r\n\r\n'), received[-200:])
+    else:
+      self.assert_refused(received)
+
+
 if __name__ == '__main__':
   unittest.main()
