--- a/mulberrypick/ops/stop_guard.py
+++ b/mulberrypick/ops/stop_guard.py
@@ -95,7 +95,7 @@
     self.times = run_times.RunTimes()
     self.is_over = False
     self._excused_until = float('inf')
-    self._observers: dict[asyncio.Timeout, Observer] = {}
+    self._observers: dict[asyncio.Timeout, Observer | None] = {}
 
   def begin(self, began_at: float, end_at: float) -> None:
     """Begins the stop.
@@ -186,6 +186,8 @@
     """
     longest_s = 0.0
     for observe in self._observers.values():
+      if observe is None:
+        continue
       other, run = observe(now)
       is_alike = (
           other.route.name == call.route.name and other.service == call.service
@@ -203,13 +205,13 @@
 
   @contextlib.contextmanager
   def watch(
-      self, timeout: asyncio.Timeout, observe: Observer
+      self, timeout: asyncio.Timeout, observe: Observer | None = None
   ) -> Iterator[None]:
     """Lets `give_up` end the time limit of a request within the block.
 
     Args:
       timeout: The time limit.
-      observe: Observes the request.
+      observe: Observes the request; None before it is placed.
     """
     self._observers[timeout] = observe
     try:
--- a/mulberrypick/platform/gateway_stop_log_test.py
+++ b/mulberrypick/platform/gateway_stop_log_test.py
@@ -12,6 +12,7 @@
 
 LONG_S = 2 * gateway_stop_test.GRACE_S
 IDLE_TIMEOUT_MS = 20_000
+UNSAFE_WORK = run_times.Work('unsafe', 'desk')
 
 
 class StopLogTest(gateway_stop_test.StopTestCase):
@@ -77,7 +78,7 @@
     # Guards against a refusal that can't be judged afterwards.
     times = self.gateway.state.stop.times
     for _ in range(run_times.MIN_RUNS):
-      times.record('unsafe', run_times.RunTime(4.0, 4.0))
+      times.record(UNSAFE_WORK, run_times.RunTime(4.0, 4.0))
     self.stop_gateway()
     await self.wait_until(lambda: self.gateway.state.is_leaving)
     headers = {'X-Mulberrypick-Deadline-Ms': '10000'}
@@ -100,7 +101,7 @@
     # Guards against a cut without the prediction that let the request be sent.
     times = self.gateway.state.stop.times
     for _ in range(run_times.MIN_RUNS):
-      times.record('unsafe', run_times.RunTime(0.1, 0.1))
+      times.record(UNSAFE_WORK, run_times.RunTime(0.1, 0.1))
     self.stop_gateway()
     await self.wait_until(lambda: self.gateway.state.is_leaving)
     await self.send()
