--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -114,10 +114,6 @@
         count_by_outcome[outcome] += count
     return count_by_outcome
 
-  def flush(self) -> None:
-    """Logs how many lines were left out lately."""
-    self._start_second(self._second)
-
   def _take_stop_line(self, outcome: str) -> bool:
     """Returns whether a line about a stop may be logged, and uses it up."""
     if self._stop_lines[outcome] >= MAX_STOP_LINES:
--- a/mulberrypick/ops/call_log_test.py
+++ b/mulberrypick/ops/call_log_test.py
@@ -85,7 +85,7 @@
       for _ in range(flood):
         self.log.record('refused', stop_guard.STOPPING, NOW, 'ask')
       self.log.record('cut', stop_guard.STOPPING, NOW, 'ask')
-      self.log.flush()
+      self.log.report_left_out()
     written = self.count_lines(lines, 'call_refused')
     self.assertLessEqual(
         written, call_log.MAX_STOP_LINES + call_log.MAX_LINES_PER_S
--- a/mulberrypick/scripts/gateway_stop.py
+++ b/mulberrypick/scripts/gateway_stop.py
@@ -103,7 +103,7 @@
         **left,
         **self._log.count_ended_by_stop(),
     )
-    self._log.flush()
+    self._log.report_left_out()
 
   async def _leave(self) -> None:
     try:
