Draw planned work in pairs in the soak test

A seed now also determines a run without faults: SIGTERM beside one or two of a configuration, SIGHUP, a release of endpoints, a second SIGTERM, the stop of another host, and restarts in turn, with graceS from 1 to 30. Callers send whole, chunked, late, half-sent and pipelined requests, read large answers slowly or pause, and mix long and short work on one route. Every request is judged by the text of LOST, TWICE, REFUSED and MIXED, also outside of the stop. A request behind a response that says Connection: close counts only if it ran. `--kind planned` runs only these. Schedules of the other kinds do not change.

--- a/standins/bench_forwarding.py
+++ b/standins/bench_forwarding.py
@@ -65,6 +65,7 @@
     slack: float = 50.0,
     ratio: float = 0.2,
     window_s: float = 10.0,
+    grace_s: float = 8.0,
 ) -> pathlib.Path:
   """Writes the settings file of a gateway; returns its path."""
   path = folder / 'settings.yaml'
@@ -84,7 +85,7 @@
               'seeds': list(seeds),
               'bootstrap': host.is_first_start,
               'bounds': {
-                  'graceS': 8,
+                  'graceS': grace_s,
                   'retryBudgetRatio': ratio,
                   'retryBudgetSlack': slack,
                   'budgetWindowS': window_s,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -9,7 +9,8 @@
 and after the last fault the newest configuration must be in force on all
 gateways and every kind of request must be served. For a failed seed the tool
 prints the violations and saves the logs in `out/soak`. Seeds that failed are
-recorded in `soak_seeds.txt` with the cause.
+recorded in `soak_seeds.txt` with the cause. Each seed also determines a run of
+planned work without faults; `--kind planned` runs only those.
 """
 
 import asyncio
@@ -26,6 +27,8 @@
 from standins import soak_cluster
 from standins import soak_faults
 from standins import soak_plan
+from standins import soak_planned
+from standins import soak_planned_plan
 from standins import soak_retries
 from standins import soak_told
 
@@ -318,6 +321,27 @@
   return run_faults(soak_plan.plan_faults(seed), str(seed))
 
 
+def run_planned(
+    plan: soak_planned_plan.Plan, run_name: str, module: str = GATEWAY
+) -> tuple[list[str], str]:
+  """Runs planned work without faults; returns violations and a summary."""
+  with tempfile.TemporaryDirectory() as name:
+    folder = pathlib.Path(name)
+    run = soak_planned.PlannedRun(plan, folder, module)
+    violations = ['RUN: the run did not end']
+    try:
+      violations = asyncio.run(run.run())
+    finally:
+      if violations:
+        save_logs(run_name, folder)
+  return violations, run.summary
+
+
+def run_planned_seed(seed: int) -> tuple[list[str], str]:
+  """Runs the planned work of a seed; returns violations and a summary."""
+  return run_planned(soak_planned_plan.plan(seed), f'planned-{seed}')
+
+
 def save_logs(run_name: str, folder: pathlib.Path) -> None:
   """Copies the logs of a failed run to `FAILED_LOGS_FOLDER`."""
   for path in sorted(folder.glob('*/log.txt')):
@@ -339,13 +363,26 @@
   return seeds
 
 
+RUNS_BY_KIND = {
+    'all': (run_seed, run_planned_seed),
+    'faults': (run_seed,),
+    'planned': (run_planned_seed,),
+}
+
+
 @click.command()
 @click.option(
     '--seeds',
     default='1-3',
     help='Seeds to run, for example 1-50 or 3,7.',
 )
-def main(seeds: str):
+@click.option(
+    '--kind',
+    type=click.Choice(tuple(RUNS_BY_KIND)),
+    default='all',
+    help='What to run of each seed.',
+)
+def main(seeds: str, kind: str):
   """Runs the seeds one after another; exits 1 if any check failed."""
   try:
     numbers = read_seeds(seeds)
@@ -353,12 +390,13 @@
     raise click.BadParameter(f'seeds "{seeds}": {error}') from error
   failed = []
   for seed in numbers:
-    violations, line = run_seed(seed)
-    click.echo(f'seed {seed}: {"FAILED" if violations else "held"}; {line}')
-    for violation in violations:
-      click.echo(f'  {violation}')
-    if violations:
-      failed.append(seed)
+    for run in RUNS_BY_KIND[kind]:
+      violations, line = run(seed)
+      click.echo(f'seed {seed}: {"FAILED" if violations else "held"}; {line}')
+      for violation in violations:
+        click.echo(f'  {violation}')
+      if violations and seed not in failed:
+        failed.append(seed)
   click.echo(f'{len(numbers)} seeds, failed: {failed or "none"}')
   sys.exit(1 if failed else 0)
 
--- a/standins/soak_gateway.py
+++ b/standins/soak_gateway.py
@@ -16,6 +16,7 @@
 
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+GRACE_S = 8.0
 
 
 async def wait_until_signals_are_handled(pid: int) -> None:
@@ -52,6 +53,7 @@
     store_link: The relay to the store.
     peer_link: The relay through which the other gateways reach it.
     is_ready: Whether it was ready at the last poll.
+    grace_s: Time between SIGTERM and SIGKILL in its settings.
     unexpected_exits: Descriptions of unrequested exits and failed shutdowns.
     outages: Periods in which it could not answer.
   """
@@ -72,6 +74,7 @@
     peer_port = int(self.peer_link.address.rpartition(':')[2])
     self.host = host._replace(peer_port=peer_port)
     self.is_ready = False
+    self.grace_s = GRACE_S
     self.unexpected_exits: list[str] = []
     self.outages: list[soak_checks.Outage] = []
     self._folder = folder / name
@@ -101,6 +104,7 @@
         self._bound.slack + more_slack,
         self._bound.ratio,
         self._bound.window_s,
+        self.grace_s,
     )
 
   def set_apart(self, mode: str) -> None:
@@ -214,6 +218,29 @@
         soak_checks.Outage(self.host.name, began_at - 0.1, self._now() + 1.0)
     )
 
+  def terminate(self) -> None:
+    """Sends SIGTERM, also to a gateway that stops already."""
+    self._send_signal(signal.SIGTERM)
+    self._is_ending = True
+
+  async def wait_for_exit(self, timeout_s: float) -> int:
+    """Waits for the exit of the process; returns its status.
+
+    Args:
+      timeout_s: Time after which it is killed.
+    """
+    try:
+      async with asyncio.timeout(timeout_s):
+        return await self._program.wait()
+    except TimeoutError:
+      self._program.kill()
+      return await self._program.wait()
+
+  async def start_again(self) -> None:
+    """Starts the process again after its exit."""
+    async with self._lock:
+      await self._start_again()
+
   async def pause(self, duration_s: float) -> None:
     """Suspends the gateway with SIGSTOP for `duration_s`."""
     async with self._lock:
@@ -235,6 +262,10 @@
     if not self._is_ending:
       self._program.send_signal(signal.SIGHUP)
 
+  def hang_up(self) -> None:
+    """Sends SIGHUP, also to a gateway that stops."""
+    self._send_signal(signal.SIGHUP)
+
   async def close(self) -> None:
     """Kills the process if it is running, and closes its relay."""
     self._is_ending = True
