--- a/Makefile
+++ b/Makefile
@@ -68,10 +68,11 @@
 bench-policy: setup
 	$(RUN) -m standins.bench_policy
 
-# For example: make soak SEEDS=1-50
+# For example: make soak SEEDS=1-50 KIND=planned
 SEEDS ?= 1-5
+KIND ?= all
 soak: setup
-	$(RUN) -m standins.soak --seeds $(SEEDS)
+	$(RUN) -m standins.soak --seeds $(SEEDS) --kind $(KIND)
 
 model-check: setup
 	$(RUN) -m spec.check
