Answer whole requests before the refusal of what follows them

What callers saw: of two pipelined requests with malformed bytes behind them, the first got its response, the second the 400 of those bytes. The same with 413, 431, and the 408 of a body that comes late. The second was read whole, and not run.

Cause: a refusal that waits for a response dropped the requests that waited too.

Evidence: test_fault_after_a_whole_request_does_not_take_its_response: 1 of 2 responses before, on both event loops; holds now.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -428,7 +428,8 @@
     if self._transport.get_write_buffer_size():
       # A reset from now on loses bytes that the log has to name.
       self._unsent.measure()
-    if self._pending and self._refusal_status is None:
+    if self._pending:
+      # Also those before a request that is refused.
       self._transport.resume_reading()
       self._start_next()
       return
--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -161,6 +161,15 @@
     await self.caller.read_rest()
     self.assert_whole(2)
 
+  async def test_fault_after_a_whole_request_does_not_take_its_response(self):
+    # Guards against a request that was read whole, waited for the one before
+    # it, and got the refusal of the bytes after it instead of its response.
+    await self.caller.send(2 * NEXT_REQUEST + b'no request\r\n\r\n')
+    await self.caller.read_rest()
+    self.assertEqual(self.caller.received.count(b'HTTP/1.1 200 '), 2)
+    self.assertEqual(self.caller.received.count(b'HTTP/1.1 400 '), 1)
+    self.assertEqual(len(self.seen), 2)
+
   async def test_refusal_of_a_long_body_arrives_before_the_connection_ends(
       self,
   ):
