Let a task end that raises while it is cancelled

What callers saw: nothing; found in the logs of gateway_out_of_step_test. A task whose error takes the place of its cancellation (sockets are closed before it gets to it) was started again, and outlasted the run of its gateway. If it raises at each cancellation, the event loop never closes, and the process does not exit.

Evidence: test_error_of_a_cancelled_task_does_not_start_it_again did not end within 30 s before, as the test's event loop waits for the task; it holds now.

--- a/mulberrypick/platform/gateway_stop_fault_test.py
+++ b/mulberrypick/platform/gateway_stop_fault_test.py
@@ -92,6 +92,40 @@
     await self.running
 
 
+class _FaultyTask:
+  """Raises when it is cancelled.
+
+  Attributes:
+    starts: How often it was started.
+  """
+
+  def __init__(self):
+    self.starts = 0
+
+  async def run(self) -> None:
+    self.starts += 1
+    try:
+      await asyncio.Event().wait()
+    finally:
+      raise RuntimeError('x')
+
+
+class CancelledTaskTest(unittest.IsolatedAsyncioTestCase):
+
+  async def test_error_of_a_cancelled_task_does_not_start_it_again(self):
+    # Guards against tasks that outlast the exit, as their sockets are closed
+    # before they get to their cancellation.
+    self.enterContext(mock.patch.object(gateway_app, 'TASK_RESTART_S', 0.01))
+    task = _FaultyTask()
+    running = asyncio.create_task(gateway_app._keep_running(task.run))
+    await asyncio.sleep(0)
+    with self.assertLogs(gateway_app.__name__, 'ERROR'):
+      running.cancel()
+      await asyncio.wait([running], timeout=0.2)
+    self.assertTrue(running.done())
+    self.assertEqual(task.starts, 1)
+
+
 class StopFaultTest(gateway_stop_test.StopTestCase):
   """A step of the stop raises."""
 
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -285,6 +285,9 @@
       _log.exception({'event': 'task_fault', 'task': name})
     except Exception:
       _log.exception({'event': 'task_fault', 'task': name})
+      if asyncio.current_task().cancelling():
+        # The error took the place of the cancellation.
+        return
     await asyncio.sleep(TASK_RESTART_S)
 
 
