--- a/mulberrypick/platform/gateway_stop_fault_test.py
+++ b/mulberrypick/platform/gateway_stop_fault_test.py
@@ -118,7 +118,8 @@
     self.enterContext(mock.patch.object(gateway_app, 'TASK_RESTART_S', 0.01))
     task = _FaultyTask()
     running = asyncio.create_task(gateway_app._keep_running(task.run))
-    await asyncio.sleep(0)
+    while not task.starts:
+      await asyncio.sleep(0)
     with self.assertLogs(gateway_app.__name__, 'ERROR'):
       running.cancel()
       await asyncio.wait([running], timeout=0.2)
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -8,8 +8,8 @@
 import random
 import sys
 import time
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 
 import uvloop
 
@@ -268,7 +268,7 @@
     )
 
 
-async def _keep_running(run: Callable[[], Awaitable[None]]) -> None:
+async def _keep_running(run: Callable[[], Coroutine[None, None, None]]) -> None:
   """Runs a method until cancelled, and again after an unexpected error.
 
   The other tasks serve callers meanwhile. A process that ends would meet the
@@ -277,7 +277,9 @@
   name = f'{type(run.__self__).__name__}.{run.__name__}'
   while True:
     try:
-      await run()
+      # A task group that fails leaves its task with a request to be cancelled,
+      # so it gets one of its own.
+      await asyncio.create_task(run())
     except asyncio.CancelledError:
       if asyncio.current_task().cancelling():
         raise
