Ask callers that read slowly less often whether they have all bytes

Cause: every connection that waits until its bytes are sent asked the kernel each 10 ms.

No test: the bound would be a measured figure.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -9,7 +9,7 @@
 are lost. So a connection is closed once its caller has acknowledged all bytes;
 requests that arrive until then are answered. After a refusal of an incomplete
 request, and after one that says that it is the last, more bytes are discarded
-discarded until the caller closes its side, or for some time.
+until the caller closes its side, or for some time.
 """
 
 import asyncio
@@ -31,8 +31,10 @@
 # Time for a caller to close its side of a connection once this side is closed
 # and all bytes are sent (s).
 LINGER_S = 1.0
-# Time between checks whether all bytes are sent (s).
+# Time between checks whether all bytes are sent (s); it is doubled after each
+# one, up to the second value.
 UNSENT_POLL_S = 0.01
+MAX_UNSENT_POLL_S = 0.32
 # Bytes buffered for a slow caller before writers have to wait.
 MAX_WRITE_BUFFER_BYTES = 262144
 REASON_BY_STATUS = {
@@ -121,6 +123,7 @@
     self._task: asyncio.Task | None = None
     self._timer: asyncio.TimerHandle | None = None
     self._idle_since = 0.0
+    self._poll_s = UNSENT_POLL_S
     self._can_write = asyncio.Event()
     self._can_write.set()
     self._is_reading = False
@@ -299,6 +302,7 @@
       return
     self._is_half_closed = True
     self._stop_timer()
+    self._poll_s = UNSENT_POLL_S
     self._transport.resume_reading()
     try:
       self._transport.write_eof()
@@ -327,7 +331,7 @@
     if unread_s >= self._server.limits.idle_timeout_s:
       self._drop('not_read')
       return
-    self._set_timer(UNSENT_POLL_S, self._close_when_sent)
+    self._poll_again(self._close_when_sent)
 
   def _await_close(self) -> None:
     """Ends a half-closed connection if its caller neither reads nor closes."""
@@ -339,7 +343,11 @@
     if self._loop.time() - self._unsent.since >= limit_s:
       self._drop('not_read')
       return
-    self._set_timer(UNSENT_POLL_S, self._await_close)
+    self._poll_again(self._await_close)
+
+  def _poll_again(self, poll: Callable[[], None]) -> None:
+    self._set_timer(self._poll_s, poll)
+    self._poll_s = min(2 * self._poll_s, MAX_UNSENT_POLL_S)
 
   def _drop(self, reason: str) -> None:
     """Closes the connection at once, though its caller may lack bytes."""
@@ -415,6 +423,7 @@
 
   async def _serve(self, received: ReceivedRequest) -> None:
     self.has_head = False
+    self._poll_s = UNSENT_POLL_S
     self._unsent.reset()
     try:
       await self._server.handle(received, self)
