Give up unread responses by the time limits of routes, not of idle callers

The kernel of a slow reader acknowledges nothing until much of its buffer is free.

Cause: the limit of idle callers bounded the time without an acknowledged byte. Now that time is the longest time limit of a route in force, if that is longer. Limits are applied when the configuration changes, not ten times a second.

--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -328,7 +328,7 @@
       self.close_unused()
       return
     unread_s = self._loop.time() - self._unsent.since
-    if unread_s >= self._server.limits.idle_timeout_s:
+    if unread_s >= self._server.unread_timeout_s:
       self._drop('not_read')
       return
     self._poll_again(self._close_when_sent)
@@ -337,9 +337,7 @@
     """Ends a half-closed connection if its caller neither reads nor closes."""
     if self._transport.is_closing():
       return
-    limit_s = (
-        self._server.limits.idle_timeout_s if self.has_unsent else LINGER_S
-    )
+    limit_s = self._server.unread_timeout_s if self.has_unsent else LINGER_S
     if self._loop.time() - self._unsent.since >= limit_s:
       self._drop('not_read')
       return
@@ -470,6 +468,7 @@
     since = self._idle_since
     if self.has_unsent:
       since = self._unsent.since
+      limit_s = self._server.unread_timeout_s
     left_s = since + limit_s - self._loop.time()
     if left_s > 0:
       self._set_timer(left_s, self._close_idle)
@@ -513,6 +512,9 @@
     user_timeout_s: Time after which the kernel drops a connection whose caller
       acknowledges nothing, or has no room for what is written; None for the
       kernel's own. It holds for connections that are opened from now on.
+    unread_timeout_s: Time after which a response is given up whose caller
+      acknowledges no byte. The kernel of one that reads slowly may tell nothing
+      until much of its buffer is free.
     handle: Handles one request.
     on_refused: Called with the status and the IP address of the caller when a
       request is refused before it is complete.
@@ -529,6 +531,7 @@
     self.is_leaving = False
     self.limits = Limits()
     self.user_timeout_s: float | None = tcp_options.USER_TIMEOUT_S
+    self.unread_timeout_s = self.limits.idle_timeout_s
     self.handle = handle
     self.on_refused = on_refused
     self.on_undelivered: Callable[[str, int, str], None] = lambda *_: None
--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -35,6 +35,7 @@
 SLOW_READ_INTERVAL_S = 0.1
 # Time that a caller reads nothing (s); within the idle limit of that test.
 PAUSE_S = 4.0
+UNREAD_TIMEOUT_S = 0.5
 REQUEST = b'GET /large HTTP/1.1\r\nHost: h\r\n\r\n'
 NEXT_REQUEST = b'GET /small HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -93,6 +94,7 @@
     asyncio.get_running_loop().set_debug(False)
     self.server = stream_server.StreamServer(self.handle, lambda *_: None)
     self.server.limits = LIMITS
+    self.server.unread_timeout_s = UNREAD_TIMEOUT_S
     self.port = gateway_cluster.free_ports(1)[0]
     await self.server.listen('127.0.0.1', self.port)
     self.caller = SlowCaller(self.port)
@@ -193,7 +195,7 @@
     await self.wait_until(lambda: self.seen)
     await self.wait_until(lambda: not self.server.connections)
 
-  async def test_caller_that_stops_reading_is_left_after_the_idle_limit(self):
+  async def test_caller_that_stops_reading_is_left_after_a_time(self):
     # Guards against responses that are held for ever.
     await self.caller.send(REQUEST)
     await self.wait_until(lambda: self.seen)
--- a/mulberrypick/adapters/stream_server_slow_reader_test.py
+++ b/mulberrypick/adapters/stream_server_slow_reader_test.py
@@ -14,8 +14,10 @@
 READ_INTERVAL_S = 0.3
 SLOW_READS = 18
 PAUSE_S = 5.0
+# Shorter than the time between two bytes that are acknowledged.
+IDLE_TIMEOUT_S = 1.0
 # Far longer than a test.
-IDLE_TIMEOUT_S = 60.0
+UNREAD_TIMEOUT_S = 60.0
 
 
 class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
@@ -27,9 +29,10 @@
     self.server.limits = stream_server.Limits(
         max_header_bytes=1000,
         max_body_bytes=2000,
-        header_timeout_s=IDLE_TIMEOUT_S,
+        header_timeout_s=UNREAD_TIMEOUT_S,
         idle_timeout_s=IDLE_TIMEOUT_S,
     )
+    self.server.unread_timeout_s = UNREAD_TIMEOUT_S
     port = gateway_cluster.free_ports(1)[0]
     await self.server.listen('127.0.0.1', port)
     self.loop = asyncio.get_running_loop()
@@ -65,7 +68,7 @@
 
   async def read_rest(self) -> None:
     """Reads until the connection ends; checks that all bytes arrive."""
-    async with asyncio.timeout(IDLE_TIMEOUT_S):
+    async with asyncio.timeout(UNREAD_TIMEOUT_S):
       while await self.read(BODY_BYTES):
         continue
     self.assertGreater(self.received_bytes, BODY_BYTES)
--- a/mulberrypick/core/gateway_records.py
+++ b/mulberrypick/core/gateway_records.py
@@ -123,6 +123,13 @@
   limits: CallerLimits
   raw: bytes
 
+  def longest_timeout_s(self) -> float:
+    """Returns the longest time limit of all routes, 0 if there are none."""
+    timeouts = [0.0]
+    for routes in self.routes_by_host.values():
+      timeouts += [route.timeout_s for route in routes]
+    return max(timeouts)
+
 
 class Endpoint(NamedTuple):
   """An endpoint as the platform lists it.
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -112,6 +112,8 @@
     )
     self._stop_requested = asyncio.Event()
     self._settings_read_at = time.monotonic()
+    # Version of the configuration whose limits are in force.
+    self._limits_version = 0
 
   async def run(self) -> None:
     """Runs until SIGTERM or SIGINT."""
@@ -231,15 +233,22 @@
       if time.monotonic() - self._settings_read_at > SETTINGS_RELOAD_INTERVAL_S:
         self._reload()
       config = self.state.config
-      if config is not None:
-        limits = stream_server.Limits(*config.limits)
-        self._caller_server.limits = limits
-        # The body of a request that is passed on holds all of it.
-        self._forward_server.limits = stream_server.Limits(
-            max_body_bytes=limits.max_header_bytes
-            + limits.max_body_bytes
-            + MAX_FORWARDED_EXTRA_BYTES
-        )
+      if config is not None and config.version != self._limits_version:
+        self._limits_version = config.version
+        self._apply_limits(config)
+
+  def _apply_limits(self, config: gateway_records.GatewayConfig) -> None:
+    limits = stream_server.Limits(*config.limits)
+    self._caller_server.limits = limits
+    self._caller_server.unread_timeout_s = max(
+        limits.idle_timeout_s, config.longest_timeout_s()
+    )
+    # The body of a request that is passed on holds all of it.
+    self._forward_server.limits = stream_server.Limits(
+        max_body_bytes=limits.max_header_bytes
+        + limits.max_body_bytes
+        + MAX_FORWARDED_EXTRA_BYTES
+    )
 
   def _reload(self) -> None:
     """Reloads the settings; changed addresses apply at the next start."""
