--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -6,6 +6,7 @@
 
 import uvloop
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_server
 from standins import gateway_cluster
 
@@ -13,7 +14,7 @@
 BODY_BYTES = 12 << 20
 RECEIVE_BUFFER_BYTES = 65536
 READ_BYTES = 65536
-LIMITS = stream_server.Limits(
+LIMITS = received_request.Limits(
     max_header_bytes=1000,
     max_body_bytes=2000,
     header_timeout_s=0.3,
@@ -23,7 +24,7 @@
 # longer than the idle limit.
 SLOW_READS = 8
 SLOW_READ_INTERVAL_S = 0.1
-LIMITS = stream_server.Limits(
+LIMITS = received_request.Limits(
     max_header_bytes=1000,
     max_body_bytes=2000,
     header_timeout_s=0.3,
@@ -99,7 +100,7 @@
     await self.server.listen('127.0.0.1', self.port)
     self.caller = SlowCaller(self.port)
     await self.caller.open()
-    self.seen: list[stream_server.ReceivedRequest] = []
+    self.seen: list[received_request.ReceivedRequest] = []
 
   async def asyncTearDown(self):
     self.caller.close()
--- a/mulberrypick/adapters/stream_server_slow_reader_test.py
+++ b/mulberrypick/adapters/stream_server_slow_reader_test.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_server
 from standins import gateway_cluster
 
@@ -26,7 +27,7 @@
     asyncio.get_running_loop().set_debug(False)
     self.server = stream_server.StreamServer(self.handle, lambda *_: None)
     self.server.user_timeout_s = None
-    self.server.limits = stream_server.Limits(
+    self.server.limits = received_request.Limits(
         max_header_bytes=1000,
         max_body_bytes=2000,
         header_timeout_s=UNREAD_TIMEOUT_S,
--- a/mulberrypick/adapters/stream_server_test.py
+++ b/mulberrypick/adapters/stream_server_test.py
@@ -3,10 +3,11 @@
 import asyncio
 import unittest
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_server
 from standins import gateway_cluster
 
-LIMITS = stream_server.Limits(
+LIMITS = received_request.Limits(
     max_header_bytes=1000,
     max_body_bytes=2000,
     header_timeout_s=0.3,
@@ -17,7 +18,7 @@
 class StreamServerTest(unittest.IsolatedAsyncioTestCase):
 
   async def asyncSetUp(self):
-    self.seen: list[stream_server.ReceivedRequest] = []
+    self.seen: list[received_request.ReceivedRequest] = []
     self.refused: list[int] = []
     self.cancelled = 0
     self.server = stream_server.StreamServer(
--- a/mulberrypick/ops/call_run.py
+++ b/mulberrypick/ops/call_run.py
@@ -8,8 +8,9 @@
 import asyncio
 from collections.abc import Callable
 
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_client
-from mulberrypick.adapters import stream_server
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.core import gateway_records
@@ -77,8 +78,10 @@
       versions: version_exchange.VersionExchange,
       call: gateway_records.Call,
       service: gateway_records.Service,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      received: received_request.ReceivedRequest,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       forwarded: forward_server.ForwardedCaller | None = None,
   ):
     """Creates a run.
--- a/mulberrypick/ops/caller_stream.py
+++ b/mulberrypick/ops/caller_stream.py
@@ -5,8 +5,8 @@
 it may send the text of an error, or the wrong part.
 """
 
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_client
-from mulberrypick.adapters import stream_server
 from mulberrypick.core import errors
 from mulberrypick.core import event_stream
 from mulberrypick.ops import forward_server
@@ -26,7 +26,9 @@
 
   def __init__(
       self,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       forwarded: forward_server.ForwardedCaller | None = None,
   ):
     """Creates a stream.
--- a/mulberrypick/ops/failure_response.py
+++ b/mulberrypick/ops/failure_response.py
@@ -1,6 +1,6 @@
 """Error responses that this system generates itself."""
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 from mulberrypick.ops import forward_server
 from mulberrypick.platform import requests
 
@@ -9,7 +9,7 @@
 
 
 def write_failure(
-    caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+    caller: server_connection.ServerConnection | forward_server.ForwardedCaller,
     status: int,
     reason: str,
     request_id: str,
--- a/mulberrypick/ops/forward_run.py
+++ b/mulberrypick/ops/forward_run.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_client
-from mulberrypick.adapters import stream_server
 from mulberrypick.core import errors
 from mulberrypick.core import helper_choice
 from mulberrypick.ops import caller_stream
@@ -62,8 +63,8 @@
   def __init__(
       self,
       state: gateway_state.GatewayState,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
       stream: caller_stream.CallerStream,
       is_idempotent: bool,
       can_end: Callable[[float], bool],
--- a/mulberrypick/ops/forward_server.py
+++ b/mulberrypick/ops/forward_server.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from mulberrypick.adapters import logs
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.ops import forward_message
 from mulberrypick.ops import gateway_state
 from mulberrypick.platform import requests
@@ -30,7 +31,7 @@
 class ForwardedCaller:
   """Connection to the caller of another host.
 
-  It has the interface of `stream_server.ServerConnection` that responses use.
+  It has the interface of `ServerConnection` that responses use.
 
   Attributes:
     origin: The request as the other host passed it on.
@@ -43,7 +44,7 @@
   def __init__(
       self,
       origin: forward_message.ForwardedRequest,
-      connection: stream_server.ServerConnection,
+      connection: server_connection.ServerConnection,
   ):
     self.origin = origin
     self.last_event = origin.last_event
@@ -119,7 +120,7 @@
       self,
       state: gateway_state.GatewayState,
       answer: Callable[
-          [stream_server.ReceivedRequest, ForwardedCaller], Awaitable[None]
+          [received_request.ReceivedRequest, ForwardedCaller], Awaitable[None]
       ],
       is_host: Callable[[str], bool],
   ):
@@ -136,8 +137,8 @@
 
   async def handle(
       self,
-      received: stream_server.ReceivedRequest,
-      connection: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      connection: server_connection.ServerConnection,
   ) -> None:
     """Responds to one request of another host."""
     is_forwarded = (
@@ -168,7 +169,7 @@
       caller: ForwardedCaller,
   ) -> None:
     state = self._state
-    received = stream_server.ReceivedRequest(
+    received = received_request.ReceivedRequest(
         origin.method,
         origin.target,
         origin.headers,
@@ -200,7 +201,7 @@
     return ''
 
   def _log_refused(
-      self, received: stream_server.ReceivedRequest, reason: str
+      self, received: received_request.ReceivedRequest, reason: str
   ) -> None:
     logs.log_event(
         _log,
--- a/mulberrypick/ops/gateway_metrics.py
+++ b/mulberrypick/ops/gateway_metrics.py
@@ -8,7 +8,8 @@
 
 import prometheus_client
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.core import gateway_records
 from mulberrypick.ops import gateway_state
 
@@ -126,8 +127,8 @@
 
   async def answer(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     """Responds with all metrics."""
     del received
--- a/mulberrypick/ops/gateway_task.py
+++ b/mulberrypick/ops/gateway_task.py
@@ -3,7 +3,8 @@
 import asyncio
 import logging
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.core import crashing_parts
 from mulberrypick.core import gateway_records
 from mulberrypick.core import route_table
@@ -40,8 +41,8 @@
 
   async def handle(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     """Responds to one request of a caller.
 
@@ -71,7 +72,7 @@
 
   async def answer_forwarded(
       self,
-      received: stream_server.ReceivedRequest,
+      received: received_request.ReceivedRequest,
       caller: forward_server.ForwardedCaller,
   ) -> None:
     """Responds to a request that another host passes on."""
@@ -90,8 +91,10 @@
 
   async def _answer(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      received: received_request.ReceivedRequest,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       forwarded: forward_server.ForwardedCaller | None = None,
   ) -> None:
     state = self._state
@@ -153,7 +156,9 @@
   async def _take_up(
       self,
       call: gateway_records.Call,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       forwarded: forward_server.ForwardedCaller | None,
   ) -> gateway_records.Call | None:
     """Binds a stream that goes on; returns None if it was refused."""
@@ -188,7 +193,9 @@
   def _end_for_stop(
       self,
       call: gateway_records.Call,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       forwarded: forward_server.ForwardedCaller | None,
   ) -> None:
     """Ends a request that was not sent and that a stop leaves no time for."""
@@ -240,8 +247,8 @@
 
   async def answer_ready(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     """Responds to a readiness check."""
     is_asked = received.target.partition(b'?')[0] == protocol.READY_PATH
@@ -262,7 +269,9 @@
 
   def _refuse(
       self,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       status: int,
       reason: str,
       request_id: str,
@@ -277,7 +286,7 @@
 
 
 def make_call(
-    received: stream_server.ReceivedRequest,
+    received: received_request.ReceivedRequest,
     headers: requests.CallHeaders,
     route: gateway_records.Route,
 ) -> gateway_records.Call:
--- a/mulberrypick/ops/pass_on.py
+++ b/mulberrypick/ops/pass_on.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.ops import caller_stream
 from mulberrypick.ops import endpoint_send
 from mulberrypick.ops import forward_run
@@ -23,8 +24,10 @@
       self,
       state: gateway_state.GatewayState,
       next_: next_run.NextRun,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection | forward_server.ForwardedCaller,
+      received: received_request.ReceivedRequest,
+      caller: (
+          server_connection.ServerConnection | forward_server.ForwardedCaller
+      ),
       stream: caller_stream.CallerStream,
       forwarded: forward_server.ForwardedCaller | None,
       can_end: Callable[[float], bool],
--- a/mulberrypick/platform/gateway_silence_review_test.py
+++ b/mulberrypick/platform/gateway_silence_review_test.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_server
 from mulberrypick.platform import gateway_silence_test
 from standins import gateway_cluster
@@ -179,7 +180,7 @@
 
   async def test_request_sent_before_the_idle_limit_is_answered(self):
     # Guards against closing a connection whose request is there but not read.
-    limits = stream_server.Limits(idle_timeout_s=PAUSE_S)
+    limits = received_request.Limits(idle_timeout_s=PAUSE_S)
     server = stream_server.StreamServer(self.answer, lambda *_: None)
     server.limits = limits
     port = gateway_cluster.free_ports(1)[0]
--- a/mulberrypick/platform/gateway_stop_fault_test.py
+++ b/mulberrypick/platform/gateway_stop_fault_test.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 from mulberrypick.core import stop_schedule
 from mulberrypick.ops import gateway_peers
 from mulberrypick.platform import gateway_stop_test
@@ -266,7 +266,7 @@
     caller = await self.open_caller()
     caller.send('/unsafe/x', 'r1')
     await self.wait_until(self.arrivals)
-    usual = stream_server.ServerConnection.data_received
+    usual = server_connection.ServerConnection.data_received
 
     def data_received(connection, data):
       if b'faulty' in data:
@@ -275,7 +275,7 @@
 
     self.enterContext(
         mock.patch.object(
-            stream_server.ServerConnection, 'data_received', data_received
+            server_connection.ServerConnection, 'data_received', data_received
         )
     )
     other = await self.open_caller()
--- a/mulberrypick/platform/gateway_stop_log_test.py
+++ b/mulberrypick/platform/gateway_stop_log_test.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 from mulberrypick.core import run_times
 from mulberrypick.ops import forward_message
 from mulberrypick.ops import stop_guard
@@ -14,7 +14,7 @@
 LONG_S = 2 * gateway_stop_test.GRACE_S
 IDLE_TIMEOUT_MS = 20_000
 UNSAFE_WORK = run_times.Work('unsafe', 'desk')
-ACTIVITY = stream_server.Activity
+ACTIVITY = server_connection.Activity
 
 
 class StopLogTest(gateway_stop_test.StopTestCase):
@@ -48,7 +48,7 @@
     await self.wait_until(lambda: self.arrivals() > arrivals)
     self.caller = caller
 
-  def count(self, activity: stream_server.Activity) -> int:
+  def count(self, activity: server_connection.Activity) -> int:
     """Returns the number of callers' connections that are so used."""
     connections = self.gateway._caller_server.connections
     return sum(c.activity is activity for c in connections)
--- a/mulberrypick/platform/make_call_test.py
+++ b/mulberrypick/platform/make_call_test.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
 from mulberrypick.core import gateway_records
 from mulberrypick.ops import gateway_task
 from mulberrypick.platform import requests
@@ -22,7 +22,7 @@
 
 
 def _make_call(request: str, *headers: tuple[bytes, bytes]):
-  received = stream_server.ReceivedRequest(
+  received = received_request.ReceivedRequest(
       method=b'POST',
       target=b'/ask/x',
       headers=[(b'X-Mulberrypick-Request-Id', request.encode()), *headers],
--- a/mulberrypick/platform/platform_test.py
+++ b/mulberrypick/platform/platform_test.py
@@ -4,8 +4,8 @@
 import tempfile
 import unittest
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_client
-from mulberrypick.adapters import stream_server
 from mulberrypick.core import crash_exchange
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -38,7 +38,7 @@
 def make_received(
     *headers: tuple[bytes, bytes], body: bytes = b'', peer: str = '10.9.9.9'
 ):
-  return stream_server.ReceivedRequest(
+  return received_request.ReceivedRequest(
       b'POST', b'/a/b', list(headers), body, peer, 1.0
   )
 
--- a/mulberrypick/platform/requests.py
+++ b/mulberrypick/platform/requests.py
@@ -7,8 +7,8 @@
 import msgspec
 import xxhash
 
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_client
-from mulberrypick.adapters import stream_server
 from mulberrypick.adapters import tolerant_json
 from mulberrypick.core import gateway_records
 from mulberrypick.platform import protocol
@@ -82,7 +82,7 @@
   return ''
 
 
-def decode_call(received: stream_server.ReceivedRequest) -> CallHeaders:
+def decode_call(received: received_request.ReceivedRequest) -> CallHeaders:
   """Decodes the request headers that routing and admission need."""
   by_name = {name.lower(): value for name, value in received.headers}
   tokens = by_name.get(protocol.TOKENS, b'').split(b',')
@@ -105,7 +105,7 @@
   )
 
 
-def fingerprint(received: stream_server.ReceivedRequest) -> int:
+def fingerprint(received: received_request.ReceivedRequest) -> int:
   """Hashes the content, to recognize a repeated crashing request.
 
   A repeat has the same path and body. Its headers may differ, and it may come
@@ -118,7 +118,7 @@
 
 
 def forwarded_headers(
-    received: stream_server.ReceivedRequest,
+    received: received_request.ReceivedRequest,
 ) -> list[tuple[bytes, bytes]]:
   """Returns the caller's headers that are forwarded to the endpoint."""
   dropped = set()
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -14,6 +14,7 @@
 import uvloop
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import received_request
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import errors
 from mulberrypick.core import gateway_records
@@ -238,13 +239,13 @@
         self._apply_limits(config)
 
   def _apply_limits(self, config: gateway_records.GatewayConfig) -> None:
-    limits = stream_server.Limits(*config.limits)
+    limits = received_request.Limits(*config.limits)
     self._caller_server.limits = limits
     self._caller_server.unread_timeout_s = max(
         limits.idle_timeout_s, config.longest_timeout_s()
     )
     # The body of a request that is passed on holds all of it.
-    self._forward_server.limits = stream_server.Limits(
+    self._forward_server.limits = received_request.Limits(
         max_body_bytes=limits.max_header_bytes
         + limits.max_body_bytes
         + MAX_FORWARDED_EXTRA_BYTES
--- a/mulberrypick/scripts/gateway_stop.py
+++ b/mulberrypick/scripts/gateway_stop.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from mulberrypick.adapters import logs
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_server
 from mulberrypick.core import stop_schedule
 from mulberrypick.ops import call_log
@@ -115,7 +116,7 @@
     for server in self._servers:
       server.report_undelivered(stop_guard.STOPPING)
 
-  def _connections(self) -> list[stream_server.ServerConnection]:
+  def _connections(self) -> list[server_connection.ServerConnection]:
     found = []
     for server in self._servers:
       found.extend(server.connections)
@@ -128,25 +129,25 @@
     )
     return {
         activity.value: count_by_activity[activity]
-        for activity in stream_server.Activity
-        if activity is not stream_server.Activity.CLOSED
+        for activity in server_connection.Activity
+        if activity is not server_connection.Activity.CLOSED
     }
 
   def _activity(
-      self, connection: stream_server.ServerConnection
-  ) -> stream_server.Activity:
+      self, connection: server_connection.ServerConnection
+  ) -> server_connection.Activity:
     try:
       return connection.activity
     except Exception:
       self._log_failure('activity')
-      return stream_server.Activity.ANSWERING
+      return server_connection.Activity.ANSWERING
 
   def _cut_open(self) -> None:
     """Ends what is still open, and logs requests that no handler knows."""
     now = asyncio.get_running_loop().time()
     for connection in self._connections():
       activity = self._activity(connection)
-      if activity is stream_server.Activity.RECEIVING:
+      if activity is server_connection.Activity.RECEIVING:
         self._log.record(
             'unreceived',
             stop_guard.STOPPING,
@@ -155,7 +156,7 @@
             request=requests.find_id(connection.partial_headers),
             received_bytes=connection.partial_bytes,
         )
-      if activity is not stream_server.Activity.ANSWERING:
+      if activity is not server_connection.Activity.ANSWERING:
         continue
       for received in connection.waiting:
         self._log.record(
--- a/standins/failing_replica.py
+++ b/standins/failing_replica.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from standins import fleet_replica
 from standins import retry_check
 
@@ -28,8 +29,8 @@
 
   async def _handle(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     if (
         received.method == b'DELETE'
@@ -56,7 +57,7 @@
       request: str,
       headers: dict[str, str],
       body: bytes,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     if self._rng.random() < self.refuse_share:
       self._refuse(caller, request)
--- a/standins/fleet_replica.py
+++ b/standins/fleet_replica.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_server
 from standins import crash_point
 from standins import silence
@@ -124,7 +126,7 @@
     self.behaviour = Behaviour()
     self.on_run: (
         Callable[
-            [str, dict[str, str], stream_server.ServerConnection],
+            [str, dict[str, str], server_connection.ServerConnection],
             Awaitable[bool],
         ]
         | None
@@ -219,8 +221,8 @@
 
   async def _handle(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     await self._crash_at(b'')
     headers = {}
@@ -291,8 +293,8 @@
 
   def _handle_orders(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     if received.method == b'GET':
       report = {'stage': self.stage, 'sequence': len(self.orders)}
@@ -316,7 +318,7 @@
     self.on_stage(self)
 
   def _refuse(
-      self, caller: stream_server.ServerConnection, request: str
+      self, caller: server_connection.ServerConnection, request: str
   ) -> None:
     headers = self._state_headers() + _refusal(request)
     if self.hold_off:
@@ -337,7 +339,7 @@
       request: str,
       headers: dict[str, str],
       body: bytes,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     if self.on_run is not None and await self.on_run(request, headers, caller):
       return
@@ -348,7 +350,7 @@
       request: str,
       headers: dict[str, str],
       body: bytes,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     if headers.get('x-mulberrypick-stage') == 'prefill':
       await self._crash_at(body, crash_point.CrashPoint.PREFILL)
@@ -390,7 +392,7 @@
       self,
       request: str,
       answer_headers: list[tuple[bytes, bytes]],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     mode = self.behaviour.mode
     answer = f'{self.name}:{request}'.encode()
@@ -424,9 +426,9 @@
 
   async def _send_kv_events(
       self,
-      received: stream_server.ReceivedRequest,
+      received: received_request.ReceivedRequest,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     """Sends the KV events after the sequence number in the query.
 
@@ -478,7 +480,7 @@
       self,
       request: str,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     await self._prefill_prompt(headers)
     await asyncio.sleep(self.behaviour.work_s)
@@ -497,7 +499,7 @@
       answer_headers: list[tuple[bytes, bytes]],
       start: int,
       body: bytes,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     mode = self.behaviour.mode
     is_open = mode in unframed_stream.MODES
--- a/standins/fleet_store.py
+++ b/standins/fleet_store.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from mulberrypick.adapters import received_request
+from mulberrypick.adapters import server_connection
 from mulberrypick.adapters import stream_server
 
 # Number of changes kept for watchers. A watch from an older revision is
@@ -59,7 +61,7 @@
     self._oldest_revision = 1
     self._changed = asyncio.Event()
     self._server = stream_server.StreamServer(self._handle, lambda *_: None)
-    self._silenced: set[stream_server.ServerConnection] = set()
+    self._silenced: set[server_connection.ServerConnection] = set()
 
   async def start(self, port: int) -> None:
     """Listens on a loopback port."""
@@ -189,8 +191,8 @@
 
   async def _handle(
       self,
-      received: stream_server.ReceivedRequest,
-      caller: stream_server.ServerConnection,
+      received: received_request.ReceivedRequest,
+      caller: server_connection.ServerConnection,
   ) -> None:
     path, _, query = received.target.decode().partition('?')
     kind, _, name = path.removeprefix('/mulberrypick/objects/').partition('/')
@@ -210,7 +212,9 @@
       return []
     return [(b'Store-Era', b'%d' % self.era)]
 
-  async def _is_failing(self, caller: stream_server.ServerConnection) -> bool:
+  async def _is_failing(
+      self, caller: server_connection.ServerConnection
+  ) -> bool:
     if self.mode == 'silent' or caller in self._silenced:
       await asyncio.Event().wait()
     if self.mode == 'reset':
--- a/standins/odd_answers.py
+++ b/standins/odd_answers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 
 _REQUEST_ID = b'X-Mulberrypick-Request-Id'
 _SIGNATURE = (b'X-Mulberrypick-Server-Signature', b'odd.1')
@@ -38,13 +38,13 @@
       has_id: Whether refusals bear the id of their request.
     """
     self._has_id = has_id
-    self._refused: dict[stream_server.ServerConnection, str] = {}
+    self._refused: dict[server_connection.ServerConnection, str] = {}
 
   async def __call__(
       self,
       request: str,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> bool:
     """Answers a request that is the first one on its connection."""
     del headers
@@ -57,7 +57,7 @@
     return False
 
   def _write(
-      self, request: str, caller: stream_server.ServerConnection
+      self, request: str, caller: server_connection.ServerConnection
   ) -> None:
     headers = [_NOT_RUN]
     if self._has_id:
@@ -82,7 +82,7 @@
       self,
       request: str,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> bool:
     """Answers a request for a stream."""
     if headers.get('x-mulberrypick-stage') == 'prefill':
@@ -99,7 +99,7 @@
     return True
 
   def _write_rest(
-      self, request: str, last: int, caller: stream_server.ServerConnection
+      self, request: str, last: int, caller: server_connection.ServerConnection
   ) -> None:
     status, kind, body = RESUMED_ANSWERS[self._kind]
     if body is None:
@@ -132,7 +132,7 @@
       self,
       request: str,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> bool:
     """Answers a request that begins a stream."""
     is_prefill = headers.get('x-mulberrypick-stage') == 'prefill'
@@ -157,7 +157,7 @@
       self,
       request: str,
       headers: dict[str, str],
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> bool:
     """Answers any request."""
     del headers
--- a/standins/soak_planned_endpoint.py
+++ b/standins/soak_planned_endpoint.py
@@ -5,7 +5,7 @@
 import random
 from typing import NamedTuple
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 from standins import fleet_replica
 from standins import soak_planned_checks
 
@@ -73,7 +73,7 @@
       request: str,
       headers: dict[str, str],
       body: bytes,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     job = self._book.job_by_request.get(request)
     source = headers.get('x-mulberrypick-kv-source', '')
@@ -108,7 +108,7 @@
       request: str,
       job: Job,
       start: int,
-      caller: stream_server.ServerConnection,
+      caller: server_connection.ServerConnection,
   ) -> None:
     answer_headers = [
         *self._answer_headers(request),
--- a/standins/unframed_stream.py
+++ b/standins/unframed_stream.py
@@ -3,7 +3,7 @@
 import socket
 import struct
 
-from mulberrypick.adapters import stream_server
+from mulberrypick.adapters import server_connection
 
 # How such a stream ends: complete, within an event, by a reset, or by a close
 # that looks like the end of a complete one.
@@ -17,7 +17,7 @@
 
 
 def end_early(
-    mode: str, sent: int, caller: stream_server.ServerConnection
+    mode: str, sent: int, caller: server_connection.ServerConnection
 ) -> bool:
   """Ends a stream that does not complete after some events.
 
@@ -39,7 +39,7 @@
   return True
 
 
-def reset(caller: stream_server.ServerConnection) -> None:
+def reset(caller: server_connection.ServerConnection) -> None:
   """Closes a connection by a reset instead of a regular end."""
   sock = caller._transport.get_extra_info('socket')
   sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
