Let hosts that pass a stream on to a slow caller read slowly too

Now the server for other hosts has the limits of the one for callers.

The test of the limits failed before (3.0 s instead of none).

--- a/mulberrypick/ops/call_log.py
+++ b/mulberrypick/ops/call_log.py
@@ -39,7 +39,7 @@
 
 
 # Outcomes of requests that a stop ends or refuses. Their lines have a limit of
-# their own: so many of each outcome. The queue of lines holds twice as many.
+# their own: so many of each outcome in the life of a process.
 ENDED_OUTCOMES = ('refused', 'failed', 'cut', 'undelivered', 'unreceived')
 MAX_STOP_LINES = 1000
 
--- a/mulberrypick/ops/stop_guard.py
+++ b/mulberrypick/ops/stop_guard.py
@@ -55,12 +55,14 @@
   BEFORE_STOP = 'before_stop'
   # It ends by its time limit, which is earlier than the end of the stop.
   TIME_LIMIT = 'time_limit'
-  # Earlier requests, requests under way, or the events of its own stream.
+  # Earlier requests of its route, service and size took so long.
   RUN_TIMES = 'run_times'
+  # Requests under way are slower than those.
   OPEN_RUNS = 'open_runs'
+  # The events of its own stream came so fast.
   PACE = 'pace'
-  # The size of its stream is unknown, or too few like it were seen.
   UNKNOWN_SIZE = 'unknown_size'
+  # Too few requests like it were seen.
   UNKNOWN = 'unknown'
 
 
--- a/mulberrypick/platform/gateway_stop_test.py
+++ b/mulberrypick/platform/gateway_stop_test.py
@@ -288,6 +288,16 @@
 
 class PausingCallerTest(SlowReaderTestCase):
 
+  async def test_host_that_passes_a_response_on_may_pause_too(self):
+    # Guards against a stream that ends because its caller pauses: the host of
+    # the caller stops reading too, and the kernel of the helper counts that.
+    config = make_config() | {'version': 3}
+    config['routes'][0]['timeoutMs'] = 11_000
+    self.cluster.store.put('config', 'main', config)
+    for server in (self.gateway._caller_server, self.gateway._forward_server):
+      self.assertIsNone(server.user_timeout_s)
+      await self.wait_until(lambda s=server: s.unread_timeout_s == 11.0)
+
   async def test_caller_that_pauses_gets_its_whole_response(self):
     # Guards against a kernel that drops what a caller has not read for three
     # seconds, without a line in the log.
--- a/mulberrypick/scripts/gateway_app.py
+++ b/mulberrypick/scripts/gateway_app.py
@@ -84,8 +84,6 @@
     self._caller_server = stream_server.StreamServer(
         self._task.handle, self._task.log_refused
     )
-    # Callers may read slowly. Time limits end the requests of dead ones.
-    self._caller_server.user_timeout_s = None
     self._caller_server.on_undelivered = self._task.log_undelivered
     self._forward_server = stream_server.StreamServer(
         forward_server.ForwardServer(
@@ -94,6 +92,10 @@
         self._task.log_refused,
     )
     self._forward_server.on_undelivered = self._task.log_undelivered
+    # Callers may read slowly, and so does a host that passes a response on to
+    # one. Time limits end the requests of dead ones.
+    for server in (self._caller_server, self._forward_server):
+      server.user_timeout_s = None
     self._readiness_server = stream_server.StreamServer(
         self._task.answer_ready, self._task.log_refused
     )
@@ -241,9 +243,9 @@
   def _apply_limits(self, config: gateway_records.GatewayConfig) -> None:
     limits = received_request.Limits(*config.limits)
     self._caller_server.limits = limits
-    self._caller_server.unread_timeout_s = max(
-        limits.idle_timeout_s, config.longest_timeout_s()
-    )
+    unread_timeout_s = max(limits.idle_timeout_s, config.longest_timeout_s())
+    for server in (self._caller_server, self._forward_server):
+      server.unread_timeout_s = unread_timeout_s
     # The body of a request that is passed on holds all of it.
     self._forward_server.limits = received_request.Limits(
         max_body_bytes=limits.max_header_bytes
