Test that runs before a move of the route predict nothing in a stop

gateway_stop_config_test.test_stream_on_a_moved_route_is_not_cut holds also if the service is left out of what a request is known by: its stream has no size, and is refused for that. The new test fails then (the stream would be begun).

--- a/mulberrypick/ops/stop_guard_test.py
+++ b/mulberrypick/ops/stop_guard_test.py
@@ -96,6 +96,13 @@
     self.stream.has_head = True
     self.assertTrue(self.can_send(call, has_given_up=True))
 
+  async def test_stream_on_a_moved_route_is_not_begun_by_runs_before(self):
+    # Guards against a prediction from runs at the service before the move.
+    call = self.make_call(UNEXCUSED_S)
+    self.record(call, 0.01)
+    self.assertTrue(self.can_send(call))
+    self.assertFalse(self.can_send(call._replace(service='other')))
+
   async def test_slow_stream_under_way_counts(self):
     # Guards against streams at an endpoint that has just become slow.
     call = self.make_call(UNEXCUSED_S)
