Give the streams of the moved route a size in their test

With a size it fails if runs are not told apart by service (cut after 82 of 160 events), and holds now.

--- a/mulberrypick/platform/gateway_stop_config_test.py
+++ b/mulberrypick/platform/gateway_stop_config_test.py
@@ -23,6 +23,8 @@
 BODY_BYTES = 60_000
 # Limit of bodies that the part which was sent already exceeds.
 SMALL_BODY_BYTES = 1000
+# Tokens of the prompt and of the response.
+USAGE = '100,160'
 
 
 class ChangeTestCase(gateway_stop_test.StopTestCase):
@@ -182,10 +184,13 @@
     state.host = state.host._replace(bounds=bounds)
 
   async def test_stream_on_a_moved_route_is_not_cut(self):
-    # Guards against a prediction from runs at the service before the move.
+    # Guards against a prediction from runs at the service before the move. All
+    # requests are of one size.
+    headers = {'X-Mulberrypick-Token-Usage': USAGE}
     self.cluster.update_behaviour('engine', events=5, event_interval_s=0.005)
     for number in range(10):
-      answer = await self.call('/read/x', f'before-{number}')
+      request = f'before-{number}'
+      answer = await self.call('/read/x', request, headers=headers)
       self.assertTrue(answer.is_whole)
     for number in (1, 2):
       slow = await self.cluster.add(f'slow-{number}', 'slow', 'decode')
@@ -207,7 +212,7 @@
         and self.gateway._caller_server.limits.idle_timeout_s > LONG_GRACE_S
     )
     caller = await self.open_caller()
-    caller.send_head('/read/x', 'r1')
+    caller.send_head('/read/x', 'r1', usage=USAGE)
     await asyncio.sleep(0.05)
     self.stop_gateway()
     await asyncio.sleep(UNEXCUSED_S)
