Let the soak's gateway that sends too late do so with the present code

And with a grace of 3 s every request is sent within the 3 s after SIGTERM in which work in the last sixth excuses a cut: the bug was found only because requests were given up before that sixth, which is fixed.

--- a/standins/soak_cutting_gateway.py
+++ b/standins/soak_cutting_gateway.py
@@ -10,7 +10,7 @@
 
 def main() -> None:
   """Runs the gateway with the bug."""
-  stop_guard.StopGuard.can_end = lambda *_args, **_options: True
+  stop_guard.StopGuard.is_in_time = lambda *_: True
   relayed_gateway.main()
 
 
--- a/standins/soak_planned_test.py
+++ b/standins/soak_planned_test.py
@@ -25,6 +25,8 @@
 RUN = soak_planned_checks.Run(11.0, 11.9)
 WORK = soak_planned_plan.Work
 GRACE_S = 3
+# Half of it is left when requests that are sent can't be excused any more.
+LONG_GRACE_S = 6
 SENDING_WAYS = ('whole', 'chunked', 'late', 'pipelined', 'half')
 
 
@@ -33,14 +35,16 @@
   return [line.partition(':')[0] for line in lines]
 
 
-def make_plan(*steps: soak_planned_plan.Step) -> soak_planned_plan.Plan:
+def make_plan(
+    *steps: soak_planned_plan.Step, grace_s: int = GRACE_S
+) -> soak_planned_plan.Plan:
   connections = []
   for number in range(40):
     way = soak_planned_plan.Way(SENDING_WAYS[number % len(SENDING_WAYS)])
     connections.append(
         soak_planned_plan.Connection('host-2', way, 0.0, f'test-{number}')
     )
-  return soak_planned_plan.Plan('host-2', GRACE_S, list(steps), connections)
+  return soak_planned_plan.Plan('host-2', grace_s, list(steps), connections)
 
 
 class PlanTest(unittest.TestCase):
@@ -137,7 +141,9 @@
 
   def test_gateway_that_cuts_what_it_sent_too_late_is_detected(self):
     violations, summary = soak.run_planned(
-        make_plan(), 'planned-cut', 'standins.soak_cutting_gateway'
+        make_plan(grace_s=LONG_GRACE_S),
+        'planned-cut',
+        'standins.soak_cutting_gateway',
     )
     found = {line.partition(':')[0] for line in violations}
     self.assertEqual(found, {'LOST'}, summary)
