--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -24,18 +24,7 @@
 # longer than the idle limit.
 SLOW_READS = 8
 SLOW_READ_INTERVAL_S = 0.1
-LIMITS = received_request.Limits(
-    max_header_bytes=1000,
-    max_body_bytes=2000,
-    header_timeout_s=0.3,
-    idle_timeout_s=0.3,
-)
-# Reads of a slow caller, and the time between them (s). Together they take
-# longer than the idle limit.
-SLOW_READS = 8
-SLOW_READ_INTERVAL_S = 0.1
-# Time that a caller reads nothing (s); within the idle limit of that test.
-PAUSE_S = 4.0
+# Time after which a response is given up whose caller reads nothing (s).
 UNREAD_TIMEOUT_S = 0.5
 REQUEST = b'GET /large HTTP/1.1\r\nHost: h\r\n\r\n'
 NEXT_REQUEST = b'GET /small HTTP/1.1\r\nHost: h\r\n\r\n'
