--- a/mulberrypick/platform/gateway_stop_helper_test.py
+++ b/mulberrypick/platform/gateway_stop_helper_test.py
@@ -37,8 +37,10 @@
     gateway._stop_requested.set()
 
   async def find_helper(self) -> int:
-    """Returns the number of the gateway that has taken a request."""
+    """Returns the gateway that has taken the only request, and sent it."""
     await self.wait_until(lambda: any(g.state.taken for g in self.gateways))
+    # A helper that leaves declines what no endpoint has yet.
+    await self.wait_until(self.arrivals)
     return next(n for n, g in enumerate(self.gateways) if g.state.taken)
 
   def prefer(self, number: int) -> None:
