Keep responses that callers have not read yet when a connection closes

Cause: a connection was closed whole once all bytes were acknowledged. With a next request unread at that moment the kernel resets it, and the library of the caller (asyncio's StreamReader) drops what has arrived and was not read. Acknowledged is not read. Older idle connections are closed whole as before, so that the caller of a request that crosses knows that it was not read.

Evidence: test_request_that_crosses_the_close_cuts_no_unread_response failed before on both event loops (connection reset), holds now.

--- a/mulberrypick/adapters/server_connection.py
+++ b/mulberrypick/adapters/server_connection.py
@@ -6,10 +6,9 @@
 
 If a socket is closed while received bytes are unread, or gets more afterwards,
 the kernel resets the connection, and the bytes that the caller has not received
-are lost. So a connection is closed once its caller has acknowledged all bytes;
-requests that arrive until then are answered. After a refusal of an incomplete
-request, and after one that says that it is the last, more bytes are discarded
-until the caller closes its side, or for some time.
+are lost. So this side is closed once the caller has acknowledged all bytes, and
+requests that arrive until then are answered. Further bytes are discarded until
+the caller closes its side, or for some time: it may not have read the response.
 """
 
 import asyncio
@@ -256,6 +255,11 @@
     """Whether the connection is closed or closing."""
     return self._is_half_closed or self._transport.is_closing()
 
+  @property
+  def is_lingering(self) -> bool:
+    """Whether this side is closed, and the caller's may be open."""
+    return self._is_half_closed and not self._transport.is_closing()
+
   def close(self) -> None:
     """Closes this side once all written bytes are sent; the rest follows.
 
@@ -276,11 +280,15 @@
     self._await_close()
 
   def close_unused(self) -> None:
-    """Closes an idle connection whose bytes are sent.
+    """Closes an idle connection whose bytes are acknowledged.
 
     A request that crosses the close stays unread, so that its caller knows that
-    it was not taken.
+    it was not taken. If the last response was sent a moment ago, its caller may
+    not have read it, and a reset would take it.
     """
+    if self._loop.time() - self._idle_since < LINGER_S:
+      self.close()
+      return
     self._transport.close()
 
   def _close_when_sent(self) -> None:
@@ -288,7 +296,7 @@
     if self._transport.is_closing():
       return
     if not self.has_unsent:
-      self.close_unused()
+      self.close()
       return
     unread_s = self._loop.time() - self._unsent.since
     if unread_s >= self._server.unread_timeout_s:
--- a/mulberrypick/adapters/stream_server.py
+++ b/mulberrypick/adapters/stream_server.py
@@ -80,13 +80,14 @@
     """Closes the idle connections.
 
     Returns:
-      The number of connections that still have a request, or a response of
-      which bytes are unsent.
+      The number of connections that still have a request, or a response that
+      its caller may not have read.
     """
     busy = 0
     for connection in list(self.connections):
       if connection.is_idle and not connection.has_unsent:
         connection.close_unused()
+        busy += connection.is_lingering
         continue
       busy += 1
     return busy
--- a/mulberrypick/adapters/stream_server_close_test.py
+++ b/mulberrypick/adapters/stream_server_close_test.py
@@ -26,6 +26,8 @@
 SLOW_READ_INTERVAL_S = 0.1
 # Time after which a response is given up whose caller reads nothing (s).
 UNREAD_TIMEOUT_S = 0.5
+# Time for which a caller does not read (s).
+UNREAD_S = 0.1
 REQUEST = b'GET /large HTTP/1.1\r\nHost: h\r\n\r\n'
 NEXT_REQUEST = b'GET /small HTTP/1.1\r\nHost: h\r\n\r\n'
 
@@ -142,6 +144,23 @@
     self.assert_whole(2)
     self.assertEqual([r.follows_close for r in self.seen], [False, True])
 
+  async def test_request_that_crosses_the_close_cuts_no_unread_response(self):
+    # Guards against a reset by which the library of a caller drops a response
+    # that has arrived, and that the caller has not read yet.
+    reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+    self.addCleanup(writer.close)
+    writer.write(NEXT_REQUEST)
+    await self.wait_until(lambda: self.seen)
+    await asyncio.sleep(UNREAD_S)
+    writer.write(NEXT_REQUEST)
+    # The server has not read it yet.
+    self.assertGreater(self.server.close_idle(), 0)
+    await asyncio.sleep(UNREAD_S)
+    async with asyncio.timeout(10):
+      received = await reader.read()
+    self.assertEqual(received.count(b'HTTP/1.1 200 '), 1, received)
+    self.assertEqual(len(self.seen), 1)
+
   async def test_idle_limit_does_not_cut_an_unsent_response(self):
     # Guards against the same at the idle limit, without a stop.
     await self.caller.send(REQUEST)
